--- a/packages/coordination/src/marjoramyard/coordination/governance/commands.py
+++ b/packages/coordination/src/marjoramyard/coordination/governance/commands.py
@@ -104,6 +104,25 @@
     at: float = 0.0
 
 
+class ConfigDocument(msgspec.Struct, frozen=True):
+    """A fleet's whole configuration as its operator sent it.
+
+    Attributes:
+        version: The highest one rules.
+        text: The bytes as they came, so that a reader gets just these.
+    """
+
+    version: int
+    text: bytes
+
+
+class AcceptConfig(msgspec.Struct, tag="accept-config", frozen=True):
+    """An operator sends a whole configuration that was found valid."""
+
+    document: ConfigDocument
+    at: float = 0.0
+
+
 Command = (
     Propose
     | Approve
@@ -115,6 +134,7 @@
     | HoldSuspect
     | ReleaseSuspect
     | IssueOrder
+    | AcceptConfig
 )
 
 
--- a/packages/coordination/src/marjoramyard/coordination/governance/state.py
+++ b/packages/coordination/src/marjoramyard/coordination/governance/state.py
@@ -7,9 +7,11 @@
 from result import Err, Ok, Result
 
 from marjoramyard.coordination.governance.commands import (
+    AcceptConfig,
     Approve,
     CancelCall,
     Command,
+    ConfigDocument,
     FinishCall,
     HoldSuspect,
     IssueOrder,
@@ -46,6 +48,7 @@
     deaths: list[str] = []
     orders: dict[str, Order] = {}
     last_order: int = 0
+    config: ConfigDocument | None = None
 
 
 _COMMAND_DECODER = msgspec.json.Decoder(Command)
@@ -62,6 +65,7 @@
         self.suspects = Suspects(stored.suspects, stored.deaths)
         self.orders = stored.orders
         self.last_order = stored.last_order
+        self.config = stored.config
 
     @classmethod
     def restore(cls, data: str) -> "ControlState":
@@ -80,6 +84,7 @@
             self.suspects.deaths,
             self.orders,
             self.last_order,
+            self.config,
         )
         return msgspec.json.encode(stored).decode()
 
@@ -198,3 +203,17 @@
     )
     state.orders[command.endpoint] = order
     return Reply(order=order)
+
+
+@HANDLERS.register("AcceptConfig")
+def _accept_config(state: ControlState, command: AcceptConfig) -> Reply:
+    """Keeps the highest version; a lower or equal one changes nothing.
+
+    Equal versions may come with other content when two operators race.
+    The first in the log stands, so no reader ever sees a version change
+    its content.
+    """
+    held = state.config
+    if held is None or command.document.version > held.version:
+        state.config = command.document
+    return Reply(granted=True)
--- /dev/null
+++ b/packages/coordination/src/marjoramyard/coordination/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which endpoints exist, by their own heartbeats."""
--- /dev/null
+++ b/packages/coordination/src/marjoramyard/coordination/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Predicts what a request costs on each endpoint, and chooses one."""
--- /dev/null
+++ b/packages/coordination/src/marjoramyard/coordination/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routes, their validation, and which one a request takes."""
--- a/packages/fleet/src/marjoramyard/fleet/application.py
+++ b/packages/fleet/src/marjoramyard/fleet/application.py
@@ -25,6 +25,7 @@
     "control": "marjoramyard.fleet.control.role",
     "entry": "marjoramyard.fleet.entry.role",
     "agent": "marjoramyard.fleet.agent.role",
+    "gateway": "marjoramyard.fleet.gateway.role",
 }
 """Only the role's own module is imported: memory counts on small hosts."""
 
@@ -50,7 +51,9 @@
         self.incarnation = new_incarnation(settings.name)
         self.metrics = Metrics(settings.role, settings.name)
         self.roles: Registry[RoleFactory] = Registry("role")
-        self.secret = rpc.read_secret(settings.secret_file)
+        self.secret = ""
+        if settings.secret_file:
+            self.secret = rpc.read_secret(settings.secret_file)
         self.stopping = asyncio.Event()
         self.role: Role | None = None
         self.tasks: TaskGroup
@@ -70,12 +73,22 @@
         address: str,
         routes: list[web.RouteDef],
         internal: bool = True,
+        health: bool = True,
         max_body: int = rpc.MAX_INTERNAL_BODY,
         max_header: int = rpc.MAX_HEAD_BYTES,
     ) -> AsyncIterator[None]:
-        """Serves routes on an address, with health pages beside them."""
+        """Serves routes on an address.
+
+        Args:
+            address: IP:PORT.
+            routes: What is served.
+            internal: Only to who has the fleet's secret, if there is one.
+            health: With health and metrics pages beside the routes.
+            max_body: The largest body in bytes.
+            max_header: The largest header line in bytes.
+        """
         middlewares = [rpc.render_failures]
-        if internal:
+        if internal and self.secret:
             middlewares.append(rpc.authentication(self.secret))
         site_app = web.Application(
             middlewares=middlewares,
@@ -86,7 +99,8 @@
                 "auto_decompress": False,
             },
         )
-        site_app.add_routes(self._health_routes())
+        if health:
+            site_app.add_routes(self._health_routes())
         site_app.add_routes(routes)
         runner = web.AppRunner(
             site_app,
@@ -139,6 +153,8 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stopping.set)
         self.load_extension(EXTENSIONS[self.settings.role])
+        for module in self.settings.extensions:
+            self.load_extension(module)
         factory = self.roles.get(self.settings.role)
         async with task_group() as self.tasks:
             self.client = rpc.InternalClient(self.secret, self.metrics)
--- a/packages/fleet/src/marjoramyard/fleet/cmd/daemon.py
+++ b/packages/fleet/src/marjoramyard/fleet/cmd/daemon.py
@@ -38,7 +38,11 @@
 
 
 @main.command()
-@click.argument("settings", type=click.Path(path_type=Path))
+@click.argument(
+    "settings",
+    type=click.Path(path_type=Path),
+    envvar="MARJORAMYARD_CONFIG",
+)
 def run(settings: Path) -> None:
     """Runs the role that a settings file describes, until SIGTERM."""
     loaded = _load_or_exit(settings)
--- /dev/null
+++ b/packages/fleet/src/marjoramyard/fleet/control/dialects.py
@@ -0,0 +1,66 @@
+"""Whose names endpoints and operators use when they call a control host."""
+
+from collections.abc import Callable
+
+import msgspec
+from aiohttp import web
+from result import Err
+
+from marjoramyard.coordination.governance.commands import ConfigDocument
+from marjoramyard.coordination.membership.registrations import Registration
+from marjoramyard.coordination.routing.config import FleetConfig
+from marjoramyard.fleet.control.service import FleetService
+from marjoramyard.fleet.messages import Empty
+from marjoramyard.fleet.util.rpc import json_response, read_message
+from marjoramyard.kernel.errors import FleetError, Kind, raise_failure
+from marjoramyard.kernel.registry import Registry
+
+OPERATOR_DIALECTS: Registry[Callable[[FleetService], list[web.RouteDef]]] = (
+    Registry("dialect")
+)
+"""The routes of a control host's public address, by dialect."""
+
+MAX_DOCUMENT_BYTES = 16 << 20
+
+
+@OPERATOR_DIALECTS.register("native")
+def native_routes(service: FleetService) -> list[web.RouteDef]:
+    """Our own names: typed JSON bodies of the types used inside."""
+
+    async def put_config(request: web.Request) -> web.Response:
+        text = await request.read()
+        config = msgspec.json.decode(text, type=FleetConfig)
+        problems = config.problems()
+        if problems:
+            raise_failure(Kind.INVALID_BUNDLE, "; ".join(problems))
+        done = await service.accept(ConfigDocument(config.version, text))
+        if isinstance(done, Err):
+            raise FleetError(done.err_value)
+        return json_response(Empty())
+
+    async def get_config(_: web.Request) -> web.Response:
+        done = await service.read()
+        if isinstance(done, Err):
+            raise FleetError(done.err_value)
+        if done.ok_value.document is None:
+            raise_failure(
+                Kind.UNINITIALISED, "no configuration yet; send the first one"
+            )
+        return web.Response(
+            body=done.ok_value.document.text, content_type="application/json"
+        )
+
+    async def register(request: web.Request) -> web.Response:
+        service.register(await read_message(request, Registration))
+        return json_response(Empty())
+
+    async def depart(request: web.Request) -> web.Response:
+        service.depart(request.match_info["endpoint"])
+        return json_response(Empty())
+
+    return [
+        web.put("/fleet-config", put_config),
+        web.get("/fleet-config", get_config),
+        web.put("/registrations/{endpoint}", register),
+        web.delete("/registrations/{endpoint}", depart),
+    ]
--- a/packages/fleet/src/marjoramyard/fleet/control/links.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/links.py
@@ -13,7 +13,9 @@
 from marjoramyard.kernel.ids import ReplicaId
 
 MAX_QUEUED = 2048
-_SEND_SECONDS = 5.0
+_SEND_SECONDS = 1.5
+"""A connection may fall silent without a reset. Its sender must give it up
+well before an election would (2.4 s), and a snapshot of some MB still fits."""
 _PAUSE_AFTER_FAILURE = 0.2
 
 
--- a/packages/fleet/src/marjoramyard/fleet/control/node.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/node.py
@@ -76,6 +76,18 @@
         self.known_role = self.core.role
         self.on_applied: list[Callable[[], None]] = []
         self.on_leadership: list[Callable[[bool], None]] = []
+        self.on_storage_failed: Callable[[OSError], None] | None = None
+        self.stopped = False
+
+    def stop(self) -> None:
+        """Ends the replica; who waits for it learns that it can't tell."""
+        self.stopped = True
+        for pending in self.pending.values():
+            if not pending.future.done():
+                pending.future.set_result(Err(no_quorum(Outcome.UNKNOWN)))
+        for reader in self.readers:
+            if not reader.future.done():
+                reader.future.set_result(False)
 
     # Inputs.
 
@@ -191,6 +203,16 @@
 
     def _pump(self) -> None:
         self.pump_scheduled = False
+        if self.stopped:
+            return
+        try:
+            self._drain_core()
+        except OSError as error:
+            if self.on_storage_failed is None:
+                raise
+            self.on_storage_failed(error)
+
+    def _drain_core(self) -> None:
         self.core.flush()
         while not (ready := self.core.take_ready()).is_empty:
             self._store(ready)
--- a/packages/fleet/src/marjoramyard/fleet/control/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/role.py
@@ -2,8 +2,13 @@
 
 import asyncio
 import time
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Iterator
+from contextlib import (
+    AbstractAsyncContextManager,
+    AsyncExitStack,
+    asynccontextmanager,
+    contextmanager,
+)
 from pathlib import Path
 
 import msgspec
@@ -20,10 +25,13 @@
 from marjoramyard.coordination.governance import commands
 from marjoramyard.fleet import paths
 from marjoramyard.fleet.application import Application
+from marjoramyard.fleet.control.dialects import OPERATOR_DIALECTS
+from marjoramyard.fleet.control.keeper import ClusterKeeper
 from marjoramyard.fleet.control.links import PeerLinks
 from marjoramyard.fleet.control.node import ControlNode
 from marjoramyard.fleet.control.queries import QUERIES
 from marjoramyard.fleet.control.renewals import CONFIRM_SECONDS, Renewals
+from marjoramyard.fleet.control.service import FleetService
 from marjoramyard.fleet.control.signatures import OperatorKeys
 from marjoramyard.fleet.control.storage import (
     Storage,
@@ -40,6 +48,7 @@
     QueryReply,
     RenewRequest,
 )
+from marjoramyard.fleet.syncing import Announce, PutConfig, SyncRequest
 from marjoramyard.fleet.util.rpc import json_response, read_message
 from marjoramyard.kernel.errors import (
     Failure,
@@ -55,19 +64,23 @@
 
 COMMAND_SECONDS = 4.0
 _EXPIRE_SECONDS = 1.0
+_REOPEN_SECONDS = 0.5
 
 
 class ControlRole:
     """A control host; it holds no replica until it is initialised."""
 
-    def __init__(self, app: Application, storage: Storage):
+    def __init__(self, app: Application, storage: Storage | None):
         self.app = app
         self.settings = app.settings
         self.storage = storage
         self.keys = OperatorKeys(self.settings.bootstrap_operators)
         self.spare_id = new_replica_id(self.settings.name)
         self.running: ControlNode | None = None
+        self.node_task: asyncio.Task | None = None
         self.renewals: Renewals | None = None
+        self.service = FleetService(self)
+        self.keeper = ClusterKeeper(self)
         self._watch()
 
     def routes(self) -> list[web.RouteDef]:
@@ -81,11 +94,34 @@
             web.post(paths.STATUS_PATH, self.on_status),
             web.post(paths.INIT_PATH, self.on_init),
             web.post(paths.MEMBER_PATH, self.on_member),
+            web.post(paths.ANNOUNCE_PATH, self.on_announce),
+            web.post(paths.SYNC_PATH, self.on_sync),
+            web.post(paths.PUT_CONFIG_PATH, self.on_put_config),
+            web.post(paths.READ_CONFIG_PATH, self.on_read_config),
         ]
 
     def is_ready(self) -> bool:
         """A control host is ready when it knows a leader."""
-        return self.running is not None and bool(self.running.core.leader)
+        return bool(self.leader_address())
+
+    def leads(self) -> bool:
+        """Whether this host leads and may answer for the cluster."""
+        return self.running is not None and self.running.core.can_serve_reads
+
+    def leader_address(self) -> str:
+        """Returns the internal address of the leader; "" if unknown.
+
+        A host without a replica, or whose replica is not caught up yet,
+        goes by what the others announce.
+        """
+        if self.running is not None:
+            core = self.running.core
+            if core.role is RaftRole.LEADER:
+                return self.settings.reachable
+            address = core.membership.addresses.get(core.leader)
+            if address:
+                return address
+        return self.keeper.leader_address
 
     async def drain(self) -> None:
         """Hands leadership over, so that no election has to time out."""
@@ -113,14 +149,46 @@
             self.settings.snapshot_every,
         )
         self.renewals = Renewals(self.running)
-        self.app.tasks.spawn(self.running.tick_forever())
-        self.app.tasks.spawn(self._expire_forever())
-        logger.info("replica_started", replica=self.running.core.me)
+        self.running.on_applied.append(self.service.on_applied)
+        self.running.on_storage_failed = self._on_storage_failed
+        self.node_task = self.app.tasks.spawn(self.running.tick_forever())
+        self.app.tasks.spawn(self._expire_forever(self.renewals))
+        logger.info(
+            "replica_started",
+            replica=self.running.core.me,
+            term=self.running.core.term,
+            entries=self.running.core.log.last_index,
+        )
 
-    async def _expire_forever(self) -> None:
-        while True:
+    def _on_storage_failed(self, error: OSError) -> None:
+        """Stops the replica and starts it anew from what is on disk.
+
+        Once a write has failed nobody knows which part of it is on the
+        disk, so memory and disk may differ: a replica that went on could
+        acknowledge what a power loss takes back. It keeps silent, as a lost
+        host does, until its folder can be written and read again.
+        """
+        logger.error("storage_failed", error=str(error))
+        self.app.metrics.count("storage_failures")
+        self.node_task.cancel()
+        self.running.stop()
+        self.running = None
+        self.app.tasks.spawn(self._reopen())
+
+    async def _reopen(self) -> None:
+        while self.running is None:
+            await asyncio.sleep(_REOPEN_SECONDS)
+            try:
+                self.storage.close()
+                self.storage.probe()
+                self.start_node()
+            except OSError as error:
+                logger.warning("storage_still_failing", error=str(error))
+
+    async def _expire_forever(self, renewals: Renewals) -> None:
+        while self.renewals is renewals:
             await asyncio.sleep(_EXPIRE_SECONDS)
-            self.renewals.expire()
+            renewals.expire()
 
     @property
     def node(self) -> ControlNode:
@@ -276,19 +344,50 @@
                 would forget its votes and its entries.
         """
         asked = await read_message(request, InitCluster)
-        if self.running is not None:
+        if self.running is not None or self.storage is None:
             raise_failure(
                 Kind.CONFLICT,
                 "this control host holds a replica already; it is left as "
                 "it is",
             )
+        self.initialise(asked.cluster, asked.membership)
+        return json_response(Empty())
+
+    def initialise(self, cluster: str, membership: Membership) -> None:
+        """Makes the empty folder a replica's own and starts it."""
         me = ReplicaId(self.spare_id)
-        self.storage.create_identity(asked.cluster, me)
-        if me in asked.membership.voters:
-            first = Snapshot(1, 1, asked.membership, "")
+        self.storage.create_identity(cluster, me)
+        if me in membership.voters:
+            first = Snapshot(1, 1, membership, "")
             self.storage.save_snapshot(first, HardState(1), [])
         self.start_node()
-        return json_response(Empty())
+
+    # Self-forming clusters.
+
+    async def on_announce(self, request: web.Request) -> web.Response:
+        """Takes in another control host's announcement."""
+        message = await read_message(request, Announce)
+        return json_response(self.keeper.on_announce(message))
+
+    async def on_sync(self, request: web.Request) -> web.Response:
+        """Answers a gateway."""
+        message = await read_message(request, SyncRequest)
+        return json_response(await self.service.sync(message))
+
+    async def on_put_config(self, request: web.Request) -> web.Response:
+        """Takes in a configuration that another host passes on."""
+        message = await read_message(request, PutConfig)
+        done = await self.service.on_put(message)
+        if isinstance(done, Err):
+            raise FleetError(done.err_value)
+        return json_response(done.ok_value)
+
+    async def on_read_config(self, request: web.Request) -> web.Response:
+        """Reads the configuration for another control host."""
+        done = await self.service.on_read(Empty())
+        if isinstance(done, Err):
+            raise FleetError(done.err_value)
+        return json_response(done.ok_value)
 
     async def on_member(self, request: web.Request) -> web.Response:
         """Adds, promotes or removes one member."""
@@ -335,14 +434,37 @@
 @asynccontextmanager
 async def control_role(app: Application) -> AsyncIterator[ControlRole]:
     """Runs a control host."""
-    with open_storage(Path(app.settings.data_folder)) as storage:
+    with _storage_of(app.settings.data_folder) as storage:
         role = ControlRole(app, storage)
-        if storage.load_identity() is not None:
+        if storage is not None and storage.load_identity() is not None:
             role.start_node()
-        async with app.serve(app.settings.internal, role.routes()):
+        async with AsyncExitStack() as stack:
+            listening = app.serve(app.settings.internal, role.routes())
+            await stack.enter_async_context(listening)
+            if app.settings.self_forming:
+                await stack.enter_async_context(_serve_operators(app, role))
+                app.tasks.spawn(role.keeper.run())
+                app.tasks.spawn(role.service.sweep_forever())
             yield role
 
 
+@contextmanager
+def _storage_of(folder: str) -> Iterator[Storage | None]:
+    """Owns the data folder, if this host has a disk."""
+    if not folder:
+        yield None
+        return
+    with open_storage(Path(folder)) as storage:
+        yield storage
+
+
+def _serve_operators(
+    app: Application, role: ControlRole
+) -> AbstractAsyncContextManager[None]:
+    routes = OPERATOR_DIALECTS.get(app.settings.dialect)(role.service)
+    return app.serve(app.settings.operator_listen, routes, internal=False)
+
+
 def setup(app: Application) -> None:
     """Registers the role."""
     app.add_role("control", control_role)
--- a/packages/fleet/src/marjoramyard/fleet/control/storage.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/storage.py
@@ -255,6 +255,14 @@
         for old in sorted(self.folder.glob("wal-*.log"))[:-1]:
             old.unlink()
 
+    def probe(self) -> None:
+        """Checks that the folder takes writes.
+
+        Raises:
+            OSError: It does not.
+        """
+        write_synced(self.folder / "probe", b"probe")
+
     def close(self) -> None:
         """Closes the log file."""
         if self.wal is not None:
--- /dev/null
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway: an entry that dispatches straight to endpoints."""
--- /dev/null
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/role.py
@@ -0,0 +1,102 @@
+"""The gateway role: its services and its parts wired together."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from aiohttp import web
+
+from marjoramyard.fleet.application import Application
+from marjoramyard.fleet.gateway.dialect import GATEWAY_DIALECTS
+from marjoramyard.fleet.gateway.following import Follower
+from marjoramyard.fleet.gateway.serving import Dispatcher
+from marjoramyard.fleet.gateway.upstream import endpoint_session
+from marjoramyard.fleet.gateway.view import FleetView
+from marjoramyard.kernel.logs import get_logger
+
+logger = get_logger(__name__)
+
+LEASE_MARGIN_SECONDS = 0.5
+"""Taken off the time after which a lost key must be refused: a request that
+was admitted at the end of a lease still has to reach its endpoint."""
+BALANCER_SECONDS = 3.0
+"""The balancer asks for readiness once a second and believes two misses; a
+third second covers answers that are late."""
+EXIT_MARGIN_SECONDS = 0.5
+"""Kept of the grace for closing what is left, before the kill comes."""
+_DRAIN_POLL_SECONDS = 0.05
+
+
+class GatewayRole:
+    """Answers callers as long as it may."""
+
+    def __init__(self, app: Application, view: FleetView, dispatcher):
+        self.app = app
+        self.settings = app.settings
+        self.view = view
+        self.dispatcher = dispatcher
+        self.closing = False
+
+    def is_ready(self) -> bool:
+        """A gateway is ready once it knows a configuration in force."""
+        return self.view.table is not None and self.view.lease_holds()
+
+    async def handle(self, request: web.Request) -> web.StreamResponse:
+        """Serves a caller; while draining, ends the connection after it."""
+        response = await self.dispatcher.handle(request)
+        if self.app.stopping.is_set() and not response.prepared:
+            response.force_close()
+        return response
+
+    async def readyz(self, _: web.Request) -> web.Response:
+        """Tells the balancer whether to send new connections."""
+        ready = self.is_ready() and not self.app.stopping.is_set()
+        return web.Response(status=200 if ready else 503)
+
+    async def drain(self) -> None:
+        """Lets the balancer notice, then lets what runs end."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        end = began + self.settings.grace_seconds - EXIT_MARGIN_SECONDS
+        await asyncio.sleep(BALANCER_SECONDS)
+        while self.dispatcher.active and loop.time() < end:
+            await asyncio.sleep(_DRAIN_POLL_SECONDS)
+        logger.info(
+            "drained",
+            cut=self.dispatcher.active,
+            seconds=round(loop.time() - began, 2),
+        )
+
+
+@asynccontextmanager
+async def gateway_role(app: Application) -> AsyncIterator[GatewayRole]:
+    """Runs a gateway."""
+    settings = app.settings
+    dialect = GATEWAY_DIALECTS.get(settings.dialect)
+    lease_seconds = settings.revoke_ms / 1000 - LEASE_MARGIN_SECONDS
+    view = FleetView(dialect, lease_seconds)
+    async with endpoint_session() as session:
+        dispatcher = Dispatcher(view, session, app.metrics, settings)
+        role = GatewayRole(app, view, dispatcher)
+        app.tasks.spawn(Follower(app, view).run())
+        async with (
+            app.serve(settings.internal, []),
+            app.serve(
+                settings.ready_listen,
+                [web.get(dialect.ready_path, role.readyz)],
+                internal=False,
+                health=False,
+            ),
+            app.serve(
+                settings.listen,
+                [web.route("*", "/{path:.*}", role.handle)],
+                internal=False,
+                health=False,
+            ),
+        ):
+            yield role
+
+
+def setup(app: Application) -> None:
+    """Registers the role."""
+    app.add_role("gateway", gateway_role)
--- /dev/null
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/serving.py
@@ -0,0 +1,370 @@
+"""Serves a caller's request: chooses, sends, repeats, answers."""
+
+import asyncio
+import random
+import time
+
+import msgspec
+from aiohttp import web
+
+from marjoramyard.coordination.membership.registrations import Registration
+from marjoramyard.coordination.placement.choice import place_prompt
+from marjoramyard.coordination.routing.config import Service
+from marjoramyard.coordination.routing.table import pick
+from marjoramyard.coordination.serving.retries import RetryBudget
+from marjoramyard.fleet.gateway.admitting import CallerRequest, admit
+from marjoramyard.fleet.gateway.attempts import (
+    SendFailedError,
+    SendOutcome,
+    SendPlan,
+    sending,
+)
+from marjoramyard.fleet.gateway.delivery import CallerGoneError, Delivery
+from marjoramyard.fleet.gateway.loads import Loads
+from marjoramyard.fleet.gateway.view import FleetView
+from marjoramyard.fleet.util.rpc import failure_response
+from marjoramyard.kernel.errors import (
+    Failure,
+    FleetError,
+    Kind,
+    Outcome,
+    failure,
+)
+from marjoramyard.kernel.logs import get_logger
+from marjoramyard.kernel.metrics import Metrics
+
+logger = get_logger(__name__)
+
+SLACK_SHARE = 0.8
+"""How much of the fleet's retry slack is given out; the rest covers
+gateways that restart and so get their part twice within a window."""
+FULL_RETRY_SECONDS = 0.4
+"""Where all endpoints are full: some requests' worth of reading."""
+RETRY_SPREAD = 0.5
+"""Refused callers return over this share around the time they are told,
+not all at the same moment."""
+MAX_CONNECT_TRIES = 4
+
+
+class Story(msgspec.Struct):
+    """What is logged of a request, as it unfolds."""
+
+    sends: list[str] = []
+    wait_ms: float = 0.0
+
+
+class Dispatcher:
+    """Serves requests with what the gateway knows of the fleet."""
+
+    def __init__(self, view: FleetView, session, metrics: Metrics, settings):
+        self.view = view
+        self.session = session
+        self.metrics = metrics
+        self.settings = settings
+        self.names = view.dialect.headers
+        self.loads = Loads()
+        self.budgets: dict[str, RetryBudget] = {}
+        self.active = 0
+        view.on_config.append(self._learn_rates)
+
+    def _learn_rates(self) -> None:
+        for service in self.view.table.config.services:
+            if service.engine is not None:
+                engines = len(self.view.registrations.usable(service.name))
+                self.loads.learn_rate(self.view.table.config, engines)
+
+    async def handle(self, request: web.Request) -> web.StreamResponse:
+        """Serves one request of a caller."""
+        self.active += 1
+        delivery = Delivery(request)
+        story = Story()
+        began = time.monotonic()
+        caller: CallerRequest | None = None
+        status, why = 0, "caller-left"
+        try:
+            caller = admit(request, self.view, self.names)
+            caller.body = await request.read()
+            response = await self._serve(caller, delivery, story)
+            status, why = response.status, "complete"
+            return response
+        except FleetError as error:
+            status, why = error.failure.kind.status, error.failure.code
+            if delivery.has_begun:
+                delivery.cut()
+                return delivery.response
+            return self._refusal(error.failure)
+        except CallerGoneError:
+            delivery.cut()
+            return delivery.response
+        finally:
+            self.active -= 1
+            self._note(request, caller, delivery, story, began, status, why)
+
+    def _refusal(self, reason: Failure) -> web.Response:
+        response = failure_response(reason)
+        exact = self.view.dialect.fractional_retry_after
+        if exact and reason.retry_after is not None:
+            response.headers["Retry-After"] = f"{reason.retry_after:.2f}"
+        return response
+
+    def _note(
+        self, request, caller, delivery, story, began, status, why
+    ) -> None:
+        now = time.monotonic()
+        kind = caller.route.request_kind.value if caller else "none"
+        self.metrics.count("requests", outcome=why, kind=kind)
+        self.metrics.observe("request_seconds", now - began, kind=kind)
+        logger.info(
+            "request",
+            id=request.headers.get(self.names.attempt, ""),
+            route=caller.route.name if caller else "",
+            workspace=(
+                caller.workspace.name if caller and caller.workspace else ""
+            ),
+            config=self.view.version,
+            sends=story.sends,
+            status=status,
+            outcome=why,
+            first_ms=(
+                round((delivery.first_at - began) * 1000)
+                if delivery.first_at
+                else None
+            ),
+            total_ms=round((now - began) * 1000),
+        )
+
+    async def _serve(
+        self, caller: CallerRequest, delivery: Delivery, story: Story
+    ) -> web.StreamResponse:
+        destination = pick(caller.route.split, random.random())
+        budget = self._budget(destination.service)
+        budget.on_request()
+        service = self.view.table.services[destination.service]
+        run = Run(self, caller, delivery, story, service, budget)
+        try:
+            async with asyncio.timeout_at(caller.give_up_at):
+                return await run.to_end()
+        except TimeoutError:
+            raise FleetError(run.at_deadline()) from None
+
+    def _budget(self, service: str) -> RetryBudget:
+        share = self.settings.retry_slack * SLACK_SHARE / self.view.gateways
+        budget = self.budgets.get(service)
+        if budget is None:
+            budget = RetryBudget(self.settings.retry_ratio, share)
+            self.budgets[service] = budget
+        budget.burst = share
+        return budget
+
+
+class Run:
+    """The sends of one request until it has its answer."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        caller: CallerRequest,
+        delivery: Delivery,
+        story: Story,
+        service: Service,
+        budget: RetryBudget,
+    ):
+        self.dispatcher = dispatcher
+        self.view = dispatcher.view
+        self.caller = caller
+        self.delivery = delivery
+        self.story = story
+        self.service = service
+        self.budget = budget
+        self.tried: set[str] = set()
+        self.sends = 0
+        self.connects = 0
+        self.may_have_run = False
+        self.had_run = False
+        self.tokens = 0.0
+
+    async def to_end(self) -> web.StreamResponse:
+        """Sends until there is an answer or nothing more may be tried.
+
+        Raises:
+            FleetError: There is none; says whether the request has run.
+        """
+        while True:
+            plan = self._plan()
+            try:
+                return await self._send(plan)
+            except SendFailedError as error:
+                self._after(plan, error)
+
+    def _plan(self) -> SendPlan:
+        words = self.view.usable(self.service.name, self.tried)
+        if not words:
+            words = self.view.usable(self.service.name, set())
+            if not words or self.sends or self.connects >= MAX_CONNECT_TRIES:
+                raise FleetError(self._nowhere())
+        self._check_key()
+        if self.caller.parts and self.service.engine is not None:
+            return self._plan_prompt(words)
+        return SendPlan(self._least_loaded(words), "", self._last_event())
+
+    def _check_key(self) -> None:
+        """Checks the lease once more, right before the send.
+
+        Between admission and here the host may have been frozen, and the
+        key taken away meanwhile.
+        """
+        if self.caller.workspace is None:
+            return
+        held = self.view.table.holder(self.caller.keyed_by)
+        if held is None or not self.view.lease_holds():
+            kind = Kind.UNKNOWN_KEY if held is None else Kind.NO_LEASE
+            if self.may_have_run:
+                kind = Kind.ENDPOINT_LOST
+            raise FleetError(
+                failure(
+                    kind,
+                    "the key can't be confirmed any more; come back in a "
+                    "moment",
+                    self._outcome(),
+                    FULL_RETRY_SECONDS,
+                )
+            )
+
+    def _least_loaded(self, words: list[Registration]) -> Registration:
+        loads = self.dispatcher.loads
+        return min(
+            words,
+            key=lambda word: (
+                loads.view(word.endpoint).running,
+                random.random(),
+            ),
+        )
+
+    def _plan_prompt(self, words: list[Registration]) -> SendPlan:
+        loads = self.dispatcher.loads
+        profile = self.service.engine
+        fetch_ms = 0.0
+        if profile.link_mbps > 0:
+            fetch_ms = profile.token_bytes * 8 / profile.link_mbps / 1000
+        placed = place_prompt(
+            self.caller.parts,
+            [loads.view(word.endpoint) for word in words],
+            fetch_ms,
+        )
+        by_id = {word.endpoint: word for word in words}
+        source = by_id.get(placed.fetch_from)
+        self.tokens = placed.tokens
+        return SendPlan(
+            by_id[placed.endpoint],
+            source.address if source is not None else "",
+            self._last_event(),
+        )
+
+    def _last_event(self) -> str:
+        return self.delivery.events.last_id or self.caller.last_event
+
+    async def _send(self, plan: SendPlan) -> web.StreamResponse:
+        dispatcher = self.dispatcher
+        endpoint = plan.endpoint.endpoint
+        self.tried.add(endpoint)
+        self.story.sends.append(endpoint)
+        self.had_run = self.may_have_run
+        self.may_have_run = True
+        with dispatcher.loads.in_flight(endpoint, self.tokens) as flight:
+            async with sending(
+                dispatcher.session, self.caller, plan, dispatcher.names
+            ) as answer:
+                if answer.status >= 500 and self._may_try_again():
+                    raise SendFailedError(
+                        SendOutcome.BROKEN, f"status {answer.status}"
+                    )
+                response = await self.delivery.take(answer, flight.read)
+        self.view.health_of(endpoint).succeeded(time.monotonic())
+        return response
+
+    def _may_try_again(self) -> bool:
+        """Whether a further send would be allowed, without taking it."""
+        return (
+            self.caller.may_repeat
+            and self.sends + 1 < self.caller.route.max_attempts
+            and self.budget.tokens >= 1.0
+        )
+
+    def _after(self, plan: SendPlan, error: SendFailedError) -> None:
+        """Decides what a failed send means.
+
+        Raises:
+            FleetError: It was the last one.
+        """
+        self.story.sends[-1] += f" {error.outcome.value}: {error.why[:80]}"
+        now = time.monotonic()
+        health = self.view.health_of(plan.endpoint.endpoint)
+        if error.outcome in (SendOutcome.NOT_SENT, SendOutcome.REFUSED):
+            self.may_have_run = self.had_run
+        if error.outcome is SendOutcome.NOT_SENT:
+            health.failed(now)
+            self.connects += 1
+            if self.connects < MAX_CONNECT_TRIES:
+                return
+            raise FleetError(self._nowhere())
+        self.sends += 1
+        if error.outcome is SendOutcome.BROKEN:
+            if not error.why.startswith("status"):
+                health.failed(now)
+            if not self.caller.may_repeat:
+                raise FleetError(self._lost(error))
+        if self.sends >= self.caller.route.max_attempts:
+            raise FleetError(self._lost(error))
+        if not self.budget.spend():
+            raise FleetError(self._lost(error))
+
+    def _outcome(self) -> Outcome:
+        return Outcome.UNKNOWN if self.may_have_run else Outcome.NOT_RUN
+
+    def _nowhere(self) -> Failure:
+        if self.may_have_run:
+            return failure(
+                Kind.ENDPOINT_LOST,
+                "the endpoint was lost while it ran and no other is there; "
+                "look before you send it again",
+                Outcome.UNKNOWN,
+            )
+        return failure(
+            Kind.NO_ENDPOINT,
+            "no endpoint takes work now; come back in a moment",
+            retry_after=spread(FULL_RETRY_SECONDS),
+        )
+
+    def _lost(self, error: SendFailedError) -> Failure:
+        if self.may_have_run:
+            return failure(
+                Kind.ENDPOINT_LOST,
+                f"the endpoint gave no whole answer ({error.why}); it may "
+                "have run",
+                Outcome.UNKNOWN,
+            )
+        wait = error.retry_after or FULL_RETRY_SECONDS
+        return failure(
+            Kind.BUSY,
+            "all endpoints that could be asked are full; come back later",
+            retry_after=spread(wait),
+        )
+
+    def at_deadline(self) -> Failure:
+        """Returns the final answer where the time is over."""
+        if self.may_have_run:
+            return failure(
+                Kind.DEADLINE,
+                "no answer within the time allowed; it may have run",
+                Outcome.UNKNOWN,
+            )
+        return failure(
+            Kind.BUSY,
+            "its time ran out before it could be sent; it has not run",
+            retry_after=spread(FULL_RETRY_SECONDS),
+        )
+
+
+def spread(seconds: float) -> float:
+    """Returns about as many seconds, another number for each caller."""
+    return seconds * (1 + RETRY_SPREAD * (random.random() - 0.5))
--- a/packages/fleet/src/marjoramyard/fleet/paths.py
+++ b/packages/fleet/src/marjoramyard/fleet/paths.py
@@ -15,3 +15,8 @@
 GRANT_PATH = "/grants/v1"
 FREE_PATH = "/free/v1"
 RUN_PATH = "/run/v1/attempts"
+
+ANNOUNCE_PATH = "/fleet/v1/announce"
+SYNC_PATH = "/fleet/v1/sync"
+PUT_CONFIG_PATH = "/fleet/v1/config/put"
+READ_CONFIG_PATH = "/fleet/v1/config/read"
--- a/packages/fleet/src/marjoramyard/fleet/util/rpc.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/rpc.py
@@ -135,7 +135,7 @@
     """Calls other processes of the fleet and counts the bytes."""
 
     def __init__(self, secret: str, metrics: Metrics):
-        self.headers = {AUTH_HEADER: f"Bearer {secret}"}
+        self.headers = {AUTH_HEADER: f"Bearer {secret}"} if secret else {}
         self.metrics = metrics
         self.bytes_sent = 0
         self.bytes_received = 0
--- a/packages/kernel/src/marjoramyard/kernel/settings.py
+++ b/packages/kernel/src/marjoramyard/kernel/settings.py
@@ -35,18 +35,23 @@
         drain_seconds: How long a graceful shutdown may take.
         region: The region of the zone.
         advertised: Where others reach `internal`, if not there itself.
+        trust_network: Processes of the fleet know each other by address
+            only; for networks that nobody else can reach.
+        extensions: Modules that register more, by their dotted names.
     """
 
     role: str
     name: str
     zone: str
     internal: str
-    control_hosts: list[str]
-    secret_file: str
+    control_hosts: list[str] = []
+    secret_file: str = ""
     region: str = ""
     advertised: str = ""
     log: LogSettings = msgspec.field(default_factory=LogSettings)
     drain_seconds: float = 600.0
+    trust_network: bool = False
+    extensions: list[str] = []
 
     @property
     def reachable(self) -> str:
@@ -73,7 +78,12 @@
                 parse_address(text)
             except ValueError as error:
                 found.append(f"{key}: {error}")
-        if not self.control_hosts:
+        if not self.secret_file and not self.trust_network:
+            found.append(
+                "secret_file: name the file with the fleet's secret, or set "
+                "trust_network"
+            )
+        if not self.control_hosts and not getattr(self, "seeds", None):
             found.append("control_hosts: name at least one control host")
         if self.drain_seconds <= 0:
             found.append("drain_seconds: must be above 0")
