--- /dev/null
+++ b/packages/coordination/src/marjoramyard/coordination/placement/broker.py
@@ -0,0 +1,444 @@
+"""Decides for a whole service who runs next, where, and who is refused.
+
+Routers that choose by themselves all run to the engine that looked idle in
+news that is a moment old, and each gives a workspace its own idea of a fair
+share. One broker for a service sees every request and every end of one, so
+its picture is exact. It is soft state: if it is lost, routers go on with
+their own estimates, and its successor rebuilds the picture from them.
+
+The pattern that it answers: more prompts arrive than engines read. Then an
+engine's own queue, which is first come first served, makes every answer
+late; late answers are worth a third and the engine is busy with them while
+fresh requests grow late too. So work waits here, where it can be chosen:
+engines hold just enough to stay busy, workspaces get turns by what they have
+been served, and a request that can't be on time is refused when it arrives.
+"""
+
+import heapq
+from collections.abc import Iterable
+
+import msgspec
+
+from marjoramyard.coordination.placement.choice import FETCH_SETUP_MS
+from marjoramyard.coordination.placement.kept import KeptParts
+from marjoramyard.coordination.routing.config import EngineProfile
+from marjoramyard.coordination.routing.table import PromptPart
+
+AHEAD_MS = 60.0
+"""How much reading an engine is given ahead. News of a first token takes two
+hops of 3 ms to come and the next prompt two to go; a usual prompt takes 50
+ms, so the engine never runs dry, and a choice is bound no earlier than
+needed."""
+SLOT_SHARE = 0.95
+"""Part of an engine's slots that is given out; the rest covers news that is
+on its way."""
+MEMORY_SHARE = 0.85
+"""Part of an engine's memory for running requests. Past its memory an engine
+preempts the newest one and reads it again."""
+FIRST_TOKEN_MS = 25.0
+"""From the end of reading to the first event at the caller, network
+included."""
+UNFIT_MARGIN = 0.9
+"""A request is refused if its predicted first token takes more than this
+part of its objective: learnt rates, and so predictions, err by a tenth."""
+LARGE_SLACK_MS = 300.0
+"""A prompt that takes longer than its objective to read can't be on time
+anywhere. It may wait this long instead, or the largest would never run."""
+RATE_WEIGHT = 0.1
+"""How fast the learnt rate follows what is seen."""
+RATE_BOUNDS = (0.05, 2.0)
+"""Of the configured rate. An engine that slows down eightfold is seen."""
+FETCH_GAIN_TOKENS = 64
+"""A fetch of fewer tokens costs more than reading them."""
+
+
+class Ask(msgspec.Struct, kw_only=True):
+    """A request that wants an engine.
+
+    Attributes:
+        key: Names it among all routers.
+        workspace: Whose share it is served from.
+        parts: Its prompt.
+        output_tokens: The most that it may generate, or an estimate.
+        aim_at: When its first token is due, in ms of the broker's clock.
+        give_up_at: When its caller stops waiting.
+        asked_at: When it asked.
+        without: Endpoints that must not get it.
+    """
+
+    key: str
+    workspace: str
+    parts: tuple[PromptPart, ...]
+    output_tokens: int
+    aim_at: float
+    give_up_at: float
+    asked_at: float
+    without: frozenset[str] = frozenset()
+
+    @property
+    def tokens(self) -> int:
+        """The whole prompt."""
+        return sum(part.tokens for part in self.parts)
+
+    @property
+    def own_memory(self) -> float:
+        """What its run takes of an engine's memory beside shared parts."""
+        own = self.parts[-1].tokens if self.parts else 0
+        return float(own + self.output_tokens)
+
+
+class Granted(msgspec.Struct, frozen=True):
+    """A request that may be sent now."""
+
+    key: str
+    endpoint: str
+    fetch_from: str
+    tokens: float
+
+
+class Refused(msgspec.Struct, frozen=True):
+    """A request that would be late; it may come back after a while."""
+
+    key: str
+    retry_after_ms: float
+    predicted_ms: float
+
+
+class Flight(msgspec.Struct):
+    """A request at an engine."""
+
+    engine: str
+    tokens: float
+    memory: float
+    granted_at: float
+    is_reading: bool = True
+
+
+class Engine:
+    """What the broker knows of one engine."""
+
+    def __init__(self, endpoint: str, profile: EngineProfile, rate: float):
+        self.endpoint = endpoint
+        self.slots = profile.slots
+        self.memory_tokens = profile.memory_tokens
+        self.configured_rate = rate
+        self.rate = rate
+        self.kept = KeptParts(profile.memory_tokens * MEMORY_SHARE)
+        self.running = 0
+        self.reading_tokens = 0.0
+        self.memory = 0.0
+        self.last_read_at = 0.0
+        self.is_usable = True
+
+    @property
+    def wait_ms(self) -> float:
+        """How long a new request would wait to be read."""
+        return self.reading_tokens / self.rate
+
+    def takes(self, memory: float) -> bool:
+        """Whether it should get another request now."""
+        if not self.is_usable or self.wait_ms > AHEAD_MS:
+            return False
+        if self.running >= max(1.0, self.slots * SLOT_SHARE):
+            return False
+        if not self.memory_tokens or not self.running:
+            return True
+        return self.memory + memory <= self.memory_tokens * MEMORY_SHARE
+
+    def learn(self, flight: Flight, now: float) -> None:
+        """Learns the rate from a prompt whose first token came."""
+        began = max(flight.granted_at, self.last_read_at)
+        spent = max(1.0, now - began - FIRST_TOKEN_MS / 2)
+        low, high = RATE_BOUNDS
+        seen = flight.tokens / spent
+        seen = min(max(seen, low * self.configured_rate), high * self.rate)
+        if flight.tokens >= 256:
+            self.rate += RATE_WEIGHT * (seen - self.rate)
+        self.last_read_at = now
+
+
+class Waiting(msgspec.Struct):
+    """A request in a line, and the tokens it is likely to have read."""
+
+    ask: Ask
+    cost: float
+
+
+class Line:
+    """The waiting requests of one workspace, the most urgent first."""
+
+    def __init__(self):
+        self.heap: list[tuple[float, int, Waiting]] = []
+        self.tokens = 0.0
+
+    def push(self, waiting: Waiting, number: int) -> None:
+        """Adds a request."""
+        heapq.heappush(self.heap, (waiting.ask.aim_at, number, waiting))
+        self.tokens += waiting.cost
+
+    def pop(self) -> Waiting:
+        """Takes the request that is due first."""
+        _, _, waiting = heapq.heappop(self.heap)
+        self.tokens = max(0.0, self.tokens - waiting.cost)
+        if not self.heap:
+            self.tokens = 0.0
+        return waiting
+
+
+class Broker:
+    """The queue of one service. Times are milliseconds of one clock."""
+
+    def __init__(self, profile: EngineProfile, rate: float):
+        self.profile = profile
+        self.rate = rate
+        self.engines: dict[str, Engine] = {}
+        self.flights: dict[str, Flight] = {}
+        self.lines: dict[str, Line] = {}
+        self.level: dict[str, float] = {}
+        self.waiting: dict[str, Waiting] = {}
+        self.counter = 0
+
+    # What exists.
+
+    def set_engines(self, usable: Iterable[str]) -> None:
+        """Says which engines take work now."""
+        names = set(usable)
+        for name in names:
+            if name not in self.engines:
+                self.engines[name] = Engine(name, self.profile, self.rate)
+        for name, engine in list(self.engines.items()):
+            engine.is_usable = name in names
+            if not engine.is_usable and not engine.running:
+                del self.engines[name]
+
+    @property
+    def total_rate(self) -> float:
+        """Prompt tokens a millisecond that all usable engines read."""
+        return sum(e.rate for e in self.engines.values() if e.is_usable) or 1.0
+
+    # Requests.
+
+    def ask(self, ask: Ask, now: float) -> Refused | None:
+        """Takes in a request; it is refused at once if it would be late."""
+        waiting = Waiting(ask, self._cost(ask))
+        late = self._predict_late(waiting, now)
+        if late is not None:
+            return late
+        line = self.lines.setdefault(ask.workspace, Line())
+        if not line.heap:
+            self._level_up(ask.workspace)
+        self._queue(waiting)
+        return None
+
+    def _queue(self, waiting: Waiting) -> None:
+        self.counter += 1
+        self.lines[waiting.ask.workspace].push(waiting, self.counter)
+        self.waiting[waiting.ask.key] = waiting
+
+    def _cost(self, ask: Ask) -> float:
+        """Returns the tokens that a request is likely to have read."""
+        best = 0
+        for engine in self.engines.values():
+            best = max(best, engine.kept.leading_tokens(ask.parts))
+        return max(1.0, ask.tokens - best)
+
+    def _level_up(self, workspace: str) -> None:
+        """Lets a workspace that was idle start at the least served one.
+
+        It keeps no claim on what it did not use: it could take every slot
+        from the others until it had caught up.
+        """
+        active = [
+            self.level.get(name, 0.0)
+            for name, line in self.lines.items()
+            if line.heap
+        ]
+        floor = min(active, default=max(self.level.values(), default=0.0))
+        self.level[workspace] = max(self.level.get(workspace, 0.0), floor)
+
+    def predicted_wait_ms(self, workspace: str) -> float:
+        """Returns how long a request of a workspace would wait here.
+
+        Lines are served by level, so another workspace goes first just as
+        far as its level stays below the one that ours would have reached.
+        """
+        own = self.lines.get(workspace)
+        level = self.level.get(workspace, 0.0)
+        reached = level + (own.tokens if own is not None else 0.0)
+        ahead = 0.0
+        for name, line in self.lines.items():
+            if not line.heap:
+                continue
+            gap = reached - self.level.get(name, 0.0)
+            ahead += min(max(gap, 0.0), line.tokens)
+        usable = [e for e in self.engines.values() if e.is_usable]
+        if not usable:
+            return 0.0
+        least = min(e.wait_ms for e in usable)
+        return least + ahead / self.total_rate
+
+    def _read_ms(self, waiting: Waiting) -> float:
+        count = sum(1 for e in self.engines.values() if e.is_usable) or 1
+        return waiting.cost / (self.total_rate / count)
+
+    def _due_at(self, waiting: Waiting) -> float:
+        """Returns when the first token is due.
+
+        A prompt that takes longer to read than its objective allows gets
+        the time that it needs.
+        """
+        ask = waiting.ask
+        needs = self._read_ms(waiting) + FIRST_TOKEN_MS + LARGE_SLACK_MS
+        return max(ask.aim_at, ask.asked_at + needs)
+
+    def _predict_late(self, waiting: Waiting, now: float) -> Refused | None:
+        if not any(e.is_usable for e in self.engines.values()):
+            return None
+        wait_ms = self.predicted_wait_ms(waiting.ask.workspace)
+        first_ms = wait_ms + self._read_ms(waiting) + FIRST_TOKEN_MS
+        if first_ms <= (self._due_at(waiting) - now) * UNFIT_MARGIN:
+            return None
+        return Refused(waiting.ask.key, wait_ms, first_ms)
+
+    def _is_late(self, waiting: Waiting, now: float) -> bool:
+        first_at = now + self._read_ms(waiting) + FIRST_TOKEN_MS
+        return first_at > self._due_at(waiting)
+
+    def cancel(self, key: str) -> None:
+        """The caller of a waiting request has left."""
+        self.waiting.pop(key, None)
+
+    def first_token(self, key: str, now: float) -> None:
+        """The first token of a request came: its prompt has been read."""
+        flight = self.flights.get(key)
+        if flight is None or not flight.is_reading:
+            return
+        flight.is_reading = False
+        engine = self.engines.get(flight.engine)
+        if engine is not None:
+            engine.reading_tokens -= flight.tokens
+            engine.learn(flight, now)
+
+    def ended(self, key: str) -> None:
+        """A request is no longer at its engine."""
+        flight = self.flights.pop(key, None)
+        engine = self.engines.get(flight.engine) if flight else None
+        if engine is None:
+            return
+        engine.running -= 1
+        engine.memory -= flight.memory
+        if flight.is_reading:
+            engine.reading_tokens -= flight.tokens
+
+    def adopt(
+        self, key: str, endpoint: str, tokens: float, memory: float, now: float
+    ) -> None:
+        """Counts a request that a router sent without a grant."""
+        engine = self.engines.get(endpoint)
+        if engine is None or key in self.flights:
+            return
+        flight = Flight(endpoint, tokens, memory, now, tokens > 0)
+        self._count(engine, flight)
+        self.flights[key] = flight
+
+    @staticmethod
+    def _count(engine: Engine, flight: Flight) -> None:
+        engine.running += 1
+        engine.memory += flight.memory
+        engine.reading_tokens += flight.tokens
+
+    # Grants.
+
+    def pump(self, now: float) -> list[Granted | Refused]:
+        """Grants as many requests as engines should get now.
+
+        A request that waited until it can't be on time any more, though it
+        was predicted to be, gives way: while others wait it is refused.
+        """
+        told: list[Granted | Refused] = []
+        while any(e.takes(0.0) for e in self.engines.values()):
+            waiting = self._next()
+            if waiting is None:
+                break
+            ask = waiting.ask
+            crowded = bool(self.waiting)
+            if now >= ask.give_up_at or (
+                crowded and self._is_late(waiting, now)
+            ):
+                wait_ms = self.predicted_wait_ms(ask.workspace)
+                told.append(Refused(ask.key, wait_ms, now - ask.asked_at))
+                continue
+            granted = self._place(ask, now)
+            if granted is None:
+                self._queue(waiting)
+                break
+            told.append(granted)
+        return told
+
+    def _next(self) -> Waiting | None:
+        """Takes the most urgent request of the least served workspace."""
+        while True:
+            names = [name for name, line in self.lines.items() if line.heap]
+            if not names:
+                return None
+            name = min(names, key=lambda n: self.level.get(n, 0.0))
+            waiting = self.lines[name].pop()
+            if self.waiting.pop(waiting.ask.key, None) is not None:
+                return waiting
+
+    def _place(self, ask: Ask, now: float) -> Granted | None:
+        memory = ask.own_memory
+        able = [
+            engine
+            for engine in self.engines.values()
+            if engine.endpoint not in ask.without and engine.takes(memory)
+        ]
+        if not able:
+            return None
+        keeper = max(
+            (e for e in self.engines.values() if e.is_usable),
+            key=lambda e: e.kept.leading_tokens(ask.parts),
+        )
+        plans = [self._plan(ask, engine, keeper) for engine in able]
+        _, engine, fetch_from, tokens = min(plans, key=lambda plan: plan[0])
+        flight = Flight(engine.endpoint, tokens, memory, now)
+        self._count(engine, flight)
+        self.flights[ask.key] = flight
+        engine.kept.read(ask.parts)
+        charge = tokens + 2.0 * ask.output_tokens
+        self.level[ask.workspace] = self.level.get(ask.workspace, 0.0) + charge
+        return Granted(ask.key, engine.endpoint, fetch_from, tokens)
+
+    def _plan(
+        self, ask: Ask, engine: Engine, keeper: Engine
+    ) -> tuple[float, Engine, str, float]:
+        """Returns cost in ms, the engine, where to fetch, what is read."""
+        kept = engine.kept.leading_tokens(ask.parts)
+        there = keeper.kept.leading_tokens(ask.parts)
+        alone = max(1.0, ask.tokens - kept)
+        cost = engine.wait_ms + alone / engine.rate
+        gain = there - kept
+        if keeper is engine or gain < FETCH_GAIN_TOKENS:
+            return cost, engine, "", alone
+        moved_ms = FETCH_SETUP_MS + gain * self._fetch_ms_per_token()
+        fetched = max(1.0, ask.tokens - there)
+        fetch_cost = engine.wait_ms + moved_ms + fetched / engine.rate
+        if not self.profile.link_mbps or fetch_cost >= cost:
+            return cost, engine, "", alone
+        return fetch_cost, engine, keeper.endpoint, fetched
+
+    def _fetch_ms_per_token(self) -> float:
+        if not self.profile.link_mbps:
+            return 0.0
+        return self.profile.token_bytes * 8 / self.profile.link_mbps / 1000
+
+    def overdue(self, now: float) -> list[Refused]:
+        """Refuses what waits although its caller's time is over."""
+        found = [
+            waiting.ask
+            for waiting in self.waiting.values()
+            if now >= waiting.ask.give_up_at
+        ]
+        for ask in found:
+            self.waiting.pop(ask.key)
+        return [Refused(a.key, 0.0, now - a.asked_at) for a in found]
--- a/packages/fleet/src/marjoramyard/fleet/application.py
+++ b/packages/fleet/src/marjoramyard/fleet/application.py
@@ -5,10 +5,16 @@
 import os
 import signal
 from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import AbstractAsyncContextManager, asynccontextmanager
+from contextlib import (
+    AbstractAsyncContextManager,
+    asynccontextmanager,
+    nullcontext,
+)
+from pathlib import Path
 from typing import Protocol
 
 from aiohttp import web
+from result import Err
 
 from marjoramyard.fleet.util import rpc
 from marjoramyard.fleet.util.tasks import TaskGroup, task_group
@@ -16,7 +22,7 @@
 from marjoramyard.kernel.logs import get_logger
 from marjoramyard.kernel.metrics import Metrics
 from marjoramyard.kernel.registry import Registry
-from marjoramyard.kernel.settings import RoleSettings
+from marjoramyard.kernel.settings import RoleSettings, load_settings
 from marjoramyard.kernel.util.addresses import parse_address
 
 logger = get_logger(__name__)
@@ -30,6 +36,21 @@
 """Only the role's own module is imported: memory counts on small hosts."""
 
 
+_SHUTDOWN_SECONDS = 0.3
+"""How long handlers may take to notice that they are cancelled."""
+_WATCH_SECONDS = 2.0
+"""One `stat` each time; a change matters within seconds at the soonest."""
+
+
+def _modified_at(source: Path | None) -> int:
+    """Returns when a file was last written, 0 if that can't be told."""
+    try:
+        return source.stat().st_mtime_ns if source is not None else 0
+    except OSError:
+        # The file is being replaced, or gone: what was read stays.
+        return 0
+
+
 class Role(Protocol):
     """What a running role offers the application."""
 
@@ -43,11 +64,29 @@
 RoleFactory = Callable[["Application"], AbstractAsyncContextManager[Role]]
 
 
+class Listener:
+    """An address that is served."""
+
+    def __init__(self, runner: web.AppRunner, site: web.TCPSite):
+        self.runner = runner
+        self.site = site
+
+    async def close_gently(self) -> None:
+        """Takes no new connection, and closes each once it is idle.
+
+        What is being answered is answered to its end.
+        """
+        await self.site.stop()
+        self.runner.server.pre_shutdown()
+
+
 class Application:
     """One process of the fleet."""
 
-    def __init__(self, settings: RoleSettings):
+    def __init__(self, settings: RoleSettings, source: Path | None = None):
         self.settings = settings
+        self.source = source
+        self.source_read_at = _modified_at(source)
         self.incarnation = new_incarnation(settings.name)
         self.metrics = Metrics(settings.role, settings.name)
         self.roles: Registry[RoleFactory] = Registry("role")
@@ -76,7 +115,7 @@
         health: bool = True,
         max_body: int = rpc.MAX_INTERNAL_BODY,
         max_header: int = rpc.MAX_HEAD_BYTES,
-    ) -> AsyncIterator[None]:
+    ) -> AsyncIterator["Listener"]:
         """Serves routes on an address.
 
         Args:
@@ -106,14 +145,14 @@
             site_app,
             access_log=None,
             handler_cancellation=True,
-            shutdown_timeout=1.0,
+            shutdown_timeout=_SHUTDOWN_SECONDS,
         )
         await runner.setup()
         host, port = parse_address(address)
-        site = web.TCPSite(runner, host, port, reuse_address=True)
+        site = web.TCPSite(runner, host, port, reuse_address=True, backlog=512)
         await site.start()
         try:
-            yield
+            yield Listener(runner, site)
         finally:
             await runner.cleanup()
 
@@ -136,6 +175,13 @@
     async def _metrics_page(self, _: web.Request) -> web.Response:
         return web.Response(body=self.metrics.page(), content_type="text/plain")
 
+    def _serve_metrics(self) -> AbstractAsyncContextManager:
+        """Serves the metrics page on its own address too, if it has one."""
+        address = getattr(self.settings, "metrics_listen", "")
+        if not address:
+            return nullcontext()
+        return self.serve(address, [], internal=False)
+
     def _watch_traffic(self) -> None:
         client = self.client
 
@@ -147,11 +193,31 @@
 
         self.metrics.gauge("control_bytes", traffic)
 
+    def reload(self) -> None:
+        """Takes in the settings that may change while the process runs."""
+        if self.source is None:
+            return
+        self.source_read_at = _modified_at(self.source)
+        loaded = load_settings(self.source)
+        if isinstance(loaded, Err):
+            logger.error("settings_refused", why=loaded.err_value)
+            return
+        changed = self.settings.take_over(loaded.ok_value)
+        logger.info("settings_reloaded", changed=changed)
+
+    async def _watch_settings(self) -> None:
+        """Notices a settings file that changes without a signal."""
+        while True:
+            await asyncio.sleep(_WATCH_SECONDS)
+            if _modified_at(self.source) != self.source_read_at:
+                self.reload()
+
     async def run(self) -> None:
         """Runs the role until a signal, then drains it."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
         self.load_extension(EXTENSIONS[self.settings.role])
         for module in self.settings.extensions:
             self.load_extension(module)
@@ -159,8 +225,10 @@
         async with task_group() as self.tasks:
             self.client = rpc.InternalClient(self.secret, self.metrics)
             self._watch_traffic()
+            if self.source is not None:
+                self.tasks.spawn(self._watch_settings())
             try:
-                async with factory(self) as self.role:
+                async with self._serve_metrics(), factory(self) as self.role:
                     logger.info("started", pid=os.getpid())
                     await self.stopping.wait()
                     logger.info("draining")
--- a/packages/fleet/src/marjoramyard/fleet/cmd/daemon.py
+++ b/packages/fleet/src/marjoramyard/fleet/cmd/daemon.py
@@ -47,12 +47,12 @@
     """Runs the role that a settings file describes, until SIGTERM."""
     loaded = _load_or_exit(settings)
     configure_logs(loaded.log, role=loaded.role, name=loaded.name)
-    asyncio.run(_run(loaded))
+    asyncio.run(_run(loaded, settings))
 
 
-async def _run(settings: RoleSettings) -> None:
+async def _run(settings: RoleSettings, source: Path) -> None:
     try:
-        application = Application(settings)
+        application = Application(settings, source)
     except ValueError as error:
         click.echo(str(error), err=True)
         sys.exit(EXIT_SETTINGS)
--- a/packages/fleet/src/marjoramyard/fleet/control/service.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/service.py
@@ -40,6 +40,10 @@
 _SWEEP_SECONDS = 0.25
 MAX_SYNC_WAIT_SECONDS = 2.0
 _GATEWAY_KEPT_SECONDS = 5.0
+_BROKER_FRESH_SECONDS = 2.5
+"""A gateway polls every 0.8 s; one that missed two polls is not to broker."""
+MAX_BROKERS = 4
+"""One for each service with model engines is needed, and a successor."""
 
 
 class FleetService:
@@ -57,7 +61,7 @@
         self.silent: set[str] = set()
         self.silence_cursor = 0
         self.news = asyncio.Event()
-        self.gateways: dict[str, float] = {}
+        self.gateways: dict[str, tuple[float, SyncRequest]] = {}
         self.unsent: dict[str, dict[str, Registration]] = {}
 
     # Registrations.
@@ -131,7 +135,7 @@
                 logger.info("endpoints_silent", endpoints=sorted(silent))
                 self.silent = silent
                 self._wake()
-            for gateway, at in list(self.gateways.items()):
+            for gateway, (at, _) in list(self.gateways.items()):
                 if now - at > _GATEWAY_KEPT_SECONDS:
                     del self.gateways[gateway]
 
@@ -232,7 +236,7 @@
 
     async def sync(self, asked: SyncRequest) -> SyncReply:
         """Answers a gateway: at once if there is news, else a little later."""
-        self.gateways[asked.gateway] = time.monotonic()
+        self.gateways[asked.gateway] = (time.monotonic(), asked)
         loop = asyncio.get_running_loop()
         wait = min(asked.wait_seconds, MAX_SYNC_WAIT_SECONDS)
         until = loop.time() + wait
@@ -276,4 +280,16 @@
             sorted(self.silent),
             self.role.keeper.fresh_addresses(),
             max(1, len(self.gateways)),
+            self._brokers() if confirmed else [],
         )
+
+    def _brokers(self) -> list[str]:
+        """Returns the gateways to broker, in an order that stays."""
+        now = time.monotonic()
+        able = [
+            asked
+            for at, asked in self.gateways.values()
+            if asked.capacity > 0 and now - at < _BROKER_FRESH_SECONDS
+        ]
+        able.sort(key=lambda asked: (-asked.capacity, asked.name))
+        return [asked.address for asked in able[:MAX_BROKERS]]
--- a/packages/fleet/src/marjoramyard/fleet/gateway/admitting.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/admitting.py
@@ -55,6 +55,12 @@
         """Whether it may run again after it may have run."""
         return self.route.may_repeat
 
+    @property
+    def own_memory(self) -> float:
+        """What its run takes of an engine's memory beside shared parts."""
+        own = self.parts[-1].tokens if self.parts else 0
+        return float(own + self.output_tokens)
+
     def left(self, now: float) -> float:
         """Returns how many seconds are left."""
         return self.give_up_at - now
--- a/packages/fleet/src/marjoramyard/fleet/gateway/attempts.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/attempts.py
@@ -52,11 +52,17 @@
         endpoint: The registration that was chosen.
         fetch_from: Address of the endpoint that keeps parts, or "".
         last_event: The last event that the caller has; "" for none.
+        tokens: Prompt tokens that it is expected to read.
+        number: Names the request to the broker; 0 for plain services.
+        is_granted: The broker chose the endpoint.
     """
 
     endpoint: Registration
     fetch_from: str = ""
     last_event: str = ""
+    tokens: float = 0.0
+    number: int = 0
+    is_granted: bool = False
 
 
 def outgoing_headers(
--- /dev/null
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_desk.py
@@ -0,0 +1,217 @@
+"""The broker's side: one queue for each service, one socket a gateway."""
+
+import asyncio
+import time
+
+import aiohttp
+import msgspec
+from aiohttp import web
+
+from marjoramyard.coordination.placement.broker import (
+    Ask,
+    Broker,
+    Granted,
+    Refused,
+)
+from marjoramyard.fleet.gateway.brokering import (
+    BEAT_SECONDS,
+    AskPlace,
+    Beat,
+    Ended,
+    FirstToken,
+    FromBroker,
+    GrantPlace,
+    RefusePlace,
+    Running,
+    ToBroker,
+    Withdraw,
+    to_broker,
+)
+from marjoramyard.fleet.gateway.loads import Loads
+from marjoramyard.fleet.gateway.view import FleetView
+from marjoramyard.kernel.logs import get_logger
+
+logger = get_logger(__name__)
+
+
+class Peer:
+    """A gateway that asks."""
+
+    def __init__(self, number: int, socket: web.WebSocketResponse):
+        self.number = number
+        self.socket = socket
+        self.queue: list[FromBroker] = []
+        self.requests: dict[int, str] = {}
+
+    def key(self, number: int) -> str:
+        """Names one of its requests among all gateways' requests."""
+        return f"{self.number}/{number}"
+
+
+class BrokerDesk:
+    """Runs a broker for each service that gateways ask this host about."""
+
+    def __init__(self, view: FleetView, loads: Loads):
+        self.view = view
+        self.loads = loads
+        self.brokers: dict[str, Broker] = {}
+        self.peers: dict[int, Peer] = {}
+        self.counter = 0
+        self.pump_scheduled = False
+
+    async def serve(self, request: web.Request) -> web.WebSocketResponse:
+        """Serves one gateway until it goes."""
+        socket = web.WebSocketResponse(compress=False)
+        await socket.prepare(request)
+        self.counter += 1
+        peer = Peer(self.counter, socket)
+        self.peers[peer.number] = peer
+        try:
+            async for message in socket:
+                if message.type is aiohttp.WSMsgType.TEXT:
+                    for told in to_broker.decode(message.data):
+                        self._take(peer, told)
+                    self._schedule_pump()
+        finally:
+            del self.peers[peer.number]
+            self._forget(peer)
+        return socket
+
+    def _forget(self, peer: Peer) -> None:
+        """Its requests have ended: its endpoints' connections are closed."""
+        for number, service in peer.requests.items():
+            broker = self.brokers[service]
+            broker.cancel(peer.key(number))
+            broker.ended(peer.key(number))
+        self._schedule_pump()
+
+    def _broker(self, service: str) -> Broker | None:
+        table = self.view.table
+        known = table.services.get(service) if table is not None else None
+        if known is None or known.engine is None:
+            return None
+        broker = self.brokers.get(service)
+        if broker is None:
+            broker = Broker(known.engine, self.loads.rate)
+            self.brokers[service] = broker
+        usable = self.view.usable(service, set())
+        broker.set_engines(word.endpoint for word in usable)
+        return broker
+
+    def _take(self, peer: Peer, told: ToBroker) -> None:
+        if isinstance(told, AskPlace):
+            self._ask(peer, told)
+            return
+        if isinstance(told, Running):
+            self._adopt(peer, told)
+            return
+        service = peer.requests.get(told.number)
+        if service is None:
+            return
+        broker = self.brokers[service]
+        key = peer.key(told.number)
+        if isinstance(told, FirstToken):
+            broker.first_token(key, _now())
+        elif isinstance(told, Withdraw):
+            broker.cancel(key)
+            broker.ended(key)
+            del peer.requests[told.number]
+        elif isinstance(told, Ended):
+            self._ended(broker, key, told)
+            del peer.requests[told.number]
+
+    def _ended(self, broker: Broker, key: str, told: Ended) -> None:
+        flight = broker.flights.get(key)
+        if flight is not None and told.failed:
+            self.view.health_of(flight.engine).failed(time.monotonic())
+        broker.ended(key)
+
+    def _ask(self, peer: Peer, told: AskPlace) -> None:
+        broker = self._broker(told.service)
+        if broker is None:
+            peer.queue.append(RefusePlace(told.number, 0.0, 0.0))
+            return
+        now = _now()
+        ask = Ask(
+            key=peer.key(told.number),
+            workspace=told.workspace,
+            parts=told.prompt(),
+            output_tokens=told.output_tokens,
+            aim_at=now + told.due_ms,
+            give_up_at=now + told.left_ms,
+            asked_at=now,
+            without=frozenset(told.without),
+        )
+        refused = broker.ask(ask, now)
+        if refused is not None:
+            self._tell_refusal(peer, told.number, refused)
+        else:
+            peer.requests[told.number] = told.service
+
+    def _adopt(self, peer: Peer, told: Running) -> None:
+        broker = self._broker(told.service)
+        if broker is not None:
+            peer.requests[told.number] = told.service
+            key = peer.key(told.number)
+            broker.adopt(key, told.endpoint, told.tokens, told.memory, _now())
+
+    @staticmethod
+    def _tell_refusal(peer: Peer, number: int, refused: Refused) -> None:
+        peer.queue.append(
+            RefusePlace(number, refused.retry_after_ms, refused.predicted_ms)
+        )
+
+    def _schedule_pump(self) -> None:
+        if not self.pump_scheduled:
+            self.pump_scheduled = True
+            asyncio.get_running_loop().call_soon(self._pump)
+
+    def _pump(self) -> None:
+        self.pump_scheduled = False
+        now = _now()
+        for service, broker in self.brokers.items():
+            if self._broker(service) is None:
+                continue
+            for told in [*broker.overdue(now), *broker.pump(now)]:
+                self._tell(told)
+        for peer in self.peers.values():
+            self._flush(peer)
+
+    def _tell(self, told: Granted | Refused) -> None:
+        peer_number, _, text = told.key.partition("/")
+        peer = self.peers.get(int(peer_number))
+        if peer is None:
+            return
+        number = int(text)
+        if isinstance(told, Refused):
+            peer.requests.pop(number, None)
+            self._tell_refusal(peer, number, told)
+            return
+        peer.queue.append(
+            GrantPlace(number, told.endpoint, told.fetch_from, told.tokens)
+        )
+
+    @staticmethod
+    def _flush(peer: Peer) -> None:
+        if peer.queue and not peer.socket.closed:
+            queue, peer.queue = peer.queue, []
+            data = msgspec.json.encode(queue).decode()
+            task = asyncio.ensure_future(peer.socket.send_str(data))
+            task.add_done_callback(_log_send)
+
+    async def beat_forever(self) -> None:
+        """Tells gateways that this host is there, and looks at the clock."""
+        while True:
+            await asyncio.sleep(BEAT_SECONDS)
+            for peer in self.peers.values():
+                peer.queue.append(Beat())
+            self._schedule_pump()
+
+
+def _log_send(task: asyncio.Future) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        logger.info("broker_answer_failed", why=repr(task.exception()))
+
+
+def _now() -> float:
+    return time.monotonic() * 1000
--- /dev/null
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_link.py
@@ -0,0 +1,243 @@
+"""A gateway's side of brokering: asks, and goes on if nobody answers."""
+
+import asyncio
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import aiohttp
+import msgspec
+
+from marjoramyard.coordination.routing.config import Service
+from marjoramyard.fleet.gateway.admitting import CallerRequest
+from marjoramyard.fleet.gateway.brokering import (
+    BROKER_PATH,
+    SILENCE_SECONDS,
+    AskPlace,
+    Beat,
+    Ended,
+    FirstToken,
+    FromBroker,
+    GrantPlace,
+    RefusePlace,
+    Running,
+    ToBroker,
+    Withdraw,
+    from_broker,
+)
+from marjoramyard.fleet.gateway.view import FleetView
+from marjoramyard.fleet.util.tasks import TaskGroup
+from marjoramyard.kernel.logs import get_logger
+
+logger = get_logger(__name__)
+
+RECONNECT_SECONDS = 0.2
+CONNECT_SECONDS = 0.4
+
+
+class BrokerLink:
+    """One connection to the broker of a service."""
+
+    def __init__(self, view: FleetView, session: aiohttp.ClientSession):
+        self.view = view
+        self.session = session
+        self.socket: aiohttp.ClientWebSocketResponse | None = None
+        self.heard_at = 0.0
+        self.number = 0
+        self.waiting: dict[int, asyncio.Future] = {}
+        self.running: dict[int, Running] = {}
+        self.queue: list[ToBroker] = []
+        self.flush_scheduled = False
+
+    @property
+    def is_up(self) -> bool:
+        """Whether a broker answers."""
+        recent = time.monotonic() - self.heard_at < SILENCE_SECONDS
+        return self.socket is not None and recent
+
+    async def run(self, service: str) -> None:
+        """Keeps connected to the service's broker until cancelled."""
+        while True:
+            address = self.view.broker_of(service)
+            if address:
+                await self._follow(service, address)
+            await asyncio.sleep(RECONNECT_SECONDS)
+
+    async def _follow(self, service: str, address: str) -> None:
+        try:
+            async with asyncio.timeout(CONNECT_SECONDS):
+                socket = await self.session.ws_connect(
+                    f"http://{address}{BROKER_PATH}", compress=0
+                )
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            logger.info("broker_unreachable", broker=address, why=repr(error))
+            return
+        logger.info("broker_found", service=service, broker=address)
+        self.socket = socket
+        self.heard_at = time.monotonic()
+        self.queue = list(self.running.values())
+        self._schedule_flush()
+        try:
+            await self._read(service, address, socket)
+        finally:
+            self.socket = None
+            self._release_waiting()
+            await self._close(socket)
+            logger.info("broker_lost", service=service, broker=address)
+
+    async def _read(self, service: str, address: str, socket) -> None:
+        while self.view.broker_of(service) == address:
+            try:
+                async with asyncio.timeout(SILENCE_SECONDS):
+                    message = await socket.receive()
+            except TimeoutError:
+                return
+            if message.type is not aiohttp.WSMsgType.TEXT:
+                return
+            self.heard_at = time.monotonic()
+            for told in from_broker.decode(message.data):
+                self._take(told)
+
+    @staticmethod
+    async def _close(socket: aiohttp.ClientWebSocketResponse) -> None:
+        try:
+            async with asyncio.timeout(CONNECT_SECONDS):
+                await socket.close()
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            logger.info("broker_close_failed", why=repr(error))
+
+    def _take(self, told: FromBroker) -> None:
+        if isinstance(told, Beat):
+            return
+        future = self.waiting.pop(told.number, None)
+        if future is not None and not future.done():
+            future.set_result(told)
+        elif isinstance(told, GrantPlace):
+            # Its caller left, or it went by our own estimate meanwhile.
+            self._send(Ended(told.number))
+
+    def _release_waiting(self) -> None:
+        """Lets what waits for a lost broker go on without it."""
+        waiting, self.waiting = self.waiting, {}
+        for future in waiting.values():
+            if not future.done():
+                future.set_result(None)
+
+    def _send(self, message: ToBroker) -> None:
+        if self.socket is None:
+            return
+        self.queue.append(message)
+        self._schedule_flush()
+
+    def _schedule_flush(self) -> None:
+        """Sends in one frame what one turn of the loop has brought."""
+        if not self.flush_scheduled:
+            self.flush_scheduled = True
+            asyncio.get_running_loop().call_soon(self._flush)
+
+    def _flush(self) -> None:
+        self.flush_scheduled = False
+        queue, self.queue = self.queue, []
+        if queue and self.socket is not None and not self.socket.closed:
+            data = msgspec.json.encode(queue).decode()
+            task = asyncio.ensure_future(self.socket.send_str(data))
+            task.add_done_callback(_log_send)
+
+    async def place(
+        self, caller: CallerRequest, service: Service, without: set[str]
+    ) -> tuple[int, GrantPlace | RefusePlace | None]:
+        """Asks for a place; None if no broker answers.
+
+        Returns:
+            The request's number, for what is told of it later, and the
+            broker's answer.
+        """
+        self.number += 1
+        number = self.number
+        if not self.is_up:
+            return number, None
+        now = time.monotonic()
+        due = caller.arrived_at + caller.route.objective_ms / 1000 - now
+        future = asyncio.get_running_loop().create_future()
+        self.waiting[number] = future
+        self._send(
+            AskPlace(
+                number,
+                service.name,
+                caller.workspace.name if caller.workspace else "",
+                [(part.digest, part.tokens) for part in caller.parts],
+                caller.output_tokens,
+                due * 1000,
+                caller.left(now) * 1000,
+                sorted(without),
+            )
+        )
+        try:
+            return number, await future
+        finally:
+            if self.waiting.pop(number, None) is not None:
+                self._send(Withdraw(number))
+
+    def started(self, running: Running, is_granted: bool) -> None:
+        """A request goes to its endpoint, with a grant or without one."""
+        self.running[running.number] = running
+        if not is_granted:
+            self._send(running)
+
+    def unused(self, number: int) -> None:
+        """A grant is given back."""
+        self._send(Ended(number))
+
+    def first_token(self, number: int) -> None:
+        """The first token of a request came."""
+        running = self.running.get(number)
+        if running is not None and running.tokens:
+            running.tokens = 0.0
+            self._send(FirstToken(number))
+
+    def ended(self, number: int, failed: bool) -> None:
+        """A request is no longer at its endpoint."""
+        if self.running.pop(number, None) is not None:
+            self._send(Ended(number, failed))
+
+
+class BrokerLinks:
+    """The links to the brokers of all services with engines."""
+
+    def __init__(
+        self,
+        tasks: TaskGroup,
+        view: FleetView,
+        session: aiohttp.ClientSession,
+    ):
+        self.tasks = tasks
+        self.view = view
+        self.session = session
+        self.links: dict[str, BrokerLink] = {}
+        view.on_config.append(self._on_config)
+
+    def _on_config(self) -> None:
+        for name, service in self.view.table.services.items():
+            if service.engine is not None:
+                self.link(name)
+
+    def link(self, service: str) -> BrokerLink:
+        """Returns the link for a service."""
+        link = self.links.get(service)
+        if link is None:
+            link = BrokerLink(self.view, self.session)
+            self.links[service] = link
+            self.tasks.spawn(link.run(service))
+        return link
+
+
+@asynccontextmanager
+async def broker_session() -> AsyncIterator[aiohttp.ClientSession]:
+    """Owns the connections to brokers."""
+    async with aiohttp.ClientSession() as session:
+        yield session
+
+
+def _log_send(task: asyncio.Future) -> None:
+    if not task.cancelled() and task.exception() is not None:
+        logger.info("broker_send_failed", why=repr(task.exception()))
--- /dev/null
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/brokering.py
@@ -0,0 +1,100 @@
+"""Messages between gateways and the broker of a service."""
+
+import msgspec
+
+from marjoramyard.coordination.routing.table import PromptPart
+
+BROKER_PATH = "/fleet/v1/broker"
+BEAT_SECONDS = 0.1
+"""How often a broker says that it is there."""
+SILENCE_SECONDS = 0.4
+"""A broker that was not heard for so long is frozen or cut off. Requests
+then go by the gateway's own estimates; three missed beats, and a short
+pause of a busy host is not taken for one."""
+
+
+class AskPlace(msgspec.Struct, tag="ask", omit_defaults=True):
+    """A gateway asks where a request may run.
+
+    Attributes:
+        number: Names the request on this connection.
+        service: The service it is for.
+        parts: Its prompt, as (digest, tokens).
+        due_ms: When its first token is due, from now.
+        left_ms: When its caller gives up, from now.
+        without: Endpoints that it must not go to.
+    """
+
+    number: int
+    service: str
+    workspace: str
+    parts: list[tuple[str, int]]
+    output_tokens: int
+    due_ms: float
+    left_ms: float
+    without: list[str] = []
+
+    def prompt(self) -> tuple[PromptPart, ...]:
+        """Returns the parts as typed ones."""
+        return tuple(PromptPart(digest, size) for digest, size in self.parts)
+
+
+class Withdraw(msgspec.Struct, tag="withdraw"):
+    """The caller of a waiting request has left."""
+
+    number: int
+
+
+class FirstToken(msgspec.Struct, tag="first"):
+    """The first token of a request came."""
+
+    number: int
+
+
+class Ended(msgspec.Struct, tag="ended", omit_defaults=True):
+    """A request is no longer at its endpoint.
+
+    Attributes:
+        failed: The endpoint did not answer it.
+    """
+
+    number: int
+    failed: bool = False
+
+
+class Running(msgspec.Struct, tag="running"):
+    """A request that runs though this broker has not granted it."""
+
+    number: int
+    service: str
+    endpoint: str
+    tokens: float
+    memory: float
+
+
+class GrantPlace(msgspec.Struct, tag="grant", omit_defaults=True):
+    """The request may go to this endpoint now."""
+
+    number: int
+    endpoint: str
+    fetch_from: str = ""
+    tokens: float = 0.0
+
+
+class RefusePlace(msgspec.Struct, tag="refuse"):
+    """The request would be late; it has not run."""
+
+    number: int
+    retry_after_ms: float
+    predicted_ms: float
+
+
+class Beat(msgspec.Struct, tag="beat"):
+    """The broker is there."""
+
+
+ToBroker = AskPlace | Withdraw | FirstToken | Ended | Running
+FromBroker = GrantPlace | RefusePlace | Beat
+
+to_broker = msgspec.json.Decoder(list[ToBroker])
+from_broker = msgspec.json.Decoder(list[FromBroker])
--- a/packages/fleet/src/marjoramyard/fleet/gateway/delivery.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/delivery.py
@@ -23,8 +23,9 @@
         first_at: Loop clock when the first bytes of the body went out.
     """
 
-    def __init__(self, request: web.Request):
+    def __init__(self, request: web.Request, leaving: asyncio.Event):
         self.request = request
+        self.leaving = leaving
         self.response: web.StreamResponse | None = None
         self.events = EventCutter()
         self.first_at = 0.0
@@ -101,6 +102,8 @@
         response = web.StreamResponse(status=answer.status)
         copy_headers(end_to_end(list(answer.headers.items())), response)
         response.enable_chunked_encoding()
+        if self.leaving.is_set():
+            response.force_close()
         self.response = response
         self.first_at = asyncio.get_running_loop().time()
         try:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/following.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/following.py
@@ -49,6 +49,12 @@
         """Returns the internal addresses to ask."""
         return self.view.control_addresses | set(self.settings.seed_peers())
 
+    def _spare_capacity(self) -> float:
+        """Returns the cores that brokering may use; a leaving host has none."""
+        if self.app.stopping.is_set() or self.view.table is None:
+            return 0.0
+        return self.settings.processor_cores
+
     async def _follow(self, address: str) -> None:
         epoch, cursor, failures = "", 0, 0
         while failures < GONE_AFTER_FAILURES or address in self.wanted():
@@ -59,6 +65,9 @@
                 epoch,
                 cursor,
                 WAIT_SECONDS if epoch else 0.0,
+                self.settings.name,
+                self.settings.reachable,
+                self._spare_capacity(),
             )
             told = await self.app.client.call(
                 address,
--- a/packages/fleet/src/marjoramyard/fleet/gateway/loads.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/loads.py
@@ -1,6 +1,6 @@
 """What this gateway has in flight at each endpoint, and how fast it goes."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
 from marjoramyard.coordination.placement.choice import EngineView
@@ -40,6 +40,7 @@
         try:
             yield flight
         finally:
+            flight.on_read = None
             flight.read()
             flight.engine.running -= 1
 
@@ -50,6 +51,7 @@
     def __init__(self, engine: EngineView, tokens: float):
         self.engine = engine
         self.tokens = tokens
+        self.on_read: Callable[[], None] | None = None
         engine.running += 1
         engine.reading_tokens += tokens
 
@@ -57,3 +59,6 @@
         """Its prompt has been read: the first token is there."""
         self.engine.reading_tokens -= self.tokens
         self.tokens = 0.0
+        if self.on_read is not None:
+            self.on_read()
+            self.on_read = None
--- a/packages/fleet/src/marjoramyard/fleet/gateway/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/role.py
@@ -6,7 +6,10 @@
 
 from aiohttp import web
 
-from marjoramyard.fleet.application import Application
+from marjoramyard.fleet.application import Application, Listener
+from marjoramyard.fleet.gateway.broker_desk import BrokerDesk
+from marjoramyard.fleet.gateway.broker_link import BrokerLinks, broker_session
+from marjoramyard.fleet.gateway.brokering import BROKER_PATH
 from marjoramyard.fleet.gateway.dialect import GATEWAY_DIALECTS
 from marjoramyard.fleet.gateway.following import Follower
 from marjoramyard.fleet.gateway.serving import Dispatcher
@@ -19,10 +22,9 @@
 LEASE_MARGIN_SECONDS = 0.5
 """Taken off the time after which a lost key must be refused: a request that
 was admitted at the end of a lease still has to reach its endpoint."""
-BALANCER_SECONDS = 3.0
-"""The balancer asks for readiness once a second and believes two misses; a
-third second covers answers that are late."""
-EXIT_MARGIN_SECONDS = 0.5
+BALANCER_SECONDS = 2.6
+"""The balancer asks for readiness once a second and believes two misses."""
+EXIT_MARGIN_SECONDS = 0.8
 """Kept of the grace for closing what is left, before the kill comes."""
 _DRAIN_POLL_SECONDS = 0.05
 
@@ -35,7 +37,7 @@
         self.settings = app.settings
         self.view = view
         self.dispatcher = dispatcher
-        self.closing = False
+        self.listener: Listener | None = None
 
     def is_ready(self) -> bool:
         """A gateway is ready once it knows a configuration in force."""
@@ -54,11 +56,17 @@
         return web.Response(status=200 if ready else 503)
 
     async def drain(self) -> None:
-        """Lets the balancer notice, then lets what runs end."""
+        """Lets the balancer notice, then lets what runs end.
+
+        A connection that is kept open would go on bringing requests until
+        the kill, which would cut them; so idle ones are closed once no new
+        ones come.
+        """
         loop = asyncio.get_running_loop()
         began = loop.time()
         end = began + self.settings.grace_seconds - EXIT_MARGIN_SECONDS
         await asyncio.sleep(BALANCER_SECONDS)
+        await self.listener.close_gently()
         while self.dispatcher.active and loop.time() < end:
             await asyncio.sleep(_DRAIN_POLL_SECONDS)
         logger.info(
@@ -75,12 +83,15 @@
     dialect = GATEWAY_DIALECTS.get(settings.dialect)
     lease_seconds = settings.revoke_ms / 1000 - LEASE_MARGIN_SECONDS
     view = FleetView(dialect, lease_seconds)
-    async with endpoint_session() as session:
-        dispatcher = Dispatcher(view, session, app.metrics, settings)
+    async with endpoint_session() as session, broker_session() as to_brokers:
+        brokers = BrokerLinks(app.tasks, view, to_brokers)
+        dispatcher = Dispatcher(view, session, brokers, app)
+        desk = BrokerDesk(view, dispatcher.loads)
+        app.tasks.spawn(desk.beat_forever())
         role = GatewayRole(app, view, dispatcher)
         app.tasks.spawn(Follower(app, view).run())
         async with (
-            app.serve(settings.internal, []),
+            app.serve(settings.internal, [web.get(BROKER_PATH, desk.serve)]),
             app.serve(
                 settings.ready_listen,
                 [web.get(dialect.ready_path, role.readyz)],
@@ -92,8 +103,9 @@
                 [web.route("*", "/{path:.*}", role.handle)],
                 internal=False,
                 health=False,
-            ),
+            ) as listener,
         ):
+            role.listener = listener
             yield role
 
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/serving.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/serving.py
@@ -3,15 +3,22 @@
 import asyncio
 import random
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 
+import aiohttp
 import msgspec
 from aiohttp import web
 
-from marjoramyard.coordination.membership.registrations import Registration
+from marjoramyard.coordination.membership.registrations import (
+    EndpointState,
+    Registration,
+)
 from marjoramyard.coordination.placement.choice import place_prompt
 from marjoramyard.coordination.routing.config import Service
 from marjoramyard.coordination.routing.table import pick
 from marjoramyard.coordination.serving.retries import RetryBudget
+from marjoramyard.fleet.application import Application
 from marjoramyard.fleet.gateway.admitting import CallerRequest, admit
 from marjoramyard.fleet.gateway.attempts import (
     SendFailedError,
@@ -19,8 +26,14 @@
     SendPlan,
     sending,
 )
+from marjoramyard.fleet.gateway.broker_link import BrokerLinks
+from marjoramyard.fleet.gateway.brokering import (
+    GrantPlace,
+    RefusePlace,
+    Running,
+)
 from marjoramyard.fleet.gateway.delivery import CallerGoneError, Delivery
-from marjoramyard.fleet.gateway.loads import Loads
+from marjoramyard.fleet.gateway.loads import Flight, Loads
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.fleet.util.rpc import failure_response
 from marjoramyard.kernel.errors import (
@@ -31,7 +44,6 @@
     failure,
 )
 from marjoramyard.kernel.logs import get_logger
-from marjoramyard.kernel.metrics import Metrics
 
 logger = get_logger(__name__)
 
@@ -44,6 +56,8 @@
 """Refused callers return over this share around the time they are told,
 not all at the same moment."""
 MAX_CONNECT_TRIES = 4
+MIN_RETRY_SECONDS = 0.15
+"""A caller that is refused comes back no sooner than this."""
 
 
 class Story(msgspec.Struct):
@@ -51,16 +65,25 @@
 
     sends: list[str] = []
     wait_ms: float = 0.0
+    predicted_ms: int | None = None
 
 
 class Dispatcher:
     """Serves requests with what the gateway knows of the fleet."""
 
-    def __init__(self, view: FleetView, session, metrics: Metrics, settings):
+    def __init__(
+        self,
+        view: FleetView,
+        session: aiohttp.ClientSession,
+        brokers: BrokerLinks,
+        app: Application,
+    ):
         self.view = view
         self.session = session
-        self.metrics = metrics
-        self.settings = settings
+        self.brokers = brokers
+        self.metrics = app.metrics
+        self.settings = app.settings
+        self.stopping = app.stopping
         self.names = view.dialect.headers
         self.loads = Loads()
         self.budgets: dict[str, RetryBudget] = {}
@@ -76,7 +99,7 @@
     async def handle(self, request: web.Request) -> web.StreamResponse:
         """Serves one request of a caller."""
         self.active += 1
-        delivery = Delivery(request)
+        delivery = Delivery(request, self.stopping)
         story = Story()
         began = time.monotonic()
         caller: CallerRequest | None = None
@@ -123,6 +146,8 @@
             ),
             config=self.view.version,
             sends=story.sends,
+            wait_ms=round(story.wait_ms),
+            predicted_ms=story.predicted_ms,
             status=status,
             outcome=why,
             first_ms=(
@@ -181,7 +206,6 @@
         self.connects = 0
         self.may_have_run = False
         self.had_run = False
-        self.tokens = 0.0
 
     async def to_end(self) -> web.StreamResponse:
         """Sends until there is an answer or nothing more may be tried.
@@ -190,22 +214,63 @@
             FleetError: There is none; says whether the request has run.
         """
         while True:
-            plan = self._plan()
+            words = self._candidates()
+            plan = await self._plan(words)
             try:
                 return await self._send(plan)
             except SendFailedError as error:
                 self._after(plan, error)
 
-    def _plan(self) -> SendPlan:
+    def _candidates(self) -> list[Registration]:
         words = self.view.usable(self.service.name, self.tried)
         if not words:
             words = self.view.usable(self.service.name, set())
             if not words or self.sends or self.connects >= MAX_CONNECT_TRIES:
                 raise FleetError(self._nowhere())
-        self._check_key()
-        if self.caller.parts and self.service.engine is not None:
-            return self._plan_prompt(words)
-        return SendPlan(self._least_loaded(words), "", self._last_event())
+        return words
+
+    async def _plan(self, words: list[Registration]) -> SendPlan:
+        if not self.caller.parts or self.service.engine is None:
+            return SendPlan(self._least_loaded(words), "", self._last_event())
+        link = self.dispatcher.brokers.link(self.service.name)
+        began = time.monotonic()
+        number, told = await link.place(self.caller, self.service, self.tried)
+        self.story.wait_ms += (time.monotonic() - began) * 1000
+        if isinstance(told, RefusePlace):
+            self.story.predicted_ms = round(told.predicted_ms)
+            raise FleetError(self._too_late(told))
+        if told is None:
+            return self._plan_alone(words, number)
+        return self._plan_granted(told, number)
+
+    def _plan_granted(self, told: GrantPlace, number: int) -> SendPlan:
+        known = self.view.registrations.known
+        word = known.get(told.endpoint)
+        if word is None or word.state is not EndpointState.READY:
+            # The broker has not heard yet that it leaves. The request goes
+            # elsewhere: a leaving endpoint gets no new work.
+            self.dispatcher.brokers.link(self.service.name).unused(number)
+            self.tried.add(told.endpoint)
+            return self._plan_alone(self._candidates(), number)
+        source = known.get(told.fetch_from)
+        return SendPlan(
+            word,
+            source.address if source is not None else "",
+            self._last_event(),
+            told.tokens,
+            number,
+            True,
+        )
+
+    def _too_late(self, told: RefusePlace) -> Failure:
+        if self.may_have_run:
+            return self._nowhere()
+        seconds = max(told.retry_after_ms / 1000, MIN_RETRY_SECONDS)
+        return failure(
+            Kind.BUSY,
+            "its answer would come too late; come back when the rush is over",
+            retry_after=spread(seconds),
+        )
 
     def _check_key(self) -> None:
         """Checks the lease once more, right before the send.
@@ -240,7 +305,8 @@
             ),
         )
 
-    def _plan_prompt(self, words: list[Registration]) -> SendPlan:
+    def _plan_alone(self, words: list[Registration], number: int) -> SendPlan:
+        """Places a prompt by what this gateway has in flight itself."""
         loads = self.dispatcher.loads
         profile = self.service.engine
         fetch_ms = 0.0
@@ -253,11 +319,12 @@
         )
         by_id = {word.endpoint: word for word in words}
         source = by_id.get(placed.fetch_from)
-        self.tokens = placed.tokens
         return SendPlan(
             by_id[placed.endpoint],
             source.address if source is not None else "",
             self._last_event(),
+            placed.tokens,
+            number,
         )
 
     def _last_event(self) -> str:
@@ -266,11 +333,12 @@
     async def _send(self, plan: SendPlan) -> web.StreamResponse:
         dispatcher = self.dispatcher
         endpoint = plan.endpoint.endpoint
-        self.tried.add(endpoint)
-        self.story.sends.append(endpoint)
-        self.had_run = self.may_have_run
-        self.may_have_run = True
-        with dispatcher.loads.in_flight(endpoint, self.tokens) as flight:
+        with self._in_flight(plan) as flight:
+            self._check_key()
+            self.tried.add(endpoint)
+            self.story.sends.append(endpoint)
+            self.had_run = self.may_have_run
+            self.may_have_run = True
             async with sending(
                 dispatcher.session, self.caller, plan, dispatcher.names
             ) as answer:
@@ -282,6 +350,39 @@
         self.view.health_of(endpoint).succeeded(time.monotonic())
         return response
 
+    @contextmanager
+    def _in_flight(self, plan: SendPlan) -> Iterator[Flight]:
+        """Counts a send here, and with the broker, while it lasts."""
+        endpoint = plan.endpoint.endpoint
+        link = None
+        failed = False
+        if plan.number:
+            link = self.dispatcher.brokers.link(self.service.name)
+            running = Running(
+                plan.number,
+                self.service.name,
+                endpoint,
+                plan.tokens,
+                self.caller.own_memory,
+            )
+            link.started(running, plan.is_granted)
+        try:
+            with self.dispatcher.loads.in_flight(
+                endpoint, plan.tokens
+            ) as flight:
+                if link is not None:
+                    flight.on_read = lambda: link.first_token(plan.number)
+                yield flight
+        except SendFailedError as error:
+            failed = error.outcome in (
+                SendOutcome.NOT_SENT,
+                SendOutcome.BROKEN,
+            )
+            raise
+        finally:
+            if link is not None:
+                link.ended(plan.number, failed)
+
     def _may_try_again(self) -> bool:
         """Whether a further send would be allowed, without taking it."""
         return (
--- a/packages/fleet/src/marjoramyard/fleet/gateway/view.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/view.py
@@ -40,6 +40,7 @@
         self.silent_at: dict[str, tuple[float, frozenset[str]]] = {}
         self.gateways = 1
         self.control_addresses: set[str] = set()
+        self.broker_addresses: list[str] = []
         self.on_config: list[Callable[[], None]] = []
 
     @property
@@ -47,6 +48,22 @@
         """The version of the configuration in force here; 0 for none."""
         return self.table.version if self.table is not None else 0
 
+    def broker_of(self, service: str) -> str:
+        """Returns the address of a service's broker; "" for none.
+
+        Services with engines take turns over the candidates, so that no
+        gateway brokers them all.
+        """
+        if self.table is None or not self.broker_addresses:
+            return ""
+        names = sorted(
+            name for name, known in self.table.services.items() if known.engine
+        )
+        if service not in names:
+            return ""
+        place = names.index(service) % len(self.broker_addresses)
+        return self.broker_addresses[place]
+
     def lease_holds(self) -> bool:
         """Whether keys may still be taken for good."""
         return self.lease.holds(boot_seconds())
@@ -61,6 +78,8 @@
         """
         if reply.config is not None:
             self._install(reply.config)
+        if reply.confirmed:
+            self.broker_addresses = reply.brokers
         if reply.confirmed and self.version >= reply.version:
             self.lease.renewed(sent_at, self.lease.seconds)
         now = time.monotonic()
--- a/packages/fleet/src/marjoramyard/fleet/settings.py
+++ b/packages/fleet/src/marjoramyard/fleet/settings.py
@@ -1,5 +1,7 @@
 """The settings of each role."""
 
+from typing import ClassVar
+
 from marjoramyard.kernel.settings import ROLE_SETTINGS, RoleSettings
 
 
@@ -16,6 +18,8 @@
     peer_port: int = 0
     dialect: str = "native"
 
+    changeable: ClassVar[tuple[str, ...]] = ("seeds",)
+
     def addresses(self) -> dict[str, str]:
         """Adds the seeds."""
         found = super().addresses()
@@ -45,6 +49,7 @@
         first_start: The whole fleet starts for the first time.
         losses: How many control hosts may be lost at once.
         heartbeat_ms: How often endpoints announce themselves.
+        metrics_listen: Another address for the metrics page, or "".
     """
 
     data_folder: str = ""
@@ -55,6 +60,7 @@
     first_start: bool = False
     losses: int = 1
     heartbeat_ms: float = 1200.0
+    metrics_listen: str = ""
 
     @property
     def voters(self) -> int:
@@ -86,6 +92,9 @@
         revoke_ms: A key that was taken away is refused after this long,
             also by a gateway that is cut off.
         grace_seconds: The time between SIGTERM and SIGKILL.
+        processor_cores: What the host gives this process, in cores; the
+            gateways with most of it broker for the others.
+        metrics_listen: Another address for the metrics page, or "".
     """
 
     listen: str
@@ -95,6 +104,8 @@
     retry_window_seconds: float = 10.0
     revoke_ms: float = 5000.0
     grace_seconds: float = 8.0
+    processor_cores: float = 1.0
+    metrics_listen: str = ""
 
     def addresses(self) -> dict[str, str]:
         """Adds the callers' and the balancer's address."""
--- a/packages/fleet/src/marjoramyard/fleet/syncing.py
+++ b/packages/fleet/src/marjoramyard/fleet/syncing.py
@@ -57,6 +57,10 @@
         epoch: The responder's table that `cursor` counts in.
         cursor: The last change of that table that it has.
         wait_seconds: How long the answer may wait for news.
+        name: The gateway's host.
+        address: Its internal address.
+        capacity: How much processor it has to spare for brokering, in
+            cores; 0 if it must not be a broker.
     """
 
     gateway: str
@@ -64,6 +68,9 @@
     epoch: str = ""
     cursor: int = 0
     wait_seconds: float = 0.0
+    name: str = ""
+    address: str = ""
+    capacity: float = 0.0
 
 
 class SyncReply(msgspec.Struct, omit_defaults=True):
@@ -78,6 +85,8 @@
         silent: Endpoints that no control host has heard for too long.
         addresses: Internal addresses of the control hosts.
         gateways: How many gateways ask this host.
+        brokers: Internal addresses of gateways that may broker, the ones
+            with most capacity first; only a confirmed leader says so.
     """
 
     epoch: str
@@ -89,6 +98,7 @@
     silent: list[str] = []
     addresses: list[str] = []
     gateways: int = 1
+    brokers: list[str] = []
 
 
 class PutConfig(msgspec.Struct, frozen=True):
--- a/packages/kernel/src/marjoramyard/kernel/settings.py
+++ b/packages/kernel/src/marjoramyard/kernel/settings.py
@@ -2,7 +2,7 @@
 
 import re
 from pathlib import Path
-from typing import Any
+from typing import Any, ClassVar
 
 import msgspec
 import yaml
@@ -53,11 +53,28 @@
     trust_network: bool = False
     extensions: list[str] = []
 
+    changeable: ClassVar[tuple[str, ...]] = ()
+    """The keys whose new values a running process takes over."""
+
     @property
     def reachable(self) -> str:
         """The address that other processes are told."""
         return self.advertised or self.internal
 
+    def take_over(self, newer: "RoleSettings") -> list[str]:
+        """Takes what may change in a running process; returns its keys.
+
+        Addresses and folders stay as they are until a restart.
+        """
+        changed = [
+            key
+            for key in self.changeable
+            if getattr(self, key) != getattr(newer, key)
+        ]
+        for key in changed:
+            setattr(self, key, getattr(newer, key))
+        return changed
+
     def addresses(self) -> dict[str, str]:
         """Returns each setting that must be an address, by its key."""
         found = {"internal": self.internal}
