--- /dev/null
+++ b/tests/platform/test_operators.py
@@ -0,0 +1,214 @@
+"""Heartbeats and configurations as the platform sends them."""
+
+import json
+from types import SimpleNamespace
+
+import pytest
+from aiohttp import web
+from aiohttp.test_utils import TestClient, TestServer
+from result import Err, Ok
+
+from marjoramyard.coordination.governance.commands import ConfigDocument
+from marjoramyard.coordination.membership.registrations import EndpointState
+from marjoramyard.coordination.routing.config import RequestKind
+from marjoramyard.fleet.syncing import StoredConfig
+from marjoramyard.kernel.errors import Kind, failure
+from marjoramyard.platform.callers import HEADERS
+from marjoramyard.platform.configurations import (
+    check_configuration,
+    read_configuration,
+)
+from marjoramyard.platform.operators import platform_routes, read_heartbeat
+
+HEARTBEAT = {
+    "service": "huvo11a",
+    "address": "10.128.0.9:8080",
+    "zone": "zone-a",
+    "version": "v1",
+    "slots": 64,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "models": [{"name": "m", "version": 1, "adapters": []}],
+    "seq": 4,
+    "born": 1790000000123,
+}
+ROUTE = {
+    "name": "r-1",
+    "hostname": "ficu95.example",
+    "path_prefix": "/lohu930/",
+    "request_kind": "stream",
+    "timeout_ms": 5000,
+    "objective_ms": 800,
+    "priority": 1,
+    "destinations": [{"service": "huvo11a", "weight": 90}],
+    "max_attempts": 2,
+    "open_access": False,
+    "keeps_prefix": True,
+    "resumable": True,
+    "gap_objective_ms": 300,
+}
+CONFIG = {
+    "version": 7,
+    "routes": [ROUTE],
+    "services": [
+        {
+            "name": "huvo11a",
+            "health_path": "/healthz",
+            "max_connections": 780,
+            "protocol": "h1",
+            "engine": {
+                "slots": 64,
+                "memory_tokens": 235664,
+                "token_bytes": 18432,
+                "link_mbps": 370000.0,
+                "moves": True,
+            },
+        }
+    ],
+    "limits": {"max_body_bytes": 4194304, "tokens_per_s": 105000},
+    "workspaces": [{"name": "hule930", "api_keys": ["k1"], "priority": 1}],
+}
+
+
+class FakeService:
+    """Keeps what it is told."""
+
+    def __init__(self):
+        self.words = []
+        self.departed = []
+        self.document = None
+        self.quorum = True
+
+    def register(self, word):
+        self.words.append(word)
+
+    def depart(self, endpoint):
+        self.departed.append(endpoint)
+
+    async def accept(self, document):
+        if not self.quorum:
+            return Err(failure(Kind.NO_QUORUM, "none"))
+        self.document = document
+        return Ok(None)
+
+    async def read(self):
+        if not self.quorum:
+            return Err(failure(Kind.NO_QUORUM, "none"))
+        return Ok(StoredConfig(self.document))
+
+
+@pytest.fixture
+async def platform():
+    service = FakeService()
+    app = web.Application()
+    app.add_routes(platform_routes(service))
+    async with TestClient(TestServer(app)) as client:
+        yield SimpleNamespace(service=service, client=client)
+
+
+def test_a_heartbeat_becomes_a_registration():
+    word = read_heartbeat("i-1", json.dumps(HEARTBEAT).encode()).ok_value
+    assert (word.endpoint, word.service, word.slots) == ("i-1", "huvo11a", 64)
+    assert word.availability_zone == "zone-a"
+    assert (word.sequence, word.born) == (4, 1790000000123)
+    assert word.state is EndpointState.READY
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"address": None},
+        {"address": ""},
+        {"state": "resting"},
+        {"state": "departed"},
+        {"seq": "four"},
+        {"service": 5},
+    ],
+)
+def test_a_heartbeat_of_another_writer_names_no_endpoint(change):
+    text = json.dumps({**HEARTBEAT, **change}).encode()
+    assert isinstance(read_heartbeat("i-1", text), Err)
+
+
+def test_bytes_that_can_t_be_read_name_no_endpoint():
+    torn = json.dumps(HEARTBEAT).encode()[:-9]
+    for text in (torn, b"\xff\xfe", b"[]", b""):
+        assert isinstance(read_heartbeat("i-1", text), Err)
+
+
+def test_a_configuration_is_read_into_our_types():
+    config = read_configuration(json.dumps(CONFIG).encode()).ok_value
+    (route,) = config.routes
+    assert route.request_kind is RequestKind.STREAM
+    assert route.split[0].service == "huvo11a"
+    assert route.may_repeat
+    assert config.services[0].engine.memory_tokens == 235664
+    assert config.workspaces[0].api_keys == ("k1",)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"timeout_ms": 0},
+        {"destinations": [{"service": "gone", "weight": 1}]},
+        {"destinations": [{"service": "huvo11a", "weight": 0}]},
+    ],
+)
+def test_an_invalid_configuration_is_refused(change):
+    text = json.dumps({**CONFIG, "routes": [{**ROUTE, **change}]}).encode()
+    assert isinstance(check_configuration(text), Err)
+
+
+async def test_a_cut_short_configuration_gets_a_typed_4xx(platform):
+    text = json.dumps(CONFIG)[:-40]
+    response = await platform.client.put("/v1/config", data=text)
+    assert response.status == 422
+    assert "mend" in (await response.json())["error"]["message"]
+    assert platform.service.document is None
+
+
+async def test_a_reader_gets_the_bytes_that_were_sent(platform):
+    text = json.dumps(CONFIG, indent=3).encode()
+    response = await platform.client.put("/v1/config", data=text)
+    assert response.status == 200
+    assert platform.service.document == ConfigDocument(7, text)
+    response = await platform.client.get("/v1/config")
+    assert await response.read() == text
+
+
+async def test_without_a_quorum_nothing_is_said_to_be_the_newest(platform):
+    platform.service.quorum = False
+    assert (await platform.client.get("/v1/config")).status == 503
+    put = await platform.client.put("/v1/config", data=json.dumps(CONFIG))
+    assert put.status == 503
+
+
+async def test_before_the_first_configuration_a_read_is_503(platform):
+    assert (await platform.client.get("/v1/config")).status == 503
+
+
+async def test_endpoints_come_and_go(platform):
+    put = await platform.client.put("/v1/endpoints/i-1", json=HEARTBEAT)
+    assert put.status == 200
+    assert platform.service.words[0].endpoint == "i-1"
+    torn = await platform.client.put("/v1/endpoints/i-2", data="{")
+    assert torn.status == 400
+    await platform.client.delete("/v1/endpoints/i-1")
+    assert platform.service.departed == ["i-1"]
+
+
+def test_callers_can_t_steer_an_engine_s_memory():
+    dropped = HEADERS.not_passed_on
+    for name in (
+        "X-Api-Key",
+        "X-Marjoramyard-Tenant",
+        "X-Marjoramyard-Target-Instance",
+        "Kv-From",
+        "Kv-Fetch",
+        "X-Marjoramyard-Kv-Retention",
+        "X-Marjoramyard-Pin-Ms",
+        "X-Marjoramyard-Kv-Backup",
+    ):
+        assert name.lower() in dropped
+    assert "x-marjoramyard-prefix-hash" not in dropped
+    assert "x-marjoramyard-attempt-id" not in dropped
