Write logs to the descriptor, and set only pipes non-blocking

A test of the command failed: its runner's standard output has no descriptor. A terminal's mode is shared with the shell, so it is left as it is.

--- a/packages/kernel/src/marjoramyard/kernel/logs.py
+++ b/packages/kernel/src/marjoramyard/kernel/logs.py
@@ -2,7 +2,7 @@
 
 import logging
 import os
-import sys
+import stat
 import time
 from collections.abc import Callable, MutableMapping
 from typing import Any
@@ -20,6 +20,8 @@
 PENDING_BYTES = 256 << 10
 """What is kept for a reader that is behind: some seconds' worth of lines."""
 FAILED_STATUS = 400
+STDOUT = 1
+"""The descriptor, not `sys.stdout`, which buffers and may block."""
 
 Event = MutableMapping[str, Any]
 
@@ -37,7 +39,11 @@
         self.limit = limit
         self.pending = bytearray()
         self.dropped = 0
-        os.set_blocking(descriptor, False)
+        mode = os.fstat(descriptor).st_mode
+        if stat.S_ISFIFO(mode) or stat.S_ISSOCK(mode):
+            # A terminal's mode would be shared with the shell; a file never
+            # makes its writer wait for a reader.
+            os.set_blocking(descriptor, False)
 
     def write(self, text: str) -> None:
         """Writes a line, or drops it if too much is pending."""
@@ -112,7 +118,7 @@
         renderer = structlog.processors.JSONRenderer()
     else:
         renderer = structlog.dev.ConsoleRenderer(colors=False)
-    sink = LineSink(sys.stdout.fileno())
+    sink = LineSink(STDOUT)
     structlog.configure(
         processors=[
             VolumeCap(),
