--- /dev/null
+++ b/packages/ctl/tests/test_stories.py
@@ -0,0 +1,38 @@
+"""A request's story from logs, against golden files."""
+
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+
+from marjoramyard.ctl.cmd.explain import EXIT_NOT_FOUND
+from marjoramyard.ctl.cmd.main import main
+
+GOLDEN = Path(__file__).parent / "golden"
+
+
+def run(*words):
+    return CliRunner().invoke(main, [*words, str(GOLDEN / "rush.log")])
+
+
+@pytest.mark.parametrize("request_id", ["aa01", "aa02", "aa03"])
+def test_the_story_of_a_failed_request(request_id):
+    result = run("explain", request_id)
+    assert result.exit_code == 0
+    assert result.output == (GOLDEN / f"{request_id}.txt").read_text()
+
+
+def test_the_causes_of_all_failures():
+    assert run("causes").output == (GOLDEN / "causes.txt").read_text()
+
+
+def test_json_lines_are_the_log_s_own():
+    result = run("--output", "json", "explain", "aa03")
+    assert result.output.count("\n") == 1
+    assert '"total_ms": 401' in result.output
+
+
+def test_an_unknown_request_says_what_to_do():
+    result = run("explain", "nobody")
+    assert result.exit_code == EXIT_NOT_FOUND
+    assert "add the logs" in result.output
