--- a/packages/coordination/src/marjoramyard/coordination/consensus/membership_plan.py
+++ b/packages/coordination/src/marjoramyard/coordination/consensus/membership_plan.py
@@ -72,3 +72,12 @@
     if not lost_voters and len(membership.voters) > wanted:
         return Step(StepKind.REMOVE, membership.voters[-1])
     return None
+
+
+def apply_step(membership: Membership, step: Step) -> Membership:
+    """Returns the membership after a step."""
+    if step.kind is StepKind.ADD:
+        return membership.with_learner(step.replica, step.address)
+    if step.kind is StepKind.PROMOTE:
+        return membership.promoted(step.replica)
+    return membership.without(step.replica)
--- a/packages/coordination/tests/consensus/test_membership_plan.py
+++ b/packages/coordination/tests/consensus/test_membership_plan.py
@@ -7,6 +7,7 @@
     Candidate,
     Step,
     StepKind,
+    apply_step,
     next_step,
 )
 from marjoramyard.coordination.consensus.messages import Membership
@@ -24,14 +25,6 @@
     return [Candidate(replica, ADDRESSES[replica]) for replica in replicas]
 
 
-def apply(membership, step):
-    if step.kind is StepKind.ADD:
-        return membership.with_learner(step.replica, step.address)
-    if step.kind is StepKind.PROMOTE:
-        return membership.promoted(step.replica)
-    return membership.without(step.replica)
-
-
 def test_a_wiped_voter_is_replaced_in_the_safe_order():
     """An operator's acknowledged change could be lost with a second disk.
 
@@ -45,7 +38,7 @@
         if step is None:
             continue
         steps.append((step.kind, step.replica))
-        membership = apply(membership, step)
+        membership = apply_step(membership, step)
     assert steps == [
         (StepKind.ADD, D),
         (StepKind.PROMOTE, D),
@@ -83,4 +76,4 @@
         if step.kind is StepKind.REMOVE and step.replica in membership.voters:
             alive = [r for r in membership.voters if r not in lost]
             assert len([r for r in alive if r != step.replica]) >= 3
-        membership = apply(membership, step)
+        membership = apply_step(membership, step)
--- a/packages/fleet/src/marjoramyard/fleet/control/keeper.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/keeper.py
@@ -14,6 +14,7 @@
     Candidate,
     Step,
     StepKind,
+    apply_step,
     next_step,
 )
 from marjoramyard.coordination.consensus.messages import Membership
@@ -294,12 +295,3 @@
         left.remove(best)
         chosen.append(best)
     return chosen
-
-
-def apply_step(membership: Membership, step: Step) -> Membership:
-    """Returns the membership after a step."""
-    if step.kind is StepKind.ADD:
-        return membership.with_learner(step.replica, step.address)
-    if step.kind is StepKind.PROMOTE:
-        return membership.promoted(step.replica)
-    return membership.without(step.replica)
