--- a/packages/coordination/src/marjoramyard/coordination/placement/broker.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/broker.py
@@ -125,7 +125,7 @@
         self.memory_tokens = profile.memory_tokens
         self.configured_rate = rate
         self.rate = rate
-        self.kept = KeptParts(profile.memory_tokens * MEMORY_SHARE)
+        self.kept = KeptParts(profile.memory_tokens)
         self.running = 0
         self.reading_tokens = 0.0
         self.memory = 0.0
@@ -350,6 +350,7 @@
         engine.running += 1
         engine.memory += flight.memory
         engine.reading_tokens += flight.tokens
+        engine.kept.shrink_to(engine.memory_tokens - engine.memory)
 
     # Grants.
 
--- a/packages/coordination/src/marjoramyard/coordination/placement/kept.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/kept.py
@@ -37,7 +37,14 @@
             held = self.parts.pop(part.digest, 0)
             self.parts[part.digest] = part.tokens
             self.tokens += part.tokens - held
-        while self.tokens > self.capacity and len(self.parts) > 1:
+        self.shrink_to(self.capacity)
+
+    def shrink_to(self, capacity: float) -> None:
+        """Forgets the least recently used parts beyond a size.
+
+        Running requests take memory too, and kept parts yield to them.
+        """
+        while self.tokens > capacity and len(self.parts) > 1:
             _, tokens = self.parts.popitem(last=False)
             self.tokens -= tokens
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/role.py
@@ -83,6 +83,7 @@
         loop = asyncio.get_running_loop()
         began = loop.time()
         end = began + self.settings.grace_seconds - EXIT_MARGIN_SECONDS
+        self.dispatcher.ends_at = end
         await asyncio.sleep(BALANCER_SECONDS)
         self.dispatcher.refuses = True
         quiet_since = loop.time()
--- a/packages/fleet/src/marjoramyard/fleet/gateway/serving.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/serving.py
@@ -88,6 +88,7 @@
         self.settings = app.settings
         self.closes_connections: Callable[[], bool] = app.stopping.is_set
         self.is_full: Callable[[], bool] = lambda: False
+        self.ends_at = float("inf")
         self.refuses = False
         self.names = view.dialect.headers
         self.loads = Loads()
@@ -112,6 +113,7 @@
         try:
             self._refuse_if_unable()
             caller = admit(request, self.view, self.names)
+            self._refuse_if_too_long(caller)
             caller.body = await request.read()
             response = await self._serve(caller, delivery, story)
             status, why = response.status, "complete"
@@ -144,6 +146,19 @@
                 retry_after=spread(FULL_RETRY_SECONDS),
             )
 
+    def _refuse_if_too_long(self, caller: CallerRequest) -> None:
+        """Refuses, while leaving, what might not end before the process.
+
+        A long stream that is taken after SIGTERM would be cut at the end of
+        the grace; refused at once, it begins elsewhere within a round trip.
+        """
+        if caller.give_up_at > self.ends_at:
+            raise_failure(
+                Kind.LEAVING,
+                "this gateway ends too soon for it; send it to another one",
+                retry_after=LEAVING_RETRY_SECONDS,
+            )
+
     def _refusal(self, reason: Failure) -> web.Response:
         response = failure_response(reason)
         exact = self.view.dialect.fractional_retry_after
