--- /dev/null
+++ b/packages/fleet/src/marjoramyard/fleet/control/fleet_routes.py
@@ -0,0 +1,46 @@
+"""The internal calls among self-forming control hosts and of gateways."""
+
+from aiohttp import web
+from result import Err, Result
+
+from marjoramyard.fleet import paths
+from marjoramyard.fleet.control.keeper import ClusterKeeper
+from marjoramyard.fleet.control.service import FleetService
+from marjoramyard.fleet.messages import Empty
+from marjoramyard.fleet.syncing import Announce, PutConfig, SyncRequest
+from marjoramyard.fleet.util.rpc import json_response, read_message
+from marjoramyard.kernel.errors import FleetError
+
+
+def fleet_routes(
+    keeper: ClusterKeeper, service: FleetService
+) -> list[web.RouteDef]:
+    """Returns the calls that a control host answers for the fleet."""
+
+    async def announce(request: web.Request) -> web.Response:
+        message = await read_message(request, Announce)
+        return json_response(keeper.on_announce(message))
+
+    async def sync(request: web.Request) -> web.Response:
+        message = await read_message(request, SyncRequest)
+        return json_response(await service.sync(message))
+
+    async def put_config(request: web.Request) -> web.Response:
+        message = await read_message(request, PutConfig)
+        return _answer(await service.on_put(message))
+
+    async def read_config(_: web.Request) -> web.Response:
+        return _answer(await service.on_read(Empty()))
+
+    return [
+        web.post(paths.ANNOUNCE_PATH, announce),
+        web.post(paths.SYNC_PATH, sync),
+        web.post(paths.PUT_CONFIG_PATH, put_config),
+        web.post(paths.READ_CONFIG_PATH, read_config),
+    ]
+
+
+def _answer(done: Result) -> web.Response:
+    if isinstance(done, Err):
+        raise FleetError(done.err_value)
+    return json_response(done.ok_value)
--- a/packages/fleet/src/marjoramyard/fleet/control/keeper.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/keeper.py
@@ -42,6 +42,10 @@
 """How long the founder listens before it chooses the first voters, so that
 hosts whose start took a moment longer are among those it chooses from."""
 FORGET_SECONDS = 30.0
+"""A host that was not heard for so long is called no more; a partition of
+the users' kinds heals sooner, and seeds and voters are called for ever."""
+STEP_SECONDS = 1.0
+"""A change that is not committed by then is looked at anew."""
 
 
 class ClusterKeeper:
@@ -235,7 +239,9 @@
         if step.kind is StepKind.ADD:
             await self._prepare(step)
         membership = apply_step(core.membership, step)
-        done = await self.role.running.change_membership(membership, 1.0)
+        done = await self.role.running.change_membership(
+            membership, STEP_SECONDS
+        )
         logger.info(
             "membership_step",
             step=step.kind.value,
--- a/packages/fleet/src/marjoramyard/fleet/control/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/role.py
@@ -26,6 +26,7 @@
 from marjoramyard.fleet import paths
 from marjoramyard.fleet.application import Application
 from marjoramyard.fleet.control.dialects import OPERATOR_DIALECTS
+from marjoramyard.fleet.control.fleet_routes import fleet_routes
 from marjoramyard.fleet.control.keeper import ClusterKeeper
 from marjoramyard.fleet.control.links import PeerLinks
 from marjoramyard.fleet.control.node import ControlNode
@@ -48,7 +49,6 @@
     QueryReply,
     RenewRequest,
 )
-from marjoramyard.fleet.syncing import Announce, PutConfig, SyncRequest
 from marjoramyard.fleet.util.rpc import json_response, read_message
 from marjoramyard.kernel.errors import (
     Failure,
@@ -94,10 +94,7 @@
             web.post(paths.STATUS_PATH, self.on_status),
             web.post(paths.INIT_PATH, self.on_init),
             web.post(paths.MEMBER_PATH, self.on_member),
-            web.post(paths.ANNOUNCE_PATH, self.on_announce),
-            web.post(paths.SYNC_PATH, self.on_sync),
-            web.post(paths.PUT_CONFIG_PATH, self.on_put_config),
-            web.post(paths.READ_CONFIG_PATH, self.on_read_config),
+            *fleet_routes(self.keeper, self.service),
         ]
 
     def is_ready(self) -> bool:
@@ -362,33 +359,6 @@
             self.storage.save_snapshot(first, HardState(1), [])
         self.start_node()
 
-    # Self-forming clusters.
-
-    async def on_announce(self, request: web.Request) -> web.Response:
-        """Takes in another control host's announcement."""
-        message = await read_message(request, Announce)
-        return json_response(self.keeper.on_announce(message))
-
-    async def on_sync(self, request: web.Request) -> web.Response:
-        """Answers a gateway."""
-        message = await read_message(request, SyncRequest)
-        return json_response(await self.service.sync(message))
-
-    async def on_put_config(self, request: web.Request) -> web.Response:
-        """Takes in a configuration that another host passes on."""
-        message = await read_message(request, PutConfig)
-        done = await self.service.on_put(message)
-        if isinstance(done, Err):
-            raise FleetError(done.err_value)
-        return json_response(done.ok_value)
-
-    async def on_read_config(self, request: web.Request) -> web.Response:
-        """Reads the configuration for another control host."""
-        done = await self.service.on_read(Empty())
-        if isinstance(done, Err):
-            raise FleetError(done.err_value)
-        return json_response(done.ok_value)
-
     async def on_member(self, request: web.Request) -> web.Response:
         """Adds, promotes or removes one member."""
         change = await read_message(request, MemberChange)
--- a/packages/fleet/src/marjoramyard/fleet/control/service.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/service.py
@@ -59,7 +59,7 @@
         self.cursor = 0
         self.changed_at: dict[str, int] = {}
         self.silent: set[str] = set()
-        self.silence_cursor = 0
+        self.wake_count = 0
         self.news = asyncio.Event()
         self.gateways: dict[str, tuple[float, SyncRequest]] = {}
         self.unsent: dict[str, dict[str, Registration]] = {}
@@ -140,7 +140,7 @@
                     del self.gateways[gateway]
 
     def _wake(self) -> None:
-        self.silence_cursor += 1
+        self.wake_count += 1
         self.news.set()
         self.news = asyncio.Event()
 
@@ -240,8 +240,8 @@
         loop = asyncio.get_running_loop()
         wait = min(asked.wait_seconds, MAX_SYNC_WAIT_SECONDS)
         until = loop.time() + wait
-        seen = self.silence_cursor
-        while not self._has_news(asked) and seen == self.silence_cursor:
+        seen = self.wake_count
+        while not self._has_news(asked) and seen == self.wake_count:
             left = until - loop.time()
             if left <= 0:
                 break
