Add a randomized soak of the real programs, with faults from outside

Nothing showed until now how control hosts and gateways hold together when faults overlap in ways nobody thought of; tests try one fault or a pair.

Faults of disks and clocks come through the settings' extensions, so the code under test stays as it is.

--- a/packages/standin/src/marjoramyard/standin/processes.py
+++ b/packages/standin/src/marjoramyard/standin/processes.py
@@ -21,10 +21,17 @@
 class Child:
     """One process that we started; only its own id is ever signalled."""
 
-    def __init__(self, name: str, command: list[str], log: Path):
+    def __init__(
+        self,
+        name: str,
+        command: list[str],
+        log: Path,
+        extra_env: dict[str, str] | None = None,
+    ):
         self.name = name
         self.command = command
         self.log = log
+        self.env = {**os.environ, **(extra_env or {})}
         self.process: asyncio.subprocess.Process | None = None
 
     async def start(self) -> None:
@@ -35,6 +42,7 @@
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=output,
                 stderr=output,
+                env=self.env,
             )
 
     @property
--- a/packages/standin/src/marjoramyard/standin/relay.py
+++ b/packages/standin/src/marjoramyard/standin/relay.py
@@ -14,16 +14,20 @@
         is_cut: Bytes vanish and new connections hang, as behind a silent
             network partition: nobody is told.
         replies_pass: Cleared, it holds what comes back until it is set.
+        delay_seconds: How much later each piece is passed on.
     """
 
     def __init__(self, target: str):
         self.target = target
         self.address = ""
         self.is_cut = False
+        self.delay_seconds = 0.0
+        self.silent: set[asyncio.StreamWriter] = set()
         self.replies_pass = asyncio.Event()
         self.replies_pass.set()
         self.writers: set[asyncio.StreamWriter] = set()
         self.connections = 0
+        self.tasks: set[asyncio.Task] = set()
 
     def cut(self) -> None:
         """Lets nothing through any more, and tells nobody."""
@@ -34,6 +38,13 @@
         self.is_cut = False
         self.break_connections()
 
+    def silence(self) -> None:
+        """Lets nothing through on present connections, for good.
+
+        Nobody is told, and new connections work.
+        """
+        self.silent |= self.writers
+
     def break_connections(self) -> None:
         """Breaks all present connections; new ones are let through."""
         for writer in list(self.writers):
@@ -45,6 +56,7 @@
         """Passes one connection on."""
         self.connections += 1
         self.writers.add(writer)
+        self.tasks.add(asyncio.current_task())
         host, _, port = self.target.rpartition(":")
         try:
             there = await asyncio.open_connection(host, int(port))
@@ -55,8 +67,20 @@
             )
         except (OSError, asyncio.IncompleteReadError):
             writer.transport.abort()
+        except asyncio.CancelledError:
+            # Only `close` cancels; the stream server would log it.
+            writer.transport.abort()
         finally:
             self.writers.discard(writer)
+            self.tasks.discard(asyncio.current_task())
+
+    async def close(self) -> None:
+        """Breaks all connections and waits until nothing is passed on."""
+        self.break_connections()
+        tasks = list(self.tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _pass(
         self,
@@ -68,26 +92,35 @@
             while data := await reader.read(_CHUNK):
                 if may_pass is not None:
                     await may_pass.wait()
-                if not self.is_cut:
+                if self.delay_seconds:
+                    await asyncio.sleep(self.delay_seconds)
+                if self._lets_through(writer):
                     writer.write(data)
                     await writer.drain()
-            if not self.is_cut:
+            if self._lets_through(writer):
                 writer.close()
         except OSError:
             writer.transport.abort()
         finally:
             self.writers.discard(writer)
+            self.silent.discard(writer)
+
+    def _lets_through(self, writer: asyncio.StreamWriter) -> bool:
+        return not self.is_cut and writer not in self.silent
 
 
 @asynccontextmanager
-async def relay_to(target: str) -> AsyncIterator[Relay]:
-    """Owns a relay in front of an address."""
+async def relay_to(
+    target: str, listen: str = "127.0.0.1:0"
+) -> AsyncIterator[Relay]:
+    """Owns a relay in front of an address; port 0 takes any free one."""
     relay = Relay(target)
-    server = await asyncio.start_server(relay.serve_one, "127.0.0.1", 0)
+    host, _, wanted = listen.rpartition(":")
+    server = await asyncio.start_server(relay.serve_one, host, int(wanted))
     port = server.sockets[0].getsockname()[1]
-    relay.address = f"127.0.0.1:{port}"
+    relay.address = f"{host}:{port}"
     try:
         yield relay
     finally:
         server.close()
-        relay.break_connections()
+        await relay.close()
