Keep engines busy when one gateway is short of processor

Changes: engines read in order of arrival, so a later prompt's first token shows that an overdue earlier one was read; news of a gateway whose loop is late says that a prompt was read, not how fast; a refusal says for how long the line stays too long, and the gateway does not ask again meanwhile.

Ruled out: the broker's own processor (0.15 of 0.69 cores); closing the flood's connections or readiness (its callers come back to the same host by hash); cheaper log lines (a tenth of a refusal's cost).

--- a/packages/coordination/src/marjoramyard/coordination/placement/broker.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/broker.py
@@ -55,6 +55,11 @@
 seconds; told the length of the line, callers return into the rush, are
 refused again and have no further try. Most callers wait a third of their
 time at the most, which is 1 to 1.7 s for prompts with 3 to 5 s."""
+OVERDUE_MS = 150.0
+"""How much later than an earlier prompt one must have been granted for its
+first token to show that the earlier one was read too. Grants take 3 ms to a
+router and a usual prompt some 50 ms to read; a router that needs 150 ms to
+send is short of processor."""
 MAX_DEFERRED = 4
 """How many requests a round may leave waiting for their engine before it
 ends; each costs a look at all engines. Others behind them wait for the next
@@ -110,16 +115,26 @@
 
 
 class Refused(msgspec.Struct, frozen=True):
-    """A request that would be late; it may come back after a while."""
+    """A request that would be late; it may come back after a while.
+
+    Attributes:
+        over_ms: How much shorter the line would have to be. It gets shorter
+            by a millisecond each millisecond at the most, so for so long
+            the same request of the same workspace would be refused again.
+    """
 
     key: str
     retry_after_ms: float
     predicted_ms: float
+    over_ms: float = 0.0
 
 
-def refusal(key: str, wait_ms: float, predicted_ms: float) -> Refused:
+def refusal(
+    key: str, wait_ms: float, predicted_ms: float, over_ms: float = 0.0
+) -> Refused:
     """Returns the word for a request that would be late."""
-    return Refused(key, max(wait_ms, RUSH_RETURN_MS), predicted_ms)
+    return_ms = max(wait_ms, RUSH_RETURN_MS)
+    return Refused(key, return_ms, predicted_ms, over_ms)
 
 
 class Waiting(msgspec.Struct):
@@ -277,9 +292,10 @@
         wait_ms = self.predicted_wait_ms(ask.workspace, ask.aim_at)
         first_ms = wait_ms + self._read_ms(waiting) + FIRST_TOKEN_MS
         slack_ms = self._due_at(waiting) - now - self._read_ms(waiting)
-        if wait_ms + FIRST_TOKEN_MS <= slack_ms * UNFIT_MARGIN:
+        over_ms = wait_ms + FIRST_TOKEN_MS - slack_ms * UNFIT_MARGIN
+        if over_ms <= 0:
             return None
-        return refusal(ask.key, wait_ms, first_ms)
+        return refusal(ask.key, wait_ms, first_ms, over_ms)
 
     def _is_late(self, waiting: Waiting, now: float) -> bool:
         least = min(e.wait_ms for e in self.engines.values() if e.is_usable)
@@ -290,15 +306,41 @@
         """The caller of a waiting request has left."""
         self.waiting.pop(key, None)
 
-    def first_token(self, key: str, now: float) -> None:
-        """The first token of a request came: its prompt has been read."""
+    def first_token(self, key: str, now: float, is_fresh: bool = True) -> None:
+        """The first token of a request came: its prompt has been read.
+
+        Args:
+            key: The request.
+            now: When the news came.
+            is_fresh: It came without delay, so its time says how fast the
+                engine reads.
+        """
         flight = self.flights.get(key)
         if flight is None or not flight.is_reading:
             return
-        flight.is_reading = False
         engine = self.engines.get(flight.engine)
-        if engine is not None:
-            engine.end_reading(flight.tokens, now)
+        if engine is None:
+            flight.is_reading = False
+            return
+        self._end_overdue(engine, flight, now)
+        engine.unread.pop(key, None)
+        flight.is_reading = False
+        engine.end_reading(flight.tokens, now, is_fresh)
+
+    def _end_overdue(self, engine: Engine, last: Flight, now: float) -> None:
+        """Counts as read what must have been read before `last`.
+
+        Engines read in order of arrival. News of an earlier prompt that is
+        still missing is held up at a router that is short of processor;
+        counted as unread, it would keep the engine idle.
+        """
+        before = last.granted_at - OVERDUE_MS
+        for key, flight in list(engine.unread.items()):
+            if flight.granted_at >= before:
+                break
+            del engine.unread[key]
+            flight.is_reading = False
+            engine.end_reading(flight.tokens, now, False)
 
     def ended(self, key: str) -> None:
         """A request is no longer at its engine."""
@@ -306,6 +348,7 @@
         engine = self.engines.get(flight.engine) if flight else None
         if engine is None:
             return
+        engine.unread.pop(key, None)
         engine.running -= 1
         engine.memory -= flight.memory
         if flight.is_reading:
@@ -321,11 +364,12 @@
         if engine is None or key in self.flights:
             return
         flight = Flight(endpoint, tokens, memory, now, tokens > 0)
-        self._count(engine, flight)
-        self.flights[key] = flight
+        self._count(engine, key, flight)
 
-    @staticmethod
-    def _count(engine: Engine, flight: Flight) -> None:
+    def _count(self, engine: Engine, key: str, flight: Flight) -> None:
+        self.flights[key] = flight
+        if flight.is_reading:
+            engine.unread[key] = flight
         engine.running += 1
         engine.memory += flight.memory
         engine.begin_reading(flight.tokens, flight.granted_at)
@@ -398,8 +442,7 @@
         if not engine.takes(memory):
             return None
         flight = Flight(engine.endpoint, tokens, memory, now)
-        self._count(engine, flight)
-        self.flights[ask.key] = flight
+        self._count(engine, ask.key, flight)
         engine.kept.read(ask.parts)
         charge = tokens + 2.0 * ask.output_tokens
         self.level[ask.workspace] = self.level.get(ask.workspace, 0.0) + charge
--- a/packages/coordination/src/marjoramyard/coordination/placement/engines.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/engines.py
@@ -52,6 +52,8 @@
         self.rate = rate
         self.kept = KeptParts(profile.memory_tokens)
         self.running = 0
+        # In the order of their grants, which is about that of arrival.
+        self.unread: dict[str, Flight] = {}
         self.reading_tokens = 0.0
         self.memory = 0.0
         self.run_began_at = 0.0
@@ -84,15 +86,22 @@
             self.run_tokens = 0.0
         self.reading_tokens += tokens
 
-    def end_reading(self, tokens: float, now: float) -> None:
+    def end_reading(
+        self, tokens: float, now: float, is_fresh: bool = True
+    ) -> None:
         """A prompt has been read; learns the rate from the run so far.
 
+        News that was held up on its way says that the prompt was read, not
+        how fast: the run counts its tokens and goes on.
+
         The rate is taken over runs of back-to-back prompts. Taken prompt by
         prompt, the way of the news would count once for each, and engines
         that read a prompt in 16 ms would seem three times as fast.
         """
         self.reading_tokens = max(0.0, self.reading_tokens - tokens)
         self.run_tokens += tokens
+        if not is_fresh:
+            return
         spent = now - self.run_began_at
         if spent < MIN_RUN_MS or self.run_tokens < MIN_RUN_TOKENS:
             return
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_desk.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_desk.py
@@ -113,7 +113,7 @@
         broker = self.brokers[service]
         key = peer.key(told.number)
         if isinstance(told, FirstToken):
-            broker.first_token(key, _now())
+            broker.first_token(key, _now(), not told.is_late)
         elif isinstance(told, Withdraw):
             broker.cancel(key)
             broker.ended(key)
@@ -160,7 +160,12 @@
     @staticmethod
     def _tell_refusal(peer: Peer, number: int, refused: Refused) -> None:
         peer.queue.append(
-            RefusePlace(number, refused.retry_after_ms, refused.predicted_ms)
+            RefusePlace(
+                number,
+                refused.retry_after_ms,
+                refused.predicted_ms,
+                refused.over_ms,
+            )
         )
 
     def _schedule_pump(self) -> None:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_link.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_link.py
@@ -25,7 +25,9 @@
     Withdraw,
     from_broker,
 )
+from marjoramyard.fleet.gateway.rushes import Rushes
 from marjoramyard.fleet.gateway.view import FleetView
+from marjoramyard.fleet.util.lag import LoopLag
 from marjoramyard.fleet.util.tasks import TaskGroup
 from marjoramyard.kernel.logs import get_logger
 
@@ -38,9 +40,13 @@
 class BrokerLink:
     """One connection to the broker of a service."""
 
-    def __init__(self, view: FleetView, session: aiohttp.ClientSession):
+    def __init__(
+        self, view: FleetView, session: aiohttp.ClientSession, lag: LoopLag
+    ):
         self.view = view
         self.session = session
+        self.lag = lag
+        self.rushes = Rushes()
         self.socket: aiohttp.ClientWebSocketResponse | None = None
         self.heard_at = 0.0
         self.number = 0
@@ -156,6 +162,10 @@
         number = self.number
         if not self.is_up:
             return number, None
+        workspace = caller.workspace.name if caller.workspace else ""
+        known = self.rushes.find(workspace, caller.route.name)
+        if known is not None:
+            return number, known
         now = time.monotonic()
         due = caller.arrived_at + caller.route.objective_ms / 1000 - now
         future = asyncio.get_running_loop().create_future()
@@ -164,7 +174,7 @@
             AskPlace(
                 number,
                 service.name,
-                caller.workspace.name if caller.workspace else "",
+                workspace,
                 [(part.digest, part.tokens) for part in caller.parts],
                 caller.output_tokens,
                 due * 1000,
@@ -173,7 +183,10 @@
             )
         )
         try:
-            return number, await future
+            told = await future
+            if isinstance(told, RefusePlace):
+                self.rushes.note(workspace, caller.route.name, told)
+            return number, told
         finally:
             if self.waiting.pop(number, None) is not None:
                 self._send(Withdraw(number))
@@ -193,7 +206,7 @@
         running = self.running.get(number)
         if running is not None and running.tokens:
             running.tokens = 0.0
-            self._send(FirstToken(number))
+            self._send(FirstToken(number, self.lag.is_late))
 
     def ended(self, number: int, failed: bool) -> None:
         """A request is no longer at its endpoint."""
@@ -214,6 +227,8 @@
         self.view = view
         self.session = session
         self.links: dict[str, BrokerLink] = {}
+        self.lag = LoopLag()
+        tasks.spawn(self.lag.watch())
         view.on_config.append(self._on_config)
 
     def _on_config(self) -> None:
@@ -225,7 +240,7 @@
         """Returns the link for a service."""
         link = self.links.get(service)
         if link is None:
-            link = BrokerLink(self.view, self.session)
+            link = BrokerLink(self.view, self.session, self.lag)
             self.links[service] = link
             self.tasks.spawn(link.run(service))
         return link
--- a/packages/fleet/src/marjoramyard/fleet/gateway/brokering.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/brokering.py
@@ -45,10 +45,16 @@
     number: int
 
 
-class FirstToken(msgspec.Struct, tag="first"):
-    """The first token of a request came."""
+class FirstToken(msgspec.Struct, tag="first", omit_defaults=True):
+    """The first token of a request came.
+
+    Attributes:
+        is_late: The gateway is short of processor, so the token may have
+            come some time ago.
+    """
 
     number: int
+    is_late: bool = False
 
 
 class Ended(msgspec.Struct, tag="ended", omit_defaults=True):
@@ -81,12 +87,17 @@
     tokens: float = 0.0
 
 
-class RefusePlace(msgspec.Struct, tag="refuse"):
-    """The request would be late; it has not run."""
+class RefusePlace(msgspec.Struct, tag="refuse", omit_defaults=True):
+    """The request would be late; it has not run.
+
+    Attributes:
+        over_ms: For so long the same would be refused again.
+    """
 
     number: int
     retry_after_ms: float
     predicted_ms: float
+    over_ms: float = 0.0
 
 
 class Beat(msgspec.Struct, tag="beat"):
--- /dev/null
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/rushes.py
@@ -0,0 +1,42 @@
+"""Refuses at once what the broker has just refused of the same kind."""
+
+import time
+
+from marjoramyard.fleet.gateway.brokering import RefusePlace
+
+MAX_HELD_SECONDS = 0.1
+"""However long the line is: a workspace's line can also empty at once, when
+its callers leave."""
+
+
+class Rushes:
+    """Which lines are known to be too long, and until when.
+
+    One workspace can bring a gateway hundreds of requests a second that are
+    all refused. Asking the broker for each took a fifth of what a refusal
+    costs here, and the same again at the broker; a small host ran out of
+    processor, so its other callers' answers were late too. A line gets
+    shorter by a millisecond each millisecond at the most, so until then the
+    broker's answer is known.
+    """
+
+    def __init__(self):
+        self.known: dict[tuple[str, str], tuple[float, RefusePlace]] = {}
+
+    def note(self, workspace: str, route: str, told: RefusePlace) -> None:
+        """Remembers a refusal by the broker."""
+        held = min(told.over_ms / 1000, MAX_HELD_SECONDS)
+        if held > 0:
+            until = time.monotonic() + held
+            self.known[workspace, route] = (until, told)
+
+    def find(self, workspace: str, route: str) -> RefusePlace | None:
+        """Returns the refusal that still holds, if there is one."""
+        found = self.known.get((workspace, route))
+        if found is None:
+            return None
+        until, told = found
+        if time.monotonic() < until:
+            return told
+        del self.known[workspace, route]
+        return None
--- /dev/null
+++ b/packages/fleet/src/marjoramyard/fleet/util/lag.py
@@ -0,0 +1,32 @@
+"""Notices when this process gets too little processor."""
+
+import asyncio
+import time
+
+STEP_SECONDS = 0.05
+LATE_SECONDS = 0.05
+"""A wake-up that comes so late means that others wait as well. The smallest
+hosts give a process a quarter of a core, in turns of up to 20 ms."""
+HELD_SECONDS = 0.5
+"""How long one late wake-up counts."""
+
+
+class LoopLag:
+    """Whether the event loop has been late recently."""
+
+    def __init__(self):
+        self.late_at = float("-inf")
+
+    @property
+    def is_late(self) -> bool:
+        """Whether what is seen now may have happened a while ago."""
+        return time.monotonic() - self.late_at < HELD_SECONDS
+
+    async def watch(self) -> None:
+        """Measures until cancelled."""
+        while True:
+            began = time.monotonic()
+            await asyncio.sleep(STEP_SECONDS)
+            now = time.monotonic()
+            if now - began - STEP_SECONDS > LATE_SECONDS:
+                self.late_at = now
