Draw test ports from outside the range of outgoing connections

Test ports came from the system's ephemeral range, so while a process was down any outgoing connection could take its port, and it could not listen again; the soak's callers and relays make that likelier.

--- a/packages/standin/src/marjoramyard/standin/processes.py
+++ b/packages/standin/src/marjoramyard/standin/processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import random
 import signal
 import socket
 import sys
@@ -9,13 +10,29 @@
 
 BINARIES = Path(sys.executable).parent
 _STOP_SECONDS = 20.0
+PORTS = range(12_000, 32_000)
+"""Below what Linux uses for outgoing connections (32768 and up)."""
+_RANDOM = random.SystemRandom()
+"""Not the module's own: Hypothesis seeds that one, and test processes that
+run side by side would draw the same ports."""
 
 
 def free_address() -> str:
-    """Returns a loopback address that the system had free just now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Returns a loopback address that is free, and stays so.
+
+    A port that the system hands out is from the range that outgoing
+    connections use as well. While the process that is to have it starts, or
+    starts again after a kill, any connection can take it; the process then
+    can't listen and ends, and a test waits for it in vain.
+    """
+    while True:
+        port = _RANDOM.choice(PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return f"127.0.0.1:{port}"
 
 
 class Child:
