Do not close a connection whose request has just been read

A connection counted as idle until its request's handler ran, two turns of the loop after the request was read, and again before its answer was written out; closed in between, the caller got no answer at all.

Now a connection is idle only while it waits for its next request. A test on a real connection reads a request and closes idle ones at each turn of the loop: no byte of an answer before, a whole one now.

--- a/packages/fleet/src/marjoramyard/fleet/application.py
+++ b/packages/fleet/src/marjoramyard/fleet/application.py
@@ -66,6 +66,18 @@
 RoleFactory = Callable[["Application"], AbstractAsyncContextManager[Role]]
 
 
+def _waits_for_request(connection: web.RequestHandler) -> bool:
+    """Whether nothing has come on a connection since its last answer.
+
+    A handler starts two turns of the loop after its request was read, and
+    its answer may still be on its way out when it has returned. Closed in
+    between, a whole request would get no answer at all. The library tells
+    this state only in a private attribute.
+    """
+    waiter = connection._waiter
+    return waiter is not None and not waiter.done()
+
+
 class Listener:
     """An address that is served."""
 
@@ -94,7 +106,11 @@
         Returns:
             How many were closed.
         """
-        idle = [c for c in self.runner.server.connections if c not in busy]
+        idle = [
+            connection
+            for connection in self.runner.server.connections
+            if connection not in busy and _waits_for_request(connection)
+        ]
         for connection in idle[:most]:
             connection.force_close()
         return len(idle[:most])
--- /dev/null
+++ b/packages/fleet/tests/test_listener.py
@@ -0,0 +1,67 @@
+"""Connections that are closed while requests come in."""
+
+import asyncio
+
+import pytest
+from aiohttp import web
+
+from marjoramyard.fleet.application import Listener
+from marjoramyard.standin.local_fleet import until
+from marjoramyard.standin.processes import free_address
+
+REQUEST = b"GET / HTTP/1.1\r\nHost: shop.example\r\n\r\n"
+
+
+async def answer(_):
+    return web.Response(text="whole")
+
+
+@pytest.fixture
+async def listener():
+    app = web.Application()
+    app.add_routes([web.get("/", answer)])
+    runner = web.AppRunner(app)
+    await runner.setup()
+    host, _, port = free_address().rpartition(":")
+    site = web.TCPSite(runner, host, int(port))
+    await site.start()
+    yield Listener(runner, site), host, int(port)
+    await runner.cleanup()
+
+
+async def connect(listener, host, port):
+    """Opens a connection; returns both ends of it."""
+    reader, writer = await asyncio.open_connection(host, port)
+
+    async def is_idle():
+        (connection,) = listener.runner.server.connections
+        return connection if connection._waiter is not None else None
+
+    return await until(is_idle, "the server's end"), reader, writer
+
+
+async def test_a_request_that_was_just_read_is_answered(listener):
+    """A shutdown cuts a caller's request without a word.
+
+    A gateway that leaves closes idle connections over and over. A request
+    has been read whole, and its handler starts a moment later; at each
+    turn of the loop in between, idle connections are closed.
+    """
+    served, host, port = listener
+    connection, reader, writer = await connect(served, host, port)
+    connection.data_received(REQUEST)
+    for _ in range(4):
+        served.close_idle(set())
+        await asyncio.sleep(0)
+    head = await reader.readuntil(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 200")
+    assert await reader.readexactly(5) == b"whole"
+    writer.close()
+
+
+async def test_an_idle_connection_is_closed(listener):
+    served, host, port = listener
+    _, reader, writer = await connect(served, host, port)
+    assert served.close_idle(set()) == 1
+    assert await reader.read() == b""
+    writer.close()
