Split the broker's requests, lines and plans into modules of their own

What a request is and may be told (requests.py), a workspace's line (lines.py) and what a request costs on an engine (plans.py) now stand by themselves; the plan is a type instead of a tuple of four.

--- a/packages/coordination/src/marjoramyard/coordination/placement/broker.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/broker.py
@@ -14,24 +14,23 @@
 been served, and a request that can't be on time is refused when it arrives.
 """
 
-import heapq
 import math
 from collections.abc import Iterable
 
-import msgspec
-
-from marjoramyard.coordination.placement.choice import (
-    FETCH_SETUP_MS,
-    home_of,
-    split_parts,
-)
 from marjoramyard.coordination.placement.engines import (
     FIRST_TOKEN_MS,
     Engine,
     Flight,
 )
+from marjoramyard.coordination.placement.lines import Line, Waiting
+from marjoramyard.coordination.placement.plans import best_plan
+from marjoramyard.coordination.placement.requests import (
+    Ask,
+    Granted,
+    Refused,
+    refusal,
+)
 from marjoramyard.coordination.routing.config import EngineProfile
-from marjoramyard.coordination.routing.table import PromptPart
 
 UNFIT_MARGIN = 0.8
 """A request is refused if its predicted wait takes more than this part of
@@ -41,20 +40,6 @@
 LARGE_SLACK_MS = 300.0
 """A prompt that takes longer than its objective to read can't be on time
 anywhere. It may wait this long instead, or the largest would never run."""
-FETCH_GAIN_TOKENS = 64
-"""A fetch of fewer tokens costs more than reading them."""
-COPY_MS_PER_TOKEN = 0.01
-"""What a second copy of kept parts costs beside the time to make it, as
-milliseconds of waiting. It pushes other kept parts out of the engine's
-memory, which are read again later: on the larger deployment an engine's
-memory turns over in 7 s, and copies made a third of what came in. A usual
-prompt of 6,300 shared tokens so leaves its home for 63 ms of waiting."""
-RUSH_RETURN_MS = 1500.0
-"""A refused caller is told to come back no sooner than this. A line here is
-half a second long at the most whatever the rush, and rushes last for
-seconds; told the length of the line, callers return into the rush, are
-refused again and have no further try. Most callers wait a third of their
-time at the most, which is 1 to 1.7 s for prompts with 3 to 5 s."""
 OVERDUE_MS = 150.0
 """How much later than an earlier prompt one must have been granted for its
 first token to show that the earlier one was read too. Grants take 3 ms to a
@@ -64,111 +49,6 @@
 """How many requests a round may leave waiting for their engine before it
 ends; each costs a look at all engines. Others behind them wait for the next
 end of a prompt, some ms later."""
-HOME_MS = 60.0
-"""How much later a prompt may start at its home if nobody is known to keep
-its parts. A broker that has just taken over knows of no kept parts; those
-that were placed by their home are still there."""
-
-
-class Ask(msgspec.Struct, kw_only=True):
-    """A request that wants an engine.
-
-    Attributes:
-        key: Names it among all routers.
-        workspace: Whose share it is served from.
-        parts: Its prompt.
-        output_tokens: The most that it may generate, or an estimate.
-        aim_at: When its first token is due, in ms of the broker's clock.
-        give_up_at: When its caller stops waiting.
-        asked_at: When it asked.
-        without: Endpoints that must not get it.
-    """
-
-    key: str
-    workspace: str
-    parts: tuple[PromptPart, ...]
-    output_tokens: int
-    aim_at: float
-    give_up_at: float
-    asked_at: float
-    without: frozenset[str] = frozenset()
-
-    @property
-    def tokens(self) -> int:
-        """The whole prompt."""
-        return sum(part.tokens for part in self.parts)
-
-    @property
-    def own_memory(self) -> float:
-        """What its run takes of an engine's memory beside shared parts."""
-        own = self.parts[-1].tokens if self.parts else 0
-        return float(own + self.output_tokens)
-
-
-class Granted(msgspec.Struct, frozen=True):
-    """A request that may be sent now."""
-
-    key: str
-    endpoint: str
-    fetch_from: str
-    tokens: float
-
-
-class Refused(msgspec.Struct, frozen=True):
-    """A request that would be late; it may come back after a while.
-
-    Attributes:
-        over_ms: How much shorter the line would have to be. It gets shorter
-            by a millisecond each millisecond at the most, so for so long
-            the same request of the same workspace would be refused again.
-    """
-
-    key: str
-    retry_after_ms: float
-    predicted_ms: float
-    over_ms: float = 0.0
-
-
-def refusal(
-    key: str, wait_ms: float, predicted_ms: float, over_ms: float = 0.0
-) -> Refused:
-    """Returns the word for a request that would be late."""
-    return_ms = max(wait_ms, RUSH_RETURN_MS)
-    return Refused(key, return_ms, predicted_ms, over_ms)
-
-
-class Waiting(msgspec.Struct):
-    """A request in a line, and the tokens it is likely to have read."""
-
-    ask: Ask
-    cost: float
-
-
-class Line:
-    """The waiting requests of one workspace, the most urgent first."""
-
-    def __init__(self):
-        self.heap: list[tuple[float, int, Waiting]] = []
-        self.tokens = 0.0
-
-    def push(self, waiting: Waiting, number: int) -> None:
-        """Adds a request."""
-        heapq.heappush(self.heap, (waiting.ask.aim_at, number, waiting))
-        self.tokens += waiting.cost
-
-    def tokens_before(self, aim_at: float) -> float:
-        """Returns the tokens of those that are due no later."""
-        return sum(
-            waiting.cost for due, _, waiting in self.heap if due <= aim_at
-        )
-
-    def pop(self) -> Waiting:
-        """Takes the request that is due first."""
-        _, _, waiting = heapq.heappop(self.heap)
-        self.tokens = max(0.0, self.tokens - waiting.cost)
-        if not self.heap:
-            self.tokens = 0.0
-        return waiting
 
 
 class Broker:
@@ -435,52 +315,16 @@
         roomy = [engine for engine in usable if engine.has_room(memory)]
         if not roomy:
             return None
-        keeper = max(usable, key=lambda e: e.kept.leading_tokens(ask.parts))
-        home = self._home_if_unknown(ask, keeper)
-        plans = [self._plan(ask, engine, keeper, home) for engine in roomy]
-        _, engine, fetch_from, tokens = min(plans, key=lambda plan: plan[0])
+        plan = best_plan(ask, usable, roomy, self.profile)
+        engine = plan.engine
         if not engine.takes(memory):
             return None
-        flight = Flight(engine.endpoint, tokens, memory, now)
+        flight = Flight(engine.endpoint, plan.tokens, memory, now)
         self._count(engine, ask.key, flight)
         engine.kept.read(ask.parts)
-        charge = tokens + 2.0 * ask.output_tokens
+        charge = plan.tokens + 2.0 * ask.output_tokens
         self.level[ask.workspace] = self.level.get(ask.workspace, 0.0) + charge
-        return Granted(ask.key, engine.endpoint, fetch_from, tokens)
-
-    def _home_if_unknown(self, ask: Ask, keeper: Engine) -> str:
-        """Returns a prompt's home if nobody is known to keep its parts."""
-        if keeper.kept.leading_tokens(ask.parts[:-1]):
-            return ""
-        key, _, _ = split_parts(ask.parts)
-        usable = [e.endpoint for e in self.engines.values() if e.is_usable]
-        return home_of(key, usable)
-
-    def _plan(
-        self, ask: Ask, engine: Engine, keeper: Engine, home: str
-    ) -> tuple[float, Engine, str, float]:
-        """Returns cost in ms, the engine, where to fetch, what is read."""
-        kept = engine.kept.leading_tokens(ask.parts)
-        there = keeper.kept.leading_tokens(ask.parts)
-        alone = max(1.0, ask.tokens - kept)
-        gain = there - kept
-        base = engine.wait_ms + gain * COPY_MS_PER_TOKEN
-        if home and engine.endpoint != home:
-            base += HOME_MS
-        cost = base + alone / engine.rate
-        if keeper is engine or gain < FETCH_GAIN_TOKENS:
-            return cost, engine, "", alone
-        moved_ms = FETCH_SETUP_MS + gain * self._fetch_ms_per_token()
-        fetched = max(1.0, ask.tokens - there)
-        fetch_cost = base + moved_ms + fetched / engine.rate
-        if not self.profile.link_mbps or fetch_cost >= cost:
-            return cost, engine, "", alone
-        return fetch_cost, engine, keeper.endpoint, fetched
-
-    def _fetch_ms_per_token(self) -> float:
-        if not self.profile.link_mbps:
-            return 0.0
-        return self.profile.token_bytes * 8 / self.profile.link_mbps / 1000
+        return Granted(ask.key, engine.endpoint, plan.fetch_from, plan.tokens)
 
     def overdue(self, now: float) -> list[Refused]:
         """Refuses what waits although its caller's time is over."""
--- a/packages/coordination/tests/placement/engine_simulation.py
+++ b/packages/coordination/tests/placement/engine_simulation.py
@@ -5,7 +5,8 @@
 
 import random
 
-from marjoramyard.coordination.placement.broker import Ask, Broker, Refused
+from marjoramyard.coordination.placement.broker import Broker
+from marjoramyard.coordination.placement.requests import Ask, Refused
 from marjoramyard.coordination.routing.config import EngineProfile
 from marjoramyard.coordination.routing.table import PromptPart
 
--- a/packages/coordination/tests/placement/test_broker.py
+++ b/packages/coordination/tests/placement/test_broker.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from marjoramyard.coordination.placement.broker import Broker, Granted
+from marjoramyard.coordination.placement.broker import Broker
 from marjoramyard.coordination.placement.choice import (
     EngineView,
     home_of,
@@ -15,6 +15,7 @@
 )
 from marjoramyard.coordination.placement.engines import AHEAD_MS
 from marjoramyard.coordination.placement.kept import KeptParts
+from marjoramyard.coordination.placement.requests import Granted
 from marjoramyard.coordination.routing.table import PromptPart
 
 sys.path.insert(0, str(Path(__file__).parent))
--- a/packages/coordination/tests/placement/test_broker_places.py
+++ b/packages/coordination/tests/placement/test_broker_places.py
@@ -4,7 +4,7 @@
 import sys
 from pathlib import Path
 
-from marjoramyard.coordination.placement.broker import Refused
+from marjoramyard.coordination.placement.requests import Refused
 from marjoramyard.coordination.routing.table import PromptPart
 
 sys.path.insert(0, str(Path(__file__).parent))
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_desk.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_desk.py
@@ -7,9 +7,9 @@
 import msgspec
 from aiohttp import web
 
-from marjoramyard.coordination.placement.broker import (
+from marjoramyard.coordination.placement.broker import Broker
+from marjoramyard.coordination.placement.requests import (
     Ask,
-    Broker,
     Granted,
     Refused,
 )
