--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -52,7 +52,8 @@
         try:
             await self._strike(fault)
         finally:
-            if fault.kind is not FaultKind.SILENCE:
+            stays_silent = fault.kind is FaultKind.SILENCE
+            if not (stays_silent and fault.target is Target.GATEWAY):
                 span.until = time.monotonic()
 
     async def _strike(self, fault: Fault) -> None:
