Tell who placed a prompt, how late a process is, and what the broker believes

A request's line gets placed_by; metrics count placements, the lateness of the event loop, the broker's expected wait and the requests it counts as waiting, being read and running. No logic is changed.

--- a/packages/coordination/src/marjoramyard/coordination/placement/broker.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/broker.py
@@ -80,6 +80,23 @@
         """Prompt tokens a millisecond that all usable engines read."""
         return sum(e.rate for e in self.engines.values() if e.is_usable) or 1.0
 
+    @property
+    def mean_wait_ms(self) -> float:
+        """How long a prompt would wait at a usable engine, on average."""
+        usable = [e for e in self.engines.values() if e.is_usable]
+        if not usable:
+            return 0.0
+        return sum(e.wait_ms for e in usable) / len(usable)
+
+    def counts(self) -> dict[str, int]:
+        """Returns how many requests wait, are being read, and run."""
+        reading = sum(1 for f in self.flights.values() if f.is_reading)
+        return {
+            "waiting": len(self.waiting),
+            "reading": reading,
+            "running": len(self.flights) - reading,
+        }
+
     # Requests.
 
     def ask(self, ask: Ask, now: float) -> Refused | None:
@@ -145,11 +162,9 @@
                 continue
             gap = reached - self.level.get(name, 0.0)
             ahead += min(max(gap, 0.0), line.tokens)
-        usable = [e for e in self.engines.values() if e.is_usable]
-        if not usable:
+        if not any(e.is_usable for e in self.engines.values()):
             return 0.0
-        mean = sum(e.wait_ms for e in usable) / len(usable)
-        return mean + ahead / self.total_rate
+        return self.mean_wait_ms + ahead / self.total_rate
 
     def _read_ms(self, waiting: Waiting) -> float:
         count = sum(1 for e in self.engines.values() if e.is_usable) or 1
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_desk.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_desk.py
@@ -30,6 +30,7 @@
 from marjoramyard.fleet.gateway.loads import reading_rate
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.kernel.logs import get_logger
+from marjoramyard.kernel.metrics import Labels
 
 logger = get_logger(__name__)
 
@@ -208,6 +209,21 @@
             task = asyncio.ensure_future(peer.socket.send_str(data))
             task.add_done_callback(_log_send)
 
+    def waits(self) -> list[tuple[float, Labels]]:
+        """Returns what a prompt would wait at an endpoint, by service."""
+        return [
+            (broker.mean_wait_ms / 1000, {"service": service})
+            for service, broker in self.brokers.items()
+        ]
+
+    def requests(self) -> list[tuple[float, Labels]]:
+        """Returns the requests that wait, are read and run, by service."""
+        return [
+            (float(count), {"service": service, "state": state})
+            for service, broker in self.brokers.items()
+            for state, count in broker.counts().items()
+        ]
+
     async def beat_forever(self) -> None:
         """Tells gateways that this host is there, and looks at the clock."""
         while True:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_link.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_link.py
@@ -30,6 +30,7 @@
 from marjoramyard.fleet.util.lag import LoopLag
 from marjoramyard.fleet.util.tasks import TaskGroup
 from marjoramyard.kernel.logs import get_logger
+from marjoramyard.kernel.metrics import Metrics
 
 logger = get_logger(__name__)
 
@@ -222,12 +223,13 @@
         tasks: TaskGroup,
         view: FleetView,
         session: aiohttp.ClientSession,
+        metrics: Metrics,
     ):
         self.tasks = tasks
         self.view = view
         self.session = session
         self.links: dict[str, BrokerLink] = {}
-        self.lag = LoopLag()
+        self.lag = LoopLag(metrics)
         tasks.spawn(self.lag.watch())
         view.on_config.append(self._on_config)
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/role.py
@@ -107,9 +107,11 @@
     lease_seconds = settings.revoke_ms / 1000 - LEASE_MARGIN_SECONDS
     view = FleetView(dialect, lease_seconds)
     async with endpoint_session() as session, broker_session() as to_brokers:
-        brokers = BrokerLinks(app.tasks, view, to_brokers)
+        brokers = BrokerLinks(app.tasks, view, to_brokers, app.metrics)
         dispatcher = Dispatcher(view, session, brokers, app)
         desk = BrokerDesk(view)
+        app.metrics.gauge("broker_wait_seconds", desk.waits)
+        app.metrics.gauge("broker_requests", desk.requests)
         app.tasks.spawn(desk.beat_forever())
         role = GatewayRole(app, view, dispatcher)
         app.tasks.spawn(Follower(app, view).run())
--- a/packages/fleet/src/marjoramyard/fleet/gateway/runs.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/runs.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Iterator
 from contextlib import contextmanager
+from enum import Enum
 
 import aiohttp
 import msgspec
@@ -40,6 +41,7 @@
     Outcome,
     failure,
 )
+from marjoramyard.kernel.metrics import Metrics
 
 FULL_RETRY_SECONDS = 0.4
 """Where all endpoints are full: some requests' worth of reading."""
@@ -52,10 +54,19 @@
 """A caller that is refused comes back no sooner than this."""
 
 
+class PlacedBy(Enum):
+    """Who chose the endpoint of a send."""
+
+    BROKER = "broker"
+    GATEWAY = "gateway"
+    """No broker answered."""
+
+
 class Story(msgspec.Struct):
     """What is logged of a request, as it unfolds."""
 
     sends: list[str] = []
+    placed_by: PlacedBy | None = None
     wait_ms: float = 0.0
     read_tokens: float = 0.0
     predicted_ms: int | None = None
@@ -70,6 +81,7 @@
         brokers: Links to the services' brokers.
         loads: What this gateway has in flight.
         names: The headers' names.
+        metrics: The instruments of the process.
     """
 
     view: FleetView
@@ -77,6 +89,7 @@
     brokers: BrokerLinks
     loads: Loads
     names: HeaderNames
+    metrics: Metrics
 
 
 class Run:
@@ -137,8 +150,16 @@
             self.story.predicted_ms = round(told.predicted_ms)
             raise FleetError(self._too_late(told))
         if told is None:
-            return self._plan_alone(words, number)
-        return self._plan_granted(told, number)
+            plan = self._plan_alone(words, number)
+        else:
+            plan = self._plan_granted(told, number)
+        self._note_placement(plan)
+        return plan
+
+    def _note_placement(self, plan: SendPlan) -> None:
+        by = PlacedBy.BROKER if plan.is_granted else PlacedBy.GATEWAY
+        self.story.placed_by = by
+        self.tools.metrics.count("placements", by=by.value)
 
     def _plan_granted(self, told: GrantPlace, number: int) -> SendPlan:
         known = self.view.registrations.known
--- a/packages/fleet/src/marjoramyard/fleet/gateway/serving.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/serving.py
@@ -54,7 +54,9 @@
         self.ends_at = float("inf")
         self.refuses = False
         self.names = view.dialect.headers
-        self.tools = RunTools(view, session, brokers, Loads(), self.names)
+        self.tools = RunTools(
+            view, session, brokers, Loads(), self.names, app.metrics
+        )
         self.budgets: dict[str, RetryBudget] = {}
         self.active = 0
 
@@ -138,6 +140,7 @@
             ),
             config=self.view.version,
             sends=story.sends,
+            placed_by=story.placed_by.value if story.placed_by else None,
             wait_ms=round(story.wait_ms),
             predicted_ms=story.predicted_ms,
             status=status,
--- a/packages/fleet/src/marjoramyard/fleet/util/lag.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/lag.py
@@ -3,6 +3,8 @@
 import asyncio
 import time
 
+from marjoramyard.kernel.metrics import Metrics
+
 STEP_SECONDS = 0.05
 LATE_SECONDS = 0.05
 """A wake-up that comes so late means that others wait as well. The smallest
@@ -14,7 +16,8 @@
 class LoopLag:
     """Whether the event loop has been late recently."""
 
-    def __init__(self):
+    def __init__(self, metrics: Metrics):
+        self.metrics = metrics
         self.late_at = float("-inf")
 
     @property
@@ -28,5 +31,7 @@
             began = time.monotonic()
             await asyncio.sleep(STEP_SECONDS)
             now = time.monotonic()
-            if now - began - STEP_SECONDS > LATE_SECONDS:
+            late = now - began - STEP_SECONDS
+            self.metrics.observe("loop_late_seconds", late)
+            if late > LATE_SECONDS:
                 self.late_at = now
