Reproduce two ways in which one gateway short of processor takes others' service

The gateway's event loop is held for 1.5 times the silence limit while the broker, a process of its own, beats on. A gateway is granted prompts and then does nothing. The broker counts them as being read for as long as the gateway is silent, and another gateway's request is not granted within its objective though the engine is idle.

--- /dev/null
+++ b/packages/fleet/tests/gateway/granting_broker.py
@@ -0,0 +1,60 @@
+"""A broker in a process of its own that grants every request at once.
+
+Prints its port. Ends when its standard input is closed.
+"""
+
+import asyncio
+import sys
+
+import msgspec
+from aiohttp import WSMsgType, web
+
+from marjoramyard.fleet.gateway.brokering import (
+    BEAT_SECONDS,
+    BROKER_PATH,
+    AskPlace,
+    Beat,
+    GrantPlace,
+    to_broker,
+)
+
+
+async def send(socket, *messages):
+    await socket.send_str(msgspec.json.encode(list(messages)).decode())
+
+
+async def beat_forever(socket):
+    while True:
+        await send(socket, Beat())
+        await asyncio.sleep(BEAT_SECONDS)
+
+
+async def serve(request):
+    socket = web.WebSocketResponse(compress=False)
+    await socket.prepare(request)
+    beats = asyncio.create_task(beat_forever(socket))
+    try:
+        async for message in socket:
+            if message.type is not WSMsgType.TEXT:
+                continue
+            for told in to_broker.decode(message.data):
+                if isinstance(told, AskPlace):
+                    await send(socket, GrantPlace(told.number, "e0"))
+    finally:
+        beats.cancel()
+    return socket
+
+
+async def main():
+    app = web.Application()
+    app.add_routes([web.get(BROKER_PATH, serve)])
+    runner = web.AppRunner(app)
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    print(site._server.sockets[0].getsockname()[1], flush=True)
+    await asyncio.to_thread(sys.stdin.read)
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
--- /dev/null
+++ b/packages/fleet/tests/gateway/test_broker_desk.py
@@ -0,0 +1,94 @@
+"""The broker's side of its connections to gateways."""
+
+import asyncio
+import contextlib
+
+import aiohttp
+import msgspec
+import pytest
+from aiohttp import web
+
+from marjoramyard.coordination.membership.registrations import Registration
+from marjoramyard.coordination.routing.config import (
+    EngineProfile,
+    FleetConfig,
+    Service,
+)
+from marjoramyard.coordination.routing.table import RouteTable
+from marjoramyard.fleet.gateway.broker_desk import BrokerDesk
+from marjoramyard.fleet.gateway.brokering import (
+    BROKER_PATH,
+    AskPlace,
+    GrantPlace,
+    from_broker,
+)
+from marjoramyard.fleet.gateway.dialect import GATEWAY_DIALECTS
+from marjoramyard.fleet.gateway.view import FleetView
+
+OBJECTIVE_MS = 500.0
+PATIENCE_MS = 5000.0
+
+
+def view_of_one_engine():
+    view = FleetView(GATEWAY_DIALECTS.get("native"), 5.0)
+    profile = EngineProfile(slots=64, memory_tokens=500_000)
+    config = FleetConfig(1, services=(Service("llm", engine=profile),))
+    view.table = RouteTable(config)
+    word = Registration(endpoint="e0", service="llm", address="127.0.0.1:1")
+    view.registrations.merge(word, 0.0)
+    return view
+
+
+@pytest.fixture
+async def broker_url():
+    desk = BrokerDesk(view_of_one_engine())
+    app = web.Application()
+    app.add_routes([web.get(BROKER_PATH, desk.serve)])
+    runner = web.AppRunner(app, shutdown_timeout=0.1)
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    beats = asyncio.create_task(desk.beat_forever())
+    port = site._server.sockets[0].getsockname()[1]
+    yield f"http://127.0.0.1:{port}{BROKER_PATH}"
+    beats.cancel()
+    await runner.cleanup()
+
+
+@contextlib.asynccontextmanager
+async def connected(url):
+    async with (
+        aiohttp.ClientSession() as session,
+        session.ws_connect(url) as socket,
+    ):
+        yield socket
+
+
+async def ask(socket, number, workspace, tokens=1800):
+    part = (f"{workspace}-{number}", tokens)
+    asked = AskPlace(
+        number, "llm", workspace, [part], 10, OBJECTIVE_MS, PATIENCE_MS
+    )
+    await socket.send_str(msgspec.json.encode([asked]).decode())
+
+
+async def answer(socket, number):
+    """Returns what the broker says of a request."""
+    while True:
+        message = await socket.receive()
+        for told in from_broker.decode(message.data):
+            if getattr(told, "number", None) == number:
+                return told
+
+
+async def test_a_silent_gateway_does_not_hold_up_the_others(broker_url):
+    """Guards against: endpoints stand idle, and all workspaces are refused,
+    because a gateway without processor has not sent what it was granted.
+    """
+    async with connected(broker_url) as silent, connected(broker_url) as sound:
+        for number in range(1, 9):
+            await ask(silent, number, "flood")
+        assert isinstance(await answer(silent, 1), GrantPlace)
+        await ask(sound, 1, "small")
+        async with asyncio.timeout(OBJECTIVE_MS / 1000):
+            assert isinstance(await answer(sound, 1), GrantPlace)
