Count a broker's silence in wake-ups, so that a late gateway doesn't go past it

Cause: a gateway concluded from the clock that the broker was silent. One that is short of processor has event loop turns of 0.4 s and more; the broker's words lay unread in its socket. It closed the link, placed what had waited by its own estimates, past the line and past the workspaces' levels, and could not connect again, since the connection too had to be there within 0.4 s of the clock.

Fix: silence is counted in wake-ups. Between two of them the sockets have been read, so four beats that are missed in a row were not sent.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_link.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_link.py
@@ -11,6 +11,7 @@
 from marjoramyard.coordination.routing.config import Service
 from marjoramyard.fleet.gateway.admitting import CallerRequest
 from marjoramyard.fleet.gateway.brokering import (
+    BEAT_SECONDS,
     BROKER_PATH,
     SILENCE_SECONDS,
     AskPlace,
@@ -28,6 +29,7 @@
 from marjoramyard.fleet.gateway.rushes import Rushes
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.fleet.util.lag import LoopLag
+from marjoramyard.fleet.util.silence import Silence
 from marjoramyard.fleet.util.tasks import TaskGroup
 from marjoramyard.kernel.logs import get_logger
 from marjoramyard.kernel.metrics import Metrics
@@ -49,7 +51,7 @@
         self.lag = lag
         self.rushes = Rushes()
         self.socket: aiohttp.ClientWebSocketResponse | None = None
-        self.heard_at = 0.0
+        self.silence = Silence(SILENCE_SECONDS, BEAT_SECONDS)
         self.number = 0
         self.waiting: dict[int, asyncio.Future] = {}
         self.running: dict[int, Running] = {}
@@ -59,8 +61,7 @@
     @property
     def is_up(self) -> bool:
         """Whether a broker answers."""
-        recent = time.monotonic() - self.heard_at < SILENCE_SECONDS
-        return self.socket is not None and recent
+        return self.socket is not None and not self.silence.is_over_limit
 
     async def run(self, service: str) -> None:
         """Keeps connected to the service's broker until cancelled."""
@@ -72,20 +73,23 @@
 
     async def _follow(self, service: str, address: str) -> None:
         try:
-            async with asyncio.timeout(CONNECT_SECONDS):
-                socket = await self.session.ws_connect(
+            socket = await Silence(CONNECT_SECONDS, BEAT_SECONDS).guard(
+                self.session.ws_connect(
                     f"http://{address}{BROKER_PATH}", compress=0
                 )
+            )
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             logger.info("broker_unreachable", broker=address, why=repr(error))
             return
         logger.info("broker_found", service=service, broker=address)
         self.socket = socket
-        self.heard_at = time.monotonic()
+        self.silence.heard()
         self.queue = list(self.running.values())
         self._schedule_flush()
         try:
-            await self._read(service, address, socket)
+            await self.silence.guard(self._read(service, address, socket))
+        except TimeoutError:
+            logger.info("broker_silent", service=service, broker=address)
         finally:
             self.socket = None
             self._release_waiting()
@@ -94,14 +98,10 @@
 
     async def _read(self, service: str, address: str, socket) -> None:
         while self.view.broker_of(service) == address:
-            try:
-                async with asyncio.timeout(SILENCE_SECONDS):
-                    message = await socket.receive()
-            except TimeoutError:
-                return
+            message = await socket.receive()
             if message.type is not aiohttp.WSMsgType.TEXT:
                 return
-            self.heard_at = time.monotonic()
+            self.silence.heard()
             for told in from_broker.decode(message.data):
                 self._take(told)
 
