Suspend what a silent gateway holds, so that it doesn't hold up the others

Cause: the broker counts a prompt as being read from its grant on. A gateway without processor sends it much later and tells of its first token later still; its line goes on being granted meanwhile. Engines seemed busy for 0.5 to 1.5 s. What frees an engine of such prompts was another gateway's first token at that engine, which does not come where everybody is refused.

Fix: a gateway says that it is there ten times a second while it has requests that wait or are read. One that says nothing for 0.3 s is suspended: its prompts don't count as being read, and what it asked for waits outside of the lines until it is heard again.

--- a/packages/coordination/src/marjoramyard/coordination/placement/broker.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/broker.py
@@ -60,6 +60,8 @@
         self.lines: dict[str, Line] = {}
         self.level: dict[str, float] = {}
         self.waiting: dict[str, Waiting] = {}
+        # What silent routers have asked for, by key.
+        self.suspended: dict[str, Waiting] = {}
         self.counter = 0
 
     # What exists.
@@ -105,11 +107,15 @@
         late = self._predict_late(waiting, now)
         if late is not None:
             return late
-        line = self.lines.setdefault(ask.workspace, Line())
+        self._enter_line(waiting)
+        return None
+
+    def _enter_line(self, waiting: Waiting) -> None:
+        workspace = waiting.ask.workspace
+        line = self.lines.setdefault(workspace, Line())
         if not line.heap:
-            self._level_up(ask.workspace)
+            self._level_up(workspace)
         self._queue(waiting)
-        return None
 
     def _queue(self, waiting: Waiting) -> None:
         self._leave(waiting.ask.key)
@@ -199,8 +205,35 @@
 
     def cancel(self, key: str) -> None:
         """The caller of a waiting request has left."""
+        self.suspended.pop(key, None)
         self._leave(key)
 
+    def suspend(self, router: str, now: float) -> None:
+        """A router has been silent for some time.
+
+        What it was granted may not have been sent, and what it is granted
+        now would not be sent soon. Engines that are kept for it stand idle,
+        and others are refused for the sake of prompts that nobody reads. So
+        its prompts don't count as being read, and its requests wait outside
+        of the lines until it is heard again.
+        """
+        for engine in self.engines.values():
+            for key, flight in list(engine.unread.items()):
+                if flight.router == router:
+                    self._count_as_read(engine, key, flight, now)
+        for key, waiting in list(self.waiting.items()):
+            if waiting.ask.router == router:
+                self._leave(key)
+                self.suspended[key] = waiting
+
+    def resume(self, router: str) -> None:
+        """A router is heard again."""
+        for key, waiting in list(self.suspended.items()):
+            if waiting.ask.router == router:
+                del self.suspended[key]
+                # Its old entry may still be in the line's heap, as gone.
+                self._enter_line(Waiting(waiting.ask, waiting.cost))
+
     def _leave(self, key: str) -> None:
         waiting = self.waiting.pop(key, None)
         if waiting is not None:
@@ -238,9 +271,15 @@
         for key, flight in list(engine.unread.items()):
             if flight.granted_at >= before:
                 break
-            del engine.unread[key]
-            flight.is_reading = False
-            engine.end_reading(flight.tokens, now, False)
+            self._count_as_read(engine, key, flight, now)
+
+    @staticmethod
+    def _count_as_read(
+        engine: Engine, key: str, flight: Flight, now: float
+    ) -> None:
+        del engine.unread[key]
+        flight.is_reading = False
+        engine.end_reading(flight.tokens, now, False)
 
     def ended(self, key: str) -> None:
         """A request is no longer at its engine."""
@@ -257,13 +296,19 @@
             )
 
     def adopt(
-        self, key: str, endpoint: str, tokens: float, memory: float, now: float
+        self,
+        key: str,
+        endpoint: str,
+        tokens: float,
+        memory: float,
+        now: float,
+        router: str = "",
     ) -> None:
         """Counts a request that a router sent without a grant."""
         engine = self.engines.get(endpoint)
         if engine is None or key in self.flights:
             return
-        flight = Flight(endpoint, tokens, memory, now, tokens > 0)
+        flight = Flight(endpoint, tokens, memory, now, tokens > 0, router)
         self._count(engine, key, flight)
 
     def _count(self, engine: Engine, key: str, flight: Flight) -> None:
@@ -338,7 +383,9 @@
         engine = plan.engine
         if not engine.takes(memory):
             return None
-        flight = Flight(engine.endpoint, plan.tokens, memory, now)
+        flight = Flight(
+            engine.endpoint, plan.tokens, memory, now, router=ask.router
+        )
         self._count(engine, ask.key, flight)
         engine.kept.read(ask.parts)
         charge = plan.tokens + 2.0 * ask.output_tokens
@@ -349,9 +396,9 @@
         """Refuses what waits although its caller's time is over."""
         found = [
             waiting.ask
-            for waiting in self.waiting.values()
+            for waiting in (*self.waiting.values(), *self.suspended.values())
             if now >= waiting.ask.give_up_at
         ]
         for ask in found:
-            self._leave(ask.key)
+            self.cancel(ask.key)
         return [Refused(a.key, 0.0, now - a.asked_at) for a in found]
--- a/packages/coordination/src/marjoramyard/coordination/placement/engines.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/engines.py
@@ -37,6 +37,7 @@
     memory: float
     granted_at: float
     is_reading: bool = True
+    router: str = ""
 
 
 class Engine:
--- a/packages/coordination/src/marjoramyard/coordination/placement/requests.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/requests.py
@@ -23,6 +23,7 @@
         give_up_at: When its caller stops waiting.
         asked_at: When it asked.
         without: Endpoints that must not get it.
+        router: Who asks, and would send it.
     """
 
     key: str
@@ -33,6 +34,7 @@
     give_up_at: float
     asked_at: float
     without: frozenset[str] = frozenset()
+    router: str = ""
 
     @property
     def tokens(self) -> int:
--- a/packages/coordination/tests/placement/test_broker_late_news.py
+++ b/packages/coordination/tests/placement/test_broker_late_news.py
@@ -71,3 +71,72 @@
         refused = broker.ask(make_ask(f"k{number}", now=0.0), 0.0)
         broker.pump(0.0)
     assert 0 < refused.over_ms < 2000 / RATE
+
+
+def ask_from(broker, router, key, now=0.0):
+    ask = make_ask(key, now=now, tokens=1800, router=router)
+    assert broker.ask(ask, now) is None
+
+
+def granted(broker, now):
+    return [one.key for one in broker.pump(now)]
+
+
+def test_prompts_of_a_silent_router_do_not_count_as_being_read():
+    """Guards against: all are refused while the engines are idle, because a
+    router without processor has not sent what it was granted.
+    """
+    broker = make_broker(1)
+    engine = broker.engines["e0"]
+    for number in range(3):
+        ask_from(broker, "silent", f"s{number}")
+    assert granted(broker, 0.0) == ["s0", "s1"]
+    ask_from(broker, "sound", "k", now=100.0)
+    assert granted(broker, 100.0) == []
+    broker.suspend("silent", 300.0)
+    assert granted(broker, 300.0) == ["k"]
+    broker.first_token("s0", 900.0)
+    assert engine.wait_ms == pytest.approx(1800 / RATE)
+    broker.ended("s0")
+    broker.ended("s1")
+    assert engine.running == 1
+
+
+def test_requests_of_a_silent_router_wait_outside_of_the_lines():
+    broker = make_broker(1)
+    for number in range(4):
+        ask_from(broker, "silent", f"s{number}")
+    broker.pump(0.0)
+    broker.suspend("silent", 300.0)
+    assert granted(broker, 300.0) == []
+    assert broker.predicted_wait_ms("w") == 0
+    broker.cancel("s3")
+    broker.resume("silent")
+    assert granted(broker, 310.0) == ["s2"]
+    assert not broker.suspended
+
+
+def test_a_request_of_a_silent_router_is_refused_when_its_time_is_over():
+    broker = make_broker(1)
+    for number in range(3):
+        ask_from(broker, "silent", f"s{number}")
+    broker.pump(0.0)
+    broker.suspend("silent", 300.0)
+    assert [one.key for one in broker.overdue(5000.0)] == ["s2"]
+    broker.resume("silent")
+    assert granted(broker, 5001.0) == []
+
+
+def test_a_request_that_waits_again_is_granted_once():
+    """Guards against: a line that keeps the entry of a request that left it,
+    and serves it twice when its router is heard again.
+    """
+    broker = make_broker(1)
+    for number in range(3):
+        ask_from(broker, "silent", f"s{number}", now=float(number))
+    assert granted(broker, 2.0) == ["s0", "s1"]
+    ask_from(broker, "sound", "k", now=1.0)
+    broker.suspend("silent", 2.0)
+    broker.resume("silent")
+    assert sorted(granted(broker, 3.0)) == ["k", "s2"]
+    assert broker.lines["w"].tokens == 0
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_desk.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_desk.py
@@ -29,12 +29,18 @@
 )
 from marjoramyard.fleet.gateway.loads import reading_rate
 from marjoramyard.fleet.gateway.view import FleetView
+from marjoramyard.fleet.util.silence import Silence
 from marjoramyard.kernel.logs import get_logger
 from marjoramyard.kernel.metrics import Labels
 
 logger = get_logger(__name__)
 
 
+GATEWAY_SILENCE_SECONDS = 0.3
+"""A gateway that says nothing for so long won't send soon what it is granted.
+The smallest hosts get their processor in turns, with pauses of up to 0.1 s."""
+
+
 class Peer:
     """A gateway that asks."""
 
@@ -43,6 +49,12 @@
         self.socket = socket
         self.queue: list[FromBroker] = []
         self.requests: dict[int, str] = {}
+        self.silence = Silence(GATEWAY_SILENCE_SECONDS, BEAT_SECONDS)
+
+    @property
+    def name(self) -> str:
+        """Names it to brokers."""
+        return str(self.number)
 
     def key(self, number: int) -> str:
         """Names one of its requests among all gateways' requests."""
@@ -69,6 +81,7 @@
         try:
             async for message in socket:
                 if message.type is aiohttp.WSMsgType.TEXT:
+                    self._heard(peer)
                     for told in to_broker.decode(message.data):
                         self._take(peer, told)
                     self._schedule_pump()
@@ -79,6 +92,19 @@
             self._forget(peer)
         return socket
 
+    def _heard(self, peer: Peer) -> None:
+        if peer.silence.is_over_limit:
+            for broker in self.brokers.values():
+                broker.resume(peer.name)
+        peer.silence.heard()
+
+    def _step_silence(self, peer: Peer) -> None:
+        was_over_limit = peer.silence.is_over_limit
+        peer.silence.step()
+        if peer.silence.is_over_limit and not was_over_limit:
+            for broker in self.brokers.values():
+                broker.suspend(peer.name, _now())
+
     def _forget(self, peer: Peer) -> None:
         """Its requests have ended: its endpoints' connections are closed."""
         for number, service in peer.requests.items():
@@ -104,6 +130,8 @@
         return broker
 
     def _take(self, peer: Peer, told: ToBroker) -> None:
+        if isinstance(told, Beat):
+            return
         if isinstance(told, AskPlace):
             self._ask(peer, told)
             return
@@ -146,6 +174,7 @@
             give_up_at=now + told.left_ms,
             asked_at=now,
             without=frozenset(told.without),
+            router=peer.name,
         )
         refused = broker.ask(ask, now)
         if refused is not None:
@@ -158,7 +187,14 @@
         if broker is not None:
             peer.requests[told.number] = told.service
             key = peer.key(told.number)
-            broker.adopt(key, told.endpoint, told.tokens, told.memory, _now())
+            broker.adopt(
+                key,
+                told.endpoint,
+                told.tokens,
+                told.memory,
+                _now(),
+                peer.name,
+            )
 
     @staticmethod
     def _tell_refusal(peer: Peer, number: int, refused: Refused) -> None:
@@ -225,10 +261,11 @@
         ]
 
     async def beat_forever(self) -> None:
-        """Tells gateways that this host is there, and looks at the clock."""
+        """Tells gateways that this host is there, and counts their silence."""
         while True:
             await asyncio.sleep(BEAT_SECONDS)
             for peer in self.peers.values():
+                self._step_silence(peer)
                 peer.queue.append(Beat())
             self._schedule_pump()
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_link.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_link.py
@@ -192,6 +192,13 @@
             if self.waiting.pop(number, None) is not None:
                 self._send(Withdraw(number))
 
+    async def beat_forever(self) -> None:
+        """Tells the broker that this host is there, while it holds grants."""
+        while True:
+            await asyncio.sleep(BEAT_SECONDS)
+            if self.waiting or any(r.tokens for r in self.running.values()):
+                self._send(Beat())
+
     def started(self, running: Running, is_granted: bool) -> None:
         """A request goes to its endpoint, with a grant or without one."""
         self.running[running.number] = running
@@ -245,6 +252,7 @@
             link = BrokerLink(self.view, self.session, self.lag)
             self.links[service] = link
             self.tasks.spawn(link.run(service))
+            self.tasks.spawn(link.beat_forever())
         return link
 
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/brokering.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/brokering.py
@@ -101,10 +101,14 @@
 
 
 class Beat(msgspec.Struct, tag="beat"):
-    """The broker is there."""
+    """The sender is there.
+
+    A broker says so all the time, a gateway while it has requests that wait
+    or are being read.
+    """
 
 
-ToBroker = AskPlace | Withdraw | FirstToken | Ended | Running
+ToBroker = AskPlace | Withdraw | FirstToken | Ended | Running | Beat
 FromBroker = GrantPlace | RefusePlace | Beat
 
 to_broker = msgspec.json.Decoder(list[ToBroker])
--- a/packages/fleet/tests/gateway/test_broker_desk.py
+++ b/packages/fleet/tests/gateway/test_broker_desk.py
@@ -17,8 +17,10 @@
 from marjoramyard.coordination.routing.table import RouteTable
 from marjoramyard.fleet.gateway.broker_desk import BrokerDesk
 from marjoramyard.fleet.gateway.brokering import (
+    BEAT_SECONDS,
     BROKER_PATH,
     AskPlace,
+    Beat,
     GrantPlace,
     from_broker,
 )
@@ -72,6 +74,23 @@
     await socket.send_str(msgspec.json.encode([asked]).decode())
 
 
+@contextlib.asynccontextmanager
+async def beating(socket):
+    """Says that the gateway is there, as one does that waits for a grant."""
+
+    async def beat_forever():
+        while True:
+            await socket.send_str(msgspec.json.encode([Beat()]).decode())
+            await asyncio.sleep(BEAT_SECONDS)
+
+    task = asyncio.create_task(beat_forever())
+    try:
+        yield
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
 async def answer(socket, number):
     """Returns what the broker says of a request."""
     while True:
@@ -90,5 +109,20 @@
             await ask(silent, number, "flood")
         assert isinstance(await answer(silent, 1), GrantPlace)
         await ask(sound, 1, "small")
-        async with asyncio.timeout(OBJECTIVE_MS / 1000):
+        async with beating(sound), asyncio.timeout(OBJECTIVE_MS / 1000):
+            assert isinstance(await answer(sound, 1), GrantPlace)
+
+
+async def test_a_gateway_that_is_heard_again_gets_its_grants(broker_url):
+    """Guards against: what a gateway asked for before it fell silent waits
+    until its callers' patience ends.
+    """
+    async with connected(broker_url) as late, connected(broker_url) as sound:
+        for number in range(1, 9):
+            await ask(late, number, "flood")
+        assert isinstance(await answer(late, 2), GrantPlace)
+        await ask(sound, 1, "small")
+        async with beating(sound):
             assert isinstance(await answer(sound, 1), GrantPlace)
+        async with beating(late), asyncio.timeout(OBJECTIVE_MS / 1000):
+            assert isinstance(await answer(late, 3), GrantPlace)
