Don't blame endpoints for connections that a late gateway found timed out

The limit of 0.5 s is kept by the clock; with event loop turns of 0.4 s and more a connection that is there is found timed out.

Fix: a connection timeout while the event loop is late doesn't count against the endpoint. Another try follows as before, and a refused or broken connection counts as before.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/attempts.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/attempts.py
@@ -34,15 +34,21 @@
         outcome: What is known of it.
         why: For the log.
         retry_after: What the endpoint said of coming back, in seconds.
+        timed_out: No connection came in time.
     """
 
     def __init__(
-        self, outcome: SendOutcome, why: str, retry_after: float = 0.0
+        self,
+        outcome: SendOutcome,
+        why: str,
+        retry_after: float = 0.0,
+        timed_out: bool = False,
     ):
         super().__init__(f"{outcome.value}: {why}")
         self.outcome = outcome
         self.why = why
         self.retry_after = retry_after
+        self.timed_out = timed_out
 
 
 class SendPlan(msgspec.Struct, frozen=True):
@@ -115,7 +121,11 @@
         aiohttp.ClientConnectorError,
         aiohttp.ConnectionTimeoutError,
     ) as error:
-        raise SendFailedError(SendOutcome.NOT_SENT, repr(error)) from error
+        raise SendFailedError(
+            SendOutcome.NOT_SENT,
+            repr(error),
+            timed_out=isinstance(error, aiohttp.ConnectionTimeoutError),
+        ) from error
     except (aiohttp.ClientError, OSError, ValueError) as error:
         raise SendFailedError(SendOutcome.BROKEN, repr(error)) from error
     try:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/runs.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/runs.py
@@ -292,15 +292,22 @@
                     flight.on_read = lambda: link.first_token(plan.number)
                 yield flight
         except SendFailedError as error:
-            failed = error.outcome in (
-                SendOutcome.NOT_SENT,
-                SendOutcome.BROKEN,
-            )
+            failed = self._is_endpoints_fault(error)
             raise
         finally:
             if link is not None:
                 link.ended(plan.number, failed)
 
+    def _is_endpoints_fault(self, error: SendFailedError) -> bool:
+        """Whether a failed send says something of the endpoint's health.
+
+        Where the event loop is late, a connection that was there in time is
+        found to have timed out.
+        """
+        if error.timed_out and self.tools.brokers.lag.is_late:
+            return False
+        return error.outcome in (SendOutcome.NOT_SENT, SendOutcome.BROKEN)
+
     def _may_try_again(self) -> bool:
         """Whether a further send would be allowed, without taking it."""
         return (
@@ -321,7 +328,8 @@
         if error.outcome in (SendOutcome.NOT_SENT, SendOutcome.REFUSED):
             self.may_have_run = self.had_run
         if error.outcome is SendOutcome.NOT_SENT:
-            health.failed(now)
+            if self._is_endpoints_fault(error):
+                health.failed(now)
             self.connects += 1
             if self.connects < MAX_CONNECT_TRIES:
                 return
