Charge a workspace for what was sent past the broker's line

A workspace whose requests went that way kept its level and was served before the others on top.

Fix: what is told as running has its workspace and its output, and is charged as a grant is. The parameters have become one typed message. The test failed before (the flooding workspace was granted first).

--- a/packages/coordination/src/marjoramyard/coordination/placement/broker.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/broker.py
@@ -28,7 +28,9 @@
     Ask,
     Granted,
     Refused,
+    Sent,
     refusal,
+    service_cost,
 )
 from marjoramyard.coordination.routing.config import EngineProfile
 
@@ -295,21 +297,30 @@
                 0.0, engine.reading_tokens - flight.tokens
             )
 
-    def adopt(
-        self,
-        key: str,
-        endpoint: str,
-        tokens: float,
-        memory: float,
-        now: float,
-        router: str = "",
-    ) -> None:
-        """Counts a request that a router sent without a grant."""
-        engine = self.engines.get(endpoint)
-        if engine is None or key in self.flights:
+    def adopt(self, sent: Sent, now: float) -> None:
+        """Counts a request that a router sent without a grant.
+
+        It takes of its workspace's share like any other, or a workspace
+        would be ahead of the others by what went past the line.
+        """
+        engine = self.engines.get(sent.endpoint)
+        if engine is None or sent.key in self.flights:
             return
-        flight = Flight(endpoint, tokens, memory, now, tokens > 0, router)
-        self._count(engine, key, flight)
+        is_reading = sent.tokens > 0
+        flight = Flight(
+            sent.endpoint,
+            sent.tokens,
+            sent.memory,
+            now,
+            is_reading,
+            sent.router,
+        )
+        self._count(engine, sent.key, flight)
+        cost = service_cost(sent.tokens, sent.output_tokens)
+        self._charge(sent.workspace, cost)
+
+    def _charge(self, workspace: str, cost: float) -> None:
+        self.level[workspace] = self.level.get(workspace, 0.0) + cost
 
     def _count(self, engine: Engine, key: str, flight: Flight) -> None:
         self.flights[key] = flight
@@ -388,8 +399,8 @@
         )
         self._count(engine, ask.key, flight)
         engine.kept.read(ask.parts)
-        charge = plan.tokens + 2.0 * ask.output_tokens
-        self.level[ask.workspace] = self.level.get(ask.workspace, 0.0) + charge
+        cost = service_cost(plan.tokens, ask.output_tokens)
+        self._charge(ask.workspace, cost)
         return Granted(ask.key, engine.endpoint, plan.fetch_from, plan.tokens)
 
     def overdue(self, now: float) -> list[Refused]:
--- a/packages/coordination/src/marjoramyard/coordination/placement/requests.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/requests.py
@@ -48,6 +48,36 @@
         return float(own + self.output_tokens)
 
 
+class Sent(msgspec.Struct, frozen=True, kw_only=True):
+    """A request that a router sent without a grant of this broker.
+
+    Attributes:
+        key: Names it among all routers.
+        endpoint: Where it was sent.
+        tokens: Prompt tokens that are still to be read there.
+        memory: What its run takes of the engine's memory.
+        workspace: Whose share it is served from.
+        output_tokens: The most that it may generate, or an estimate.
+        router: Who sent it.
+    """
+
+    key: str
+    endpoint: str
+    tokens: float
+    memory: float
+    workspace: str = ""
+    output_tokens: int = 0
+    router: str = ""
+
+
+def service_cost(tokens: float, output_tokens: int) -> float:
+    """Returns what a request takes of its workspace's share, in tokens.
+
+    Writing a token takes an engine as long as reading two.
+    """
+    return tokens + 2.0 * output_tokens
+
+
 class Granted(msgspec.Struct, frozen=True):
     """A request that may be sent now."""
 
--- a/packages/coordination/tests/placement/test_broker.py
+++ b/packages/coordination/tests/placement/test_broker.py
@@ -15,7 +15,7 @@
 )
 from marjoramyard.coordination.placement.engines import AHEAD_MS
 from marjoramyard.coordination.placement.kept import KeptParts
-from marjoramyard.coordination.placement.requests import Granted
+from marjoramyard.coordination.placement.requests import Granted, Sent
 from marjoramyard.coordination.routing.table import PromptPart
 
 sys.path.insert(0, str(Path(__file__).parent))
@@ -193,7 +193,7 @@
 
 def test_running_requests_are_counted_again_after_a_change_of_broker():
     broker = make_broker(1)
-    broker.adopt("old", "e0", tokens=3000, memory=3000, now=0.0)
+    broker.adopt(Sent(key="old", endpoint="e0", tokens=3000, memory=3000), 0.0)
     assert broker.engines["e0"].wait_ms == pytest.approx(3000 / RATE)
     broker.ended("old")
     assert broker.engines["e0"].wait_ms == 0
--- a/packages/coordination/tests/placement/test_broker_late_news.py
+++ b/packages/coordination/tests/placement/test_broker_late_news.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from marjoramyard.coordination.placement.requests import Sent
+
 sys.path.insert(0, str(Path(__file__).parent))
 from engine_simulation import (  # noqa: E402
     RATE,
@@ -140,3 +142,30 @@
     broker.resume("silent")
     assert sorted(granted(broker, 3.0)) == ["k", "s2"]
     assert broker.lines["w"].tokens == 0
+
+
+def test_prompts_sent_without_a_grant_count_for_their_workspace():
+    """Guards against: a workspace is served before the others though more of
+    its requests were sent past the line.
+    """
+    broker = make_broker(1)
+    for key in ("running-0", "running-1"):
+        ask_from(broker, "sound", key)
+    assert granted(broker, 0.0) == ["running-0", "running-1"]
+    for workspace in ("flood", "small"):
+        ask = make_ask(workspace, workspace, now=0.0, tokens=300)
+        assert broker.ask(ask, 0.0) is None
+    for number in range(3):
+        sent = Sent(
+            key=f"past-{number}",
+            endpoint="e0",
+            tokens=300,
+            memory=350,
+            workspace="flood",
+            output_tokens=50,
+            router="late",
+        )
+        broker.adopt(sent, 0.0)
+    broker.suspend("late", 100.0)
+    broker.first_token("running-0", 100.0)
+    assert granted(broker, 100.0) == ["small", "flood"]
--- a/packages/coordination/tests/placement/test_broker_places.py
+++ b/packages/coordination/tests/placement/test_broker_places.py
@@ -4,7 +4,7 @@
 import sys
 from pathlib import Path
 
-from marjoramyard.coordination.placement.requests import Refused
+from marjoramyard.coordination.placement.requests import Refused, Sent
 from marjoramyard.coordination.routing.table import PromptPart
 
 sys.path.insert(0, str(Path(__file__).parent))
@@ -59,7 +59,9 @@
     """
     broker = make_broker(2)
     home = grant(broker, make_ask("first", shared=(GUIDE,))).endpoint
-    broker.adopt("busy", home, tokens=50 * RATE, memory=0, now=0.0)
+    broker.adopt(
+        Sent(key="busy", endpoint=home, tokens=50 * RATE, memory=0), 0.0
+    )
     told = grant(broker, make_ask("second", shared=(GUIDE,)))
     assert told.endpoint == home
     assert told.fetch_from == ""
@@ -68,7 +70,9 @@
 def test_a_prompt_is_copied_when_its_home_is_too_busy():
     broker = make_broker(2)
     home = grant(broker, make_ask("first", shared=(GUIDE,))).endpoint
-    broker.adopt("busy", home, tokens=200 * RATE, memory=0, now=0.0)
+    broker.adopt(
+        Sent(key="busy", endpoint=home, tokens=200 * RATE, memory=0), 0.0
+    )
     told = grant(broker, make_ask("second", shared=(GUIDE,)))
     assert told.endpoint != home
     assert told.fetch_from == home
@@ -105,7 +109,9 @@
     """
     broker = make_broker(2)
     home = grant(broker, make_ask("first", shared=(GUIDE,))).endpoint
-    broker.adopt("busy", home, tokens=65 * RATE, memory=0, now=0.0)
+    broker.adopt(
+        Sent(key="busy", endpoint=home, tokens=65 * RATE, memory=0), 0.0
+    )
     assert broker.ask(make_ask("same-guide", shared=(GUIDE,)), 0.0) is None
     assert broker.pump(0.0) == []
     assert broker.ask(make_ask("other", workspace="x"), 0.0) is None
@@ -124,6 +130,6 @@
     """
     broker = make_broker(2)
     home = grant(broker, make_ask("first", shared=(GUIDE,))).endpoint
-    broker.adopt("long", home, tokens=0, memory=230_000, now=0.0)
+    broker.adopt(Sent(key="long", endpoint=home, tokens=0, memory=230_000), 0.0)
     told = grant(broker, make_ask("second", shared=(GUIDE,)))
     assert told.endpoint != home
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_desk.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_desk.py
@@ -12,6 +12,7 @@
     Ask,
     Granted,
     Refused,
+    Sent,
 )
 from marjoramyard.fleet.gateway.brokering import (
     BEAT_SECONDS,
@@ -186,15 +187,16 @@
         broker = self._broker(told.service)
         if broker is not None:
             peer.requests[told.number] = told.service
-            key = peer.key(told.number)
-            broker.adopt(
-                key,
-                told.endpoint,
-                told.tokens,
-                told.memory,
-                _now(),
-                peer.name,
+            sent = Sent(
+                key=peer.key(told.number),
+                endpoint=told.endpoint,
+                tokens=told.tokens,
+                memory=told.memory,
+                workspace=told.workspace,
+                output_tokens=told.output_tokens,
+                router=peer.name,
             )
+            broker.adopt(sent, _now())
 
     @staticmethod
     def _tell_refusal(peer: Peer, number: int, refused: Refused) -> None:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/brokering.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/brokering.py
@@ -76,6 +76,8 @@
     endpoint: str
     tokens: float
     memory: float
+    workspace: str = ""
+    output_tokens: int = 0
 
 
 class GrantPlace(msgspec.Struct, tag="grant", omit_defaults=True):
--- a/packages/fleet/src/marjoramyard/fleet/gateway/runs.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/runs.py
@@ -246,6 +246,10 @@
             number,
         )
 
+    def _workspace_name(self) -> str:
+        workspace = self.caller.workspace
+        return workspace.name if workspace is not None else ""
+
     def _last_event(self) -> str:
         return self.delivery.events.last_id or self.caller.last_event
 
@@ -284,6 +288,8 @@
                 endpoint,
                 plan.tokens,
                 self.caller.own_memory,
+                self._workspace_name(),
+                self.caller.output_tokens,
             )
             link.started(running, plan.is_granted)
         try:
--- a/packages/standin/src/marjoramyard/standin/experiment/disturbances.py
+++ b/packages/standin/src/marjoramyard/standin/experiment/disturbances.py
@@ -3,6 +3,7 @@
 import functools
 from typing import TYPE_CHECKING
 
+from marjoramyard.coordination.placement.requests import Sent
 from marjoramyard.standin.experiment.credit import Outcome
 from marjoramyard.standin.experiment.deployments import (
     Disturbance,
@@ -44,13 +45,13 @@
     simulation.policy = simulation.new_policy()
     for attempt in open_ones:
         if attempt.run is not None:
-            simulation.policy.adopt(
-                attempt.key,
-                attempt.engine.name,
-                attempt.run.unread,
-                attempt.run.own_tokens,
-                simulation.loop.now,
+            sent = Sent(
+                key=attempt.key,
+                endpoint=attempt.engine.name,
+                tokens=attempt.run.unread,
+                memory=attempt.run.own_tokens,
             )
+            simulation.policy.adopt(sent, simulation.loop.now)
     for attempt in open_ones:
         if attempt.run is None:
             simulation.ask(attempt)
--- a/packages/standin/src/marjoramyard/standin/experiment/policies.py
+++ b/packages/standin/src/marjoramyard/standin/experiment/policies.py
@@ -6,7 +6,12 @@
 
 from marjoramyard.coordination.placement.broker import Broker
 from marjoramyard.coordination.placement.choice import home_of, split_parts
-from marjoramyard.coordination.placement.requests import Ask, Granted, Refused
+from marjoramyard.coordination.placement.requests import (
+    Ask,
+    Granted,
+    Refused,
+    Sent,
+)
 from marjoramyard.coordination.routing.config import EngineProfile
 from marjoramyard.kernel.registry import Registry
 from marjoramyard.standin.experiment.deployments import Deployment
@@ -36,9 +41,7 @@
     def cancel(self, key: str) -> None:
         """The caller of a waiting request has left."""
 
-    def adopt(
-        self, key: str, endpoint: str, tokens: float, memory: float, now: float
-    ) -> None:
+    def adopt(self, sent: Sent, now: float) -> None:
         """Counts a request that was sent under another broker."""
 
     def overdue(self, now: float) -> list[Refused]:
@@ -112,10 +115,11 @@
     def cancel(self, key: str) -> None:
         """Nothing waits here."""
 
-    def adopt(self, key, endpoint, tokens, memory, now) -> None:
+    def adopt(self, sent: Sent, now: float) -> None:
         """Counts a request that was sent under another broker."""
-        self.flights[key] = endpoint
-        self.running[endpoint] = self.running.get(endpoint, 0) + 1
+        self.flights[sent.key] = sent.endpoint
+        running = self.running.get(sent.endpoint, 0)
+        self.running[sent.endpoint] = running + 1
 
     def overdue(self, now: float) -> list[Refused]:
         """Nothing waits here."""
