--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_desk.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_desk.py
@@ -42,6 +42,9 @@
 The smallest hosts get their processor in turns, with pauses of up to 0.1 s."""
 
 
+REPORT_SECONDS = 1.0
+
+
 class Peer:
     """A gateway that asks."""
 
@@ -247,6 +250,22 @@
             task = asyncio.ensure_future(peer.socket.send_str(data))
             task.add_done_callback(_log_send)
 
+    async def report_forever(self) -> None:
+        """Logs what the brokers believe, while there is something to do."""
+        while True:
+            await asyncio.sleep(REPORT_SECONDS)
+            for service, broker in self.brokers.items():
+                counts = broker.counts()
+                if any(counts.values()):
+                    logger.info(
+                        "broker_load",
+                        service=service,
+                        wait_ms=round(broker.mean_wait_ms),
+                        rate=round(broker.total_rate),
+                        suspended=len(broker.suspended),
+                        **counts,
+                    )
+
     def waits(self) -> list[tuple[float, Labels]]:
         """Returns what a prompt would wait at an endpoint, by service."""
         return [
--- a/packages/fleet/src/marjoramyard/fleet/gateway/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/role.py
@@ -113,6 +113,7 @@
         app.metrics.gauge("broker_wait_seconds", desk.waits)
         app.metrics.gauge("broker_requests", desk.requests)
         app.tasks.spawn(desk.beat_forever())
+        app.tasks.spawn(desk.report_forever())
         role = GatewayRole(app, view, dispatcher)
         app.tasks.spawn(Follower(app, view).run())
         async with (
