End a late gateway's prompts when expected, and learn no rate from them

Cause: a prompt of a gateway short of processor is sent 0.1 to 0.5 s after its grant and its first token told as late. All that time it fills the little that an engine is given ahead, so the engine waits; the run of reading goes on meanwhile, the rate seems low, less is granted, and the next run seems slower still.

Fix: a gateway's beats say that it is late. Its prompts then count as read when they should have been, and a run with one of them teaches no rate. News of gateways in time counts as before, so an engine that is slow gets no more.

--- a/packages/coordination/src/marjoramyard/coordination/placement/broker.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/broker.py
@@ -62,6 +62,7 @@
         self.lines: dict[str, Line] = {}
         self.level: dict[str, float] = {}
         self.waiting: dict[str, Waiting] = {}
+        self.late: set[str] = set()
         # What silent routers have asked for, by key.
         self.suspended: dict[str, Waiting] = {}
         self.counter = 0
@@ -210,6 +211,25 @@
         self.suspended.pop(key, None)
         self._leave(key)
 
+    def set_late(self, router: str, is_late: bool) -> None:
+        """A router says whether it is short of processor.
+
+        One that is sends what it was granted late, and tells late that it
+        was read. Engines that are kept for its prompts until then stand
+        idle, so for them expected times count instead of news.
+        """
+        if is_late:
+            self.late.add(router)
+        else:
+            self.late.discard(router)
+
+    def _end_expected(self, now: float) -> None:
+        """Counts as read what late routers should have had read by now."""
+        for engine in self.engines.values():
+            for key, flight in list(engine.unread.items()):
+                if flight.router in self.late and now >= flight.read_by:
+                    self._count_as_read(engine, key, flight, now)
+
     def suspend(self, router: str, now: float) -> None:
         """A router has been silent for some time.
 
@@ -328,7 +348,9 @@
             engine.unread[key] = flight
         engine.running += 1
         engine.memory += flight.memory
-        engine.begin_reading(flight.tokens, flight.granted_at)
+        is_timely = flight.router not in self.late
+        engine.begin_reading(flight.tokens, flight.granted_at, is_timely)
+        flight.read_by = flight.granted_at + engine.wait_ms + FIRST_TOKEN_MS
         engine.kept.shrink_to(engine.memory_tokens - engine.memory)
 
     # Grants.
@@ -339,6 +361,8 @@
         A request that waited until it can't be on time any more, though it
         was predicted to be, gives way: while others wait it is refused.
         """
+        if self.late:
+            self._end_expected(now)
         told: list[Granted | Refused] = []
         deferred: list[Waiting] = []
         while len(deferred) < MAX_DEFERRED and any(
--- a/packages/coordination/src/marjoramyard/coordination/placement/engines.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/engines.py
@@ -30,7 +30,12 @@
 
 
 class Flight(msgspec.Struct):
-    """A request at an engine."""
+    """A request at an engine.
+
+    Attributes:
+        router: Who sends it.
+        read_by: When its first token is expected.
+    """
 
     engine: str
     tokens: float
@@ -38,6 +43,7 @@
     granted_at: float
     is_reading: bool = True
     router: str = ""
+    read_by: float = 0.0
 
 
 class Engine:
@@ -57,6 +63,7 @@
         self.memory = 0.0
         self.run_began_at = 0.0
         self.run_tokens = 0.0
+        self.run_is_timely = True
         self.is_usable = True
 
     @property
@@ -78,20 +85,35 @@
             return True
         return self.memory + memory <= self.memory_tokens * MEMORY_SHARE
 
-    def begin_reading(self, tokens: float, now: float) -> None:
-        """Prompt tokens were sent; a run of reading may begin with them."""
+    def begin_reading(
+        self, tokens: float, now: float, is_timely: bool = True
+    ) -> None:
+        """Prompt tokens were granted; a run of reading may begin with them.
+
+        Args:
+            tokens: Those that are to be read.
+            now: When they were granted.
+            is_timely: They are sent at once.
+        """
         if self.reading_tokens <= 0:
-            self.run_began_at = now + FIRST_TOKEN_MS
-            self.run_tokens = 0.0
+            self._begin_run(now + FIRST_TOKEN_MS)
+        self.run_is_timely = self.run_is_timely and is_timely
         self.reading_tokens += tokens
 
+    def _begin_run(self, now: float) -> None:
+        self.run_began_at = now
+        self.run_tokens = 0.0
+        self.run_is_timely = True
+
     def end_reading(
         self, tokens: float, now: float, is_fresh: bool = True
     ) -> None:
         """A prompt has been read; learns the rate from the run so far.
 
         News that was held up on its way says that the prompt was read, not
-        how fast: the run counts its tokens and goes on.
+        how fast. Nor does a run with a prompt that was not sent at once: the
+        engine may have waited for it, and would seem slow. Granted less for
+        that, it would seem slower still after the next run.
 
         The rate is taken over runs of back-to-back prompts. Taken prompt by
         prompt, the way of the news would count once for each, and engines
@@ -100,14 +122,19 @@
         self.reading_tokens = max(0.0, self.reading_tokens - tokens)
         self.run_tokens += tokens
         if not is_fresh:
+            self.run_is_timely = False
             return
         spent = now - self.run_began_at
         if spent < MIN_RUN_MS or self.run_tokens < MIN_RUN_TOKENS:
             return
-        low, high = RATE_BOUNDS
+        is_timely = self.run_is_timely
         seen = self.run_tokens / spent
+        self._begin_run(now)
+        if is_timely:
+            self._learn(seen)
+
+    def _learn(self, seen: float) -> None:
+        low, high = RATE_BOUNDS
         seen = max(seen, low * self.configured_rate)
         seen = min(seen, high * self.configured_rate)
         self.rate += RATE_WEIGHT * (seen - self.rate)
-        self.run_began_at = now
-        self.run_tokens = 0.0
--- a/packages/coordination/tests/placement/test_broker_late_news.py
+++ b/packages/coordination/tests/placement/test_broker_late_news.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from marjoramyard.coordination.placement.engines import FIRST_TOKEN_MS
 from marjoramyard.coordination.placement.requests import Sent
 
 sys.path.insert(0, str(Path(__file__).parent))
@@ -169,3 +170,44 @@
     broker.suspend("late", 100.0)
     broker.first_token("running-0", 100.0)
     assert granted(broker, 100.0) == ["small", "flood"]
+
+
+def test_a_late_router_does_not_keep_engines_idle():
+    """Guards against: engines stand idle for as long as a router needs to
+    send what it was granted, and to tell that it was read.
+    """
+    broker = make_broker(1)
+    broker.set_late("late", True)
+    for number in range(2):
+        ask_from(broker, "late", f"l{number}")
+    assert granted(broker, 0.0) == ["l0", "l1"]
+    ask_from(broker, "sound", "k", now=1.0)
+    assert granted(broker, 70.0) == []
+    assert granted(broker, 100.0 + FIRST_TOKEN_MS) == ["k"]
+
+
+def test_an_engine_that_is_slow_gets_no_more_from_routers_in_time():
+    broker = make_broker(1)
+    for number in range(3):
+        ask_from(broker, "sound", f"s{number}")
+    assert granted(broker, 0.0) == ["s0", "s1"]
+    assert granted(broker, 500.0) == []
+
+
+def test_prompts_of_a_late_router_do_not_make_an_engine_seem_slow():
+    """Guards against: an engine that waits for a late router's prompt is
+    taken to be reading it, and its learnt rate falls with each run.
+    """
+    broker = make_broker(1)
+    engine = broker.engines["e0"]
+    broker.set_late("late", True)
+    for number in range(40):
+        now = number * 200.0
+        for router in ("late", "sound"):
+            ask_from(broker, router, f"{router}-{number}", now=now)
+        broker.pump(now)
+        broker.first_token(f"sound-{number}", now + 150.0)
+        broker.ended(f"sound-{number}")
+        broker.first_token(f"late-{number}", now + 190.0, is_fresh=False)
+        broker.ended(f"late-{number}")
+    assert engine.rate == pytest.approx(RATE)
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_desk.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_desk.py
@@ -111,6 +111,8 @@
 
     def _forget(self, peer: Peer) -> None:
         """Its requests have ended: its endpoints' connections are closed."""
+        for broker in self.brokers.values():
+            broker.set_late(peer.name, False)
         for number, service in peer.requests.items():
             broker = self.brokers[service]
             broker.cancel(peer.key(number))
@@ -135,6 +137,8 @@
 
     def _take(self, peer: Peer, told: ToBroker) -> None:
         if isinstance(told, Beat):
+            for broker in self.brokers.values():
+                broker.set_late(peer.name, told.is_late)
             return
         if isinstance(told, AskPlace):
             self._ask(peer, told)
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_link.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_link.py
@@ -197,7 +197,7 @@
         while True:
             await asyncio.sleep(BEAT_SECONDS)
             if self.waiting or any(r.tokens for r in self.running.values()):
-                self._send(Beat())
+                self._send(Beat(self.lag.is_late))
 
     def started(self, running: Running, is_granted: bool) -> None:
         """A request goes to its endpoint, with a grant or without one."""
--- a/packages/fleet/src/marjoramyard/fleet/gateway/brokering.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/brokering.py
@@ -102,13 +102,18 @@
     over_ms: float = 0.0
 
 
-class Beat(msgspec.Struct, tag="beat"):
+class Beat(msgspec.Struct, tag="beat", omit_defaults=True):
     """The sender is there.
 
     A broker says so all the time, a gateway while it has requests that wait
     or are being read.
+
+    Attributes:
+        is_late: The sender is short of processor.
     """
 
+    is_late: bool = False
+
 
 ToBroker = AskPlace | Withdraw | FirstToken | Ended | Running | Beat
 FromBroker = GrantPlace | RefusePlace | Beat
