--- a/packages/coordination/src/marjoramyard/coordination/placement/broker.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/broker.py
@@ -20,11 +20,10 @@
 from marjoramyard.coordination.placement.engines import (
     FIRST_TOKEN_MS,
     Engine,
+    Flight,
 )
-from marjoramyard.coordination.placement.flights import Flight
 from marjoramyard.coordination.placement.lines import Line, Waiting
 from marjoramyard.coordination.placement.plans import best_plan
-from marjoramyard.coordination.placement.rates import LeastDelay
 from marjoramyard.coordination.placement.requests import (
     Ask,
     Granted,
@@ -58,7 +57,6 @@
     def __init__(self, profile: EngineProfile, rate: float):
         self.profile = profile
         self.rate = rate
-        self.delay = LeastDelay()
         self.engines: dict[str, Engine] = {}
         self.flights: dict[str, Flight] = {}
         self.lines: dict[str, Line] = {}
@@ -76,9 +74,7 @@
         names = set(usable)
         for name in names:
             if name not in self.engines:
-                self.engines[name] = Engine(
-                    name, self.profile, self.rate, self.delay
-                )
+                self.engines[name] = Engine(name, self.profile, self.rate)
         for name, engine in list(self.engines.items()):
             engine.is_usable = name in names
             if not engine.is_usable and not engine.running:
@@ -284,7 +280,7 @@
         self._end_overdue(engine, flight, now)
         engine.unread.pop(key, None)
         flight.is_reading = False
-        engine.end_reading(flight, now, is_fresh)
+        engine.end_reading(flight.tokens, now, is_fresh)
 
     def _end_overdue(self, engine: Engine, last: Flight, now: float) -> None:
         """Counts as read what must have been read before `last`.
@@ -305,7 +301,7 @@
     ) -> None:
         del engine.unread[key]
         flight.is_reading = False
-        engine.end_reading(flight, now, False)
+        engine.end_reading(flight.tokens, now, False)
 
     def ended(self, key: str) -> None:
         """A request is no longer at its engine."""
@@ -317,7 +313,9 @@
         engine.running -= 1
         engine.memory -= flight.memory
         if flight.is_reading:
-            engine.give_up_reading(flight)
+            engine.reading_tokens = max(
+                0.0, engine.reading_tokens - flight.tokens
+            )
 
     def adopt(self, sent: Sent, now: float) -> None:
         """Counts a request that a router sent without a grant.
@@ -338,8 +336,6 @@
             sent.router,
         )
         self._count(engine, sent.key, flight)
-        # When it was sent is not known.
-        flight.is_timely = False
         cost = service_cost(sent.tokens, sent.output_tokens)
         self._charge(sent.workspace, cost)
 
@@ -352,8 +348,9 @@
             engine.unread[key] = flight
         engine.running += 1
         engine.memory += flight.memory
-        flight.is_timely = flight.router not in self.late
-        engine.begin_reading(flight)
+        is_timely = flight.router not in self.late
+        engine.begin_reading(flight.tokens, flight.granted_at, is_timely)
+        flight.read_by = flight.granted_at + engine.wait_ms + FIRST_TOKEN_MS
         engine.kept.shrink_to(engine.memory_tokens - engine.memory)
 
     # Grants.
