Limit what a late gateway serves, and let a flood go to other gateways too

Cause: everything that is sent is taken in. At 600 requests a second the event loop is 0.4 to 0.8 s late, and every answer with it.

Change: a gateway learns from the lateness of its loop how many prompts it can serve at once. While one workspace has more than half, the gateway is not ready, so new connections go elsewhere. Anything unusual in a head leaves the request to the library.

--- a/packages/fleet/src/marjoramyard/fleet/application.py
+++ b/packages/fleet/src/marjoramyard/fleet/application.py
@@ -39,6 +39,7 @@
 _SHUTDOWN_SECONDS = 0.3
 """How long handlers may take to notice that they are cancelled."""
 _KEEPALIVE_SECONDS = 75.0
+_BACKLOG = 512
 """As long as most balancers keep idle connections, and a little longer."""
 _WATCH_SECONDS = 2.0
 """One `stat` each time; a change matters within seconds at the soonest."""
@@ -78,6 +79,36 @@
     return waiter is not None and not waiter.done()
 
 
+ProtocolWrapper = Callable[
+    [asyncio.Protocol, Callable[[], bool]], asyncio.Protocol
+]
+"""Makes the protocol that stands before the library's, given that one and
+whether it waits for a request."""
+
+
+class WrappedSite(web.TCPSite):
+    """A site whose connections pass a protocol of ours first."""
+
+    def __init__(self, *args, wrapper: ProtocolWrapper, **options):
+        super().__init__(*args, **options)
+        self.wrapper = wrapper
+
+    async def start(self) -> None:
+        """Begins to listen."""
+        await web.BaseSite.start(self)
+        self._server = await asyncio.get_running_loop().create_server(
+            self._connect,
+            self._host,
+            self._port,
+            backlog=self._backlog,
+            reuse_address=self._reuse_address,
+        )
+
+    def _connect(self) -> asyncio.Protocol:
+        behind = self._runner.server()
+        return self.wrapper(behind, lambda: _waits_for_request(behind))
+
+
 class Listener:
     """An address that is served."""
 
@@ -152,6 +183,7 @@
         max_body: int = rpc.MAX_INTERNAL_BODY,
         max_header: int = rpc.MAX_HEAD_BYTES,
         keepalive: float = _KEEPALIVE_SECONDS,
+        wrapper: ProtocolWrapper | None = None,
     ) -> AsyncIterator["Listener"]:
         """Serves routes on an address.
 
@@ -163,6 +195,7 @@
             max_body: The largest body in bytes.
             max_header: The largest header line in bytes.
             keepalive: Seconds after which an idle connection is closed.
+            wrapper: Makes what sees the bytes of a connection first.
         """
         middlewares = [rpc.render_failures]
         if internal and self.secret:
@@ -188,7 +221,11 @@
         )
         await runner.setup()
         host, port = parse_address(address)
-        site = web.TCPSite(runner, host, port, reuse_address=True, backlog=512)
+        options = {"reuse_address": True, "backlog": _BACKLOG}
+        if wrapper is None:
+            site = web.TCPSite(runner, host, port, **options)
+        else:
+            site = WrappedSite(runner, host, port, wrapper=wrapper, **options)
         await site.start()
         try:
             yield Listener(runner, site)
--- a/packages/fleet/src/marjoramyard/fleet/gateway/admitting.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/admitting.py
@@ -69,10 +69,24 @@
         return self.give_up_at - now
 
 
-def admit(
+class Claim(msgspec.Struct, frozen=True):
+    """What a request asks for, and in whose name.
+
+    Attributes:
+        keyed_by: The key it came with; "" on open routes.
+        arrived_at: Loop clock.
+    """
+
+    route: Route
+    workspace: Workspace | None
+    keyed_by: str
+    arrived_at: float
+
+
+def check_claim(
     request: web.Request, view: FleetView, names: HeaderNames
-) -> CallerRequest:
-    """Checks a request's head; its body is not read yet.
+) -> Claim:
+    """Finds a request's route and workspace.
 
     Raises:
         FleetError: It can't be served; it has not run.
@@ -99,6 +113,19 @@
             "back in a moment",
             retry_after=NO_LEASE_RETRY_SECONDS,
         )
+    return Claim(route, workspace, key, arrived_at)
+
+
+def read_head(
+    request: web.Request, claim: Claim, names: HeaderNames
+) -> CallerRequest:
+    """Reads the rest of a request's head; its body is not read yet.
+
+    Raises:
+        FleetError: It can't be understood; it has not run.
+    """
+    route = claim.route
+    give_up_at = claim.arrived_at + _patience(request, route, names)
     return CallerRequest(
         attempt=request.headers.get(names.attempt, ""),
         method=request.method,
@@ -106,10 +133,10 @@
         headers=_passed_on(request, names),
         body=b"",
         route=route,
-        workspace=workspace,
-        arrived_at=arrived_at,
-        give_up_at=arrived_at + _patience(request, route, names),
-        keyed_by=key,
+        workspace=claim.workspace,
+        arrived_at=claim.arrived_at,
+        give_up_at=give_up_at,
+        keyed_by=claim.keyed_by,
         parts=parse_prompt_parts(request.headers.get(names.prompt_parts, "")),
         output_tokens=_output_tokens(request, names),
         last_event=request.headers.get(names.last_event, ""),
--- a/packages/fleet/src/marjoramyard/fleet/gateway/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/role.py
@@ -1,7 +1,7 @@
 """The gateway role: its services and its parts wired together."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
 from aiohttp import web
@@ -12,6 +12,7 @@
 from marjoramyard.fleet.gateway.brokering import BROKER_PATH
 from marjoramyard.fleet.gateway.connections import CallerConnections
 from marjoramyard.fleet.gateway.dialect import GATEWAY_DIALECTS
+from marjoramyard.fleet.gateway.early_refusal import EarlyRefusal
 from marjoramyard.fleet.gateway.following import Follower
 from marjoramyard.fleet.gateway.serving import Dispatcher
 from marjoramyard.fleet.gateway.upstream import endpoint_session
@@ -63,13 +64,32 @@
             response.force_close()
         return response
 
+    def wrap_connection(
+        self, behind: asyncio.Protocol, waits_for_request: Callable[[], bool]
+    ) -> asyncio.Protocol:
+        """Puts early refusals before a caller's connection."""
+        return EarlyRefusal(
+            behind,
+            waits_for_request,
+            self._refuses_early,
+            self.dispatcher.refuse_early,
+        )
+
+    def _refuses_early(self) -> bool:
+        reached = self.dispatcher.limit.is_reached
+        return reached and not self.closes_connections()
+
     def closes_connections(self) -> bool:
         """Whether a connection is to be closed after its answer."""
         return self.app.stopping.is_set() or self.connections.is_crowded
 
     async def readyz(self, _: web.Request) -> web.Response:
         """Tells the balancer whether to send new connections."""
-        ready = self.is_ready() and not self.app.stopping.is_set()
+        ready = (
+            self.is_ready()
+            and not self.app.stopping.is_set()
+            and not self.dispatcher.limit.is_flooded
+        )
         return web.Response(status=200 if ready else 503)
 
     async def drain(self) -> None:
@@ -114,6 +134,7 @@
         app.metrics.gauge("broker_requests", desk.requests)
         app.tasks.spawn(desk.beat_forever())
         app.tasks.spawn(desk.report_forever())
+        app.tasks.spawn(dispatcher.report_overload_forever())
         role = GatewayRole(app, view, dispatcher)
         app.tasks.spawn(Follower(app, view).run())
         async with (
@@ -130,6 +151,7 @@
                 internal=False,
                 health=False,
                 keepalive=IDLE_SECONDS,
+                wrapper=role.wrap_connection,
             ) as listener,
         ):
             role.connections.listener = listener
--- a/packages/fleet/src/marjoramyard/fleet/gateway/runs.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/runs.py
@@ -34,6 +34,7 @@
 from marjoramyard.fleet.gateway.dialect import HeaderNames
 from marjoramyard.fleet.gateway.loads import Flight, Loads, reading_rate
 from marjoramyard.fleet.gateway.view import FleetView
+from marjoramyard.fleet.util.spread import spread
 from marjoramyard.kernel.errors import (
     Failure,
     FleetError,
@@ -45,9 +46,6 @@
 
 FULL_RETRY_SECONDS = 0.4
 """Where all endpoints are full: some requests' worth of reading."""
-RETRY_SPREAD = 0.5
-"""Refused callers return over this share around the time they are told,
-not all at the same moment."""
 MAX_CONNECT_TRIES = 4
 """Each takes half a second at the most; a caller's patience is seconds."""
 MIN_RETRY_SECONDS = 0.15
@@ -396,8 +394,3 @@
             "its time ran out before it could be sent; it has not run",
             retry_after=spread(FULL_RETRY_SECONDS),
         )
-
-
-def spread(seconds: float) -> float:
-    """Returns about as many seconds, another number for each caller."""
-    return seconds * (1 + RETRY_SPREAD * (random.random() - 0.5))
--- a/packages/fleet/src/marjoramyard/fleet/gateway/serving.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/serving.py
@@ -4,26 +4,38 @@
 import random
 import time
 from collections.abc import Callable
+from contextlib import AbstractContextManager, nullcontext
 
 import aiohttp
 from aiohttp import web
 
+from marjoramyard.coordination.routing.config import Route
 from marjoramyard.coordination.routing.table import pick
 from marjoramyard.coordination.serving.retries import RetryBudget
 from marjoramyard.fleet.application import Application
-from marjoramyard.fleet.gateway.admitting import CallerRequest, admit
+from marjoramyard.fleet.gateway.admitting import (
+    CallerRequest,
+    Claim,
+    check_claim,
+    read_head,
+)
 from marjoramyard.fleet.gateway.broker_link import BrokerLinks
 from marjoramyard.fleet.gateway.delivery import CallerGoneError, Delivery
+from marjoramyard.fleet.gateway.early_refusal import (
+    RequestHead,
+    response_bytes,
+)
 from marjoramyard.fleet.gateway.loads import Loads
+from marjoramyard.fleet.gateway.overload import ServingLimit
 from marjoramyard.fleet.gateway.runs import (
     FULL_RETRY_SECONDS,
     Run,
     RunTools,
     Story,
-    spread,
 )
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.fleet.util.rpc import failure_response
+from marjoramyard.fleet.util.spread import spread
 from marjoramyard.kernel.errors import Failure, FleetError, Kind, raise_failure
 from marjoramyard.kernel.logs import get_logger
 
@@ -32,6 +44,7 @@
 SLACK_SHARE = 0.8
 """How much of the fleet's retry slack is given out; the rest covers
 gateways that restart and so get their part twice within a window."""
+REPORT_SECONDS = 1.0
 LEAVING_RETRY_SECONDS = 0.05
 """The caller's next connection reaches another gateway."""
 
@@ -57,6 +70,8 @@
         self.tools = RunTools(
             view, session, brokers, Loads(), self.names, app.metrics
         )
+        self.limit = ServingLimit()
+        brokers.lag.on_wake_up.append(self.limit.on_wake_up)
         self.budgets: dict[str, RetryBudget] = {}
         self.active = 0
 
@@ -70,10 +85,12 @@
         status, why = 0, "caller-left"
         try:
             self._refuse_if_unable()
-            caller = admit(request, self.view, self.names)
-            self._refuse_if_too_long(caller)
-            caller.body = await request.read()
-            response = await self._serve(caller, delivery, story)
+            claim = check_claim(request, self.view, self.names)
+            with self._within_limit(claim):
+                caller = read_head(request, claim, self.names)
+                self._refuse_if_too_long(caller)
+                caller.body = await request.read()
+                response = await self._serve(caller, delivery, story)
             status, why = response.status, "complete"
             return response
         except FleetError as error:
@@ -89,6 +106,56 @@
             self.active -= 1
             self._note(request, caller, delivery, story, began, status, why)
 
+    def refuse_early(self, head: RequestHead) -> bytes | None:
+        """Returns the response to a prompt beyond the limit."""
+        table = self.view.table
+        if table is None or "%" in head.path or not self.view.lease_holds():
+            return None
+        path = head.path.partition("?")[0]
+        route = table.route(head.header(b"host"), path)
+        if route is None or not self._needs_engine(route):
+            return None
+        name = ""
+        if table.needs_keys and not route.open_access:
+            key = head.header(self.names.api_key.lower().encode())
+            workspace = table.holder(key)
+            if workspace is None:
+                return None
+            name = workspace.name
+        if self.limit.admits(name):
+            return None
+        kind = route.request_kind.value
+        self.metrics.count("requests", outcome=Kind.OVERLOADED.code, kind=kind)
+        return response_bytes(self._refusal(self.limit.refusal(name)))
+
+    def _needs_engine(self, route: Route) -> bool:
+        services = self.view.table.services
+        return any(
+            services[destination.service].engine is not None
+            for destination in route.split
+        )
+
+    def _within_limit(self, claim: Claim) -> AbstractContextManager[None]:
+        """Counts a prompt against the limit; others are served in no time."""
+        if not self._needs_engine(claim.route):
+            return nullcontext()
+        workspace = claim.workspace
+        return self.limit.serving(workspace.name if workspace else "")
+
+    async def report_overload_forever(self) -> None:
+        """Logs what was refused for want of processor here."""
+        while True:
+            await asyncio.sleep(REPORT_SECONDS)
+            refused = self.limit.take_refused()
+            if refused:
+                logger.info(
+                    "gateway_overloaded",
+                    limit=round(self.limit.limit),
+                    active=self.limit.total,
+                    refused=refused.total(),
+                    most_of=refused.most_common(1)[0][0],
+                )
+
     def _refuse_if_unable(self) -> None:
         """Refuses what can't be seen through here, before it is read."""
         if self.refuses:
@@ -130,6 +197,9 @@
         now = time.monotonic()
         kind = caller.route.request_kind.value if caller else "none"
         self.metrics.count("requests", outcome=why, kind=kind)
+        if why == Kind.OVERLOADED.code:
+            # Their lines would take more processor than refusing them.
+            return
         self.metrics.observe("request_seconds", now - began, kind=kind)
         logger.info(
             "request",
--- a/packages/fleet/src/marjoramyard/fleet/util/lag.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/lag.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 
 from marjoramyard.kernel.metrics import Metrics
 
@@ -19,6 +20,7 @@
     def __init__(self, metrics: Metrics):
         self.metrics = metrics
         self.late_at = float("-inf")
+        self.on_wake_up: list[Callable[[float], None]] = []
 
     @property
     def is_late(self) -> bool:
@@ -35,3 +37,5 @@
             self.metrics.observe("loop_late_seconds", late)
             if late > LATE_SECONDS:
                 self.late_at = now
+            for listener in self.on_wake_up:
+                listener(late)
--- a/packages/kernel/src/marjoramyard/kernel/errors.py
+++ b/packages/kernel/src/marjoramyard/kernel/errors.py
@@ -32,6 +32,7 @@
     NO_LEASE = ("no_bundle_lease", 503)
     LEAVING = ("leaving", 503)
     BUSY = ("busy", 503)
+    OVERLOADED = ("overloaded", 503)
     NO_ENDPOINT = ("no_endpoint", 503)
     LEDGER_FULL = ("ledger_full", 503)
     NO_QUORUM = ("no_quorum", 503)
