--- a/packages/coordination/src/marjoramyard/coordination/placement/broker.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/broker.py
@@ -15,11 +15,10 @@
 """
 
 import math
-from collections.abc import Iterable
 
+from marjoramyard.coordination.placement.board import EngineBoard
 from marjoramyard.coordination.placement.engines import (
     FIRST_TOKEN_MS,
-    Engine,
     Flight,
 )
 from marjoramyard.coordination.placement.lines import Line, Waiting
@@ -41,58 +40,24 @@
 LARGE_SLACK_MS = 300.0
 """A prompt that takes longer than its objective to read can't be on time
 anywhere. It may wait this long instead, or the largest would never run."""
-OVERDUE_MS = 150.0
-"""How much later than an earlier prompt one must have been granted for its
-first token to show that the earlier one was read too. A router that needs
-longer to send is short of processor."""
 MAX_DEFERRED = 4
 """How many requests a round may leave waiting for their engine before it
 ends; each costs a look at all engines. Others behind them wait for the next
 end of a prompt, some ms later."""
 
 
-class Broker:
+class Broker(EngineBoard):
     """The queue of one service. Times are milliseconds of one clock."""
 
     def __init__(self, profile: EngineProfile, rate: float):
-        self.profile = profile
-        self.rate = rate
-        self.engines: dict[str, Engine] = {}
-        self.flights: dict[str, Flight] = {}
+        super().__init__(profile, rate)
         self.lines: dict[str, Line] = {}
         self.level: dict[str, float] = {}
         self.waiting: dict[str, Waiting] = {}
-        self.late: set[str] = set()
         # What silent routers have asked for, by key.
         self.suspended: dict[str, Waiting] = {}
         self.counter = 0
 
-    # What exists.
-
-    def set_engines(self, usable: Iterable[str]) -> None:
-        """Says which engines take work now."""
-        names = set(usable)
-        for name in names:
-            if name not in self.engines:
-                self.engines[name] = Engine(name, self.profile, self.rate)
-        for name, engine in list(self.engines.items()):
-            engine.is_usable = name in names
-            if not engine.is_usable and not engine.running:
-                del self.engines[name]
-
-    @property
-    def total_rate(self) -> float:
-        """Prompt tokens a millisecond that all usable engines read."""
-        return sum(e.rate for e in self.engines.values() if e.is_usable) or 1.0
-
-    @property
-    def mean_wait_ms(self) -> float:
-        """How long a prompt would wait at a usable engine, on average."""
-        usable = [e for e in self.engines.values() if e.is_usable]
-        if not usable:
-            return 0.0
-        return sum(e.wait_ms for e in usable) / len(usable)
-
     def counts(self) -> dict[str, int]:
         """Returns how many requests wait, are being read, and run."""
         reading = sum(1 for f in self.flights.values() if f.is_reading)
@@ -211,25 +176,6 @@
         self.suspended.pop(key, None)
         self._leave(key)
 
-    def set_late(self, router: str, is_late: bool) -> None:
-        """A router says whether it is short of processor.
-
-        One that is sends what it was granted late, and tells late that it
-        was read. Engines that are kept for its prompts until then stand
-        idle, so for them expected times count instead of news.
-        """
-        if is_late:
-            self.late.add(router)
-        else:
-            self.late.discard(router)
-
-    def _end_expected(self, now: float) -> None:
-        """Counts as read what late routers should have had read by now."""
-        for engine in self.engines.values():
-            for key, flight in list(engine.unread.items()):
-                if flight.router in self.late and now >= flight.read_by:
-                    self._count_as_read(engine, key, flight, now)
-
     def suspend(self, router: str, now: float) -> None:
         """A router has been silent for some time.
 
@@ -239,10 +185,7 @@
         its prompts don't count as being read, and its requests wait outside
         of the lines until it is heard again.
         """
-        for engine in self.engines.values():
-            for key, flight in list(engine.unread.items()):
-                if flight.router == router:
-                    self._count_as_read(engine, key, flight, now)
+        self.end_unsent(router, now)
         for key, waiting in list(self.waiting.items()):
             if waiting.ask.router == router:
                 self._leave(key)
@@ -261,62 +204,6 @@
         if waiting is not None:
             self.lines[waiting.ask.workspace].leave(waiting)
 
-    def first_token(self, key: str, now: float, is_fresh: bool = True) -> None:
-        """The first token of a request came: its prompt has been read.
-
-        Args:
-            key: The request.
-            now: When the news came.
-            is_fresh: It came without delay, so its time says how fast the
-                engine reads.
-        """
-        flight = self.flights.get(key)
-        if flight is None or not flight.is_reading:
-            return
-        engine = self.engines.get(flight.engine)
-        if engine is None:
-            flight.is_reading = False
-            return
-        self._end_overdue(engine, flight, now)
-        engine.unread.pop(key, None)
-        flight.is_reading = False
-        engine.end_reading(flight.tokens, now, is_fresh)
-
-    def _end_overdue(self, engine: Engine, last: Flight, now: float) -> None:
-        """Counts as read what must have been read before `last`.
-
-        Engines read in order of arrival. News of an earlier prompt that is
-        still missing is held up at a router that is short of processor;
-        counted as unread, it would keep the engine idle.
-        """
-        before = last.granted_at - OVERDUE_MS
-        for key, flight in list(engine.unread.items()):
-            if flight.granted_at >= before:
-                break
-            self._count_as_read(engine, key, flight, now)
-
-    @staticmethod
-    def _count_as_read(
-        engine: Engine, key: str, flight: Flight, now: float
-    ) -> None:
-        del engine.unread[key]
-        flight.is_reading = False
-        engine.end_reading(flight.tokens, now, False)
-
-    def ended(self, key: str) -> None:
-        """A request is no longer at its engine."""
-        flight = self.flights.pop(key, None)
-        engine = self.engines.get(flight.engine) if flight else None
-        if engine is None:
-            return
-        engine.unread.pop(key, None)
-        engine.running -= 1
-        engine.memory -= flight.memory
-        if flight.is_reading:
-            engine.reading_tokens = max(
-                0.0, engine.reading_tokens - flight.tokens
-            )
-
     def adopt(self, sent: Sent, now: float) -> None:
         """Counts a request that a router sent without a grant.
 
@@ -335,24 +222,13 @@
             is_reading,
             sent.router,
         )
-        self._count(engine, sent.key, flight)
+        self.add_flight(engine, sent.key, flight)
         cost = service_cost(sent.tokens, sent.output_tokens)
         self._charge(sent.workspace, cost)
 
     def _charge(self, workspace: str, cost: float) -> None:
         self.level[workspace] = self.level.get(workspace, 0.0) + cost
 
-    def _count(self, engine: Engine, key: str, flight: Flight) -> None:
-        self.flights[key] = flight
-        if flight.is_reading:
-            engine.unread[key] = flight
-        engine.running += 1
-        engine.memory += flight.memory
-        is_timely = flight.router not in self.late
-        engine.begin_reading(flight.tokens, flight.granted_at, is_timely)
-        flight.read_by = flight.granted_at + engine.wait_ms + FIRST_TOKEN_MS
-        engine.kept.shrink_to(engine.memory_tokens - engine.memory)
-
     # Grants.
 
     def pump(self, now: float) -> list[Granted | Refused]:
@@ -362,7 +238,7 @@
         was predicted to be, gives way: while others wait it is refused.
         """
         if self.late:
-            self._end_expected(now)
+            self.end_expected(now)
         told: list[Granted | Refused] = []
         deferred: list[Waiting] = []
         while len(deferred) < MAX_DEFERRED and any(
@@ -421,7 +297,7 @@
         flight = Flight(
             engine.endpoint, plan.tokens, memory, now, router=ask.router
         )
-        self._count(engine, ask.key, flight)
+        self.add_flight(engine, ask.key, flight)
         engine.kept.read(ask.parts)
         cost = service_cost(plan.tokens, ask.output_tokens)
         self._charge(ask.workspace, cost)
--- a/packages/fleet/src/marjoramyard/fleet/gateway/runs.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/runs.py
@@ -4,7 +4,6 @@
 import time
 from collections.abc import Iterator
 from contextlib import contextmanager
-from enum import Enum
 
 import aiohttp
 import msgspec
@@ -33,6 +32,7 @@
 from marjoramyard.fleet.gateway.delivery import Delivery
 from marjoramyard.fleet.gateway.dialect import HeaderNames
 from marjoramyard.fleet.gateway.loads import Flight, Loads, reading_rate
+from marjoramyard.fleet.gateway.story import PlacedBy, Story
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.fleet.util.spread import spread
 from marjoramyard.kernel.errors import (
@@ -52,24 +52,6 @@
 """A caller that is refused comes back no sooner than this."""
 
 
-class PlacedBy(Enum):
-    """Who chose the endpoint of a send."""
-
-    BROKER = "broker"
-    GATEWAY = "gateway"
-    """No broker answered."""
-
-
-class Story(msgspec.Struct):
-    """What is logged of a request, as it unfolds."""
-
-    sends: list[str] = []
-    placed_by: PlacedBy | None = None
-    wait_ms: float = 0.0
-    read_tokens: float = 0.0
-    predicted_ms: int | None = None
-
-
 class RunTools(msgspec.Struct, frozen=True):
     """What all runs of a gateway share.
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/serving.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/serving.py
@@ -31,8 +31,8 @@
     FULL_RETRY_SECONDS,
     Run,
     RunTools,
-    Story,
 )
+from marjoramyard.fleet.gateway.story import Story
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.fleet.util.rpc import failure_response
 from marjoramyard.fleet.util.spread import spread
--- /dev/null
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/story.py
@@ -0,0 +1,23 @@
+"""What is logged of a request."""
+
+from enum import Enum
+
+import msgspec
+
+
+class PlacedBy(Enum):
+    """Who chose the endpoint of a send."""
+
+    BROKER = "broker"
+    GATEWAY = "gateway"
+    """No broker answered."""
+
+
+class Story(msgspec.Struct):
+    """What is logged of a request, as it unfolds."""
+
+    sends: list[str] = []
+    placed_by: PlacedBy | None = None
+    wait_ms: float = 0.0
+    read_tokens: float = 0.0
+    predicted_ms: int | None = None
--- a/packages/fleet/tests/gateway/test_runs.py
+++ b/packages/fleet/tests/gateway/test_runs.py
@@ -18,7 +18,8 @@
 from marjoramyard.fleet.gateway.admitting import CallerRequest
 from marjoramyard.fleet.gateway.dialect import GATEWAY_DIALECTS, HeaderNames
 from marjoramyard.fleet.gateway.loads import Loads
-from marjoramyard.fleet.gateway.runs import Run, RunTools, Story
+from marjoramyard.fleet.gateway.runs import Run, RunTools
+from marjoramyard.fleet.gateway.story import Story
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.kernel.errors import FleetError, Kind
 from marjoramyard.kernel.metrics import Metrics
