Answer a request that comes right behind an early refused one

Read as a newcomer: where the bytes behind a refused request's body came in one piece with its end, they were dropped for good and the caller waited for ever. The test failed before; nothing else is changed but names (parse_head, since there are two read_head).

--- a/packages/fleet/src/marjoramyard/fleet/gateway/early_refusal.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/early_refusal.py
@@ -46,7 +46,7 @@
         return words[1].decode("latin-1") if len(words) == 3 else ""
 
 
-def read_head(data: bytes) -> RequestHead | None:
+def parse_head(data: bytes) -> RequestHead | None:
     """Returns the head that some bytes begin with.
 
     None where it is not whole, or anything about the size of the request is
@@ -138,18 +138,21 @@
 
     def data_received(self, data: bytes) -> None:
         """Bytes have come."""
+        if self.response is not None:
+            self._go_on_refusing(data)
+            return
         if self.missing == 0:
             self._begin(data)
         elif self.missing is not None:
-            self._go_on(len(data))
+            left = self.missing - len(data)
+            self.missing = left if left >= 0 else None
         if self.response is None:
             self.behind.data_received(data)
         elif self.missing == 0:
-            response, self.response = self.response, None
-            self.transport.write(response)
+            self._respond()
 
     def _begin(self, data: bytes) -> None:
-        head = read_head(data)
+        head = parse_head(data)
         if head is None or head.size < len(data):
             self.missing = None
             return
@@ -157,8 +160,15 @@
         if self.is_needed() and self.waits_for_request():
             self.response = self.judge(head)
 
-    def _go_on(self, size: int) -> None:
-        if size > self.missing:
-            self.missing = None
-        else:
-            self.missing -= size
+    def _go_on_refusing(self, data: bytes) -> None:
+        """Drops the rest of a refused request; what follows is the next."""
+        rest = data[self.missing :]
+        self.missing = max(0, self.missing - len(data))
+        if self.missing == 0:
+            self._respond()
+        if rest:
+            self.data_received(rest)
+
+    def _respond(self) -> None:
+        response, self.response = self.response, None
+        self.transport.write(response)
--- a/packages/fleet/tests/gateway/test_early_refusal.py
+++ b/packages/fleet/tests/gateway/test_early_refusal.py
@@ -11,7 +11,7 @@
 from marjoramyard.fleet.application import WrappedSite
 from marjoramyard.fleet.gateway.early_refusal import (
     EarlyRefusal,
-    read_head,
+    parse_head,
     response_bytes,
 )
 
@@ -109,10 +109,22 @@
 
 
 def test_a_header_that_comes_twice_is_not_believed():
-    head = read_head(request(extra=["Api-Key: a", "Api-Key: b"]))
+    head = parse_head(request(extra=["Api-Key: a", "Api-Key: b"]))
     assert head.header(b"api-key") == ""
 
 
+def test_a_request_right_behind_a_refused_one_is_answered_too():
+    """Guards against: a caller that sends its next request early waits for
+    ever, because the bytes behind a refused one are taken for its body.
+    """
+    guard, recorder = guarded()
+    data = request(b"x" * 100) + request(b"y")
+    guard.data_received(data[:80])
+    guard.data_received(data[80:])
+    assert recorder.written == REFUSED * 2
+    assert recorder.passed == b""
+
+
 async def test_a_connection_goes_on_after_a_refusal():
     """Guards against: a caller that keeps its connection gets no answer, or
     another request's, after one of its requests was refused early.
--- a/packages/fleet/tests/gateway/test_serving.py
+++ b/packages/fleet/tests/gateway/test_serving.py
@@ -15,7 +15,7 @@
 )
 from marjoramyard.coordination.routing.table import RouteTable
 from marjoramyard.fleet.gateway.dialect import GATEWAY_DIALECTS
-from marjoramyard.fleet.gateway.early_refusal import read_head
+from marjoramyard.fleet.gateway.early_refusal import parse_head
 from marjoramyard.fleet.gateway.serving import Dispatcher
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.kernel.metrics import Metrics
@@ -60,7 +60,7 @@
 
 def refusal(dispatcher, path="/llm/x", key="k1"):
     text = f"POST {path} HTTP/1.1\r\nHost: h\r\nApi-Key: {key}\r\n\r\n"
-    return dispatcher.refuse_early(read_head(text.encode()))
+    return dispatcher.refuse_early(parse_head(text.encode()))
 
 
 def test_a_prompt_beyond_the_limit_is_told_when_to_come_back(dispatcher):
