--- a/packages/standin/src/marjoramyard/standin/experiment/disturbances.py
+++ b/packages/standin/src/marjoramyard/standin/experiment/disturbances.py
@@ -50,6 +50,8 @@
                 endpoint=attempt.engine.name,
                 tokens=attempt.run.unread,
                 memory=attempt.run.own_tokens,
+                workspace=attempt.record.request.workspace,
+                output_tokens=attempt.record.request.most_tokens,
             )
             simulation.policy.adopt(sent, simulation.loop.now)
     for attempt in open_ones:
