Leave only when no more requests come, counted in wake-ups

A gateway ended once nothing was being answered for 0.3 s of the clock. In a late event loop that is one turn, and what had been sent meanwhile lay unread. A request sent at 33.403 s to a gateway that got SIGTERM at 30.694 s lost its connection at 35.095 s.

Fix: six wake-ups in a row in which nothing is answered and nothing has begun.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/role.py
@@ -31,8 +31,9 @@
 IDLE_SECONDS = 16.0
 """Callers reuse connections that have been idle for up to 12 s; a close
 must not cross a request."""
-QUIET_SECONDS = 0.3
-"""So long nothing must have come before the process ends."""
+QUIET_POLLS = 6
+"""In so many wake-ups in a row nothing must have come before the process ends.
+Counted by the clock, a late gateway would end while requests lie unread."""
 _DRAIN_POLL_SECONDS = 0.05
 
 
@@ -106,12 +107,15 @@
         self.dispatcher.ends_at = end
         await asyncio.sleep(BALANCER_SECONDS)
         self.dispatcher.refuses = True
-        quiet_since = loop.time()
-        while loop.time() - quiet_since < QUIET_SECONDS and loop.time() < end:
+        quiet_polls = 0
+        while quiet_polls < QUIET_POLLS and loop.time() < end:
+            begun = self.dispatcher.begun
             self.connections.close_idle()
             await asyncio.sleep(_DRAIN_POLL_SECONDS)
-            if self.dispatcher.active:
-                quiet_since = loop.time()
+            if self.dispatcher.active or self.dispatcher.begun != begun:
+                quiet_polls = 0
+            else:
+                quiet_polls += 1
         logger.info(
             "drained",
             cut=self.dispatcher.active,
--- a/packages/fleet/src/marjoramyard/fleet/gateway/serving.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/serving.py
@@ -74,10 +74,12 @@
         brokers.lag.on_wake_up.append(self.limit.on_wake_up)
         self.budgets: dict[str, RetryBudget] = {}
         self.active = 0
+        self.begun = 0
 
     async def handle(self, request: web.Request) -> web.StreamResponse:
         """Serves one request of a caller."""
         self.active += 1
+        self.begun += 1
         delivery = Delivery(request, self.closes_connections)
         story = Story()
         began = time.monotonic()
