Forward stream events without waking a task

Cause: forwarding one event cost a gateway as much as a twentieth of a whole request: the body reader woke the request's task, which fed the splitter and awaited a write.

Change: once a stream has started, events are split and written in the callback of the endpoint's connection. The task takes over again when the caller reads too slowly, so back-pressure is as before.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/delivery.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/delivery.py
@@ -8,6 +8,7 @@
 
 from marjoramyard.fleet.gateway.attempts import SendFailedError, SendOutcome
 from marjoramyard.fleet.gateway.events import EventSplitter
+from marjoramyard.fleet.gateway.stream_relay import DirectStreamRelay
 from marjoramyard.fleet.util.headers import copy_headers, end_to_end, is_stream
 
 
@@ -90,13 +91,25 @@
                 SendOutcome.BROKEN, f"resumed with status {upstream.status}"
             )
         self.events.buffer.clear()
-        async for data in upstream.content.iter_any():
-            events = self.events.feed(data)
+        content = upstream.content
+        while not content.at_eof():
+            events = self.events.feed(await content.readany())
             if events:
                 on_first()
                 await self._forward(upstream, events)
+            if self.has_started:
+                relay = DirectStreamRelay(
+                    upstream, self.request, self._process_directly
+                )
+                await relay.run()
         return await self._finish(upstream)
 
+    def _process_directly(self, data: bytes) -> bytes:
+        events = self.events.feed(data)
+        if events:
+            self._record_write(len(events))
+        return events
+
     async def _forward(
         self, upstream: aiohttp.ClientResponse, events: bytes
     ) -> None:
@@ -110,10 +123,10 @@
             await self.response.write(data)
         except ConnectionError as error:
             raise CallerGoneError(str(error)) from error
-        self.bytes_sent += len(data)
-        self._record_gap()
+        self._record_write(len(data))
 
-    def _record_gap(self) -> None:
+    def _record_write(self, size: int) -> None:
+        self.bytes_sent += size
         now = asyncio.get_running_loop().time()
         if self.written_at:
             gap = now - self.written_at
--- a/packages/fleet/src/marjoramyard/fleet/gateway/upstream.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/upstream.py
@@ -1,7 +1,7 @@
 """The HTTP session for requests to endpoints."""
 
 import functools
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
 import aiohttp
@@ -17,7 +17,20 @@
 
 
 class StrictHandler(ResponseHandler):
-    """A connection that is not reused after any irregularity."""
+    """A connection that is not reused after any irregularity.
+
+    Attributes:
+        on_read: Called after data was received or the connection was lost, when
+            the payload of the response is up to date.
+    """
+
+    on_read: Callable[[], None] | None = None
+
+    def data_received(self, data: bytes) -> None:
+        """Parses received data."""
+        super().data_received(data)
+        if self.on_read is not None:
+            self.on_read()
 
     def is_connected(self) -> bool:
         """Whether the connection may be reused.
@@ -40,6 +53,8 @@
                 aiohttp.ClientPayloadError(f"connection reset: {exc}")
             )
         super().connection_lost(exc)
+        if self.on_read is not None:
+            self.on_read()
 
 
 class StrictConnector(aiohttp.TCPConnector):
