Keep engines busy while grants and reports travel

Cause: the broker grants an engine at most 60 ms of prefill ahead and waits for the report of the first token. A prompt spends some 60 ms on its way to the engine and its report on the way back, so under overload engines had one prompt at a time and idled in between.

Change: the limit on the backlog follows the gaps of streams. Gateways report the longest gap of each stream relative to its objective when it ends; the limit grows while gaps meet it (up to 180 ms) and shrinks when they don't (down to the 60 ms of before).

--- /dev/null
+++ b/packages/coordination/src/marjoramyard/coordination/placement/backlog_limit.py
@@ -0,0 +1,42 @@
+"""The limit on the prefill backlog of an engine."""
+
+MIN_BACKLOG_MS = 60.0
+"""With less, an engine would idle until its next prompt arrives."""
+MAX_BACKLOG_MS = 180.0
+"""With more, prompts wait in engines that the broker could still reorder."""
+INCREASE_MS = 1.0
+"""Added for each stream whose gaps meet their objective."""
+DECREASE_FACTOR = 0.8
+"""Applied for each stream with a gap longer than its objective."""
+
+
+class BacklogLimit:
+    """Adapts the backlog limit to the gaps of the streams.
+
+    A prompt takes some time from its grant to its engine, and so does the
+    report of its first token. A larger backlog keeps the engine busy during
+    these times. But an engine that prefills without a pause generates the
+    tokens of its running streams more slowly. The limit therefore grows until
+    streams miss the objective for the time between their events.
+
+    Attributes:
+        limit_ms: An engine gets further requests while its backlog is expected
+            to take at most this time.
+    """
+
+    def __init__(self):
+        self.limit_ms = MIN_BACKLOG_MS
+
+    def record_longest_gap(self, ratio: float) -> None:
+        """Adapts the limit to a stream that has ended.
+
+        Args:
+            ratio: The longest gap between two events, relative to the
+                objective for it; 0.0 if unknown.
+        """
+        if ratio <= 0.0:
+            return
+        if ratio > 1.0:
+            self.limit_ms = max(MIN_BACKLOG_MS, self.limit_ms * DECREASE_FACTOR)
+        else:
+            self.limit_ms = min(MAX_BACKLOG_MS, self.limit_ms + INCREASE_MS)
--- a/packages/coordination/src/marjoramyard/coordination/placement/broker.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/broker.py
@@ -298,10 +298,11 @@
         """
         if self.lagging_routers:
             self.finish_expected_prefills(now)
+        max_backlog_ms = self.backlog_limit.limit_ms
         results: list[PlacementGrant | PlacementRefusal] = []
         deferred: list[QueuedRequest] = []
         while len(deferred) < MAX_DEFERRED and any(
-            e.accepts(0.0) for e in self.engines.values()
+            e.accepts(0.0, max_backlog_ms) for e in self.engines.values()
         ):
             queued = self._pop_next()
             if queued is None:
@@ -359,7 +360,7 @@
             return None
         plan = best_plan(request, usable, available, self.profile)
         engine = plan.engine
-        if not engine.accepts(memory_tokens):
+        if not engine.accepts(memory_tokens, self.backlog_limit.limit_ms):
             return None
         in_flight = InFlightRequest(
             engine.endpoint,
--- a/packages/coordination/src/marjoramyard/coordination/placement/engine_pool.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/engine_pool.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from marjoramyard.coordination.placement.backlog_limit import BacklogLimit
 from marjoramyard.coordination.placement.engines import (
     FIRST_TOKEN_LATENCY_MS,
     Engine,
@@ -25,6 +26,7 @@
         engines: The engines, by endpoint.
         in_flight: Requests that engines have, by key.
         lagging_routers: Routers that send requests and reports with delay.
+        backlog_limit: The limit on the backlog of each engine.
     """
 
     def __init__(self, profile: EngineProfile, rate: float):
@@ -33,6 +35,7 @@
         self.engines: dict[str, Engine] = {}
         self.in_flight: dict[str, InFlightRequest] = {}
         self.lagging_routers: set[str] = set()
+        self.backlog_limit = BacklogLimit()
 
     def set_engines(self, usable: Iterable[str]) -> None:
         """Sets the endpoints that may get new requests.
@@ -133,6 +136,14 @@
                 0.0, engine.prefill_tokens - request.prefill_tokens
             )
 
+    def record_longest_gap(self, ratio: float) -> None:
+        """Records the longest gap of a stream that has ended.
+
+        Args:
+            ratio: See `BacklogLimit.record_longest_gap`.
+        """
+        self.backlog_limit.record_longest_gap(ratio)
+
     def set_lagging(self, router: str, is_lagging: bool) -> None:
         """Sets whether a router is short of processor time.
 
--- a/packages/coordination/src/marjoramyard/coordination/placement/engines.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/engines.py
@@ -5,9 +5,6 @@
 from marjoramyard.coordination.placement.prefix_cache import PrefixCache
 from marjoramyard.coordination.routing.config import EngineProfile
 
-MAX_BACKLOG_MS = 60.0
-"""An engine gets further requests while its backlog is expected to take at most
-this time. Others stay in the broker's queues, where they can be reordered."""
 USABLE_SLOT_FRACTION = 0.95
 """Fraction of an engine's slots to use. The rest is left for requests sent
 without a grant that have not been reported to the broker yet."""
@@ -101,16 +98,16 @@
         """The expected time to prefill the backlog, in ms."""
         return self.prefill_tokens / self.rate
 
-    def accepts(self, memory_tokens: float) -> bool:
+    def accepts(self, memory_tokens: float, max_backlog_ms: float) -> bool:
         """Returns whether a request may be sent to the engine now.
 
-        The engine must have capacity, and its backlog must not exceed
-        `MAX_BACKLOG_MS`.
+        The engine must have capacity.
 
         Args:
             memory_tokens: The engine memory that the request needs, in tokens.
+            max_backlog_ms: The longest time that its backlog may take.
         """
-        return self.wait_ms <= MAX_BACKLOG_MS and self.has_capacity(
+        return self.wait_ms <= max_backlog_ms and self.has_capacity(
             memory_tokens
         )
 
--- a/packages/coordination/tests/placement/engine_simulation.py
+++ b/packages/coordination/tests/placement/engine_simulation.py
@@ -49,15 +49,25 @@
     Attributes:
         now: The simulated time, in ms.
         free_at: When each engine will have prefilled all of its prompts.
-        prefilling: (end of prefill, key) of the granted requests.
+        grant_ms: Time from a grant until the engine has the request.
+        report_ms: Time from the end of a prefill until the broker learns of
+            the first token.
+        gap_ratio: The longest gap of each stream relative to its objective, as
+            reported when the stream ends.
+        prefilling: (report of the first token, key) of the granted requests.
         submitted: All submitted requests, by key.
         first_token_ms: Time from submission to the first token, by key.
         refused: Refusals, by key.
     """
 
-    def __init__(self, broker, rate=RATE):
+    def __init__(
+        self, broker, rate=RATE, grant_ms=0.0, report_ms=0.0, gap_ratio=0.0
+    ):
         self.broker = broker
         self.rate = rate
+        self.grant_ms = grant_ms
+        self.report_ms = report_ms
+        self.gap_ratio = gap_ratio
         self.now = 0.0
         self.free_at = dict.fromkeys(broker.engines, 0.0)
         self.prefilling = []
@@ -86,6 +96,7 @@
                 self.now - self.submitted[key].submitted_at
             )
             self.broker.record_first_token(key, self.now)
+            self.broker.record_longest_gap(self.gap_ratio)
             self.broker.finish(key)
             self.dispatch()
         self.now = end
@@ -95,11 +106,12 @@
             if isinstance(result, PlacementRefusal):
                 self.refused[result.key] = result
                 continue
-            start = max(self.now, self.free_at[result.endpoint])
+            start = max(self.now + self.grant_ms, self.free_at[result.endpoint])
             self.free_at[result.endpoint] = (
                 start + result.prefill_tokens / self.rate
             )
-            self.prefilling.append((self.free_at[result.endpoint], result.key))
+            reported_at = self.free_at[result.endpoint] + self.report_ms
+            self.prefilling.append((reported_at, result.key))
 
 
 def poisson_arrivals(workspaces, seconds, seed=1):
--- a/packages/coordination/tests/placement/test_broker.py
+++ b/packages/coordination/tests/placement/test_broker.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from marjoramyard.coordination.placement.broker import Broker
-from marjoramyard.coordination.placement.engines import MAX_BACKLOG_MS
+from marjoramyard.coordination.placement.backlog_limit import MIN_BACKLOG_MS
 from marjoramyard.coordination.placement.local_placement import (
     EngineView,
     place_prompt,
@@ -111,7 +111,7 @@
             if result.endpoint == "e1":
                 broker.record_first_token(result.key, now + 55)
                 broker.finish(result.key)
-    assert granted.count("e0") <= MAX_BACKLOG_MS * RATE / 2000 + 1
+    assert granted.count("e0") <= MIN_BACKLOG_MS * RATE / 2000 + 1
     assert granted.count("e1") > 50
 
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_client.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_client.py
@@ -240,15 +240,21 @@
             running.tokens = 0.0
             self._send(FirstToken(number, self.lag.is_lagging))
 
-    def on_finished(self, number: int, failed: bool) -> None:
+    def on_finished(
+        self, number: int, failed: bool, gap_ratio: float = 0.0
+    ) -> None:
         """Reports that a request is no longer at its endpoint.
 
         Args:
             number: The request's number.
             failed: Whether the endpoint failed to respond.
+            gap_ratio: See `Finished`.
         """
+        if self.lag.is_lagging:
+            # This gateway may have caused the gap.
+            gap_ratio = 0.0
         if self.running.pop(number, None) is not None:
-            self._send(Finished(number, failed))
+            self._send(Finished(number, failed, gap_ratio))
 
 
 class BrokerClients:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_protocol.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_protocol.py
@@ -65,10 +65,13 @@
 
     Attributes:
         failed: The endpoint failed to respond.
+        gap_ratio: The longest gap between two events of its stream, relative to
+            the objective for it; 0.0 if unknown.
     """
 
     number: int
     failed: bool = False
+    gap_ratio: float = 0.0
 
 
 class RunningRequest(msgspec.Struct, tag="running"):
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
@@ -216,6 +216,7 @@
             del gateway.services[message.number]
 
     def _on_finished(self, broker: Broker, key: str, message: Finished) -> None:
+        broker.record_longest_gap(message.gap_ratio)
         in_flight = broker.in_flight.get(key)
         if in_flight is not None and message.failed:
             self.view.health_of(in_flight.endpoint).record_failure(
@@ -344,6 +345,7 @@
                         service=service,
                         wait_ms=round(broker.mean_wait_ms),
                         rate=round(broker.total_prefill_rate),
+                        backlog_ms=round(broker.backlog_limit.limit_ms),
                         suspended=len(broker.suspended),
                         **counts,
                     )
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
@@ -330,7 +330,16 @@
             raise
         finally:
             if client is not None:
-                client.on_finished(plan.broker_number, failed)
+                client.on_finished(
+                    plan.broker_number, failed, self._gap_ratio()
+                )
+
+    def _gap_ratio(self) -> float:
+        """Returns the longest gap of the stream relative to its objective."""
+        objective_ms = self.caller.route.gap_objective_ms
+        if objective_ms <= 0:
+            return 0.0
+        return round(self.delivery.longest_gap * 1000 / objective_ms, 3)
 
     def _is_endpoint_fault(self, error: SendFailedError) -> bool:
         """Whether a failed send counts against the endpoint's health.
