Send callers of one overloaded gateway to its idle neighbours

Their kept connections stayed where they were although the balancer had taken the gateways out of rotation; a lagging gateway discarded replies of control hosts that lay unread, lost its lease and refused all keys; and it sent requests on whose callers had left or whose deadline had passed.

--- a/packages/coordination/tests/placement/test_broker.py
+++ b/packages/coordination/tests/placement/test_broker.py
@@ -7,8 +7,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from marjoramyard.coordination.placement.broker import Broker
 from marjoramyard.coordination.placement.backlog_limit import MIN_BACKLOG_MS
+from marjoramyard.coordination.placement.broker import Broker
 from marjoramyard.coordination.placement.local_placement import (
     EngineView,
     place_prompt,
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_client.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_client.py
@@ -14,6 +14,7 @@
     BROKER_PATH,
     BROKER_TIMEOUT_SECONDS,
     HEARTBEAT_INTERVAL_SECONDS,
+    ZONE_PARAMETER,
     BrokerMessage,
     Finished,
     FirstToken,
@@ -46,7 +47,10 @@
 
     Attributes:
         refusals: Recent refusals that still hold.
+        zone: The availability zone of this gateway.
         liveness: Expires when the broker sends nothing for too long.
+        lagging_share: The share of the gateways in this availability zone that
+            are lagging, as last reported by the broker.
         last_number: The number of the last request.
         pending: Placement requests without a reply, by number.
         running: Requests at endpoints, by number.
@@ -54,8 +58,14 @@
     """
 
     def __init__(
-        self, view: FleetView, session: aiohttp.ClientSession, lag: LoopLag
+        self,
+        view: FleetView,
+        session: aiohttp.ClientSession,
+        lag: LoopLag,
+        zone: str = "",
     ):
+        self.zone = zone
+        self.lagging_share = 0.0
         self.view = view
         self.session = session
         self.lag = lag
@@ -89,7 +99,9 @@
                 CONNECT_SECONDS, HEARTBEAT_INTERVAL_SECONDS
             ).wait_for(
                 self.session.ws_connect(
-                    f"http://{address}{BROKER_PATH}", compress=0
+                    f"http://{address}{BROKER_PATH}",
+                    params={ZONE_PARAMETER: self.zone},
+                    compress=0,
                 )
             )
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
@@ -129,6 +141,7 @@
 
     def _on_message(self, message: BrokerMessage) -> None:
         if isinstance(message, Heartbeat):
+            self.lagging_share = message.lagging_share
             return
         future = self.pending.pop(message.number, None)
         if future is not None and not future.done():
@@ -266,7 +279,9 @@
         view: FleetView,
         session: aiohttp.ClientSession,
         metrics: Metrics,
+        zone: str = "",
     ):
+        self.zone = zone
         self.tasks = tasks
         self.view = view
         self.session = session
@@ -284,12 +299,22 @@
         """Returns the client of a service's broker; creates it if needed."""
         client = self.clients.get(service)
         if client is None:
-            client = BrokerClient(self.view, self.session, self.lag)
+            client = BrokerClient(self.view, self.session, self.lag, self.zone)
             self.clients[service] = client
             self.tasks.spawn(client.run(service))
             self.tasks.spawn(client.send_heartbeats_forever())
         return client
 
+    def lagging_share(self) -> float:
+        """Returns the share of lagging gateways in this availability zone.
+
+        1.0 if no broker is connected, as it is then unknown.
+        """
+        return max(
+            (c.lagging_share for c in self.clients.values() if c.is_connected),
+            default=1.0,
+        )
+
 
 @asynccontextmanager
 async def open_broker_session() -> AsyncIterator[aiohttp.ClientSession]:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_protocol.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_protocol.py
@@ -8,6 +8,8 @@
 from marjoramyard.coordination.routing.table import PromptPart
 
 BROKER_PATH = "/fleet/v1/broker"
+ZONE_PARAMETER = "zone"
+"""The query parameter with the availability zone of a connecting gateway."""
 HEARTBEAT_INTERVAL_SECONDS = 0.1
 BROKER_TIMEOUT_SECONDS = 0.4
 """A broker from which nothing was received for so long is considered
@@ -129,9 +131,12 @@
 
     Attributes:
         is_late: The sender's event loop is lagging.
+        lagging_share: From a broker, the share of the gateways in the
+            receiver's availability zone that are lagging.
     """
 
     is_late: bool = False
+    lagging_share: float = 0.0
 
 
 GatewayMessage = (
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import time
+from collections import Counter
 
 import aiohttp
 import msgspec
@@ -19,6 +20,7 @@
 )
 from marjoramyard.fleet.gateway.broker_protocol import (
     HEARTBEAT_INTERVAL_SECONDS,
+    ZONE_PARAMETER,
     BrokerMessage,
     Finished,
     FirstToken,
@@ -53,6 +55,8 @@
 
     Attributes:
         number: Identifies the connection on this host.
+        zone: The availability zone of the gateway.
+        is_lagging: Whether the gateway last reported that it is lagging.
         outbox: Messages to be sent in the next frame.
         services: Services of the queued, granted and unbrokered requests, by
             the number that the gateway gave the request.
@@ -60,8 +64,12 @@
             `GATEWAY_TIMEOUT_SECONDS`.
     """
 
-    def __init__(self, number: int, socket: web.WebSocketResponse):
+    def __init__(
+        self, number: int, socket: web.WebSocketResponse, zone: str = ""
+    ):
         self.number = number
+        self.zone = zone
+        self.is_lagging = False
         self.socket = socket
         self.outbox: list[BrokerMessage] = []
         self.services: dict[int, str] = {}
@@ -108,7 +116,11 @@
         socket = web.WebSocketResponse(compress=False)
         await socket.prepare(request)
         self.last_gateway_number += 1
-        gateway = GatewayConnection(self.last_gateway_number, socket)
+        gateway = GatewayConnection(
+            self.last_gateway_number,
+            socket,
+            request.query.get(ZONE_PARAMETER, ""),
+        )
         self.gateways[gateway.number] = gateway
         try:
             async for frame in socket:
@@ -190,6 +202,7 @@
         reports are delayed. Messages about unknown requests are ignored.
         """
         if isinstance(message, Heartbeat):
+            gateway.is_lagging = message.is_late
             for broker in self.brokers.values():
                 broker.set_lagging(gateway.router, message.is_late)
             return
@@ -374,9 +387,28 @@
             await asyncio.sleep(HEARTBEAT_INTERVAL_SECONDS)
             for gateway in self.gateways.values():
                 self._suspend_if_expired(gateway)
-                gateway.outbox.append(Heartbeat())
+            shares = self._lagging_shares()
+            for gateway in self.gateways.values():
+                share = shares[gateway.zone]
+                gateway.outbox.append(Heartbeat(lagging_share=share))
             self._schedule_dispatch()
 
+    def _lagging_shares(self) -> dict[str, float]:
+        """Returns the share of lagging gateways in each availability zone.
+
+        A gateway without requests sends no heartbeats and is not lagging; one
+        with requests that sends none is suspended and counts as lagging only
+        if it was before.
+        """
+        total: Counter[str] = Counter()
+        lagging: Counter[str] = Counter()
+        for gateway in self.gateways.values():
+            total[gateway.zone] += 1
+            lagging[gateway.zone] += gateway.is_lagging and bool(
+                gateway.services
+            )
+        return {zone: lagging[zone] / total[zone] for zone in total}
+
 
 def _log_send_failure(task: asyncio.Future) -> None:
     if not task.cancelled() and task.exception() is not None:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/control_sync.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/control_sync.py
@@ -2,12 +2,14 @@
 
 import asyncio
 
-from result import Err
+from result import Err, Result
 
 from marjoramyard.fleet import paths
 from marjoramyard.fleet.application import Application
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.fleet.sync_messages import SyncReply, SyncRequest
+from marjoramyard.fleet.util.liveness import LivenessTimer
+from marjoramyard.kernel.errors import Failure, FailureKind, failure
 from marjoramyard.kernel.logs import get_logger
 from marjoramyard.kernel.util.clocks import seconds_since_boot
 
@@ -18,6 +20,9 @@
 poll and must outlast an election."""
 REPLY_TIMEOUT_SECONDS = 0.7
 """Timeout beyond the poll time, for connections that stall without a reset."""
+REPLY_TICK_SECONDS = 0.1
+MAX_REPLY_SECONDS = 15.0
+"""Upper limit for a gateway whose event loop is late."""
 DISCOVERY_INTERVAL_SECONDS = 0.1
 RETRY_SECONDS = 0.4
 MAX_FAILURES = 40
@@ -55,6 +60,31 @@
             return 0.0
         return self.settings.processor_cores
 
+    async def _call(
+        self, address: str, request: SyncRequest
+    ) -> Result[SyncReply, Failure]:
+        """Sends a poll and returns the reply.
+
+        The timeout is counted in wake-ups: a gateway whose event loop is late
+        would otherwise discard replies that it has not read yet, and lose its
+        lease.
+        """
+        timer = LivenessTimer(
+            POLL_SECONDS + REPLY_TIMEOUT_SECONDS, REPLY_TICK_SECONDS
+        )
+        try:
+            return await timer.wait_for(
+                self.app.client.call(
+                    address,
+                    paths.SYNC_PATH,
+                    request,
+                    SyncReply,
+                    MAX_REPLY_SECONDS,
+                )
+            )
+        except TimeoutError as error:
+            return Err(failure(FailureKind.NO_ENDPOINT, f"{address}: {error}"))
+
     async def _poll(self, address: str) -> None:
         epoch, cursor, failures = "", 0, 0
         while failures < MAX_FAILURES or address in self.target_addresses():
@@ -69,13 +99,7 @@
                 self.settings.advertised_address,
                 self._spare_capacity(),
             )
-            result = await self.app.client.call(
-                address,
-                paths.SYNC_PATH,
-                request,
-                SyncReply,
-                POLL_SECONDS + REPLY_TIMEOUT_SECONDS,
-            )
+            result = await self._call(address, request)
             if isinstance(result, Err):
                 failures += 1
                 epoch = ""
--- a/packages/fleet/src/marjoramyard/fleet/gateway/delivery.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/delivery.py
@@ -9,6 +9,7 @@
 from marjoramyard.fleet.gateway.attempts import SendFailedError, SendOutcome
 from marjoramyard.fleet.gateway.events import EventSplitter
 from marjoramyard.fleet.gateway.stream_relay import DirectStreamRelay
+from marjoramyard.fleet.util.connections import has_peer_closed
 from marjoramyard.fleet.util.headers import copy_headers, end_to_end, is_stream
 
 
@@ -47,6 +48,15 @@
         """Whether part of the response has been sent."""
         return self.response is not None
 
+    def raise_if_caller_left(self) -> None:
+        """Checks the caller's connection without waiting for the event loop.
+
+        Raises:
+            CallerGoneError: The caller has closed its connection.
+        """
+        if has_peer_closed(self.request.transport):
+            raise CallerGoneError("the connection is closed")
+
     async def relay(
         self, upstream: aiohttp.ClientResponse, on_first
     ) -> web.StreamResponse:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/early_refusal.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/early_refusal.py
@@ -105,6 +105,7 @@
         is_idle: Tells whether the HTTP protocol is waiting for a request.
         is_needed: Tells whether requests are to be checked.
         check: Returns the response to a request that is rejected.
+        closes: Tells whether the connection is closed after a rejection.
         missing_bytes: Bytes of the current request still to be received; None
             if unknown, which disables the filter for this connection.
         response: The response to the current request if it is rejected.
@@ -116,11 +117,13 @@
         is_idle: Callable[[], bool],
         is_needed: Callable[[], bool],
         check: RefusalCheck,
+        closes: Callable[[], bool] = lambda: False,
     ):
         self.inner = inner
         self.is_idle = is_idle
         self.is_needed = is_needed
         self.check = check
+        self.closes = closes
         self.transport: asyncio.Transport | None = None
         self.missing_bytes: int | None = 0
         self.response: bytes | None = None
@@ -182,3 +185,5 @@
     def _respond(self) -> None:
         response, self.response = self.response, None
         self.transport.write(response)
+        if self.closes():
+            self.transport.close()
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
@@ -91,6 +91,7 @@
             view, session, brokers, EngineLoads(), self.names, app.metrics
         )
         self.limit = ConcurrencyLimit()
+        self.limit.lagging_share = brokers.lagging_share
         brokers.lag.on_wake_up.append(self.limit.on_wake_up)
         self.budgets: dict[str, RetryBudget] = {}
         self.active_count = 0
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
@@ -197,6 +197,21 @@
             retry_after=jitter(seconds),
         )
 
+    def _recheck_caller(self) -> None:
+        """Checks right before the send that the caller is still waiting.
+
+        While the event loop is late, neither its timeouts nor the closing of
+        callers' connections have been processed.
+
+        Raises:
+            FleetError: The deadline has passed.
+            CallerGoneError: The caller has closed its connection.
+        """
+        if time.monotonic() >= self.caller.deadline_at:
+            raise FleetError(self.deadline_failure())
+        if self.context.brokers.lag.is_lagging:
+            self.delivery.raise_if_caller_left()
+
     def _recheck_key(self) -> None:
         """Checks the key and the lease again right before the send.
 
@@ -279,6 +294,7 @@
         context = self.context
         endpoint = plan.endpoint.endpoint
         with self._track(plan) as tracked:
+            self._recheck_caller()
             self._recheck_key()
             self.tried.add(endpoint)
             self.trace.sends.append(endpoint)
--- a/packages/fleet/src/marjoramyard/fleet/gateway/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/role.py
@@ -53,7 +53,7 @@
         self.view = view
         self.handler = handler
         self.connections = CallerConnections(self.settings.max_descriptors)
-        handler.closes_connections = self.closes_connections
+        handler.closes_connections = self.sheds_connections
         handler.is_full = lambda: self.connections.is_full
 
     def is_ready(self) -> bool:
@@ -68,7 +68,7 @@
             response = await self.handler.handle(request)
         finally:
             busy.discard(request.protocol)
-        if self.closes_connections() and not response.prepared:
+        if self.sheds_connections() and not response.prepared:
             response.force_close()
         return response
 
@@ -81,14 +81,24 @@
             is_idle,
             self._refuses_early,
             self.handler.refuse_early,
+            self.sheds_connections,
         )
 
     def _refuses_early(self) -> bool:
         reached = self.handler.limit.is_reached
         return reached and not self.closes_connections()
 
+    def sheds_connections(self) -> bool:
+        """Whether connections are closed after the response.
+
+        While this gateway is not ready because of its load, the load balancer
+        directs the callers' next connections to other gateways.
+        """
+        overloaded = self.handler.limit.is_overloaded_by_one
+        return overloaded or self.closes_connections()
+
     def closes_connections(self) -> bool:
-        """Whether connections are closed after the response."""
+        """Whether this gateway is stopping or has too many connections."""
         return self.app.stopping.is_set() or self.connections.is_crowded
 
     async def readyz(self, _: web.Request) -> web.Response:
@@ -143,7 +153,9 @@
         open_endpoint_session() as session,
         open_broker_session() as to_brokers,
     ):
-        brokers = BrokerClients(app.tasks, view, to_brokers, app.metrics)
+        brokers = BrokerClients(
+            app.tasks, view, to_brokers, app.metrics, settings.zone
+        )
         handler = RequestHandler(view, session, brokers, app)
         broker_server = BrokerServer(view)
         app.metrics.gauge(
--- a/packages/fleet/tests/gateway/test_broker_server.py
+++ b/packages/fleet/tests/gateway/test_broker_server.py
@@ -18,6 +18,7 @@
 from marjoramyard.fleet.gateway.broker_protocol import (
     BROKER_PATH,
     HEARTBEAT_INTERVAL_SECONDS,
+    ZONE_PARAMETER,
     Heartbeat,
     PlaceGrant,
     PlaceRequest,
@@ -60,10 +61,10 @@
 
 
 @contextlib.asynccontextmanager
-async def connected(url):
+async def connected(url, zone=""):
     async with (
         aiohttp.ClientSession() as session,
-        session.ws_connect(url) as socket,
+        session.ws_connect(url, params={ZONE_PARAMETER: zone}) as socket,
     ):
         yield socket
 
@@ -140,3 +141,28 @@
             asyncio.timeout(OBJECTIVE_MS / 1000),
         ):
             assert isinstance(await receive_reply(recovering, 3), PlaceGrant)
+
+
+async def receive_lagging_share(socket, expected):
+    async with asyncio.timeout(10):
+        async for frame in socket:
+            for reply in broker_message_decoder.decode(frame.data):
+                if getattr(reply, "lagging_share", None) == expected:
+                    return
+
+
+async def test_gateways_learn_how_many_of_their_zone_are_lagging(broker_url):
+    """Guards against callers that are sent from one overloaded gateway to
+    others that are overloaded too, or that wait although others are idle.
+    """
+    async with (
+        connected(broker_url, "a") as lagging,
+        connected(broker_url, "a") as idle,
+        connected(broker_url, "b") as elsewhere,
+    ):
+        await request_placement(lagging, 1, "large")
+        data = msgspec.json.encode([Heartbeat(is_late=True)]).decode()
+        await lagging.send_str(data)
+        await receive_lagging_share(lagging, 0.5)
+        await receive_lagging_share(idle, 0.5)
+        await receive_lagging_share(elsewhere, 0.0)
--- a/packages/fleet/tests/gateway/test_early_refusal.py
+++ b/packages/fleet/tests/gateway/test_early_refusal.py
@@ -31,6 +31,10 @@
     def __init__(self):
         self.forwarded = b""
         self.written = b""
+        self.is_closed = False
+
+    def close(self):
+        self.is_closed = True
 
     def data_received(self, data):
         self.forwarded += data
@@ -159,3 +163,23 @@
                 assert text == (b"refused" if is_refusing else body)
     finally:
         await runner.cleanup()
+
+
+def test_an_overloaded_gateway_closes_connections_that_it_rejects():
+    """Guards against callers that stay with an overloaded gateway while the
+    load balancer would direct them to another one.
+    """
+    recorder = Recorder()
+    protocol = EarlyRefusal(
+        recorder,
+        lambda: True,
+        lambda: True,
+        lambda head: REFUSED,
+        lambda: True,
+    )
+    protocol.transport = recorder
+    protocol.data_received(request(b"x" * 100)[:-50])
+    assert not recorder.is_closed
+    protocol.data_received(b"x" * 50)
+    assert recorder.written == REFUSED
+    assert recorder.is_closed
--- a/packages/fleet/tests/gateway/test_request_handler.py
+++ b/packages/fleet/tests/gateway/test_request_handler.py
@@ -50,7 +50,9 @@
         settings=SimpleNamespace(retry_ratio=0.2, retry_slack=10),
         stopping=asyncio.Event(),
     )
-    brokers = SimpleNamespace(lag=SimpleNamespace(on_wake_up=[]))
+    brokers = SimpleNamespace(
+        lag=SimpleNamespace(on_wake_up=[]), lagging_share=lambda: 1.0
+    )
     instance = RequestHandler(view, None, brokers, app)
     instance.limit.limit = 1.0
     with instance.limit.admit("large"):
--- a/packages/fleet/tests/gateway/test_request_run.py
+++ b/packages/fleet/tests/gateway/test_request_run.py
@@ -16,12 +16,13 @@
 from marjoramyard.coordination.routing.table import RouteTable
 from marjoramyard.coordination.serving.retries import RetryBudget
 from marjoramyard.fleet.gateway.admission import CallerRequest
+from marjoramyard.fleet.gateway.delivery import CallerGoneError
 from marjoramyard.fleet.gateway.dialect import GATEWAY_DIALECTS, HeaderNames
 from marjoramyard.fleet.gateway.engine_load import EngineLoads
 from marjoramyard.fleet.gateway.request_run import RequestRun, RequestRunContext
 from marjoramyard.fleet.gateway.request_trace import RequestTrace
 from marjoramyard.fleet.gateway.view import FleetView
-from marjoramyard.kernel.errors import FailureKind, FleetError
+from marjoramyard.kernel.errors import FailureKind, FleetError, Outcome
 from marjoramyard.kernel.metrics import Metrics
 
 SERVICE = Service("api")
@@ -35,10 +36,30 @@
 )
 
 
+class DeliveryStub:
+    """The delivery to a caller that may have closed its connection."""
+
+    def __init__(self, caller_left):
+        self.events = SimpleNamespace(last_id="")
+        self.caller_left = caller_left
+
+    def raise_if_caller_left(self):
+        if self.caller_left:
+            raise CallerGoneError("closed")
+
+
 class SessionThatTimesOut:
-    """A client session whose connections time out."""
+    """A client session whose connections time out.
+
+    Attributes:
+        requests: The number of requests.
+    """
+
+    def __init__(self):
+        self.requests = 0
 
     async def request(self, *_args, **_options):
+        self.requests += 1
         raise aiohttp.ConnectionTimeoutError("timeout")
 
 
@@ -60,7 +81,7 @@
     return fleet_view
 
 
-def make_run(view, metrics, is_lagging):
+def make_run(view, metrics, is_lagging, seconds_left=5.0, caller_left=False):
     now = time.monotonic()
     caller = CallerRequest(
         attempt="a",
@@ -71,7 +92,7 @@
         route=ROUTE,
         workspace=None,
         arrived_at=now,
-        deadline_at=now + 5,
+        deadline_at=now + seconds_left,
     )
     brokers = SimpleNamespace(lag=SimpleNamespace(is_lagging=is_lagging))
     context = RequestRunContext(
@@ -82,7 +103,7 @@
         HeaderNames(),
         metrics,
     )
-    delivery = SimpleNamespace(events=SimpleNamespace(last_id=""))
+    delivery = DeliveryStub(caller_left)
     budget = RetryBudget(0.2, 10)
     return RequestRun(
         context, caller, delivery, RequestTrace(), SERVICE, budget
@@ -102,3 +123,28 @@
     assert caught.value.failure.kind is FailureKind.NO_ENDPOINT
     health = view.health_of("e0")
     assert health.is_backing_off(time.monotonic()) is not is_lagging
+
+
+async def test_a_request_whose_deadline_has_passed_is_not_sent(view, metrics):
+    """Guards against endpoints that work for callers that no longer wait.
+
+    A late event loop has not processed the timeout yet.
+    """
+    run = make_run(view, metrics, True, seconds_left=-0.1)
+    with pytest.raises(FleetError) as caught:
+        await run.run_to_completion()
+    assert caught.value.failure.outcome == Outcome.NOT_RUN.value
+    assert run.context.session.requests == 0
+
+
+async def test_a_request_of_a_caller_that_left_unnoticed_is_not_sent(
+    view, metrics
+):
+    """Guards against endpoints that work for callers that no longer wait.
+
+    A late event loop has not read the end of the caller's connection yet.
+    """
+    run = make_run(view, metrics, True, caller_left=True)
+    with pytest.raises(CallerGoneError):
+        await run.run_to_completion()
+    assert run.context.session.requests == 0
