Cache the usable endpoints of a service

Change: the view keeps the list for 50 ms, and until a registration changes, so that a draining endpoint still leaves at once. The broker passes it on to its model only when it is another list.

--- a/packages/coordination/src/marjoramyard/coordination/membership/registrations.py
+++ b/packages/coordination/src/marjoramyard/coordination/membership/registrations.py
@@ -69,12 +69,14 @@
         by_endpoint: Registration in force of each endpoint id.
         received_at: When that registration was received.
         by_address: Endpoint id by address.
+        change_count: The number of changes to `by_endpoint` so far.
     """
 
     def __init__(self):
         self.by_endpoint: dict[str, Registration] = {}
         self.received_at: dict[str, float] = {}
         self.by_address: dict[str, str] = {}
+        self.change_count = 0
 
     def merge(self, registration: Registration, now: float) -> bool:
         """Merges a registration received from an endpoint or a node.
@@ -91,6 +93,7 @@
             return False
         if not self._claim_address(registration):
             return False
+        self.change_count += 1
         self.received_at[registration.endpoint] = now
         self.by_endpoint[registration.endpoint] = registration
         return known is None or _differs(known, registration)
@@ -162,6 +165,7 @@
                 self.seconds_since_received(endpoint, now)
                 > DEPARTED_RETENTION_SECONDS
             ):
+                self.change_count += 1
                 del self.by_endpoint[endpoint]
                 del self.received_at[endpoint]
                 if self.by_address.get(registration.address) == endpoint:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
@@ -11,6 +11,7 @@
 import msgspec
 from aiohttp import web
 
+from marjoramyard.coordination.membership.registrations import Registration
 from marjoramyard.coordination.placement.broker import Broker
 from marjoramyard.coordination.placement.requests import (
     PlacementGrant,
@@ -101,6 +102,7 @@
         brokers: The brokers, by service.
         gateways: The open connections, by number.
         last_gateway_number: Number of the newest connection.
+        usable: The last list of usable endpoints of each service.
         dispatch_scheduled: Whether a dispatch is scheduled on the event loop.
     """
 
@@ -109,6 +111,7 @@
         self.brokers: dict[str, Broker] = {}
         self.gateways: dict[int, GatewayConnection] = {}
         self.last_gateway_number = 0
+        self.usable: dict[str, list[Registration]] = {}
         self.dispatch_scheduled = False
 
     async def serve(self, request: web.Request) -> web.WebSocketResponse:
@@ -190,7 +193,9 @@
             self.brokers[service] = broker
             logger.info("brokering", service=service, rate=round(rate, 1))
         usable = self.view.usable(service, set())
-        broker.set_engines(registration.endpoint for registration in usable)
+        if usable is not self.usable.get(service):
+            self.usable[service] = usable
+            broker.set_engines(r.endpoint for r in usable)
         return broker
 
     def _on_message(
--- a/packages/fleet/src/marjoramyard/fleet/gateway/view.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/view.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Callable
 
+import msgspec
 from result import Err
 
 from marjoramyard.coordination.governance.commands import ConfigDocument
@@ -28,6 +29,41 @@
 are missing: it may be unable to reach the control hosts only."""
 
 
+USABLE_VALID_SECONDS = 0.05
+"""How long the usable endpoints of a service are cached. Computing them takes
+too long for each request, because it looks at every endpoint."""
+
+
+class UsableEndpoints(msgspec.Struct, frozen=True):
+    """The endpoints of a service that may receive requests.
+
+    Attributes:
+        ready: All endpoints that accept requests.
+        healthy: Those that are neither unresponsive nor in backoff.
+        change_count: The state of the registrations that they were computed of.
+        valid_until: On the monotonic clock, in seconds.
+    """
+
+    ready: list[Registration]
+    healthy: list[Registration]
+    change_count: int
+    valid_until: float
+
+    def without(self, excluded: set[str]) -> list[Registration]:
+        """Returns the healthy endpoints that are not excluded.
+
+        Others are returned only if there are none, so that wrong suspicions
+        can't stop a service.
+        """
+        if not excluded:
+            return self.healthy or self.ready
+        for candidates in (self.healthy, self.ready):
+            found = [r for r in candidates if r.endpoint not in excluded]
+            if found:
+                return found
+        return []
+
+
 class FleetView:
     """The configuration, the lease, the endpoints and their health.
 
@@ -38,6 +74,7 @@
         unresponsive_reports: By control host, when it last reported and the
             endpoints whose heartbeats it misses.
         gateway_count: The number of gateways in the fleet.
+        usable_by_service: Cached results for `usable`.
         on_config: Called after a new configuration has come into force.
     """
 
@@ -51,6 +88,7 @@
         self.gateway_count = 1
         self.control_addresses: set[str] = set()
         self.broker_addresses: list[str] = []
+        self.usable_by_service: dict[str, UsableEndpoints] = {}
         self.on_config: list[Callable[[], None]] = []
 
     @property
@@ -148,20 +186,37 @@
         """Returns the endpoints that may receive a request now.
 
         Endpoints that are unresponsive or in backoff are returned only if there
-        are no others, so that wrong suspicions can't stop a service.
+        are no others, so that wrong suspicions can't stop a service. A change
+        of a registration takes effect at once, one of an endpoint's health
+        within `USABLE_VALID_SECONDS`.
+
+        Args:
+            service: The service.
+            excluded: Endpoints that must not be returned.
+
+        Returns:
+            The endpoints. The same list until something has changed; it must
+            not be modified.
         """
         now = time.monotonic()
-        ready = [
-            registration
-            for registration in self.registrations.usable(service)
-            if registration.endpoint not in excluded
-        ]
-        healthy = [
-            registration
-            for registration in ready
-            if self._is_healthy(registration, now)
-        ]
-        return healthy or ready
+        cached = self.usable_by_service.get(service)
+        if (
+            cached is None
+            or now >= cached.valid_until
+            or cached.change_count != self.registrations.change_count
+        ):
+            cached = self._compute_usable(service, now)
+            self.usable_by_service[service] = cached
+        return cached.without(excluded)
+
+    def _compute_usable(self, service: str, now: float) -> UsableEndpoints:
+        ready = self.registrations.usable(service)
+        return UsableEndpoints(
+            ready,
+            [r for r in ready if self._is_healthy(r, now)],
+            self.registrations.change_count,
+            now + USABLE_VALID_SECONDS,
+        )
 
     def _is_healthy(self, registration: Registration, now: float) -> bool:
         health = self.health_of(registration.endpoint)
