Pass over to a broker's successor without waiting for the control hosts

Cause: gateways notice within 0.4 s that their broker is frozen, cut off or gone, but waited up to 2.5 s for the leader to name another one, and placed prompts meanwhile without knowing each other's load. Brokers run on the largest hosts, which are those of the control hosts, whose faults are the most frequent ones.

Change: the leader's list has named the successors all along; a gateway whose broker does not respond connects to the next one on it, for 3 s, and then goes by the list again. All gateways notice at about the same time and choose the same successor.

Test: a suspended broker's successor grants within 1.5 s (it never did before the control hosts' next list).

--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_client.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_client.py
@@ -38,6 +38,9 @@
 logger = get_logger(__name__)
 
 RECONNECT_SECONDS = 0.2
+AVOID_SECONDS = 3.0
+"""How long a broker that did not respond is passed over for its successor.
+Within this time the control hosts select another one if it is lost."""
 CONNECT_SECONDS = 0.4
 """Timeout of opening and of closing a connection."""
 
@@ -48,6 +51,8 @@
     Attributes:
         refusals: Recent refusals that still hold.
         zone: The availability zone of this gateway.
+        avoided_until: When brokers that did not respond are used again, by
+            address, on the monotonic clock in seconds.
         liveness: Expires when the broker sends nothing for too long.
         lagging_share: The share of the gateways in this availability zone that
             are lagging, as last reported by the broker.
@@ -66,6 +71,7 @@
     ):
         self.zone = zone
         self.lagging_share = 0.0
+        self.avoided_until: dict[str, float] = {}
         self.view = view
         self.session = session
         self.lag = lag
@@ -85,10 +91,34 @@
         """Whether there is a connection and the broker is responsive."""
         return self.socket is not None and not self.liveness.has_expired
 
+    def _broker_of(self, service: str) -> str:
+        """Returns the first broker that is not avoided; "" if there is none.
+
+        All gateways notice a lost broker at about the same time and pass over
+        to the same successor, before the control hosts have selected it.
+        """
+        now = time.monotonic()
+        addresses = self.view.brokers_of(service)
+        usable = [
+            address
+            for address in addresses
+            if self.avoided_until.get(address, 0.0) <= now
+        ]
+        return next(iter(usable or addresses), "")
+
+    def _avoid(self, address: str) -> None:
+        now = time.monotonic()
+        self.avoided_until = {
+            other: until
+            for other, until in self.avoided_until.items()
+            if until > now
+        }
+        self.avoided_until[address] = now + AVOID_SECONDS
+
     async def run(self, service: str) -> None:
         """Connects to the service's broker, and reconnects, until cancelled."""
         while True:
-            address = self.view.broker_of(service)
+            address = self._broker_of(service)
             if address:
                 await self._connect(service, address)
             await asyncio.sleep(RECONNECT_SECONDS)
@@ -106,6 +136,7 @@
             )
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             logger.info("broker_unreachable", broker=address, why=repr(error))
+            self._avoid(address)
             return
         logger.info("broker_connected", service=service, broker=address)
         self.socket = socket
@@ -116,6 +147,7 @@
             await self.liveness.wait_for(self._read(service, address, socket))
         except TimeoutError:
             logger.info("broker_unresponsive", service=service, broker=address)
+            self._avoid(address)
         finally:
             self.socket = None
             self._release_pending()
@@ -123,7 +155,7 @@
             logger.info("broker_lost", service=service, broker=address)
 
     async def _read(self, service: str, address: str, socket) -> None:
-        while self.view.broker_of(service) == address:
+        while self._broker_of(service) == address:
             frame = await socket.receive()
             if frame.type is not aiohttp.WSMsgType.TEXT:
                 return
--- a/packages/fleet/src/marjoramyard/fleet/gateway/view.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/view.py
@@ -96,22 +96,23 @@
         """The version of the configuration in force; 0 for none."""
         return self.table.version if self.table is not None else 0
 
-    def broker_of(self, service: str) -> str:
-        """Returns the address of a service's broker; "" for none.
+    def brokers_of(self, service: str) -> list[str]:
+        """Returns the addresses of a service's broker and of its successors.
 
         The services with engines are distributed over the candidates in turn.
         """
         if self.table is None or not self.broker_addresses:
-            return ""
+            return []
         names = sorted(
             name
             for name, config in self.table.services.items()
             if config.engine
         )
         if service not in names:
-            return ""
+            return []
         position = names.index(service) % len(self.broker_addresses)
-        return self.broker_addresses[position]
+        addresses = self.broker_addresses
+        return addresses[position:] + addresses[:position]
 
     def has_valid_lease(self) -> bool:
         """Whether API keys may be accepted."""
--- a/packages/fleet/tests/gateway/test_broker_client.py
+++ b/packages/fleet/tests/gateway/test_broker_client.py
@@ -17,7 +17,10 @@
     Service,
 )
 from marjoramyard.fleet.gateway.admission import CallerRequest
-from marjoramyard.fleet.gateway.broker_client import BrokerClient
+from marjoramyard.fleet.gateway.broker_client import (
+    AVOID_SECONDS,
+    BrokerClient,
+)
 from marjoramyard.fleet.gateway.broker_protocol import (
     BROKER_TIMEOUT_SECONDS,
     PlaceGrant,
@@ -38,14 +41,14 @@
 )
 
 
-class ViewOfOneBroker:
-    """A view of the fleet with one broker for all services."""
+class ViewOfBrokers:
+    """A view of the fleet with the same brokers for all services."""
 
-    def __init__(self, address):
-        self.address = address
+    def __init__(self, addresses):
+        self.addresses = addresses
 
-    def broker_of(self, _service):
-        return self.address
+    def brokers_of(self, _service):
+        return self.addresses
 
 
 @pytest.fixture
@@ -73,10 +76,10 @@
 
 
 @contextlib.asynccontextmanager
-async def connected_client(address, metrics):
+async def connected_client(metrics, *addresses):
     async with aiohttp.ClientSession() as session:
         lag = LoopLag(metrics)
-        client = BrokerClient(ViewOfOneBroker(address), session, lag)
+        client = BrokerClient(ViewOfBrokers(addresses), session, lag)
         tasks = [
             asyncio.create_task(lag.watch()),
             asyncio.create_task(client.run("llm")),
@@ -126,7 +129,7 @@
     """
     async with (
         broker_process() as (_, address),
-        connected_client(address, metrics) as client,
+        connected_client(metrics, address) as client,
     ):
         for _ in range(4):
             earlier = asyncio.create_task(place(client))
@@ -140,10 +143,36 @@
     """Guards against requests that wait for a suspended broker."""
     async with (
         broker_process() as (child, address),
-        connected_client(address, metrics) as client,
+        connected_client(metrics, address) as client,
     ):
         assert isinstance(await place(client), PlaceGrant)
         child.send_signal(signal.SIGSTOP)
         began = time.monotonic()
         assert await place(client) is None
         assert time.monotonic() - began < 3 * BROKER_TIMEOUT_SECONDS
+
+
+async def test_a_successor_grants_soon_after_the_broker_is_suspended(metrics):
+    """Guards against gateways that place prompts without knowing each other's
+    load until the control hosts have selected another broker.
+    """
+    async with (
+        broker_process() as (first, first_address),
+        broker_process() as (_, second_address),
+        connected_client(metrics, first_address, second_address) as client,
+    ):
+        assert isinstance(await place(client), PlaceGrant)
+        first.send_signal(signal.SIGSTOP)
+        suspended_at = time.monotonic()
+        while await place(client) is None:
+            await asyncio.sleep(0.02)
+        assert time.monotonic() - suspended_at < AVOID_SECONDS / 2
+
+
+async def test_an_unreachable_broker_is_passed_over(metrics):
+    """Guards against gateways that keep trying a broker that is gone."""
+    async with (
+        broker_process() as (_, address),
+        connected_client(metrics, "127.0.0.1:1", address) as client,
+    ):
+        assert isinstance(await place(client), PlaceGrant)
