--- a/packages/coordination/src/marjoramyard/coordination/placement/engine_pool.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/engine_pool.py
@@ -9,6 +9,7 @@
     InFlightRequest,
 )
 from marjoramyard.coordination.routing.config import EngineProfile
+from marjoramyard.coordination.routing.table import PromptPart
 
 ORDER_TOLERANCE_MS = 150.0
 """Prompts granted further apart than this are assumed to be prefilled in
@@ -136,6 +137,15 @@
                 0.0, engine.prefill_tokens - request.prefill_tokens
             )
 
+    def add_cached(self, endpoint: str, parts: Iterable[PromptPart]) -> None:
+        """Adds prompt parts that a router has recently sent to an engine.
+
+        Unknown engines are ignored.
+        """
+        engine = self.engines.get(endpoint)
+        if engine is not None:
+            engine.prefix_cache.add(parts)
+
     def record_longest_gap(self, ratio: float) -> None:
         """Records the longest gap of a stream that has ended.
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_client.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_client.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 
 import aiohttp
 import msgspec
 
 from marjoramyard.coordination.routing.config import Service
+from marjoramyard.coordination.routing.table import PromptPart
 from marjoramyard.fleet.gateway.admission import CallerRequest
 from marjoramyard.fleet.gateway.broker_protocol import (
     BROKER_PATH,
@@ -16,6 +17,7 @@
     HEARTBEAT_INTERVAL_SECONDS,
     ZONE_PARAMETER,
     BrokerMessage,
+    CachedPrefix,
     Finished,
     FirstToken,
     GatewayMessage,
@@ -27,6 +29,7 @@
     Withdraw,
     broker_message_decoder,
 )
+from marjoramyard.fleet.gateway.prefix_history import PrefixHistory
 from marjoramyard.fleet.gateway.refusal_cache import RefusalCache
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.fleet.util.lag import LoopLag
@@ -60,6 +63,7 @@
         pending: Placement requests without a reply, by number.
         running: Requests at endpoints, by number.
         outbox: Messages to be sent in the next frame.
+        history: The shared prompt parts that were recently sent to engines.
     """
 
     def __init__(
@@ -84,6 +88,7 @@
         self.pending: dict[int, asyncio.Future] = {}
         self.running: dict[int, RunningRequest] = {}
         self.outbox: list[GatewayMessage] = []
+        self.history = PrefixHistory()
         self.flush_scheduled = False
 
     @property
@@ -141,7 +146,7 @@
         logger.info("broker_connected", service=service, broker=address)
         self.socket = socket
         self.liveness.reset()
-        self.outbox = list(self.running.values())
+        self.outbox = [*self._cached_prefixes(service), *self.running.values()]
         self._schedule_flush()
         try:
             await self.liveness.wait_for(self._read(service, address, socket))
@@ -154,6 +159,16 @@
             await self._close(socket)
             logger.info("broker_lost", service=service, broker=address)
 
+    def _cached_prefixes(self, service: str) -> list[CachedPrefix]:
+        return [
+            CachedPrefix(
+                service,
+                prefix.endpoint,
+                [(part.digest, part.tokens) for part in prefix.parts],
+            )
+            for prefix in self.history.recent()
+        ]
+
     async def _read(self, service: str, address: str, socket) -> None:
         while self._broker_of(service) == address:
             frame = await socket.receive()
@@ -263,13 +278,20 @@
             if self.pending or any(r.tokens for r in self.running.values()):
                 self._send(Heartbeat(self.lag.is_lagging))
 
-    def on_started(self, running: RunningRequest, is_granted: bool) -> None:
+    def on_started(
+        self,
+        running: RunningRequest,
+        parts: Sequence[PromptPart],
+        is_granted: bool,
+    ) -> None:
         """Records that a request is being sent to an endpoint.
 
         Args:
             running: The request.
+            parts: Its prompt parts.
             is_granted: Whether the broker chose the endpoint.
         """
+        self.history.add(running.endpoint, parts)
         self.running[running.number] = running
         if not is_granted:
             self._send(running)
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_protocol.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_protocol.py
@@ -16,6 +16,10 @@
 unresponsive. Requests are then placed by the gateway's own estimates."""
 
 
+def _decode_parts(parts: list[tuple[str, int]]) -> tuple[PromptPart, ...]:
+    return tuple(PromptPart(digest, size) for digest, size in parts)
+
+
 class PlaceRequest(msgspec.Struct, tag="ask", omit_defaults=True):
     """A gateway requests an endpoint for a request.
 
@@ -41,7 +45,7 @@
 
     def prompt(self) -> tuple[PromptPart, ...]:
         """Returns the prompt parts."""
-        return tuple(PromptPart(digest, size) for digest, size in self.parts)
+        return _decode_parts(self.parts)
 
 
 class Withdraw(msgspec.Struct, tag="withdraw"):
@@ -94,6 +98,24 @@
     output_tokens: int = 0
 
 
+class CachedPrefix(msgspec.Struct, tag="cached"):
+    """A gateway has recently sent these shared prompt parts to an engine.
+
+    Sent to a new broker.
+
+    Attributes:
+        parts: The shared prompt parts, as (digest, tokens).
+    """
+
+    service: str
+    endpoint: str
+    parts: list[tuple[str, int]]
+
+    def prompt(self) -> tuple[PromptPart, ...]:
+        """Returns the prompt parts."""
+        return _decode_parts(self.parts)
+
+
 class PlaceGrant(msgspec.Struct, tag="grant", omit_defaults=True):
     """The request may be sent to this endpoint now.
 
@@ -140,7 +162,13 @@
 
 
 GatewayMessage = (
-    PlaceRequest | Withdraw | FirstToken | Finished | RunningRequest | Heartbeat
+    PlaceRequest
+    | Withdraw
+    | FirstToken
+    | Finished
+    | RunningRequest
+    | CachedPrefix
+    | Heartbeat
 )
 BrokerMessage = PlaceGrant | PlaceRefusal | Heartbeat
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
@@ -23,6 +23,7 @@
     HEARTBEAT_INTERVAL_SECONDS,
     ZONE_PARAMETER,
     BrokerMessage,
+    CachedPrefix,
     Finished,
     FirstToken,
     GatewayMessage,
@@ -217,6 +218,11 @@
         if isinstance(message, RunningRequest):
             self._add_unbrokered(gateway, message)
             return
+        if isinstance(message, CachedPrefix):
+            broker = self._refresh_broker(message.service)
+            if broker is not None:
+                broker.add_cached(message.endpoint, message.prompt())
+            return
         service = gateway.services.get(message.number)
         if service is None:
             return
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
@@ -331,7 +331,7 @@
                 self._workspace_name(),
                 self.caller.output_tokens,
             )
-            client.on_started(running, plan.is_granted)
+            client.on_started(running, self.caller.parts, plan.is_granted)
         try:
             with self.context.loads.track(
                 endpoint, plan.prefill_tokens
--- a/packages/fleet/tests/gateway/test_broker_client.py
+++ b/packages/fleet/tests/gateway/test_broker_client.py
@@ -9,6 +9,8 @@
 
 import aiohttp
 import pytest
+from aiohttp import web
+from aiohttp.test_utils import TestServer
 
 from marjoramyard.coordination.routing.config import (
     EngineProfile,
@@ -16,14 +18,19 @@
     Route,
     Service,
 )
+from marjoramyard.coordination.routing.table import PromptPart
 from marjoramyard.fleet.gateway.admission import CallerRequest
 from marjoramyard.fleet.gateway.broker_client import (
     AVOID_SECONDS,
     BrokerClient,
 )
 from marjoramyard.fleet.gateway.broker_protocol import (
+    BROKER_PATH,
     BROKER_TIMEOUT_SECONDS,
+    CachedPrefix,
     PlaceGrant,
+    RunningRequest,
+    gateway_message_decoder,
 )
 from marjoramyard.fleet.util.lag import LoopLag
 from marjoramyard.kernel.metrics import Metrics
@@ -176,3 +183,35 @@
         connected_client(metrics, "127.0.0.1:1", address) as client,
     ):
         assert isinstance(await place(client), PlaceGrant)
+
+
+async def test_a_new_broker_is_told_which_parts_engines_have_cached(metrics):
+    """Guards against prefilling all shared parts again at a new broker."""
+    frames = asyncio.Queue()
+
+    async def record_frames(request):
+        socket = web.WebSocketResponse()
+        await socket.prepare(request)
+        async for frame in socket:
+            await frames.put(frame.data)
+        return socket
+
+    app = web.Application()
+    app.add_routes([web.get(BROKER_PATH, record_frames)])
+    async with TestServer(app) as server, aiohttp.ClientSession() as session:
+        address = f"{server.host}:{server.port}"
+        client = BrokerClient(
+            ViewOfBrokers([address]), session, LoopLag(metrics)
+        )
+        parts = (PromptPart("shared", 3000), PromptPart("own", 400))
+        running = RunningRequest(1, "llm", "e0", 400.0, 400.0)
+        client.on_started(running, parts, is_granted=True)
+        task = asyncio.create_task(client.run("llm"))
+        async with asyncio.timeout(10):
+            messages = gateway_message_decoder.decode(await frames.get())
+        assert messages == [
+            CachedPrefix("llm", "e0", [("shared", 3000)]),
+            running,
+        ]
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
--- a/packages/fleet/tests/gateway/test_broker_server.py
+++ b/packages/fleet/tests/gateway/test_broker_server.py
@@ -19,6 +19,7 @@
     BROKER_PATH,
     HEARTBEAT_INTERVAL_SECONDS,
     ZONE_PARAMETER,
+    CachedPrefix,
     Heartbeat,
     PlaceGrant,
     PlaceRequest,
@@ -166,3 +167,19 @@
         await receive_lagging_share(lagging, 0.5)
         await receive_lagging_share(idle, 0.5)
         await receive_lagging_share(elsewhere, 0.0)
+
+
+async def test_a_new_broker_knows_which_parts_engines_have_cached(broker_url):
+    """Guards against prefilling all shared parts again after a broker is lost,
+    which takes a large part of the engines' capacity.
+    """
+    shared = ("shared", 3000)
+    async with connected(broker_url) as socket:
+        request = PlaceRequest(
+            1, "llm", "w", [shared, ("own", 400)], 10, OBJECTIVE_MS, TIMEOUT_MS
+        )
+        messages = [CachedPrefix("llm", "e0", [shared]), request]
+        await socket.send_str(msgspec.json.encode(messages).decode())
+        grant = await receive_reply(socket, 1)
+        assert isinstance(grant, PlaceGrant)
+        assert grant.tokens == 400
