Let long streams alone set the backlog limit

Change: only streams of eight events or more are reported, and one that is late lowers the limit by 0.4 instead of 0.2.

--- a/packages/coordination/src/marjoramyard/coordination/placement/backlog_limit.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/backlog_limit.py
@@ -6,7 +6,7 @@
 """With more, prompts wait in engines that the broker could still reorder."""
 INCREASE_MS = 1.0
 """Added for each stream whose gaps meet their objective."""
-DECREASE_FACTOR = 0.8
+DECREASE_FACTOR = 0.6
 """Applied for each stream with a gap longer than its objective."""
 
 
@@ -30,6 +30,9 @@
     def record_longest_gap(self, ratio: float) -> None:
         """Adapts the limit to a stream that has ended.
 
+        Streams of few events should not be recorded: their gaps are short even
+        if those of long streams are not, and there may be many of them.
+
         Args:
             ratio: The longest gap between two events, relative to the
                 objective for it; 0.0 if unknown.
--- a/packages/fleet/src/marjoramyard/fleet/gateway/delivery.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/delivery.py
@@ -29,6 +29,7 @@
         written_at: When body bytes were last written, on the event loop clock
             in seconds.
         longest_gap: The longest time between two writes, in seconds.
+        write_count: How often body bytes were written.
     """
 
     def __init__(
@@ -42,6 +43,7 @@
         self.bytes_sent = 0
         self.written_at = 0.0
         self.longest_gap = 0.0
+        self.write_count = 0
 
     @property
     def has_started(self) -> bool:
@@ -137,6 +139,7 @@
 
     def _record_write(self, size: int) -> None:
         self.bytes_sent += size
+        self.write_count += 1
         now = asyncio.get_running_loop().time()
         if self.written_at:
             gap = now - self.written_at
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
@@ -52,6 +52,8 @@
 """`Retry-After` when no endpoint has capacity, before jitter."""
 MAX_CONNECT_ATTEMPTS = 4
 """Connection attempts per request, each to another endpoint if there is one."""
+MIN_EVENTS = 8
+"""Events after which the longest gap of a stream shows how its engine does."""
 MIN_RETRY_SECONDS = 0.15
 """Lower bound of the `Retry-After` of a late request, before jitter."""
 
@@ -351,9 +353,12 @@
                 )
 
     def _gap_ratio(self) -> float:
-        """Returns the longest gap of the stream relative to its objective."""
+        """Returns the longest gap of the stream relative to its objective.
+
+        0.0 if there is no objective, or too few events to tell.
+        """
         objective_ms = self.caller.route.gap_objective_ms
-        if objective_ms <= 0:
+        if objective_ms <= 0 or self.delivery.write_count < MIN_EVENTS:
             return 0.0
         return round(self.delivery.longest_gap * 1000 / objective_ms, 3)
 
