Forward prompts beyond a gateway's limit to gateways that have room

Change: a prompt beyond the limit is passed on by its first bytes to a gateway that the broker names: one that is not lagging, not overloaded itself and has the fewest requests, in the same zone rather than in another. The bytes of request and response are copied, not parsed; the other gateway serves it as its own and never passes it on. An unreachable peer means "not run" and a short return, a lost one "unknown", and a frozen one ends at the deadline; a caller that leaves closes the connection to the peer. Without peers it is refused as before.

Tests: each of these cases over real connections.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_client.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_client.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager
 
 import aiohttp
@@ -14,6 +14,7 @@
 from marjoramyard.fleet.gateway.broker_protocol import (
     BROKER_PATH,
     BROKER_TIMEOUT_SECONDS,
+    FORWARDING_PARAMETER,
     HEARTBEAT_INTERVAL_SECONDS,
     ZONE_PARAMETER,
     BrokerMessage,
@@ -54,11 +55,16 @@
     Attributes:
         refusals: Recent refusals that still hold.
         zone: The availability zone of this gateway.
+        forwarding_address: Where this gateway accepts forwarded requests; ""
+            for nowhere.
         avoided_until: When brokers that did not respond are used again, by
             address, on the monotonic clock in seconds.
         liveness: Expires when the broker sends nothing for too long.
         lagging_share: The share of the gateways in this availability zone that
             are lagging, as last reported by the broker.
+        peers: Addresses of gateways that have room for forwarded requests, as
+            last reported by the broker.
+        needs_peers: Whether this gateway wants to forward requests.
         last_number: The number of the last request.
         pending: Placement requests without a reply, by number.
         running: Requests at endpoints, by number.
@@ -72,9 +78,13 @@
         session: aiohttp.ClientSession,
         lag: LoopLag,
         zone: str = "",
+        forwarding_address: str = "",
     ):
         self.zone = zone
+        self.forwarding_address = forwarding_address
         self.lagging_share = 0.0
+        self.peers: list[str] = []
+        self.needs_peers: Callable[[], bool] = lambda: False
         self.avoided_until: dict[str, float] = {}
         self.view = view
         self.session = session
@@ -135,7 +145,10 @@
             ).wait_for(
                 self.session.ws_connect(
                     f"http://{address}{BROKER_PATH}",
-                    params={ZONE_PARAMETER: self.zone},
+                    params={
+                        ZONE_PARAMETER: self.zone,
+                        FORWARDING_PARAMETER: self.forwarding_address,
+                    },
                     compress=0,
                 )
             )
@@ -189,6 +202,7 @@
     def _on_message(self, message: BrokerMessage) -> None:
         if isinstance(message, Heartbeat):
             self.lagging_share = message.lagging_share
+            self.peers = message.peers
             return
         future = self.pending.pop(message.number, None)
         if future is not None and not future.done():
@@ -276,7 +290,11 @@
         while True:
             await asyncio.sleep(HEARTBEAT_INTERVAL_SECONDS)
             if self.pending or any(r.tokens for r in self.running.values()):
-                self._send(Heartbeat(self.lag.is_lagging))
+                self._send(
+                    Heartbeat(
+                        self.lag.is_lagging, needs_peers=self.needs_peers()
+                    )
+                )
 
     def on_started(
         self,
@@ -334,8 +352,11 @@
         session: aiohttp.ClientSession,
         metrics: Metrics,
         zone: str = "",
+        forwarding_address: str = "",
     ):
         self.zone = zone
+        self.forwarding_address = forwarding_address
+        self.needs_peers: Callable[[], bool] = lambda: False
         self.tasks = tasks
         self.view = view
         self.session = session
@@ -353,12 +374,28 @@
         """Returns the client of a service's broker; creates it if needed."""
         client = self.clients.get(service)
         if client is None:
-            client = BrokerClient(self.view, self.session, self.lag, self.zone)
+            client = BrokerClient(
+                self.view,
+                self.session,
+                self.lag,
+                self.zone,
+                self.forwarding_address,
+            )
+            client.needs_peers = lambda: self.needs_peers()
             self.clients[service] = client
             self.tasks.spawn(client.run(service))
             self.tasks.spawn(client.send_heartbeats_forever())
         return client
 
+    def peers(self) -> list[str]:
+        """Returns addresses of gateways that have room for requests."""
+        return [
+            peer
+            for client in self.clients.values()
+            if client.is_connected
+            for peer in client.peers
+        ]
+
     def lagging_share(self) -> float:
         """Returns the share of lagging gateways in this availability zone.
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_protocol.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_protocol.py
@@ -10,6 +10,9 @@
 BROKER_PATH = "/fleet/v1/broker"
 ZONE_PARAMETER = "zone"
 """The query parameter with the availability zone of a connecting gateway."""
+FORWARDING_PARAMETER = "forwarding"
+"""The query parameter with the address at which a connecting gateway accepts
+forwarded requests; "" for none."""
 HEARTBEAT_INTERVAL_SECONDS = 0.1
 BROKER_TIMEOUT_SECONDS = 0.4
 """A broker from which nothing was received for so long is considered
@@ -155,10 +158,15 @@
         is_late: The sender's event loop is lagging.
         lagging_share: From a broker, the share of the gateways in the
             receiver's availability zone that are lagging.
+        needs_peers: From a gateway, whether it wants to forward requests.
+        peers: From a broker, addresses of gateways that have room for requests
+            of the receiver.
     """
 
     is_late: bool = False
     lagging_share: float = 0.0
+    needs_peers: bool = False
+    peers: list[str] = []
 
 
 GatewayMessage = (
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import heapq
 import time
 from collections import Counter
 
@@ -20,6 +21,7 @@
     UnbrokeredRequest,
 )
 from marjoramyard.fleet.gateway.broker_protocol import (
+    FORWARDING_PARAMETER,
     HEARTBEAT_INTERVAL_SECONDS,
     ZONE_PARAMETER,
     BrokerMessage,
@@ -47,6 +49,11 @@
 """Gateways that send nothing for this long get no grants until their next
 message. Gateways without queued requests or prompts being prefilled send no
 heartbeats; they have nothing to suspend."""
+MAX_PEERS = 6
+"""How many gateways a gateway forwards requests to at the same time."""
+REMOTE_ZONE_COST = 8
+"""How many more requests a gateway in the same availability zone may have than
+one in another zone and still be preferred."""
 LOG_INTERVAL_SECONDS = 1.0
 
 
@@ -58,7 +65,9 @@
     Attributes:
         number: Identifies the connection on this host.
         zone: The availability zone of the gateway.
+        forwarding_address: Where it accepts forwarded requests; "" if nowhere.
         is_lagging: Whether the gateway last reported that it is lagging.
+        needs_peers: Whether it last reported that it wants to forward requests.
         outbox: Messages to be sent in the next frame.
         services: Services of the queued, granted and unbrokered requests, by
             the number that the gateway gave the request.
@@ -67,11 +76,17 @@
     """
 
     def __init__(
-        self, number: int, socket: web.WebSocketResponse, zone: str = ""
+        self,
+        number: int,
+        socket: web.WebSocketResponse,
+        zone: str = "",
+        forwarding_address: str = "",
     ):
         self.number = number
         self.zone = zone
+        self.forwarding_address = forwarding_address
         self.is_lagging = False
+        self.needs_peers = False
         self.socket = socket
         self.outbox: list[BrokerMessage] = []
         self.services: dict[int, str] = {}
@@ -79,6 +94,16 @@
             GATEWAY_TIMEOUT_SECONDS, HEARTBEAT_INTERVAL_SECONDS
         )
 
+    @property
+    def accepts_forwarded(self) -> bool:
+        """Whether other gateways may forward requests to this one."""
+        return (
+            bool(self.forwarding_address)
+            and not self.needs_peers
+            and not (self.is_lagging and self.services)
+            and not self.liveness.has_expired
+        )
+
     @property
     def router(self) -> str:
         """The name that identifies the gateway to the brokers."""
@@ -124,6 +149,7 @@
             self.last_gateway_number,
             socket,
             request.query.get(ZONE_PARAMETER, ""),
+            request.query.get(FORWARDING_PARAMETER, ""),
         )
         self.gateways[gateway.number] = gateway
         try:
@@ -209,6 +235,7 @@
         """
         if isinstance(message, Heartbeat):
             gateway.is_lagging = message.is_late
+            gateway.needs_peers = message.needs_peers
             for broker in self.brokers.values():
                 broker.set_lagging(gateway.router, message.is_late)
             return
@@ -400,10 +427,30 @@
                 self._suspend_if_expired(gateway)
             shares = self._lagging_shares()
             for gateway in self.gateways.values():
-                share = shares[gateway.zone]
-                gateway.outbox.append(Heartbeat(lagging_share=share))
+                gateway.outbox.append(
+                    Heartbeat(
+                        lagging_share=shares[gateway.zone],
+                        peers=self._peers_of(gateway),
+                    )
+                )
             self._schedule_dispatch()
 
+    def _peers_of(self, gateway: GatewayConnection) -> list[str]:
+        """Returns where a gateway may forward requests; empty if not needed.
+
+        The least busy gateways, and rather those in its availability zone.
+        """
+        if not gateway.needs_peers:
+            return []
+
+        def cost(peer: GatewayConnection) -> int:
+            remote = peer.zone != gateway.zone
+            return len(peer.services) + REMOTE_ZONE_COST * remote
+
+        candidates = [p for p in self.gateways.values() if p.accepts_forwarded]
+        chosen = heapq.nsmallest(MAX_PEERS, candidates, key=cost)
+        return [peer.forwarding_address for peer in chosen]
+
     def _lagging_shares(self) -> dict[str, float]:
         """Returns the share of lagging gateways in each availability zone.
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/early_refusal.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/early_refusal.py
@@ -1,11 +1,12 @@
-"""Rejects requests before they are parsed.
+"""Rejects or forwards requests before they are parsed.
 
-Rejecting a request by its raw head takes less CPU time than parsing it first,
-which leaves an overloaded gateway more for other requests.
+Doing so by the raw head takes less CPU time than parsing it first, which leaves
+an overloaded gateway more for other requests.
 """
 
 import asyncio
 from collections.abc import Callable
+from typing import Protocol
 
 import msgspec
 from aiohttp import web
@@ -94,6 +95,32 @@
 """Returns the complete response to a rejected request, or None."""
 
 
+class Forwarding(Protocol):
+    """A request that is being forwarded to another gateway.
+
+    It responds to the caller by itself and closes the connection.
+    """
+
+    def send(self, data: bytes) -> None:
+        """Sends bytes of the request."""
+
+    def pause_reading(self) -> None:
+        """Stops reading the response while the caller is slow."""
+
+    def resume_reading(self) -> None:
+        """Continues to read the response."""
+
+    def cancel(self) -> None:
+        """Ends the request because its caller has left."""
+
+
+StartForwarding = Callable[
+    [RequestHead, bytes, asyncio.Transport], Forwarding | None
+]
+"""Starts to forward a request, given its head, the bytes received so far and
+the caller's connection. Returns None if the request is not forwarded."""
+
+
 class EarlyRefusal(asyncio.Protocol):
     """Filters the bytes of a connection in front of its HTTP protocol.
 
@@ -109,6 +136,8 @@
         missing_bytes: Bytes of the current request still to be received; None
             if unknown, which disables the filter for this connection.
         response: The response to the current request if it is rejected.
+        start_forwarding: Forwards a request instead of rejecting it.
+        forwarding: The forwarded request. It is the last one of the connection.
     """
 
     def __init__(
@@ -118,12 +147,15 @@
         is_needed: Callable[[], bool],
         check: RefusalCheck,
         closes: Callable[[], bool] = lambda: False,
+        start_forwarding: StartForwarding = lambda *_: None,
     ):
         self.inner = inner
         self.is_idle = is_idle
         self.is_needed = is_needed
         self.check = check
         self.closes = closes
+        self.start_forwarding = start_forwarding
+        self.forwarding: Forwarding | None = None
         self.transport: asyncio.Transport | None = None
         self.missing_bytes: int | None = 0
         self.response: bytes | None = None
@@ -135,22 +167,36 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Called when the connection is closed."""
+        if self.forwarding is not None:
+            self.forwarding.cancel()
+            return
         self.inner.connection_lost(exc)
 
     def pause_writing(self) -> None:
         """Called when the transport's buffer is full."""
+        if self.forwarding is not None:
+            self.forwarding.pause_reading()
+            return
         self.inner.pause_writing()
 
     def resume_writing(self) -> None:
         """Called when the transport's buffer has drained."""
+        if self.forwarding is not None:
+            self.forwarding.resume_reading()
+            return
         self.inner.resume_writing()
 
     def eof_received(self) -> bool | None:
         """Called when the caller has closed its sending side."""
+        if self.forwarding is not None:
+            return None
         return self.inner.eof_received()
 
     def data_received(self, data: bytes) -> None:
         """Called when data is received."""
+        if self.forwarding is not None:
+            self._forward(data)
+            return
         if self.response is not None:
             self._discard(data)
             return
@@ -159,6 +205,8 @@
         elif self.missing_bytes is not None:
             remaining = self.missing_bytes - len(data)
             self.missing_bytes = remaining if remaining >= 0 else None
+        if self.forwarding is not None:
+            return
         if self.response is None:
             self.inner.data_received(data)
         elif self.missing_bytes == 0:
@@ -171,7 +219,23 @@
             return
         self.missing_bytes = head.size - len(data)
         if self.is_needed() and self.is_idle():
+            self._reject_or_forward(head, data)
+
+    def _reject_or_forward(self, head: RequestHead, data: bytes) -> None:
+        self.forwarding = self.start_forwarding(head, data, self.transport)
+        if self.forwarding is None:
             self.response = self.check(head)
+            return
+        # The HTTP library must not close the connection as an idle one.
+        self.inner.transport = None
+        self.inner.connection_lost(None)
+
+    def _forward(self, data: bytes) -> None:
+        """Forwards the rest of the request; discards what follows it."""
+        rest = data[: self.missing_bytes]
+        self.missing_bytes -= len(rest)
+        if rest:
+            self.forwarding.send(rest)
 
     def _discard(self, data: bytes) -> None:
         """Discards the rest of a rejected request; processes what follows."""
--- /dev/null
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/peer_forwarding.py
@@ -0,0 +1,245 @@
+"""Forwards requests beyond a gateway's limit to other gateways.
+
+The bytes of the request and of the response are copied without parsing them, so
+that a gateway can forward several times as many requests as it can serve. The
+other gateway authenticates, places and answers the request as one of its own.
+It never forwards a request again.
+"""
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+
+import msgspec
+
+from marjoramyard.fleet.gateway.early_refusal import RequestHead
+from marjoramyard.kernel.logs import get_logger
+from marjoramyard.kernel.util.addresses import parse_address
+
+logger = get_logger(__name__)
+
+CONNECT_SECONDS = 0.25
+"""Connect timeout. After it the request has not run and is refused."""
+DEADLINE_MARGIN_SECONDS = 0.25
+"""How long after its deadline a forwarded request is given up. The other
+gateway responds at the deadline if it is able to."""
+MAX_BUFFERED_BYTES = 1 << 17
+"""Response bytes buffered for a caller before reading from the peer pauses."""
+AVOID_SECONDS = 1.0
+"""How long a gateway that could not be reached gets no requests."""
+
+_CONNECTION = b"\r\nconnection:"
+_PLAIN_OPTIONS = (b"", b"keep-alive", b"close")
+
+
+class ForwardingFailures(msgspec.Struct, frozen=True):
+    """The complete responses to requests without a response from the peer.
+
+    Attributes:
+        not_sent: The connection could not be established; it has not run.
+        lost: The connection was lost; the request may have run.
+        timed_out: The deadline has passed; the request may have run.
+    """
+
+    not_sent: bytes
+    lost: bytes
+    timed_out: bytes
+
+
+class ForwardingPlan(msgspec.Struct, frozen=True):
+    """Where a request is forwarded to.
+
+    Attributes:
+        peer: The address of the other gateway.
+        attempt: The caller's ID of the attempt, for logs.
+        seconds_left: Seconds until the request's deadline.
+        failures: The responses if the peer sends none.
+    """
+
+    peer: str
+    attempt: str
+    seconds_left: float
+    failures: ForwardingFailures
+
+
+class PeerSelector:
+    """Chooses the gateway for each forwarded request.
+
+    Attributes:
+        active: Requests that are being forwarded, by peer.
+        avoided_until: When peers that could not be reached are used again, on
+            the event loop clock in seconds.
+    """
+
+    def __init__(self):
+        self.active: Counter[str] = Counter()
+        self.avoided_until: dict[str, float] = {}
+
+    def choose(self, peers: list[str], now: float) -> str:
+        """Returns the peer with the fewest requests; "" if there is none."""
+        usable = [p for p in peers if self.avoided_until.get(p, 0.0) <= now]
+        return min(usable, key=lambda peer: self.active[peer], default="")
+
+    def avoid(self, peer: str, now: float) -> None:
+        """Stops using a peer for a while."""
+        self.avoided_until[peer] = now + AVOID_SECONDS
+
+    def on_started(self, peer: str) -> None:
+        """Counts a forwarded request."""
+        self.active[peer] += 1
+
+    def on_ended(self, peer: str) -> None:
+        """Discounts a forwarded request."""
+        self.active[peer] -= 1
+        if not self.active[peer]:
+            del self.active[peer]
+
+
+def can_forward(head: RequestHead) -> bool:
+    """Whether a request can be forwarded without parsing it further.
+
+    A request whose `Connection` header names other headers can't.
+    """
+    if head.lowered.count(_CONNECTION) > 1:
+        return False
+    value = head.header(b"connection").lower().encode("latin-1")
+    return value in _PLAIN_OPTIONS
+
+
+def closing_request(head: RequestHead, data: bytes) -> bytes:
+    """Returns the bytes of a request with `Connection: close`.
+
+    The peer closes the connection after the response, so the response ends
+    with it and need not be parsed.
+
+    Args:
+        head: The head of the request.
+        data: The bytes received so far: the head and a part of the body.
+    """
+    raw = head.raw
+    start = head.lowered.find(_CONNECTION)
+    if start >= 0:
+        end = raw.find(b"\r\n", start + 2)
+        raw = raw[:start] + (raw[end:] if end >= 0 else b"")
+    return raw + b"\r\nConnection: close" + data[len(head.raw) :]
+
+
+class ForwardedRequest(asyncio.Protocol):
+    """The connection to a peer for one request.
+
+    Attributes:
+        plan: Where the request is forwarded to.
+        caller: The connection of the caller.
+        on_end: Called once when the request has ended.
+        unsent: Bytes of the request until the connection is established.
+        peer: The connection to the peer; None before it is established.
+        response_bytes: Bytes of the response received so far.
+        has_ended: Whether the request has ended.
+    """
+
+    def __init__(
+        self,
+        plan: ForwardingPlan,
+        caller: asyncio.Transport,
+        on_end: Callable[["ForwardedRequest", str], None],
+    ):
+        self.plan = plan
+        self.caller = caller
+        self.on_end = on_end
+        self.unsent = bytearray()
+        self.peer: asyncio.Transport | None = None
+        self.response_bytes = 0
+        self.has_ended = False
+        loop = asyncio.get_running_loop()
+        self.started_at = loop.time()
+        self.connecting = loop.create_task(self._connect())
+        self.timer = loop.call_later(
+            plan.seconds_left + DEADLINE_MARGIN_SECONDS, self._time_out
+        )
+
+    @property
+    def is_sent(self) -> bool:
+        """Whether part of the request may have reached the peer."""
+        return self.peer is not None
+
+    def send(self, data: bytes) -> None:
+        """Sends bytes of the request."""
+        if self.peer is None:
+            self.unsent += data
+        elif not self.peer.is_closing():
+            self.peer.write(data)
+
+    def pause_reading(self) -> None:
+        """Stops reading the response while the caller is slow."""
+        if self.peer is not None and not self.peer.is_closing():
+            self.peer.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Continues to read the response."""
+        if self.peer is not None and not self.peer.is_closing():
+            self.peer.resume_reading()
+
+    def cancel(self) -> None:
+        """Ends the request because its caller has left."""
+        self._end("caller-left", b"")
+
+    async def _connect(self) -> None:
+        host, port = parse_address(self.plan.peer)
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(CONNECT_SECONDS):
+                await loop.create_connection(lambda: self, host, port)
+        except (OSError, TimeoutError) as error:
+            if self.is_sent:
+                # Established although it timed out; its loss ends the request.
+                return
+            logger.info(
+                "peer_unreachable", peer=self.plan.peer, why=repr(error)
+            )
+            self._end("not-sent", self.plan.failures.not_sent)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Called when the connection to the peer is established."""
+        if self.has_ended:
+            transport.abort()
+            return
+        self.peer = transport
+        transport.write(bytes(self.unsent))
+        self.unsent.clear()
+
+    def data_received(self, data: bytes) -> None:
+        """Called when bytes of the response are received."""
+        if self.has_ended or self.caller.is_closing():
+            return
+        self.response_bytes += len(data)
+        self.caller.write(data)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Called when the peer has closed the connection."""
+        if self.response_bytes:
+            outcome = "forwarded" if exc is None else "peer-lost"
+            self._end(outcome, b"")
+        else:
+            self._end("peer-lost", self.plan.failures.lost)
+
+    def _time_out(self) -> None:
+        not_sent = self.plan.failures.not_sent
+        late = self.plan.failures.timed_out if self.is_sent else not_sent
+        self._end("deadline", b"" if self.response_bytes else late)
+
+    def _end(self, outcome: str, response: bytes) -> None:
+        """Ends the request; sends a response if the peer has sent none."""
+        if self.has_ended:
+            return
+        self.has_ended = True
+        self.timer.cancel()
+        if not self.is_sent:
+            self.connecting.cancel()
+        elif not self.peer.is_closing():
+            # Not closed gracefully: the peer stops running the request.
+            self.peer.abort()
+        if not self.caller.is_closing():
+            if response:
+                self.caller.write(response)
+            self.caller.close()
+        self.on_end(self, outcome)
--- a/packages/fleet/src/marjoramyard/fleet/gateway/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/role.py
@@ -2,7 +2,11 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from contextlib import (
+    AbstractAsyncContextManager,
+    asynccontextmanager,
+    nullcontext,
+)
 
 from aiohttp import web
 
@@ -72,6 +76,15 @@
             response.force_close()
         return response
 
+    async def handle_forwarded(
+        self, request: web.Request
+    ) -> web.StreamResponse:
+        """Handles a request that another gateway has forwarded.
+
+        The other gateway closes the connection after the response.
+        """
+        return await self.handler.handle(request)
+
     def wrap_connection(
         self, inner: asyncio.Protocol, is_idle: Callable[[], bool]
     ) -> asyncio.Protocol:
@@ -82,6 +95,7 @@
             self._refuses_early,
             self.handler.refuse_early,
             self.sheds_connections,
+            self.handler.start_forwarding,
         )
 
     def _refuses_early(self) -> bool:
@@ -154,7 +168,12 @@
         open_broker_session() as to_brokers,
     ):
         brokers = BrokerClients(
-            app.tasks, view, to_brokers, app.metrics, settings.zone
+            app.tasks,
+            view,
+            to_brokers,
+            app.metrics,
+            settings.zone,
+            settings.forwarding_address(),
         )
         handler = RequestHandler(view, session, brokers, app)
         broker_server = BrokerServer(view)
@@ -177,6 +196,7 @@
                 internal=False,
                 health=False,
             ),
+            _serve_forwarded(app, role),
             app.serve(
                 settings.listen,
                 [web.route("*", "/{path:.*}", role.handle)],
@@ -191,6 +211,21 @@
             yield role
 
 
+def _serve_forwarded(
+    app: Application, role: GatewayRole
+) -> AbstractAsyncContextManager:
+    """Serves requests that other gateways forward, if settings allow it."""
+    address = app.settings.forwarding_address()
+    if not address:
+        return nullcontext()
+    return app.serve(
+        address,
+        [web.route("*", "/{path:.*}", role.handle_forwarded)],
+        internal=False,
+        health=False,
+    )
+
+
 def setup(app: Application) -> None:
     """Registers the gateway role."""
     app.add_role("gateway", gateway_role)
--- a/packages/fleet/src/marjoramyard/fleet/settings.py
+++ b/packages/fleet/src/marjoramyard/fleet/settings.py
@@ -97,6 +97,9 @@
         max_descriptors: The most file descriptors that the process may have
             open, connections included.
         metrics_listen: An additional address for the metrics page, or "".
+        forwarding_port_offset: The port for requests that other gateways
+            forward, relative to the port of `internal`; 0 for none. Any process
+            that reaches it is treated like a caller.
     """
 
     listen: str
@@ -109,6 +112,14 @@
     processor_cores: float = 1.0
     max_descriptors: int = 1024
     metrics_listen: str = ""
+    forwarding_port_offset: int = 0
+
+    def forwarding_address(self) -> str:
+        """Returns the address for forwarded requests; "" if there is none."""
+        if not self.forwarding_port_offset:
+            return ""
+        host, _, port = self.internal.rpartition(":")
+        return f"{host}:{int(port) + self.forwarding_port_offset}"
 
     def addresses(self) -> dict[str, str]:
         """Returns all addresses, including the two listening ones."""
--- a/packages/fleet/tests/gateway/test_broker_server.py
+++ b/packages/fleet/tests/gateway/test_broker_server.py
@@ -17,6 +17,7 @@
 from marjoramyard.coordination.routing.table import RouteTable
 from marjoramyard.fleet.gateway.broker_protocol import (
     BROKER_PATH,
+    FORWARDING_PARAMETER,
     HEARTBEAT_INTERVAL_SECONDS,
     ZONE_PARAMETER,
     CachedPrefix,
@@ -62,10 +63,12 @@
 
 
 @contextlib.asynccontextmanager
-async def connected(url, zone=""):
+async def connected(url, zone="", forwarding=""):
     async with (
         aiohttp.ClientSession() as session,
-        session.ws_connect(url, params={ZONE_PARAMETER: zone}) as socket,
+        session.ws_connect(
+            url, params={ZONE_PARAMETER: zone, FORWARDING_PARAMETER: forwarding}
+        ) as socket,
     ):
         yield socket
 
@@ -183,3 +186,31 @@
         grant = await receive_reply(socket, 1)
         assert isinstance(grant, PlaceGrant)
         assert grant.tokens == 400
+
+
+async def receive_peers(socket, expected):
+    async with asyncio.timeout(10):
+        async for frame in socket:
+            for reply in broker_message_decoder.decode(frame.data):
+                if getattr(reply, "peers", None) == expected:
+                    return
+
+
+async def test_an_overloaded_gateway_learns_of_others_that_have_room(
+    broker_url,
+):
+    """Guards against callers that are refused by one gateway while others are
+    idle, and against requests that are forwarded to overloaded gateways.
+    """
+    async with (
+        connected(broker_url, "a", "127.0.0.1:1") as overloaded,
+        connected(broker_url, "a", "127.0.0.1:2") as also_overloaded,
+        connected(broker_url, "b", "127.0.0.1:3"),
+        connected(broker_url, "a", "127.0.0.1:4") as idle,
+        connected(broker_url, "a"),
+    ):
+        heartbeat = msgspec.json.encode([Heartbeat(needs_peers=True)]).decode()
+        await also_overloaded.send_str(heartbeat)
+        await overloaded.send_str(heartbeat)
+        await receive_peers(overloaded, ["127.0.0.1:4", "127.0.0.1:3"])
+        await receive_peers(idle, [])
--- /dev/null
+++ b/packages/fleet/tests/gateway/test_peer_forwarding.py
@@ -0,0 +1,227 @@
+"""Requests that a gateway forwards to another one."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from marjoramyard.fleet.application import WrappedSite
+from marjoramyard.fleet.gateway.early_refusal import EarlyRefusal, parse_head
+from marjoramyard.fleet.gateway.peer_forwarding import (
+    DEADLINE_MARGIN_SECONDS,
+    ForwardedRequest,
+    ForwardingFailures,
+    ForwardingPlan,
+    PeerSelector,
+    can_forward,
+    closing_request,
+)
+
+from aiohttp import web  # isort: skip
+
+TIMEOUT_SECONDS = 10.0
+FAILURES = ForwardingFailures(
+    b"HTTP/1.1 503 not-sent\r\nContent-Length: 0\r\n\r\n",
+    b"HTTP/1.1 502 lost\r\nContent-Length: 0\r\n\r\n",
+    b"HTTP/1.1 504 timed-out\r\nContent-Length: 0\r\n\r\n",
+)
+
+
+def request_bytes(body=b"", *headers):
+    lines = ["POST /chat HTTP/1.1", "Host: h", *headers]
+    lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+class Peer:
+    """Another gateway, which answers as the test says.
+
+    Attributes:
+        received: All bytes of the request.
+        respond: Called with the reader and the writer once the request is in.
+        is_closed: Set when the connection has been closed.
+    """
+
+    def __init__(self, respond):
+        self.received = b""
+        self.respond = respond
+        self.is_closed = asyncio.Event()
+
+    async def serve(self, reader, writer):
+        head = await reader.readuntil(b"\r\n\r\n")
+        size = int(head.lower().partition(b"content-length: ")[2].split()[0])
+        self.received = head + await reader.readexactly(size)
+        with contextlib.suppress(ConnectionError):
+            await self.respond(reader, writer)
+        writer.close()
+        self.is_closed.set()
+
+
+class ForwardingGateway:
+    """An overloaded gateway that forwards each request to one peer."""
+
+    def __init__(self, peer, seconds_left=5.0):
+        self.peer = peer
+        self.seconds_left = seconds_left
+        self.outcomes = []
+
+    def start(self, head, data, caller):
+        plan = ForwardingPlan(self.peer, "id", self.seconds_left, FAILURES)
+        forwarded = ForwardedRequest(plan, caller, self.on_end)
+        forwarded.send(closing_request(head, data))
+        return forwarded
+
+    def on_end(self, _request, outcome):
+        self.outcomes.append(outcome)
+
+    def wrap(self, inner, is_idle):
+        return EarlyRefusal(
+            inner,
+            is_idle,
+            lambda: True,
+            lambda head: None,
+            start_forwarding=self.start,
+        )
+
+
+@contextlib.asynccontextmanager
+async def gateway_of(peer_address, **options):
+    """Yields a forwarding gateway and a connection of a caller to it."""
+    gateway = ForwardingGateway(peer_address, **options)
+    runner = web.AppRunner(web.Application())
+    await runner.setup()
+    site = WrappedSite(runner, "127.0.0.1", 0, wrapper=gateway.wrap)
+    await site.start()
+    port = site._server.sockets[0].getsockname()[1]
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    async with asyncio.timeout(TIMEOUT_SECONDS):
+        yield gateway, reader, writer
+    writer.close()
+    await runner.cleanup()
+
+
+@contextlib.asynccontextmanager
+async def forwarding(respond, **options):
+    """Yields a peer, a gateway that forwards to it, and a caller."""
+    peer = Peer(respond)
+    server = await asyncio.start_server(peer.serve, "127.0.0.1", 0)
+    address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    async with gateway_of(address, **options) as (gateway, reader, writer):
+        yield peer, gateway, reader, writer
+    server.close()
+
+
+RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
+
+
+async def respond_whole(_reader, writer):
+    writer.write(RESPONSE[:20])
+    await writer.drain()
+    writer.write(RESPONSE[20:])
+
+
+@pytest.mark.parametrize("cut", [80, 100, 2000])
+async def test_a_forwarded_request_and_its_response_arrive_whole(cut):
+    """Guards against bytes that are lost, repeated or sent to another caller.
+
+    Bytes after the request are discarded: they may be part of an attempt to
+    smuggle a request past the gateway.
+    """
+    data = request_bytes(b"x" * 3000, "Connection: keep-alive")
+    async with forwarding(respond_whole) as (peer, gateway, reader, writer):
+        writer.write(data[:cut])
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        writer.write(data[cut:] + b"GET /next HTTP/1.1\r\nHost: h\r\n\r\n")
+        assert await reader.read() == RESPONSE
+    head, _, body = peer.received.partition(b"\r\n\r\n")
+    assert body == b"x" * 3000
+    assert head.lower().count(b"\r\nconnection:") == 1
+    assert b"\r\nConnection: close" in head
+    assert gateway.outcomes == ["forwarded"]
+
+
+async def test_an_unreachable_peer_did_not_run_the_request():
+    """Guards against a request that is lost because its peer is gone."""
+    async with gateway_of("127.0.0.1:1") as (gateway, reader, writer):
+        writer.write(request_bytes())
+        assert await reader.read() == FAILURES.not_sent
+    assert gateway.outcomes == ["not-sent"]
+
+
+async def test_the_outcome_of_a_request_of_a_lost_peer_is_unknown():
+    """Guards against "not run" of a request that may have run."""
+
+    async def close(_reader, _writer):
+        pass
+
+    async with forwarding(close) as (_, gateway, reader, writer):
+        writer.write(request_bytes())
+        assert await reader.read() == FAILURES.lost
+    assert gateway.outcomes == ["peer-lost"]
+
+
+async def test_a_response_cut_off_by_a_lost_peer_is_visibly_incomplete():
+    """Guards against a partial response followed by a second one."""
+
+    async def cut_off(_reader, writer):
+        writer.write(RESPONSE[:-3])
+
+    async with forwarding(cut_off) as (_, _, reader, writer):
+        writer.write(request_bytes())
+        assert await reader.read() == RESPONSE[:-3]
+
+
+async def test_a_suspended_peer_does_not_hold_up_a_caller():
+    """Guards against callers that wait for a suspended peer after their
+    deadline.
+    """
+
+    async def wait(reader, _writer):
+        await reader.read()
+
+    async with forwarding(wait, seconds_left=0.1) as (peer, _, reader, writer):
+        started_at = asyncio.get_running_loop().time()
+        writer.write(request_bytes())
+        assert await reader.read() == FAILURES.timed_out
+        waited = asyncio.get_running_loop().time() - started_at
+        assert waited >= 0.1 + DEADLINE_MARGIN_SECONDS
+        await peer.is_closed.wait()
+
+
+async def test_the_peer_stops_when_the_caller_leaves():
+    """Guards against engines that work for callers that have left."""
+
+    async def wait(reader, _writer):
+        await reader.read()
+
+    async with forwarding(wait) as (peer, gateway, _, writer):
+        writer.write(request_bytes())
+        while not peer.received:
+            await asyncio.sleep(0.01)
+        writer.transport.abort()
+        await peer.is_closed.wait()
+    assert gateway.outcomes == ["caller-left"]
+
+
+def head_of(*headers):
+    return parse_head(request_bytes(b"", *headers))
+
+
+def test_requests_with_further_hop_by_hop_headers_are_not_forwarded():
+    """Guards against passing on a header that was meant for this hop only."""
+    assert can_forward(head_of())
+    assert can_forward(head_of("Connection: Keep-Alive"))
+    assert not can_forward(head_of("Connection: keep-alive, X-Secret"))
+    assert not can_forward(head_of("Connection: close", "Connection: X-Secret"))
+
+
+def test_the_peer_with_the_fewest_requests_is_chosen():
+    selector = PeerSelector()
+    selector.on_started("a")
+    assert selector.choose(["a", "b"], 0.0) == "b"
+    selector.avoid("b", 0.0)
+    assert selector.choose(["a", "b"], 0.0) == "a"
+    assert selector.choose([], 0.0) == ""
+    selector.on_ended("a")
+    assert not selector.active
