--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_client.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_client.py
@@ -2,8 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import AsyncIterator, Callable, Sequence
-from contextlib import asynccontextmanager
+from collections.abc import Callable, Sequence
 
 import aiohttp
 import msgspec
@@ -35,9 +34,7 @@
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.fleet.util.lag import LoopLag
 from marjoramyard.fleet.util.liveness import LivenessTimer
-from marjoramyard.fleet.util.tasks import TaskGroup
 from marjoramyard.kernel.logs import get_logger
-from marjoramyard.kernel.metrics import Metrics
 
 logger = get_logger(__name__)
 
@@ -342,78 +339,6 @@
             self._send(Finished(number, failed, gap_ratio))
 
 
-class BrokerClients:
-    """The broker clients of all services with engines."""
-
-    def __init__(
-        self,
-        tasks: TaskGroup,
-        view: FleetView,
-        session: aiohttp.ClientSession,
-        metrics: Metrics,
-        zone: str = "",
-        forwarding_address: str = "",
-    ):
-        self.zone = zone
-        self.forwarding_address = forwarding_address
-        self.needs_peers: Callable[[], bool] = lambda: False
-        self.tasks = tasks
-        self.view = view
-        self.session = session
-        self.clients: dict[str, BrokerClient] = {}
-        self.lag = LoopLag(metrics)
-        tasks.spawn(self.lag.watch())
-        view.on_config.append(self._on_config)
-
-    def _on_config(self) -> None:
-        for name, service in self.view.table.services.items():
-            if service.engine is not None:
-                self.client_for(name)
-
-    def client_for(self, service: str) -> BrokerClient:
-        """Returns the client of a service's broker; creates it if needed."""
-        client = self.clients.get(service)
-        if client is None:
-            client = BrokerClient(
-                self.view,
-                self.session,
-                self.lag,
-                self.zone,
-                self.forwarding_address,
-            )
-            client.needs_peers = lambda: self.needs_peers()
-            self.clients[service] = client
-            self.tasks.spawn(client.run(service))
-            self.tasks.spawn(client.send_heartbeats_forever())
-        return client
-
-    def peers(self) -> list[str]:
-        """Returns addresses of gateways that have room for requests."""
-        return [
-            peer
-            for client in self.clients.values()
-            if client.is_connected
-            for peer in client.peers
-        ]
-
-    def lagging_share(self) -> float:
-        """Returns the share of lagging gateways in this availability zone.
-
-        1.0 if no broker is connected, as it is then unknown.
-        """
-        return max(
-            (c.lagging_share for c in self.clients.values() if c.is_connected),
-            default=1.0,
-        )
-
-
-@asynccontextmanager
-async def open_broker_session() -> AsyncIterator[aiohttp.ClientSession]:
-    """Opens the HTTP session for connections to brokers."""
-    async with aiohttp.ClientSession() as session:
-        yield session
-
-
 def _log_send_failure(task: asyncio.Future) -> None:
     if not task.cancelled() and task.exception() is not None:
         logger.info("broker_send_failed", why=repr(task.exception()))
--- /dev/null
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_clients.py
@@ -0,0 +1,84 @@
+"""The broker clients of all services with engines."""
+
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+
+import aiohttp
+
+from marjoramyard.fleet.gateway.broker_client import BrokerClient
+from marjoramyard.fleet.gateway.view import FleetView
+from marjoramyard.fleet.util.lag import LoopLag
+from marjoramyard.fleet.util.tasks import TaskGroup
+from marjoramyard.kernel.metrics import Metrics
+
+
+class BrokerClients:
+    """The broker clients of all services with engines."""
+
+    def __init__(
+        self,
+        tasks: TaskGroup,
+        view: FleetView,
+        session: aiohttp.ClientSession,
+        metrics: Metrics,
+        zone: str = "",
+        forwarding_address: str = "",
+    ):
+        self.zone = zone
+        self.forwarding_address = forwarding_address
+        self.needs_peers: Callable[[], bool] = lambda: False
+        self.tasks = tasks
+        self.view = view
+        self.session = session
+        self.clients: dict[str, BrokerClient] = {}
+        self.lag = LoopLag(metrics)
+        tasks.spawn(self.lag.watch())
+        view.on_config.append(self._on_config)
+
+    def _on_config(self) -> None:
+        for name, service in self.view.table.services.items():
+            if service.engine is not None:
+                self.client_for(name)
+
+    def client_for(self, service: str) -> BrokerClient:
+        """Returns the client of a service's broker; creates it if needed."""
+        client = self.clients.get(service)
+        if client is None:
+            client = BrokerClient(
+                self.view,
+                self.session,
+                self.lag,
+                self.zone,
+                self.forwarding_address,
+            )
+            client.needs_peers = lambda: self.needs_peers()
+            self.clients[service] = client
+            self.tasks.spawn(client.run(service))
+            self.tasks.spawn(client.send_heartbeats_forever())
+        return client
+
+    def peers(self) -> list[str]:
+        """Returns addresses of gateways that have room for requests."""
+        return [
+            peer
+            for client in self.clients.values()
+            if client.is_connected
+            for peer in client.peers
+        ]
+
+    def lagging_share(self) -> float:
+        """Returns the share of lagging gateways in this availability zone.
+
+        1.0 if no broker is connected, as it is then unknown.
+        """
+        return max(
+            (c.lagging_share for c in self.clients.values() if c.is_connected),
+            default=1.0,
+        )
+
+
+@asynccontextmanager
+async def open_broker_session() -> AsyncIterator[aiohttp.ClientSession]:
+    """Opens the HTTP session for connections to brokers."""
+    async with aiohttp.ClientSession() as session:
+        yield session
--- /dev/null
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/overload_guard.py
@@ -0,0 +1,237 @@
+"""Refuses or forwards prompts beyond the limit, before they are parsed."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from aiohttp import web
+
+from marjoramyard.coordination.routing.config import Route
+from marjoramyard.fleet.gateway.broker_clients import BrokerClients
+from marjoramyard.fleet.gateway.dialect import GatewayDialect
+from marjoramyard.fleet.gateway.early_refusal import (
+    RequestHead,
+    response_bytes,
+)
+from marjoramyard.fleet.gateway.overload import (
+    ELSEWHERE_RETRY_SECONDS,
+    ConcurrencyLimit,
+)
+from marjoramyard.fleet.gateway.peer_forwarding import (
+    ForwardedRequest,
+    ForwardingFailures,
+    ForwardingPlan,
+    PeerSelector,
+    can_forward,
+    closing_request,
+)
+from marjoramyard.fleet.gateway.view import FleetView
+from marjoramyard.fleet.util.rpc import failure_response
+from marjoramyard.kernel.errors import (
+    Failure,
+    FailureKind,
+    Outcome,
+    failure,
+)
+from marjoramyard.kernel.logs import get_logger
+from marjoramyard.kernel.metrics import Metrics
+
+logger = get_logger(__name__)
+
+LOG_INTERVAL_SECONDS = 1.0
+NEEDS_PEERS_SECONDS = 2.0
+"""How long after an overload a gateway is told of others that have room, and
+gets no requests of others itself."""
+
+
+class OverloadGuard:
+    """Protects a gateway from more prompts than its processor can serve.
+
+    Attributes:
+        limit: The limit on prompts in service.
+        forwarding_limit: The limit on prompts being forwarded.
+        peers: Chooses the gateways that prompts are forwarded to.
+        overloaded_at: When a prompt was last beyond the limit, on the monotonic
+            clock in seconds.
+        forwarding_failures: Responses to forwarded prompts that got none.
+        on_started: Called when a prompt starts to be forwarded.
+        on_ended: Called when a forwarded prompt has ended.
+    """
+
+    def __init__(
+        self, view: FleetView, brokers: BrokerClients, metrics: Metrics
+    ):
+        self.view = view
+        self.names = view.dialect.headers
+        self.brokers = brokers
+        self.metrics = metrics
+        self.limit = ConcurrencyLimit()
+        self.limit.lagging_share = brokers.lagging_share
+        self.forwarding_limit = ConcurrencyLimit()
+        self.peers = PeerSelector()
+        self.overloaded_at = float("-inf")
+        self.forwarding_failures = _forwarding_failures(view.dialect)
+        self.on_started: Callable[[], None] = lambda: None
+        self.on_ended: Callable[[], None] = lambda: None
+        brokers.needs_peers = self._needs_peers
+        brokers.lag.on_wake_up.append(self.limit.on_wake_up)
+        brokers.lag.on_wake_up.append(self.forwarding_limit.on_wake_up)
+
+    def refuse_early(self, head: RequestHead) -> bytes | None:
+        """Returns the response to a prompt beyond the limit, else None."""
+        found = self._route_and_workspace(head)
+        if found is None or self.limit.admits(found[1]):
+            return None
+        route, workspace = found
+        kind = route.request_kind.value
+        self.metrics.count(
+            "requests", outcome=FailureKind.OVERLOADED.code, kind=kind
+        )
+        self.overloaded_at = time.monotonic()
+        refused = self.limit.refuse(workspace)
+        return response_bytes(render_failure(refused, self.view.dialect))
+
+    def _route_and_workspace(
+        self, head: RequestHead
+    ) -> tuple[Route, str] | None:
+        """Returns the route of a prompt and its workspace; "" on open routes.
+
+        Returns None for other requests and for those that must be parsed to
+        tell.
+        """
+        table = self.view.table
+        if table is None or "%" in head.path or not self.view.has_valid_lease():
+            return None
+        path = head.path.partition("?")[0]
+        route = table.route(head.header(b"host"), path)
+        if route is None or not needs_engine(self.view, route):
+            return None
+        if not table.needs_keys or route.open_access:
+            return route, ""
+        key = head.header(self.names.api_key.lower().encode())
+        workspace = table.workspace_of_key(key)
+        return (route, workspace.name) if workspace is not None else None
+
+    def _needs_peers(self) -> bool:
+        """Whether prompts were refused or forwarded recently."""
+        return time.monotonic() - self.overloaded_at < NEEDS_PEERS_SECONDS
+
+    def start_forwarding(
+        self, head: RequestHead, data: bytes, caller: asyncio.Transport
+    ) -> ForwardedRequest | None:
+        """Forwards a prompt beyond the limit to another gateway.
+
+        Args:
+            head: The head of the request.
+            data: The bytes received so far, which begin with the head.
+            caller: The connection of the caller.
+
+        Returns:
+            The forwarded request; None if no gateway has room for it.
+        """
+        found = self._route_and_workspace(head)
+        if found is None or self.limit.admits(found[1]):
+            return None
+        self.overloaded_at = time.monotonic()
+        if self.forwarding_limit.is_reached or not can_forward(head):
+            return None
+        now = asyncio.get_running_loop().time()
+        peer = self.peers.choose(self.brokers.peers(), now)
+        if not peer:
+            return None
+        plan = self._forwarding_plan(head, found[0], peer)
+        forwarded = ForwardedRequest(plan, caller, self._on_forwarded)
+        forwarded.send(closing_request(head, data))
+        self.peers.on_started(peer)
+        self.forwarding_limit.total += 1
+        self.on_started()
+        return forwarded
+
+    def _forwarding_plan(
+        self, head: RequestHead, route: Route, peer: str
+    ) -> ForwardingPlan:
+        text = head.header(self.names.deadline_ms.lower().encode())
+        seconds = route.timeout_ms / 1000
+        if text.isdigit():
+            seconds = min(seconds, int(text) / 1000)
+        return ForwardingPlan(
+            peer,
+            head.header(self.names.attempt.lower().encode()),
+            seconds,
+            self.forwarding_failures,
+        )
+
+    def _on_forwarded(self, request: ForwardedRequest, outcome: str) -> None:
+        now = asyncio.get_running_loop().time()
+        self.peers.on_ended(request.plan.peer)
+        if not request.is_sent and outcome == "not-sent":
+            self.peers.avoid(request.plan.peer, now)
+        self.forwarding_limit.total -= 1
+        self.on_ended()
+        self.metrics.count("forwarded_requests", outcome=outcome)
+        logger.info(
+            "request_forwarded",
+            id=request.plan.attempt,
+            peer=request.plan.peer,
+            outcome=outcome,
+            response_bytes=request.response_bytes,
+            total_ms=round((now - request.started_at) * 1000),
+        )
+
+    async def log_refusals_forever(self) -> None:
+        """Logs the prompts that were refused by the limit, once a second."""
+        while True:
+            await asyncio.sleep(LOG_INTERVAL_SECONDS)
+            refused = self.limit.pop_refused_counts()
+            if refused:
+                logger.info(
+                    "gateway_overloaded",
+                    limit=round(self.limit.limit),
+                    active=self.limit.total,
+                    refused=refused.total(),
+                    most_of=refused.most_common(1)[0][0],
+                )
+
+
+def needs_engine(view: FleetView, route: Route) -> bool:
+    """Whether requests of a route are prompts for engines."""
+    services = view.table.services
+    return any(
+        services[destination.service].engine is not None
+        for destination in route.weighted_destinations
+    )
+
+
+def render_failure(reason: Failure, dialect: GatewayDialect) -> web.Response:
+    """Returns the response for a failure, as callers of a dialect expect it."""
+    response = failure_response(reason)
+    if dialect.fractional_retry_after and reason.retry_after is not None:
+        response.headers["Retry-After"] = f"{reason.retry_after:.2f}"
+    return response
+
+
+def _forwarding_failures(dialect: GatewayDialect) -> ForwardingFailures:
+    def response(*arguments) -> bytes:
+        rendered = render_failure(failure(*arguments), dialect)
+        rendered.headers["Connection"] = "close"
+        return response_bytes(rendered)
+
+    return ForwardingFailures(
+        response(
+            FailureKind.OVERLOADED,
+            "this gateway is overloaded; use another one",
+            Outcome.NOT_RUN,
+            ELSEWHERE_RETRY_SECONDS,
+        ),
+        response(
+            FailureKind.ENDPOINT_LOST,
+            "the gateway that served the request was lost; check the "
+            "result before sending it again",
+            Outcome.UNKNOWN,
+        ),
+        response(
+            FailureKind.DEADLINE,
+            "no response before the deadline; the request may have run",
+            Outcome.UNKNOWN,
+        ),
+    )
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
@@ -9,7 +9,6 @@
 import aiohttp
 from aiohttp import web
 
-from marjoramyard.coordination.routing.config import Route
 from marjoramyard.coordination.routing.table import pick_destination
 from marjoramyard.coordination.serving.retries import RetryBudget
 from marjoramyard.fleet.application import Application
@@ -19,27 +18,16 @@
     admit,
     read_caller_request,
 )
-from marjoramyard.fleet.gateway.broker_client import BrokerClients
+from marjoramyard.fleet.gateway.broker_clients import BrokerClients
 from marjoramyard.fleet.gateway.delivery import (
     CallerGoneError,
     ResponseDelivery,
 )
-from marjoramyard.fleet.gateway.early_refusal import (
-    RequestHead,
-    response_bytes,
-)
 from marjoramyard.fleet.gateway.engine_load import EngineLoads
-from marjoramyard.fleet.gateway.overload import (
-    ELSEWHERE_RETRY_SECONDS,
-    ConcurrencyLimit,
-)
-from marjoramyard.fleet.gateway.peer_forwarding import (
-    ForwardedRequest,
-    ForwardingFailures,
-    ForwardingPlan,
-    PeerSelector,
-    can_forward,
-    closing_request,
+from marjoramyard.fleet.gateway.overload_guard import (
+    OverloadGuard,
+    needs_engine,
+    render_failure,
 )
 from marjoramyard.fleet.gateway.request_run import (
     BUSY_RETRY_SECONDS,
@@ -49,13 +37,9 @@
 from marjoramyard.fleet.gateway.request_trace import RequestTrace
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.fleet.util.jitter import jitter
-from marjoramyard.fleet.util.rpc import failure_response
 from marjoramyard.kernel.errors import (
-    Failure,
     FailureKind,
     FleetError,
-    Outcome,
-    failure,
     raise_failure,
 )
 from marjoramyard.kernel.logs import get_logger
@@ -65,10 +49,6 @@
 RETRY_SLACK_SHARE = 0.8
 """Share of the fleet's retry slack that is distributed. The rest covers
 restarted gateways, which get their part twice within a window."""
-LOG_INTERVAL_SECONDS = 1.0
-NEEDS_PEERS_SECONDS = 2.0
-"""How long after an overload a gateway is told of others that have room, and
-gets no requests of others itself."""
 LEAVING_RETRY_SECONDS = 0.05
 """`Retry-After` while draining; the next connection reaches another gateway."""
 
@@ -82,12 +62,7 @@
         stops_at: When a draining gateway exits, on the event loop clock in
             seconds.
         is_refusing: Whether all requests are refused because of draining.
-        limit: The limit on prompts in service.
-        forwarding_limit: The limit on prompts being forwarded.
-        overloaded_at: When a prompt was last beyond the limit, on the monotonic
-            clock in seconds.
-        peers: Chooses the gateways that prompts are forwarded to.
-        forwarding_failures: Responses to forwarded prompts that got none.
+        guard: Refuses or forwards prompts beyond the limit.
         budgets: The retry budgets by service.
         active_count: Requests in progress.
         started_count: All requests so far.
@@ -111,23 +86,16 @@
         self.context = RequestRunContext(
             view, session, brokers, EngineLoads(), self.names, app.metrics
         )
-        self.limit = ConcurrencyLimit()
-        self.forwarding_limit = ConcurrencyLimit()
-        self.peers = PeerSelector()
-        self.forwarding_failures = self._forwarding_failures()
-        self.limit.lagging_share = brokers.lagging_share
-        self.overloaded_at = float("-inf")
-        brokers.needs_peers = self._needs_peers
-        brokers.lag.on_wake_up.append(self.limit.on_wake_up)
-        brokers.lag.on_wake_up.append(self.forwarding_limit.on_wake_up)
+        self.guard = OverloadGuard(view, brokers, app.metrics)
+        self.guard.on_started = self._on_started
+        self.guard.on_ended = self._on_ended
         self.budgets: dict[str, RetryBudget] = {}
         self.active_count = 0
         self.started_count = 0
 
     async def handle(self, request: web.Request) -> web.StreamResponse:
         """Handles one request of a caller."""
-        self.active_count += 1
-        self.started_count += 1
+        self._on_started()
         delivery = ResponseDelivery(request, self.closes_connections)
         trace = RequestTrace()
         started_at = time.monotonic()
@@ -148,173 +116,31 @@
             if delivery.has_started:
                 delivery.abort()
                 return delivery.response
-            return self._failure_response(error.failure)
+            return render_failure(error.failure, self.view.dialect)
         except CallerGoneError:
             delivery.abort()
             return delivery.response
         finally:
-            self.active_count -= 1
+            self._on_ended()
             self._log_request(
                 request, caller, delivery, trace, started_at, status, outcome
             )
 
-    def refuse_early(self, head: RequestHead) -> bytes | None:
-        """Returns the response to a prompt beyond the limit, else None."""
-        found = self._route_and_workspace(head)
-        if found is None or self.limit.admits(found[1]):
-            return None
-        route, workspace = found
-        kind = route.request_kind.value
-        self.metrics.count(
-            "requests", outcome=FailureKind.OVERLOADED.code, kind=kind
-        )
-        self.overloaded_at = time.monotonic()
-        refused = self.limit.refuse(workspace)
-        return response_bytes(self._failure_response(refused))
-
-    def _route_and_workspace(
-        self, head: RequestHead
-    ) -> tuple[Route, str] | None:
-        """Returns the route of a prompt and its workspace; "" on open routes.
-
-        Returns None for other requests and for those that must be parsed to
-        tell.
-        """
-        table = self.view.table
-        if table is None or "%" in head.path or not self.view.has_valid_lease():
-            return None
-        path = head.path.partition("?")[0]
-        route = table.route(head.header(b"host"), path)
-        if route is None or not self._needs_engine(route):
-            return None
-        if not table.needs_keys or route.open_access:
-            return route, ""
-        key = head.header(self.names.api_key.lower().encode())
-        workspace = table.workspace_of_key(key)
-        return (route, workspace.name) if workspace is not None else None
-
-    def _needs_peers(self) -> bool:
-        """Whether prompts were refused or forwarded recently."""
-        return time.monotonic() - self.overloaded_at < NEEDS_PEERS_SECONDS
-
-    def start_forwarding(
-        self, head: RequestHead, data: bytes, caller: asyncio.Transport
-    ) -> ForwardedRequest | None:
-        """Forwards a prompt beyond the limit to another gateway.
-
-        Args:
-            head: The head of the request.
-            data: The bytes received so far, which begin with the head.
-            caller: The connection of the caller.
-
-        Returns:
-            The forwarded request; None if no gateway has room for it.
-        """
-        found = self._route_and_workspace(head)
-        if found is None or self.limit.admits(found[1]):
-            return None
-        self.overloaded_at = time.monotonic()
-        if self.forwarding_limit.is_reached or not can_forward(head):
-            return None
-        now = asyncio.get_running_loop().time()
-        peer = self.peers.choose(self.context.brokers.peers(), now)
-        if not peer:
-            return None
-        plan = self._forwarding_plan(head, found[0], peer)
-        forwarded = ForwardedRequest(plan, caller, self._on_forwarded)
-        forwarded.send(closing_request(head, data))
-        self.peers.on_started(peer)
-        self.forwarding_limit.total += 1
+    def _on_started(self) -> None:
         self.active_count += 1
         self.started_count += 1
-        return forwarded
-
-    def _forwarding_plan(
-        self, head: RequestHead, route: Route, peer: str
-    ) -> ForwardingPlan:
-        text = head.header(self.names.deadline_ms.lower().encode())
-        seconds = route.timeout_ms / 1000
-        if text.isdigit():
-            seconds = min(seconds, int(text) / 1000)
-        return ForwardingPlan(
-            peer,
-            head.header(self.names.attempt.lower().encode()),
-            seconds,
-            self.forwarding_failures,
-        )
-
-    def _forwarding_failures(self) -> ForwardingFailures:
-        def response(*arguments) -> bytes:
-            rendered = self._failure_response(failure(*arguments))
-            rendered.headers["Connection"] = "close"
-            return response_bytes(rendered)
-
-        return ForwardingFailures(
-            response(
-                FailureKind.OVERLOADED,
-                "this gateway is overloaded; use another one",
-                Outcome.NOT_RUN,
-                ELSEWHERE_RETRY_SECONDS,
-            ),
-            response(
-                FailureKind.ENDPOINT_LOST,
-                "the gateway that served the request was lost; check the "
-                "result before sending it again",
-                Outcome.UNKNOWN,
-            ),
-            response(
-                FailureKind.DEADLINE,
-                "no response before the deadline; the request may have run",
-                Outcome.UNKNOWN,
-            ),
-        )
 
-    def _on_forwarded(self, request: ForwardedRequest, outcome: str) -> None:
-        now = asyncio.get_running_loop().time()
-        self.peers.on_ended(request.plan.peer)
-        if not request.is_sent and outcome == "not-sent":
-            self.peers.avoid(request.plan.peer, now)
-        self.forwarding_limit.total -= 1
+    def _on_ended(self) -> None:
         self.active_count -= 1
-        self.metrics.count("forwarded_requests", outcome=outcome)
-        logger.info(
-            "request_forwarded",
-            id=request.plan.attempt,
-            peer=request.plan.peer,
-            outcome=outcome,
-            response_bytes=request.response_bytes,
-            total_ms=round((now - request.started_at) * 1000),
-        )
-
-    def _needs_engine(self, route: Route) -> bool:
-        services = self.view.table.services
-        return any(
-            services[destination.service].engine is not None
-            for destination in route.weighted_destinations
-        )
 
     def _within_limit(
         self, admitted: AdmittedRequest
     ) -> AbstractContextManager[None]:
         """Counts prompts against the limit; other requests are exempt."""
-        if not self._needs_engine(admitted.route):
+        if not needs_engine(self.view, admitted.route):
             return nullcontext()
         workspace = admitted.workspace
-        return self.limit.admit(workspace.name if workspace else "")
-
-    async def log_overload_forever(self) -> None:
-        """Logs the prompts that were refused by the limit, once a second."""
-        while True:
-            await asyncio.sleep(LOG_INTERVAL_SECONDS)
-            refused = self.limit.pop_refused_counts()
-            if refused:
-                logger.info(
-                    "gateway_overloaded",
-                    limit=round(self.limit.limit),
-                    active=self.limit.total,
-                    refused=refused.total(),
-                    most_of=refused.most_common(1)[0][0],
-                )
+        return self.guard.limit.admit(workspace.name if workspace else "")
 
     def _refuse_if_unable(self) -> None:
         """Refuses requests while draining or out of connections."""
@@ -344,13 +170,6 @@
                 retry_after=LEAVING_RETRY_SECONDS,
             )
 
-    def _failure_response(self, reason: Failure) -> web.Response:
-        response = failure_response(reason)
-        exact = self.view.dialect.fractional_retry_after
-        if exact and reason.retry_after is not None:
-            response.headers["Retry-After"] = f"{reason.retry_after:.2f}"
-        return response
-
     def _log_request(
         self, request, caller, delivery, trace, started_at, status, outcome
     ) -> None:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
@@ -23,7 +23,7 @@
     SendPlan,
     open_response,
 )
-from marjoramyard.fleet.gateway.broker_client import BrokerClients
+from marjoramyard.fleet.gateway.broker_clients import BrokerClients
 from marjoramyard.fleet.gateway.broker_protocol import (
     PlaceGrant,
     PlaceRefusal,
--- a/packages/fleet/src/marjoramyard/fleet/gateway/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/role.py
@@ -11,7 +11,7 @@
 from aiohttp import web
 
 from marjoramyard.fleet.application import Application
-from marjoramyard.fleet.gateway.broker_client import (
+from marjoramyard.fleet.gateway.broker_clients import (
     BrokerClients,
     open_broker_session,
 )
@@ -93,13 +93,13 @@
             inner,
             is_idle,
             self._refuses_early,
-            self.handler.refuse_early,
+            self.handler.guard.refuse_early,
             self.sheds_connections,
-            self.handler.start_forwarding,
+            self.handler.guard.start_forwarding,
         )
 
     def _refuses_early(self) -> bool:
-        reached = self.handler.limit.is_reached
+        reached = self.handler.guard.limit.is_reached
         return reached and not self.closes_connections()
 
     def sheds_connections(self) -> bool:
@@ -108,7 +108,7 @@
         While this gateway is not ready because of its load, the load balancer
         directs the callers' next connections to other gateways.
         """
-        overloaded = self.handler.limit.is_overloaded_by_one
+        overloaded = self.handler.guard.limit.is_overloaded_by_one
         return overloaded or self.closes_connections()
 
     def closes_connections(self) -> bool:
@@ -120,7 +120,7 @@
         ready = (
             self.is_ready()
             and not self.app.stopping.is_set()
-            and not self.handler.limit.is_overloaded_by_one
+            and not self.handler.guard.limit.is_overloaded_by_one
         )
         return web.Response(status=200 if ready else 503)
 
@@ -183,7 +183,7 @@
         app.metrics.gauge("broker_requests", broker_server.request_counts)
         app.tasks.spawn(broker_server.send_heartbeats_forever())
         app.tasks.spawn(broker_server.log_load_forever())
-        app.tasks.spawn(handler.log_overload_forever())
+        app.tasks.spawn(handler.guard.log_refusals_forever())
         role = GatewayRole(app, view, handler)
         app.tasks.spawn(ControlSync(app, view).run())
         async with (
--- a/packages/fleet/tests/gateway/test_request_handler.py
+++ b/packages/fleet/tests/gateway/test_request_handler.py
@@ -54,15 +54,15 @@
         lag=SimpleNamespace(on_wake_up=[]), lagging_share=lambda: 1.0
     )
     instance = RequestHandler(view, None, brokers, app)
-    instance.limit.limit = 1.0
-    with instance.limit.admit("large"):
+    instance.guard.limit.limit = 1.0
+    with instance.guard.limit.admit("large"):
         yield instance
     metrics.close()
 
 
 def refuse_early(handler, path="/llm/x", key="k1"):
     head = f"POST {path} HTTP/1.1\r\nHost: h\r\nApi-Key: {key}\r\n\r\n"
-    return handler.refuse_early(parse_head(head.encode()))
+    return handler.guard.refuse_early(parse_head(head.encode()))
 
 
 def test_a_prompt_beyond_the_limit_is_refused_with_retry_after(handler):
@@ -70,7 +70,7 @@
     assert response.startswith("HTTP/1.1 503 ")
     assert "Retry-After: " in response
     assert '"outcome":"not-run"' in response.partition("\r\n\r\n")[2]
-    assert handler.limit.pop_refused_counts() == {"large": 1}
+    assert handler.guard.limit.pop_refused_counts() == {"large": 1}
 
 
 @pytest.mark.parametrize(
