Let an overloaded gateway forward more prompts than it serves

Change: the limit on forwarded prompts has steps of its own; the connect timeout is counted in wake-ups and leaves established connections alone (a test blocks the loop for a second). The line of an overload has both limits.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/overload.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/overload.py
@@ -12,6 +12,8 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
+import msgspec
+
 from marjoramyard.fleet.util.jitter import jitter
 from marjoramyard.kernel.errors import Failure, FailureKind, FleetError, failure
 
@@ -19,9 +21,6 @@
 """Event loop latency above which the limit is decreased."""
 MIN_LIMIT = 16.0
 """Lower bound of the limit, which the smallest hosts can serve."""
-DECREASE_FACTOR = 0.7
-INCREASE_STEP = 1.0
-"""Added to the limit at each punctual wake-up while it is in use."""
 IN_USE_SHARE = 0.8
 """Share of the limit that must be in use for it to increase."""
 DOMINANT_SHARE = 0.5
@@ -39,10 +38,31 @@
 them."""
 
 
+class LimitSteps(msgspec.Struct, frozen=True):
+    """How a limit adapts.
+
+    Attributes:
+        minimum: The lower bound of the limit.
+        decrease_factor: Applied when the event loop is late.
+        increase_step: Added at each punctual wake-up while the limit is in use.
+    """
+
+    minimum: float
+    decrease_factor: float
+    increase_step: float
+
+
+SERVING = LimitSteps(MIN_LIMIT, decrease_factor=0.7, increase_step=1.0)
+FORWARDING = LimitSteps(64.0, decrease_factor=0.85, increase_step=4.0)
+"""A forwarded prompt takes a fraction of the processor time of a served one, so
+an overloaded gateway rather serves fewer prompts than it forwards."""
+
+
 class ConcurrencyLimit:
     """Adaptive limit on prompts in service, in total and by workspace.
 
     Attributes:
+        steps: How the limit adapts.
         limit: The maximum number of prompts in service.
         active: Prompts in service by workspace.
         total: Prompts in service.
@@ -53,7 +73,8 @@
             zone that are lagging.
     """
 
-    def __init__(self):
+    def __init__(self, steps: LimitSteps = SERVING):
+        self.steps = steps
         self.limit = float("inf")
         self.active: Counter[str] = Counter()
         self.total = 0
@@ -80,9 +101,11 @@
             self.overloaded_by_one_until = time.monotonic() + UNREADY_SECONDS
         if late_seconds > LATE_SECONDS:
             served = min(self.limit, float(self.total))
-            self.limit = max(MIN_LIMIT, served * DECREASE_FACTOR)
+            self.limit = max(
+                self.steps.minimum, served * self.steps.decrease_factor
+            )
         elif self.total >= self.limit * IN_USE_SHARE:
-            self.limit += INCREASE_STEP
+            self.limit += self.steps.increase_step
 
     @property
     def is_reached(self) -> bool:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/overload_guard.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/overload_guard.py
@@ -1,6 +1,7 @@
 """Refuses or forwards prompts beyond the limit, before they are parsed."""
 
 import asyncio
+import math
 import time
 from collections.abc import Callable
 
@@ -15,6 +16,7 @@
 )
 from marjoramyard.fleet.gateway.overload import (
     ELSEWHERE_RETRY_SECONDS,
+    FORWARDING,
     ConcurrencyLimit,
 )
 from marjoramyard.fleet.gateway.peer_forwarding import (
@@ -67,7 +69,7 @@
         self.metrics = metrics
         self.limit = ConcurrencyLimit()
         self.limit.lagging_share = brokers.lagging_share
-        self.forwarding_limit = ConcurrencyLimit()
+        self.forwarding_limit = ConcurrencyLimit(FORWARDING)
         self.peers = PeerSelector()
         self.overloaded_at = float("-inf")
         self.forwarding_failures = _forwarding_failures(view.dialect)
@@ -186,13 +188,20 @@
             if refused:
                 logger.info(
                     "gateway_overloaded",
-                    limit=round(self.limit.limit),
+                    limit=_rounded(self.limit.limit),
                     active=self.limit.total,
+                    forwarding_limit=_rounded(self.forwarding_limit.limit),
+                    forwarded=self.forwarding_limit.total,
                     refused=refused.total(),
                     most_of=refused.most_common(1)[0][0],
                 )
 
 
+def _rounded(limit: float) -> int | None:
+    """Returns a limit for the log; None if there is none yet."""
+    return round(limit) if math.isfinite(limit) else None
+
+
 def needs_engine(view: FleetView, route: Route) -> bool:
     """Whether requests of a route are prompts for engines."""
     services = view.table.services
--- a/packages/fleet/src/marjoramyard/fleet/gateway/peer_forwarding.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/peer_forwarding.py
@@ -18,8 +18,10 @@
 
 logger = get_logger(__name__)
 
-CONNECT_SECONDS = 0.25
-"""Connect timeout. After it the request has not run and is refused."""
+CONNECT_TICK_SECONDS = 0.05
+CONNECT_TICKS = 5
+"""Connect timeout, in ticks. After it the request has not run and is
+refused."""
 DEADLINE_MARGIN_SECONDS = 0.25
 """How long after its deadline a forwarded request is given up. The other
 gateway responds at the deadline if it is able to."""
@@ -184,19 +186,32 @@
         self._end("caller-left", b"")
 
     async def _connect(self) -> None:
+        """Connects to the peer.
+
+        The timeout is counted in wake-ups, as the event loop of a gateway that
+        forwards requests is often late.
+        """
         host, port = parse_address(self.plan.peer)
-        loop = asyncio.get_running_loop()
-        try:
-            async with asyncio.timeout(CONNECT_SECONDS):
-                await loop.create_connection(lambda: self, host, port)
-        except (OSError, TimeoutError) as error:
-            if self.is_sent:
-                # Established although it timed out; its loss ends the request.
-                return
-            logger.info(
-                "peer_unreachable", peer=self.plan.peer, why=repr(error)
+        connecting = asyncio.ensure_future(
+            asyncio.get_running_loop().create_connection(
+                lambda: self, host, port
             )
-            self._end("not-sent", self.plan.failures.not_sent)
+        )
+        try:
+            for _ in range(CONNECT_TICKS):
+                await asyncio.wait({connecting}, timeout=CONNECT_TICK_SECONDS)
+                if connecting.done() or self.is_sent:
+                    await connecting
+                    return
+            self._end_unsent("timeout")
+        except OSError as error:
+            self._end_unsent(repr(error))
+        finally:
+            connecting.cancel()
+
+    def _end_unsent(self, why: str) -> None:
+        logger.info("peer_unreachable", peer=self.plan.peer, why=why)
+        self._end("not-sent", self.plan.failures.not_sent)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Called when the connection to the peer is established."""
--- a/packages/fleet/tests/gateway/test_broker_client.py
+++ b/packages/fleet/tests/gateway/test_broker_client.py
@@ -171,8 +171,9 @@
         assert isinstance(await place(client), PlaceGrant)
         first.send_signal(signal.SIGSTOP)
         suspended_at = time.monotonic()
-        while await place(client) is None:
-            await asyncio.sleep(0.02)
+        async with asyncio.timeout(AVOID_SECONDS):
+            while await place(client) is None:
+                await asyncio.sleep(0.02)
         assert time.monotonic() - suspended_at < AVOID_SECONDS / 2
 
 
--- a/packages/fleet/tests/gateway/test_peer_forwarding.py
+++ b/packages/fleet/tests/gateway/test_peer_forwarding.py
@@ -64,8 +64,10 @@
         self.peer = peer
         self.seconds_left = seconds_left
         self.outcomes = []
+        self.has_started = False
 
     def start(self, head, data, caller):
+        self.has_started = True
         plan = ForwardingPlan(self.peer, "id", self.seconds_left, FAILURES)
         forwarded = ForwardedRequest(plan, caller, self.on_end)
         forwarded.send(closing_request(head, data))
@@ -114,7 +116,12 @@
 RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
 
 
-async def respond_whole(_reader, writer):
+async def respond_whole(reader, writer):
+    """Responds, unless bytes follow the request."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(0.1):
+            await reader.readexactly(1)
+            return
     writer.write(RESPONSE[:20])
     await writer.drain()
     writer.write(RESPONSE[20:])
@@ -225,3 +232,18 @@
     assert selector.choose([], 0.0) == ""
     selector.on_ended("a")
     assert not selector.active
+
+
+async def test_a_lagging_gateway_does_not_give_up_an_established_connection():
+    """Guards against "unknown" outcomes of requests whose peer responds in
+    time, but whose gateway notices late that it is connected.
+    """
+    async with forwarding(respond_whole) as (_, gateway, reader, writer):
+        writer.write(request_bytes())
+        while not gateway.has_started:
+            await asyncio.sleep(0)
+        end = asyncio.get_running_loop().time() + 1.0
+        while asyncio.get_running_loop().time() < end:
+            pass
+        assert await reader.read() == RESPONSE
+    assert gateway.outcomes == ["forwarded"]
--- a/packages/fleet/tests/gateway/test_request_handler.py
+++ b/packages/fleet/tests/gateway/test_request_handler.py
@@ -14,6 +14,7 @@
     Workspace,
 )
 from marjoramyard.coordination.routing.table import RouteTable
+from marjoramyard.fleet.gateway import overload_guard
 from marjoramyard.fleet.gateway.dialect import GATEWAY_DIALECTS
 from marjoramyard.fleet.gateway.early_refusal import parse_head
 from marjoramyard.fleet.gateway.request_handler import RequestHandler
@@ -89,3 +90,17 @@
 def test_nothing_is_refused_early_without_a_lease(handler):
     handler.view.lease.valid_until = 0.0
     assert refuse_early(handler) is None
+
+
+async def test_refusals_are_logged_before_a_limit_exists(handler, monkeypatch):
+    """Guards against a gateway that stops to log, or to run, at its first
+    overload: the limit on forwarded prompts is infinite then.
+    """
+    monkeypatch.setattr(overload_guard, "LOG_INTERVAL_SECONDS", 0.0)
+    handler.guard.limit.refuse("large")
+    task = asyncio.create_task(handler.guard.log_refusals_forever())
+    for _ in range(5):
+        await asyncio.sleep(0.01)
+    assert not task.done()
+    assert not handler.guard.limit.refused
+    task.cancel()
