--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_client.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_client.py
@@ -57,8 +57,6 @@
         avoided_until: When brokers that did not respond are used again, by
             address, on the monotonic clock in seconds.
         liveness: Expires when the broker sends nothing for too long.
-        lagging_share: The share of the gateways in this availability zone that
-            are lagging, as last reported by the broker.
         peers: Addresses of gateways that have room for forwarded requests, as
             last reported by the broker.
         needs_peers: Whether this gateway wants to forward requests.
@@ -79,7 +77,6 @@
     ):
         self.zone = zone
         self.forwarding_address = forwarding_address
-        self.lagging_share = 0.0
         self.peers: list[str] = []
         self.needs_peers: Callable[[], bool] = lambda: False
         self.avoided_until: dict[str, float] = {}
@@ -198,7 +195,6 @@
 
     def _on_message(self, message: BrokerMessage) -> None:
         if isinstance(message, Heartbeat):
-            self.lagging_share = message.lagging_share
             self.peers = message.peers
             return
         future = self.pending.pop(message.number, None)
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_clients.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_clients.py
@@ -66,16 +66,6 @@
             for peer in client.peers
         ]
 
-    def lagging_share(self) -> float:
-        """Returns the share of lagging gateways in this availability zone.
-
-        1.0 if no broker is connected, as it is then unknown.
-        """
-        return max(
-            (c.lagging_share for c in self.clients.values() if c.is_connected),
-            default=1.0,
-        )
-
 
 @asynccontextmanager
 async def open_broker_session() -> AsyncIterator[aiohttp.ClientSession]:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_protocol.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_protocol.py
@@ -156,15 +156,12 @@
 
     Attributes:
         is_late: The sender's event loop is lagging.
-        lagging_share: From a broker, the share of the gateways in the
-            receiver's availability zone that are lagging.
         needs_peers: From a gateway, whether it wants to forward requests.
         peers: From a broker, addresses of gateways that have room for requests
             of the receiver.
     """
 
     is_late: bool = False
-    lagging_share: float = 0.0
     needs_peers: bool = False
     peers: list[str] = []
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
@@ -37,7 +37,6 @@
 from marjoramyard.fleet.gateway.engine_load import estimate_prefill_rate
 from marjoramyard.fleet.gateway.gateway_connection import (
     GatewayConnection,
-    lagging_shares,
     peers_of,
 )
 from marjoramyard.fleet.gateway.view import FleetView
@@ -356,11 +355,9 @@
             await asyncio.sleep(HEARTBEAT_INTERVAL_SECONDS)
             for gateway in self.gateways.values():
                 self._suspend_if_expired(gateway)
-            shares = lagging_shares(self.gateways.values())
             for gateway in self.gateways.values():
                 gateway.outbox.append(
                     Heartbeat(
-                        lagging_share=shares[gateway.zone],
                         peers=peers_of(gateway, self.gateways.values()),
                     )
                 )
--- a/packages/fleet/src/marjoramyard/fleet/gateway/gateway_connection.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/gateway_connection.py
@@ -1,7 +1,6 @@
 """The gateways that are connected to a broker server."""
 
 import heapq
-from collections import Counter
 from collections.abc import Iterable
 
 from aiohttp import web
@@ -101,18 +100,3 @@
     candidates = [p for p in gateways if p.accepts_forwarded]
     chosen = heapq.nsmallest(MAX_PEERS, candidates, key=cost)
     return [peer.forwarding_address for peer in chosen]
-
-
-def lagging_shares(gateways: Iterable[GatewayConnection]) -> dict[str, float]:
-    """Returns the share of lagging gateways in each availability zone.
-
-    A gateway without requests sends no heartbeats and is not lagging; one
-    with requests that sends none is suspended and counts as lagging only
-    if it was before.
-    """
-    total: Counter[str] = Counter()
-    lagging: Counter[str] = Counter()
-    for gateway in gateways:
-        total[gateway.zone] += 1
-        lagging[gateway.zone] += gateway.is_lagging and bool(gateway.services)
-    return {zone: lagging[zone] / total[zone] for zone in total}
--- a/packages/fleet/src/marjoramyard/fleet/gateway/overload.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/overload.py
@@ -9,7 +9,7 @@
 
 import time
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from contextlib import contextmanager
 
 import msgspec
@@ -29,13 +29,8 @@
 UNREADY_SECONDS = 3.0
 """Long enough for the load balancer to miss two readiness checks."""
 OVERLOAD_RETRY_SECONDS = 1.5
-"""Mean `Retry-After` of refused prompts if others are overloaded too."""
-ELSEWHERE_RETRY_SECONDS = 0.05
-"""Mean `Retry-After` if others are not: the load balancer directs retries to
-another gateway, which can still respond within the objective."""
-MAX_LAGGING_SHARE = 0.5
-"""Share of the lagging gateways above which a retry would probably reach one of
-them."""
+"""Mean `Retry-After` of refused prompts. Sooner retries would mostly reach the
+same overloaded gateway."""
 
 
 class LimitSteps(msgspec.Struct, frozen=True):
@@ -69,8 +64,6 @@
         overloaded_by_one_until: When the gateway becomes ready again, on the
             monotonic clock in seconds.
         refused: Refused prompts by workspace since the last report.
-        lagging_share: Returns the share of the gateways in this availability
-            zone that are lagging.
     """
 
     def __init__(self, steps: LimitSteps = SERVING):
@@ -80,7 +73,6 @@
         self.total = 0
         self.overloaded_by_one_until = 0.0
         self.refused: Counter[str] = Counter()
-        self.lagging_share: Callable[[], float] = lambda: 1.0
 
     @property
     def is_overloaded_by_one(self) -> bool:
@@ -144,15 +136,9 @@
     def refuse(self, workspace: str) -> Failure:
         """Counts a refused prompt and returns the failure for its caller."""
         self.refused[workspace] += 1
-        if self.lagging_share() <= MAX_LAGGING_SHARE:
-            return failure(
-                FailureKind.OVERLOADED,
-                "this gateway is overloaded; use another one",
-                retry_after=jitter(ELSEWHERE_RETRY_SECONDS),
-            )
         return failure(
             FailureKind.OVERLOADED,
-            "this gateway and others are overloaded; retry later",
+            "this gateway is overloaded; retry later",
             retry_after=jitter(OVERLOAD_RETRY_SECONDS),
         )
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/overload_guard.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/overload_guard.py
@@ -15,7 +15,6 @@
     response_bytes,
 )
 from marjoramyard.fleet.gateway.overload import (
-    ELSEWHERE_RETRY_SECONDS,
     FORWARDING,
     ConcurrencyLimit,
 )
@@ -46,6 +45,11 @@
 gets no requests of others itself."""
 
 
+UNREACHABLE_RETRY_SECONDS = 0.1
+"""`Retry-After` of a prompt whose peer could not be reached; the next one goes
+to another peer."""
+
+
 class OverloadGuard:
     """Protects a gateway from more prompts than its processor can serve.
 
@@ -68,7 +72,6 @@
         self.brokers = brokers
         self.metrics = metrics
         self.limit = ConcurrencyLimit()
-        self.limit.lagging_share = brokers.lagging_share
         self.forwarding_limit = ConcurrencyLimit(FORWARDING)
         self.peers = PeerSelector()
         self.overloaded_at = float("-inf")
@@ -228,9 +231,9 @@
     return ForwardingFailures(
         response(
             FailureKind.OVERLOADED,
-            "this gateway is overloaded; use another one",
+            "this gateway is overloaded; retry shortly",
             Outcome.NOT_RUN,
-            ELSEWHERE_RETRY_SECONDS,
+            UNREACHABLE_RETRY_SECONDS,
         ),
         response(
             FailureKind.ENDPOINT_LOST,
