Test forwarding between real gateways

Two gateways, three control hosts and an engine as processes; a suspension makes one gateway's loop late while it serves 60 prompts of one workspace, and the next prompts are answered through the other.

--- /dev/null
+++ b/tests/test_forwarding.py
@@ -0,0 +1,114 @@
+"""Prompts that an overloaded gateway forwards, between real processes."""
+
+import asyncio
+import contextlib
+import json
+import signal
+
+import pytest
+from aiohttp import web
+from gateway_fleet import FakeEndpoint, config, gateway_fleet, route, wait_until
+
+from marjoramyard.standin.processes import free_address
+
+HELD_PROMPTS = 60
+SUSPENDED_SECONDS = 0.6
+
+
+@pytest.fixture
+async def fleet(tmp_path):
+    async with gateway_fleet(tmp_path, forwarding_port_offset=1) as fleet:
+        fleet.write_settings(
+            "peer",
+            role="gateway",
+            internal=free_address(),
+            listen=free_address(),
+            ready_listen=free_address(),
+            grace_seconds=8.0,
+            forwarding_port_offset=1,
+        )
+        await fleet.start("peer")
+        chat = route("chat", "/chat/", "stream", service="chat")
+        chat |= {"timeout_ms": 20_000, "objective_ms": 9000}
+        document = config(2, chat)
+        engine = {"slots": 200, "memory_tokens": 10_000_000}
+        document["services"].append({"name": "chat", "engine": engine})
+        document["limits"] = {"tokens_per_s": 1_000_000}
+        await fleet.put_config(document)
+        yield fleet
+
+
+@contextlib.asynccontextmanager
+async def engine_that_holds_prompts(fleet):
+    """An engine that holds prompts to /chat/hold until `release` is set."""
+    endpoint = FakeEndpoint("engine-1", "chat")
+    endpoint.release = asyncio.Event()
+
+    async def respond(request):
+        if request.path == "/chat/hold":
+            await endpoint.release.wait()
+        headers = endpoint.response_headers(request)
+        return web.Response(text="done", headers=headers)
+
+    endpoint.respond = respond
+    async with endpoint.running():
+        for host in range(3):
+            await fleet.send_heartbeat(endpoint, host=host)
+        yield endpoint
+        endpoint.release.set()
+
+
+async def send_prompt(fleet, path):
+    headers = {"Prompt-Parts": "aa:100,bb:50", "Token-Counts": "150,10"}
+    async with fleet.request(
+        path, deadline_ms=15_000, headers=headers, data=b"{}"
+    ) as response:
+        return response.status, await response.text()
+
+
+def events(fleet, name, event):
+    lines = (fleet.folder / f"{name}.log").read_text().splitlines()
+    found = [json.loads(line) for line in lines if f'"{event}"' in line]
+    return [line for line in found if line["event"] == event]
+
+
+async def test_prompts_beyond_the_limit_are_served_by_another_gateway(fleet):
+    """Guards against callers that are refused by one overloaded gateway while
+    another one is idle.
+
+    A suspension makes the event loop late while one workspace has many prompts
+    in service, which limits the gateway to fewer.
+    """
+    async with engine_that_holds_prompts(fleet) as endpoint:
+
+        async def engine_is_known():
+            return (await send_prompt(fleet, "/chat/x"))[0] == 200
+
+        await wait_until(engine_is_known)
+        held = [
+            asyncio.create_task(send_prompt(fleet, "/chat/hold"))
+            for _ in range(HELD_PROMPTS)
+        ]
+
+        async def all_are_held():
+            return len(endpoint.requests) > HELD_PROMPTS
+
+        await wait_until(all_are_held)
+        gateway = fleet.children["gateway"]
+        gateway.suspend()
+        await asyncio.sleep(SUSPENDED_SECONDS)
+        gateway.signal(signal.SIGCONT)
+
+        async def one_is_forwarded():
+            status, text = await send_prompt(fleet, "/chat/x")
+            forwarded = events(fleet, "gateway", "request_forwarded")
+            return forwarded and (status, text) == (200, "done")
+
+        await wait_until(one_is_forwarded)
+        endpoint.release.set()
+        assert [status for status, _ in await asyncio.gather(*held)] == [
+            200
+        ] * HELD_PROMPTS
+    ids = {line["id"] for line in events(fleet, "gateway", "request_forwarded")}
+    served = {line["id"] for line in events(fleet, "peer", "request")}
+    assert ids <= served
