Count connections of forwarded prompts against the descriptor limit

A forwarded prompt takes two descriptors, and its caller's connection left the listener's count: a gateway with 1,535 descriptors could have run out under a flood. At most a quarter of the callers' limit is forwarded now, and these connections count as open. Found by reading; no play showed it.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/connections.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/connections.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 
 from aiohttp import web
 
@@ -21,6 +22,9 @@
 CROWDED_SHARE = 0.5
 """Share of the limit above which connections are closed after the response
 instead of being kept alive."""
+FORWARDED_SHARE = 0.25
+"""Share of the limit for callers whose request is forwarded to another gateway,
+which takes a second connection."""
 CHECK_SECONDS = 0.1
 
 
@@ -29,6 +33,9 @@
 
     Attributes:
         limit: The maximum number of connections.
+        max_forwarded: The maximum number of forwarded requests.
+        forwarded_count: Returns the number of forwarded requests. Their
+            connections are not among the listener's.
         listener: The listener of the callers' address, once it is open.
         busy: The connections on which a request is being handled.
     """
@@ -37,15 +44,22 @@
         self.limit = max(
             32, int((max_descriptors - RESERVED_DESCRIPTORS) * CALLER_SHARE)
         )
+        self.max_forwarded = int(self.limit * FORWARDED_SHARE)
+        self.forwarded_count: Callable[[], int] = lambda: 0
         self.listener: Listener | None = None
         self.busy: set[web.RequestHandler] = set()
 
+    @property
+    def open_count(self) -> int:
+        """The number of open connections; 0 before the listener is open."""
+        if self.listener is None:
+            return 0
+        return self.listener.open_connections + self.forwarded_count()
+
     @property
     def is_crowded(self) -> bool:
         """Whether connections are closed after the response."""
-        if self.listener is None:
-            return False
-        return self.listener.open_connections > self.limit * CROWDED_SHARE
+        return self.open_count > self.limit * CROWDED_SHARE
 
     @property
     def is_full(self) -> bool:
@@ -60,12 +74,12 @@
         """Closes the oldest idle connections above the limit."""
         while True:
             await asyncio.sleep(CHECK_SECONDS)
-            over = self.listener.open_connections - self.limit
+            over = self.open_count - self.limit
             if over > 0:
                 closed = self.listener.close_idle(self.busy, over)
                 logger.info(
                     "idle_connections_closed",
                     closed=closed,
-                    open=self.listener.open_connections,
+                    open=self.open_count,
                     limit=self.limit,
                 )
--- a/packages/fleet/src/marjoramyard/fleet/gateway/overload_guard.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/overload_guard.py
@@ -43,8 +43,6 @@
 NEEDS_PEERS_SECONDS = 2.0
 """How long after an overload a gateway is told of others that have room, and
 gets no requests of others itself."""
-
-
 UNREACHABLE_RETRY_SECONDS = 0.1
 """`Retry-After` of a prompt whose peer could not be reached; the next one goes
 to another peer."""
@@ -56,6 +54,7 @@
     Attributes:
         limit: The limit on prompts in service.
         forwarding_limit: The limit on prompts being forwarded.
+        max_forwarded: The most prompts to forward at the same time.
         peers: Chooses the gateways that prompts are forwarded to.
         overloaded_at: When a prompt was last beyond the limit, on the monotonic
             clock in seconds.
@@ -73,6 +72,7 @@
         self.metrics = metrics
         self.limit = ConcurrencyLimit()
         self.forwarding_limit = ConcurrencyLimit(FORWARDING)
+        self.max_forwarded = 0
         self.peers = PeerSelector()
         self.overloaded_at = float("-inf")
         self.forwarding_failures = _forwarding_failures(view.dialect)
@@ -117,6 +117,10 @@
         workspace = table.workspace_of_key(key)
         return (route, workspace.name) if workspace is not None else None
 
+    def forwarded_count(self) -> int:
+        """Returns the number of prompts that are being forwarded."""
+        return self.forwarding_limit.total
+
     def _needs_peers(self) -> bool:
         """Whether prompts were refused or forwarded recently."""
         return time.monotonic() - self.overloaded_at < NEEDS_PEERS_SECONDS
@@ -138,7 +142,7 @@
         if found is None or self.limit.admits(found[1]):
             return None
         self.overloaded_at = time.monotonic()
-        if self.forwarding_limit.is_reached or not can_forward(head):
+        if not self._may_forward() or not can_forward(head):
             return None
         now = asyncio.get_running_loop().time()
         peer = self.peers.choose(self.brokers.peers(), now)
@@ -152,6 +156,10 @@
         self.on_started()
         return forwarded
 
+    def _may_forward(self) -> bool:
+        limit = self.forwarding_limit
+        return not limit.is_reached and limit.total < self.max_forwarded
+
     def _forwarding_plan(
         self, head: RequestHead, route: Route, peer: str
     ) -> ForwardingPlan:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/role.py
@@ -58,6 +58,8 @@
         self.handler = handler
         self.connections = CallerConnections(self.settings.max_descriptors)
         handler.closes_connections = self.sheds_connections
+        self.connections.forwarded_count = handler.guard.forwarded_count
+        handler.guard.max_forwarded = self.connections.max_forwarded
         handler.is_full = lambda: self.connections.is_full
 
     def is_ready(self) -> bool:
--- a/packages/fleet/tests/gateway/test_role.py
+++ b/packages/fleet/tests/gateway/test_role.py
@@ -32,7 +32,8 @@
 ):
     """Guards against exiting while unread requests are left."""
     monkeypatch.setattr(role_module, "BALANCER_NOTICE_SECONDS", 0.0)
-    handler = SimpleNamespace(active_count=0, started_count=0)
+    guard = SimpleNamespace(forwarded_count=lambda: 0)
+    handler = SimpleNamespace(active_count=0, started_count=0, guard=guard)
     settings = SimpleNamespace(max_descriptors=1000, grace_seconds=30.0)
     app = SimpleNamespace(settings=settings, stopping=asyncio.Event())
     role = GatewayRole(app, None, handler)
