Look up an engine's cached prefix once for each decision

Cause: a decision looked up the cached prefix of each engine three times, and that of the best one once for each of the others.

Change: once for each engine; the same arithmetic, so the same choices.

--- a/packages/coordination/src/marjoramyard/coordination/placement/plans.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/plans.py
@@ -54,17 +54,40 @@
         available: Those of them with a free slot and memory; not empty.
         profile: The properties shared by all engines.
     """
-    source = max(
-        usable, key=lambda e: e.prefix_cache.leading_tokens(request.parts)
+    cached = {
+        engine.endpoint: engine.prefix_cache.leading_tokens(request.parts)
+        for engine in usable
+    }
+    source = max(usable, key=lambda engine: cached[engine.endpoint])
+    prompt = _Prompt(
+        request.prompt_tokens,
+        source,
+        cached[source.endpoint],
+        _preferred_if_uncached(request, source, usable),
     )
-    preferred = _preferred_if_uncached(request, source, usable)
     plans = (
-        _plan(request, engine, source, preferred, profile)
+        _plan(prompt, engine, cached[engine.endpoint], profile)
         for engine in available
     )
     return min(plans, key=lambda plan: plan.cost_ms)
 
 
+class _Prompt(msgspec.Struct, frozen=True):
+    """What the plans of one request have in common.
+
+    Attributes:
+        tokens: The length of the complete prompt.
+        source: The engine with the longest cached prefix.
+        cached_at_source: The length of that prefix, in tokens.
+        preferred: The preferred engine, or "" if a shared part is cached.
+    """
+
+    tokens: int
+    source: Engine
+    cached_at_source: int
+    preferred: str
+
+
 def _preferred_if_uncached(
     request: PlacementRequest, source: Engine, usable: list[Engine]
 ) -> str:
@@ -82,24 +105,19 @@
 
 
 def _plan(
-    request: PlacementRequest,
-    engine: Engine,
-    source: Engine,
-    preferred: str,
-    profile: EngineProfile,
+    prompt: _Prompt, engine: Engine, cached: int, profile: EngineProfile
 ) -> Plan:
-    cached = engine.prefix_cache.leading_tokens(request.parts)
-    cached_at_source = source.prefix_cache.leading_tokens(request.parts)
-    without_fetch = max(1.0, request.prompt_tokens - cached)
-    fetchable = cached_at_source - cached
+    source = prompt.source
+    without_fetch = max(1.0, prompt.tokens - cached)
+    fetchable = prompt.cached_at_source - cached
     base = engine.wait_ms + fetchable * DUPLICATE_MS_PER_TOKEN
-    if preferred and engine.endpoint != preferred:
+    if prompt.preferred and engine.endpoint != prompt.preferred:
         base += NOT_PREFERRED_MS
     cost = base + without_fetch / engine.rate
     if source is engine or fetchable < MIN_FETCH_TOKENS:
         return Plan(cost, engine, "", without_fetch)
     fetch_ms = FETCH_SETUP_MS + fetchable * _fetch_ms_per_token(profile)
-    with_fetch = max(1.0, request.prompt_tokens - cached_at_source)
+    with_fetch = max(1.0, prompt.tokens - prompt.cached_at_source)
     fetch_cost = base + fetch_ms + with_fetch / engine.rate
     if not profile.link_mbps or fetch_cost >= cost:
         return Plan(cost, engine, "", without_fetch)
