--- a/packages/coordination/src/marjoramyard/coordination/placement/backlog_limit.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/backlog_limit.py
@@ -4,6 +4,10 @@
 """With less, an engine would idle until its next prompt arrives."""
 MAX_BACKLOG_MS = 180.0
 """With more, prompts wait in engines that the broker could still reorder."""
+SHORT_QUEUE_MS = 50.0
+"""Queues that engines can prefill in this time need no larger backlog."""
+LONG_QUEUE_MS = 200.0
+"""Queues of this length or more get the full backlog."""
 INCREASE_MS = 1.0
 """Added for each stream whose gaps meet their objective."""
 DECREASE_FACTOR = 0.6
@@ -19,14 +23,27 @@
     tokens of its running streams more slowly. The limit therefore grows until
     streams miss the objective for the time between their events.
 
+    Prompts in an engine's backlog can't be reordered any more, so it is only
+    used while there is a queue that needs it.
+
     Attributes:
-        limit_ms: An engine gets further requests while its backlog is expected
-            to take at most this time.
+        limit_ms: The limit while there is a long queue: an engine gets further
+            requests while its backlog is expected to take at most this time.
     """
 
     def __init__(self):
         self.limit_ms = MIN_BACKLOG_MS
 
+    def for_queue(self, queue_ms: float) -> float:
+        """Returns the limit for a queue, in ms.
+
+        Args:
+            queue_ms: How long all engines together would take to prefill it.
+        """
+        length = (queue_ms - SHORT_QUEUE_MS) / (LONG_QUEUE_MS - SHORT_QUEUE_MS)
+        share = min(1.0, max(0.0, length))
+        return MIN_BACKLOG_MS + share * (self.limit_ms - MIN_BACKLOG_MS)
+
     def record_longest_gap(self, ratio: float) -> None:
         """Adapts the limit to a stream that has ended.
 
--- a/packages/coordination/src/marjoramyard/coordination/placement/broker.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/broker.py
@@ -298,7 +298,7 @@
         """
         if self.lagging_routers:
             self.finish_expected_prefills(now)
-        max_backlog_ms = self.backlog_limit.limit_ms
+        max_backlog_ms = self._max_backlog_ms()
         results: list[PlacementGrant | PlacementRefusal] = []
         deferred: list[QueuedRequest] = []
         while len(deferred) < MAX_DEFERRED and any(
@@ -317,7 +317,7 @@
                     refusal(request.key, wait_ms, now - request.submitted_at)
                 )
                 continue
-            grant = self._place(request, now)
+            grant = self._place(request, now, max_backlog_ms)
             if grant is None:
                 deferred.append(queued)
             else:
@@ -336,11 +336,22 @@
         del self.queued[queued.request.key]
         return queued
 
+    def _max_backlog_ms(self) -> float:
+        queued_tokens = sum(queue.tokens for queue in self.queues.values())
+        return self.backlog_limit.for_queue(
+            queued_tokens / self.total_prefill_rate
+        )
+
     def _place(
-        self, request: PlacementRequest, now: float
+        self, request: PlacementRequest, now: float, max_backlog_ms: float
     ) -> PlacementGrant | None:
         """Grants the engine with the lowest cost.
 
+        Args:
+            request: The request.
+            now: The time.
+            max_backlog_ms: The limit on the backlog of its engine.
+
         Returns:
             The grant, or None if no engine has capacity or if the cheapest
             one has reached its maximum backlog. Waiting for it then costs
@@ -360,7 +371,7 @@
             return None
         plan = best_plan(request, usable, available, self.profile)
         engine = plan.engine
-        if not engine.accepts(memory_tokens, self.backlog_limit.limit_ms):
+        if not engine.accepts(memory_tokens, max_backlog_ms):
             return None
         in_flight = InFlightRequest(
             engine.endpoint,
--- a/packages/coordination/tests/placement/test_broker_backlog.py
+++ b/packages/coordination/tests/placement/test_broker_backlog.py
@@ -6,8 +6,10 @@
 import pytest
 
 from marjoramyard.coordination.placement.backlog_limit import (
+    LONG_QUEUE_MS,
     MAX_BACKLOG_MS,
     MIN_BACKLOG_MS,
+    SHORT_QUEUE_MS,
     BacklogLimit,
 )
 
@@ -66,3 +68,15 @@
     limit = BacklogLimit()
     limit.record_longest_gap(0.0)
     assert limit.limit_ms == MIN_BACKLOG_MS
+
+
+def test_a_short_queue_leaves_prompts_where_they_can_be_reordered():
+    """Guards against urgent prompts that wait in an engine behind long ones on
+    calm days.
+    """
+    limit = BacklogLimit()
+    for _ in range(1000):
+        limit.record_longest_gap(0.5)
+    assert limit.for_queue(0.0) == MIN_BACKLOG_MS
+    assert limit.for_queue(SHORT_QUEUE_MS) == MIN_BACKLOG_MS
+    assert limit.for_queue(LONG_QUEUE_MS) == MAX_BACKLOG_MS
