--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
@@ -30,11 +30,14 @@
     render_failure,
 )
 from marjoramyard.fleet.gateway.request_run import (
-    BUSY_RETRY_SECONDS,
     RequestRun,
     RequestRunContext,
 )
 from marjoramyard.fleet.gateway.request_trace import RequestTrace
+from marjoramyard.fleet.gateway.run_failures import (
+    BUSY_RETRY_SECONDS,
+    deadline_failure,
+)
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.fleet.util.jitter import jitter
 from marjoramyard.kernel.errors import (
@@ -223,7 +226,7 @@
             async with asyncio.timeout_at(caller.deadline_at):
                 return await run.run_to_completion()
         except TimeoutError:
-            raise FleetError(run.deadline_failure()) from None
+            raise FleetError(deadline_failure(run.may_have_run)) from None
 
     def _budget(self, service: str) -> RetryBudget:
         share = (
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
@@ -37,10 +37,15 @@
     estimate_prefill_rate,
 )
 from marjoramyard.fleet.gateway.request_trace import PlacedBy, RequestTrace
+from marjoramyard.fleet.gateway.run_failures import (
+    BUSY_RETRY_SECONDS,
+    attempts_failure,
+    deadline_failure,
+    late_failure,
+    no_endpoint_failure,
+)
 from marjoramyard.fleet.gateway.view import FleetView
-from marjoramyard.fleet.util.jitter import jitter
 from marjoramyard.kernel.errors import (
-    Failure,
     FailureKind,
     FleetError,
     Outcome,
@@ -48,14 +53,10 @@
 )
 from marjoramyard.kernel.metrics import Metrics
 
-BUSY_RETRY_SECONDS = 0.4
-"""`Retry-After` when no endpoint has capacity, before jitter."""
 MAX_CONNECT_ATTEMPTS = 4
 """Connection attempts per request, each to another endpoint if there is one."""
 MIN_EVENTS = 8
 """Events after which the longest gap of a stream shows how its engine does."""
-MIN_RETRY_SECONDS = 0.15
-"""Lower bound of the `Retry-After` of a late request, before jitter."""
 
 
 class RequestRunContext(msgspec.Struct, frozen=True):
@@ -137,7 +138,7 @@
                 or self.sends
                 or self.connect_failures >= MAX_CONNECT_ATTEMPTS
             ):
-                raise FleetError(self._no_endpoint_failure())
+                raise FleetError(no_endpoint_failure(self.may_have_run))
         return candidates
 
     async def _plan(self, candidates: list[Registration]) -> SendPlan:
@@ -153,7 +154,7 @@
         self.trace.wait_ms += (time.monotonic() - started_at) * 1000
         if isinstance(reply, PlaceRefusal):
             self.trace.predicted_ms = round(reply.predicted_ms)
-            raise FleetError(self._late_failure(reply))
+            raise FleetError(late_failure(reply, self.may_have_run))
         if reply is None:
             plan = self._plan_locally(candidates, broker_number)
         else:
@@ -189,16 +190,6 @@
             True,
         )
 
-    def _late_failure(self, reply: PlaceRefusal) -> Failure:
-        if self.may_have_run:
-            return self._no_endpoint_failure()
-        seconds = max(reply.retry_after_ms / 1000, MIN_RETRY_SECONDS)
-        return failure(
-            FailureKind.BUSY,
-            "the response would miss its objective; retry after the overload",
-            retry_after=jitter(seconds),
-        )
-
     def _recheck_caller(self) -> None:
         """Checks right before the send that the caller is still waiting.
 
@@ -210,7 +201,7 @@
             CallerGoneError: The caller has closed its connection.
         """
         if time.monotonic() >= self.caller.deadline_at:
-            raise FleetError(self.deadline_failure())
+            raise FleetError(deadline_failure(self.may_have_run))
         if self.context.brokers.lag.is_lagging:
             self.delivery.raise_if_caller_left()
 
@@ -397,60 +388,17 @@
             self.connect_failures += 1
             if self.connect_failures < MAX_CONNECT_ATTEMPTS:
                 return
-            raise FleetError(self._no_endpoint_failure())
+            raise FleetError(no_endpoint_failure(self.may_have_run))
         self.sends += 1
         if error.outcome is SendOutcome.BROKEN:
             if not error.reason.startswith("status"):
                 health.record_failure(now)
             if not self.caller.may_repeat:
-                raise FleetError(self._attempts_failure(error))
+                raise FleetError(attempts_failure(error, self.may_have_run))
         if self.sends >= self.caller.route.max_attempts:
-            raise FleetError(self._attempts_failure(error))
+            raise FleetError(attempts_failure(error, self.may_have_run))
         if not self.budget.spend():
-            raise FleetError(self._attempts_failure(error))
+            raise FleetError(attempts_failure(error, self.may_have_run))
 
     def _outcome(self) -> Outcome:
         return Outcome.UNKNOWN if self.may_have_run else Outcome.NOT_RUN
-
-    def _no_endpoint_failure(self) -> Failure:
-        if self.may_have_run:
-            return failure(
-                FailureKind.ENDPOINT_LOST,
-                "the endpoint was lost while the request ran, and no other is "
-                "available; check the result before sending it again",
-                Outcome.UNKNOWN,
-            )
-        return failure(
-            FailureKind.NO_ENDPOINT,
-            "no endpoint accepts requests now; retry shortly",
-            retry_after=jitter(BUSY_RETRY_SECONDS),
-        )
-
-    def _attempts_failure(self, error: SendFailedError) -> Failure:
-        if self.may_have_run:
-            return failure(
-                FailureKind.ENDPOINT_LOST,
-                f"no complete response from the endpoint ({error.reason}); the "
-                "request may have run",
-                Outcome.UNKNOWN,
-            )
-        wait_seconds = error.retry_after or BUSY_RETRY_SECONDS
-        return failure(
-            FailureKind.BUSY,
-            "all available endpoints are at capacity; retry later",
-            retry_after=jitter(wait_seconds),
-        )
-
-    def deadline_failure(self) -> Failure:
-        """Returns the failure of a request whose deadline has passed."""
-        if self.may_have_run:
-            return failure(
-                FailureKind.DEADLINE,
-                "no response before the deadline; the request may have run",
-                Outcome.UNKNOWN,
-            )
-        return failure(
-            FailureKind.BUSY,
-            "the deadline passed before the request was sent; it has not run",
-            retry_after=jitter(BUSY_RETRY_SECONDS),
-        )
--- /dev/null
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/run_failures.py
@@ -0,0 +1,80 @@
+"""The failures of requests that get no response from an endpoint.
+
+Whether a request may have run decides what its caller is told: "not run" is a
+promise.
+"""
+
+from marjoramyard.fleet.gateway.attempts import SendFailedError
+from marjoramyard.fleet.gateway.broker_protocol import PlaceRefusal
+from marjoramyard.fleet.util.jitter import jitter
+from marjoramyard.kernel.errors import (
+    Failure,
+    FailureKind,
+    Outcome,
+    failure,
+)
+
+BUSY_RETRY_SECONDS = 0.4
+"""`Retry-After` when no endpoint has capacity, before jitter."""
+MIN_RETRY_SECONDS = 0.15
+"""Lower bound of the `Retry-After` of a late request, before jitter."""
+
+
+def late_failure(reply: PlaceRefusal, may_have_run: bool) -> Failure:
+    """Returns the failure of a request that the broker has refused."""
+    if may_have_run:
+        return no_endpoint_failure(may_have_run)
+    seconds = max(reply.retry_after_ms / 1000, MIN_RETRY_SECONDS)
+    return failure(
+        FailureKind.BUSY,
+        "the response would miss its objective; retry after the overload",
+        retry_after=jitter(seconds),
+    )
+
+
+def no_endpoint_failure(may_have_run: bool) -> Failure:
+    """Returns the failure of a request for which there is no endpoint."""
+    if may_have_run:
+        return failure(
+            FailureKind.ENDPOINT_LOST,
+            "the endpoint was lost while the request ran, and no other is "
+            "available; check the result before sending it again",
+            Outcome.UNKNOWN,
+        )
+    return failure(
+        FailureKind.NO_ENDPOINT,
+        "no endpoint accepts requests now; retry shortly",
+        retry_after=jitter(BUSY_RETRY_SECONDS),
+    )
+
+
+def attempts_failure(error: SendFailedError, may_have_run: bool) -> Failure:
+    """Returns the failure of a request that may not be sent again."""
+    if may_have_run:
+        return failure(
+            FailureKind.ENDPOINT_LOST,
+            f"no complete response from the endpoint ({error.reason}); the "
+            "request may have run",
+            Outcome.UNKNOWN,
+        )
+    wait_seconds = error.retry_after or BUSY_RETRY_SECONDS
+    return failure(
+        FailureKind.BUSY,
+        "all available endpoints are at capacity; retry later",
+        retry_after=jitter(wait_seconds),
+    )
+
+
+def deadline_failure(may_have_run: bool) -> Failure:
+    """Returns the failure of a request whose deadline has passed."""
+    if may_have_run:
+        return failure(
+            FailureKind.DEADLINE,
+            "no response before the deadline; the request may have run",
+            Outcome.UNKNOWN,
+        )
+    return failure(
+        FailureKind.BUSY,
+        "the deadline passed before the request was sent; it has not run",
+        retry_after=jitter(BUSY_RETRY_SECONDS),
+    )
