Send cached prefixes only to brokers that know them

Cause: a broker of an earlier release closes the connection at a message it doesn't know, so while a release was rolled out its gateways would have had no broker and placed prompts by their own estimates. Found by reading.

Change: brokers select the WebSocket protocol broker-2; without it the prefixes are not sent. A test with a broker that does not select it failed before.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_client.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_client.py
@@ -12,6 +12,7 @@
 from marjoramyard.fleet.gateway.admission import CallerRequest
 from marjoramyard.fleet.gateway.broker_protocol import (
     BROKER_PATH,
+    BROKER_PROTOCOL,
     BROKER_TIMEOUT_SECONDS,
     FORWARDING_PARAMETER,
     HEARTBEAT_INTERVAL_SECONDS,
@@ -143,6 +144,7 @@
                         ZONE_PARAMETER: self.zone,
                         FORWARDING_PARAMETER: self.forwarding_address,
                     },
+                    protocols=(BROKER_PROTOCOL,),
                     compress=0,
                 )
             )
@@ -153,7 +155,9 @@
         logger.info("broker_connected", service=service, broker=address)
         self.socket = socket
         self.liveness.reset()
-        self.outbox = [*self._cached_prefixes(service), *self.running.values()]
+        self.outbox = list(self.running.values())
+        if socket.protocol == BROKER_PROTOCOL:
+            self.outbox = [*self._cached_prefixes(service), *self.outbox]
         self._schedule_flush()
         try:
             await self.liveness.wait_for(self._read(service, address, socket))
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_protocol.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_protocol.py
@@ -13,6 +13,9 @@
 FORWARDING_PARAMETER = "forwarding"
 """The query parameter with the address at which a connecting gateway accepts
 forwarded requests; "" for none."""
+BROKER_PROTOCOL = "broker-2"
+"""The WebSocket protocol of brokers that know `CachedPrefix`. A broker of an
+earlier release does not select it, and would reject unknown messages."""
 HEARTBEAT_INTERVAL_SECONDS = 0.1
 BROKER_TIMEOUT_SECONDS = 0.4
 """A broker from which nothing was received for so long is considered
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
@@ -19,6 +19,7 @@
     UnbrokeredRequest,
 )
 from marjoramyard.fleet.gateway.broker_protocol import (
+    BROKER_PROTOCOL,
     FORWARDING_PARAMETER,
     HEARTBEAT_INTERVAL_SECONDS,
     ZONE_PARAMETER,
@@ -72,7 +73,9 @@
 
     async def serve(self, request: web.Request) -> web.WebSocketResponse:
         """Handles the WebSocket connection of a gateway until it closes."""
-        socket = web.WebSocketResponse(compress=False)
+        socket = web.WebSocketResponse(
+            protocols=(BROKER_PROTOCOL,), compress=False
+        )
         await socket.prepare(request)
         self.last_gateway_number += 1
         gateway = GatewayConnection(
--- a/packages/fleet/tests/gateway/test_broker_client.py
+++ b/packages/fleet/tests/gateway/test_broker_client.py
@@ -26,6 +26,7 @@
 )
 from marjoramyard.fleet.gateway.broker_protocol import (
     BROKER_PATH,
+    BROKER_PROTOCOL,
     BROKER_TIMEOUT_SECONDS,
     CachedPrefix,
     PlaceGrant,
@@ -186,12 +187,15 @@
         assert isinstance(await place(client), PlaceGrant)
 
 
-async def test_a_new_broker_is_told_which_parts_engines_have_cached(metrics):
-    """Guards against prefilling all shared parts again at a new broker."""
+async def first_messages(metrics, protocols):
+    """Returns the first messages to a broker that knows some protocols.
+
+    The gateway has sent a prompt to an engine before.
+    """
     frames = asyncio.Queue()
 
     async def record_frames(request):
-        socket = web.WebSocketResponse()
+        socket = web.WebSocketResponse(protocols=protocols)
         await socket.prepare(request)
         async for frame in socket:
             await frames.put(frame.data)
@@ -205,14 +209,30 @@
             ViewOfBrokers([address]), session, LoopLag(metrics)
         )
         parts = (PromptPart("shared", 3000), PromptPart("own", 400))
-        running = RunningRequest(1, "llm", "e0", 400.0, 400.0)
-        client.on_started(running, parts, is_granted=True)
+        client.on_started(RUNNING, parts, is_granted=True)
         task = asyncio.create_task(client.run("llm"))
         async with asyncio.timeout(10):
             messages = gateway_message_decoder.decode(await frames.get())
-        assert messages == [
-            CachedPrefix("llm", "e0", [("shared", 3000)]),
-            running,
-        ]
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
+        return messages
+
+
+RUNNING = RunningRequest(1, "llm", "e0", 400.0, 400.0)
+
+
+async def test_a_new_broker_is_told_which_parts_engines_have_cached(metrics):
+    """Guards against prefilling all shared parts again at a new broker."""
+    assert await first_messages(metrics, (BROKER_PROTOCOL,)) == [
+        CachedPrefix("llm", "e0", [("shared", 3000)]),
+        RUNNING,
+    ]
+
+
+async def test_a_broker_of_an_earlier_release_gets_no_unknown_messages(
+    metrics,
+):
+    """Guards against gateways without a broker while a release is rolled out:
+    it would close the connection at an unknown message.
+    """
+    assert await first_messages(metrics, ()) == [RUNNING]
