--- a/packages/coordination/src/marjoramyard/coordination/placement/engine_pool.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/engine_pool.py
@@ -2,12 +2,14 @@
 
 from collections.abc import Iterable
 
+from marjoramyard.coordination.placement.backlog_limit import BacklogLimit
 from marjoramyard.coordination.placement.engines import (
     FIRST_TOKEN_LATENCY_MS,
     Engine,
     InFlightRequest,
 )
 from marjoramyard.coordination.routing.config import EngineProfile
+from marjoramyard.coordination.routing.table import PromptPart
 
 ORDER_TOLERANCE_MS = 150.0
 """Prompts granted further apart than this are assumed to be prefilled in
@@ -25,6 +27,7 @@
         engines: The engines, by endpoint.
         in_flight: Requests that engines have, by key.
         lagging_routers: Routers that send requests and reports with delay.
+        backlog_limit: The limit on the backlog of each engine.
     """
 
     def __init__(self, profile: EngineProfile, rate: float):
@@ -33,6 +36,7 @@
         self.engines: dict[str, Engine] = {}
         self.in_flight: dict[str, InFlightRequest] = {}
         self.lagging_routers: set[str] = set()
+        self.backlog_limit = BacklogLimit()
 
     def set_engines(self, usable: Iterable[str]) -> None:
         """Sets the endpoints that may get new requests.
@@ -133,6 +137,23 @@
                 0.0, engine.prefill_tokens - request.prefill_tokens
             )
 
+    def add_cached(self, endpoint: str, parts: Iterable[PromptPart]) -> None:
+        """Adds prompt parts that a router has recently sent to an engine.
+
+        Unknown engines are ignored.
+        """
+        engine = self.engines.get(endpoint)
+        if engine is not None:
+            engine.prefix_cache.add(parts)
+
+    def record_longest_gap(self, ratio: float) -> None:
+        """Records the longest gap of a stream that has ended.
+
+        Args:
+            ratio: See `BacklogLimit.record_longest_gap`.
+        """
+        self.backlog_limit.record_longest_gap(ratio)
+
     def set_lagging(self, router: str, is_lagging: bool) -> None:
         """Sets whether a router is short of processor time.
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_client.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_client.py
@@ -2,19 +2,23 @@
 
 import asyncio
 import time
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from collections.abc import Callable, Sequence
 
 import aiohttp
 import msgspec
 
 from marjoramyard.coordination.routing.config import Service
+from marjoramyard.coordination.routing.table import PromptPart
 from marjoramyard.fleet.gateway.admission import CallerRequest
 from marjoramyard.fleet.gateway.broker_protocol import (
     BROKER_PATH,
+    BROKER_PROTOCOL,
     BROKER_TIMEOUT_SECONDS,
+    FORWARDING_PARAMETER,
     HEARTBEAT_INTERVAL_SECONDS,
+    ZONE_PARAMETER,
     BrokerMessage,
+    CachedPrefix,
     Finished,
     FirstToken,
     GatewayMessage,
@@ -26,17 +30,19 @@
     Withdraw,
     broker_message_decoder,
 )
+from marjoramyard.fleet.gateway.prefix_history import PrefixHistory
 from marjoramyard.fleet.gateway.refusal_cache import RefusalCache
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.fleet.util.lag import LoopLag
 from marjoramyard.fleet.util.liveness import LivenessTimer
-from marjoramyard.fleet.util.tasks import TaskGroup
 from marjoramyard.kernel.logs import get_logger
-from marjoramyard.kernel.metrics import Metrics
 
 logger = get_logger(__name__)
 
 RECONNECT_SECONDS = 0.2
+AVOID_SECONDS = 3.0
+"""How long a broker that did not respond is passed over for its successor.
+Within this time the control hosts select another one if it is lost."""
 CONNECT_SECONDS = 0.4
 """Timeout of opening and of closing a connection."""
 
@@ -46,16 +52,35 @@
 
     Attributes:
         refusals: Recent refusals that still hold.
+        zone: The availability zone of this gateway.
+        forwarding_address: Where this gateway accepts forwarded requests; ""
+            for nowhere.
+        avoided_until: When brokers that did not respond are used again, by
+            address, on the monotonic clock in seconds.
         liveness: Expires when the broker sends nothing for too long.
+        peers: Addresses of gateways that have room for forwarded requests, as
+            last reported by the broker.
+        needs_peers: Whether this gateway wants to forward requests.
         last_number: The number of the last request.
         pending: Placement requests without a reply, by number.
         running: Requests at endpoints, by number.
         outbox: Messages to be sent in the next frame.
+        history: The shared prompt parts that were recently sent to engines.
     """
 
     def __init__(
-        self, view: FleetView, session: aiohttp.ClientSession, lag: LoopLag
+        self,
+        view: FleetView,
+        session: aiohttp.ClientSession,
+        lag: LoopLag,
+        zone: str = "",
+        forwarding_address: str = "",
     ):
+        self.zone = zone
+        self.forwarding_address = forwarding_address
+        self.peers: list[str] = []
+        self.needs_peers: Callable[[], bool] = lambda: False
+        self.avoided_until: dict[str, float] = {}
         self.view = view
         self.session = session
         self.lag = lag
@@ -68,6 +93,7 @@
         self.pending: dict[int, asyncio.Future] = {}
         self.running: dict[int, RunningRequest] = {}
         self.outbox: list[GatewayMessage] = []
+        self.history = PrefixHistory()
         self.flush_scheduled = False
 
     @property
@@ -75,10 +101,34 @@
         """Whether there is a connection and the broker is responsive."""
         return self.socket is not None and not self.liveness.has_expired
 
+    def _broker_of(self, service: str) -> str:
+        """Returns the first broker that is not avoided; "" if there is none.
+
+        All gateways notice a lost broker at about the same time and pass over
+        to the same successor, before the control hosts have selected it.
+        """
+        now = time.monotonic()
+        addresses = self.view.brokers_of(service)
+        usable = [
+            address
+            for address in addresses
+            if self.avoided_until.get(address, 0.0) <= now
+        ]
+        return next(iter(usable or addresses), "")
+
+    def _avoid(self, address: str) -> None:
+        now = time.monotonic()
+        self.avoided_until = {
+            other: until
+            for other, until in self.avoided_until.items()
+            if until > now
+        }
+        self.avoided_until[address] = now + AVOID_SECONDS
+
     async def run(self, service: str) -> None:
         """Connects to the service's broker, and reconnects, until cancelled."""
         while True:
-            address = self.view.broker_of(service)
+            address = self._broker_of(service)
             if address:
                 await self._connect(service, address)
             await asyncio.sleep(RECONNECT_SECONDS)
@@ -89,29 +139,49 @@
                 CONNECT_SECONDS, HEARTBEAT_INTERVAL_SECONDS
             ).wait_for(
                 self.session.ws_connect(
-                    f"http://{address}{BROKER_PATH}", compress=0
+                    f"http://{address}{BROKER_PATH}",
+                    params={
+                        ZONE_PARAMETER: self.zone,
+                        FORWARDING_PARAMETER: self.forwarding_address,
+                    },
+                    protocols=(BROKER_PROTOCOL,),
+                    compress=0,
                 )
             )
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             logger.info("broker_unreachable", broker=address, why=repr(error))
+            self._avoid(address)
             return
         logger.info("broker_connected", service=service, broker=address)
         self.socket = socket
         self.liveness.reset()
         self.outbox = list(self.running.values())
+        if socket.protocol == BROKER_PROTOCOL:
+            self.outbox = [*self._cached_prefixes(service), *self.outbox]
         self._schedule_flush()
         try:
             await self.liveness.wait_for(self._read(service, address, socket))
         except TimeoutError:
             logger.info("broker_unresponsive", service=service, broker=address)
+            self._avoid(address)
         finally:
             self.socket = None
             self._release_pending()
             await self._close(socket)
             logger.info("broker_lost", service=service, broker=address)
 
+    def _cached_prefixes(self, service: str) -> list[CachedPrefix]:
+        return [
+            CachedPrefix(
+                service,
+                prefix.endpoint,
+                [(part.digest, part.tokens) for part in prefix.parts],
+            )
+            for prefix in self.history.recent()
+        ]
+
     async def _read(self, service: str, address: str, socket) -> None:
-        while self.view.broker_of(service) == address:
+        while self._broker_of(service) == address:
             frame = await socket.receive()
             if frame.type is not aiohttp.WSMsgType.TEXT:
                 return
@@ -129,6 +199,7 @@
 
     def _on_message(self, message: BrokerMessage) -> None:
         if isinstance(message, Heartbeat):
+            self.peers = message.peers
             return
         future = self.pending.pop(message.number, None)
         if future is not None and not future.done():
@@ -216,15 +287,26 @@
         while True:
             await asyncio.sleep(HEARTBEAT_INTERVAL_SECONDS)
             if self.pending or any(r.tokens for r in self.running.values()):
-                self._send(Heartbeat(self.lag.is_lagging))
+                self._send(
+                    Heartbeat(
+                        self.lag.is_lagging, needs_peers=self.needs_peers()
+                    )
+                )
 
-    def on_started(self, running: RunningRequest, is_granted: bool) -> None:
+    def on_started(
+        self,
+        running: RunningRequest,
+        parts: Sequence[PromptPart],
+        is_granted: bool,
+    ) -> None:
         """Records that a request is being sent to an endpoint.
 
         Args:
             running: The request.
+            parts: Its prompt parts.
             is_granted: Whether the broker chose the endpoint.
         """
+        self.history.add(running.endpoint, parts)
         self.running[running.number] = running
         if not is_granted:
             self._send(running)
@@ -240,56 +322,21 @@
             running.tokens = 0.0
             self._send(FirstToken(number, self.lag.is_lagging))
 
-    def on_finished(self, number: int, failed: bool) -> None:
+    def on_finished(
+        self, number: int, failed: bool, gap_ratio: float = 0.0
+    ) -> None:
         """Reports that a request is no longer at its endpoint.
 
         Args:
             number: The request's number.
             failed: Whether the endpoint failed to respond.
+            gap_ratio: See `Finished`.
         """
+        if self.lag.is_lagging:
+            # This gateway may have caused the gap.
+            gap_ratio = 0.0
         if self.running.pop(number, None) is not None:
-            self._send(Finished(number, failed))
-
-
-class BrokerClients:
-    """The broker clients of all services with engines."""
-
-    def __init__(
-        self,
-        tasks: TaskGroup,
-        view: FleetView,
-        session: aiohttp.ClientSession,
-        metrics: Metrics,
-    ):
-        self.tasks = tasks
-        self.view = view
-        self.session = session
-        self.clients: dict[str, BrokerClient] = {}
-        self.lag = LoopLag(metrics)
-        tasks.spawn(self.lag.watch())
-        view.on_config.append(self._on_config)
-
-    def _on_config(self) -> None:
-        for name, service in self.view.table.services.items():
-            if service.engine is not None:
-                self.client_for(name)
-
-    def client_for(self, service: str) -> BrokerClient:
-        """Returns the client of a service's broker; creates it if needed."""
-        client = self.clients.get(service)
-        if client is None:
-            client = BrokerClient(self.view, self.session, self.lag)
-            self.clients[service] = client
-            self.tasks.spawn(client.run(service))
-            self.tasks.spawn(client.send_heartbeats_forever())
-        return client
-
-
-@asynccontextmanager
-async def open_broker_session() -> AsyncIterator[aiohttp.ClientSession]:
-    """Opens the HTTP session for connections to brokers."""
-    async with aiohttp.ClientSession() as session:
-        yield session
+            self._send(Finished(number, failed, gap_ratio))
 
 
 def _log_send_failure(task: asyncio.Future) -> None:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_protocol.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_protocol.py
@@ -8,12 +8,24 @@
 from marjoramyard.coordination.routing.table import PromptPart
 
 BROKER_PATH = "/fleet/v1/broker"
+ZONE_PARAMETER = "zone"
+"""The query parameter with the availability zone of a connecting gateway."""
+FORWARDING_PARAMETER = "forwarding"
+"""The query parameter with the address at which a connecting gateway accepts
+forwarded requests; "" for none."""
+BROKER_PROTOCOL = "broker-2"
+"""The WebSocket protocol of brokers that know `CachedPrefix`. A broker of an
+earlier release does not select it, and would reject unknown messages."""
 HEARTBEAT_INTERVAL_SECONDS = 0.1
 BROKER_TIMEOUT_SECONDS = 0.4
 """A broker from which nothing was received for so long is considered
 unresponsive. Requests are then placed by the gateway's own estimates."""
 
 
+def _decode_parts(parts: list[tuple[str, int]]) -> tuple[PromptPart, ...]:
+    return tuple(PromptPart(digest, size) for digest, size in parts)
+
+
 class PlaceRequest(msgspec.Struct, tag="ask", omit_defaults=True):
     """A gateway requests an endpoint for a request.
 
@@ -39,7 +51,7 @@
 
     def prompt(self) -> tuple[PromptPart, ...]:
         """Returns the prompt parts."""
-        return tuple(PromptPart(digest, size) for digest, size in self.parts)
+        return _decode_parts(self.parts)
 
 
 class Withdraw(msgspec.Struct, tag="withdraw"):
@@ -65,10 +77,13 @@
 
     Attributes:
         failed: The endpoint failed to respond.
+        gap_ratio: The longest gap between two events of its stream, relative to
+            the objective for it; 0.0 if unknown.
     """
 
     number: int
     failed: bool = False
+    gap_ratio: float = 0.0
 
 
 class RunningRequest(msgspec.Struct, tag="running"):
@@ -89,6 +104,24 @@
     output_tokens: int = 0
 
 
+class CachedPrefix(msgspec.Struct, tag="cached"):
+    """A gateway has recently sent these shared prompt parts to an engine.
+
+    Sent to a new broker.
+
+    Attributes:
+        parts: The shared prompt parts, as (digest, tokens).
+    """
+
+    service: str
+    endpoint: str
+    parts: list[tuple[str, int]]
+
+    def prompt(self) -> tuple[PromptPart, ...]:
+        """Returns the prompt parts."""
+        return _decode_parts(self.parts)
+
+
 class PlaceGrant(msgspec.Struct, tag="grant", omit_defaults=True):
     """The request may be sent to this endpoint now.
 
@@ -126,13 +159,24 @@
 
     Attributes:
         is_late: The sender's event loop is lagging.
+        needs_peers: From a gateway, whether it wants to forward requests.
+        peers: From a broker, addresses of gateways that have room for requests
+            of the receiver.
     """
 
     is_late: bool = False
+    needs_peers: bool = False
+    peers: list[str] = []
 
 
 GatewayMessage = (
-    PlaceRequest | Withdraw | FirstToken | Finished | RunningRequest | Heartbeat
+    PlaceRequest
+    | Withdraw
+    | FirstToken
+    | Finished
+    | RunningRequest
+    | CachedPrefix
+    | Heartbeat
 )
 BrokerMessage = PlaceGrant | PlaceRefusal | Heartbeat
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
@@ -10,6 +10,7 @@
 import msgspec
 from aiohttp import web
 
+from marjoramyard.coordination.membership.registrations import Registration
 from marjoramyard.coordination.placement.broker import Broker
 from marjoramyard.coordination.placement.requests import (
     PlacementGrant,
@@ -18,8 +19,11 @@
     UnbrokeredRequest,
 )
 from marjoramyard.fleet.gateway.broker_protocol import (
+    BROKER_PROTOCOL,
+    FORWARDING_PARAMETER,
     HEARTBEAT_INTERVAL_SECONDS,
-    BrokerMessage,
+    ZONE_PARAMETER,
+    CachedPrefix,
     Finished,
     FirstToken,
     GatewayMessage,
@@ -32,57 +36,19 @@
     gateway_message_decoder,
 )
 from marjoramyard.fleet.gateway.engine_load import estimate_prefill_rate
+from marjoramyard.fleet.gateway.gateway_connection import (
+    GatewayConnection,
+    peers_of,
+)
 from marjoramyard.fleet.gateway.view import FleetView
-from marjoramyard.fleet.util.liveness import LivenessTimer
 from marjoramyard.kernel.logs import get_logger
 from marjoramyard.kernel.metrics import Labels
 
 logger = get_logger(__name__)
 
-GATEWAY_TIMEOUT_SECONDS = 0.3
-"""Gateways that send nothing for this long get no grants until their next
-message. Gateways without queued requests or prompts being prefilled send no
-heartbeats; they have nothing to suspend."""
 LOG_INTERVAL_SECONDS = 1.0
 
 
-class GatewayConnection:
-    """The connection of one gateway.
-
-    To the brokers, each connection is a router.
-
-    Attributes:
-        number: Identifies the connection on this host.
-        outbox: Messages to be sent in the next frame.
-        services: Services of the queued, granted and unbrokered requests, by
-            the number that the gateway gave the request.
-        liveness: Expires when nothing is received within
-            `GATEWAY_TIMEOUT_SECONDS`.
-    """
-
-    def __init__(self, number: int, socket: web.WebSocketResponse):
-        self.number = number
-        self.socket = socket
-        self.outbox: list[BrokerMessage] = []
-        self.services: dict[int, str] = {}
-        self.liveness = LivenessTimer(
-            GATEWAY_TIMEOUT_SECONDS, HEARTBEAT_INTERVAL_SECONDS
-        )
-
-    @property
-    def router(self) -> str:
-        """The name that identifies the gateway to the brokers."""
-        return str(self.number)
-
-    def key(self, number: int) -> str:
-        """Returns a request's key, unique among the requests of all gateways.
-
-        Args:
-            number: The number that the gateway gave the request.
-        """
-        return f"{self.number}/{number}"
-
-
 class BrokerServer:
     """Serves gateways and runs the broker of each service they use.
 
@@ -93,6 +59,7 @@
         brokers: The brokers, by service.
         gateways: The open connections, by number.
         last_gateway_number: Number of the newest connection.
+        usable: The last list of usable endpoints of each service.
         dispatch_scheduled: Whether a dispatch is scheduled on the event loop.
     """
 
@@ -101,14 +68,22 @@
         self.brokers: dict[str, Broker] = {}
         self.gateways: dict[int, GatewayConnection] = {}
         self.last_gateway_number = 0
+        self.usable: dict[str, list[Registration]] = {}
         self.dispatch_scheduled = False
 
     async def serve(self, request: web.Request) -> web.WebSocketResponse:
         """Handles the WebSocket connection of a gateway until it closes."""
-        socket = web.WebSocketResponse(compress=False)
+        socket = web.WebSocketResponse(
+            protocols=(BROKER_PROTOCOL,), compress=False
+        )
         await socket.prepare(request)
         self.last_gateway_number += 1
-        gateway = GatewayConnection(self.last_gateway_number, socket)
+        gateway = GatewayConnection(
+            self.last_gateway_number,
+            socket,
+            request.query.get(ZONE_PARAMETER, ""),
+            request.query.get(FORWARDING_PARAMETER, ""),
+        )
         self.gateways[gateway.number] = gateway
         try:
             async for frame in socket:
@@ -178,7 +153,9 @@
             self.brokers[service] = broker
             logger.info("brokering", service=service, rate=round(rate, 1))
         usable = self.view.usable(service, set())
-        broker.set_engines(registration.endpoint for registration in usable)
+        if usable is not self.usable.get(service):
+            self.usable[service] = usable
+            broker.set_engines(r.endpoint for r in usable)
         return broker
 
     def _on_message(
@@ -190,6 +167,8 @@
         reports are delayed. Messages about unknown requests are ignored.
         """
         if isinstance(message, Heartbeat):
+            gateway.is_lagging = message.is_late
+            gateway.needs_peers = message.needs_peers
             for broker in self.brokers.values():
                 broker.set_lagging(gateway.router, message.is_late)
             return
@@ -199,6 +178,11 @@
         if isinstance(message, RunningRequest):
             self._add_unbrokered(gateway, message)
             return
+        if isinstance(message, CachedPrefix):
+            broker = self._refresh_broker(message.service)
+            if broker is not None:
+                broker.add_cached(message.endpoint, message.prompt())
+            return
         service = gateway.services.get(message.number)
         if service is None:
             return
@@ -216,6 +200,7 @@
             del gateway.services[message.number]
 
     def _on_finished(self, broker: Broker, key: str, message: Finished) -> None:
+        broker.record_longest_gap(message.gap_ratio)
         in_flight = broker.in_flight.get(key)
         if in_flight is not None and message.failed:
             self.view.health_of(in_flight.endpoint).record_failure(
@@ -344,6 +329,7 @@
                         service=service,
                         wait_ms=round(broker.mean_wait_ms),
                         rate=round(broker.total_prefill_rate),
+                        backlog_ms=round(broker.backlog_limit.limit_ms),
                         suspended=len(broker.suspended),
                         **counts,
                     )
@@ -372,7 +358,12 @@
             await asyncio.sleep(HEARTBEAT_INTERVAL_SECONDS)
             for gateway in self.gateways.values():
                 self._suspend_if_expired(gateway)
-                gateway.outbox.append(Heartbeat())
+            for gateway in self.gateways.values():
+                gateway.outbox.append(
+                    Heartbeat(
+                        peers=peers_of(gateway, self.gateways.values()),
+                    )
+                )
             self._schedule_dispatch()
 
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/delivery.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/delivery.py
@@ -8,6 +8,8 @@
 
 from marjoramyard.fleet.gateway.attempts import SendFailedError, SendOutcome
 from marjoramyard.fleet.gateway.events import EventSplitter
+from marjoramyard.fleet.gateway.stream_relay import DirectStreamRelay
+from marjoramyard.fleet.util.connections import has_peer_closed
 from marjoramyard.fleet.util.headers import copy_headers, end_to_end, is_stream
 
 
@@ -27,6 +29,7 @@
         written_at: When body bytes were last written, on the event loop clock
             in seconds.
         longest_gap: The longest time between two writes, in seconds.
+        write_count: How often body bytes were written.
     """
 
     def __init__(
@@ -40,12 +43,22 @@
         self.bytes_sent = 0
         self.written_at = 0.0
         self.longest_gap = 0.0
+        self.write_count = 0
 
     @property
     def has_started(self) -> bool:
         """Whether part of the response has been sent."""
         return self.response is not None
 
+    def raise_if_caller_left(self) -> None:
+        """Checks the caller's connection without waiting for the event loop.
+
+        Raises:
+            CallerGoneError: The caller has closed its connection.
+        """
+        if has_peer_closed(self.request.transport):
+            raise CallerGoneError("the connection is closed")
+
     async def relay(
         self, upstream: aiohttp.ClientResponse, on_first
     ) -> web.StreamResponse:
@@ -90,13 +103,25 @@
                 SendOutcome.BROKEN, f"resumed with status {upstream.status}"
             )
         self.events.buffer.clear()
-        async for data in upstream.content.iter_any():
-            events = self.events.feed(data)
+        content = upstream.content
+        while not content.at_eof():
+            events = self.events.feed(await content.readany())
             if events:
                 on_first()
                 await self._forward(upstream, events)
+            if self.has_started:
+                relay = DirectStreamRelay(
+                    upstream, self.request, self._process_directly
+                )
+                await relay.run()
         return await self._finish(upstream)
 
+    def _process_directly(self, data: bytes) -> bytes:
+        events = self.events.feed(data)
+        if events:
+            self._record_write(len(events))
+        return events
+
     async def _forward(
         self, upstream: aiohttp.ClientResponse, events: bytes
     ) -> None:
@@ -110,10 +135,11 @@
             await self.response.write(data)
         except ConnectionError as error:
             raise CallerGoneError(str(error)) from error
-        self.bytes_sent += len(data)
-        self._record_gap()
+        self._record_write(len(data))
 
-    def _record_gap(self) -> None:
+    def _record_write(self, size: int) -> None:
+        self.bytes_sent += size
+        self.write_count += 1
         now = asyncio.get_running_loop().time()
         if self.written_at:
             gap = now - self.written_at
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
@@ -9,7 +9,6 @@
 import aiohttp
 from aiohttp import web
 
-from marjoramyard.coordination.routing.config import Route
 from marjoramyard.coordination.routing.table import pick_destination
 from marjoramyard.coordination.serving.retries import RetryBudget
 from marjoramyard.fleet.application import Application
@@ -19,28 +18,29 @@
     admit,
     read_caller_request,
 )
-from marjoramyard.fleet.gateway.broker_client import BrokerClients
+from marjoramyard.fleet.gateway.broker_clients import BrokerClients
 from marjoramyard.fleet.gateway.delivery import (
     CallerGoneError,
     ResponseDelivery,
 )
-from marjoramyard.fleet.gateway.early_refusal import (
-    RequestHead,
-    response_bytes,
-)
 from marjoramyard.fleet.gateway.engine_load import EngineLoads
-from marjoramyard.fleet.gateway.overload import ConcurrencyLimit
+from marjoramyard.fleet.gateway.overload_guard import (
+    OverloadGuard,
+    needs_engine,
+    render_failure,
+)
 from marjoramyard.fleet.gateway.request_run import (
-    BUSY_RETRY_SECONDS,
     RequestRun,
     RequestRunContext,
 )
 from marjoramyard.fleet.gateway.request_trace import RequestTrace
+from marjoramyard.fleet.gateway.run_failures import (
+    BUSY_RETRY_SECONDS,
+    deadline_failure,
+)
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.fleet.util.jitter import jitter
-from marjoramyard.fleet.util.rpc import failure_response
 from marjoramyard.kernel.errors import (
-    Failure,
     FailureKind,
     FleetError,
     raise_failure,
@@ -52,7 +52,6 @@
 RETRY_SLACK_SHARE = 0.8
 """Share of the fleet's retry slack that is distributed. The rest covers
 restarted gateways, which get their part twice within a window."""
-LOG_INTERVAL_SECONDS = 1.0
 LEAVING_RETRY_SECONDS = 0.05
 """`Retry-After` while draining; the next connection reaches another gateway."""
 
@@ -66,7 +65,7 @@
         stops_at: When a draining gateway exits, on the event loop clock in
             seconds.
         is_refusing: Whether all requests are refused because of draining.
-        limit: The limit on prompts in service.
+        guard: Refuses or forwards prompts beyond the limit.
         budgets: The retry budgets by service.
         active_count: Requests in progress.
         started_count: All requests so far.
@@ -90,16 +89,16 @@
         self.context = RequestRunContext(
             view, session, brokers, EngineLoads(), self.names, app.metrics
         )
-        self.limit = ConcurrencyLimit()
-        brokers.lag.on_wake_up.append(self.limit.on_wake_up)
+        self.guard = OverloadGuard(view, brokers, app.metrics)
+        self.guard.on_started = self._on_started
+        self.guard.on_ended = self._on_ended
         self.budgets: dict[str, RetryBudget] = {}
         self.active_count = 0
         self.started_count = 0
 
     async def handle(self, request: web.Request) -> web.StreamResponse:
         """Handles one request of a caller."""
-        self.active_count += 1
-        self.started_count += 1
+        self._on_started()
         delivery = ResponseDelivery(request, self.closes_connections)
         trace = RequestTrace()
         started_at = time.monotonic()
@@ -120,69 +119,31 @@
             if delivery.has_started:
                 delivery.abort()
                 return delivery.response
-            return self._failure_response(error.failure)
+            return render_failure(error.failure, self.view.dialect)
         except CallerGoneError:
             delivery.abort()
             return delivery.response
         finally:
-            self.active_count -= 1
+            self._on_ended()
             self._log_request(
                 request, caller, delivery, trace, started_at, status, outcome
             )
 
-    def refuse_early(self, head: RequestHead) -> bytes | None:
-        """Returns the response to a prompt beyond the limit, else None."""
-        table = self.view.table
-        if table is None or "%" in head.path or not self.view.has_valid_lease():
-            return None
-        path = head.path.partition("?")[0]
-        route = table.route(head.header(b"host"), path)
-        if route is None or not self._needs_engine(route):
-            return None
-        name = ""
-        if table.needs_keys and not route.open_access:
-            key = head.header(self.names.api_key.lower().encode())
-            workspace = table.workspace_of_key(key)
-            if workspace is None:
-                return None
-            name = workspace.name
-        if self.limit.admits(name):
-            return None
-        kind = route.request_kind.value
-        self.metrics.count(
-            "requests", outcome=FailureKind.OVERLOADED.code, kind=kind
-        )
-        return response_bytes(self._failure_response(self.limit.refuse(name)))
+    def _on_started(self) -> None:
+        self.active_count += 1
+        self.started_count += 1
 
-    def _needs_engine(self, route: Route) -> bool:
-        services = self.view.table.services
-        return any(
-            services[destination.service].engine is not None
-            for destination in route.weighted_destinations
-        )
+    def _on_ended(self) -> None:
+        self.active_count -= 1
 
     def _within_limit(
         self, admitted: AdmittedRequest
     ) -> AbstractContextManager[None]:
         """Counts prompts against the limit; other requests are exempt."""
-        if not self._needs_engine(admitted.route):
+        if not needs_engine(self.view, admitted.route):
             return nullcontext()
         workspace = admitted.workspace
-        return self.limit.admit(workspace.name if workspace else "")
-
-    async def log_overload_forever(self) -> None:
-        """Logs the prompts that were refused by the limit, once a second."""
-        while True:
-            await asyncio.sleep(LOG_INTERVAL_SECONDS)
-            refused = self.limit.pop_refused_counts()
-            if refused:
-                logger.info(
-                    "gateway_overloaded",
-                    limit=round(self.limit.limit),
-                    active=self.limit.total,
-                    refused=refused.total(),
-                    most_of=refused.most_common(1)[0][0],
-                )
+        return self.guard.limit.admit(workspace.name if workspace else "")
 
     def _refuse_if_unable(self) -> None:
         """Refuses requests while draining or out of connections."""
@@ -212,13 +173,6 @@
                 retry_after=LEAVING_RETRY_SECONDS,
             )
 
-    def _failure_response(self, reason: Failure) -> web.Response:
-        response = failure_response(reason)
-        exact = self.view.dialect.fractional_retry_after
-        if exact and reason.retry_after is not None:
-            response.headers["Retry-After"] = f"{reason.retry_after:.2f}"
-        return response
-
     def _log_request(
         self, request, caller, delivery, trace, started_at, status, outcome
     ) -> None:
@@ -272,7 +226,7 @@
             async with asyncio.timeout_at(caller.deadline_at):
                 return await run.run_to_completion()
         except TimeoutError:
-            raise FleetError(run.deadline_failure()) from None
+            raise FleetError(deadline_failure(run.may_have_run)) from None
 
     def _budget(self, service: str) -> RetryBudget:
         share = (
--- a/packages/fleet/src/marjoramyard/fleet/gateway/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/role.py
@@ -2,12 +2,16 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from contextlib import (
+    AbstractAsyncContextManager,
+    asynccontextmanager,
+    nullcontext,
+)
 
 from aiohttp import web
 
 from marjoramyard.fleet.application import Application
-from marjoramyard.fleet.gateway.broker_client import (
+from marjoramyard.fleet.gateway.broker_clients import (
     BrokerClients,
     open_broker_session,
 )
@@ -53,7 +57,9 @@
         self.view = view
         self.handler = handler
         self.connections = CallerConnections(self.settings.max_descriptors)
-        handler.closes_connections = self.closes_connections
+        handler.closes_connections = self.sheds_connections
+        self.connections.forwarded_count = handler.guard.forwarded_count
+        handler.guard.max_forwarded = self.connections.max_forwarded
         handler.is_full = lambda: self.connections.is_full
 
     def is_ready(self) -> bool:
@@ -68,10 +74,19 @@
             response = await self.handler.handle(request)
         finally:
             busy.discard(request.protocol)
-        if self.closes_connections() and not response.prepared:
+        if self.sheds_connections() and not response.prepared:
             response.force_close()
         return response
 
+    async def handle_forwarded(
+        self, request: web.Request
+    ) -> web.StreamResponse:
+        """Handles a request that another gateway has forwarded.
+
+        The other gateway closes the connection after the response.
+        """
+        return await self.handler.handle(request)
+
     def wrap_connection(
         self, inner: asyncio.Protocol, is_idle: Callable[[], bool]
     ) -> asyncio.Protocol:
@@ -80,15 +95,26 @@
             inner,
             is_idle,
             self._refuses_early,
-            self.handler.refuse_early,
+            self.handler.guard.refuse_early,
+            self.sheds_connections,
+            self.handler.guard.start_forwarding,
         )
 
     def _refuses_early(self) -> bool:
-        reached = self.handler.limit.is_reached
+        reached = self.handler.guard.limit.is_reached
         return reached and not self.closes_connections()
 
+    def sheds_connections(self) -> bool:
+        """Whether connections are closed after the response.
+
+        While this gateway is not ready because of its load, the load balancer
+        directs the callers' next connections to other gateways.
+        """
+        overloaded = self.handler.guard.limit.is_overloaded_by_one
+        return overloaded or self.closes_connections()
+
     def closes_connections(self) -> bool:
-        """Whether connections are closed after the response."""
+        """Whether this gateway is stopping or has too many connections."""
         return self.app.stopping.is_set() or self.connections.is_crowded
 
     async def readyz(self, _: web.Request) -> web.Response:
@@ -96,7 +122,7 @@
         ready = (
             self.is_ready()
             and not self.app.stopping.is_set()
-            and not self.handler.limit.is_overloaded_by_one
+            and not self.handler.guard.limit.is_overloaded_by_one
         )
         return web.Response(status=200 if ready else 503)
 
@@ -143,7 +169,14 @@
         open_endpoint_session() as session,
         open_broker_session() as to_brokers,
     ):
-        brokers = BrokerClients(app.tasks, view, to_brokers, app.metrics)
+        brokers = BrokerClients(
+            app.tasks,
+            view,
+            to_brokers,
+            app.metrics,
+            settings.zone,
+            settings.forwarding_address(),
+        )
         handler = RequestHandler(view, session, brokers, app)
         broker_server = BrokerServer(view)
         app.metrics.gauge(
@@ -152,7 +185,7 @@
         app.metrics.gauge("broker_requests", broker_server.request_counts)
         app.tasks.spawn(broker_server.send_heartbeats_forever())
         app.tasks.spawn(broker_server.log_load_forever())
-        app.tasks.spawn(handler.log_overload_forever())
+        app.tasks.spawn(handler.guard.log_refusals_forever())
         role = GatewayRole(app, view, handler)
         app.tasks.spawn(ControlSync(app, view).run())
         async with (
@@ -165,6 +198,7 @@
                 internal=False,
                 health=False,
             ),
+            _serve_forwarded(app, role),
             app.serve(
                 settings.listen,
                 [web.route("*", "/{path:.*}", role.handle)],
@@ -179,6 +213,21 @@
             yield role
 
 
+def _serve_forwarded(
+    app: Application, role: GatewayRole
+) -> AbstractAsyncContextManager:
+    """Serves requests that other gateways forward, if settings allow it."""
+    address = app.settings.forwarding_address()
+    if not address:
+        return nullcontext()
+    return app.serve(
+        address,
+        [web.route("*", "/{path:.*}", role.handle_forwarded)],
+        internal=False,
+        health=False,
+    )
+
+
 def setup(app: Application) -> None:
     """Registers the gateway role."""
     app.add_role("gateway", gateway_role)
--- a/packages/fleet/tests/gateway/test_broker_client.py
+++ b/packages/fleet/tests/gateway/test_broker_client.py
@@ -9,6 +9,8 @@
 
 import aiohttp
 import pytest
+from aiohttp import web
+from aiohttp.test_utils import TestServer
 
 from marjoramyard.coordination.routing.config import (
     EngineProfile,
@@ -16,11 +18,20 @@
     Route,
     Service,
 )
+from marjoramyard.coordination.routing.table import PromptPart
 from marjoramyard.fleet.gateway.admission import CallerRequest
-from marjoramyard.fleet.gateway.broker_client import BrokerClient
+from marjoramyard.fleet.gateway.broker_client import (
+    AVOID_SECONDS,
+    BrokerClient,
+)
 from marjoramyard.fleet.gateway.broker_protocol import (
+    BROKER_PATH,
+    BROKER_PROTOCOL,
     BROKER_TIMEOUT_SECONDS,
+    CachedPrefix,
     PlaceGrant,
+    RunningRequest,
+    gateway_message_decoder,
 )
 from marjoramyard.fleet.util.lag import LoopLag
 from marjoramyard.kernel.metrics import Metrics
@@ -38,14 +49,14 @@
 )
 
 
-class ViewOfOneBroker:
-    """A view of the fleet with one broker for all services."""
+class ViewOfBrokers:
+    """A view of the fleet with the same brokers for all services."""
 
-    def __init__(self, address):
-        self.address = address
+    def __init__(self, addresses):
+        self.addresses = addresses
 
-    def broker_of(self, _service):
-        return self.address
+    def brokers_of(self, _service):
+        return self.addresses
 
 
 @pytest.fixture
@@ -73,10 +84,10 @@
 
 
 @contextlib.asynccontextmanager
-async def connected_client(address, metrics):
+async def connected_client(metrics, *addresses):
     async with aiohttp.ClientSession() as session:
         lag = LoopLag(metrics)
-        client = BrokerClient(ViewOfOneBroker(address), session, lag)
+        client = BrokerClient(ViewOfBrokers(addresses), session, lag)
         tasks = [
             asyncio.create_task(lag.watch()),
             asyncio.create_task(client.run("llm")),
@@ -126,7 +137,7 @@
     """
     async with (
         broker_process() as (_, address),
-        connected_client(address, metrics) as client,
+        connected_client(metrics, address) as client,
     ):
         for _ in range(4):
             earlier = asyncio.create_task(place(client))
@@ -140,10 +151,88 @@
     """Guards against requests that wait for a suspended broker."""
     async with (
         broker_process() as (child, address),
-        connected_client(address, metrics) as client,
+        connected_client(metrics, address) as client,
     ):
         assert isinstance(await place(client), PlaceGrant)
         child.send_signal(signal.SIGSTOP)
         began = time.monotonic()
         assert await place(client) is None
         assert time.monotonic() - began < 3 * BROKER_TIMEOUT_SECONDS
+
+
+async def test_a_successor_grants_soon_after_the_broker_is_suspended(metrics):
+    """Guards against gateways that place prompts without knowing each other's
+    load until the control hosts have selected another broker.
+    """
+    async with (
+        broker_process() as (first, first_address),
+        broker_process() as (_, second_address),
+        connected_client(metrics, first_address, second_address) as client,
+    ):
+        assert isinstance(await place(client), PlaceGrant)
+        first.send_signal(signal.SIGSTOP)
+        suspended_at = time.monotonic()
+        async with asyncio.timeout(AVOID_SECONDS):
+            while await place(client) is None:
+                await asyncio.sleep(0.02)
+        assert time.monotonic() - suspended_at < AVOID_SECONDS / 2
+
+
+async def test_an_unreachable_broker_is_passed_over(metrics):
+    """Guards against gateways that keep trying a broker that is gone."""
+    async with (
+        broker_process() as (_, address),
+        connected_client(metrics, "127.0.0.1:1", address) as client,
+    ):
+        assert isinstance(await place(client), PlaceGrant)
+
+
+async def first_messages(metrics, protocols):
+    """Returns the first messages to a broker that knows some protocols.
+
+    The gateway has sent a prompt to an engine before.
+    """
+    frames = asyncio.Queue()
+
+    async def record_frames(request):
+        socket = web.WebSocketResponse(protocols=protocols)
+        await socket.prepare(request)
+        async for frame in socket:
+            await frames.put(frame.data)
+        return socket
+
+    app = web.Application()
+    app.add_routes([web.get(BROKER_PATH, record_frames)])
+    async with TestServer(app) as server, aiohttp.ClientSession() as session:
+        address = f"{server.host}:{server.port}"
+        client = BrokerClient(
+            ViewOfBrokers([address]), session, LoopLag(metrics)
+        )
+        parts = (PromptPart("shared", 3000), PromptPart("own", 400))
+        client.on_started(RUNNING, parts, is_granted=True)
+        task = asyncio.create_task(client.run("llm"))
+        async with asyncio.timeout(10):
+            messages = gateway_message_decoder.decode(await frames.get())
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        return messages
+
+
+RUNNING = RunningRequest(1, "llm", "e0", 400.0, 400.0)
+
+
+async def test_a_new_broker_is_told_which_parts_engines_have_cached(metrics):
+    """Guards against prefilling all shared parts again at a new broker."""
+    assert await first_messages(metrics, (BROKER_PROTOCOL,)) == [
+        CachedPrefix("llm", "e0", [("shared", 3000)]),
+        RUNNING,
+    ]
+
+
+async def test_a_broker_of_an_earlier_release_gets_no_unknown_messages(
+    metrics,
+):
+    """Guards against gateways without a broker while a release is rolled out:
+    it would close the connection at an unknown message.
+    """
+    assert await first_messages(metrics, ()) == [RUNNING]
--- a/packages/fleet/tests/gateway/test_request_handler.py
+++ b/packages/fleet/tests/gateway/test_request_handler.py
@@ -14,6 +14,7 @@
     Workspace,
 )
 from marjoramyard.coordination.routing.table import RouteTable
+from marjoramyard.fleet.gateway import overload_guard
 from marjoramyard.fleet.gateway.dialect import GATEWAY_DIALECTS
 from marjoramyard.fleet.gateway.early_refusal import parse_head
 from marjoramyard.fleet.gateway.request_handler import RequestHandler
@@ -52,15 +53,15 @@
     )
     brokers = SimpleNamespace(lag=SimpleNamespace(on_wake_up=[]))
     instance = RequestHandler(view, None, brokers, app)
-    instance.limit.limit = 1.0
-    with instance.limit.admit("large"):
+    instance.guard.limit.limit = 1.0
+    with instance.guard.limit.admit("large"):
         yield instance
     metrics.close()
 
 
 def refuse_early(handler, path="/llm/x", key="k1"):
     head = f"POST {path} HTTP/1.1\r\nHost: h\r\nApi-Key: {key}\r\n\r\n"
-    return handler.refuse_early(parse_head(head.encode()))
+    return handler.guard.refuse_early(parse_head(head.encode()))
 
 
 def test_a_prompt_beyond_the_limit_is_refused_with_retry_after(handler):
@@ -68,7 +69,7 @@
     assert response.startswith("HTTP/1.1 503 ")
     assert "Retry-After: " in response
     assert '"outcome":"not-run"' in response.partition("\r\n\r\n")[2]
-    assert handler.limit.pop_refused_counts() == {"large": 1}
+    assert handler.guard.limit.pop_refused_counts() == {"large": 1}
 
 
 @pytest.mark.parametrize(
@@ -87,3 +88,17 @@
 def test_nothing_is_refused_early_without_a_lease(handler):
     handler.view.lease.valid_until = 0.0
     assert refuse_early(handler) is None
+
+
+async def test_refusals_are_logged_before_a_limit_exists(handler, monkeypatch):
+    """Guards against a gateway that stops to log, or to run, at its first
+    overload: the limit on forwarded prompts is infinite then.
+    """
+    monkeypatch.setattr(overload_guard, "LOG_INTERVAL_SECONDS", 0.0)
+    handler.guard.limit.refuse("large")
+    task = asyncio.create_task(handler.guard.log_refusals_forever())
+    for _ in range(5):
+        await asyncio.sleep(0.01)
+    assert not task.done()
+    assert not handler.guard.limit.refused
+    task.cancel()
