Evacuate availability zones on an operator's order

Operators can order that the endpoints of a zone get no new requests, and take the order back.

Reports carry a revision, so that a host that lags behind reverts nothing. A copy of an order that a suspended or cut-off host has held back has no effect: the host reads the zone's revision from the confirmed leader, asks whether its operator still waits, and the log applies the order at that revision only.

Gateways leave evacuated endpoints out of what they place, retry and resume on; agents refuse and report themselves as down. marjoramctl has 'zone evacuate', 'restore', 'list' and 'history'.

--- a/packages/coordination/src/marjoramyard/coordination/governance/commands.py
+++ b/packages/coordination/src/marjoramyard/coordination/governance/commands.py
@@ -123,6 +123,20 @@
     at: float = 0.0
 
 
+class ChangeZone(msgspec.Struct, tag="change-zone", frozen=True):
+    """Evacuates an availability zone, or ends its evacuation.
+
+    Attributes:
+        expected_revision: See `Evacuations.change`.
+    """
+
+    zone: str
+    is_evacuated: bool
+    expected_revision: int
+    operator: str
+    at: float = 0.0
+
+
 Command = (
     Propose
     | Approve
@@ -135,6 +149,7 @@
     | ReleaseSuspect
     | IssueOrder
     | AcceptConfig
+    | ChangeZone
 )
 
 
--- a/packages/coordination/src/marjoramyard/coordination/governance/state.py
+++ b/packages/coordination/src/marjoramyard/coordination/governance/state.py
@@ -10,6 +10,7 @@
     AcceptConfig,
     Approve,
     CancelCall,
+    ChangeZone,
     Command,
     ConfigDocument,
     FinishCall,
@@ -22,6 +23,10 @@
     Roll,
     StartCall,
 )
+from marjoramyard.coordination.governance.evacuations import (
+    Evacuations,
+    EvacuationState,
+)
 from marjoramyard.coordination.governance.ledger import Ledger, LedgerEntry
 from marjoramyard.coordination.governance.lifecycle import (
     BundleLifecycle,
@@ -49,6 +54,9 @@
     orders: dict[str, Order] = {}
     last_order: int = 0
     config: ConfigDocument | None = None
+    evacuations: EvacuationState = msgspec.field(
+        default_factory=EvacuationState
+    )
 
 
 _COMMAND_DECODER = msgspec.json.Decoder(Command)
@@ -66,6 +74,7 @@
         self.orders = stored.orders
         self.last_order = stored.last_order
         self.config = stored.config
+        self.evacuations = Evacuations(stored.evacuations)
 
     @classmethod
     def restore(cls, data: str) -> "ControlState":
@@ -85,6 +94,7 @@
             self.orders,
             self.last_order,
             self.config,
+            self.evacuations.stored,
         )
         return msgspec.json.encode(stored).decode()
 
@@ -219,3 +229,16 @@
     if held is None or command.document.version > held.version:
         state.config = command.document
     return Reply(granted=True)
+
+
+@HANDLERS.register("ChangeZone")
+def _change_zone(state: ControlState, command: ChangeZone) -> Reply:
+    return Reply(
+        failure=state.evacuations.change(
+            command.zone,
+            command.is_evacuated,
+            command.expected_revision,
+            command.operator,
+            command.at,
+        )
+    )
--- a/packages/ctl/src/marjoramyard/ctl/cmd/audits.py
+++ b/packages/ctl/src/marjoramyard/ctl/cmd/audits.py
@@ -8,6 +8,7 @@
 from marjoramyard.ctl.auditing import verify_trail, version_at
 from marjoramyard.ctl.changes import read_trail
 from marjoramyard.ctl.session import EXIT_USAGE, Session, fail
+from marjoramyard.ctl.times import format_time
 
 
 def _parse_time(text: str) -> float:
@@ -20,10 +21,6 @@
     return time.timestamp()
 
 
-def _format_time(at: float) -> str:
-    return datetime.datetime.fromtimestamp(at, datetime.UTC).isoformat()
-
-
 @click.group(invoke_without_command=True)
 @click.option("--at", help="Shows the version in force at this time.")
 @click.pass_context
@@ -38,7 +35,7 @@
             [
                 {
                     "number": record.number,
-                    "at": _format_time(record.at),
+                    "at": format_time(record.at),
                     "action": record.action,
                     "who": record.who,
                     "change_id": record.change_id,
@@ -54,7 +51,7 @@
     session.show(
         {
             "version": record.version,
-            "since": _format_time(record.at),
+            "since": format_time(record.at),
             "change_id": record.change_id,
             "rolled_by": record.who,
             "signature": record.signature,
--- a/packages/ctl/src/marjoramyard/ctl/cmd/main.py
+++ b/packages/ctl/src/marjoramyard/ctl/cmd/main.py
@@ -12,6 +12,7 @@
     "marjoramyard.ctl.cmd.bundles",
     "marjoramyard.ctl.cmd.audits",
     "marjoramyard.ctl.cmd.views",
+    "marjoramyard.ctl.cmd.zones",
     "marjoramyard.ctl.cmd.cluster",
     "marjoramyard.ctl.cmd.explain",
 )
--- a/packages/fleet/src/marjoramyard/fleet/agent/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/role.py
@@ -55,10 +55,12 @@
     def row(self) -> DirectoryRow:
         """Returns the row that the agent announces to the control hosts.
 
-        Its state is "down" while the endpoint is not ready.
+        Its state is "down" while the endpoint is not ready or its zone is
+        evacuated.
         """
         settings, announced = self.app.settings, self.endpoint.announced
-        state = "ready" if self.endpoint.is_ready else "down"
+        usable = self.endpoint.is_ready and not self.slot_allocator.is_evacuated
+        state = "ready" if usable else "down"
         if self.leaving or (
             announced is not None and announced.state == "leaving"
         ):
--- a/packages/fleet/src/marjoramyard/fleet/agent/slot_allocator.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/slot_allocator.py
@@ -152,11 +152,17 @@
         demand = self.busy_seconds + self.idle_while_waiting
         return self.busy_seconds / demand if demand else 1.0
 
+    @property
+    def is_evacuated(self) -> bool:
+        """Whether an operator has evacuated the zone of the endpoint."""
+        return self.app.settings.zone in self.membership.evacuated_zones
+
     def accepts_work(self) -> bool:
         """Returns whether new attempts may start at the endpoint."""
         return (
             self.endpoint.is_ready
             and not self.is_leaving()
+            and not self.is_evacuated
             and self.membership.holds_lease()
         )
 
@@ -309,6 +315,12 @@
             return failure(
                 FailureKind.LEAVING, "the agent is leaving; use another"
             )
+        if self.is_evacuated:
+            return failure(
+                FailureKind.NO_ENDPOINT,
+                "the availability zone is evacuated; use another agent",
+                retry_after=random.uniform(1.0, 3.0),
+            )
         refusal = self.membership.refusal()
         if refusal is not None:
             return refusal
--- a/packages/fleet/src/marjoramyard/fleet/control/dialects.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/dialects.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 import msgspec
-from aiohttp import web
+from aiohttp import hdrs, web
 from result import Err
 
 from marjoramyard.coordination.governance.commands import ConfigDocument
@@ -62,7 +62,27 @@
         service.mark_departed(request.match_info["endpoint"])
         return json_response(Empty())
 
+    async def change_zone(request: web.Request) -> web.Response:
+        result = await service.zones.change(
+            request.match_info["zone"],
+            request.method == hdrs.METH_PUT,
+            request.query.get("operator", ""),
+            lambda: request.transport is not None,
+        )
+        if isinstance(result, Err):
+            raise FleetError(result.err_value)
+        return json_response(Empty())
+
+    async def read_zones(_: web.Request) -> web.Response:
+        result = await service.zones.read()
+        if isinstance(result, Err):
+            raise FleetError(result.err_value)
+        return json_response(result.ok_value)
+
     return [
+        web.put("/evacuations/{zone}", change_zone),
+        web.delete("/evacuations/{zone}", change_zone),
+        web.get("/evacuations", read_zones),
         web.put("/fleet-config", put_config),
         web.get("/fleet-config", get_config),
         web.put("/registrations/{endpoint}", register),
--- a/packages/fleet/src/marjoramyard/fleet/control/fleet_routes.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/fleet_routes.py
@@ -3,6 +3,7 @@
 from aiohttp import web
 from result import Err, Result
 
+from marjoramyard.coordination.governance.commands import ChangeZone
 from marjoramyard.fleet import paths
 from marjoramyard.fleet.control.cluster_manager import ClusterManager
 from marjoramyard.fleet.control.service import FleetService
@@ -19,7 +20,7 @@
 def fleet_routes(
     cluster_manager: ClusterManager, service: FleetService
 ) -> list[web.RouteDef]:
-    """Returns the routes of announcements, syncs and the configuration."""
+    """Returns the routes of announcements, syncs and operators' calls."""
 
     async def announce(request: web.Request) -> web.Response:
         message = await read_message(request, HostAnnouncement)
@@ -36,11 +37,20 @@
     async def read_config(_: web.Request) -> web.Response:
         return _result_response(await service.on_read_config(Empty()))
 
+    async def change_zone(request: web.Request) -> web.Response:
+        message = await read_message(request, ChangeZone)
+        return _result_response(await service.zones.on_change(message))
+
+    async def read_zones(_: web.Request) -> web.Response:
+        return _result_response(await service.zones.on_read(Empty()))
+
     return [
         web.post(paths.ANNOUNCE_PATH, announce),
         web.post(paths.SYNC_PATH, sync),
         web.post(paths.PUT_CONFIG_PATH, put_config),
         web.post(paths.READ_CONFIG_PATH, read_config),
+        web.post(paths.CHANGE_ZONE_PATH, change_zone),
+        web.post(paths.READ_ZONES_PATH, read_zones),
     ]
 
 
--- a/packages/fleet/src/marjoramyard/fleet/control/queries.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/queries.py
@@ -61,6 +61,11 @@
     return msgspec.to_builtins(list(node.state.orders.values()))
 
 
+@QUERIES.register("zones")
+def _zones(node: ControlNode, _: RenewalServer, __: str) -> Any:
+    return msgspec.to_builtins(node.state.evacuations.stored)
+
+
 @QUERIES.register("suspects")
 def _suspects(node: ControlNode, _: RenewalServer, __: str) -> Any:
     return msgspec.to_builtins(node.state.suspects.records)
--- a/packages/fleet/src/marjoramyard/fleet/control/renewal_server.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/renewal_server.py
@@ -36,6 +36,7 @@
         notified_suspects: The suspects' revision at the last wake-up.
         notified_bundle: The bundle version at the last wake-up.
         notified_order: The newest order number at the last wake-up.
+        notified_zones: The revision of evacuated zones at the last wake-up.
         wake_timer: The timer of the next wake-up, if one is scheduled.
         wake_timer_at: When it fires (monotonic).
         last_woken_at: The time of the last wake-up (monotonic).
@@ -49,6 +50,7 @@
         self.notified_suspects = ""
         self.notified_bundle = 0
         self.notified_order = 0
+        self.notified_zones = 0
         self.wake_timer: asyncio.TimerHandle | None = None
         self.wake_timer_at = 0.0
         self.last_woken_at = 0.0
@@ -69,17 +71,20 @@
             state.bundles.state.version,
             self.suspects_revision(),
             state.last_order,
+            state.evacuations.revision,
         )
         notified = (
             self.notified_bundle,
             self.notified_suspects,
             self.notified_order,
+            self.notified_zones,
         )
         if current != notified:
             (
                 self.notified_bundle,
                 self.notified_suspects,
                 self.notified_order,
+                self.notified_zones,
             ) = current
             self._schedule_wake(0.0)
 
@@ -175,7 +180,14 @@
         lacks_order = request.row.role == "agent" and (
             request.order_seen < (order.number if order else 0)
         )
-        return lacks_bundle or lacks_rows or lacks_suspects or lacks_order
+        lacks_zones = request.zone_revision < state.evacuations.revision
+        return (
+            lacks_bundle
+            or lacks_rows
+            or lacks_suspects
+            or lacks_order
+            or lacks_zones
+        )
 
     def _reply(self, request: RenewRequest) -> RenewReply:
         state = self.node.state
@@ -209,6 +221,8 @@
         if request.row.role == "agent" and order is not None:
             reply.order = order
             reply.newest_order = order.number
+        reply.zone_revision = state.evacuations.revision
+        reply.evacuated_zones = state.evacuations.evacuated_zones()
         return reply
 
 
--- a/packages/fleet/src/marjoramyard/fleet/control/service.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/service.py
@@ -23,7 +23,12 @@
     BrokerSelector,
 )
 from marjoramyard.fleet import paths
-from marjoramyard.fleet.control.node import no_quorum
+from marjoramyard.fleet.control.leader_calls import (
+    COMMIT_TIMEOUT_SECONDS,
+    CONFIRM_TIMEOUT_SECONDS,
+    LeaderCalls,
+)
+from marjoramyard.fleet.control.zone_service import ZoneService
 from marjoramyard.fleet.messages import Empty
 from marjoramyard.fleet.sync_messages import (
     PutConfig,
@@ -31,18 +36,12 @@
     SyncReply,
     SyncRequest,
 )
-from marjoramyard.kernel.errors import Failure, FailureKind, failure
+from marjoramyard.kernel.errors import Failure
 from marjoramyard.kernel.ids import new_incarnation
 from marjoramyard.kernel.logs import get_logger
 
 logger = get_logger(__name__)
 
-COMMIT_TIMEOUT_SECONDS = 2.5
-"""Longer than an election."""
-CONFIRM_TIMEOUT_SECONDS = 1.0
-LEADER_WAIT_SECONDS = 0.8
-"""How long an operator's call waits for a leader. Operators try another host
-after a second."""
 MAX_MISSED_HEARTBEATS = 3.0
 """An endpoint that missed this many heartbeats is reported unresponsive."""
 _LIVENESS_CHECK_SECONDS = 0.25
@@ -70,13 +69,15 @@
             gateway incarnation.
         pending_updates: Registrations to announce, by control host and
             endpoint.
+        zones: The operators' orders on availability zones.
     """
 
     def __init__(self, role):
         self.role = role
         self.settings = role.settings
-        self.client = role.app.client
         self.metrics = role.app.metrics
+        self.calls = LeaderCalls(role)
+        self.zones = ZoneService(role, self.calls)
         self.epoch = new_incarnation(self.settings.name)
         self.registrations = Registrations()
         self.cursor = 0
@@ -194,7 +195,7 @@
     ) -> Result[None, Failure]:
         """Replicates a valid configuration; returns once it is committed."""
         started_at = time.monotonic()
-        result = await self._call_leader(
+        result = await self.calls.call(
             self._put_config_locally,
             paths.PUT_CONFIG_PATH,
             PutConfig(document),
@@ -221,7 +222,7 @@
 
     async def read_config(self) -> Result[StoredConfig, Failure]:
         """Returns the newest configuration, confirmed by a quorum."""
-        return await self._call_leader(
+        return await self.calls.call(
             self._read_config_locally,
             paths.READ_CONFIG_PATH,
             Empty(),
@@ -237,54 +238,15 @@
             return confirmed
         return Ok(StoredConfig(node.state.config))
 
-    async def _call_leader(self, call_locally, path, message, reply) -> Result:
-        """Runs a call on the leader, locally or on another control host.
-
-        While the leader is unknown or has changed, the call is retried for
-        up to `LEADER_WAIT_SECONDS`. All calls are idempotent.
-
-        Args:
-            call_locally: Executes the call if this host leads.
-            path: The path of the call on another host.
-            message: The request.
-            reply: The type of the reply.
-        """
-        deadline = time.monotonic() + LEADER_WAIT_SECONDS
-        while True:
-            leader = self.role.leader_address()
-            result: Result = Err(no_quorum())
-            if leader == self.settings.advertised_address:
-                result = await call_locally(message)
-            elif leader:
-                result = await self.client.call(
-                    leader, path, message, reply, COMMIT_TIMEOUT_SECONDS + 0.2
-                )
-            if isinstance(result, Ok) or time.monotonic() > deadline:
-                return result
-            if leader and result.err_value.kind is not FailureKind.NOT_LEADER:
-                return result
-            await asyncio.sleep(0.05)
-
     async def on_put_config(self, message: PutConfig) -> Result[Empty, Failure]:
         """Replicates a configuration that another control host received."""
-        if not self.role.is_leader():
-            return Err(self._not_leader())
-        return await self._put_config_locally(message)
+        return await self.calls.run_for_peer(self._put_config_locally, message)
 
     async def on_read_config(
         self, message: Empty
     ) -> Result[StoredConfig, Failure]:
         """Reads the configuration for another control host."""
-        if not self.role.is_leader():
-            return Err(self._not_leader())
-        return await self._read_config_locally(message)
-
-    def _not_leader(self) -> Failure:
-        if self.role.running_node is not None:
-            return self.role.running_node.not_leader()
-        return failure(
-            FailureKind.NOT_LEADER, "this control host holds no replica"
-        )
+        return await self.calls.run_for_peer(self._read_config_locally, message)
 
     # Gateways.
 
@@ -316,8 +278,20 @@
         newest = self.newest_config()
         if newest is not None and newest.version > request.version:
             return True
+        if self._zone_revision() > request.zone_revision:
+            return True
         return request.epoch != self.epoch or request.cursor < self.cursor
 
+    def _zone_revision(self) -> int:
+        node = self.role.running_node
+        return node.state.evacuations.revision if node is not None else 0
+
+    def _evacuated_zones(self) -> list[str]:
+        node = self.role.running_node
+        if node is None:
+            return []
+        return node.state.evacuations.evacuated_zones()
+
     def _reply(self, request: SyncRequest, confirmed: bool) -> SyncReply:
         after = request.cursor if request.epoch == self.epoch else 0
         newest = self.newest_config()
@@ -337,6 +311,8 @@
             self.role.cluster_manager.recent_addresses(),
             max(1, len(self.gateways)),
             self._choose_brokers() if confirmed else [],
+            self._zone_revision(),
+            self._evacuated_zones(),
         )
 
     def _choose_brokers(self) -> list[str]:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/control_sync.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/control_sync.py
@@ -98,6 +98,7 @@
                 self.settings.name,
                 self.settings.advertised_address,
                 self._spare_capacity(),
+                self.view.zones.revision,
             )
             result = await self._call(address, request)
             if isinstance(result, Err):
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
@@ -9,10 +9,7 @@
 import msgspec
 from aiohttp import web
 
-from marjoramyard.coordination.membership.registrations import (
-    EndpointState,
-    Registration,
-)
+from marjoramyard.coordination.membership.registrations import Registration
 from marjoramyard.coordination.placement.local_placement import place_prompt
 from marjoramyard.coordination.routing.config import Service
 from marjoramyard.coordination.serving.retries import RetryBudget
@@ -170,11 +167,9 @@
     def _plan_granted(self, reply: PlaceGrant, broker_number: int) -> SendPlan:
         known = self.view.registrations.by_endpoint
         registration = known.get(reply.endpoint)
-        if (
-            registration is None
-            or registration.state is not EndpointState.READY
-        ):
-            # The broker does not know yet that the endpoint is draining.
+        if registration is None or not self.view.accepts_requests(registration):
+            # The broker does not know yet that the endpoint is draining or its
+            # zone evacuated.
             self.context.brokers.client_for(self.service.name).return_grant(
                 broker_number
             )
--- a/packages/fleet/src/marjoramyard/fleet/gateway/view.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/view.py
@@ -16,6 +16,7 @@
 )
 from marjoramyard.coordination.routing.table import RouteTable
 from marjoramyard.fleet.gateway.dialect import GatewayDialect
+from marjoramyard.fleet.gateway.zones import EvacuatedZones
 from marjoramyard.fleet.sync_messages import SyncReply
 from marjoramyard.kernel.logs import get_logger
 from marjoramyard.kernel.util.clocks import seconds_since_boot
@@ -40,13 +41,14 @@
     Attributes:
         ready: All endpoints that accept requests.
         healthy: Those that are neither unresponsive nor in backoff.
-        change_count: The state of the registrations that they were computed of.
+        change_counts: The state of the registrations and of the zones that
+            they were computed of.
         valid_until: On the monotonic clock, in seconds.
     """
 
     ready: list[Registration]
     healthy: list[Registration]
-    change_count: int
+    change_counts: tuple[int, int]
     valid_until: float
 
     def without(self, excluded: set[str]) -> list[Registration]:
@@ -70,6 +72,7 @@
     Attributes:
         lease: The lease within which API keys may be accepted.
         table: The routes of the configuration in force; None before the first.
+        zones: The evacuated zones.
         health: The health of each endpoint, as seen by this gateway.
         unresponsive_reports: By control host, when it last reported and the
             endpoints whose heartbeats it misses.
@@ -83,6 +86,7 @@
         self.lease = BundleLease(lease_seconds)
         self.table: RouteTable | None = None
         self.registrations = Registrations()
+        self.zones = EvacuatedZones()
         self.health: dict[str, EndpointHealth] = {}
         self.unresponsive_reports: dict[str, tuple[float, frozenset[str]]] = {}
         self.gateway_count = 1
@@ -133,6 +137,7 @@
         if reply.confirmed and self.version >= reply.version:
             self.lease.renew(sent_at, self.lease.seconds)
         now = time.monotonic()
+        self.zones.update(reply.zone_revision, reply.evacuated_zones, now)
         for registration in reply.words:
             self._merge(registration, now)
         self.unresponsive_reports[source] = (now, frozenset(reply.silent))
@@ -188,8 +193,8 @@
 
         Endpoints that are unresponsive or in backoff are returned only if there
         are no others, so that wrong suspicions can't stop a service. A change
-        of a registration takes effect at once, one of an endpoint's health
-        within `USABLE_VALID_SECONDS`.
+        of a registration or a zone takes effect at once, one of an endpoint's
+        health within `USABLE_VALID_SECONDS`.
 
         Args:
             service: The service.
@@ -204,21 +209,35 @@
         if (
             cached is None
             or now >= cached.valid_until
-            or cached.change_count != self.registrations.change_count
+            or cached.change_counts != self._change_counts()
         ):
             cached = self._compute_usable(service, now)
             self.usable_by_service[service] = cached
         return cached.without(excluded)
 
+    def _change_counts(self) -> tuple[int, int]:
+        return self.registrations.change_count, self.zones.revision
+
     def _compute_usable(self, service: str, now: float) -> UsableEndpoints:
-        ready = self.registrations.usable(service)
+        ready = [
+            registration
+            for registration in self.registrations.usable(service)
+            if self.accepts_requests(registration)
+        ]
         return UsableEndpoints(
             ready,
             [r for r in ready if self._is_healthy(r, now)],
-            self.registrations.change_count,
+            self._change_counts(),
             now + USABLE_VALID_SECONDS,
         )
 
+    def accepts_requests(self, registration: Registration) -> bool:
+        """Whether an endpoint is ready and its zone is not evacuated."""
+        return (
+            registration.state is EndpointState.READY
+            and registration.availability_zone not in self.zones.evacuated
+        )
+
     def _is_healthy(self, registration: Registration, now: float) -> bool:
         health = self.health_of(registration.endpoint)
         if health.is_backing_off(now):
@@ -226,12 +245,3 @@
         if now - health.last_success_at < RECENT_SUCCESS_SECONDS:
             return True
         return not self.is_unresponsive(registration.endpoint, now)
-
-    def is_still_ready(self, registration: Registration) -> bool:
-        """Whether a chosen endpoint may still receive new requests."""
-        held = self.registrations.by_endpoint.get(registration.endpoint)
-        return (
-            held is not None
-            and held.state is EndpointState.READY
-            and held.born == registration.born
-        )
--- a/packages/fleet/src/marjoramyard/fleet/membership.py
+++ b/packages/fleet/src/marjoramyard/fleet/membership.py
@@ -43,6 +43,8 @@
             complete.
         suspects: Fingerprints of requests that may crash endpoints.
         quarantined_until: When each quarantine ends (monotonic).
+        evacuated_zones: Zones whose endpoints must not get new requests.
+        zone_revision: The revision of `evacuated_zones`.
         order: The newest order to the agent's endpoint, if any.
         newest_order: The endpoint's newest fencing number; -1 if unknown.
         reported_lease: Whether the lease was held when it was last logged.
@@ -72,6 +74,8 @@
         self.suspects: set[Fingerprint] = set()
         self.quarantined_until: dict[Fingerprint, float] = {}
         self.suspects_revision = "-"
+        self.evacuated_zones: frozenset[str] = frozenset()
+        self.zone_revision = 0
         self.order: Order | None = None
         self.newest_order = _NO_ORDER_KNOWN
         self.reported_lease = False
@@ -133,6 +137,7 @@
             self.directory_version,
             self.suspects_revision,
             self.newest_order,
+            self.zone_revision,
         )
         self.announce_requested.clear()
         sent_at = time.monotonic()
@@ -193,6 +198,7 @@
             self._apply_suspects(reply)
         self.suspects_revision = reply.suspects_revision
         self._apply_order(reply)
+        self._apply_zones(reply)
         self._report_lease_change()
         return True
 
@@ -259,6 +265,17 @@
             for listener in self.order_listeners:
                 listener(reply.order, reply.newest_order)
 
+    def _apply_zones(self, reply: RenewReply) -> None:
+        if reply.zone_revision <= self.zone_revision:
+            return
+        self.zone_revision = reply.zone_revision
+        self.evacuated_zones = frozenset(reply.evacuated_zones)
+        logger.info(
+            "zones_evacuated",
+            zones=sorted(self.evacuated_zones),
+            revision=self.zone_revision,
+        )
+
     def _report_lease_change(self) -> None:
         holds = self.holds_lease()
         if holds != self.reported_lease:
--- a/packages/fleet/src/marjoramyard/fleet/messages.py
+++ b/packages/fleet/src/marjoramyard/fleet/messages.py
@@ -176,6 +176,7 @@
         directory_version: The version of its directory.
         suspects_revision: The revision of its set of suspects.
         order_seen: The newest fencing number that it knows; -1 for none.
+        zone_revision: The revision of its evacuated zones.
     """
 
     row: DirectoryRow
@@ -186,6 +187,7 @@
     directory_version: int = 0
     suspects_revision: str = ""
     order_seen: int = -1
+    zone_revision: int = 0
 
 
 class RenewReply(msgspec.Struct, omit_defaults=True):
@@ -203,6 +205,8 @@
         convicted: The rest of each quarantine in seconds, by fingerprint.
         order: The newest order to the agent's endpoint.
         newest_order: The endpoint's newest fencing number.
+        zone_revision: The revision of `evacuated_zones`.
+        evacuated_zones: Zones whose endpoints must not get new requests.
     """
 
     lease_seconds: float
@@ -216,6 +220,8 @@
     convicted: dict[str, float] | None = None
     order: Order | None = None
     newest_order: int = 0
+    zone_revision: int = 0
+    evacuated_zones: list[str] = []
 
 
 class CallLookUp(msgspec.Struct):
--- a/packages/fleet/src/marjoramyard/fleet/settings.py
+++ b/packages/fleet/src/marjoramyard/fleet/settings.py
@@ -50,6 +50,8 @@
         losses: The number of control hosts that may fail at the same time.
         heartbeat_ms: The interval of endpoints' heartbeats.
         metrics_listen: An additional address for the metrics page, or "".
+        availability_zones: The zones that operators may evacuate; empty for
+            any.
     """
 
     data_folder: str = ""
@@ -61,6 +63,7 @@
     losses: int = 1
     heartbeat_ms: float = 1200.0
     metrics_listen: str = ""
+    availability_zones: list[str] = []
 
     @property
     def voter_count(self) -> int:
--- a/packages/fleet/src/marjoramyard/fleet/sync_messages.py
+++ b/packages/fleet/src/marjoramyard/fleet/sync_messages.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from marjoramyard.coordination.governance.commands import ConfigDocument
+from marjoramyard.coordination.governance.evacuations import ZoneState
 from marjoramyard.coordination.membership.registrations import Registration
 
 
@@ -70,6 +71,7 @@
         address: Its internal address.
         capacity: Processor cores that it can spare for brokering; 0 if it
             must not be a broker.
+        zone_revision: The revision of its evacuated zones.
     """
 
     gateway: str
@@ -80,6 +82,7 @@
     name: str = ""
     address: str = ""
     capacity: float = 0.0
+    zone_revision: int = 0
 
 
 class SyncReply(msgspec.Struct, omit_defaults=True):
@@ -99,6 +102,9 @@
         gateways: The number of gateways that synchronise with this host.
         brokers: Internal addresses of the gateways chosen as brokers, in
             order of preference; only from a confirmed leader.
+        zone_revision: The revision of `evacuated_zones`; a lower one than the
+            gateway's is outdated.
+        evacuated_zones: Zones whose endpoints must not get new requests.
     """
 
     epoch: str
@@ -111,6 +117,8 @@
     addresses: list[str] = []
     gateways: int = 1
     brokers: list[str] = []
+    zone_revision: int = 0
+    evacuated_zones: list[str] = []
 
 
 class PutConfig(msgspec.Struct, frozen=True):
@@ -123,3 +131,9 @@
     """The newest configuration; None before the first one."""
 
     document: ConfigDocument | None = None
+
+
+class ZoneStates(msgspec.Struct, frozen=True):
+    """The zones with orders, by name."""
+
+    zones: dict[str, ZoneState] = {}
--- a/packages/fleet/tests/gateway/test_view.py
+++ b/packages/fleet/tests/gateway/test_view.py
@@ -10,12 +10,14 @@
 )
 from marjoramyard.fleet.gateway.dialect import GATEWAY_DIALECTS
 from marjoramyard.fleet.gateway.view import USABLE_VALID_SECONDS, FleetView
+from marjoramyard.fleet.sync_messages import SyncReply
 
 
-def registration(name, state=EndpointState.READY, sequence=1):
+def registration(name, state=EndpointState.READY, sequence=1, zone=""):
     return Registration(
         endpoint=name,
         service="api",
+        availability_zone=zone,
         address=f"127.0.0.1:{name}",
         state=state,
         sequence=sequence,
@@ -66,3 +68,20 @@
     assert view.usable("api", set()) is first
     view.registrations.merge(registration("4"), 0.0)
     assert usable(view) == {"1", "2", "3", "4"}
+
+
+def test_an_endpoint_in_an_evacuated_zone_is_not_usable(view):
+    """Guards against requests to an evacuated zone, also if no other is up."""
+    view.registrations.merge(registration("4", zone="z"), 0.0)
+    assert usable(view) == {"1", "2", "3", "4"}
+    view.apply(
+        "control",
+        SyncReply("e", 0, zone_revision=1, evacuated_zones=["z"]),
+        0.0,
+    )
+    assert usable(view) == {"1", "2", "3"}
+    assert usable(view, "1", "2", "3") == set()
+    view.apply("late", SyncReply("e", 0), 0.0)
+    assert usable(view) == {"1", "2", "3"}
+    view.apply("control", SyncReply("e", 0, zone_revision=2), 0.0)
+    assert usable(view) == {"1", "2", "3", "4"}
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -38,8 +38,9 @@
         respond: An async handler of requests; None for a default response.
     """
 
-    def __init__(self, name, service="api"):
+    def __init__(self, name, service="api", zone=""):
         self.name = name
+        self.zone = zone
         self.service = service
         self.address = free_address()
         self.requests = []
@@ -83,6 +84,7 @@
             "endpoint": self.name,
             "service": self.service,
             "address": self.address,
+            "availability_zone": self.zone,
             "state": state,
             "sequence": next(self.sequence),
             "born": 1,
@@ -168,6 +170,16 @@
         found = [await self.read_config(host) for host in range(3)]
         return all(status == 200 for status, _ in found)
 
+    async def change_zone(self, method, zone, host=0):
+        """Sends an order on a zone repeatedly until it is acknowledged."""
+
+        async def change():
+            url = f"http://{self.operator_addresses[host]}/evacuations/{zone}"
+            async with self.session.request(method, url) as response:
+                return response.status == 200
+
+        await wait_until(change)
+
     async def send_heartbeat(self, endpoint, state="ready", host=0):
         """Sends an endpoint's heartbeat."""
         url = f"http://{self.operator_addresses[host]}/registrations/{endpoint.name}"
--- a/tests/platform/test_control_api.py
+++ b/tests/platform/test_control_api.py
@@ -78,6 +78,8 @@
         self.departed = []
         self.document = None
         self.quorum = True
+        self.zone_orders = []
+        self.zone_failure = None
 
     def register(self, registration):
         self.registrations.append(registration)
@@ -91,6 +93,17 @@
         self.document = document
         return Ok(None)
 
+    @property
+    def zones(self):
+        return self
+
+    async def change(self, zone, is_evacuated, _, is_awaited):
+        if self.zone_failure is not None:
+            return Err(self.zone_failure)
+        assert is_awaited()
+        self.zone_orders.append((zone, is_evacuated))
+        return Ok(None)
+
     async def read_config(self):
         if not self.quorum:
             return Err(failure(FailureKind.NO_QUORUM, "none"))
@@ -216,3 +229,30 @@
         assert name.lower() in dropped
     assert "x-marjoramyard-prefix-hash" not in dropped
     assert "x-marjoramyard-attempt-id" not in dropped
+
+
+async def test_zones_are_evacuated_and_restored(platform):
+    evacuate = await platform.client.post("/v1/evacuations/zone-a")
+    restore = await platform.client.delete("/v1/evacuations/zone-a")
+    assert (evacuate.status, restore.status) == (200, 200)
+    assert platform.service.zone_orders == [
+        ("zone-a", True),
+        ("zone-a", False),
+    ]
+
+
+@pytest.mark.parametrize(
+    ("kind", "status"),
+    [
+        (FailureKind.NOT_FOUND, 404),
+        (FailureKind.NO_QUORUM, 503),
+        (FailureKind.CONFLICT, 503),
+        (FailureKind.NOT_LEADER, 503),
+    ],
+)
+async def test_only_an_unknown_zone_ends_an_order(platform, kind, status):
+    """Guards against refusing an order that may have been accepted."""
+    platform.service.zone_failure = failure(kind, "why")
+    response = await platform.client.post("/v1/evacuations/zone-a")
+    assert response.status == status
+    assert (await response.json())["error"]["message"] == "why"
--- a/tests/test_operator_commands.py
+++ b/tests/test_operator_commands.py
@@ -7,6 +7,7 @@
     APPROVER,
     AUTHOR,
     start_small_fleet,
+    wait_until,
 )
 from marjoramyard.standin.processes import BINARIES, run_command
 
@@ -78,3 +79,30 @@
     fleet.control_hosts = {"control-1": "127.0.0.1:9"}
     errors = await fleet.ctl("workspaces", code=3)
     assert "no_quorum" in errors
+
+
+async def test_an_agent_in_an_evacuated_zone_gets_no_requests(fleet, bundle):
+    """Guards against an evacuation that entries or agents ignore."""
+    await start_small_fleet(fleet, bundle, control=1, entries=1)
+    await fleet.add_endpoint("chat-1", "engine", "chat")
+    await fleet.wait_until_serving("chat-1")
+    (row,) = await fleet.ctl_json("endpoints")
+
+    async def state():
+        return (await fleet.ctl_json("endpoints"))[0]["state"]
+
+    async def is_down():
+        return await state() == "down"
+
+    async def is_ready():
+        return await state() == "ready"
+
+    await fleet.ctl("zone", "evacuate", row["zone"], "--as", "awa")
+    await wait_until(is_down, "the agent to stop")
+    await fleet.ctl("zone", "evacuate", row["zone"], "--as", "bento")
+    (listed,) = await fleet.ctl_json("zone", "list")
+    assert (listed["evacuated"], listed["operator"]) == (True, "awa")
+    await fleet.ctl("zone", "restore", row["zone"], "--as", "bento")
+    await wait_until(is_ready, "the agent to accept work again")
+    history = await fleet.ctl_json("zone", "history")
+    assert [record["evacuated"] for record in history] == [True, False]
