Limit the requests to cold endpoints over the whole fleet

A cold engine tolerates few requests per second and must never get more than a bound, summed over all gateways, in touch or not.

The broker of a service grants all requests to its cold engines, by a count in a sliding window: as many as the engine tolerates, and at most half of the bound. Such a grant expires a window after it was asked for, so the grants of suspended gateways that wake together fit into the other half. A broker that takes over waits until the grants of the previous one have expired, and only a broker of most gateways grants cold engines. Gateways without a broker place nothing there; cold endpoints of services without engines are shared out.

An endpoint is cold by its heartbeat, and after the evacuation of its zone has ended, before it can have reported it. Waits and rates are estimated without cold engines. Grants while an engine is warm count too once it turns cold.

Weighed: a share for each gateway (with 36 gateways and a bound of 18.65 a share is less than one request, so a window can't be split), leases of sends from the broker (the same messages as grants, unused leases are lost). Kept: the broker alone.

--- a/packages/coordination/src/marjoramyard/coordination/membership/registrations.py
+++ b/packages/coordination/src/marjoramyard/coordination/membership/registrations.py
@@ -36,6 +36,7 @@
         sequence: Number of the heartbeat; restarts with each lifetime.
         born: Start of the lifetime, in milliseconds since the Unix epoch;
             0 if unknown.
+        cold_left_ms: How long the endpoint stays cold after this heartbeat.
     """
 
     endpoint: str
@@ -46,6 +47,7 @@
     state: EndpointState = EndpointState.READY
     sequence: int = 0
     born: int = 0
+    cold_left_ms: float = 0.0
 
     @property
     def precedence(self) -> tuple[int, int, int]:
--- a/packages/coordination/src/marjoramyard/coordination/placement/broker.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/broker.py
@@ -63,8 +63,10 @@
         counter: Sequence number of the last queued request.
     """
 
-    def __init__(self, profile: EngineProfile, rate: float):
-        super().__init__(profile, rate)
+    def __init__(
+        self, profile: EngineProfile, rate: float, cold_limit: int = 0
+    ):
+        super().__init__(profile, rate, cold_limit)
         self.queues: dict[str, RequestQueue] = {}
         self.virtual_time: dict[str, float] = {}
         self.queued: dict[str, QueuedRequest] = {}
@@ -95,6 +97,7 @@
             The refusal, or None if the request was queued. The result of a
             queued request is returned by `dispatch` or `expire`.
         """
+        self.refresh_cold(now)
         queued = QueuedRequest(request, self._cost(request))
         refused = self._refuse_if_late(queued, now)
         if refused is not None:
@@ -178,7 +181,7 @@
         return self.mean_wait_ms + ahead / self.total_prefill_rate
 
     def _prefill_ms(self, queued: QueuedRequest) -> float:
-        count = sum(1 for e in self.engines.values() if e.is_usable) or 1
+        count = len(self.serving_engines()) or 1
         return queued.cost / (self.total_prefill_rate / count)
 
     def _due_at(self, queued: QueuedRequest) -> float:
@@ -296,6 +299,7 @@
         Returns:
             The grants and refusals, in order of service.
         """
+        self.refresh_cold(now)
         if self.lagging_routers:
             self.finish_expected_prefills(now)
         max_backlog_ms = self._max_backlog_ms()
@@ -385,7 +389,11 @@
         cost = service_cost(plan.prefill_tokens, request.output_tokens)
         self._charge(request.workspace, cost)
         return PlacementGrant(
-            request.key, engine.endpoint, plan.fetch_from, plan.prefill_tokens
+            request.key,
+            engine.endpoint,
+            plan.fetch_from,
+            plan.prefill_tokens,
+            engine.is_cold,
         )
 
     def expire(self, now: float) -> list[PlacementRefusal]:
--- a/packages/coordination/src/marjoramyard/coordination/placement/engine_pool.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/engine_pool.py
@@ -1,5 +1,6 @@
 """The engines of one service and their requests in flight."""
 
+import math
 from collections.abc import Iterable
 
 from marjoramyard.coordination.placement.backlog_limit import BacklogLimit
@@ -28,11 +29,18 @@
         in_flight: Requests that engines have, by key.
         lagging_routers: Routers that send requests and reports with delay.
         backlog_limit: The limit on the backlog of each engine.
+        cold_limit: Requests per window that a cold engine may get; 0 for no
+            limit.
+        cold_grants_from: When cold engines may get requests.
     """
 
-    def __init__(self, profile: EngineProfile, rate: float):
+    def __init__(
+        self, profile: EngineProfile, rate: float, cold_limit: int = 0
+    ):
         self.profile = profile
         self.rate = rate
+        self.cold_limit = cold_limit
+        self.cold_grants_from = -math.inf
         self.engines: dict[str, Engine] = {}
         self.in_flight: dict[str, InFlightRequest] = {}
         self.lagging_routers: set[str] = set()
@@ -46,30 +54,53 @@
         names = set(usable)
         for name in names:
             if name not in self.engines:
-                self.engines[name] = Engine(name, self.profile, self.rate)
+                self.engines[name] = Engine(
+                    name, self.profile, self.rate, self.cold_limit
+                )
         for name, engine in list(self.engines.items()):
             engine.is_usable = name in names
             if not engine.is_usable and not engine.running:
                 del self.engines[name]
 
+    def set_cold_until(self, endpoint: str, until: float) -> None:
+        """Sets when an engine is no longer cold."""
+        engine = self.engines.get(endpoint)
+        if engine is not None:
+            engine.throttle.cold_until = until
+
+    def refresh_cold(self, now: float) -> None:
+        """Updates which engines are cold and what they may get now."""
+        if self.cold_limit:
+            grants_cold = now >= self.cold_grants_from
+            for engine in self.engines.values():
+                engine.refresh(now, grants_cold)
+
+    def serving_engines(self) -> list[Engine]:
+        """Returns the usable engines on which waits are estimated.
+
+        Cold ones, which get few requests, only if there are no others.
+        """
+        usable = [e for e in self.engines.values() if e.is_usable]
+        return [e for e in usable if not e.is_cold] or usable
+
     @property
     def total_prefill_rate(self) -> float:
-        """The prefill rate of all usable engines together, in tokens per ms.
+        """The prefill rate of all serving engines together, in tokens per ms.
 
         1.0 if there are none.
         """
-        return sum(e.rate for e in self.engines.values() if e.is_usable) or 1.0
+        return sum(e.rate for e in self.serving_engines()) or 1.0
 
     @property
     def mean_wait_ms(self) -> float:
-        """The mean time until a usable engine could start a new prefill.
+        """The mean time until a serving engine could start a new prefill.
 
         0.0 if there are none.
         """
-        usable = [e for e in self.engines.values() if e.is_usable]
-        if not usable:
+        serving = self.serving_engines()
+        if not serving:
             return 0.0
-        return sum(e.wait_ms for e in usable) / len(usable)
+        return sum(e.wait_ms for e in serving) / len(serving)
 
     def record_first_token(
         self, key: str, now: float, is_timely: bool = True
@@ -194,6 +225,8 @@
         if request.is_prefilling:
             engine.prefilling[key] = request
         engine.running += 1
+        engine.throttle.record(request.granted_at)
+        engine.allowance -= 1.0
         engine.used_memory_tokens += request.memory_tokens
         is_timely = request.router not in self.lagging_routers
         engine.add_prefill(
--- a/packages/coordination/src/marjoramyard/coordination/placement/engines.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/engines.py
@@ -1,7 +1,10 @@
 """A broker's model of one engine, and the estimate of its prefill rate."""
 
+import math
+
 import msgspec
 
+from marjoramyard.coordination.placement.cold_start import ColdStartThrottle
 from marjoramyard.coordination.placement.prefix_cache import PrefixCache
 from marjoramyard.coordination.routing.config import EngineProfile
 
@@ -75,9 +78,18 @@
         sample_tokens: Tokens prefilled during the current sample.
         is_sample_valid: Whether the sample has no delayed request or report.
         is_usable: Whether it may get new requests.
+        throttle: Limits its requests while it is cold.
+        is_cold: Whether it was cold at the last `refresh`.
+        allowance: How many further requests it may get until then.
     """
 
-    def __init__(self, endpoint: str, profile: EngineProfile, rate: float):
+    def __init__(
+        self,
+        endpoint: str,
+        profile: EngineProfile,
+        rate: float,
+        cold_limit: int = 0,
+    ):
         self.endpoint = endpoint
         self.slots = profile.slots
         self.memory_tokens = profile.memory_tokens
@@ -92,6 +104,21 @@
         self.sample_tokens = 0.0
         self.is_sample_valid = True
         self.is_usable = True
+        self.throttle = ColdStartThrottle(cold_limit)
+        self.is_cold = False
+        self.allowance = math.inf
+
+    def refresh(self, now: float, grants_cold: bool) -> None:
+        """Updates whether the engine is cold and what it may get.
+
+        Args:
+            now: The time, in ms.
+            grants_cold: Whether cold engines may get requests at all.
+        """
+        self.is_cold = self.throttle.is_cold(now)
+        self.allowance = self.throttle.remaining(now)
+        if self.is_cold and not grants_cold:
+            self.allowance = 0.0
 
     @property
     def wait_ms(self) -> float:
@@ -114,6 +141,8 @@
     def has_capacity(self, memory_tokens: float) -> bool:
         """Returns whether the engine is usable and has a slot and memory free.
 
+        A cold engine must also have an allowance left.
+
         The backlog is not considered. An engine without requests in flight has
         capacity for any request, so that a request larger than the usable
         memory can run.
@@ -121,7 +150,7 @@
         Args:
             memory_tokens: The engine memory that the request needs, in tokens.
         """
-        if not self.is_usable:
+        if not self.is_usable or self.allowance < 1.0:
             return False
         if self.running >= max(1.0, self.slots * USABLE_SLOT_FRACTION):
             return False
--- a/packages/coordination/src/marjoramyard/coordination/placement/requests.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/requests.py
@@ -87,12 +87,14 @@
         endpoint: The engine to send it to.
         fetch_from: The engine to fetch cached prompt parts from, or "".
         prefill_tokens: Prompt tokens that the engine will prefill.
+        is_cold: Whether the engine is cold, so that the grant expires.
     """
 
     key: str
     endpoint: str
     fetch_from: str
     prefill_tokens: float
+    is_cold: bool = False
 
 
 class PlacementRefusal(msgspec.Struct, frozen=True):
--- a/packages/coordination/src/marjoramyard/coordination/routing/config.py
+++ b/packages/coordination/src/marjoramyard/coordination/routing/config.py
@@ -99,12 +99,17 @@
     """A service that routes refer to.
 
     Attributes:
+        cold_start_s: How long an endpoint stays cold, in seconds.
+        cold_per_s: Requests per second that a cold endpoint tolerates; 0 for
+            no limit.
         engine: Properties of the service's model engines, if it has any.
     """
 
     name: str
     health_path: str = ""
     max_connections: int = 0
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
     engine: EngineProfile | None = None
 
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_protocol.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_protocol.py
@@ -128,12 +128,14 @@
     Attributes:
         fetch_from: The endpoint to fetch cached prompt parts from; "" for none.
         tokens: Prompt tokens that the endpoint is expected to prefill.
+        is_cold: Whether the endpoint is cold. The grant then expires.
     """
 
     number: int
     endpoint: str
     fetch_from: str = ""
     tokens: float = 0.0
+    is_cold: bool = False
 
 
 class PlaceRefusal(msgspec.Struct, tag="refuse", omit_defaults=True):
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import math
 import time
 
 import aiohttp
@@ -12,6 +13,7 @@
 
 from marjoramyard.coordination.membership.registrations import Registration
 from marjoramyard.coordination.placement.broker import Broker
+from marjoramyard.coordination.placement.cold_start import HANDOVER_MS
 from marjoramyard.coordination.placement.requests import (
     PlacementGrant,
     PlacementRefusal,
@@ -35,6 +37,7 @@
     Withdraw,
     gateway_message_decoder,
 )
+from marjoramyard.fleet.gateway.cold_starts import ColdStarts
 from marjoramyard.fleet.gateway.engine_load import estimate_prefill_rate
 from marjoramyard.fleet.gateway.gateway_connection import (
     GatewayConnection,
@@ -61,15 +64,18 @@
         last_gateway_number: Number of the newest connection.
         usable: The last list of usable endpoints of each service.
         dispatch_scheduled: Whether a dispatch is scheduled on the event loop.
+        serves_majority: Whether most gateways of the fleet are connected.
     """
 
-    def __init__(self, view: FleetView):
+    def __init__(self, view: FleetView, cold_starts: ColdStarts):
         self.view = view
+        self.cold_starts = cold_starts
         self.brokers: dict[str, Broker] = {}
         self.gateways: dict[int, GatewayConnection] = {}
         self.last_gateway_number = 0
         self.usable: dict[str, list[Registration]] = {}
         self.dispatch_scheduled = False
+        self.serves_majority = False
 
     async def serve(self, request: web.Request) -> web.WebSocketResponse:
         """Handles the WebSocket connection of a gateway until it closes."""
@@ -149,15 +155,39 @@
             # those in backoff.
             ready_count = len(self.view.registrations.usable(service))
             rate = estimate_prefill_rate(table.config, ready_count)
-            broker = Broker(configured.engine, rate)
+            limit = self.cold_starts.limit_of(configured)
+            broker = Broker(configured.engine, rate, limit)
+            broker.cold_grants_from = math.inf
             self.brokers[service] = broker
+            self._update_cold_grants(broker)
             logger.info("brokering", service=service, rate=round(rate, 1))
         usable = self.view.usable(service, set())
         if usable is not self.usable.get(service):
             self.usable[service] = usable
             broker.set_engines(r.endpoint for r in usable)
+            for registration in usable:
+                until = self.cold_starts.cold_until(configured, registration)
+                broker.set_cold_until(registration.endpoint, until * 1000)
         return broker
 
+    def _check_majority(self) -> None:
+        """Lets only a broker of most gateways grant cold engines.
+
+        While gateways are connected to two brokers, both together could send
+        too much to a cold engine.
+        """
+        total = self.view.max_gateway_count(time.monotonic())
+        serves_majority = 2 * len(self.gateways) > total
+        if serves_majority != self.serves_majority:
+            self.serves_majority = serves_majority
+            for broker in self.brokers.values():
+                self._update_cold_grants(broker)
+
+    def _update_cold_grants(self, broker: Broker) -> None:
+        broker.cold_grants_from = (
+            _now_ms() + HANDOVER_MS if self.serves_majority else math.inf
+        )
+
     def _on_message(
         self, gateway: GatewayConnection, message: GatewayMessage
     ) -> None:
@@ -306,6 +336,7 @@
                 decision.endpoint,
                 decision.fetch_from,
                 decision.prefill_tokens,
+                decision.is_cold,
             )
         )
 
@@ -356,6 +387,7 @@
         """
         while True:
             await asyncio.sleep(HEARTBEAT_INTERVAL_SECONDS)
+            self._check_majority()
             for gateway in self.gateways.values():
                 self._suspend_if_expired(gateway)
             for gateway in self.gateways.values():
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
@@ -19,6 +19,7 @@
     read_caller_request,
 )
 from marjoramyard.fleet.gateway.broker_clients import BrokerClients
+from marjoramyard.fleet.gateway.cold_starts import ColdStarts
 from marjoramyard.fleet.gateway.delivery import (
     CallerGoneError,
     ResponseDelivery,
@@ -76,6 +77,7 @@
         view: FleetView,
         session: aiohttp.ClientSession,
         brokers: BrokerClients,
+        cold_starts: ColdStarts,
         app: Application,
     ):
         self.view = view
@@ -87,7 +89,13 @@
         self.is_refusing = False
         self.names = view.dialect.headers
         self.context = RequestRunContext(
-            view, session, brokers, EngineLoads(), self.names, app.metrics
+            view,
+            session,
+            brokers,
+            cold_starts,
+            EngineLoads(),
+            self.names,
+            app.metrics,
         )
         self.guard = OverloadGuard(view, brokers, app.metrics)
         self.guard.on_started = self._on_started
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 from marjoramyard.coordination.membership.registrations import Registration
+from marjoramyard.coordination.placement.cold_start import GRANT_VALID_MS
 from marjoramyard.coordination.placement.local_placement import place_prompt
 from marjoramyard.coordination.routing.config import Service
 from marjoramyard.coordination.serving.retries import RetryBudget
@@ -26,6 +27,7 @@
     PlaceRefusal,
     RunningRequest,
 )
+from marjoramyard.fleet.gateway.cold_starts import ColdStarts
 from marjoramyard.fleet.gateway.delivery import ResponseDelivery
 from marjoramyard.fleet.gateway.dialect import HeaderNames
 from marjoramyard.fleet.gateway.engine_load import (
@@ -63,6 +65,7 @@
         view: The gateway's view of the fleet.
         session: The HTTP session for requests to endpoints.
         brokers: The clients of the services' brokers.
+        cold_starts: The limits of endpoints that have just started.
         loads: The requests that this gateway has in flight at each engine.
         names: The header names of the dialect.
         metrics: The metrics of the process.
@@ -71,6 +74,7 @@
     view: FleetView
     session: aiohttp.ClientSession
     brokers: BrokerClients
+    cold_starts: ColdStarts
     loads: EngineLoads
     names: HeaderNames
     metrics: Metrics
@@ -140,9 +144,9 @@
 
     async def _plan(self, candidates: list[Registration]) -> SendPlan:
         if not self.caller.parts or self.service.engine is None:
-            return SendPlan(
-                self._least_loaded(candidates), "", self._last_event_id()
-            )
+            chosen = self._least_loaded(self._placeable(candidates))
+            self.context.cold_starts.record(self.service, chosen.endpoint)
+            return SendPlan(chosen, "", self._last_event_id())
         client = self.context.brokers.client_for(self.service.name)
         started_at = time.monotonic()
         broker_number, reply = await client.place(
@@ -155,7 +159,8 @@
         if reply is None:
             plan = self._plan_locally(candidates, broker_number)
         else:
-            plan = self._plan_granted(reply, broker_number)
+            age_ms = (time.monotonic() - started_at) * 1000
+            plan = self._plan_granted(reply, broker_number, age_ms)
         self._record_placement(plan)
         return plan
 
@@ -164,11 +169,25 @@
         self.trace.placed_by = by
         self.context.metrics.count("placements", by=by.value)
 
-    def _plan_granted(self, reply: PlaceGrant, broker_number: int) -> SendPlan:
+    def _plan_granted(
+        self, reply: PlaceGrant, broker_number: int, age_ms: float
+    ) -> SendPlan:
+        """Plans a send by the broker's grant, if that may still be used.
+
+        Args:
+            reply: The grant.
+            broker_number: The number of the request.
+            age_ms: The time since the grant was requested.
+        """
         known = self.view.registrations.by_endpoint
         registration = known.get(reply.endpoint)
-        if registration is None or not self.view.accepts_requests(registration):
-            # The broker does not know yet that the endpoint is draining or its
+        has_expired = reply.is_cold and age_ms > GRANT_VALID_MS
+        if (
+            registration is None
+            or has_expired
+            or not self.view.accepts_requests(registration)
+        ):
+            # The broker may not know yet that the endpoint is draining or its
             # zone evacuated.
             self.context.brokers.client_for(self.service.name).return_grant(
                 broker_number
@@ -239,10 +258,18 @@
             ),
         )
 
+    def _placeable(self, candidates: list[Registration]) -> list[Registration]:
+        """Returns the endpoints that may be chosen without a broker."""
+        found = self.context.cold_starts.placeable(self.service, candidates)
+        if not found:
+            raise FleetError(no_endpoint_failure(self.may_have_run))
+        return found
+
     def _plan_locally(
         self, candidates: list[Registration], broker_number: int
     ) -> SendPlan:
         """Places a prompt by this gateway's own requests in flight."""
+        candidates = self._placeable(candidates)
         loads = self.context.loads
         loads.rate = estimate_prefill_rate(
             self.view.table.config, len(candidates)
--- a/packages/fleet/src/marjoramyard/fleet/gateway/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/role.py
@@ -17,6 +17,7 @@
 )
 from marjoramyard.fleet.gateway.broker_protocol import BROKER_PATH
 from marjoramyard.fleet.gateway.broker_server import BrokerServer
+from marjoramyard.fleet.gateway.cold_starts import ColdStarts
 from marjoramyard.fleet.gateway.connections import CallerConnections
 from marjoramyard.fleet.gateway.control_sync import ControlSync
 from marjoramyard.fleet.gateway.dialect import GATEWAY_DIALECTS
@@ -177,8 +178,11 @@
             settings.zone,
             settings.forwarding_address(),
         )
-        handler = RequestHandler(view, session, brokers, app)
-        broker_server = BrokerServer(view)
+        cold_starts = ColdStarts(
+            view, settings.cold_overrun, settings.cold_slack
+        )
+        handler = RequestHandler(view, session, brokers, cold_starts, app)
+        broker_server = BrokerServer(view, cold_starts)
         app.metrics.gauge(
             "broker_wait_seconds", broker_server.mean_wait_seconds
         )
--- a/packages/fleet/src/marjoramyard/fleet/gateway/view.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/view.py
@@ -77,6 +77,7 @@
         unresponsive_reports: By control host, when it last reported and the
             endpoints whose heartbeats it misses.
         gateway_count: The number of gateways in the fleet.
+        gateway_counts: By control host, when it last reported and that number.
         usable_by_service: Cached results for `usable`.
         on_config: Called after a new configuration has come into force.
     """
@@ -90,6 +91,7 @@
         self.health: dict[str, EndpointHealth] = {}
         self.unresponsive_reports: dict[str, tuple[float, frozenset[str]]] = {}
         self.gateway_count = 1
+        self.gateway_counts: dict[str, tuple[float, int]] = {}
         self.control_addresses: set[str] = set()
         self.broker_addresses: list[str] = []
         self.usable_by_service: dict[str, UsableEndpoints] = {}
@@ -143,6 +145,7 @@
         self.unresponsive_reports[source] = (now, frozenset(reply.silent))
         self.control_addresses = set(reply.addresses)
         self.gateway_count = max(1, reply.gateways)
+        self.gateway_counts[source] = (now, self.gateway_count)
 
     def _install(self, document: ConfigDocument) -> None:
         if document.version <= self.version:
@@ -175,6 +178,20 @@
             address=registration.address,
         )
 
+    def max_gateway_count(self, now: float) -> int:
+        """Returns the highest recently reported number of gateways.
+
+        A control host that has just started has heard of few of them.
+        """
+        return max(
+            (
+                count
+                for at, count in self.gateway_counts.values()
+                if now - at < REPORT_VALID_SECONDS
+            ),
+            default=self.gateway_count,
+        )
+
     def health_of(self, endpoint: str) -> EndpointHealth:
         """Returns the health record of an endpoint."""
         return self.health.setdefault(endpoint, EndpointHealth())
--- a/packages/fleet/src/marjoramyard/fleet/settings.py
+++ b/packages/fleet/src/marjoramyard/fleet/settings.py
@@ -103,6 +103,10 @@
         forwarding_port_offset: The port for requests that other gateways
             forward, relative to the port of `internal`; 0 for none. Any process
             that reaches it is treated like a caller.
+        cold_overrun: What a cold endpoint must not get in any second, summed
+            over the fleet, is this multiple of what it tolerates, plus
+            `cold_slack`.
+        cold_slack: See `cold_overrun`.
     """
 
     listen: str
@@ -116,6 +120,8 @@
     max_descriptors: int = 1024
     metrics_listen: str = ""
     forwarding_port_offset: int = 0
+    cold_overrun: float = 1.5
+    cold_slack: float = 5.0
 
     def forwarding_address(self) -> str:
         """Returns the address for forwarded requests; "" if there is none."""
--- a/packages/fleet/tests/gateway/test_broker_server.py
+++ b/packages/fleet/tests/gateway/test_broker_server.py
@@ -26,6 +26,7 @@
     broker_message_decoder,
 )
 from marjoramyard.fleet.gateway.broker_server import BrokerServer
+from marjoramyard.fleet.gateway.cold_starts import ColdStarts
 from marjoramyard.fleet.gateway.dialect import GATEWAY_DIALECTS
 from marjoramyard.fleet.gateway.view import FleetView
 
@@ -47,7 +48,8 @@
 
 @pytest.fixture
 async def broker_url():
-    server = BrokerServer(view_of_one_engine())
+    view = view_of_one_engine()
+    server = BrokerServer(view, ColdStarts(view, 1.5, 5.0))
     app = web.Application()
     app.add_routes([web.get(BROKER_PATH, server.serve)])
     runner = web.AppRunner(app, shutdown_timeout=0.1)
--- a/packages/fleet/tests/gateway/test_request_handler.py
+++ b/packages/fleet/tests/gateway/test_request_handler.py
@@ -15,6 +15,7 @@
 )
 from marjoramyard.coordination.routing.table import RouteTable
 from marjoramyard.fleet.gateway import overload_guard
+from marjoramyard.fleet.gateway.cold_starts import ColdStarts
 from marjoramyard.fleet.gateway.dialect import GATEWAY_DIALECTS
 from marjoramyard.fleet.gateway.early_refusal import parse_head
 from marjoramyard.fleet.gateway.request_handler import RequestHandler
@@ -52,7 +53,9 @@
         stopping=asyncio.Event(),
     )
     brokers = SimpleNamespace(lag=SimpleNamespace(on_wake_up=[]))
-    instance = RequestHandler(view, None, brokers, app)
+    instance = RequestHandler(
+        view, None, brokers, ColdStarts(view, 1.5, 5.0), app
+    )
     instance.guard.limit.limit = 1.0
     with instance.guard.limit.admit("large"):
         yield instance
--- a/packages/fleet/tests/gateway/test_request_run.py
+++ b/packages/fleet/tests/gateway/test_request_run.py
@@ -16,6 +16,7 @@
 from marjoramyard.coordination.routing.table import RouteTable
 from marjoramyard.coordination.serving.retries import RetryBudget
 from marjoramyard.fleet.gateway.admission import CallerRequest
+from marjoramyard.fleet.gateway.cold_starts import ColdStarts
 from marjoramyard.fleet.gateway.delivery import CallerGoneError
 from marjoramyard.fleet.gateway.dialect import GATEWAY_DIALECTS, HeaderNames
 from marjoramyard.fleet.gateway.engine_load import EngineLoads
@@ -99,6 +100,7 @@
         view,
         SessionThatTimesOut(),
         brokers,
+        ColdStarts(view, 1.5, 5.0),
         EngineLoads(),
         HeaderNames(),
         metrics,
