Send each gateway one copy or the difference of a configuration

A confirmed reply that announces a newer version renews the lease once that version is in force; else a storm of changes would end the leases.

Gateways of an earlier release still get the document with the poll.

--- a/packages/fleet/src/marjoramyard/fleet/control/fleet_routes.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/fleet_routes.py
@@ -5,6 +5,7 @@
 
 from marjoramyard.coordination.governance.commands import ChangeZone
 from marjoramyard.fleet import paths
+from marjoramyard.fleet.config_transfer import FetchConfig
 from marjoramyard.fleet.control.cluster_manager import ClusterManager
 from marjoramyard.fleet.control.service import FleetService
 from marjoramyard.fleet.messages import Empty
@@ -37,6 +38,13 @@
     async def read_config(_: web.Request) -> web.Response:
         return _result_response(await service.on_read_config(Empty()))
 
+    async def fetch_config(request: web.Request) -> web.Response:
+        message = await read_message(request, FetchConfig)
+        return web.Response(
+            body=service.encoded_config_update(message),
+            content_type="application/json",
+        )
+
     async def change_zone(request: web.Request) -> web.Response:
         message = await read_message(request, ChangeZone)
         return _result_response(await service.zones.on_change(message))
@@ -49,6 +57,7 @@
         web.post(paths.SYNC_PATH, sync),
         web.post(paths.PUT_CONFIG_PATH, put_config),
         web.post(paths.READ_CONFIG_PATH, read_config),
+        web.post(paths.FETCH_CONFIG_PATH, fetch_config),
         web.post(paths.CHANGE_ZONE_PATH, change_zone),
         web.post(paths.READ_ZONES_PATH, read_zones),
     ]
--- a/packages/fleet/src/marjoramyard/fleet/control/service.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/service.py
@@ -23,6 +23,7 @@
     BrokerSelector,
 )
 from marjoramyard.fleet import paths
+from marjoramyard.fleet.config_transfer import ConfigHistory, FetchConfig
 from marjoramyard.fleet.control.leader_calls import (
     COMMIT_TIMEOUT_SECONDS,
     CONFIRM_TIMEOUT_SECONDS,
@@ -70,6 +71,7 @@
         pending_updates: Registrations to announce, by control host and
             endpoint.
         zones: The operators' orders on availability zones.
+        config_history: Recent configurations, to send differences.
     """
 
     def __init__(self, role):
@@ -88,6 +90,7 @@
         self.gateways: dict[str, tuple[float, SyncRequest]] = {}
         self.pending_updates: dict[str, dict[str, Registration]] = {}
         self.broker_selector = BrokerSelector()
+        self.config_history = ConfigHistory()
 
     # Registrations.
 
@@ -190,6 +193,11 @@
         node = self.role.running_node
         return node.state.config if node is not None else None
 
+    def encoded_config_update(self, request: FetchConfig) -> bytes:
+        """Returns the newest configuration for a gateway, in JSON."""
+        self.config_history.add(self.newest_config())
+        return self.config_history.encoded_update(request)
+
     async def put_config(
         self, document: ConfigDocument
     ) -> Result[None, Failure]:
@@ -296,12 +304,13 @@
         after = request.cursor if request.epoch == self.epoch else 0
         newest = self.newest_config()
         version = newest.version if newest is not None else 0
+        sends_config = version > request.version and not request.fetches_config
         return SyncReply(
             self.epoch,
             self.cursor,
             confirmed,
             version,
-            newest if version > request.version else None,
+            newest if sends_config else None,
             [
                 registration
                 for registration in self.registrations.all()
@@ -313,6 +322,7 @@
             self._choose_brokers() if confirmed else [],
             self._zone_revision(),
             self._evacuated_zones(),
+            self.settings.zone,
         )
 
     def _choose_brokers(self) -> list[str]:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/control_sync.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/control_sync.py
@@ -6,6 +6,7 @@
 
 from marjoramyard.fleet import paths
 from marjoramyard.fleet.application import Application
+from marjoramyard.fleet.gateway.config_fetcher import ConfigFetcher
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.fleet.sync_messages import SyncReply, SyncRequest
 from marjoramyard.fleet.util.liveness import LivenessTimer
@@ -33,9 +34,12 @@
 class ControlSync:
     """Keeps a fleet view up to date from all known control hosts."""
 
-    def __init__(self, app: Application, view: FleetView):
+    def __init__(
+        self, app: Application, view: FleetView, fetcher: ConfigFetcher
+    ):
         self.app = app
         self.view = view
+        self.fetcher = fetcher
         self.settings = app.settings
         self.polls: dict[str, asyncio.Task] = {}
 
@@ -99,6 +103,7 @@
                 self.settings.advertised_address,
                 self._spare_capacity(),
                 self.view.zones.revision,
+                fetches_config=True,
             )
             result = await self._call(address, request)
             if isinstance(result, Err):
@@ -118,3 +123,4 @@
             reply = result.ok_value
             epoch, cursor = reply.epoch, reply.cursor
             self.view.apply(address, reply, sent_at)
+            self.fetcher.on_announced(address, reply.version, reply.zone)
--- a/packages/fleet/src/marjoramyard/fleet/gateway/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/role.py
@@ -18,6 +18,7 @@
 from marjoramyard.fleet.gateway.broker_protocol import BROKER_PATH
 from marjoramyard.fleet.gateway.broker_server import BrokerServer
 from marjoramyard.fleet.gateway.cold_starts import ColdStarts
+from marjoramyard.fleet.gateway.config_fetcher import ConfigFetcher
 from marjoramyard.fleet.gateway.connections import CallerConnections
 from marjoramyard.fleet.gateway.control_sync import ControlSync
 from marjoramyard.fleet.gateway.dialect import GATEWAY_DIALECTS
@@ -191,7 +192,9 @@
         app.tasks.spawn(broker_server.log_load_forever())
         app.tasks.spawn(handler.guard.log_refusals_forever())
         role = GatewayRole(app, view, handler)
-        app.tasks.spawn(ControlSync(app, view).run())
+        fetcher = ConfigFetcher(app.client, view, settings.zone)
+        app.tasks.spawn(fetcher.run())
+        app.tasks.spawn(ControlSync(app, view, fetcher).run())
         async with (
             app.serve(
                 settings.internal, [web.get(BROKER_PATH, broker_server.serve)]
--- a/packages/fleet/src/marjoramyard/fleet/gateway/view.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/view.py
@@ -30,6 +30,7 @@
 are missing: it may be unable to reach the control hosts only."""
 
 
+MAX_PENDING_RENEWALS = 16
 USABLE_VALID_SECONDS = 0.05
 """How long the usable endpoints of a service are cached. Computing them takes
 too long for each request, because it looks at every endpoint."""
@@ -73,6 +74,8 @@
         lease: The lease within which API keys may be accepted.
         table: The routes of the configuration in force; None before the first.
         zones: The evacuated zones.
+        pending_renewals: By version, when the last confirmation of it was
+            requested, for versions that are not in force yet.
         health: The health of each endpoint, as seen by this gateway.
         unresponsive_reports: By control host, when it last reported and the
             endpoints whose heartbeats it misses.
@@ -95,6 +98,7 @@
         self.control_addresses: set[str] = set()
         self.broker_addresses: list[str] = []
         self.usable_by_service: dict[str, UsableEndpoints] = {}
+        self.pending_renewals: dict[int, float] = {}
         self.on_config: list[Callable[[], None]] = []
 
     @property
@@ -133,11 +137,11 @@
             sent_at: When the request was sent, on the boot clock in seconds.
         """
         if reply.config is not None:
-            self._install(reply.config)
+            self.install(reply.config)
         if reply.confirmed:
             self.broker_addresses = reply.brokers
-        if reply.confirmed and self.version >= reply.version:
-            self.lease.renew(sent_at, self.lease.seconds)
+        if reply.confirmed:
+            self._renew_lease(reply.version, sent_at)
         now = time.monotonic()
         self.zones.update(reply.zone_revision, reply.evacuated_zones, now)
         for registration in reply.words:
@@ -147,9 +151,32 @@
         self.gateway_count = max(1, reply.gateways)
         self.gateway_counts[source] = (now, self.gateway_count)
 
-    def _install(self, document: ConfigDocument) -> None:
+    def _renew_lease(self, version: int, sent_at: float) -> None:
+        """Renews the lease, at once or when a version is in force.
+
+        Without the latter, a gateway would lose its lease while changes come
+        faster than it polls.
+        """
+        if self.version >= version:
+            self.lease.renew(sent_at, self.lease.seconds)
+        else:
+            self.pending_renewals[version] = sent_at
+            while len(self.pending_renewals) > MAX_PENDING_RENEWALS:
+                del self.pending_renewals[min(self.pending_renewals)]
+
+    def _renew_when_installed(self) -> None:
+        for version, sent_at in list(self.pending_renewals.items()):
+            if version <= self.version:
+                self.lease.renew(sent_at, self.lease.seconds)
+                del self.pending_renewals[version]
+
+    def install(self, document: ConfigDocument) -> bool:
+        """Puts a configuration in force; returns whether it could be decoded.
+
+        One that is not newer than the one in force is ignored.
+        """
         if document.version <= self.version:
-            return
+            return True
         decoded = self.dialect.decode_config(document.text)
         if isinstance(decoded, Err):
             logger.error(
@@ -157,12 +184,14 @@
                 version=document.version,
                 why=decoded.err_value,
             )
-            return
+            return False
         before = self.version
         self.table = RouteTable(decoded.ok_value)
         logger.info("config_in_force", version=self.version, before=before)
+        self._renew_when_installed()
         for listener in self.on_config:
             listener()
+        return True
 
     def _merge(self, registration: Registration, now: float) -> None:
         held = self.registrations.by_endpoint.get(registration.endpoint)
--- a/packages/fleet/src/marjoramyard/fleet/sync_messages.py
+++ b/packages/fleet/src/marjoramyard/fleet/sync_messages.py
@@ -72,6 +72,8 @@
         capacity: Processor cores that it can spare for brokering; 0 if it
             must not be a broker.
         zone_revision: The revision of its evacuated zones.
+        fetches_config: Whether it fetches new configurations by a call of
+            their own, so that the reply only needs their version.
     """
 
     gateway: str
@@ -83,6 +85,7 @@
     address: str = ""
     capacity: float = 0.0
     zone_revision: int = 0
+    fetches_config: bool = False
 
 
 class SyncReply(msgspec.Struct, omit_defaults=True):
@@ -95,7 +98,8 @@
             after the request arrived. No newer configuration had been
             acknowledged by then.
         version: The version of the responder's configuration; 0 for none.
-        config: The newest configuration, if the gateway has an older one.
+        config: The newest configuration, if the gateway has an older one and
+            does not fetch it.
         words: Registrations that changed after the cursor.
         silent: Endpoints that are unresponsive.
         addresses: Internal addresses of the control hosts.
@@ -105,6 +109,7 @@
         zone_revision: The revision of `evacuated_zones`; a lower one than the
             gateway's is outdated.
         evacuated_zones: Zones whose endpoints must not get new requests.
+        zone: The availability zone of the responder.
     """
 
     epoch: str
@@ -119,6 +124,7 @@
     brokers: list[str] = []
     zone_revision: int = 0
     evacuated_zones: list[str] = []
+    zone: str = ""
 
 
 class PutConfig(msgspec.Struct, frozen=True):
--- a/packages/fleet/tests/gateway/test_control_sync.py
+++ b/packages/fleet/tests/gateway/test_control_sync.py
@@ -36,7 +36,7 @@
 
 def make_sync(reply_seconds):
     app = SimpleNamespace(settings=None, client=Client(reply_seconds))
-    return ControlSync(app, None)
+    return ControlSync(app, None, None)
 
 
 async def test_a_late_event_loop_does_not_discard_a_reply():
