--- a/packages/ctl/src/marjoramyard/ctl/request_traces.py
+++ b/packages/ctl/src/marjoramyard/ctl/request_traces.py
@@ -86,6 +86,8 @@
     outcome = str(line.get("outcome"))
     if line.get("predicted_ms") is not None:
         return f"{outcome}: predicted too late"
+    if line.get("unplaceable") is not None:
+        return f"{outcome}: {line['unplaceable']}"
     sends = line.get("sends") or []
     error = sends[-1].partition(" ")[2] if sends else ""
     if error:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
@@ -35,7 +35,11 @@
     LocalRequest,
     estimate_prefill_rate,
 )
-from marjoramyard.fleet.gateway.request_trace import PlacedBy, RequestTrace
+from marjoramyard.fleet.gateway.request_trace import (
+    PlacedBy,
+    RequestTrace,
+    Unplaceable,
+)
 from marjoramyard.fleet.gateway.run_failures import (
     BUSY_RETRY_SECONDS,
     attempts_failure,
@@ -139,9 +143,17 @@
                 or self.sends
                 or self.connect_failures >= MAX_CONNECT_ATTEMPTS
             ):
-                raise FleetError(no_endpoint_failure(self.may_have_run))
+                raise self._no_endpoint(
+                    Unplaceable.EVACUATED
+                    if self.view.is_evacuated(self.service.name)
+                    else Unplaceable.NONE_READY
+                )
         return candidates
 
+    def _no_endpoint(self, why: Unplaceable) -> FleetError:
+        self.trace.unplaceable = why
+        return FleetError(no_endpoint_failure(self.may_have_run, why))
+
     async def _plan(self, candidates: list[Registration]) -> SendPlan:
         if not self.caller.parts or self.service.engine is None:
             chosen = self._least_loaded(self._placeable(candidates))
@@ -262,7 +274,7 @@
         """Returns the endpoints that may be chosen without a broker."""
         found = self.context.cold_starts.placeable(self.service, candidates)
         if not found:
-            raise FleetError(no_endpoint_failure(self.may_have_run))
+            raise self._no_endpoint(Unplaceable.COLD)
         return found
 
     def _plan_locally(
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_trace.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_trace.py
@@ -13,6 +13,17 @@
     """The gateway itself, because no broker replied."""
 
 
+class Unplaceable(Enum):
+    """Why no endpoint could be chosen."""
+
+    NONE_READY = "none-ready"
+    """No endpoint that has not been tried is ready."""
+    EVACUATED = "zones-evacuated"
+    """All ready endpoints are in evacuated zones."""
+    COLD = "all-cold"
+    """All usable endpoints have just started, and no broker grants them."""
+
+
 class RequestTrace(msgspec.Struct):
     """What happened to a request.
 
@@ -22,6 +33,7 @@
         wait_ms: Milliseconds spent waiting for the broker.
         prefill_tokens: Prompt tokens that the sends were expected to prefill.
         predicted_ms: The broker's prediction for a refused request.
+        unplaceable: Why no endpoint could be chosen, if so.
     """
 
     sends: list[str] = []
@@ -29,3 +41,4 @@
     wait_ms: float = 0.0
     prefill_tokens: float = 0.0
     predicted_ms: int | None = None
+    unplaceable: Unplaceable | None = None
--- a/packages/fleet/src/marjoramyard/fleet/gateway/run_failures.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/run_failures.py
@@ -6,6 +6,7 @@
 
 from marjoramyard.fleet.gateway.attempts import SendFailedError
 from marjoramyard.fleet.gateway.broker_protocol import PlaceRefusal
+from marjoramyard.fleet.gateway.request_trace import Unplaceable
 from marjoramyard.fleet.util.jitter import jitter
 from marjoramyard.kernel.errors import (
     Failure,
@@ -32,7 +33,16 @@
     )
 
 
-def no_endpoint_failure(may_have_run: bool) -> Failure:
+_UNPLACEABLE_MESSAGES = {
+    Unplaceable.NONE_READY: "no endpoint accepts requests now; retry shortly",
+    Unplaceable.EVACUATED: "the zones of all endpoints are evacuated",
+    Unplaceable.COLD: "all endpoints have just started; retry shortly",
+}
+
+
+def no_endpoint_failure(
+    may_have_run: bool, why: Unplaceable = Unplaceable.NONE_READY
+) -> Failure:
     """Returns the failure of a request for which there is no endpoint."""
     if may_have_run:
         return failure(
@@ -43,7 +53,7 @@
         )
     return failure(
         FailureKind.NO_ENDPOINT,
-        "no endpoint accepts requests now; retry shortly",
+        _UNPLACEABLE_MESSAGES[why],
         retry_after=jitter(BUSY_RETRY_SECONDS),
     )
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/view.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/view.py
@@ -284,6 +284,11 @@
             and registration.availability_zone not in self.zones.evacuated
         )
 
+    def is_evacuated(self, service: str) -> bool:
+        """Whether evacuations exclude all ready endpoints of a service."""
+        ready = self.registrations.usable(service)
+        return bool(ready) and not any(map(self.accepts_requests, ready))
+
     def _is_healthy(self, registration: Registration, now: float) -> bool:
         health = self.health_of(registration.endpoint)
         if health.is_backing_off(now):
--- a/packages/fleet/tests/gateway/test_request_run.py
+++ b/packages/fleet/tests/gateway/test_request_run.py
@@ -7,7 +7,9 @@
 import pytest
 
 from marjoramyard.coordination.membership.registrations import Registration
+from marjoramyard.coordination.placement.cold_start import GRANT_VALID_MS
 from marjoramyard.coordination.routing.config import (
+    EngineProfile,
     FleetConfig,
     RequestKind,
     Route,
@@ -16,13 +18,15 @@
 from marjoramyard.coordination.routing.table import RouteTable
 from marjoramyard.coordination.serving.retries import RetryBudget
 from marjoramyard.fleet.gateway.admission import CallerRequest
+from marjoramyard.fleet.gateway.broker_protocol import PlaceGrant
 from marjoramyard.fleet.gateway.cold_starts import ColdStarts
 from marjoramyard.fleet.gateway.delivery import CallerGoneError
 from marjoramyard.fleet.gateway.dialect import GATEWAY_DIALECTS, HeaderNames
 from marjoramyard.fleet.gateway.engine_load import EngineLoads
 from marjoramyard.fleet.gateway.request_run import RequestRun, RequestRunContext
-from marjoramyard.fleet.gateway.request_trace import RequestTrace
+from marjoramyard.fleet.gateway.request_trace import RequestTrace, Unplaceable
 from marjoramyard.fleet.gateway.view import FleetView
+from marjoramyard.fleet.sync_messages import SyncReply
 from marjoramyard.kernel.errors import FailureKind, FleetError, Outcome
 from marjoramyard.kernel.metrics import Metrics
 
@@ -150,3 +154,35 @@
     with pytest.raises(CallerGoneError):
         await run.run_to_completion()
     assert run.context.session.requests == 0
+
+
+async def test_a_request_to_an_evacuated_service_is_refused_at_once(
+    view, metrics
+):
+    """Guards against requests to the only zone although it is evacuated."""
+    view.apply("c", SyncReply("", 0, zone_revision=1, evacuated_zones=[""]), 0)
+    run = make_run(view, metrics, False)
+    with pytest.raises(FleetError) as caught:
+        await run.run_to_completion()
+    assert caught.value.failure.kind is FailureKind.NO_ENDPOINT
+    assert caught.value.failure.outcome == Outcome.NOT_RUN.value
+    assert run.trace.unplaceable is Unplaceable.EVACUATED
+    assert run.context.session.requests == 0
+
+
+@pytest.mark.parametrize("is_cold", [True, False])
+def test_a_late_grant_for_a_cold_engine_is_returned(view, metrics, is_cold):
+    """Guards against a suspended gateway that uses all its grants at once."""
+    returned = []
+    client = SimpleNamespace(return_grant=returned.append)
+    run = make_run(view, metrics, False)
+    run.context.brokers.client_for = lambda _: client
+    run.service = Service("api", engine=EngineProfile(slots=1))
+    grant = PlaceGrant(1, "e0", is_cold=is_cold)
+    assert run._plan_granted(grant, 7, GRANT_VALID_MS).is_granted
+    if not is_cold:
+        assert run._plan_granted(grant, 7, GRANT_VALID_MS + 1).is_granted
+        return
+    plan = run._plan_granted(grant, 7, GRANT_VALID_MS + 1)
+    assert not plan.is_granted
+    assert returned == [7]
