Forget the cached prompt parts of an engine that was restarted

An engine may start again under its ID, with an empty cache. The broker kept what it had cached before, let prompts wait for it and told other engines to fetch from it. A later start of the same endpoint empties its cache now.

The test fails without the change: the prompt goes to the restarted engine.

--- a/packages/coordination/src/marjoramyard/coordination/placement/engine_pool.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/engine_pool.py
@@ -62,6 +62,18 @@
             if not engine.is_usable and not engine.running:
                 del self.engines[name]
 
+    def set_lifetime(self, endpoint: str, born: int) -> None:
+        """Sets when an engine was started, in ms since the Unix epoch.
+
+        A restart empties its cache.
+        """
+        engine = self.engines.get(endpoint)
+        if engine is None or engine.born == born:
+            return
+        if engine.born:
+            engine.prefix_cache.clear()
+        engine.born = born
+
     def set_cold_until(self, endpoint: str, until: float) -> None:
         """Sets when an engine is no longer cold."""
         engine = self.engines.get(endpoint)
--- a/packages/coordination/src/marjoramyard/coordination/placement/engines.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/engines.py
@@ -78,6 +78,7 @@
         sample_tokens: Tokens prefilled during the current sample.
         is_sample_valid: Whether the sample has no delayed request or report.
         is_usable: Whether it may get new requests.
+        born: When it was started, in ms since the Unix epoch; 0 if unknown.
         throttle: Limits its requests while it is cold.
         is_cold: Whether it was cold at the last `refresh`.
         allowance: How many further requests it may get until then.
@@ -104,6 +105,7 @@
         self.sample_tokens = 0.0
         self.is_sample_valid = True
         self.is_usable = True
+        self.born = 0
         self.throttle = ColdStartThrottle(cold_limit)
         self.is_cold = False
         self.allowance = math.inf
--- a/packages/coordination/tests/placement/test_broker_engine_choice.py
+++ b/packages/coordination/tests/placement/test_broker_engine_choice.py
@@ -162,3 +162,19 @@
     )
     result = grant(broker, make_request("second", shared=(GUIDE,)))
     assert result.endpoint != preferred
+
+
+def test_a_restarted_engine_has_nothing_cached():
+    """Guards against prompts that wait for a cache that a restart emptied."""
+    broker = make_broker(2)
+    for endpoint in ("e0", "e1"):
+        broker.set_lifetime(endpoint, 1)
+    first = grant(broker, make_request("a", shared=(GUIDE,)))
+    other = "e1" if first.endpoint == "e0" else "e0"
+    broker.engines[other].prefix_cache.add([GUIDE])
+    broker.set_lifetime(first.endpoint, 1)
+    assert broker.engines[first.endpoint].prefix_cache.tokens
+    broker.set_lifetime(first.endpoint, 2)
+    again = grant(broker, make_request("b", shared=(GUIDE,)))
+    assert again.endpoint == other
+    assert again.fetch_from == ""
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
@@ -168,6 +168,7 @@
             for registration in usable:
                 until = self.cold_starts.cold_until(configured, registration)
                 broker.set_cold_until(registration.endpoint, until * 1000)
+                broker.set_lifetime(registration.endpoint, registration.born)
         return broker
 
     def _check_majority(self) -> None:
