--- a/packages/fleet/tests/gateway/test_broker_server.py
+++ b/packages/fleet/tests/gateway/test_broker_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import time
 
 import aiohttp
 import msgspec
@@ -9,6 +10,7 @@
 from aiohttp import web
 
 from marjoramyard.coordination.membership.registrations import Registration
+from marjoramyard.coordination.placement.cold_start import HANDOVER_MS
 from marjoramyard.coordination.routing.config import (
     EngineProfile,
     FleetConfig,
@@ -174,3 +176,63 @@
         await overloaded.send_str(heartbeat)
         await receive_peers(overloaded, ["127.0.0.1:4", "127.0.0.1:3"])
         await receive_peers(idle, [])
+
+
+class FakeGateways:
+    """Connected gateways, of which only the number counts."""
+
+    def __init__(self, server):
+        self.server = server
+
+    def set(self, connected, total):
+        self.server.gateways = dict.fromkeys(range(connected))
+        self.server.view.gateway_counts = {"c": (time.monotonic(), total)}
+        self.server._check_majority()
+
+
+@pytest.fixture
+def server_with_cold_engine():
+    view = view_of_one_engine()
+    service = Service(
+        "llm", cold_start_s=3.0, cold_per_s=9.0, engine=EngineProfile(64)
+    )
+    view.table = RouteTable(FleetConfig(1, services=(service,)))
+    view.registrations.merge(
+        Registration(
+            endpoint="e0",
+            service="llm",
+            address="127.0.0.1:1",
+            sequence=1,
+            cold_left_ms=60_000.0,
+        ),
+        time.monotonic(),
+    )
+    return BrokerServer(view, ColdStarts(view, 1.5, 5.0))
+
+
+def cold_grants_in(server, ms):
+    """Whether cold engines get requests in the given time."""
+    broker = server._refresh_broker("llm")
+    return broker.cold_grants_from <= time.monotonic() * 1000 + ms
+
+
+def test_only_a_broker_of_most_gateways_grants_cold_engines(
+    server_with_cold_engine,
+):
+    """Guards against two brokers that both fill a cold engine."""
+    server = server_with_cold_engine
+    gateways = FakeGateways(server)
+    assert not cold_grants_in(server, 1e9)
+    gateways.set(connected=20, total=40)
+    assert not cold_grants_in(server, 1e9)
+    gateways.set(connected=21, total=40)
+    assert cold_grants_in(server, HANDOVER_MS)
+    assert not cold_grants_in(server, HANDOVER_MS - 500.0)
+    gateways.set(connected=19, total=40)
+    assert not cold_grants_in(server, 1e9)
+
+
+def test_a_broker_knows_which_engines_are_cold(server_with_cold_engine):
+    broker = server_with_cold_engine._refresh_broker("llm")
+    assert broker.engines["e0"].throttle.is_cold(time.monotonic() * 1000)
+    assert broker.cold_limit == 9
