--- a/packages/fleet/src/marjoramyard/fleet/gateway/caller_patience.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/caller_patience.py
@@ -4,9 +4,9 @@
 
 WINDOW_SECONDS = 20.0
 """Routes and callers change, so older attempts are forgotten."""
-TOLERANCE_MS = 50.0
-"""Differences up to this are not waiting: callers state what is left of their
-patience when they send, some ms before it arrives."""
+RETURNING_SHARE = 0.8
+"""Callers that state less than this share of what others state have waited.
+Small differences are those between callers."""
 
 
 class CallerPatience:
@@ -40,5 +40,5 @@
             self.previous, self.present = self.present, {}
         most = max(stated_ms, self.present.get(route, 0.0))
         self.present[route] = most
-        waited = max(most, self.previous.get(route, 0.0)) - stated_ms
-        return waited if waited > TOLERANCE_MS else 0.0
+        most = max(most, self.previous.get(route, 0.0))
+        return most - stated_ms if stated_ms < RETURNING_SHARE * most else 0.0
