--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
@@ -210,6 +210,7 @@
             placed_by=trace.placed_by.value if trace.placed_by else None,
             wait_ms=round(trace.wait_ms),
             predicted_ms=trace.predicted_ms,
+            overdue=caller.is_overdue if caller else False,
             unplaceable=trace.unplaceable.value if trace.unplaceable else None,
             status=status,
             outcome=outcome,
