Put back the reasons that comments of the decisions had

From the comments before the rewording: what a constant allows for, the numbers behind it, or the fault that it avoids, where that is still true. Comments only; the syntax trees without them are the same.

--- a/packages/coordination/src/marjoramyard/coordination/membership/health.py
+++ b/packages/coordination/src/marjoramyard/coordination/membership/health.py
@@ -3,7 +3,8 @@
 import msgspec
 
 INITIAL_BACKOFF_SECONDS = 0.3
-"""Backoff after the first failure."""
+"""Backoff after the first failure. A restart takes seconds, a reset connection
+much less."""
 MAX_BACKOFF_SECONDS = 2.0
 """Limits how long an endpoint that has recovered stays unused."""
 
--- a/packages/coordination/src/marjoramyard/coordination/membership/registrations.py
+++ b/packages/coordination/src/marjoramyard/coordination/membership/registrations.py
@@ -12,7 +12,8 @@
 
 DEPARTED_RETENTION_SECONDS = 120.0
 """How long departed endpoints are remembered, so that heartbeats delayed by
-a network partition do not register them again."""
+a network partition do not register them again. Partitions last for minutes at
+the most, and a record takes some 200 bytes."""
 
 
 class EndpointState(Enum):
--- a/packages/coordination/src/marjoramyard/coordination/placement/broker.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/broker.py
@@ -44,7 +44,8 @@
 Without it, the largest prompts would always be refused."""
 MAX_DEFERRED = 4
 """The maximum number of requests deferred in one round of dispatching. Each
-of them costs an evaluation of all engines."""
+of them costs an evaluation of all engines. Requests behind them wait for the
+next end of a prefill, some ms later."""
 
 
 class Broker(EnginePool):
--- a/packages/coordination/src/marjoramyard/coordination/placement/broker_selection.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/broker_selection.py
@@ -5,7 +5,8 @@
 import msgspec
 
 MAX_BROKERS = 4
-"""The maximum number of routers to select, successors included."""
+"""The maximum number of routers to select, successors included. One for each
+service with engines is needed, and a successor."""
 MIN_CAPACITY_RATIO = 1.5
 """How much more capacity a candidate needs to replace a selected broker. A
 new broker starts without knowledge of the engines' caches, and until it
--- a/packages/coordination/src/marjoramyard/coordination/placement/engine_pool.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/engine_pool.py
@@ -14,7 +14,8 @@
 
 ORDER_TOLERANCE_MS = 150.0
 """Prompts granted further apart than this are assumed to be prefilled in
-order. Others may reach the engine in any order."""
+order. Others may reach the engine in any order. A router that needs longer to
+send a request is short of processor."""
 
 
 class EnginePool:
--- a/packages/coordination/src/marjoramyard/coordination/placement/engines.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/engines.py
@@ -22,7 +22,8 @@
 """Smaller samples are continued. An engine prefills so few tokens in a single
 step, so their duration does not depend on its rate."""
 RELATIVE_RATE_BOUNDS = (0.05, 3.0)
-"""Range to which samples are clamped, relative to the initial rate."""
+"""Range to which samples are clamped, relative to the initial rate. What is
+beyond is an error of the reports."""
 FIRST_TOKEN_LATENCY_MS = 25.0
 """Time from the end of a prefill until the first event reaches the caller. A
 sample that starts with an idle engine starts that much later, as its end is
--- a/packages/coordination/src/marjoramyard/coordination/placement/requests.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/requests.py
@@ -7,7 +7,8 @@
 MIN_RETRY_AFTER_MS = 1500.0
 """Lower bound of the retry delay sent with a refusal. Overload usually lasts
 longer than the queue that caused the refusal, so a retry after only the
-predicted wait would be refused again."""
+predicted wait would be refused again, and most callers retry only once. Much
+later than this, they would not wait."""
 
 
 class PlacementRequest(msgspec.Struct, kw_only=True):
--- a/packages/fleet/src/marjoramyard/fleet/agent/attempt_service.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/attempt_service.py
@@ -38,7 +38,8 @@
 _RETENTION_SECONDS = 15.0
 """How long an ended attempt's frames are kept for a resume."""
 _MAX_DELIVERED_ATTEMPTS = 200
-"""Attempts kept after their last frame was sent; bounds the memory."""
+"""Attempts kept after their last frame was sent. Keeping all of the retention
+time took an agent with 800 short calls a second past 100 MB."""
 _SWEEP_INTERVAL_SECONDS = 1.0
 _MAX_TOMBSTONES = 20_000
 
--- a/packages/fleet/src/marjoramyard/fleet/agent/attempts.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/attempts.py
@@ -331,7 +331,8 @@
             while self.reader is reader:
                 frames = self.replay_buffer.frames_from(number)
                 if frames:
-                    # One write for all frames saves system calls.
+                    # One write for all frames: a system call for each of them
+                    # was a tenth of the agent's time.
                     await write(b"".join(frame.encode() for frame in frames))
                     number = frames[-1].header.n + 1
                     self.replay_buffer.mark_sent(number)
--- a/packages/fleet/src/marjoramyard/fleet/control/cluster_manager.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/cluster_manager.py
@@ -32,18 +32,23 @@
 logger = get_logger(__name__)
 
 ANNOUNCE_INTERVAL_SECONDS = 0.3
+"""A host that comes back with an empty disk must be a voter again within some
+six announcements, an election included: until then another loss is one too
+many."""
 CALL_TIMEOUT_SECONDS = 0.7
+"""A host that is cut off must not hold up the next announcement for long."""
 MAX_ANNOUNCEMENT_AGE_SECONDS = 1.5
 """Hosts whose last announcement is older are not added to the cluster."""
 VOTER_TIMEOUT_SECONDS = 4.0
 """An unresponsive voter is replaced after this time if another host is
-available. Longer than an election, during which nothing is received."""
+available. Longer than an election (2.4 s at most), during which nothing is
+received."""
 BOOTSTRAP_DELAY_SECONDS = 1.0
 """How long the bootstrap host waits for announcements before it chooses the
-first voters."""
+first voters, so that hosts whose start took a little longer are among them."""
 HOST_TIMEOUT_SECONDS = 30.0
 """Hosts without an announcement for this time are no longer called; seeds and
-members always are."""
+members always are. Most network partitions heal sooner."""
 MEMBERSHIP_STEP_TIMEOUT_SECONDS = 1.0
 """A change that is not committed by then is planned again."""
 
--- a/packages/fleet/src/marjoramyard/fleet/control/leader_calls.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/leader_calls.py
@@ -11,7 +11,7 @@
 from marjoramyard.kernel.errors import Failure, FailureKind, failure
 
 COMMIT_TIMEOUT_SECONDS = 2.5
-"""Longer than an election."""
+"""Longer than an election, and shorter than operators wait in all."""
 CONFIRM_TIMEOUT_SECONDS = 1.0
 LEADER_WAIT_SECONDS = 0.8
 """How long an operator's call waits for a leader. Operators try another host
--- a/packages/fleet/src/marjoramyard/fleet/control/node.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/node.py
@@ -32,7 +32,8 @@
 TIMINGS = RaftTimings(
     election_ticks=12, heartbeat_ticks=4, first_election_ticks=2
 )
-"""In ticks of `TICK_SECONDS`."""
+"""In ticks of `TICK_SECONDS`. Hosts that start together are there within some
+0.2 s of each other; a vote takes two round trips and a sync, about 20 ms."""
 MAX_ELECTION_SECONDS = 2 * TIMINGS.election_ticks * TICK_SECONDS
 """The longest election timeout; also the retry delay given to callers."""
 MAX_CATCH_UP_TICKS = 3
--- a/packages/fleet/src/marjoramyard/fleet/control/raft_transport.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/raft_transport.py
@@ -16,7 +16,7 @@
 """Queue limit for each receiver; beyond it the oldest messages are dropped."""
 _SEND_TIMEOUT_SECONDS = 1.5
 """Shorter than an election timeout, so that an unresponsive connection is
-abandoned before an election starts."""
+abandoned before an election starts. A snapshot of some MB still fits."""
 _PAUSE_AFTER_FAILURE_SECONDS = 0.2
 """Time from a failed call until the next call to the same host."""
 
--- a/packages/fleet/src/marjoramyard/fleet/control/renewal_server.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/renewal_server.py
@@ -24,7 +24,8 @@
 """Directory changes within this time are sent in one reply."""
 _WAKE_INTERVAL_SECONDS_PER_ROUTER = 0.001
 """The least time between two wake-ups, per waiting router. Bounds the leader's
-load when changes are frequent."""
+load when changes are frequent: a renewal takes a third of it, so wake-ups take
+at most a third of the leader's time."""
 
 
 class RenewalServer:
--- a/packages/fleet/src/marjoramyard/fleet/control/service.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/service.py
@@ -51,7 +51,8 @@
 MAX_SYNC_WAIT_SECONDS = 2.0
 _GATEWAY_TIMEOUT_SECONDS = 5.0
 _BROKER_TIMEOUT_SECONDS = 2.5
-"""Gateways without a sync request for this time are no broker candidates."""
+"""Gateways without a sync request for this time are no broker candidates. They
+have missed two polls."""
 
 
 class FleetService:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/admission.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/admission.py
@@ -18,12 +18,14 @@
 from marjoramyard.kernel.errors import FailureKind, raise_failure
 
 NO_CONFIG_RETRY_SECONDS = 0.5
-"""`Retry-After` while the gateway has no configuration yet."""
+"""`Retry-After` while the gateway has no configuration yet. It gets one within
+a few round trips after its start."""
 NETWORK_ALLOWANCE_MS = 20.0
-"""Subtracted from the caller's deadline for the network and for writing the
-response."""
+"""Subtracted from the caller's deadline for the network, a few ms each way, and
+for writing the response."""
 NO_LEASE_RETRY_SECONDS = 0.5
-"""`Retry-After` while the gateway has no valid lease."""
+"""`Retry-After` while the gateway has no valid lease. About what a poll takes
+once there is a leader again."""
 
 
 class CallerRequest(msgspec.Struct, kw_only=True):
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_protocol.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_protocol.py
@@ -19,7 +19,8 @@
 HEARTBEAT_INTERVAL_SECONDS = 0.1
 BROKER_TIMEOUT_SECONDS = 0.4
 """A broker from which nothing was received for so long is considered
-unresponsive. Requests are then placed by the gateway's own estimates."""
+unresponsive. Requests are then placed by the gateway's own estimates. Three
+missed heartbeats, so that a short pause of a busy host does not count."""
 
 
 def _decode_parts(parts: list[tuple[str, int]]) -> tuple[PromptPart, ...]:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/connections.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/connections.py
@@ -26,6 +26,7 @@
 """Share of the limit for callers whose request is forwarded to another gateway,
 which takes a second connection."""
 CHECK_SECONDS = 0.1
+"""Some hundred connections may arrive in this time at the most."""
 
 
 class CallerConnections:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/control_sync.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/control_sync.py
@@ -18,9 +18,10 @@
 
 POLL_SECONDS = 0.8
 """How long a control host may hold a poll. Leases count from the start of the
-poll and must outlast an election."""
+poll and must outlast an election, which takes up to 2.4 s."""
 REPLY_TIMEOUT_SECONDS = 0.7
-"""Timeout beyond the poll time, for connections that stall without a reset."""
+"""Timeout beyond the poll time, for connections that stall without a reset.
+Changes must then arrive over a new connection within two seconds."""
 REPLY_TICK_SECONDS = 0.1
 MAX_REPLY_SECONDS = 15.0
 """Upper limit for a gateway whose event loop is late."""
@@ -28,7 +29,7 @@
 RETRY_SECONDS = 0.4
 MAX_FAILURES = 40
 """Failed polls in a row after which a control host that is no longer announced
-is dropped."""
+is dropped. That are some 40 s."""
 
 
 class ControlSync:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/gateway_connection.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/gateway_connection.py
@@ -14,7 +14,8 @@
 GATEWAY_TIMEOUT_SECONDS = 0.3
 """Gateways that send nothing for this long get no grants until their next
 message. Gateways without queued requests or prompts being prefilled send no
-heartbeats; they have nothing to suspend."""
+heartbeats; they have nothing to suspend. The smallest hosts get their processor
+in turns, with pauses of up to 0.1 s."""
 MAX_PEERS = 6
 """How many gateways a gateway forwards requests to at the same time."""
 REMOTE_ZONE_COST = 8
--- a/packages/fleet/src/marjoramyard/fleet/gateway/overload.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/overload.py
@@ -20,14 +20,17 @@
 LATE_SECONDS = 0.2
 """Event loop latency above which the limit is decreased."""
 MIN_LIMIT = 16.0
-"""Lower bound of the limit, which the smallest hosts can serve."""
+"""Lower bound of the limit, which the smallest hosts can serve. A single late
+moment, such as a new configuration causes, is no overload."""
 IN_USE_SHARE = 0.8
-"""Share of the limit that must be in use for it to increase."""
+"""Share of the limit that must be in use for it to increase. If less is in use,
+nothing shows that more could be served."""
 DOMINANT_SHARE = 0.5
 """Share of the prompts in service above which a workspace is dominant. If the
 load is spread over all workspaces, other gateways are overloaded too."""
 UNREADY_SECONDS = 3.0
-"""Long enough for the load balancer to miss two readiness checks."""
+"""Long enough for the load balancer, which checks once a second, to miss two
+readiness checks."""
 OVERLOAD_RETRY_SECONDS = 1.5
 """Mean `Retry-After` of refused prompts. Sooner retries would mostly reach the
 same overloaded gateway."""
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
@@ -57,7 +57,8 @@
 from marjoramyard.kernel.metrics import Metrics
 
 MAX_CONNECT_ATTEMPTS = 4
-"""Connection attempts per request, each to another endpoint if there is one."""
+"""Connection attempts per request, each to another endpoint if there is one.
+Each takes half a second at the most, and callers wait for seconds."""
 MIN_EVENTS = 8
 """Events after which the longest gap of a stream shows how its engine does."""
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/role.py
@@ -34,12 +34,13 @@
 """Subtracted from the time within which a revoked key must be refused. Covers
 the time from admission until the request reaches its endpoint."""
 BALANCER_NOTICE_SECONDS = 2.6
-"""Time for the load balancer to miss two readiness checks."""
+"""Time for the load balancer, which checks once a second, to miss two readiness
+checks."""
 EXIT_MARGIN_SECONDS = 0.8
 """Part of the grace period that is kept for closing connections."""
 IDLE_SECONDS = 16.0
-"""Keep-alive timeout. Longer than callers keep idle connections, so that the
-gateway does not close one on which a request is being sent."""
+"""Keep-alive timeout. Longer than callers keep idle connections (12 s), so that
+the gateway does not close one on which a request is being sent."""
 QUIET_POLLS = 6
 """Consecutive polls without a request after which draining ends. Polls are
 counted because a late event loop may have unread requests."""
--- a/packages/fleet/src/marjoramyard/fleet/gateway/upstream.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/upstream.py
@@ -8,8 +8,9 @@
 from aiohttp.client_proto import ResponseHandler
 
 IDLE_SECONDS = 3.0
-"""Keep-alive timeout. Shorter than that of endpoints: a request sent while the
-endpoint closes the connection cannot be distinguished from one that ran."""
+"""Keep-alive timeout. Shorter than that of endpoints, some of which close
+sooner than they say: a request sent while the endpoint closes the connection
+cannot be distinguished from one that ran."""
 CONNECT_SECONDS = 0.5
 """Connect timeout. After it the request has not run and may be sent to another
 endpoint."""
--- a/packages/fleet/src/marjoramyard/fleet/util/lag.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/lag.py
@@ -9,7 +9,8 @@
 INTERVAL_SECONDS = 0.05
 LATE_SECONDS = 0.05
 """A wake-up counts as late above this. Must exceed the scheduling pauses of a
-host with a fraction of a core."""
+host with a fraction of a core: with a quarter of one, a process runs in turns
+of up to 20 ms."""
 LATE_HOLD_SECONDS = 0.5
 """How long a late wake-up counts."""
 
--- a/packages/kernel/src/marjoramyard/kernel/logs.py
+++ b/packages/kernel/src/marjoramyard/kernel/logs.py
@@ -15,11 +15,12 @@
 from marjoramyard.kernel.settings import LogSettings
 
 LINES_PER_SECOND = 200.0
-"""Rate limit for each event name."""
+"""Rate limit for each event name; several times what a gateway
+usually writes."""
 FAILURE_LINES_PER_SECOND = 400.0
 """Rate limit for the failures of each event name, separate from successes."""
 MAX_PENDING_BYTES = 256 << 10
-"""Size of the buffer for a slow reader."""
+"""Size of the buffer for a slow reader, for some seconds' worth of lines."""
 MIN_FAILED_STATUS = 400
 """The lowest HTTP status that counts as a failure."""
 MAX_MESSAGE_CHARS = 300
