--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
@@ -20,6 +20,7 @@
     PlacementRequest,
     UnbrokeredRequest,
 )
+from marjoramyard.coordination.routing.config import Service
 from marjoramyard.fleet.gateway.broker_protocol import (
     BROKER_PROTOCOL,
     FORWARDING_PARAMETER,
@@ -165,12 +166,19 @@
         if usable is not self.usable.get(service):
             self.usable[service] = usable
             broker.set_engines(r.endpoint for r in usable)
-            for registration in usable:
-                until = self.cold_starts.cold_until(configured, registration)
-                broker.set_cold_until(registration.endpoint, until * 1000)
-                broker.set_lifetime(registration.endpoint, registration.born)
+            self._update_engines(broker, configured, usable)
         return broker
 
+    def _update_engines(
+        self, broker: Broker, service: Service, usable: list[Registration]
+    ) -> None:
+        """Tells a broker what the registrations say of its engines."""
+        for registration in usable:
+            broker.set_lifetime(registration.endpoint, registration.born)
+            if broker.cold_limit:
+                until = self.cold_starts.cold_until(service, registration)
+                broker.set_cold_until(registration.endpoint, until * 1000)
+
     def _check_majority(self) -> None:
         """Lets only a broker of most gateways grant cold engines.
 
