Give parallel test processes ports that no other one draws

The control host that answered there has another secret, so it belongs to the fleet of another test worker: a port that is only found free may be drawn by two processes before one of them listens.

A process now claims blocks of 500 ports by locks that end with it. The new test, three processes that draw 400 addresses each, failed before.

--- a/packages/standin/src/marjoramyard/standin/processes.py
+++ b/packages/standin/src/marjoramyard/standin/processes.py
@@ -8,6 +8,8 @@
 import sys
 from pathlib import Path
 
+from marjoramyard.standin.port_blocks import PortBlocks
+
 BINARIES = Path(sys.executable).parent
 _TERMINATE_TIMEOUT_SECONDS = 20.0
 PORTS = range(12_000, 32_000)
@@ -17,16 +19,23 @@
 processes would otherwise draw the same ports."""
 _PORTS_RETURNED: set[int] = set()
 """By `free_address`; they may not be bound yet."""
+_BLOCKS = PortBlocks(PORTS)
+_MAX_USE = 0.8
+"""Share of the claimed ports to return; others may be in use."""
 
 
 def free_address() -> str:
     """Returns a free loopback address outside the ephemeral port range.
 
+    No other process on this host gets the same one.
+
     A port assigned by the kernel could be taken by an outgoing connection
     while the process that should listen on it starts or restarts.
     """
     while True:
-        port = _RANDOM.choice(PORTS)
+        if len(_PORTS_RETURNED) >= _MAX_USE * len(_BLOCKS.claimed):
+            _BLOCKS.claim()
+        port = _RANDOM.choice(_BLOCKS.claimed)
         if port in _PORTS_RETURNED:
             continue
         with socket.socket() as probe:
--- a/packages/standin/tests/test_processes.py
+++ b/packages/standin/tests/test_processes.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import socket
+import sys
 from pathlib import Path
 
 from marjoramyard.standin.processes import PORTS, free_address
@@ -49,3 +50,29 @@
     server = await asyncio.start_server(lambda *_: None, host, int(port))
     server.close()
     await server.wait_closed()
+
+
+async def test_parallel_processes_get_different_addresses():
+    """Guards against two fleets of parallel test workers that share a port."""
+    code = (
+        "from marjoramyard.standin.processes import free_address\n"
+        "print(*[free_address() for _ in range(400)])\n"
+        "input()\n"
+    )
+    children = [
+        await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-c",
+            code,
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+        )
+        for _ in range(3)
+    ]
+    drawn = []
+    for child in children:
+        drawn += (await child.stdout.readline()).split()
+    for child in children:
+        await child.communicate(b"\n")
+    assert len(drawn) == 1200
+    assert len(set(drawn)) == len(drawn)
