--- a/packages/coordination/src/marjoramyard/coordination/placement/engine_pool.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/engine_pool.py
@@ -75,6 +75,19 @@
             engine.prefix_cache.clear()
         engine.born = born
 
+    def set_cold_limit(self, limit: int) -> None:
+        """Sets how many requests per window a cold engine may get.
+
+        Args:
+            limit: The limit; 0 for none.
+        """
+        if limit == self.cold_limit:
+            return
+        self.cold_limit = limit
+        for engine in self.engines.values():
+            engine.throttle.limit = limit
+            engine.refresh(-math.inf, True)
+
     def set_cold_until(self, endpoint: str, until: float) -> None:
         """Sets when an engine is no longer cold."""
         engine = self.engines.get(endpoint)
--- a/packages/coordination/tests/placement/test_cold_start.py
+++ b/packages/coordination/tests/placement/test_cold_start.py
@@ -151,3 +151,14 @@
     throttle.record(1.0)
     assert not throttle.is_cold(1.0)
     assert not throttle.sent_at
+
+
+def test_a_changed_limit_applies_to_known_engines():
+    """Guards against a broker that keeps the limit of its first day."""
+    broker = make_broker(0.0, cold=True)
+    broker.set_cold_limit(2)
+    for number in range(5):
+        broker.submit(make_request(f"k{number}", tokens=20), 0.0)
+    assert len(broker.dispatch(0.0)) == 2
+    broker.set_cold_limit(0)
+    assert len(broker.dispatch(0.0)) == 3
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
@@ -173,6 +173,7 @@
         self, broker: Broker, service: Service, usable: list[Registration]
     ) -> None:
         """Tells a broker what the registrations say of its engines."""
+        broker.set_cold_limit(self.cold_starts.limit_of(service))
         for registration in usable:
             broker.set_lifetime(registration.endpoint, registration.born)
             if broker.cold_limit:
