Test an order that a suspended control host holds up, with real processes

A host is stopped while it holds the operator's bytes; the order and its end are acknowledged by the two others; then it goes on. The zone stays restored, with each of the three hosts, so also with the leader.

--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -3,6 +3,8 @@
 import asyncio
 import time
 
+import aiohttp
+import pytest
 from gateway_fleet import FakeEndpoint, gateway_fleet, wait_until
 
 IN_FORCE_SECONDS = 5.0
@@ -91,3 +93,40 @@
         started_at = time.monotonic()
         assert await refused()
         assert time.monotonic() - started_at < 0.5
+
+
+async def zone_states(fleet, host):
+    """Returns the zones with orders, by name, confirmed by a quorum."""
+    url = f"http://{fleet.operator_addresses[host]}/evacuations"
+    async with fleet.session.get(url) as response:
+        if response.status != 200:
+            return None
+        return (await response.json())["zones"] or None
+
+
+@pytest.mark.parametrize("held_up_in", [0, 1, 2])
+async def test_an_order_held_up_in_a_suspended_host_reverts_nothing(
+    tmp_path, held_up_in
+):
+    """Guards against a zone that a late copy of an order evacuates again.
+
+    One of the three hosts leads.
+    """
+    others = [number for number in range(3) if number != held_up_in]
+    async with gateway_fleet(tmp_path) as fleet:
+        host = fleet.children[f"control-{held_up_in}"]
+        host.suspend()
+        url = f"http://{fleet.operator_addresses[held_up_in]}/evacuations/a"
+        with pytest.raises(asyncio.TimeoutError):
+            await fleet.session.put(url, timeout=aiohttp.ClientTimeout(0.5))
+        await fleet.change_zone("PUT", "a", host=others[0])
+        await fleet.change_zone("DELETE", "a", host=others[1])
+        host.resume()
+
+        await fleet.change_zone("PUT", "b", host=held_up_in)
+
+        async def known():
+            return await zone_states(fleet, held_up_in)
+
+        state = (await wait_until(known))["a"]
+        assert (state["is_evacuated"], state["revision"]) == (False, 2)
