--- a/packages/coordination/src/marjoramyard/coordination/placement/broker.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/broker.py
@@ -42,6 +42,9 @@
 LARGE_PROMPT_SLACK_MS = 300.0
 """Permitted wait of a prompt whose prefill alone exceeds its objective.
 Without it, the largest prompts would always be refused."""
+LARGE_PROMPT_SHARE = 0.25
+"""Prompts whose prefill takes more than this share of their objective are
+large."""
 MAX_DEFERRED = 4
 """The maximum number of requests deferred in one round of dispatching. Each
 of them costs an evaluation of all engines. Requests behind them wait for the
@@ -100,6 +103,7 @@
         """
         self.refresh_cold(now)
         queued = QueuedRequest(request, self._cost(request))
+        queued.comes_last = self._comes_last(queued)
         refused = self._refuse_if_late(queued, now)
         if refused is not None:
             return refused
@@ -158,7 +162,7 @@
 
         Args:
             workspace: The workspace of the request.
-            order: The `PlacementRequest.order` of the request.
+            order: The `QueuedRequest.order` of the request.
 
         Returns:
             The wait in ms; 0.0 if no engine is usable.
@@ -183,6 +187,18 @@
         count = len(self.serving_engines()) or 1
         return queued.cost / (self.total_prefill_rate / count)
 
+    def _comes_last(self, queued: QueuedRequest) -> bool:
+        """Returns whether a request is overdue and had a fair first attempt.
+
+        It can't be on time any more, and must not make others late. But a large
+        prompt is refused first for its length, and gets as good a second chance
+        as the first one.
+        """
+        request = queued.request
+        allowed_ms = request.first_token_due_at - request.submitted_at
+        is_large = self._prefill_ms(queued) > LARGE_PROMPT_SHARE * allowed_ms
+        return request.is_overdue and not is_large
+
     def _due_at(self, queued: QueuedRequest) -> float:
         """Returns when the first token is due.
 
@@ -203,7 +219,7 @@
         if not any(e.is_usable for e in self.engines.values()):
             return None
         request = queued.request
-        wait_ms = self.predicted_wait_ms(request.workspace, request.order)
+        wait_ms = self.predicted_wait_ms(request.workspace, queued.order)
         first_token_ms = (
             wait_ms + self._prefill_ms(queued) + FIRST_TOKEN_LATENCY_MS
         )
@@ -251,7 +267,11 @@
             if queued.request.router == router:
                 del self.suspended[key]
                 # The removed entry may still be in the queue's heap.
-                self._enqueue_new(QueuedRequest(queued.request, queued.cost))
+                self._enqueue_new(
+                    QueuedRequest(
+                        queued.request, queued.cost, queued.comes_last
+                    )
+                )
 
     def _dequeue(self, key: str) -> None:
         queued = self.queued.pop(key, None)
--- a/packages/coordination/src/marjoramyard/coordination/placement/request_queue.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/request_queue.py
@@ -13,20 +13,27 @@
     Attributes:
         request: The request itself.
         cost: Prompt tokens that an engine is expected to prefill.
+        comes_last: Whether it comes after the others of its workspace.
         is_removed: Whether the request has left the queue; its heap entry is
             discarded later.
     """
 
     request: PlacementRequest
     cost: float
+    comes_last: bool = False
     is_removed: bool = False
 
+    @property
+    def order(self) -> tuple[bool, float]:
+        """Sort key of a workspace's requests."""
+        return self.comes_last, self.request.first_token_due_at
+
 
 class RequestQueue:
     """The queued requests of one workspace, in the order of service.
 
     Attributes:
-        heap: Entries by `PlacementRequest.order`, then by order of arrival; may
+        heap: Entries by `QueuedRequest.order`, then by order of arrival; may
             contain removed requests, but not as the first entry.
         tokens: The total cost of all queued requests.
     """
@@ -37,7 +44,7 @@
 
     def push(self, queued: QueuedRequest, sequence: int) -> None:
         """Adds a request; `sequence` orders those of the same order."""
-        heapq.heappush(self.heap, (queued.request.order, sequence, queued))
+        heapq.heappush(self.heap, (queued.order, sequence, queued))
         self.tokens += queued.cost
 
     def tokens_before(self, order: tuple[bool, float]) -> float:
--- a/packages/coordination/src/marjoramyard/coordination/placement/requests.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/requests.py
@@ -41,14 +41,6 @@
     router: str = ""
     is_overdue: bool = False
 
-    @property
-    def order(self) -> tuple[bool, float]:
-        """Sort key of a workspace's requests.
-
-        Overdue ones come last, so that they don't make others late.
-        """
-        return self.is_overdue, self.first_token_due_at
-
     @property
     def prompt_tokens(self) -> int:
         """The length of the complete prompt in tokens."""
--- a/packages/coordination/tests/placement/test_broker_overdue.py
+++ b/packages/coordination/tests/placement/test_broker_overdue.py
@@ -53,7 +53,10 @@
                     (
                         back_at,
                         make_request(
-                            again, "w", back_at, is_overdue=self.tells
+                            again,
+                            "w",
+                            back_at,
+                            is_overdue=self.tells,
                         ),
                     )
                 )
@@ -121,3 +124,22 @@
         broker.record_first_token(f"busy-{number}", 100.0)
         broker.finish(f"busy-{number}")
     assert [grant.key for grant in broker.dispatch(100.0)] == ["b1", "a1"]
+
+
+def test_a_large_overdue_prompt_has_as_good_a_chance_as_a_new_one():
+    """Guards against large prompts that no attempt gets served.
+
+    They are refused first for their length. Behind all others of their
+    workspace, they would be refused again.
+    """
+    broker = make_broker(1)
+    for number in range(3):
+        broker.submit(make_request(f"busy-{number}", tokens=1800), 0.0)
+    assert len(broker.dispatch(0.0)) == 2
+    broker.submit(make_request("again", tokens=9000, is_overdue=True), 0.0)
+    broker.submit(make_request("new", tokens=1800), 1.0)
+    assert not broker.queued["again"].comes_last
+    assert broker.queued["again"].order == broker.queued["new"].order
+    small = make_request("small", tokens=1800, is_overdue=True)
+    broker.submit(small, 1.0)
+    assert broker.queued["small"].order > broker.queued["new"].order
