--- a/packages/coordination/tests/placement/test_broker_overdue.py
+++ b/packages/coordination/tests/placement/test_broker_overdue.py
@@ -56,6 +56,7 @@
                             again,
                             "w",
                             back_at,
+                            self.submitted[key].prompt_tokens,
                             is_overdue=self.tells,
                         ),
                     )
@@ -143,3 +144,22 @@
     small = make_request("small", tokens=1800, is_overdue=True)
     broker.submit(small, 1.0)
     assert broker.queued["small"].order > broker.queued["new"].order
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_large_prompts_are_served_half_as_often_as_all(seed):
+    """Guards against large prompts that no attempt gets served.
+
+    One prompt in ten is seven times as long as the others.
+    """
+    simulation = ReturningCallers(make_broker(2), tells=True)
+    usual = poisson_arrivals({"w": (60, 1200)}, 12, seed=seed)
+    large = {request.key for _, request in usual[::10]}
+    arrivals = [
+        (at, make_request(r.key, "w", at, 9000 if r.key in large else 1200))
+        for at, r in usual
+    ]
+    simulation.run(arrivals)
+    served = {key.removesuffix("-again") for key in simulation.first_token_ms}
+    share = len(served & large) / len(large)
+    assert share > 0.5 * len(served) / len(arrivals)
