Reserve a test gateway's port for forwarded requests, and print logs of a fleet that isn't ready

The port for forwarded requests is that of 'internal' plus one, and nothing reserved it: since processes draw from blocks of 500 ports, another address of the fleet is much more often next to it (12 of 500, it was 12 of 20,000), or the port belongs to another worker.

Shown: with that port taken by a socket the fleet fails with the same error, control hosts ready and the gateway ended with 'address already in use'.

Change: free_address(consecutive=2) reserves both ports. The test of ports in use now takes one of the claimed ports instead of an ephemeral one.

test_consecutive_ports_are_reserved fails before (no such argument), passes now; test_processes.py and test_forwarding.py pass.

Ruled out: the control hosts (all three started and led within 1 s in the trial), a slow machine (30 s are ten times the usual start).

--- a/packages/standin/src/marjoramyard/standin/processes.py
+++ b/packages/standin/src/marjoramyard/standin/processes.py
@@ -24,27 +24,37 @@
 """Share of the claimed ports to return; others may be in use."""
 
 
-def free_address() -> str:
+def free_address(consecutive: int = 1) -> str:
     """Returns a free loopback address outside the ephemeral port range.
 
     No other process on this host gets the same one.
 
     A port assigned by the kernel could be taken by an outgoing connection
     while the process that should listen on it starts or restarts.
+
+    Args:
+        consecutive: How many ports from the returned one on are reserved.
     """
     while True:
         if len(_PORTS_RETURNED) >= _MAX_USE * len(_BLOCKS.claimed):
             _BLOCKS.claim()
-        port = _RANDOM.choice(_BLOCKS.claimed)
-        if port in _PORTS_RETURNED:
-            continue
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            _PORTS_RETURNED.add(port)
-            return f"127.0.0.1:{port}"
+        first = _RANDOM.choice(_BLOCKS.claimed)
+        ports = range(first, first + consecutive)
+        is_claimed = all(port in _BLOCKS.claimed for port in ports)
+        if is_claimed and all(_is_free(port) for port in ports):
+            _PORTS_RETURNED.update(ports)
+            return f"127.0.0.1:{first}"
+
+
+def _is_free(port: int) -> bool:
+    if port in _PORTS_RETURNED:
+        return False
+    with socket.socket() as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
 
 
 class ChildProcess:
--- a/packages/standin/tests/test_processes.py
+++ b/packages/standin/tests/test_processes.py
@@ -22,10 +22,12 @@
 
 
 def test_ports_in_use_are_skipped(monkeypatch):
+    used_port, unused_port = (
+        int(free_address().rpartition(":")[2]) for _ in range(2)
+    )
     with socket.socket() as taken:
-        taken.bind(("127.0.0.1", 0))
-        used_port = taken.getsockname()[1]
-        ports = (used_port, int(free_address().rpartition(":")[2]))
+        taken.bind(("127.0.0.1", used_port))
+        ports = (used_port, unused_port)
         # Otherwise the second port would not be returned again.
         monkeypatch.setattr(
             "marjoramyard.standin.processes._PORTS_RETURNED", set()
@@ -33,7 +35,7 @@
         draws = iter(ports)
         chooser = type("Chooser", (), {"choice": lambda *_: next(draws)})
         monkeypatch.setattr("marjoramyard.standin.processes._RANDOM", chooser())
-        assert free_address() == f"127.0.0.1:{ports[1]}"
+        assert free_address() == f"127.0.0.1:{unused_port}"
 
 
 def test_an_address_is_returned_only_once(monkeypatch):
@@ -45,6 +47,16 @@
     assert free_address() != first
 
 
+def test_consecutive_ports_are_reserved():
+    """Guards against a process whose second port another one was given."""
+    ports = [
+        int(free_address(consecutive=2).rpartition(":")[2]) for _ in range(100)
+    ]
+    ports += [int(free_address().rpartition(":")[2]) for _ in range(200)]
+    used = ports + [port + 1 for port in ports[:100]]
+    assert len(set(used)) == len(used)
+
+
 async def test_a_free_address_can_be_bound():
     host, _, port = free_address().rpartition(":")
     server = await asyncio.start_server(lambda *_: None, host, int(port))
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -14,6 +14,7 @@
 
 TIMEOUT_SECONDS = 30.0
 API_KEY = "key-of-shop-1234"
+LOG_LINES_PRINTED = 20
 
 
 async def wait_until(check, seconds=TIMEOUT_SECONDS):
@@ -94,7 +95,7 @@
 class GatewayFleet:
     """Three control hosts on separate loopback addresses, and one gateway."""
 
-    def __init__(self, folder, **gateway_settings):
+    def __init__(self, folder, forwarding_port_offset=0, **gateway_settings):
         self.folder = folder
         self.session = aiohttp.ClientSession()
         peer_port = free_address().split(":")[1]
@@ -112,10 +113,11 @@
         self.write_settings(
             "gateway",
             role="gateway",
-            internal=free_address(),
+            internal=free_address(consecutive=1 + forwarding_port_offset),
             listen=self.listen_address,
             ready_listen=self.ready_address,
             grace_seconds=8.0,
+            forwarding_port_offset=forwarding_port_offset,
             **gateway_settings,
         )
 
@@ -212,6 +214,13 @@
         async with self.request(path) as response:
             return response.status == 200
 
+    def print_log_ends(self):
+        """Prints the last lines of each process, for a test that failed."""
+        for child in self.children.values():
+            lines = child.log.read_text(encoding="utf-8").splitlines()
+            print(f"-- {child.name}, running: {child.is_running}")
+            print(*lines[-LOG_LINES_PRINTED:], sep="\n")
+
     async def close(self):
         await self.session.close()
         for child in self.children.values():
@@ -254,5 +263,8 @@
         await wait_until(fleet.is_ready)
         await wait_until(fleet.control_hosts_are_ready)
         yield fleet
+    except BaseException:
+        fleet.print_log_ends()
+        raise
     finally:
         await fleet.close()
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -21,7 +21,7 @@
         fleet.write_settings(
             "peer",
             role="gateway",
-            internal=free_address(),
+            internal=free_address(consecutive=2),
             listen=free_address(),
             ready_listen=free_address(),
             grace_seconds=8.0,
