Compute which endpoints are unresponsive once, not for each endpoint

Cause: gateways asked each control host's report for each endpoint, every 50 ms in which requests came; with 3,000 engines and six reports 18,000 look-ups. Change: one intersection of the reports. Ran: packages/fleet/tests/gateway.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/view.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/view.py
@@ -236,14 +236,14 @@
         """Returns the health record of an endpoint."""
         return self.health.setdefault(endpoint, EndpointHealth())
 
-    def is_unresponsive(self, endpoint: str, now: float) -> bool:
-        """Whether all reachable control hosts miss its heartbeats."""
+    def unresponsive(self, now: float) -> frozenset[str]:
+        """Returns the endpoints that all reachable control hosts miss."""
         recent = [
             silent
             for at, silent in self.unresponsive_reports.values()
             if now - at < REPORT_VALID_SECONDS
         ]
-        return bool(recent) and all(endpoint in silent for silent in recent)
+        return frozenset.intersection(*recent) if recent else frozenset()
 
     def usable(self, service: str, excluded: set[str]) -> list[Registration]:
         """Returns the endpoints that may receive a request now.
@@ -281,9 +281,10 @@
             for registration in self.registrations.usable(service)
             if self.accepts_requests(registration)
         ]
+        unresponsive = self.unresponsive(now)
         return UsableEndpoints(
             ready,
-            [r for r in ready if self._is_healthy(r, now)],
+            [r for r in ready if self._is_healthy(r, unresponsive, now)],
             self._change_counts(),
             now + USABLE_VALID_SECONDS,
         )
@@ -300,10 +301,15 @@
         ready = self.registrations.usable(service)
         return bool(ready) and not any(map(self.accepts_requests, ready))
 
-    def _is_healthy(self, registration: Registration, now: float) -> bool:
+    def _is_healthy(
+        self,
+        registration: Registration,
+        unresponsive: frozenset[str],
+        now: float,
+    ) -> bool:
         health = self.health_of(registration.endpoint)
         if health.is_backing_off(now):
             return False
         if now - health.last_success_at < RECENT_SUCCESS_SECONDS:
             return True
-        return not self.is_unresponsive(registration.endpoint, now)
+        return registration.endpoint not in unresponsive
