Let large prompts wait as long as small ones while too few of them are served

Cause: what would miss its objective is refused on arrival. A large prompt has less time left to wait, so under overload the queue stays just too long for it.

Change: the broker compares how many of the large prompts, and how many of all, get an engine (half-life 5 s). While it is under half, large prompts may wait as long as small ones; they are then late by their prefill, at most.

--- a/packages/coordination/src/marjoramyard/coordination/placement/broker.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/broker.py
@@ -33,6 +33,7 @@
     refusal,
     service_cost,
 )
+from marjoramyard.coordination.placement.size_shares import SizeShares
 from marjoramyard.coordination.routing.config import EngineProfile
 
 MAX_WAIT_FRACTION = 0.8
@@ -65,6 +66,7 @@
         suspended: Queued requests of unresponsive routers, by key. They are
             in no queue.
         counter: Sequence number of the last queued request.
+        size_shares: How many large prompts, and how many of all, are served.
     """
 
     def __init__(
@@ -76,6 +78,7 @@
         self.queued: dict[str, QueuedRequest] = {}
         self.suspended: dict[str, QueuedRequest] = {}
         self.counter = 0
+        self.size_shares = SizeShares()
 
     def counts(self) -> dict[str, int]:
         """Returns the number of requests in each state.
@@ -103,7 +106,13 @@
         """
         self.refresh_cold(now)
         queued = QueuedRequest(request, self._cost(request))
-        queued.comes_last = self._comes_last(queued)
+        queued.is_large = self._is_large(queued)
+        # An overdue request can't be on time any more, and must not make others
+        # late. But a large prompt is refused first for its length, and gets as
+        # good a second chance as the first one.
+        queued.comes_last = request.is_overdue and not queued.is_large
+        if not request.is_overdue:
+            self.size_shares.record_arrival(queued.is_large, now)
         refused = self._refuse_if_late(queued, now)
         if refused is not None:
             return refused
@@ -187,30 +196,23 @@
         count = len(self.serving_engines()) or 1
         return queued.cost / (self.total_prefill_rate / count)
 
-    def _comes_last(self, queued: QueuedRequest) -> bool:
-        """Returns whether a request is overdue and had a fair first attempt.
-
-        It can't be on time any more, and must not make others late. But a large
-        prompt is refused first for its length, and gets as good a second chance
-        as the first one.
-        """
+    def _is_large(self, queued: QueuedRequest) -> bool:
         request = queued.request
         allowed_ms = request.first_token_due_at - request.submitted_at
-        is_large = self._prefill_ms(queued) > LARGE_PROMPT_SHARE * allowed_ms
-        return request.is_overdue and not is_large
+        return self._prefill_ms(queued) > LARGE_PROMPT_SHARE * allowed_ms
 
     def _due_at(self, queued: QueuedRequest) -> float:
         """Returns when the first token is due.
 
         A prompt whose prefill alone exceeds its objective gets the time that
-        it needs, and some slack.
+        it needs, and some slack. While too few large prompts are served, each
+        of them may wait as long as a small one.
         """
         request = queued.request
-        needed_ms = (
-            self._prefill_ms(queued)
-            + FIRST_TOKEN_LATENCY_MS
-            + LARGE_PROMPT_SLACK_MS
-        )
+        slack_ms = LARGE_PROMPT_SLACK_MS
+        if queued.is_large and self.size_shares.is_large_behind():
+            slack_ms = request.first_token_due_at - request.submitted_at
+        needed_ms = self._prefill_ms(queued) + FIRST_TOKEN_LATENCY_MS + slack_ms
         return max(request.first_token_due_at, request.submitted_at + needed_ms)
 
     def _refuse_if_late(
@@ -269,7 +271,10 @@
                 # The removed entry may still be in the queue's heap.
                 self._enqueue_new(
                     QueuedRequest(
-                        queued.request, queued.cost, queued.comes_last
+                        queued.request,
+                        queued.cost,
+                        queued.is_large,
+                        queued.comes_last,
                     )
                 )
 
@@ -342,6 +347,7 @@
             if grant is None:
                 deferred.append(queued)
             else:
+                self.size_shares.record_grant(queued.is_large, now)
                 results.append(grant)
         for queued in deferred:
             self._enqueue(queued)
--- a/packages/coordination/src/marjoramyard/coordination/placement/request_queue.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/request_queue.py
@@ -13,6 +13,7 @@
     Attributes:
         request: The request itself.
         cost: Prompt tokens that an engine is expected to prefill.
+        is_large: Whether the prefill takes much of the time to the objective.
         comes_last: Whether it comes after the others of its workspace.
         is_removed: Whether the request has left the queue; its heap entry is
             discarded later.
@@ -20,6 +21,7 @@
 
     request: PlacementRequest
     cost: float
+    is_large: bool = False
     comes_last: bool = False
     is_removed: bool = False
 
