Send gateways all changes of endpoints only from control hosts of their zone

Cause: each gateway got each change of each endpoint from all six control hosts, four of them in other zones, and the whole table from each one that restarted.

Change: hosts of other zones send only what must not wait: endpoints that drain, depart or turn cold. The list of unresponsive endpoints still comes from all, since only what all of them miss counts.

Weighed: all changes only from the own zone (a leaving endpoint that only hosts elsewhere have heard of could get work past the bound while the own zone's hosts are cut off from the others), and polling fewer hosts (a lease and the silence of an endpoint need all of them).

--- a/packages/fleet/src/marjoramyard/fleet/control/endpoint_feed.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/endpoint_feed.py
@@ -45,7 +45,9 @@
         epoch: Names this table; cursors of another epoch are void.
         registrations: The endpoints.
         cursor: The number of changes of the table.
-        cursor_of_change: The cursor of each endpoint's last change, in order.
+        changes: The cursor of each endpoint's last change, in order.
+        urgent_changes: The same for changes that gateways must hear of from
+            whichever control host knows them first.
         unresponsive: Endpoints without a recent heartbeat.
         unresponsive_revision: The number of changes of `unresponsive`, plus
             one.
@@ -57,7 +59,8 @@
         self.epoch = new_incarnation(name)
         self.registrations = Registrations()
         self.cursor = 0
-        self.cursor_of_change: dict[str, int] = {}
+        self.changes: dict[str, int] = {}
+        self.urgent_changes: dict[str, int] = {}
         self.unresponsive: set[str] = set()
         self.unresponsive_revision = 1
         self.pending: dict[str, PendingUpdates] = {}
@@ -77,7 +80,7 @@
         """Marks an endpoint as departed, at its own request."""
         departed = self.registrations.mark_departed(endpoint, time.monotonic())
         if departed is not None:
-            self._record_change(departed)
+            self._record_change(departed, None)
             for updates in self.pending.values():
                 updates.full.add(endpoint)
 
@@ -104,10 +107,11 @@
         return unmatched
 
     def _merge(self, registration: Registration) -> bool:
+        before = self.registrations.by_endpoint.get(registration.endpoint)
         changed = self.registrations.merge(registration, time.monotonic())
         self._mark_responsive(registration.endpoint)
         if changed:
-            self._record_change(registration)
+            self._record_change(registration, before)
         return changed
 
     def _mark_responsive(self, endpoint: str) -> None:
@@ -116,10 +120,16 @@
             self.unresponsive_revision += 1
             self.on_change()
 
-    def _record_change(self, registration: Registration) -> None:
+    def _record_change(
+        self, registration: Registration, before: Registration | None
+    ) -> None:
         self.cursor += 1
-        self.cursor_of_change.pop(registration.endpoint, None)
-        self.cursor_of_change[registration.endpoint] = self.cursor
+        endpoint = registration.endpoint
+        self.changes.pop(endpoint, None)
+        self.changes[endpoint] = self.cursor
+        if _is_urgent(registration, before):
+            self.urgent_changes.pop(endpoint, None)
+            self.urgent_changes[endpoint] = self.cursor
         logger.info(
             "registration",
             endpoint=registration.endpoint,
@@ -134,10 +144,9 @@
         """Determines the endpoints without a heartbeat within the limit."""
         now = time.monotonic()
         self.registrations.expire_departed(now)
-        for endpoint in self.cursor_of_change.keys() - (
-            self.registrations.by_endpoint.keys()
-        ):
-            del self.cursor_of_change[endpoint]
+        for changes in (self.changes, self.urgent_changes):
+            for endpoint in changes.keys() - self.registrations.by_endpoint:
+                del changes[endpoint]
         unresponsive = {
             registration.endpoint
             for registration in self.registrations.all()
@@ -155,27 +164,36 @@
 
     # Gateways.
 
+    def last_change(self, urgent_only: bool) -> int:
+        """Returns the cursor of the last (urgent) change; 0 for none."""
+        changes = self.urgent_changes if urgent_only else self.changes
+        return next(reversed(changes.values()), 0)
+
     def changes_since(
-        self, epoch: str, cursor: int
+        self, epoch: str, cursor: int, urgent_only: bool = False
     ) -> tuple[list[Registration], int]:
         """Returns changed registrations, oldest change first.
 
         Args:
             epoch: The epoch of the cursor.
             cursor: The last change that the gateway has applied.
+            urgent_only: Whether to return only urgent changes.
 
         Returns:
-            At most `MAX_REGISTRATIONS`, and the cursor of the last one.
+            At most `MAX_REGISTRATIONS`, and the cursor up to which there are
+            no others.
         """
+        changes = self.urgent_changes if urgent_only else self.changes
         after = cursor if epoch == self.epoch else 0
         changed = []
-        for endpoint, changed_at in reversed(self.cursor_of_change.items()):
+        for endpoint, changed_at in reversed(changes.items()):
             if changed_at <= after:
                 break
             changed.append(endpoint)
         changed.reverse()
         page = changed[:MAX_REGISTRATIONS]
-        last = self.cursor_of_change[page[-1]] if page else self.cursor
+        is_complete = len(page) == len(changed)
+        last = self.cursor if is_complete else changes[page[-1]]
         return [self.registrations.by_endpoint[name] for name in page], last
 
     # Other control hosts.
@@ -214,3 +232,14 @@
         Called after an announcement that failed.
         """
         self.pending.pop(peer, None)
+
+
+def _is_urgent(registration: Registration, before: Registration | None) -> bool:
+    """Returns whether an endpoint must get fewer or no requests at once."""
+    was_cold = (
+        before is not None
+        and before.born == registration.born
+        and before.cold_left_ms > 0
+    )
+    turns_cold = registration.cold_left_ms > 0 and not was_cold
+    return registration.state is not EndpointState.READY or turns_cold
--- a/packages/fleet/src/marjoramyard/fleet/control/service.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/service.py
@@ -43,6 +43,9 @@
 
 MAX_MISSED_HEARTBEATS = 3.0
 """An endpoint that missed this many heartbeats is reported unresponsive."""
+SETTLING_HEARTBEATS = 2.0
+"""After this many heartbeats a control host has heard of all endpoints, itself
+or from the others."""
 _LIVENESS_CHECK_SECONDS = 0.25
 MIN_GAP_SECONDS = 0.02
 """The shortest time between two publications of changes of endpoints."""
@@ -65,8 +68,8 @@
     Attributes:
         endpoints: The registered endpoints.
         changes: Wakes waiting polls.
-        published_cursor: The cursor of `endpoints` when changes were last
-            published.
+        published_cursors: The last change of `endpoints` when changes were
+            last published, by whether only urgent ones count.
         published_revision: Its revision of unresponsive endpoints then.
         gateways: The last sync request and when it came (monotonic), by
             gateway incarnation.
@@ -85,7 +88,8 @@
             self.settings.name, self._on_endpoints_changed
         )
         self.changes = ChangeSignal(self._on_publish)
-        self.published_cursor = 0
+        self.published_cursors = self._last_changes()
+        self.started_at = time.monotonic()
         self.published_revision = 1
         self.gateways: dict[str, tuple[float, SyncRequest]] = {}
         self.broker_selector = BrokerSelector()
@@ -108,8 +112,14 @@
             MIN_GAP_SECONDS + GAP_SECONDS_PER_GATEWAY * len(self.gateways)
         )
 
+    def _last_changes(self) -> dict[bool, int]:
+        return {
+            urgent_only: self.endpoints.last_change(urgent_only)
+            for urgent_only in (False, True)
+        }
+
     def _on_publish(self) -> None:
-        self.published_cursor = self.endpoints.cursor
+        self.published_cursors = self._last_changes()
         self.published_revision = self.endpoints.unresponsive_revision
 
     # Configuration.
@@ -194,8 +204,9 @@
         loop = asyncio.get_running_loop()
         wait = min(request.wait_seconds, MAX_SYNC_WAIT_SECONDS)
         deadline = loop.time() + wait
-        if not self._has_changes(request):
-            await self.changes.wait(deadline - loop.time())
+        while not self._has_changes(request):
+            if not await self.changes.wait(deadline - loop.time()):
+                break
         confirmed = False
         if self.role.is_leader():
             confirmed = await self.leadership_checks.is_confirmed(
@@ -218,7 +229,7 @@
             return True
         return (
             request.epoch != self.endpoints.epoch
-            or request.cursor < self.published_cursor
+            or request.cursor < self.published_cursors[request.urgent_only]
             or request.unresponsive_revision < self.published_revision
         )
 
@@ -234,7 +245,7 @@
 
     def _reply(self, request: SyncRequest, confirmed: bool) -> SyncReply:
         changed, cursor = self.endpoints.changes_since(
-            request.epoch, request.cursor
+            request.epoch, request.cursor, request.urgent_only
         )
         newest = self.newest_config()
         version = newest.version if newest is not None else 0
@@ -254,8 +265,13 @@
             self._evacuated_zones(),
             self.settings.zone,
             self.endpoints.unresponsive_revision,
+            time.monotonic() - self.started_at > self._settling_seconds(),
         )
 
+    def _settling_seconds(self) -> float:
+        """Returns how long it may take to hear of all endpoints."""
+        return SETTLING_HEARTBEATS * self.settings.heartbeat_ms / 1000
+
     def _unresponsive_for(self, request: SyncRequest) -> list[str] | None:
         """Returns the unresponsive endpoints, or None if they are known."""
         if (
--- a/packages/fleet/src/marjoramyard/fleet/gateway/control_sync.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/control_sync.py
@@ -1,12 +1,14 @@
 """Receives updates from the control hosts by one long poll to each."""
 
 import asyncio
+import time
 
 from result import Err, Result
 
 from marjoramyard.fleet import paths
 from marjoramyard.fleet.application import Application
 from marjoramyard.fleet.gateway.config_fetcher import ConfigFetcher
+from marjoramyard.fleet.gateway.endpoint_sources import EndpointSources
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.fleet.sync_messages import SyncReply, SyncRequest
 from marjoramyard.fleet.util.liveness import LivenessTimer
@@ -33,7 +35,12 @@
 
 
 class ControlSync:
-    """Keeps a fleet view up to date from all known control hosts."""
+    """Keeps a fleet view up to date from all known control hosts.
+
+    Attributes:
+        polls: The running polls, by address.
+        sources: Chooses the hosts that send all changes of endpoints.
+    """
 
     def __init__(
         self, app: Application, view: FleetView, fetcher: ConfigFetcher
@@ -42,6 +49,7 @@
         self.view = view
         self.fetcher = fetcher
         self.settings = app.settings
+        self.sources = EndpointSources(self.settings.zone, time.monotonic())
         self.polls: dict[str, asyncio.Task] = {}
 
     async def run(self) -> None:
@@ -92,8 +100,13 @@
 
     async def _poll(self, address: str) -> None:
         epoch, cursor, revision, failures = "", 0, 0, 0
+        is_source = False
         while failures < MAX_FAILURES or address in self.target_addresses():
             sent_at = seconds_since_boot()
+            was_source = is_source
+            is_source = self.sources.is_source(address, time.monotonic())
+            if is_source and not was_source:
+                epoch = ""
             request = SyncRequest(
                 str(self.app.incarnation),
                 self.view.version,
@@ -106,6 +119,7 @@
                 self.view.zones.revision,
                 fetches_config=True,
                 unresponsive_revision=revision,
+                urgent_only=not is_source,
             )
             result = await self._call(address, request)
             if isinstance(result, Err):
@@ -125,5 +139,8 @@
             reply = result.ok_value
             epoch, cursor = reply.epoch, reply.cursor
             revision = reply.unresponsive_revision
+            self.sources.record_reply(
+                address, reply.zone, reply.is_settled, time.monotonic()
+            )
             self.view.apply(address, reply, sent_at)
             self.fetcher.on_announced(address, reply.version, reply.zone)
--- a/packages/fleet/src/marjoramyard/fleet/sync_messages.py
+++ b/packages/fleet/src/marjoramyard/fleet/sync_messages.py
@@ -93,6 +93,7 @@
             their own, so that the reply only needs their version.
         unresponsive_revision: The revision of the responder's unresponsive
             endpoints that it has.
+        urgent_only: Whether only urgent changes of endpoints are wanted.
     """
 
     gateway: str
@@ -106,6 +107,7 @@
     zone_revision: int = 0
     fetches_config: bool = False
     unresponsive_revision: int = 0
+    urgent_only: bool = False
 
 
 class SyncReply(msgspec.Struct, omit_defaults=True):
@@ -133,6 +135,8 @@
         zone: The availability zone of the responder.
         unresponsive_revision: The revision of `silent`; 0 from a responder
             without revisions, which always sends the list.
+        is_settled: Whether the responder has heard of all endpoints since its
+            start.
     """
 
     epoch: str
@@ -149,6 +153,7 @@
     evacuated_zones: list[str] = []
     zone: str = ""
     unresponsive_revision: int = 0
+    is_settled: bool = False
 
 
 class PutConfig(msgspec.Struct, frozen=True):
--- a/packages/fleet/tests/control/test_endpoint_feed.py
+++ b/packages/fleet/tests/control/test_endpoint_feed.py
@@ -117,6 +117,37 @@
     assert cursor == feed.cursor
 
 
+def test_a_leaving_endpoint_is_reported_to_all_gateways():
+    """Guards against new work for an endpoint whose leaving only hosts of
+    other zones have heard of.
+    """
+    feed = make_feed()
+    for number in range(10):
+        feed.register(make_registration(f"engine-{number}"))
+    assert feed.changes_since(feed.epoch, 0, urgent_only=True) == ([], 10)
+    draining = make_registration(
+        "engine-3", sequence=2, state=EndpointState.DRAINING
+    )
+    feed.register(draining)
+    feed.mark_departed("engine-4")
+    page, cursor = feed.changes_since(feed.epoch, 10, urgent_only=True)
+    assert [held.endpoint for held in page] == ["engine-3", "engine-4"]
+    assert cursor == feed.cursor == feed.last_change(urgent_only=True)
+
+
+def test_an_endpoint_that_turns_cold_is_reported_to_all_gateways():
+    """Guards against a usual load on an engine that was just restarted."""
+    feed = make_feed()
+    feed.register(make_registration())
+    cold = make_registration(born=1_790_000_900_000, cold_left_ms=3000.0)
+    feed.register(cold)
+    assert feed.changes_since(feed.epoch, 1, urgent_only=True) == ([cold], 2)
+    feed.register(
+        msgspec.structs.replace(cold, sequence=2, cold_left_ms=1800.0)
+    )
+    assert feed.changes_since(feed.epoch, 2, urgent_only=True) == ([], 3)
+
+
 def random_heartbeats(draw, count):
     """Returns heartbeats of a few endpoints, some late, twice or restarted."""
     sequence, born, beats = 0, 100, []
--- a/packages/fleet/tests/control/test_service_polls.py
+++ b/packages/fleet/tests/control/test_service_polls.py
@@ -40,9 +40,10 @@
 class Gateway:
     """Polls without a pause, and counts replies and their bytes."""
 
-    def __init__(self, service, name):
+    def __init__(self, service, name, urgent_only=False):
         self.service = service
         self.name = name
+        self.urgent_only = urgent_only
         self.replies = 0
         self.received_bytes = 0
         self.endpoints = set()
@@ -57,6 +58,7 @@
                 cursor=cursor,
                 wait_seconds=0.2,
                 unresponsive_revision=revision,
+                urgent_only=self.urgent_only,
             )
             reply = await self.service.sync(request)
             await asyncio.sleep(0.001)
@@ -109,3 +111,24 @@
     for gateway in gateways:
         assert gateway.replies < ENDPOINTS / 10
         assert gateway.received_bytes < 10 * LIST_BYTES
+
+
+async def test_a_restarted_host_sends_no_table_to_other_zones():
+    """Guards against the whole table from each restarted control host to each
+    gateway of each zone.
+    """
+    service = FleetService(Role())
+    own, other = (
+        Gateway(service, "own"),
+        Gateway(service, "other", urgent_only=True),
+    )
+    tasks = [asyncio.create_task(g.run()) for g in (own, other)]
+    for number in range(ENDPOINTS):
+        service.endpoints.register(heartbeat(number, 1))
+        await asyncio.sleep(0.001)
+    await reached(lambda: len(own.endpoints) == ENDPOINTS)
+    service.endpoints.mark_departed("engine-5")
+    await reached(lambda: other.endpoints == {"engine-5"})
+    for task in tasks:
+        task.cancel()
+    assert other.received_bytes < own.received_bytes / 20
--- a/packages/fleet/tests/gateway/test_control_sync.py
+++ b/packages/fleet/tests/gateway/test_control_sync.py
@@ -35,7 +35,9 @@
 
 
 def make_sync(reply_seconds):
-    app = SimpleNamespace(settings=None, client=Client(reply_seconds))
+    app = SimpleNamespace(
+        settings=SimpleNamespace(zone="a"), client=Client(reply_seconds)
+    )
     return ControlSync(app, None, None)
 
 
