--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -134,14 +134,14 @@
         )
 
     def write_settings(self, name, **settings):
-        settings |= {
+        settings = {
             "name": name,
             "zone": f"zone-{name}",
             "seeds": self.operator_addresses,
             "peer_port": self.peer_port,
             "trust_network": True,
             "log": {"format": "json"},
-        }
+        } | settings
         (self.folder / f"{name}.yaml").write_text(yaml.safe_dump(settings))
 
     async def start(self, name):
