Ask engines for their cached parts after all gateways have lost power

Cause: what engines have cached is known from the prompts that were sent.

Native call GET /cached-parts; the platform's own.

Weighed: lists whenever the broker changes (gateways tell a new one, and a list delays the engine), events of caches all the time (late and incomplete, and a waiting call to each engine), parts kept on disk (gateways have none).

--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
@@ -6,6 +6,7 @@
 import asyncio
 import math
 import time
+from functools import partial
 
 import aiohttp
 import msgspec
@@ -38,6 +39,7 @@
     Withdraw,
     gateway_message_decoder,
 )
+from marjoramyard.fleet.gateway.cache_lists import CacheLists
 from marjoramyard.fleet.gateway.cold_starts import ColdStarts
 from marjoramyard.fleet.gateway.engine_load import estimate_prefill_rate
 from marjoramyard.fleet.gateway.gateway_connection import (
@@ -68,8 +70,14 @@
         serves_majority: Whether most gateways of the fleet are connected.
     """
 
-    def __init__(self, view: FleetView, cold_starts: ColdStarts):
+    def __init__(
+        self,
+        view: FleetView,
+        cold_starts: ColdStarts,
+        cache_lists: CacheLists,
+    ):
         self.view = view
+        self.cache_lists = cache_lists
         self.cold_starts = cold_starts
         self.brokers: dict[str, Broker] = {}
         self.gateways: dict[int, GatewayConnection] = {}
@@ -176,6 +184,10 @@
         broker.set_cold_limit(self.cold_starts.limit_of(service))
         for registration in usable:
             broker.set_lifetime(registration.endpoint, registration.born)
+            self.cache_lists.request(
+                registration,
+                partial(broker.add_cached, registration.endpoint),
+            )
             if broker.cold_limit:
                 until = self.cold_starts.cold_until(service, registration)
                 broker.set_cold_until(registration.endpoint, until * 1000)
--- a/packages/fleet/src/marjoramyard/fleet/gateway/dialect.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/dialect.py
@@ -6,6 +6,7 @@
 from result import Err, Ok, Result
 
 from marjoramyard.coordination.routing.config import FleetConfig
+from marjoramyard.coordination.routing.table import PromptPart
 from marjoramyard.kernel.registry import Registry
 
 
@@ -53,6 +54,19 @@
         }
 
 
+class CacheListCall(msgspec.Struct, frozen=True):
+    """How an engine is asked which prompt parts it has cached.
+
+    Attributes:
+        path: The path of the call, a GET without a body.
+        decode: Decodes the body of the response. Raises msgspec.DecodeError if
+            it is invalid.
+    """
+
+    path: str
+    decode: Callable[[bytes], list[PromptPart]]
+
+
 class GatewayDialect(msgspec.Struct, frozen=True):
     """The conventions of callers, endpoints and configurations.
 
@@ -62,12 +76,15 @@
         ready_path: The path of the load balancer's readiness check.
         fractional_retry_after: Whether `Retry-After` is sent with fractions of
             a second. The standard allows whole seconds only.
+        cache_list: The call for the cached prompt parts of an engine; None if
+            there is none.
     """
 
     headers: HeaderNames
     decode_config: Callable[[bytes], Result[FleetConfig, str]]
     ready_path: str = "/readyz"
     fractional_retry_after: bool = False
+    cache_list: CacheListCall | None = None
 
 
 GATEWAY_DIALECTS: Registry[GatewayDialect] = Registry("dialect")
@@ -81,6 +98,15 @@
         return Err(str(error))
 
 
+def decode_cached_parts(body: bytes) -> list[PromptPart]:
+    """Decodes the cached parts of an engine in the native format."""
+    return msgspec.json.decode(body, type=list[PromptPart])
+
+
 GATEWAY_DIALECTS.register("native")(
-    GatewayDialect(HeaderNames(), decode_native)
+    GatewayDialect(
+        HeaderNames(),
+        decode_native,
+        cache_list=CacheListCall("/cached-parts", decode_cached_parts),
+    )
 )
--- a/packages/fleet/src/marjoramyard/fleet/gateway/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/role.py
@@ -17,6 +17,7 @@
 )
 from marjoramyard.fleet.gateway.broker_protocol import BROKER_PATH
 from marjoramyard.fleet.gateway.broker_server import BrokerServer
+from marjoramyard.fleet.gateway.cache_lists import CacheLists
 from marjoramyard.fleet.gateway.cold_starts import ColdStarts
 from marjoramyard.fleet.gateway.config_fetcher import ConfigFetcher
 from marjoramyard.fleet.gateway.connections import CallerConnections
@@ -184,7 +185,11 @@
             view, settings.cold_overrun, settings.cold_slack
         )
         handler = RequestHandler(view, session, brokers, cold_starts, app)
-        broker_server = BrokerServer(view, cold_starts)
+        broker_server = BrokerServer(
+            view,
+            cold_starts,
+            CacheLists(session, app.tasks, dialect.cache_list),
+        )
         app.metrics.gauge(
             "broker_wait_seconds", broker_server.mean_wait_seconds
         )
--- a/packages/fleet/tests/gateway/test_broker_server.py
+++ b/packages/fleet/tests/gateway/test_broker_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import time
+from types import SimpleNamespace
 
 import aiohttp
 import msgspec
@@ -34,6 +35,7 @@
 
 OBJECTIVE_MS = 500.0
 TIMEOUT_MS = 5000.0
+NO_CACHE_LISTS = SimpleNamespace(request=lambda *_: None)
 
 
 def view_of_one_engine():
@@ -51,7 +53,7 @@
 @pytest.fixture
 async def broker_url():
     view = view_of_one_engine()
-    server = BrokerServer(view, ColdStarts(view, 1.5, 5.0))
+    server = BrokerServer(view, ColdStarts(view, 1.5, 5.0), NO_CACHE_LISTS)
     app = web.Application()
     app.add_routes([web.get(BROKER_PATH, server.serve)])
     runner = web.AppRunner(app, shutdown_timeout=0.1)
@@ -207,7 +209,7 @@
         ),
         time.monotonic(),
     )
-    return BrokerServer(view, ColdStarts(view, 1.5, 5.0))
+    return BrokerServer(view, ColdStarts(view, 1.5, 5.0), NO_CACHE_LISTS)
 
 
 def cold_grants_in(server, ms):
