Import the exporter of metrics after the start

Cause: when all have lost power, callers wait until a gateway listens: 1.9 s on the small hosts (0.27 of a core), nearly all of it imports.

Change: counters and gauges are kept in the process anyway; values of histograms are kept until the exporter is loaded, in a thread, at the first scrape or ten seconds after the start.

Ruled out: dropping OpenTelemetry (it is the project's choice for metrics).

--- a/packages/fleet/src/marjoramyard/fleet/application.py
+++ b/packages/fleet/src/marjoramyard/fleet/application.py
@@ -41,6 +41,7 @@
 _KEEPALIVE_SECONDS = 75.0
 """Longer than most load balancers keep idle connections."""
 _BACKLOG = 512
+_EXPORTER_DELAY_SECONDS = 10.0
 _SETTINGS_CHECK_SECONDS = 2.0
 """The interval at which the settings file is checked for changes."""
 
@@ -262,6 +263,7 @@
         return web.Response(text="not ready\n", status=503)
 
     async def _metrics_page(self, _: web.Request) -> web.Response:
+        await self.metrics.load_exporter_in_background()
         return web.Response(
             body=self.metrics.prometheus_text(), content_type="text/plain"
         )
@@ -306,6 +308,14 @@
             if _modified_ns(self.settings_path) != self.settings_modified_ns:
                 self.reload_settings()
 
+    async def _load_metrics_exporter(self) -> None:
+        """Loads the exporter when the process has long been listening.
+
+        Without scrapes, the values of histograms would collect in memory.
+        """
+        await asyncio.sleep(_EXPORTER_DELAY_SECONDS)
+        await self.metrics.load_exporter_in_background()
+
     async def run(self) -> None:
         """Runs the role until SIGTERM or SIGINT, then drains it."""
         loop = asyncio.get_running_loop()
@@ -319,6 +329,7 @@
         async with task_group() as self.tasks:
             self.client = rpc.InternalClient(self.secret, self.metrics)
             self._register_traffic_metrics()
+            self.tasks.spawn(self._load_metrics_exporter())
             if self.settings_path is not None:
                 self.tasks.spawn(self._watch_settings())
             try:
--- a/packages/kernel/src/marjoramyard/kernel/metrics.py
+++ b/packages/kernel/src/marjoramyard/kernel/metrics.py
@@ -1,26 +1,18 @@
-"""OpenTelemetry metrics in the Prometheus text format."""
+"""Metrics of a process, and their export in the Prometheus text format."""
 
+import asyncio
+import importlib
 from collections.abc import Callable, Iterable
 
-from opentelemetry.exporter.prometheus import PrometheusMetricReader
-from opentelemetry.metrics import CallbackOptions, Observation
-from opentelemetry.sdk.metrics import MeterProvider
-from opentelemetry.sdk.metrics.view import (
-    ExplicitBucketHistogramAggregation,
-    View,
-)
-from opentelemetry.sdk.resources import Resource
-from prometheus_client import REGISTRY, generate_latest
-
-LATENCY_BUCKETS = (0.005, 0.02, 0.066, 0.2, 0.5, 1.0, 1.8, 5.0, 20.0, 60.0)
-"""Upper bounds of the histogram buckets, in seconds. The objectives for the
-time between tokens (0.066) and the time to first token (1.8) are among them."""
-
 WORKSPACE_LABEL_CAP = 50
 """Number of workspaces with a label value of their own."""
 OTHER_WORKSPACES = "(other)"
+_EXPORTER_MODULE = "marjoramyard.kernel.metrics_exporter"
+"""Imported after the start: it takes a fifth of the time until a process
+listens, and callers wait for that when all have lost power."""
 
 Labels = dict[str, str]
+GaugeReader = Callable[[], Iterable[tuple[float, Labels]]]
 
 
 class LabelCap:
@@ -45,72 +37,77 @@
 
 
 class Metrics:
-    """The metrics of one process; instruments are created on first use."""
+    """The metrics of one process.
+
+    Attributes:
+        role: The role of the process.
+        name: The name of the process.
+        workspaces: Bounds the labels for workspaces.
+        counts: The counters, by name and labels. They are read at each scrape,
+            because `add` of an OpenTelemetry counter is too slow for every
+            request.
+        gauges: The names of gauges, with what reads their values.
+        pending: Values of histograms until the exporter is loaded.
+        exporter: The `MetricsExporter`, once it is loaded.
+    """
 
     def __init__(self, role: str, name: str):
-        view = View(
-            instrument_name="*_seconds",
-            aggregation=ExplicitBucketHistogramAggregation(LATENCY_BUCKETS),
-        )
-        resource = Resource({"service.name": f"marjoramyard-{role}"})
-        self.provider = MeterProvider(
-            metric_readers=[PrometheusMetricReader()],
-            resource=resource,
-            views=[view],
-        )
-        self.meter = self.provider.get_meter("marjoramyard")
+        self.role = role
         self.name = name
         self.workspaces = LabelCap()
-        self.instruments: dict = {}
         self.counts: dict[str, dict[tuple, float]] = {}
+        self.gauges: list[tuple[str, GaugeReader]] = []
+        self.pending: list[tuple[str, float, Labels]] = []
+        self.exporter = None
 
     def count(self, name: str, amount: float = 1, **labels: str) -> None:
-        """Adds `amount` to the counter `name`.
-
-        Counts are kept in a dict and read at each scrape, because `add` of
-        an OpenTelemetry counter is too slow for every request.
-        """
+        """Adds `amount` to the counter `name`."""
         counts = self.counts.get(name)
         if counts is None:
             counts = self.counts[name] = {}
-            self._observe_counts(name, counts)
+            if self.exporter is not None:
+                self.exporter.add_counter(name, counts)
         key = tuple(labels.items())
         counts[key] = counts.get(key, 0) + amount
 
-    def _observe_counts(self, name: str, counts: dict) -> None:
-        def observe(_: CallbackOptions) -> list[Observation]:
-            return [
-                Observation(value, dict(key)) for key, value in counts.items()
-            ]
-
-        self.meter.create_observable_counter(
-            f"marjoramyard_{name}", callbacks=[observe]
-        )
-
     def observe(self, name: str, value: float, **labels: str) -> None:
         """Records a value in the histogram `name`."""
-        histogram = self.instruments.get(name)
-        if histogram is None:
-            histogram = self.meter.create_histogram(f"marjoramyard_{name}")
-            self.instruments[name] = histogram
-        histogram.record(value, labels)
-
-    def gauge(
-        self, name: str, read: Callable[[], Iterable[tuple[float, Labels]]]
-    ) -> None:
-        """Registers a gauge whose values are read by `read` at each scrape."""
+        if self.exporter is None:
+            self.pending.append((name, value, labels))
+        else:
+            self.exporter.observe(name, value, labels)
 
-        def observe(_: CallbackOptions) -> list[Observation]:
-            return [Observation(value, labels) for value, labels in read()]
-
-        self.meter.create_observable_gauge(
-            f"marjoramyard_{name}", callbacks=[observe]
-        )
+    def gauge(self, name: str, read: GaugeReader) -> None:
+        """Registers a gauge whose values are read by `read` at each scrape."""
+        self.gauges.append((name, read))
+        if self.exporter is not None:
+            self.exporter.add_gauge(name, read)
+
+    async def load_exporter_in_background(self) -> None:
+        """Loads the exporter without blocking the event loop for long."""
+        await asyncio.to_thread(importlib.import_module, _EXPORTER_MODULE)
+        self.load_exporter()
+
+    def load_exporter(self) -> None:
+        """Loads the exporter, unless that has been done."""
+        if self.exporter is not None:
+            return
+        module = importlib.import_module(_EXPORTER_MODULE)
+        self.exporter = module.MetricsExporter(self.role)
+        for name, counts in self.counts.items():
+            self.exporter.add_counter(name, counts)
+        for name, read in self.gauges:
+            self.exporter.add_gauge(name, read)
+        for name, value, labels in self.pending:
+            self.exporter.observe(name, value, labels)
+        self.pending.clear()
 
     def prometheus_text(self) -> bytes:
         """Returns all metrics in the Prometheus text format."""
-        return generate_latest(REGISTRY)
+        self.load_exporter()
+        return self.exporter.prometheus_text()
 
     def close(self) -> None:
-        """Shuts the provider down and unregisters its Prometheus reader."""
-        self.provider.shutdown()
+        """Shuts the exporter down, if it is loaded."""
+        if self.exporter is not None:
+            self.exporter.close()
--- a/packages/kernel/tests/test_metrics.py
+++ b/packages/kernel/tests/test_metrics.py
@@ -1,5 +1,8 @@
 """Counters, gauges, histograms and the limit on workspace labels."""
 
+import subprocess
+import sys
+
 from marjoramyard.kernel.metrics import OTHER_WORKSPACES, LabelCap, Metrics
 
 
@@ -20,3 +23,38 @@
 def test_workspaces_beyond_the_cap_share_one_label():
     cap = LabelCap(2)
     assert [cap.label(n) for n in "abca"] == ["a", "b", OTHER_WORKSPACES, "a"]
+
+
+def test_values_from_before_the_first_scrape_are_kept():
+    metrics = Metrics("entry", "entry-1")
+    metrics.observe("wait_seconds", 0.3)
+    before = metrics.prometheus_text().decode()
+    metrics.observe("wait_seconds", 0.3)
+    metrics.gauge("later", lambda: [(4, {})])
+    metrics.count("also_later")
+    after = metrics.prometheus_text().decode()
+    metrics.close()
+    assert "marjoramyard_wait_seconds_count{" in before
+    assert not metrics.pending
+    sums = [
+        float(line.split()[-1])
+        for text in (before, after)
+        for line in text.splitlines()
+        if line.startswith("marjoramyard_wait_seconds_count{")
+    ]
+    assert sums == [1.0, 2.0]
+    assert "marjoramyard_later{" in after
+    assert "marjoramyard_also_later_total{" in after
+
+
+def test_a_gateway_starts_without_the_exporter():
+    """Guards against callers that wait for it when all have lost power."""
+    code = (
+        "import sys\n"
+        "import marjoramyard.fleet.cmd.daemon\n"
+        "import marjoramyard.fleet.gateway.role\n"
+        "found = [m for m in sys.modules if m.startswith('opentelemetry')]\n"
+        "sys.exit(len(found))\n"
+    )
+    done = subprocess.run([sys.executable, "-c", code], check=False)
+    assert done.returncode == 0
