Decide among thousands of engines without looking at each

Gateways also made a new list of usable engines every 50 ms, which the broker took for a change.

Change: - An index of the engines of each cached part. - Sums over a pool are kept until 1 in 64 of the engines has changed; in smaller pools until the next change. - Above 64 engines, only the least loaded and those with the longest cached prefix are compared. A list of usable engines that is the same stays the same object.

Found on the way: engines were held in the order of a set, so equal costs were decided differently in each process; it is the order of the registrations now.

Weighed: several brokers for a service (each would know half of an engine's load), and a heap by load (every grant and report changes it).

--- a/packages/coordination/src/marjoramyard/coordination/placement/broker.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/broker.py
@@ -14,10 +14,13 @@
 """
 
 import math
+from functools import partial
+from itertools import islice
 
 from marjoramyard.coordination.placement.engine_pool import EnginePool
 from marjoramyard.coordination.placement.engines import (
     FIRST_TOKEN_LATENCY_MS,
+    Engine,
     InFlightRequest,
 )
 from marjoramyard.coordination.placement.plans import best_plan
@@ -46,6 +49,8 @@
 LARGE_PROMPT_SHARE = 0.25
 """Prompts whose prefill takes more than this share of their objective are
 large."""
+MAX_HOLDERS = 32
+"""Of those that have a prefix, how many are compared in a large pool."""
 MAX_DEFERRED = 4
 """The maximum number of requests deferred in one round of dispatching. Each
 of them costs an evaluation of all engines. Requests behind them wait for the
@@ -135,11 +140,7 @@
 
     def _cost(self, request: PlacementRequest) -> float:
         """Returns the prompt tokens that are likely to be prefilled."""
-        cached = 0
-        for engine in self.engines.values():
-            cached = max(
-                cached, engine.prefix_cache.leading_tokens(request.parts)
-            )
+        cached, _ = self.prefix_index.longest_prefix(request.parts)
         return max(1.0, request.prompt_tokens - cached)
 
     def _raise_virtual_time(self, workspace: str) -> None:
@@ -188,12 +189,12 @@
                 continue
             gap = reached - self.virtual_time.get(name, 0.0)
             ahead += min(max(gap, 0.0), queue.tokens)
-        if not any(e.is_usable for e in self.engines.values()):
+        if not self.serving_count:
             return 0.0
         return self.mean_wait_ms + ahead / self.total_prefill_rate
 
     def _prefill_ms(self, queued: QueuedRequest) -> float:
-        count = len(self.serving_engines()) or 1
+        count = self.serving_count or 1
         return queued.cost / (self.total_prefill_rate / count)
 
     def _is_large(self, queued: QueuedRequest) -> bool:
@@ -218,7 +219,7 @@
     def _refuse_if_late(
         self, queued: QueuedRequest, now: float
     ) -> PlacementRefusal | None:
-        if not any(e.is_usable for e in self.engines.values()):
+        if not self.serving_count:
             return None
         request = queued.request
         wait_ms = self.predicted_wait_ms(request.workspace, queued.order)
@@ -235,7 +236,7 @@
 
     def _is_late(self, queued: QueuedRequest, now: float) -> bool:
         """Returns whether even the least loaded engine would be too late."""
-        least = min(e.wait_ms for e in self.engines.values() if e.is_usable)
+        least = min(e.wait_ms for e in self.load.current().lightest)
         first_token_at = (
             now + least + self._prefill_ms(queued) + FIRST_TOKEN_LATENCY_MS
         )
@@ -328,7 +329,7 @@
         results: list[PlacementGrant | PlacementRefusal] = []
         deferred: list[QueuedRequest] = []
         while len(deferred) < MAX_DEFERRED and any(
-            e.accepts(0.0, max_backlog_ms) for e in self.engines.values()
+            e.accepts(0.0, max_backlog_ms) for e in self.load.current().lightest
         ):
             queued = self._pop_next()
             if queued is None:
@@ -384,19 +385,20 @@
             one has reached its maximum backlog. Waiting for it then costs
             less than using another engine.
         """
-        usable = [
-            engine
-            for engine in self.engines.values()
-            if engine.is_usable
-            and engine.endpoint not in request.excluded_endpoints
-        ]
+        usable = self._candidates(request)
         memory_tokens = request.own_memory_tokens
         available = [
             engine for engine in usable if engine.has_capacity(memory_tokens)
         ]
         if not available:
             return None
-        plan = best_plan(request, usable, available, self.profile)
+        plan = best_plan(
+            request,
+            usable,
+            available,
+            self.profile,
+            partial(self._usable_endpoints, request),
+        )
         engine = plan.engine
         if not engine.accepts(memory_tokens, max_backlog_ms):
             return None
@@ -419,6 +421,33 @@
             engine.is_cold,
         )
 
+    def _candidates(self, request: PlacementRequest) -> list[Engine]:
+        """Returns the engines among which the cheapest one probably is.
+
+        In a small pool these are all usable ones, in a large one the least
+        loaded and those with the longest cached prefix.
+        """
+        lightest = self.load.current().lightest
+        found = {e.endpoint: e for e in lightest}
+        _, holders = self.prefix_index.longest_prefix(request.parts[:-1])
+        found |= {
+            name: self.engines[name] for name in islice(holders, MAX_HOLDERS)
+        }
+        return [
+            engine
+            for engine in found.values()
+            if engine.is_usable
+            and engine.endpoint not in request.excluded_endpoints
+        ]
+
+    def _usable_endpoints(self, request: PlacementRequest) -> list[str]:
+        return [
+            engine.endpoint
+            for engine in self.engines.values()
+            if engine.is_usable
+            and engine.endpoint not in request.excluded_endpoints
+        ]
+
     def expire(self, now: float) -> list[PlacementRefusal]:
         """Removes and refuses queued requests whose deadline has passed."""
         expired = [
--- a/packages/coordination/src/marjoramyard/coordination/placement/engine_pool.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/engine_pool.py
@@ -9,6 +9,8 @@
     Engine,
     InFlightRequest,
 )
+from marjoramyard.coordination.placement.pool_load import PoolLoad
+from marjoramyard.coordination.placement.prefix_index import PrefixIndex
 from marjoramyard.coordination.routing.config import EngineProfile
 from marjoramyard.coordination.routing.table import PromptPart
 
@@ -33,6 +35,9 @@
         cold_limit: Requests per window that a cold engine may get; 0 for no
             limit.
         cold_grants_from: When cold engines may get requests.
+        cold: Engines that may be cold.
+        prefix_index: The engines of each cached prompt part.
+        load: The load of all engines together.
     """
 
     def __init__(
@@ -46,22 +51,31 @@
         self.in_flight: dict[str, InFlightRequest] = {}
         self.lagging_routers: set[str] = set()
         self.backlog_limit = BacklogLimit()
+        self.prefix_index = PrefixIndex()
+        self.cold: set[str] = set()
+        self.load = PoolLoad(self.engines)
 
     def set_engines(self, usable: Iterable[str]) -> None:
         """Sets the endpoints that may get new requests.
 
         Others are removed once they have no request in flight.
         """
-        names = set(usable)
+        names = dict.fromkeys(usable)
         for name in names:
             if name not in self.engines:
                 self.engines[name] = Engine(
-                    name, self.profile, self.rate, self.cold_limit
+                    name,
+                    self.profile,
+                    self.rate,
+                    self.cold_limit,
+                    self.prefix_index,
                 )
         for name, engine in list(self.engines.items()):
             engine.is_usable = name in names
             if not engine.is_usable and not engine.running:
+                engine.prefix_cache.clear()
                 del self.engines[name]
+        self.load.forget()
 
     def set_lifetime(self, endpoint: str, born: int) -> None:
         """Sets when an engine was started, in ms since the Unix epoch.
@@ -87,27 +101,32 @@
         for engine in self.engines.values():
             engine.throttle.limit = limit
             engine.refresh(-math.inf, True)
+            self.cold.add(engine.endpoint)
+        self.load.forget()
 
     def set_cold_until(self, endpoint: str, until: float) -> None:
         """Sets when an engine is no longer cold."""
         engine = self.engines.get(endpoint)
         if engine is not None:
             engine.throttle.cold_until = until
+            self.cold.add(endpoint)
 
     def refresh_cold(self, now: float) -> None:
         """Updates which engines are cold and what they may get now."""
-        if self.cold_limit:
-            grants_cold = now >= self.cold_grants_from
-            for engine in self.engines.values():
-                engine.refresh(now, grants_cold)
-
-    def serving_engines(self) -> list[Engine]:
-        """Returns the usable engines on which waits are estimated.
-
-        Cold ones, which get few requests, only if there are no others.
-        """
-        usable = [e for e in self.engines.values() if e.is_usable]
-        return [e for e in usable if not e.is_cold] or usable
+        if not self.cold_limit:
+            return
+        grants_cold = now >= self.cold_grants_from
+        for endpoint in list(self.cold):
+            engine = self.engines.get(endpoint)
+            if engine is None:
+                self.cold.discard(endpoint)
+                continue
+            was_cold = engine.is_cold
+            engine.refresh(now, grants_cold)
+            if engine.is_cold != was_cold:
+                self.load.forget()
+            if not engine.is_cold:
+                self.cold.discard(endpoint)
 
     @property
     def total_prefill_rate(self) -> float:
@@ -115,7 +134,7 @@
 
         1.0 if there are none.
         """
-        return sum(e.rate for e in self.serving_engines()) or 1.0
+        return self.load.current().total_rate or 1.0
 
     @property
     def mean_wait_ms(self) -> float:
@@ -123,10 +142,12 @@
 
         0.0 if there are none.
         """
-        serving = self.serving_engines()
-        if not serving:
-            return 0.0
-        return sum(e.wait_ms for e in serving) / len(serving)
+        return self.load.current().mean_wait_ms
+
+    @property
+    def serving_count(self) -> int:
+        """The number of serving engines."""
+        return self.load.current().count
 
     def record_first_token(
         self, key: str, now: float, is_timely: bool = True
@@ -153,6 +174,7 @@
         engine.prefilling.pop(key, None)
         request.is_prefilling = False
         engine.finish_prefill(request.prefill_tokens, now, is_timely)
+        self.load.record_change()
 
     def _finish_earlier_prefills(
         self, engine: Engine, latest: InFlightRequest, now: float
@@ -169,13 +191,13 @@
                 break
             self._mark_prefilled(engine, key, request, now)
 
-    @staticmethod
     def _mark_prefilled(
-        engine: Engine, key: str, request: InFlightRequest, now: float
+        self, engine: Engine, key: str, request: InFlightRequest, now: float
     ) -> None:
         del engine.prefilling[key]
         request.is_prefilling = False
         engine.finish_prefill(request.prefill_tokens, now, False)
+        self.load.record_change()
 
     def finish(self, key: str) -> None:
         """Removes a request that is no longer at its engine.
@@ -187,6 +209,7 @@
         if engine is None:
             return
         engine.prefilling.pop(key, None)
+        self.load.record_change()
         engine.running -= 1
         engine.used_memory_tokens -= request.memory_tokens
         if request.is_prefilling:
@@ -248,6 +271,7 @@
     ) -> None:
         """Adds a request that is being sent to an engine."""
         self.in_flight[key] = request
+        self.load.record_change()
         if request.is_prefilling:
             engine.prefilling[key] = request
         engine.running += 1
--- a/packages/coordination/src/marjoramyard/coordination/placement/engines.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/engines.py
@@ -6,6 +6,7 @@
 
 from marjoramyard.coordination.placement.cold_start import ColdStartThrottle
 from marjoramyard.coordination.placement.prefix_cache import PrefixCache
+from marjoramyard.coordination.placement.prefix_index import PrefixIndex
 from marjoramyard.coordination.routing.config import EngineProfile
 
 USABLE_SLOT_FRACTION = 0.95
@@ -91,13 +92,16 @@
         profile: EngineProfile,
         rate: float,
         cold_limit: int = 0,
+        prefix_index: PrefixIndex | None = None,
     ):
         self.endpoint = endpoint
         self.slots = profile.slots
         self.memory_tokens = profile.memory_tokens
         self.initial_rate = rate
         self.rate = rate
-        self.prefix_cache = PrefixCache(profile.memory_tokens)
+        self.prefix_cache = PrefixCache(
+            profile.memory_tokens, endpoint, prefix_index
+        )
         self.running = 0
         self.prefilling: dict[str, InFlightRequest] = {}
         self.prefill_tokens = 0.0
--- a/packages/coordination/src/marjoramyard/coordination/placement/plans.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/plans.py
@@ -1,6 +1,6 @@
 """Cost of a request at each engine, and the cheapest choice."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -45,14 +45,16 @@
     usable: list[Engine],
     available: Iterable[Engine],
     profile: EngineProfile,
+    list_endpoints: Callable[[], list[str]],
 ) -> Plan:
     """Returns the cheapest plan.
 
     Args:
         request: The request.
-        usable: Engines that the request may use; not empty.
+        usable: The engines to compare; not empty.
         available: Those of them with a free slot and memory; not empty.
         profile: The properties shared by all engines.
+        list_endpoints: Returns all endpoints that the request may use.
     """
     cached = {
         engine.endpoint: engine.prefix_cache.leading_tokens(request.parts)
@@ -63,7 +65,7 @@
         request.prompt_tokens,
         source,
         cached[source.endpoint],
-        _preferred_if_uncached(request, source, usable),
+        _preferred_if_uncached(request, source, list_endpoints),
     )
     plans = (
         _plan(prompt, engine, cached[engine.endpoint], profile)
@@ -89,19 +91,21 @@
 
 
 def _preferred_if_uncached(
-    request: PlacementRequest, source: Engine, usable: list[Engine]
+    request: PlacementRequest,
+    source: Engine,
+    list_endpoints: Callable[[], list[str]],
 ) -> str:
     """Returns the preferred engine, or "" if a shared part is cached.
 
     Args:
         request: The request.
         source: The engine with the longest cached prefix.
-        usable: The engines to choose from.
+        list_endpoints: Returns the endpoints to choose from.
     """
     if source.prefix_cache.leading_tokens(request.parts[:-1]):
         return ""
     key, _, _ = split_parts(request.parts)
-    return preferred_engine(key, [engine.endpoint for engine in usable])
+    return preferred_engine(key, list_endpoints())
 
 
 def _plan(
--- /dev/null
+++ b/packages/coordination/src/marjoramyard/coordination/placement/pool_load.py
@@ -0,0 +1,82 @@
+"""The load of all engines of one service, and the least loaded of them."""
+
+import heapq
+
+import msgspec
+
+from marjoramyard.coordination.placement.engines import Engine
+
+CHANGE_SHARE = 1 / 64
+"""Sums may be out of date by changes of this share of the engines."""
+MIN_LIGHTEST = 64
+"""Pools of up to as many engines are searched completely."""
+
+
+class LoadSums(msgspec.Struct, frozen=True):
+    """Sums over the engines on which waits are estimated.
+
+    Attributes:
+        count: Their number.
+        total_rate: Their prefill rates together, in tokens per ms.
+        mean_wait_ms: The mean time until one could start a new prefill.
+        lightest: Usable engines, the least loaded first: all engines of a
+            small pool.
+    """
+
+    count: int
+    total_rate: float
+    mean_wait_ms: float
+    lightest: list[Engine]
+
+
+class PoolLoad:
+    """The load of a pool, computed again when enough has changed.
+
+    In a pool of less than 1 / `CHANGE_SHARE` engines that is after each change.
+
+    Attributes:
+        engines: The engines, by endpoint.
+        sums: The last sums.
+        changes: The number of changes since then.
+    """
+
+    def __init__(self, engines: dict[str, Engine]):
+        self.engines = engines
+        self.sums: LoadSums | None = None
+        self.changes = 0
+
+    def record_change(self) -> None:
+        """Records that the load of an engine has changed."""
+        self.changes += 1
+
+    def forget(self) -> None:
+        """Has the sums computed again at their next use."""
+        self.sums = None
+
+    def current(self) -> LoadSums:
+        """Returns the sums."""
+        tolerated = int(len(self.engines) * CHANGE_SHARE)
+        if self.sums is None or self.changes > tolerated:
+            self.sums = self._compute()
+            self.changes = 0
+        return self.sums
+
+    def _compute(self) -> LoadSums:
+        usable = [e for e in self.engines.values() if e.is_usable]
+        serving = [e for e in usable if not e.is_cold] or usable
+        count = len(serving)
+        mean_wait_ms = sum(e.wait_ms for e in serving) / count if count else 0.0
+        lightest = usable
+        if len(usable) > MIN_LIGHTEST:
+            lightest = heapq.nsmallest(
+                max(MIN_LIGHTEST, int(2 * len(usable) * CHANGE_SHARE)),
+                usable,
+                key=lambda engine: (
+                    not engine.has_capacity(0.0),
+                    engine.wait_ms,
+                    engine.running,
+                ),
+            )
+        return LoadSums(
+            count, sum(e.rate for e in serving), mean_wait_ms, lightest
+        )
--- a/packages/coordination/src/marjoramyard/coordination/placement/prefix_cache.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/prefix_cache.py
@@ -3,6 +3,7 @@
 from collections import OrderedDict
 from collections.abc import Container, Iterable, Sequence
 
+from marjoramyard.coordination.placement.prefix_index import PrefixIndex
 from marjoramyard.coordination.routing.table import PromptPart
 
 
@@ -29,10 +30,19 @@
         capacity: The engine's memory, in tokens.
         parts: Length in tokens of each cached part, by digest.
         tokens: The total length of all cached parts.
+        endpoint: The engine.
+        index: Is kept up to date with the cached parts.
     """
 
-    def __init__(self, capacity: float):
+    def __init__(
+        self,
+        capacity: float,
+        endpoint: str = "",
+        index: PrefixIndex | None = None,
+    ):
         self.capacity = capacity
+        self.endpoint = endpoint
+        self.index = index or PrefixIndex()
         self.parts: OrderedDict[str, int] = OrderedDict()
         self.tokens = 0
 
@@ -45,6 +55,7 @@
         for part in parts:
             old_tokens = self.parts.pop(part.digest, 0)
             self.parts[part.digest] = part.tokens
+            self.index.add(part.digest, self.endpoint)
             self.tokens += part.tokens - old_tokens
         self.evict_to(self.capacity)
 
@@ -55,10 +66,13 @@
         The most recently used part always stays.
         """
         while self.tokens > capacity and len(self.parts) > 1:
-            _, tokens = self.parts.popitem(last=False)
+            digest, tokens = self.parts.popitem(last=False)
+            self.index.remove(digest, self.endpoint)
             self.tokens -= tokens
 
     def clear(self) -> None:
         """Removes all parts, as after a restart of the engine."""
+        for digest in self.parts:
+            self.index.remove(digest, self.endpoint)
         self.parts.clear()
         self.tokens = 0
--- a/packages/fleet/src/marjoramyard/fleet/gateway/view.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/view.py
@@ -268,25 +268,29 @@
             or now >= cached.valid_until
             or cached.change_counts != self._change_counts()
         ):
-            cached = self._compute_usable(service, now)
+            cached = self._compute_usable(service, now, cached)
             self.usable_by_service[service] = cached
         return cached.without(excluded)
 
     def _change_counts(self) -> tuple[int, int]:
         return self.registrations.change_count, self.zones.revision
 
-    def _compute_usable(self, service: str, now: float) -> UsableEndpoints:
+    def _compute_usable(
+        self, service: str, now: float, before: UsableEndpoints | None
+    ) -> UsableEndpoints:
         ready = [
             registration
             for registration in self.registrations.usable(service)
             if self.accepts_requests(registration)
         ]
         unresponsive = self.unresponsive(now)
+        healthy = [r for r in ready if self._is_healthy(r, unresponsive, now)]
+        if before is not None:
+            # An unchanged list is recognised by its identity.
+            ready = before.ready if before.ready == ready else ready
+            healthy = before.healthy if before.healthy == healthy else healthy
         return UsableEndpoints(
-            ready,
-            [r for r in ready if self._is_healthy(r, unresponsive, now)],
-            self._change_counts(),
-            now + USABLE_VALID_SECONDS,
+            ready, healthy, self._change_counts(), now + USABLE_VALID_SECONDS
         )
 
     def accepts_requests(self, registration: Registration) -> bool:
