--- a/packages/fleet/src/marjoramyard/fleet/control/service.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/service.py
@@ -230,7 +230,7 @@
         return (
             request.epoch != self.endpoints.epoch
             or request.cursor < self.published_cursors[request.urgent_only]
-            or request.unresponsive_revision < self.published_revision
+            or 0 < request.unresponsive_revision < self.published_revision
         )
 
     def _zone_revision(self) -> int:
--- a/packages/fleet/src/marjoramyard/fleet/sync_messages.py
+++ b/packages/fleet/src/marjoramyard/fleet/sync_messages.py
@@ -92,7 +92,7 @@
         fetches_config: Whether it fetches new configurations by a call of
             their own, so that the reply only needs their version.
         unresponsive_revision: The revision of the responder's unresponsive
-            endpoints that it has.
+            endpoints that it has; 0 from a gateway without revisions.
         urgent_only: Whether only urgent changes of endpoints are wanted.
     """
 
--- a/packages/fleet/tests/control/test_service_polls.py
+++ b/packages/fleet/tests/control/test_service_polls.py
@@ -1,6 +1,7 @@
 """Load: polls of all gateways while many endpoints come and go."""
 
 import asyncio
+import time
 from types import SimpleNamespace
 
 import msgspec
@@ -113,6 +114,24 @@
         assert gateway.received_bytes < 10 * LIST_BYTES
 
 
+async def test_a_gateway_of_the_last_release_waits_for_changes():
+    """Guards against polls without a pause during an upgrade."""
+    service = FleetService(Role())
+    service.endpoints.register(heartbeat(1, 1))
+    await asyncio.sleep(0.02)
+    service.endpoints.detect_unresponsive(0.01)
+    first = await service.sync(SyncRequest("old"))
+    assert first.silent == ["engine-1"]
+    started_at = time.monotonic()
+    again = await service.sync(
+        SyncRequest(
+            "old", epoch=first.epoch, cursor=first.cursor, wait_seconds=0.2
+        )
+    )
+    assert time.monotonic() - started_at > 0.15
+    assert again.silent == ["engine-1"]
+
+
 async def test_a_restarted_host_sends_no_table_to_other_zones():
     """Guards against the whole table from each restarted control host to each
     gateway of each zone.
