--- a/packages/coordination/src/marjoramyard/coordination/placement/broker.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/broker.py
@@ -17,16 +17,15 @@
 from functools import partial
 from itertools import islice
 
-from marjoramyard.coordination.placement.engine_pool import EnginePool
 from marjoramyard.coordination.placement.engines import (
     FIRST_TOKEN_LATENCY_MS,
     Engine,
     InFlightRequest,
 )
+from marjoramyard.coordination.placement.fair_queues import FairQueues
 from marjoramyard.coordination.placement.plans import best_plan
 from marjoramyard.coordination.placement.request_queue import (
     QueuedRequest,
-    RequestQueue,
 )
 from marjoramyard.coordination.placement.requests import (
     PlacementGrant,
@@ -57,20 +56,12 @@
 next end of a prefill, some ms later."""
 
 
-class Broker(EnginePool):
+class Broker(FairQueues):
     """Queues, admits and places the requests of one service.
 
     All times are in ms of one clock.
 
     Attributes:
-        queues: The queued requests of each workspace.
-        virtual_time: The service that each workspace has received, in
-            prefill tokens. After an idle period it is raised to the minimum
-            of the active workspaces.
-        queued: All queued requests, by key.
-        suspended: Queued requests of unresponsive routers, by key. They are
-            in no queue.
-        counter: Sequence number of the last queued request.
         size_shares: How many large prompts, and how many of all, are served.
     """
 
@@ -78,11 +69,6 @@
         self, profile: EngineProfile, rate: float, cold_limit: int = 0
     ):
         super().__init__(profile, rate, cold_limit)
-        self.queues: dict[str, RequestQueue] = {}
-        self.virtual_time: dict[str, float] = {}
-        self.queued: dict[str, QueuedRequest] = {}
-        self.suspended: dict[str, QueuedRequest] = {}
-        self.counter = 0
         self.size_shares = SizeShares()
 
     def counts(self) -> dict[str, int]:
@@ -121,46 +107,14 @@
         refused = self._refuse_if_late(queued, now)
         if refused is not None:
             return refused
-        self._enqueue_new(queued)
+        self.enqueue_new(queued)
         return None
 
-    def _enqueue_new(self, queued: QueuedRequest) -> None:
-        workspace = queued.request.workspace
-        queue = self.queues.setdefault(workspace, RequestQueue())
-        if not queue.heap:
-            self._raise_virtual_time(workspace)
-        self._enqueue(queued)
-
-    def _enqueue(self, queued: QueuedRequest) -> None:
-        self._dequeue(queued.request.key)
-        queued.is_removed = False
-        self.counter += 1
-        self.queues[queued.request.workspace].push(queued, self.counter)
-        self.queued[queued.request.key] = queued
-
     def _cost(self, request: PlacementRequest) -> float:
         """Returns the prompt tokens that are likely to be prefilled."""
         cached, _ = self.prefix_index.longest_prefix(request.parts)
         return max(1.0, request.prompt_tokens - cached)
 
-    def _raise_virtual_time(self, workspace: str) -> None:
-        """Raises a workspace's virtual time to the minimum of the active ones.
-
-        A workspace must not accumulate a claim to service while it is idle;
-        it would block the others until it has caught up.
-        """
-        active = [
-            self.virtual_time.get(name, 0.0)
-            for name, queue in self.queues.items()
-            if queue.heap
-        ]
-        floor = min(
-            active, default=max(self.virtual_time.values(), default=0.0)
-        )
-        self.virtual_time[workspace] = max(
-            self.virtual_time.get(workspace, 0.0), floor
-        )
-
     def predicted_wait_ms(
         self, workspace: str, order: tuple[bool, float] = (True, math.inf)
     ) -> float:
@@ -242,48 +196,6 @@
         )
         return first_token_at > self._due_at(queued)
 
-    def cancel(self, key: str) -> None:
-        """Removes a queued request whose caller has disconnected.
-
-        Unknown requests are ignored.
-        """
-        self.suspended.pop(key, None)
-        self._dequeue(key)
-
-    def suspend(self, router: str, now: float) -> None:
-        """Excludes the requests of an unresponsive router from scheduling.
-
-        The router may not have sent the requests that it was granted,
-        and would not send further ones soon. Its prompts in flight count as
-        prefilled, so that engines don't idle, and its queued requests leave
-        their queues until `resume`.
-        """
-        self.finish_prefills_of(router, now)
-        for key, queued in list(self.queued.items()):
-            if queued.request.router == router:
-                self._dequeue(key)
-                self.suspended[key] = queued
-
-    def resume(self, router: str) -> None:
-        """Queues the requests of a router that responds again."""
-        for key, queued in list(self.suspended.items()):
-            if queued.request.router == router:
-                del self.suspended[key]
-                # The removed entry may still be in the queue's heap.
-                self._enqueue_new(
-                    QueuedRequest(
-                        queued.request,
-                        queued.cost,
-                        queued.is_large,
-                        queued.comes_last,
-                    )
-                )
-
-    def _dequeue(self, key: str) -> None:
-        queued = self.queued.pop(key, None)
-        if queued is not None:
-            self.queues[queued.request.workspace].remove(queued)
-
     def add_unbrokered(self, sent: UnbrokeredRequest, now: float) -> None:
         """Adds a request that a router sent without a grant.
 
@@ -304,12 +216,7 @@
         )
         self.add_in_flight(engine, sent.key, in_flight)
         cost = service_cost(sent.prefill_tokens, sent.output_tokens)
-        self._charge(sent.workspace, cost)
-
-    def _charge(self, workspace: str, cost: float) -> None:
-        self.virtual_time[workspace] = (
-            self.virtual_time.get(workspace, 0.0) + cost
-        )
+        self.charge(sent.workspace, cost)
 
     # Grants.
 
@@ -331,7 +238,7 @@
         while len(deferred) < MAX_DEFERRED and any(
             e.accepts(0.0, max_backlog_ms) for e in self.load.current().lightest
         ):
-            queued = self._pop_next()
+            queued = self.pop_next()
             if queued is None:
                 break
             request = queued.request
@@ -351,19 +258,9 @@
                 self.size_shares.record_grant(queued.is_large, now)
                 results.append(grant)
         for queued in deferred:
-            self._enqueue(queued)
+            self.enqueue(queued)
         return results
 
-    def _pop_next(self) -> QueuedRequest | None:
-        """Removes the first request of the workspace with least service."""
-        names = [name for name, queue in self.queues.items() if queue.heap]
-        if not names:
-            return None
-        name = min(names, key=lambda n: self.virtual_time.get(n, 0.0))
-        queued = self.queues[name].pop()
-        del self.queued[queued.request.key]
-        return queued
-
     def _max_backlog_ms(self) -> float:
         queued_tokens = sum(queue.tokens for queue in self.queues.values())
         return self.backlog_limit.for_queue(
@@ -412,7 +309,7 @@
         self.add_in_flight(engine, request.key, in_flight)
         engine.prefix_cache.add(request.parts)
         cost = service_cost(plan.prefill_tokens, request.output_tokens)
-        self._charge(request.workspace, cost)
+        self.charge(request.workspace, cost)
         return PlacementGrant(
             request.key,
             engine.endpoint,
