--- a/packages/coordination/tests/placement/test_large_pools.py
+++ b/packages/coordination/tests/placement/test_large_pools.py
@@ -131,3 +131,83 @@
     PrefixCache(100, "c", index).add(parts[2:])
     assert index.longest_prefix(parts) == (30, {"b"})
     assert index.longest_prefix([PromptPart("other", 1)]) == (0, set())
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_sums_of_a_small_pool_are_always_up_to_date(seed):
+    """Guards against refusals by the load of some time ago."""
+    draw = random.Random(seed)
+    names = [f"e{number}" for number in range(6)]
+    broker = make_broker(6)
+    broker.set_cold_limit(9)
+    now, granted = 0.0, []
+
+    def change():
+        nonlocal now
+        now += draw.expovariate(0.02)
+        kind = draw.randrange(8)
+        if kind == 0:
+            broker.set_engines(draw.sample(names, draw.randrange(1, 7)))
+        elif kind == 1:
+            broker.set_cold_until(draw.choice(names), now + 500)
+        elif kind == 2:
+            broker.set_lifetime(draw.choice(names), draw.randrange(1, 9))
+        elif kind == 3 and granted:
+            broker.record_first_token(draw.choice(granted), now)
+        elif kind == 4 and granted:
+            broker.finish(granted.pop(draw.randrange(len(granted))))
+        elif kind == 5:
+            broker.finish_prefills_of("1", now)
+        else:
+            request = make_request(draw.randrange(10**6), draw.randrange(3))
+            request.submitted_at = now
+            request.first_token_due_at = now + 800
+            request.deadline_at = now + 5000
+            broker.submit(request, now)
+
+    for step in range(400):
+        change()
+        results = broker.dispatch(now)
+        granted += [r.key for r in results if isinstance(r, PlacementGrant)]
+        assert broker.load.current() == broker.load._compute(), step
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_large_pool_waits_no_longer_than_a_full_comparison(seed, monkeypatch):
+    """Guards against engines chosen from too few."""
+
+    def served(engines_compared):
+        monkeypatch.setattr(
+            "marjoramyard.coordination.placement.pool_load.MIN_LIGHTEST",
+            engines_compared,
+        )
+        draw = random.Random(seed)
+        broker = make_broker(200)
+        waits, ends = [], []
+        busy_until = dict.fromkeys(broker.engines, 0.0)
+        now = 0.0
+        for number in range(1500):
+            now += draw.expovariate(200 * RATE / 3000)
+            while ends and ends[0][0] < now:
+                _, key = ends.pop(0)
+                broker.record_first_token(key, now)
+                broker.finish(key)
+            request = make_request(number, draw.randrange(100))
+            request.submitted_at = now
+            request.first_token_due_at = now + 800
+            request.deadline_at = now + 5000
+            broker.submit(request, now)
+            for grant in broker.dispatch(now):
+                if isinstance(grant, PlacementGrant):
+                    start = max(now, busy_until[grant.endpoint])
+                    end = start + grant.prefill_tokens / RATE
+                    busy_until[grant.endpoint] = end
+                    waits.append(end - now)
+                    ends.append((end, grant.key))
+            ends.sort()
+        return len(waits), sum(waits) / len(waits)
+
+    all_count, all_wait = served(200)
+    few_count, few_wait = served(64)
+    assert few_count > 0.98 * all_count
+    assert few_wait < 1.1 * all_wait
