Keep trying to restart a replica whose log can't be read

Cause: after a failed write the replica is restarted from disk; an error of the log at that moment ended the task that does it, and the host never ran a replica again. Change: it is logged and tried again, like a disk that still refuses writes. test_a_log_that_can_not_be_read_for_a_time_ends_nothing fails before (waits 30 s for the replica).

--- a/packages/fleet/src/marjoramyard/fleet/control/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/role.py
@@ -39,6 +39,7 @@
 from marjoramyard.fleet.control.signatures import OperatorKeys
 from marjoramyard.fleet.control.storage import (
     Storage,
+    StorageError,
     new_replica_id,
     open_storage,
 )
@@ -195,7 +196,7 @@
                 self.storage.close()
                 self.storage.check_writable()
                 self.start_node()
-            except OSError as error:
+            except (OSError, StorageError) as error:
                 logger.warning("storage_still_failing", error=str(error))
 
     async def _expire_forever(self, renewal_server: RenewalServer) -> None:
--- a/packages/fleet/tests/control/test_storage_failure.py
+++ b/packages/fleet/tests/control/test_storage_failure.py
@@ -9,7 +9,7 @@
 from marjoramyard.coordination.consensus.messages import Membership
 from marjoramyard.coordination.governance.commands import ConfigDocument
 from marjoramyard.fleet.control import role as control_role
-from marjoramyard.fleet.control.storage import open_storage
+from marjoramyard.fleet.control.storage import StorageError, open_storage
 from marjoramyard.fleet.settings import ControlSettings
 from marjoramyard.fleet.util.tasks import task_group
 from marjoramyard.kernel.ids import ReplicaId
@@ -85,3 +85,37 @@
     assert read.ok_value.document in (first, second)
     assert isinstance(await host.service.put_config(second), Ok)
     assert host.service.newest_config() == second
+
+
+async def test_a_log_that_can_not_be_read_for_a_time_ends_nothing(
+    host, monkeypatch
+):
+    """Guards against a host that never serves again, without a word, because
+    its log was damaged when the disk became writable.
+    """
+    first = ConfigDocument(1, b"one")
+    assert isinstance(await host.service.put_config(first), Ok)
+    load = host.storage.load
+    failures = [StorageError("damaged"), StorageError("damaged")]
+
+    def load_later():
+        if failures:
+            raise failures.pop()
+        return load()
+
+    with monkeypatch.context() as patched:
+        patched.setattr(host.storage, "load", load_later)
+        with monkeypatch.context() as full:
+            refuse_writes(host.storage, full)
+            await host.service.put_config(ConfigDocument(2, b"two"))
+        await wait_until(host_leads(host), "the replica to restart")
+    read = await host.service.read_config()
+    assert not failures
+    assert read.ok_value.document.version >= 1
+
+
+def host_leads(host):
+    async def leads():
+        return host.is_leader()
+
+    return leads
