Take only news of an endpoint as a sign that it responds

Cause: an announcement that repeats old heartbeats, after one that failed, made lost endpoints responsive for a quarter of a second, at every control host that got it, and woke all gateways twice. Found while reading the change. Change: only a heartbeat with a higher sequence counts. test_old_news_does_not_make_an_endpoint_responsive fails before.

--- a/packages/fleet/src/marjoramyard/fleet/control/change_signal.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/change_signal.py
@@ -1,6 +1,7 @@
 """Wakes waiting polls when something has changed."""
 
 import asyncio
+from collections.abc import Callable
 
 
 class ChangeSignal:
@@ -17,7 +18,7 @@
         pending: The planned publication, if any.
     """
 
-    def __init__(self, on_publish):
+    def __init__(self, on_publish: Callable[[], None]):
         self.count = 0
         self.on_publish = on_publish
         self.event = asyncio.Event()
--- a/packages/fleet/src/marjoramyard/fleet/control/endpoint_feed.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/endpoint_feed.py
@@ -101,21 +101,24 @@
             if self.registrations.confirm(
                 endpoint, sign.sequence, sign.digest, now
             ):
-                self._mark_responsive(endpoint)
+                self._mark_responsive(endpoint, now)
             else:
                 unmatched.append(endpoint)
         return unmatched
 
     def _merge(self, registration: Registration) -> bool:
+        now = time.monotonic()
         before = self.registrations.by_endpoint.get(registration.endpoint)
-        changed = self.registrations.merge(registration, time.monotonic())
-        self._mark_responsive(registration.endpoint)
+        changed = self.registrations.merge(registration, now)
+        self._mark_responsive(registration.endpoint, now)
         if changed:
             self._record_change(registration, before)
         return changed
 
-    def _mark_responsive(self, endpoint: str) -> None:
-        if endpoint in self.unresponsive:
+    def _mark_responsive(self, endpoint: str, now: float) -> None:
+        """Marks an endpoint as responsive if news of it came `now`."""
+        is_news = self.registrations.received_at.get(endpoint) == now
+        if is_news and endpoint in self.unresponsive:
             self.unresponsive.discard(endpoint)
             self.unresponsive_revision += 1
             self.on_change()
--- a/packages/fleet/tests/control/test_endpoint_feed.py
+++ b/packages/fleet/tests/control/test_endpoint_feed.py
@@ -14,6 +14,7 @@
     MAX_REGISTRATIONS,
     EndpointFeed,
 )
+from marjoramyard.fleet.sync_messages import SignOfLife
 
 ENDPOINTS = 3000
 HOSTS = 3
@@ -148,6 +149,22 @@
     assert feed.changes_since(feed.epoch, 2, urgent_only=True) == ([], 3)
 
 
+def test_old_news_does_not_make_an_endpoint_responsive():
+    """Guards against requests to a lost endpoint whenever announcements are
+    repeated.
+    """
+    feed = make_feed()
+    feed.register(make_registration())
+    held = feed.registrations.by_endpoint["engine-1"]
+    sign = SignOfLife(held.sequence, feed.registrations.digest_of("engine-1"))
+    feed.detect_unresponsive(-1.0)
+    assert feed.merge_updates([held], {"engine-1": sign}) == []
+    assert feed.unresponsive == {"engine-1"}
+    newer = SignOfLife(held.sequence + 1, sign.digest)
+    assert feed.merge_updates([], {"engine-1": newer}) == []
+    assert not feed.unresponsive
+
+
 def random_heartbeats(draw, count):
     """Returns heartbeats of a few endpoints, some late, twice or restarted."""
     sequence, born, beats = 0, 100, []
