Ask only some engines of a large service for their lists, and keep no connections

Change: at most 128 engines are asked, and each connection is closed. test_a_large_service_is_asked_in_part fails before.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/cache_lists.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/cache_lists.py
@@ -20,6 +20,9 @@
 
 logger = get_logger(__name__)
 
+MAX_ENGINES = 128
+"""Of more engines not all are asked: a list takes a millisecond of processor
+when callers wait, and the most used parts are at many engines."""
 MAX_CALLS = 8
 """Calls at the same time. Their replies are some ten KB each, and are decoded
 while requests wait."""
@@ -39,6 +42,7 @@
         asked: The engines asked so far, with the start of their lifetime.
         not_offered: Services whose engines have no such list.
         started_at: When this gateway was started (monotonic).
+        call_count: How many engines were asked.
     """
 
     def __init__(
@@ -54,6 +58,7 @@
         self.not_offered: set[str] = set()
         self.slots = asyncio.Semaphore(MAX_CALLS)
         self.started_at = time.monotonic()
+        self.call_count = 0
 
     def request(
         self,
@@ -72,7 +77,8 @@
         if time.monotonic() - self.started_at > YOUNG_SECONDS:
             return
         self.asked.add(lifetime)
-        if not engine.cold_left_ms:
+        if not engine.cold_left_ms and self.call_count < MAX_ENGINES:
+            self.call_count += 1
             self.tasks.spawn(self._ask(engine, on_parts))
 
     async def _ask(
@@ -105,6 +111,8 @@
         """
         async with self.session.get(
             f"http://{engine.address}{self.call.path}",
+            # Kept connections to all engines would fill a small host's memory.
+            headers={"Connection": "close"},
             timeout=aiohttp.ClientTimeout(total=TIMEOUT_SECONDS),
         ) as response:
             if response.status in _NOT_OFFERED:
--- a/packages/fleet/tests/gateway/test_cache_lists.py
+++ b/packages/fleet/tests/gateway/test_cache_lists.py
@@ -15,7 +15,11 @@
 from marjoramyard.coordination.placement.requests import PlacementRequest
 from marjoramyard.coordination.routing.config import EngineProfile
 from marjoramyard.coordination.routing.table import PromptPart
-from marjoramyard.fleet.gateway.cache_lists import YOUNG_SECONDS, CacheLists
+from marjoramyard.fleet.gateway.cache_lists import (
+    MAX_ENGINES,
+    YOUNG_SECONDS,
+    CacheLists,
+)
 from marjoramyard.fleet.gateway.dialect import GATEWAY_DIALECTS
 from marjoramyard.fleet.gateway.upstream import open_endpoint_session
 
@@ -35,11 +39,11 @@
 
 
 @contextlib.asynccontextmanager
-async def engine_with(parts, status=200, body=None):
+async def engine_with(parts, status=200, body=None, respond=None):
     """Runs an engine that has parts cached; yields its address and calls."""
     calls = []
 
-    async def respond(request):
+    async def respond_with_parts(request):
         calls.append(request.path)
         return web.Response(
             body=msgspec.json.encode(parts) if body is None else body,
@@ -47,7 +51,7 @@
         )
 
     app = web.Application()
-    app.add_routes([web.get("/{path:.*}", respond)])
+    app.add_routes([web.get("/{path:.*}", respond or respond_with_parts)])
     runner = web.AppRunner(app, shutdown_timeout=0.1)
     await runner.setup()
     site = web.TCPSite(runner, "127.0.0.1", 0)
@@ -159,6 +163,26 @@
     assert not calls
 
 
+async def test_a_large_service_is_asked_in_part(lists):
+    """Guards against a broker that is busy with lists, and whose memory is
+    full of connections, when power is back.
+    """
+    connections = set()
+
+    async def respond(request):
+        connections.add(request.transport)
+        return web.Response(body=b"[]")
+
+    async with engine_with([], respond=respond) as (address, _):
+        engines = [
+            registration(f"e{number}", address)
+            for number in range(2 * MAX_ENGINES)
+        ]
+        assert len(await ask(lists, *engines)) == MAX_ENGINES
+    assert len(connections) == MAX_ENGINES
+    assert not lists.session.connector._conns
+
+
 async def test_engines_without_a_list_are_not_asked_again(lists):
     async with engine_with([], status=404) as (address, calls):
         assert await ask(lists, registration("e1", address)) == {}
