Let a control host say that it is cut off from the others

Cause: a gateway whose zone's control hosts reply, but hear of no other host, learned of no new endpoint elsewhere until the cut ended, while those that left were still reported by all: in a long cut it could run out of endpoints. Found while weighing what may go wrong.

--- a/packages/fleet/src/marjoramyard/fleet/control/cluster_manager.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/cluster_manager.py
@@ -171,6 +171,15 @@
             if now - at < HOST_TIMEOUT_SECONDS
         ]
 
+    def is_isolated(self) -> bool:
+        """Whether most of the other known hosts have not announced lately."""
+        now = time.monotonic()
+        recent = sum(
+            now - at < MAX_ANNOUNCEMENT_AGE_SECONDS
+            for at in self.last_received_at.values()
+        )
+        return 2 * recent < len(self.peer_addresses())
+
     def _expire_hosts(self) -> None:
         """Drops hosts without an announcement within the timeout."""
         now = time.monotonic()
--- a/packages/fleet/src/marjoramyard/fleet/control/service.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/service.py
@@ -265,12 +265,16 @@
             self._evacuated_zones(),
             self.settings.zone,
             self.endpoints.unresponsive_revision,
-            time.monotonic() - self.started_at > self._settling_seconds(),
+            self._is_settled(),
+            self._is_settled() and self.role.cluster_manager.is_isolated(),
         )
 
-    def _settling_seconds(self) -> float:
-        """Returns how long it may take to hear of all endpoints."""
-        return SETTLING_HEARTBEATS * self.settings.heartbeat_ms / 1000
+    def _is_settled(self) -> bool:
+        """Returns whether all endpoints have been heard of since the start."""
+        settling_seconds = (
+            SETTLING_HEARTBEATS * self.settings.heartbeat_ms / 1000
+        )
+        return time.monotonic() - self.started_at > settling_seconds
 
     def _unresponsive_for(self, request: SyncRequest) -> list[str] | None:
         """Returns the unresponsive endpoints, or None if they are known."""
--- a/packages/fleet/src/marjoramyard/fleet/gateway/control_sync.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/control_sync.py
@@ -151,8 +151,6 @@
             reply = result.ok_value
             epoch, cursor = reply.epoch, reply.cursor
             revision = reply.unresponsive_revision
-            self.sources.record_reply(
-                address, reply.zone, reply.is_settled, time.monotonic()
-            )
+            self.sources.record_reply(address, reply, time.monotonic())
             self.view.apply(address, reply, sent_at)
             self.fetcher.on_announced(address, reply.version, reply.zone)
--- a/packages/fleet/src/marjoramyard/fleet/gateway/endpoint_sources.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/endpoint_sources.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from marjoramyard.fleet.sync_messages import SyncReply
+
 SOURCE_TIMEOUT_SECONDS = 1.5
 """A control host without a reply for this time is no source; as long as a poll
 may take."""
@@ -25,11 +27,13 @@
     Attributes:
         zone: Its availability zone.
         is_settled: Whether it has heard of all endpoints since its start.
+        is_isolated: Whether it does not hear of new endpoints.
         replied_at: When it last replied (monotonic).
     """
 
     zone: str
     is_settled: bool
+    is_isolated: bool
     replied_at: float
 
 
@@ -49,12 +53,12 @@
         self.hosts: dict[str, ControlHostState] = {}
         self.first_reply_at = math.inf
 
-    def record_reply(
-        self, address: str, zone: str, is_settled: bool, now: float
-    ) -> None:
+    def record_reply(self, address: str, reply: SyncReply, now: float) -> None:
         """Records a reply of a control host."""
         self.first_reply_at = min(self.first_reply_at, now)
-        self.hosts[address] = ControlHostState(zone, is_settled, now)
+        self.hosts[address] = ControlHostState(
+            reply.zone, reply.is_settled, reply.is_isolated, now
+        )
 
     def is_source(self, address: str, now: float) -> bool:
         """Returns whether a control host should send all changes."""
@@ -67,6 +71,7 @@
             other
             for other in self.hosts.values()
             if other.zone == self.zone
+            and not other.is_isolated
             and now - other.replied_at < SOURCE_TIMEOUT_SECONDS
         ]
         if not own:
--- a/packages/fleet/src/marjoramyard/fleet/sync_messages.py
+++ b/packages/fleet/src/marjoramyard/fleet/sync_messages.py
@@ -137,6 +137,8 @@
             without revisions, which always sends the list.
         is_settled: Whether the responder has heard of all endpoints since its
             start.
+        is_isolated: Whether it has not heard of most other control hosts
+            lately, so that it does not know of new endpoints.
     """
 
     epoch: str
@@ -154,6 +156,7 @@
     zone: str = ""
     unresponsive_revision: int = 0
     is_settled: bool = False
+    is_isolated: bool = False
 
 
 class PutConfig(msgspec.Struct, frozen=True):
--- a/packages/fleet/tests/control/test_service_polls.py
+++ b/packages/fleet/tests/control/test_service_polls.py
@@ -32,7 +32,10 @@
             metrics=Metrics("control", "control"), client=None
         )
         self.running_node = None
-        self.cluster_manager = SimpleNamespace(recent_addresses=list)
+        self.isolated = False
+        self.cluster_manager = SimpleNamespace(
+            recent_addresses=list, is_isolated=lambda: self.isolated
+        )
 
     def is_leader(self):
         return False
@@ -132,6 +135,17 @@
     assert again.silent == ["engine-1"]
 
 
+async def test_a_host_that_hears_of_no_other_says_so():
+    role = Role()
+    service = FleetService(role)
+    role.isolated = True
+    assert not (await service.sync(SyncRequest("g"))).is_isolated
+    service.started_at -= 1.0
+    assert (await service.sync(SyncRequest("g"))).is_isolated
+    role.isolated = False
+    assert not (await service.sync(SyncRequest("g"))).is_isolated
+
+
 async def test_a_restarted_host_sends_no_table_to_other_zones():
     """Guards against the whole table from each restarted control host to each
     gateway of each zone.
--- a/packages/fleet/tests/gateway/test_endpoint_sources.py
+++ b/packages/fleet/tests/gateway/test_endpoint_sources.py
@@ -6,18 +6,25 @@
     SOURCE_TIMEOUT_SECONDS,
     EndpointSources,
 )
+from marjoramyard.fleet.sync_messages import SyncReply
 
 LATER = 100.0
 """Long after the gateway's start at 0."""
 
 
-def make_sources(*zones, at=LATER, is_settled=True):
+def make_reply(zone, is_settled=True, is_isolated=False):
+    return SyncReply(
+        "e", 0, zone=zone, is_settled=is_settled, is_isolated=is_isolated
+    )
+
+
+def make_sources(*zones, at=LATER, **changes):
     """Returns sources of a gateway in zone a, with a reply of host n at `at`
     from the n-th zone.
     """
     sources = EndpointSources("a", 0.0)
     for number, zone in enumerate(zones):
-        sources.record_reply(f"host-{number}", zone, is_settled, at)
+        sources.record_reply(f"host-{number}", make_reply(zone, **changes), at)
     return sources
 
 
@@ -44,19 +51,31 @@
     """
     sources = make_sources("a", "b")
     now = LATER + 1.1 * SOURCE_TIMEOUT_SECONDS
-    sources.record_reply("host-1", "b", True, now)
+    sources.record_reply("host-1", make_reply("b"), now)
     assert sources.is_source("host-1", now)
-    sources.record_reply("host-0", "a", True, now)
+    sources.record_reply("host-0", make_reply("a"), now)
     assert not sources.is_source("host-1", now)
 
 
+def test_other_zones_are_asked_when_the_own_one_is_cut_off():
+    """Guards against a gateway that runs out of endpoints while only the
+    control hosts of its zone are cut off from the others.
+    """
+    sources = make_sources("a", "b")
+    sources.record_reply("host-0", make_reply("a", is_isolated=True), LATER)
+    assert chosen(sources, LATER + 2 * DISCOVERY_SECONDS) == [
+        "host-0",
+        "host-1",
+    ]
+
+
 def test_a_new_gateway_does_not_rely_on_a_restarted_control_host():
     """Guards against a gateway that finds too few endpoints after a loss of
     power.
     """
     sources = make_sources("a", "b", at=1.0, is_settled=False)
     assert chosen(sources, 1.0) == ["host-0", "host-1"]
-    sources.record_reply("host-0", "a", True, 2.0)
+    sources.record_reply("host-0", make_reply("a"), 2.0)
     assert chosen(sources, 2.0) == ["host-0"]
 
 
