Keep engines in use that fail some requests and serve others

Each failure left an engine out, up to two seconds, and the broker heard of failures but not of successes, so that none recovered by serving.

Change: a first token counts as a success at the broker. What serves nothing is left out as before.

Ruled out: a lost leader or lease (the same host led; two flooded gateways lost their lease for a second).

--- a/packages/coordination/tests/membership/test_registrations.py
+++ b/packages/coordination/tests/membership/test_registrations.py
@@ -139,3 +139,22 @@
     assert not health.is_backing_off(1.0 + MAX_BACKOFF_SECONDS)
     health.record_success(now=1.1)
     assert not health.is_backing_off(1.1)
+
+
+def test_an_endpoint_that_serves_others_is_left_out_briefly():
+    """Guards against engines that are unused for long after a few failures."""
+    health = EndpointHealth()
+    health.record_success(10.0)
+    for at in (10.1, 10.5, 10.9):
+        health.record_failure(at)
+        assert health.is_failing_some(at)
+        assert not health.is_backing_off(at + INITIAL_BACKOFF_SECONDS)
+
+
+def test_an_endpoint_that_serves_nothing_is_left_out_longer_and_longer():
+    health = EndpointHealth()
+    health.record_success(10.0)
+    for at in (12.0, 14.0, 16.0, 18.0):
+        health.record_failure(at)
+    assert health.is_backing_off(18.0 + 0.9 * MAX_BACKOFF_SECONDS)
+    assert not health.is_failing_some(18.1)
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
@@ -241,7 +241,7 @@
         broker = self.brokers[service]
         key = gateway.key(message.number)
         if isinstance(message, FirstToken):
-            broker.record_first_token(key, _now_ms(), not message.is_late)
+            self._on_first_token(broker, key, message)
         elif isinstance(message, Withdraw):
             # The request may be queued or granted.
             broker.cancel(key)
@@ -251,6 +251,16 @@
             self._on_finished(broker, key, message)
             del gateway.services[message.number]
 
+    def _on_first_token(
+        self, broker: Broker, key: str, message: FirstToken
+    ) -> None:
+        in_flight = broker.in_flight.get(key)
+        if in_flight is not None:
+            self.view.health_of(in_flight.endpoint).record_success(
+                time.monotonic()
+            )
+        broker.record_first_token(key, _now_ms(), not message.is_late)
+
     def _on_finished(self, broker: Broker, key: str, message: Finished) -> None:
         broker.record_longest_gap(message.gap_ratio)
         in_flight = broker.in_flight.get(key)
--- a/packages/fleet/src/marjoramyard/fleet/gateway/view.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/view.py
@@ -30,6 +30,9 @@
 are missing: it may be unable to reach the control hosts only."""
 
 
+MAX_LEFT_OUT_SHARE = 0.25
+"""How many of a service's endpoints may be left out because they fail some
+requests. A zone with its hosts that serve nothing is left out beyond that."""
 MAX_PENDING_RENEWALS = 16
 USABLE_VALID_SECONDS = 0.05
 """How long the usable endpoints of a service are cached. Computing them takes
@@ -285,6 +288,7 @@
         ]
         unresponsive = self.unresponsive(now)
         healthy = [r for r in ready if self._is_healthy(r, unresponsive, now)]
+        healthy += self._least_failing(ready, now)
         if before is not None:
             # An unchanged list is recognised by its identity.
             ready = before.ready if before.ready == ready else ready
@@ -293,6 +297,22 @@
             ready, healthy, self._change_counts(), now + USABLE_VALID_SECONDS
         )
 
+    def _least_failing(
+        self, ready: list[Registration], now: float
+    ) -> list[Registration]:
+        """Returns endpoints to use although they are backing off.
+
+        Of endpoints that fail some requests and serve others, only a part may
+        be left out. If most of them fail so, those that remained would fail as
+        many, and have no capacity for the rest.
+        """
+        failing = [
+            r for r in ready if self.health_of(r.endpoint).is_failing_some(now)
+        ]
+        failing.sort(key=lambda r: self.health_of(r.endpoint).backoff_until)
+        left_out = int(len(ready) * MAX_LEFT_OUT_SHARE)
+        return failing[: max(0, len(failing) - left_out)]
+
     def accepts_requests(self, registration: Registration) -> bool:
         """Whether an endpoint is ready and its zone is not evacuated."""
         return (
