Leave out one endpoint of a few that fails some requests

Cause: a quarter of three endpoints is none, so the one that had just crashed stayed in use for a second. Change: at least one is left out. test_one_of_a_few_endpoints_is_avoided_if_it_fails_some fails before.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/view.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/view.py
@@ -32,7 +32,7 @@
 
 MAX_LEFT_OUT_SHARE = 0.25
 """How many of a service's endpoints may be left out because they fail some
-requests. A zone with its hosts that serve nothing is left out beyond that."""
+requests, but at least one. Endpoints that serve nothing do not count."""
 MAX_PENDING_RENEWALS = 16
 USABLE_VALID_SECONDS = 0.05
 """How long the usable endpoints of a service are cached. Computing them takes
@@ -310,7 +310,7 @@
             r for r in ready if self.health_of(r.endpoint).is_failing_some(now)
         ]
         failing.sort(key=lambda r: self.health_of(r.endpoint).backoff_until)
-        left_out = int(len(ready) * MAX_LEFT_OUT_SHARE)
+        left_out = max(1, int(len(ready) * MAX_LEFT_OUT_SHARE))
         return failing[: max(0, len(failing) - left_out)]
 
     def accepts_requests(self, registration: Registration) -> bool:
--- a/packages/fleet/tests/gateway/test_view.py
+++ b/packages/fleet/tests/gateway/test_view.py
@@ -55,6 +55,15 @@
     assert usable(view, "2") == {"3"}
 
 
+def test_one_of_a_few_endpoints_is_avoided_if_it_fails_some(view):
+    """Guards against requests to an endpoint that crashed a moment ago."""
+    now = time.monotonic()
+    for name in ("1", "2", "3"):
+        view.health_of(name).record_success(now)
+    view.health_of("2").record_failure(now)
+    assert usable(view) == {"1", "3"}
+
+
 def test_unhealthy_endpoints_are_used_if_there_are_no_others(view):
     """Guards against wrong suspicions that stop a service."""
     view.health_of("1").record_failure(time.monotonic())
