Log how long an endpoint that refused a request wants none

The line has the Retry-After now, and a counter has the failed sends by outcome. No decision is changed.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/attempts.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/attempts.py
@@ -153,11 +153,11 @@
     if echoed and echoed != request.attempt:
         raise SendFailedError(SendOutcome.BROKEN, "response to another request")
     if names.not_run in response.headers or response.status == 421:
-        raise SendFailedError(
-            SendOutcome.REFUSED,
-            f"status {response.status}",
-            _parse_seconds(response.headers.get("Retry-After", "")),
-        )
+        retry_after = _parse_seconds(response.headers.get("Retry-After", ""))
+        reason = f"status {response.status}"
+        if retry_after:
+            reason += f", retry after {retry_after:g} s"
+        raise SendFailedError(SendOutcome.REFUSED, reason, retry_after)
     if response.status < 300:
         if not echoed or names.signature not in response.headers:
             raise SendFailedError(SendOutcome.BROKEN, "unsigned response")
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
@@ -413,6 +413,11 @@
             FleetError: The request must not be sent again.
         """
         self.trace.sends[-1] += f" {error.outcome.value}: {error.reason[:80]}"
+        self.context.metrics.count(
+            "failed_sends",
+            outcome=error.outcome.value,
+            retry_after="yes" if error.retry_after else "no",
+        )
         now = time.monotonic()
         health = self.view.health_of(plan.endpoint.endpoint)
         if error.outcome in (SendOutcome.NOT_SENT, SendOutcome.REFUSED):
