Keep the pauses that endpoints ask for

The Retry-After of an endpoint reached only the caller's response; the gateway's next choice and the broker's knew nothing of it.

A gateway keeps a pause now until it ends or the endpoint is restarted. No success and no lack of other endpoints ends it, on any path: placed by a broker or by the gateway, sent again, resumed, forwarded to it, and as a source of cached parts. If all endpoints pause, requests are refused at once, waiting ones too, and told when the first pause ends.

The broker is told with the refusal, and all pauses again after a reconnection (protocol broker-3; brokers of earlier releases are not told). It excludes the engine for that gateway only, and counts it for the share of gateways that may use it.

--- a/packages/coordination/src/marjoramyard/coordination/placement/broker.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/broker.py
@@ -96,6 +96,7 @@
             queued request is returned by `dispatch` or `expire`.
         """
         self.refresh_cold(now)
+        self.end_pauses(now)
         queued = QueuedRequest(request, self._cost(request))
         queued.is_large = self._is_large(queued)
         # An overdue request can't be on time any more, and must not make others
@@ -230,6 +231,7 @@
             The grants and refusals, in order of service.
         """
         self.refresh_cold(now)
+        self.end_pauses(now)
         if self.lagging_routers:
             self.finish_expected_prefills(now)
         max_backlog_ms = self._max_backlog_ms()
@@ -251,12 +253,13 @@
                     refusal(request.key, wait_ms, now - request.submitted_at)
                 )
                 continue
-            grant = self._place(request, now, max_backlog_ms)
-            if grant is None:
+            decision = self._place(request, now, max_backlog_ms)
+            if decision is None:
                 deferred.append(queued)
-            else:
+                continue
+            if isinstance(decision, PlacementGrant):
                 self.size_shares.record_grant(queued.is_large, now)
-                results.append(grant)
+            results.append(decision)
         for queued in deferred:
             self.enqueue(queued)
         return results
@@ -269,7 +272,7 @@
 
     def _place(
         self, request: PlacementRequest, now: float, max_backlog_ms: float
-    ) -> PlacementGrant | None:
+    ) -> PlacementGrant | PlacementRefusal | None:
         """Grants the engine with the lowest cost.
 
         Args:
@@ -280,9 +283,12 @@
         Returns:
             The grant, or None if no engine has capacity or if the cheapest
             one has reached its maximum backlog. Waiting for it then costs
-            less than using another engine.
+            less than using another engine. A refusal if the router may send
+            the request to no engine.
         """
         usable = self._candidates(request)
+        if not usable and not self._usable_endpoints(request):
+            return self._refuse_unplaceable(request, now)
         memory_tokens = request.own_memory_tokens
         available = [
             engine for engine in usable if engine.has_capacity(memory_tokens)
@@ -318,6 +324,17 @@
             engine.is_cold,
         )
 
+    def _refuse_unplaceable(
+        self, request: PlacementRequest, now: float
+    ) -> PlacementRefusal:
+        router = request.router
+        ends = [
+            self.pauses.ends_at(router, endpoint)
+            for endpoint in self.pauses.of(router)
+        ]
+        pause_ms = min(ends, default=now) - now
+        return refusal(request.key, pause_ms, now - request.submitted_at)
+
     def _candidates(self, request: PlacementRequest) -> list[Engine]:
         """Returns the engines among which the cheapest one probably is.
 
@@ -333,18 +350,22 @@
         return [
             engine
             for engine in found.values()
-            if engine.is_usable
-            and engine.endpoint not in request.excluded_endpoints
+            if engine.is_usable and self._may_use(request, engine.endpoint)
         ]
 
     def _usable_endpoints(self, request: PlacementRequest) -> list[str]:
         return [
             engine.endpoint
             for engine in self.engines.values()
-            if engine.is_usable
-            and engine.endpoint not in request.excluded_endpoints
+            if engine.is_usable and self._may_use(request, engine.endpoint)
         ]
 
+    def _may_use(self, request: PlacementRequest, endpoint: str) -> bool:
+        return (
+            endpoint not in request.excluded_endpoints
+            and endpoint not in self.pauses.of(request.router)
+        )
+
     def expire(self, now: float) -> list[PlacementRefusal]:
         """Removes and refuses queued requests whose deadline has passed."""
         expired = [
--- a/packages/coordination/src/marjoramyard/coordination/placement/engine_pool.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/engine_pool.py
@@ -11,6 +11,7 @@
 )
 from marjoramyard.coordination.placement.pool_load import PoolLoad
 from marjoramyard.coordination.placement.prefix_index import PrefixIndex
+from marjoramyard.coordination.placement.router_pauses import RouterPauses
 from marjoramyard.coordination.routing.config import EngineProfile
 from marjoramyard.coordination.routing.table import PromptPart
 
@@ -38,6 +39,7 @@
         cold: Engines that may be cold.
         prefix_index: The engines of each cached prompt part.
         load: The load of all engines together.
+        pauses: The pauses that engines have asked routers for.
     """
 
     def __init__(
@@ -53,7 +55,8 @@
         self.backlog_limit = BacklogLimit()
         self.prefix_index = PrefixIndex()
         self.cold: set[str] = set()
-        self.load = PoolLoad(self.engines)
+        self.pauses = RouterPauses()
+        self.load = PoolLoad(self.engines, self.pauses)
 
     def set_engines(self, usable: Iterable[str]) -> None:
         """Sets the endpoints that may get new requests.
@@ -87,6 +90,8 @@
             return
         if engine.born:
             engine.prefix_cache.clear()
+            self.pauses.forget_endpoint(endpoint)
+            self.load.forget()
         engine.born = born
 
     def set_cold_limit(self, limit: int) -> None:
@@ -111,6 +116,34 @@
             engine.throttle.cold_until = until
             self.cold.add(endpoint)
 
+    def set_router_count(self, count: int) -> None:
+        """Sets how many routers send requests to the engines."""
+        if count != self.load.router_count:
+            self.load.router_count = max(1, count)
+            self.load.forget()
+
+    def pause(self, router: str, endpoint: str, until: float) -> None:
+        """Excludes an engine from the choices for a router.
+
+        Args:
+            router: The router that the engine has asked for a pause.
+            endpoint: The engine's endpoint.
+            until: When the pause ends.
+        """
+        self.pauses.record(router, endpoint, until)
+        self.load.forget()
+
+    def forget_pauses(self, router: str) -> None:
+        """Ends the pauses of a router that has disconnected."""
+        if self.pauses.of(router):
+            self.pauses.forget_router(router)
+            self.load.forget()
+
+    def end_pauses(self, now: float) -> None:
+        """Ends the pauses whose time is over."""
+        if self.pauses.by_endpoint and self.pauses.expire(now):
+            self.load.forget()
+
     def refresh_cold(self, now: float) -> None:
         """Updates which engines are cold and what they may get now."""
         if not self.cold_limit:
@@ -145,8 +178,11 @@
         return self.load.current().mean_wait_ms
 
     @property
-    def serving_count(self) -> int:
-        """The number of serving engines."""
+    def serving_count(self) -> float:
+        """The number of serving engines.
+
+        Fewer while engines have asked routers for a pause.
+        """
         return self.load.current().count
 
     def record_first_token(
--- a/packages/coordination/src/marjoramyard/coordination/placement/pool_load.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/pool_load.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from marjoramyard.coordination.placement.engines import Engine
+from marjoramyard.coordination.placement.router_pauses import RouterPauses
 
 CHANGE_SHARE = 1 / 64
 """Sums may be out of date by changes of this share of the engines."""
@@ -15,6 +16,9 @@
 class LoadSums(msgspec.Struct, frozen=True):
     """Sums over the engines on which waits are estimated.
 
+    An engine that has asked some routers for a pause counts for the share of
+    the others.
+
     Attributes:
         count: Their number.
         total_rate: Their prefill rates together, in tokens per ms.
@@ -23,7 +27,7 @@
             small pool.
     """
 
-    count: int
+    count: float
     total_rate: float
     mean_wait_ms: float
     lightest: list[Engine]
@@ -36,12 +40,16 @@
 
     Attributes:
         engines: The engines, by endpoint.
+        pauses: The pauses that engines have asked routers for.
+        router_count: The number of routers.
         sums: The last sums.
         changes: The number of changes since then.
     """
 
-    def __init__(self, engines: dict[str, Engine]):
+    def __init__(self, engines: dict[str, Engine], pauses: RouterPauses):
         self.engines = engines
+        self.pauses = pauses
+        self.router_count = 1
         self.sums: LoadSums | None = None
         self.changes = 0
 
@@ -64,8 +72,14 @@
     def _compute(self) -> LoadSums:
         usable = [e for e in self.engines.values() if e.is_usable]
         serving = [e for e in usable if not e.is_cold] or usable
-        count = len(serving)
-        mean_wait_ms = sum(e.wait_ms for e in serving) / count if count else 0.0
+        shares = self._router_shares(serving)
+        count = sum(shares)
+        wait_ms = sum(
+            share * e.wait_ms for share, e in zip(shares, serving, strict=True)
+        )
+        rate = sum(
+            share * e.rate for share, e in zip(shares, serving, strict=True)
+        )
         lightest = usable
         if len(usable) > MIN_LIGHTEST:
             lightest = heapq.nsmallest(
@@ -78,5 +92,19 @@
                 ),
             )
         return LoadSums(
-            count, sum(e.rate for e in serving), mean_wait_ms, lightest
+            count, rate, wait_ms / count if count else 0.0, lightest
         )
+
+    def _router_shares(self, serving: list[Engine]) -> list[float]:
+        """Returns the share of routers that may send to each engine.
+
+        1.0 for all if no router may send to any.
+        """
+        paused = self.pauses.by_endpoint
+        if not paused:
+            return [1.0] * len(serving)
+        shares = [
+            1.0 - min(1.0, len(paused.get(e.endpoint, ())) / self.router_count)
+            for e in serving
+        ]
+        return shares if any(shares) else [1.0] * len(serving)
--- a/packages/fleet/src/marjoramyard/fleet/gateway/attempts.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/attempts.py
@@ -1,7 +1,8 @@
 """Sends a request to one endpoint and classifies the result."""
 
+import math
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from enum import Enum
 
@@ -14,6 +15,8 @@
 from marjoramyard.fleet.gateway.dialect import HeaderNames
 from marjoramyard.fleet.util.headers import Headers
 
+HTTP_UNAVAILABLE = 503
+
 
 class SendOutcome(Enum):
     """What is known about a request after a send."""
@@ -100,9 +103,17 @@
     request: CallerRequest,
     plan: SendPlan,
     names: HeaderNames,
+    on_head: Callable[[aiohttp.ClientResponse], None],
 ) -> AsyncIterator[aiohttp.ClientResponse]:
     """Sends a request and yields the response once its head has arrived.
 
+    Args:
+        session: The HTTP session.
+        request: The request.
+        plan: Where and how it is sent.
+        names: The header names of the dialect.
+        on_head: Called with each response, also one that is not yielded.
+
     Leaving the context closes the connection, so an endpoint whose response was
     not read to its end stops running the request.
 
@@ -131,6 +142,7 @@
     except (aiohttp.ClientError, OSError, ValueError) as error:
         raise SendFailedError(SendOutcome.BROKEN, repr(error)) from error
     try:
+        on_head(response)
         check_response_head(request, response, names)
         yield response
     finally:
@@ -163,8 +175,16 @@
             raise SendFailedError(SendOutcome.BROKEN, "unsigned response")
 
 
+def requested_pause(response: aiohttp.ClientResponse) -> float:
+    """Returns for how many seconds the endpoint wants no requests, or 0."""
+    if response.status != HTTP_UNAVAILABLE:
+        return 0.0
+    return _parse_seconds(response.headers.get("Retry-After", ""))
+
+
 def _parse_seconds(text: str) -> float:
     try:
-        return float(text)
+        seconds = float(text)
     except ValueError:
         return 0.0
+    return seconds if 0.0 < seconds < math.inf else 0.0
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_client.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_client.py
@@ -7,18 +7,21 @@
 import aiohttp
 import msgspec
 
+from marjoramyard.coordination.membership.registrations import Registration
 from marjoramyard.coordination.routing.config import Service
 from marjoramyard.coordination.routing.table import PromptPart
 from marjoramyard.fleet.gateway.admission import CallerRequest
 from marjoramyard.fleet.gateway.broker_protocol import (
     BROKER_PATH,
-    BROKER_PROTOCOL,
+    BROKER_PROTOCOLS,
     BROKER_TIMEOUT_SECONDS,
     FORWARDING_PARAMETER,
     HEARTBEAT_INTERVAL_SECONDS,
+    PAUSE_PROTOCOL,
     ZONE_PARAMETER,
     BrokerMessage,
     CachedPrefix,
+    EndpointPause,
     Finished,
     FirstToken,
     GatewayMessage,
@@ -47,6 +50,20 @@
 """Timeout of opening and of closing a connection."""
 
 
+class PendingPlacement(msgspec.Struct, frozen=True):
+    """A placement request without a reply.
+
+    Attributes:
+        service: The service that it is for.
+        excluded: Endpoints that it must not be sent to.
+        future: Gets the reply, or None if there is none.
+    """
+
+    service: str
+    excluded: set[str]
+    future: asyncio.Future
+
+
 class BrokerClient:
     """A gateway's connection to the broker of one service.
 
@@ -90,7 +107,7 @@
             BROKER_TIMEOUT_SECONDS, HEARTBEAT_INTERVAL_SECONDS
         )
         self.last_number = 0
-        self.pending: dict[int, asyncio.Future] = {}
+        self.pending: dict[int, PendingPlacement] = {}
         self.running: dict[int, RunningRequest] = {}
         self.outbox: list[GatewayMessage] = []
         self.history = PrefixHistory()
@@ -144,7 +161,7 @@
                         ZONE_PARAMETER: self.zone,
                         FORWARDING_PARAMETER: self.forwarding_address,
                     },
-                    protocols=(BROKER_PROTOCOL,),
+                    protocols=BROKER_PROTOCOLS,
                     compress=0,
                 )
             )
@@ -156,8 +173,10 @@
         self.socket = socket
         self.liveness.reset()
         self.outbox = list(self.running.values())
-        if socket.protocol == BROKER_PROTOCOL:
+        if socket.protocol in BROKER_PROTOCOLS:
             self.outbox = [*self._cached_prefixes(service), *self.outbox]
+        if socket.protocol == PAUSE_PROTOCOL:
+            self.outbox = [*self._pauses(service), *self.outbox]
         self._schedule_flush()
         try:
             await self.liveness.wait_for(self._read(service, address, socket))
@@ -180,6 +199,12 @@
             for prefix in self.history.recent()
         ]
 
+    def _pauses(self, service: str) -> list[EndpointPause]:
+        return [
+            EndpointPause(service, endpoint, seconds * 1000)
+            for endpoint, seconds in self.view.pauses_of(service).items()
+        ]
+
     async def _read(self, service: str, address: str, socket) -> None:
         while self._broker_of(service) == address:
             frame = await socket.receive()
@@ -201,9 +226,9 @@
         if isinstance(message, Heartbeat):
             self.peers = message.peers
             return
-        future = self.pending.pop(message.number, None)
-        if future is not None and not future.done():
-            future.set_result(message)
+        pending = self.pending.pop(message.number, None)
+        if pending is not None and not pending.future.done():
+            pending.future.set_result(message)
         elif isinstance(message, PlaceGrant):
             # The caller disconnected, or the request was placed locally.
             self._send(Finished(message.number))
@@ -211,9 +236,9 @@
     def _release_pending(self) -> None:
         """Lets pending requests proceed without a broker."""
         pending, self.pending = self.pending, {}
-        for future in pending.values():
-            if not future.done():
-                future.set_result(None)
+        for placement in pending.values():
+            if not placement.future.done():
+                placement.future.set_result(None)
 
     def _send(self, message: GatewayMessage) -> None:
         if self.socket is None:
@@ -260,7 +285,7 @@
             return number, cached
         now = time.monotonic()
         future = asyncio.get_running_loop().create_future()
-        self.pending[number] = future
+        self.pending[number] = PendingPlacement(service.name, excluded, future)
         self._send(
             PlaceRequest(
                 number,
@@ -312,6 +337,25 @@
         if not is_granted:
             self._send(running)
 
+    def on_pause(self, endpoint: Registration, seconds: float) -> None:
+        """Tells the broker of a pause that an endpoint has asked for.
+
+        Requests for which no other endpoint is left don't wait any longer.
+        """
+        if self.socket is not None and self.socket.protocol == PAUSE_PROTOCOL:
+            self._send(
+                EndpointPause(
+                    endpoint.service, endpoint.endpoint, seconds * 1000
+                )
+            )
+        for number, placement in list(self.pending.items()):
+            if self.view.sendable(placement.service, placement.excluded):
+                continue
+            del self.pending[number]
+            self._send(Withdraw(number))
+            if not placement.future.done():
+                placement.future.set_result(None)
+
     def return_grant(self, number: int) -> None:
         """Tells the broker that a grant is not used."""
         self._send(Finished(number))
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_clients.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_clients.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 
+from marjoramyard.coordination.membership.registrations import Registration
 from marjoramyard.fleet.gateway.broker_client import BrokerClient
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.fleet.util.lag import LoopLag
@@ -57,6 +58,12 @@
             self.tasks.spawn(client.send_heartbeats_forever())
         return client
 
+    def on_pause(self, endpoint: Registration, seconds: float) -> None:
+        """Tells a broker of a pause that an endpoint has asked for."""
+        client = self.clients.get(endpoint.service)
+        if client is not None:
+            client.on_pause(endpoint, seconds)
+
     def peers(self) -> list[str]:
         """Returns addresses of gateways that have room for requests."""
         return [
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_protocol.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_protocol.py
@@ -13,9 +13,13 @@
 FORWARDING_PARAMETER = "forwarding"
 """The query parameter with the address at which a connecting gateway accepts
 forwarded requests; "" for none."""
-BROKER_PROTOCOL = "broker-2"
+PREFIX_PROTOCOL = "broker-2"
 """The WebSocket protocol of brokers that know `CachedPrefix`. A broker of an
 earlier release does not select it, and would reject unknown messages."""
+PAUSE_PROTOCOL = "broker-3"
+"""The same for brokers that know `EndpointPause` too."""
+BROKER_PROTOCOLS = (PAUSE_PROTOCOL, PREFIX_PROTOCOL)
+"""The latest one first."""
 HEARTBEAT_INTERVAL_SECONDS = 0.1
 BROKER_TIMEOUT_SECONDS = 0.4
 """A broker from which nothing was received for so long is considered
@@ -125,6 +129,20 @@
         return _decode_parts(self.parts)
 
 
+class EndpointPause(msgspec.Struct, tag="pause"):
+    """An endpoint has asked the gateway for a pause.
+
+    Sent at once, and for all pauses to a new broker.
+
+    Attributes:
+        pause_ms: Milliseconds for which the gateway must not send to it.
+    """
+
+    service: str
+    endpoint: str
+    pause_ms: float
+
+
 class PlaceGrant(msgspec.Struct, tag="grant", omit_defaults=True):
     """The request may be sent to this endpoint now.
 
@@ -181,6 +199,7 @@
     | Finished
     | RunningRequest
     | CachedPrefix
+    | EndpointPause
     | Heartbeat
 )
 BrokerMessage = PlaceGrant | PlaceRefusal | Heartbeat
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
@@ -23,11 +23,12 @@
 )
 from marjoramyard.coordination.routing.config import Service
 from marjoramyard.fleet.gateway.broker_protocol import (
-    BROKER_PROTOCOL,
+    BROKER_PROTOCOLS,
     FORWARDING_PARAMETER,
     HEARTBEAT_INTERVAL_SECONDS,
     ZONE_PARAMETER,
     CachedPrefix,
+    EndpointPause,
     Finished,
     FirstToken,
     GatewayMessage,
@@ -89,7 +90,7 @@
     async def serve(self, request: web.Request) -> web.WebSocketResponse:
         """Handles the WebSocket connection of a gateway until it closes."""
         socket = web.WebSocketResponse(
-            protocols=(BROKER_PROTOCOL,), compress=False
+            protocols=BROKER_PROTOCOLS, compress=False
         )
         await socket.prepare(request)
         self.last_gateway_number += 1
@@ -138,6 +139,7 @@
         """
         for broker in self.brokers.values():
             broker.set_lagging(gateway.router, False)
+            broker.forget_pauses(gateway.router)
         for number, service in gateway.services.items():
             broker = self.brokers[service]
             # The request may be queued or granted.
@@ -170,6 +172,7 @@
             self.brokers[service] = broker
             self._update_cold_grants(broker)
             logger.info("brokering", service=service, rate=round(rate, 1))
+        broker.set_router_count(len(self.gateways))
         usable = self.view.usable(service, set())
         if usable is not self.usable.get(service):
             self.usable[service] = usable
@@ -235,6 +238,12 @@
             if broker is not None:
                 broker.add_cached(message.endpoint, message.prompt())
             return
+        if isinstance(message, EndpointPause):
+            broker = self._refresh_broker(message.service)
+            if broker is not None:
+                until = _now_ms() + message.pause_ms
+                broker.pause(gateway.router, message.endpoint, until)
+            return
         service = gateway.services.get(message.number)
         if service is None:
             return
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
@@ -20,6 +20,7 @@
     SendOutcome,
     SendPlan,
     open_response,
+    requested_pause,
 )
 from marjoramyard.fleet.gateway.broker_clients import BrokerClients
 from marjoramyard.fleet.gateway.broker_protocol import (
@@ -136,24 +137,31 @@
                 self._on_send_failed(plan, error)
 
     def _candidates(self) -> list[Registration]:
-        candidates = self.view.usable(self.service.name, self.tried)
+        candidates = self.view.sendable(self.service.name, self.tried)
         if not candidates:
-            candidates = self.view.usable(self.service.name, set())
+            candidates = self.view.sendable(self.service.name, set())
             if (
                 not candidates
                 or self.sends
                 or self.connect_failures >= MAX_CONNECT_ATTEMPTS
             ):
-                raise self._no_endpoint(
-                    Unplaceable.EVACUATED
-                    if self.view.is_evacuated(self.service.name)
-                    else Unplaceable.NONE_READY
-                )
+                raise self._no_endpoint(self._why_unplaceable())
         return candidates
 
+    def _why_unplaceable(self) -> Unplaceable:
+        service = self.service.name
+        if self.view.is_evacuated(service):
+            return Unplaceable.EVACUATED
+        if self.view.pause_seconds(service):
+            return Unplaceable.PAUSED
+        return Unplaceable.NONE_READY
+
     def _no_endpoint(self, why: Unplaceable) -> FleetError:
         self.trace.unplaceable = why
-        return FleetError(no_endpoint_failure(self.may_have_run, why))
+        pause_seconds = self.view.pause_seconds(self.service.name)
+        return FleetError(
+            no_endpoint_failure(self.may_have_run, why, pause_seconds)
+        )
 
     async def _plan(self, candidates: list[Registration]) -> SendPlan:
         if not self.caller.parts or self.service.engine is None:
@@ -170,7 +178,8 @@
             self.trace.predicted_ms = round(reply.predicted_ms)
             raise FleetError(late_failure(reply, self.may_have_run))
         if reply is None:
-            plan = self._plan_locally(candidates, broker_number)
+            # Endpoints may have changed during the wait for the broker.
+            plan = self._plan_locally(self._candidates(), broker_number)
         else:
             age_ms = (time.monotonic() - started_at) * 1000
             plan = self._plan_granted(reply, broker_number, age_ms)
@@ -198,19 +207,20 @@
         if (
             registration is None
             or has_expired
-            or not self.view.accepts_requests(registration)
+            or not self.view.may_send_to(registration)
         ):
-            # The broker may not know yet that the endpoint is draining or its
-            # zone evacuated.
+            # The broker may not know yet that the endpoint is draining or
+            # pausing, or its zone evacuated.
             self.context.brokers.client_for(self.service.name).return_grant(
                 broker_number
             )
             self.tried.add(reply.endpoint)
             return self._plan_locally(self._candidates(), broker_number)
         source = known.get(reply.fetch_from)
+        may_fetch = source is not None and self.view.may_send_to(source)
         return SendPlan(
             registration,
-            source.address if source is not None else "",
+            source.address if may_fetch else "",
             self._last_event_id(),
             reply.tokens,
             broker_number,
@@ -330,7 +340,11 @@
             self.may_have_run_before = self.may_have_run
             self.may_have_run = True
             async with open_response(
-                context.session, self.caller, plan, context.names
+                context.session,
+                self.caller,
+                plan,
+                context.names,
+                lambda response: self._record_pause(plan.endpoint, response),
             ) as upstream:
                 if upstream.status >= 500 and self._may_retry():
                     raise SendFailedError(
@@ -342,6 +356,14 @@
         self.view.health_of(endpoint).record_success(time.monotonic())
         return response
 
+    def _record_pause(
+        self, endpoint: Registration, response: aiohttp.ClientResponse
+    ) -> None:
+        """Keeps the pause that an endpoint asks for, if any."""
+        seconds = requested_pause(response)
+        if seconds and self.view.record_pause(endpoint, seconds):
+            self.context.brokers.on_pause(endpoint, seconds)
+
     @contextmanager
     def _track(self, plan: SendPlan) -> Iterator[LocalRequest]:
         """Counts a send in the local load and at the broker while it lasts."""
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_trace.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_trace.py
@@ -20,6 +20,8 @@
     """No endpoint that has not been tried is ready."""
     EVACUATED = "zones-evacuated"
     """All ready endpoints are in evacuated zones."""
+    PAUSED = "all-paused"
+    """All ready endpoints have asked this gateway for a pause."""
     COLD = "all-cold"
     """All usable endpoints have just started, and no broker grants them."""
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/run_failures.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/run_failures.py
@@ -36,14 +36,23 @@
 _UNPLACEABLE_MESSAGES = {
     Unplaceable.NONE_READY: "no endpoint accepts requests now; retry shortly",
     Unplaceable.EVACUATED: "the zones of all endpoints are evacuated",
+    Unplaceable.PAUSED: "all endpoints have asked for a pause; retry after it",
     Unplaceable.COLD: "all endpoints have just started; retry shortly",
 }
 
 
 def no_endpoint_failure(
-    may_have_run: bool, why: Unplaceable = Unplaceable.NONE_READY
+    may_have_run: bool,
+    why: Unplaceable = Unplaceable.NONE_READY,
+    pause_seconds: float = 0.0,
 ) -> Failure:
-    """Returns the failure of a request for which there is no endpoint."""
+    """Returns the failure of a request for which there is no endpoint.
+
+    Args:
+        may_have_run: Whether an endpoint may have run the request.
+        why: Why there is no endpoint.
+        pause_seconds: The time until one ends its pause.
+    """
     if may_have_run:
         return failure(
             FailureKind.ENDPOINT_LOST,
@@ -54,7 +63,7 @@
     return failure(
         FailureKind.NO_ENDPOINT,
         _UNPLACEABLE_MESSAGES[why],
-        retry_after=jitter(BUSY_RETRY_SECONDS),
+        retry_after=pause_seconds + jitter(BUSY_RETRY_SECONDS),
     )
 
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/view.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/view.py
@@ -9,6 +9,7 @@
 from marjoramyard.coordination.governance.commands import ConfigDocument
 from marjoramyard.coordination.governance.lease import BundleLease
 from marjoramyard.coordination.membership.health import EndpointHealth
+from marjoramyard.coordination.membership.pauses import EndpointPauses
 from marjoramyard.coordination.membership.registrations import (
     EndpointState,
     Registration,
@@ -80,6 +81,7 @@
         pending_renewals: By version, when the last confirmation of it was
             requested, for versions that are not in force yet.
         health: The health of each endpoint, as seen by this gateway.
+        pauses: The pauses that endpoints have asked this gateway for.
         unresponsive_reports: By control host, when it last reported and the
             endpoints whose heartbeats it misses.
         gateway_count: The number of gateways in the fleet.
@@ -95,6 +97,7 @@
         self.registrations = Registrations()
         self.zones = EvacuatedZones()
         self.health: dict[str, EndpointHealth] = {}
+        self.pauses = EndpointPauses()
         self.unresponsive_reports: dict[str, tuple[float, frozenset[str]]] = {}
         self.gateway_count = 1
         self.gateway_counts: dict[str, tuple[float, int]] = {}
@@ -213,6 +216,7 @@
             return
         if held is None or held.born != registration.born:
             self.health[registration.endpoint] = EndpointHealth()
+            self.pauses.forget(registration.endpoint)
         logger.info(
             "endpoint",
             endpoint=registration.endpoint,
@@ -248,9 +252,72 @@
         ]
         return frozenset.intersection(*recent) if recent else frozenset()
 
+    def record_pause(self, endpoint: Registration, seconds: float) -> bool:
+        """Records that an endpoint has asked this gateway for a pause.
+
+        Args:
+            endpoint: The endpoint, in the lifetime in which it has asked.
+            seconds: How long it wants no requests.
+
+        Returns:
+            Whether the pause is in force; False if the endpoint has been
+            restarted since.
+        """
+        held = self.registrations.by_endpoint.get(endpoint.endpoint)
+        if held is None or held.born != endpoint.born:
+            return False
+        self.pauses.record(endpoint.endpoint, time.monotonic() + seconds)
+        return True
+
+    def may_send_to(self, registration: Registration) -> bool:
+        """Whether this gateway may send a request to an endpoint now."""
+        return self.accepts_requests(
+            registration
+        ) and not self.pauses.is_paused(registration.endpoint, time.monotonic())
+
+    def sendable(self, service: str, excluded: set[str]) -> list[Registration]:
+        """Returns the endpoints that this gateway may send a request to now.
+
+        These are the usable ones that have not asked it for a pause.
+
+        Args:
+            service: The service.
+            excluded: Endpoints that must not be returned.
+        """
+        paused = self.pauses.current(time.monotonic())
+        return self.usable(service, excluded | paused if paused else excluded)
+
+    def pauses_of(self, service: str) -> dict[str, float]:
+        """Returns the seconds left of the pauses of a service's endpoints."""
+        now = time.monotonic()
+        known = self.registrations.by_endpoint
+        return {
+            endpoint: self.pauses.seconds_left(endpoint, now)
+            for endpoint in self.pauses.current(now)
+            if endpoint in known and known[endpoint].service == service
+        }
+
+    def pause_seconds(self, service: str) -> float:
+        """Returns the time until an endpoint of a service ends its pause.
+
+        0.0 if one of them does not pause, or none accepts requests.
+        """
+        now = time.monotonic()
+        return min(
+            (
+                self.pauses.seconds_left(registration.endpoint, now)
+                for registration in self.registrations.usable(service)
+                if self.accepts_requests(registration)
+            ),
+            default=0.0,
+        )
+
     def usable(self, service: str, excluded: set[str]) -> list[Registration]:
         """Returns the endpoints that may receive a request now.
 
+        They include those that have asked this gateway for a pause, but maybe
+        no other one.
+
         Endpoints that are unresponsive or in backoff are returned only if there
         are no others, so that wrong suspicions can't stop a service. A change
         of a registration or a zone takes effect at once, one of an endpoint's
--- a/packages/fleet/tests/gateway/test_broker_client.py
+++ b/packages/fleet/tests/gateway/test_broker_client.py
@@ -6,12 +6,14 @@
 import sys
 import time
 from pathlib import Path
+from types import SimpleNamespace
 
 import aiohttp
 import pytest
 from aiohttp import web
 from aiohttp.test_utils import TestServer
 
+from marjoramyard.coordination.membership.registrations import Registration
 from marjoramyard.coordination.routing.config import (
     EngineProfile,
     RequestKind,
@@ -26,9 +28,11 @@
 )
 from marjoramyard.fleet.gateway.broker_protocol import (
     BROKER_PATH,
-    BROKER_PROTOCOL,
     BROKER_TIMEOUT_SECONDS,
+    PAUSE_PROTOCOL,
+    PREFIX_PROTOCOL,
     CachedPrefix,
+    EndpointPause,
     PlaceGrant,
     RunningRequest,
     gateway_message_decoder,
@@ -58,6 +62,12 @@
     def brokers_of(self, _service):
         return self.addresses
 
+    def pauses_of(self, _service):
+        return {"e1": 2.0}
+
+    def sendable(self, _service, _excluded):
+        return []
+
 
 @pytest.fixture
 def metrics():
@@ -223,7 +233,7 @@
 
 async def test_a_new_broker_is_told_which_parts_engines_have_cached(metrics):
     """Guards against prefilling all shared parts again at a new broker."""
-    assert await first_messages(metrics, (BROKER_PROTOCOL,)) == [
+    assert await first_messages(metrics, (PREFIX_PROTOCOL,)) == [
         CachedPrefix("llm", "e0", [("shared", 3000)]),
         RUNNING,
     ]
@@ -236,3 +246,27 @@
     it would close the connection at an unknown message.
     """
     assert await first_messages(metrics, ()) == [RUNNING]
+
+
+async def test_a_new_broker_is_told_of_pauses(metrics):
+    """Guards against grants for engines that have asked for a pause."""
+    messages = await first_messages(metrics, (PAUSE_PROTOCOL,))
+    assert EndpointPause("llm", "e1", 2000.0) in messages
+
+
+async def test_a_request_stops_waiting_when_the_last_endpoint_pauses(metrics):
+    """Guards against callers that wait in the broker's queue for an endpoint
+    that takes no requests.
+    """
+    async with aiohttp.ClientSession() as session:
+        client = BrokerClient(ViewOfBrokers([]), session, LoopLag(metrics))
+        client.socket = SimpleNamespace(protocol=PAUSE_PROTOCOL, closed=True)
+        waiting = asyncio.create_task(place(client))
+        await asyncio.sleep(0)
+        client.on_pause(
+            Registration(endpoint="e0", service="llm", address=""), 3.0
+        )
+        assert EndpointPause("llm", "e0", 3000.0) in client.outbox
+        assert await waiting is None
+        assert client.outbox == []
+        assert client.pending == {}
--- a/packages/fleet/tests/gateway/test_broker_server.py
+++ b/packages/fleet/tests/gateway/test_broker_server.py
@@ -23,8 +23,10 @@
     FORWARDING_PARAMETER,
     HEARTBEAT_INTERVAL_SECONDS,
     ZONE_PARAMETER,
+    EndpointPause,
     Heartbeat,
     PlaceGrant,
+    PlaceRefusal,
     PlaceRequest,
     broker_message_decoder,
 )
@@ -152,6 +154,23 @@
             assert isinstance(await receive_reply(recovering, 3), PlaceGrant)
 
 
+async def test_a_pause_holds_for_the_gateway_that_reports_it(broker_url):
+    """Guards against grants for an endpoint that has asked for a pause, and
+    against idle endpoints because they have asked another gateway.
+    """
+    async with (
+        connected(broker_url) as pausing,
+        connected(broker_url) as other,
+        asyncio.timeout(10),
+    ):
+        message = EndpointPause("llm", "e0", 5000.0)
+        await pausing.send_str(msgspec.json.encode([message]).decode())
+        await request_placement(pausing, 1, "w")
+        assert isinstance(await receive_reply(pausing, 1), PlaceRefusal)
+        await request_placement(other, 1, "w")
+        assert isinstance(await receive_reply(other, 1), PlaceGrant)
+
+
 async def receive_peers(socket, expected):
     async with asyncio.timeout(10):
         async for frame in socket:
--- a/packages/fleet/tests/gateway/test_request_run.py
+++ b/packages/fleet/tests/gateway/test_request_run.py
@@ -15,7 +15,7 @@
     Route,
     Service,
 )
-from marjoramyard.coordination.routing.table import RouteTable
+from marjoramyard.coordination.routing.table import PromptPart, RouteTable
 from marjoramyard.coordination.serving.retries import RetryBudget
 from marjoramyard.fleet.gateway.admission import CallerRequest
 from marjoramyard.fleet.gateway.broker_protocol import PlaceGrant
@@ -86,6 +86,12 @@
     return fleet_view
 
 
+def add_endpoint(view, name):
+    address = f"127.0.0.1:{len(view.registrations.by_endpoint) + 1}"
+    registration = Registration(endpoint=name, service="api", address=address)
+    view.registrations.merge(registration, 0.0)
+
+
 def make_run(view, metrics, is_lagging, seconds_left=5.0, caller_left=False):
     now = time.monotonic()
     caller = CallerRequest(
@@ -186,3 +192,67 @@
     plan = run._plan_granted(grant, 7, GRANT_VALID_MS + 1)
     assert not plan.is_granted
     assert returned == [7]
+
+
+def paused(view, name, seconds=5.0):
+    view.record_pause(view.registrations.by_endpoint[name], seconds)
+
+
+async def test_a_request_is_refused_at_once_if_its_endpoints_pause(
+    view, metrics
+):
+    """Guards against requests that are sent in a pause, or held until its end,
+    and against callers that come back before it.
+    """
+    paused(view, "e0")
+    run = make_run(view, metrics, False)
+    with pytest.raises(FleetError) as caught:
+        await run.run_to_completion()
+    assert caught.value.failure.outcome == Outcome.NOT_RUN.value
+    assert caught.value.failure.retry_after >= 5.0
+    assert run.trace.unplaceable is Unplaceable.PAUSED
+    assert run.context.session.requests == 0
+
+
+def test_a_grant_for_a_pausing_engine_is_returned(view, metrics):
+    """Guards against grants that crossed the message on the pause."""
+    add_endpoint(view, "e1")
+    paused(view, "e0")
+    returned = []
+    run = make_run(view, metrics, False)
+    run.service = Service("api", engine=EngineProfile(slots=1))
+    run.context.brokers.client_for = lambda _: SimpleNamespace(
+        return_grant=returned.append
+    )
+    plan = run._plan_granted(PlaceGrant(1, "e0"), 7, 1.0)
+    assert plan.endpoint.endpoint == "e1"
+    assert returned == [7]
+
+
+def test_a_pausing_engine_is_not_fetched_from(view, metrics):
+    """Guards against work for an engine that has asked for a pause."""
+    add_endpoint(view, "e1")
+    run = make_run(view, metrics, False)
+    grant = PlaceGrant(1, "e1", fetch_from="e0")
+    assert run._plan_granted(grant, 7, 1.0).fetch_from == "127.0.0.1:1"
+    paused(view, "e0")
+    assert run._plan_granted(grant, 7, 1.0).fetch_from == ""
+
+
+async def test_endpoints_may_pause_during_the_wait_for_the_broker(
+    view, metrics
+):
+    """Guards against a placement by what was known before the wait."""
+    add_endpoint(view, "e1")
+
+    async def place(*_):
+        paused(view, "e0")
+        return 7, None
+
+    run = make_run(view, metrics, False)
+    run.caller.parts = (PromptPart("own", 10),)
+    run.service = Service("api", engine=EngineProfile(slots=1))
+    run.context.brokers.client_for = lambda _: SimpleNamespace(place=place)
+    for _ in range(8):
+        plan = await run._plan(run._candidates())
+        assert plan.endpoint.endpoint == "e1"
--- a/packages/fleet/tests/gateway/test_view.py
+++ b/packages/fleet/tests/gateway/test_view.py
@@ -2,6 +2,7 @@
 
 import time
 
+import msgspec
 import pytest
 
 from marjoramyard.coordination.membership.registrations import (
@@ -32,6 +33,10 @@
     return fleet_view
 
 
+def sendable(view, *excluded):
+    return {r.endpoint for r in view.sendable("api", set(excluded))}
+
+
 def usable(view, *excluded):
     return {r.endpoint for r in view.usable("api", set(excluded))}
 
@@ -94,3 +99,36 @@
     assert usable(view) == {"1", "2", "3"}
     view.apply("control", SyncReply("e", 0, zone_revision=2), 0.0)
     assert usable(view) == {"1", "2", "3", "4"}
+
+
+def test_a_pausing_endpoint_gets_no_requests_of_this_gateway_only(view):
+    """Guards against requests to an endpoint that has asked for a pause, also
+    if no other one is left, and against a broker that withholds it from others.
+    """
+    assert view.record_pause(registration("1"), 10.0)
+    view.health_of("1").record_success(time.monotonic())
+    assert sendable(view) == {"2", "3"}
+    assert sendable(view, "2", "3") == set()
+    assert not view.may_send_to(registration("1"))
+    assert view.pause_seconds("api") == 0.0
+    assert usable(view) == {"1", "2", "3"}
+
+
+def test_the_time_until_the_first_endpoint_ends_its_pause(view):
+    for name, seconds in (("1", 9.0), ("2", 5.0), ("3", 7.0)):
+        view.record_pause(registration(name), seconds)
+    assert 4.5 < view.pause_seconds("api") <= 5.0
+    assert sendable(view) == set()
+
+
+def test_a_pause_ends_when_the_endpoint_is_restarted(view):
+    """Guards against a new endpoint that gets nothing for what the one before
+    has asked, and against a late response of that one.
+    """
+    old = registration("1")
+    view.record_pause(old, 10.0)
+    new = msgspec.structs.replace(old, born=2)
+    view.apply("c", SyncReply("e", 0, words=[new]), 0.0)
+    assert sendable(view) == {"1", "2", "3"}
+    assert not view.record_pause(old, 10.0)
+    assert sendable(view) == {"1", "2", "3"}
