Simulate engines that turn requests away and ask for a pause

The model had no refusals of engines, so nothing but a play could compare what to do about pauses, and plays send no Retry-After. The disturbance `shed` turns a share of the requests away; gateways keep the pauses and tell the broker, or don't, by policy (broker, pauses-untold, pauses-ignored).

--- a/packages/standin/src/marjoramyard/standin/experiment/deployments.py
+++ b/packages/standin/src/marjoramyard/standin/experiment/deployments.py
@@ -83,6 +83,9 @@
     """Some engines are down."""
     SLOW = "slow"
     """Some engines take `factor` times as long for each step."""
+    SHED = "shed"
+    """Some engines turn a share of their requests away, and ask the gateway for
+    a pause of `factor` seconds."""
     BROKER_LOST = "broker_lost"
     """The broker is replaced by one that has no state."""
 
--- a/packages/standin/src/marjoramyard/standin/experiment/disturbances.py
+++ b/packages/standin/src/marjoramyard/standin/experiment/disturbances.py
@@ -25,7 +25,11 @@
     if disturbance.kind is DisturbanceKind.BROKER_LOST:
         loop.at(at, functools.partial(_replace_broker, simulation))
         return
-    if disturbance.kind not in (DisturbanceKind.CRASH, DisturbanceKind.SLOW):
+    if disturbance.kind not in (
+        DisturbanceKind.CRASH,
+        DisturbanceKind.SLOW,
+        DisturbanceKind.SHED,
+    ):
         return
     count = min(disturbance.count, len(simulation.engines) - 1)
     names = simulation.rng.sample(sorted(simulation.engines), count)
@@ -33,6 +37,12 @@
         loop.at(at, functools.partial(_crash, simulation, names))
         loop.at(end, functools.partial(_restore, simulation, names))
         return
+    if disturbance.kind is DisturbanceKind.SHED:
+        shares = simulation.shedding.shares
+        asked = (disturbance.share, disturbance.factor * 1000)
+        loop.at(at, lambda: shares.update(dict.fromkeys(names, asked)))
+        loop.at(end, lambda: [shares.pop(name, None) for name in names])
+        return
     factor = disturbance.factor
     loop.at(at, functools.partial(_set_slowdown, simulation, names, factor))
     loop.at(end, functools.partial(_set_slowdown, simulation, names, 1.0))
--- a/packages/standin/src/marjoramyard/standin/experiment/policies.py
+++ b/packages/standin/src/marjoramyard/standin/experiment/policies.py
@@ -24,7 +24,17 @@
 
 
 class Policy(Protocol):
-    """A placement policy, with the interface of the broker."""
+    """A placement policy, with the interface of the broker.
+
+    Attributes:
+        honours_pauses: Whether gateways send nothing to engines that have
+            asked them for a pause.
+    """
+
+    honours_pauses: bool
+
+    def pause(self, router: str, endpoint: str, until: float) -> None:
+        """Excludes an engine from the choices for a router."""
 
     def set_engines(self, usable) -> None:
         """Sets the engines that accept requests."""
@@ -77,6 +87,8 @@
 class ImmediatePolicy:
     """Base of policies that grant each request at once, without a queue."""
 
+    honours_pauses = False
+
     def __init__(self, deployment: Deployment, rng: random.Random):
         self.deployment = deployment
         self.rng = rng
@@ -121,6 +133,9 @@
         if engine is not None:
             self.running[engine] -= 1
 
+    def pause(self, router: str, endpoint: str, until: float) -> None:
+        """Does nothing, as the policy does not use it."""
+
     def cancel(self, key: str) -> None:
         """Does nothing, as no request is queued."""
 
@@ -178,9 +193,36 @@
         return preferred_engine(key, self.engines)
 
 
-@POLICIES.register("broker")
-def make_broker(deployment: Deployment, rng: random.Random) -> Broker:
-    """Returns the broker that gateways use."""
-    return Broker(
-        engine_profile(deployment), configured_prefill_rate(deployment)
-    )
+class PausingBroker(Broker):
+    """The broker of gateways that keep the pauses engines ask for."""
+
+    honours_pauses = True
+
+
+class UntoldBroker(PausingBroker):
+    """Is not told of pauses; gateways return grants."""
+
+    def pause(self, router: str, endpoint: str, until: float) -> None:
+        """Does nothing."""
+
+
+class UnheedingBroker(Broker):
+    """The broker of gateways that ignore pauses."""
+
+    honours_pauses = False
+
+
+def _register_broker(name: str, broker: type[Broker]) -> None:
+    def make(deployment: Deployment, rng: random.Random) -> Broker:
+        made = broker(
+            engine_profile(deployment), configured_prefill_rate(deployment)
+        )
+        made.set_router_count(deployment.gateways)
+        return made
+
+    POLICIES.register(name)(make)
+
+
+_register_broker("broker", PausingBroker)
+_register_broker("pauses-ignored", UnheedingBroker)
+_register_broker("pauses-untold", UntoldBroker)
--- a/packages/standin/src/marjoramyard/standin/experiment/simulation.py
+++ b/packages/standin/src/marjoramyard/standin/experiment/simulation.py
@@ -24,6 +24,7 @@
     RequestRecord,
     score_run,
 )
+from marjoramyard.standin.experiment.shedding import Shedding
 from marjoramyard.standin.experiment.simulation_run import (
     Attempt,
     ResourceUsage,
@@ -41,6 +42,10 @@
 """Time simulated after the last arrival."""
 RETRY_JITTER = 0.5
 """Width of the jitter of retry delays, relative to the delay."""
+MAX_SENDS = 2
+"""How often a gateway sends an attempt that engines turn away."""
+TURNED_AWAY_RETRY_MS = 400.0
+"""The retry delay of a caller whose request engines have turned away."""
 MAX_RETRY_WAIT_SHARE = 1 / 3
 """Upper limit of a retry delay, relative to the time until the deadline."""
 
@@ -53,6 +58,7 @@
         by_engine_request: Attempts by the id of their request at an engine.
         zones: Zone of each engine. The broker is in zone 0.
         down: Engines that have crashed.
+        shedding: Engines that turn requests away, and gateways' pauses.
     """
 
     def __init__(self, deployment: Deployment, policy: str, seed: int):
@@ -83,6 +89,7 @@
             for number, name in enumerate(self.engines)
         }
         self.down: set[str] = set()
+        self.shedding = Shedding(self.rng)
         self.usage = ResourceUsage()
         self.policy = self.new_policy()
 
@@ -149,6 +156,16 @@
         delay = CALLER_HOP_MS + GATEWAY_PROCESSING_MS + self._broker_ms(attempt)
         self.loop.after(delay, lambda: self.submit(attempt))
 
+    def _submit_again(self, attempt: Attempt, excluded: str) -> None:
+        """Asks for another engine, after the gateway has learnt why."""
+        self.attempts.pop(attempt.key, None)
+        self.attempt_count += 1
+        attempt.renumber(self.attempt_count)
+        attempt.excluded |= {excluded}
+        self.attempts[attempt.key] = attempt
+        delay = self._broker_ms(attempt)
+        self.loop.after(delay, lambda: self.submit(attempt))
+
     def submit(self, attempt: Attempt) -> None:
         """Submits an attempt to the policy."""
         refusal = self.policy.submit(
@@ -170,6 +187,8 @@
             first_token_due_at=arrived + kind.objective_ms,
             deadline_at=request.arrival_ms + kind.deadline_ms,
             submitted_at=self.loop.now,
+            excluded_endpoints=attempt.excluded,
+            router=str(request.gateway),
         )
 
     def dispatch(self) -> None:
@@ -219,19 +238,43 @@
         gateway_zone = self._zone_of(request)
         if engine_zone != gateway_zone:
             self.usage.cross_zone_mb += request.kind.body_kb / 1000
-        delay = self._broker_ms(attempt) + self._hop_ms(
-            gateway_zone, engine_zone
-        )
+        delay = self._hop_ms(gateway_zone, engine_zone)
         if grant.fetch_from:
             delay += self._fetch(engine_request, engine, grant.fetch_from)
         self.loop.after(
-            delay, lambda: self._arrive(attempt, engine_request, engine)
+            self._broker_ms(attempt),
+            lambda: self._send_granted(attempt, engine, delay),
         )
         self.loop.at(
             request.arrival_ms + request.kind.deadline_ms,
             lambda: self._time_out(attempt),
         )
 
+    def _send_granted(
+        self, attempt: Attempt, engine: SimulatedEngine, delay: float
+    ) -> None:
+        """Sends a request at its gateway, unless the engine pauses by now."""
+        if attempt.is_over:
+            return
+        gateway = attempt.record.request.gateway
+        engine_request = attempt.engine_request
+        if self.shedding.is_paused(gateway, engine.name, self.loop.now):
+            self.usage.returned_grants += 1
+            self._take_back(attempt)
+            self._submit_again(attempt, engine.name)
+            return
+        self.loop.after(
+            delay, lambda: self._arrive(attempt, engine_request, engine)
+        )
+
+    def _take_back(self, attempt: Attempt) -> None:
+        """Tells the broker that an attempt is not at its engine."""
+        self.by_engine_request.pop(id(attempt.engine_request), None)
+        attempt.engine_request = None
+        key = attempt.key
+        delay = self._broker_ms(attempt)
+        self.loop.after(delay, lambda: self.policy.finish(key))
+
     def _fetch(
         self,
         engine_request: SimulatedRequest,
@@ -269,10 +312,41 @@
         if engine.name in self.down:
             self.finish(attempt, Outcome.FAILED)
             return
-        engine.submit(engine_request, self.loop.now)
+        pause_ms = self.shedding.turn_away(engine.name)
+        if pause_ms is None:
+            engine.submit(engine_request, self.loop.now)
+            return
+        self.usage.turned_away += 1
+        zone = self._zone_of(attempt.record.request)
+        self.loop.after(
+            self._hop_ms(zone, self.zones[engine.name]),
+            lambda: self._on_turned_away(attempt, engine, pause_ms),
+        )
+
+    def _on_turned_away(
+        self, attempt: Attempt, engine: SimulatedEngine, pause_ms: float
+    ) -> None:
+        """Records the pause at the gateway, and sends the request elsewhere."""
+        gateway = attempt.record.request.gateway
+        until = self.loop.now + pause_ms
+        if self.policy.honours_pauses:
+            self.shedding.pause(gateway, engine.name, until)
+            self.loop.after(
+                self._broker_ms(attempt),
+                lambda: self.policy.pause(str(gateway), engine.name, until),
+            )
+        if attempt.is_over:
+            return
+        self._take_back(attempt)
+        attempt.sends += 1
+        if attempt.sends < MAX_SENDS:
+            self._submit_again(attempt, engine.name)
+        else:
+            refusal = PlacementRefusal(attempt.key, TURNED_AWAY_RETRY_MS, 0.0)
+            self._on_refusal(attempt, refusal)
 
     def _time_out(self, attempt: Attempt) -> None:
-        if not attempt.is_over:
+        if not attempt.is_over and attempt.engine_request is not None:
             attempt.engine.cancel(attempt.engine_request)
             self.finish(attempt, Outcome.FAILED)
 
--- a/packages/standin/src/marjoramyard/standin/experiment/simulation_run.py
+++ b/packages/standin/src/marjoramyard/standin/experiment/simulation_run.py
@@ -20,6 +20,8 @@
         utilisation: Share of engine time spent on any step.
         preemptions: Requests preempted for lack of memory.
         refusals: Refused attempts.
+        turned_away: Sends that engines turned away.
+        returned_grants: Grants for engines that had asked for a pause.
     """
 
     fetched_gb: float = 0.0
@@ -29,6 +31,8 @@
     utilisation: float = 0.0
     preemptions: int = 0
     refusals: int = 0
+    turned_away: int = 0
+    returned_grants: int = 0
 
 
 class SimulationRun(msgspec.Struct):
@@ -41,13 +45,25 @@
 
 
 class Attempt:
-    """One attempt of a request, until its response has ended."""
+    """One attempt of a request, until its response has ended.
+
+    Attributes:
+        key: Identifies it to the broker; changes when it is submitted again.
+        excluded: Engines that it must not be sent to.
+        sends: How often engines have turned it away.
+    """
 
     def __init__(self, number: int, record: RequestRecord, started_at: float):
-        self.key = f"{record.request.gateway}/{number}"
         self.record = record
+        self.renumber(number)
+        self.excluded: frozenset[str] = frozenset()
+        self.sends = 0
         self.started_at = started_at
         self.engine: SimulatedEngine | None = None
         self.engine_request: SimulatedRequest | None = None
         self.last_event_at = 0.0
         self.is_over = False
+
+    def renumber(self, number: int) -> None:
+        """Gives the attempt another key."""
+        self.key = f"{self.record.request.gateway}/{number}"
--- a/packages/standin/tests/experiment/test_experiment.py
+++ b/packages/standin/tests/experiment/test_experiment.py
@@ -100,3 +100,13 @@
     )
     assert result.exit_code == 2
     assert "least-connections" in result.output
+
+
+def test_pauses_keep_requests_from_engines_that_shed():
+    """Guards against a model in which pauses change nothing."""
+    path = EXAMPLES / "shedding-engines.yaml"
+    deployment = msgspec.structs.replace(read_deployment(path), seconds=12.0)
+    kept = simulate(deployment, "broker", 0)
+    ignored = simulate(deployment, "pauses-ignored", 0)
+    assert kept.usage.turned_away < ignored.usage.turned_away / 10
+    assert kept.scores.goal > ignored.scores.goal
