Keep endpoints' pauses in calls for cached parts too

What endpoints say of themselves is now read in one place, EndpointNotices, for requests and for these calls.

Both new tests fail without the two lines in cache_lists.py.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/attempts.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/attempts.py
@@ -1,6 +1,5 @@
 """Sends a request to one endpoint and classifies the result."""
 
-import math
 import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
@@ -13,10 +12,9 @@
 from marjoramyard.coordination.membership.registrations import Registration
 from marjoramyard.fleet.gateway.admission import CallerRequest
 from marjoramyard.fleet.gateway.dialect import HeaderNames
+from marjoramyard.fleet.gateway.endpoint_notices import parse_retry_after
 from marjoramyard.fleet.util.headers import Headers
 
-HTTP_UNAVAILABLE = 503
-
 
 class SendOutcome(Enum):
     """What is known about a request after a send."""
@@ -165,7 +163,7 @@
     if echoed and echoed != request.attempt:
         raise SendFailedError(SendOutcome.BROKEN, "response to another request")
     if names.not_run in response.headers or response.status == 421:
-        retry_after = _parse_seconds(response.headers.get("Retry-After", ""))
+        retry_after = parse_retry_after(response.headers.get("Retry-After", ""))
         reason = f"status {response.status}"
         if retry_after:
             reason += f", retry after {retry_after:g} s"
@@ -173,18 +171,3 @@
     if response.status < 300:
         if not echoed or names.signature not in response.headers:
             raise SendFailedError(SendOutcome.BROKEN, "unsigned response")
-
-
-def requested_pause(response: aiohttp.ClientResponse) -> float:
-    """Returns for how many seconds the endpoint wants no requests, or 0."""
-    if response.status != HTTP_UNAVAILABLE:
-        return 0.0
-    return _parse_seconds(response.headers.get("Retry-After", ""))
-
-
-def _parse_seconds(text: str) -> float:
-    try:
-        seconds = float(text)
-    except ValueError:
-        return 0.0
-    return seconds if 0.0 < seconds < math.inf else 0.0
--- a/packages/fleet/src/marjoramyard/fleet/gateway/cache_lists.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/cache_lists.py
@@ -15,6 +15,8 @@
 from marjoramyard.coordination.membership.registrations import Registration
 from marjoramyard.coordination.routing.table import PromptPart
 from marjoramyard.fleet.gateway.dialect import CacheListCall
+from marjoramyard.fleet.gateway.endpoint_notices import EndpointNotices
+from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.fleet.util.tasks import TaskGroup
 from marjoramyard.kernel.logs import get_logger
 
@@ -39,6 +41,8 @@
 
     Attributes:
         call: How engines are asked; None if they can't be.
+        view: Says which engines may be asked now.
+        notices: Reads what they say of themselves.
         asked: The engines asked so far, with the start of their lifetime.
         not_offered: Services whose engines have no such list.
         started_at: When this gateway was started (monotonic).
@@ -50,10 +54,14 @@
         session: aiohttp.ClientSession,
         tasks: TaskGroup,
         call: CacheListCall | None,
+        view: FleetView,
+        notices: EndpointNotices,
     ):
         self.session = session
         self.tasks = tasks
         self.call = call
+        self.view = view
+        self.notices = notices
         self.asked: set[tuple[str, int]] = set()
         self.not_offered: set[str] = set()
         self.slots = asyncio.Semaphore(MAX_CALLS)
@@ -89,6 +97,8 @@
         async with self.slots:
             if engine.service in self.not_offered:
                 return
+            if not self.view.may_send_to(engine):
+                return
             try:
                 parts = await self._call(engine)
             except _FAILURES as error:
@@ -115,6 +125,7 @@
             headers={"Connection": "close"},
             timeout=aiohttp.ClientTimeout(total=TIMEOUT_SECONDS),
         ) as response:
+            self.notices.read(engine, response)
             if response.status in _NOT_OFFERED:
                 self.not_offered.add(engine.service)
             response.raise_for_status()
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
@@ -25,6 +25,7 @@
     CallerGoneError,
     ResponseDelivery,
 )
+from marjoramyard.fleet.gateway.endpoint_notices import EndpointNotices
 from marjoramyard.fleet.gateway.engine_load import EngineLoads
 from marjoramyard.fleet.gateway.overload_guard import (
     OverloadGuard,
@@ -80,6 +81,7 @@
         session: aiohttp.ClientSession,
         brokers: BrokerClients,
         cold_starts: ColdStarts,
+        notices: EndpointNotices,
         app: Application,
     ):
         self.view = view
@@ -96,6 +98,7 @@
             brokers,
             cold_starts,
             EngineLoads(),
+            notices,
             self.names,
             app.metrics,
         )
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
@@ -20,7 +20,6 @@
     SendOutcome,
     SendPlan,
     open_response,
-    requested_pause,
 )
 from marjoramyard.fleet.gateway.broker_clients import BrokerClients
 from marjoramyard.fleet.gateway.broker_protocol import (
@@ -31,6 +30,7 @@
 from marjoramyard.fleet.gateway.cold_starts import ColdStarts
 from marjoramyard.fleet.gateway.delivery import ResponseDelivery
 from marjoramyard.fleet.gateway.dialect import HeaderNames
+from marjoramyard.fleet.gateway.endpoint_notices import EndpointNotices
 from marjoramyard.fleet.gateway.engine_load import (
     EngineLoads,
     LocalRequest,
@@ -73,6 +73,7 @@
         brokers: The clients of the services' brokers.
         cold_starts: The limits of endpoints that have just started.
         loads: The requests that this gateway has in flight at each engine.
+        notices: What endpoints say of themselves in their responses.
         names: The header names of the dialect.
         metrics: The metrics of the process.
     """
@@ -82,6 +83,7 @@
     brokers: BrokerClients
     cold_starts: ColdStarts
     loads: EngineLoads
+    notices: EndpointNotices
     names: HeaderNames
     metrics: Metrics
 
@@ -344,7 +346,7 @@
                 self.caller,
                 plan,
                 context.names,
-                lambda response: self._record_pause(plan.endpoint, response),
+                lambda head: context.notices.read(plan.endpoint, head),
             ) as upstream:
                 if upstream.status >= 500 and self._may_retry():
                     raise SendFailedError(
@@ -356,14 +358,6 @@
         self.view.health_of(endpoint).record_success(time.monotonic())
         return response
 
-    def _record_pause(
-        self, endpoint: Registration, response: aiohttp.ClientResponse
-    ) -> None:
-        """Keeps the pause that an endpoint asks for, if any."""
-        seconds = requested_pause(response)
-        if seconds and self.view.record_pause(endpoint, seconds):
-            self.context.brokers.on_pause(endpoint, seconds)
-
     @contextmanager
     def _track(self, plan: SendPlan) -> Iterator[LocalRequest]:
         """Counts a send in the local load and at the broker while it lasts."""
--- a/packages/fleet/src/marjoramyard/fleet/gateway/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/role.py
@@ -24,6 +24,7 @@
 from marjoramyard.fleet.gateway.control_sync import ControlSync
 from marjoramyard.fleet.gateway.dialect import GATEWAY_DIALECTS
 from marjoramyard.fleet.gateway.early_refusal import EarlyRefusal
+from marjoramyard.fleet.gateway.endpoint_notices import EndpointNotices
 from marjoramyard.fleet.gateway.request_handler import RequestHandler
 from marjoramyard.fleet.gateway.upstream import open_endpoint_session
 from marjoramyard.fleet.gateway.view import FleetView
@@ -184,11 +185,14 @@
         cold_starts = ColdStarts(
             view, settings.cold_overrun, settings.cold_slack
         )
-        handler = RequestHandler(view, session, brokers, cold_starts, app)
+        notices = EndpointNotices(view, brokers)
+        handler = RequestHandler(
+            view, session, brokers, cold_starts, notices, app
+        )
         broker_server = BrokerServer(
             view,
             cold_starts,
-            CacheLists(session, app.tasks, dialect.cache_list),
+            CacheLists(session, app.tasks, dialect.cache_list, view, notices),
         )
         app.metrics.gauge(
             "broker_wait_seconds", broker_server.mean_wait_seconds
--- a/packages/fleet/tests/gateway/test_attempts.py
+++ b/packages/fleet/tests/gateway/test_attempts.py
@@ -8,7 +8,6 @@
     SendFailedError,
     SendOutcome,
     check_response_head,
-    requested_pause,
 )
 from marjoramyard.fleet.gateway.dialect import HeaderNames
 
@@ -36,23 +35,3 @@
     error = refusal()
     assert error.retry_after == 0.0
     assert error.reason == "status 503"
-
-
-@pytest.mark.parametrize(
-    "status, text, seconds",
-    [
-        (503, "3", 3.0),
-        (503, "0.25", 0.25),
-        (503, "", 0.0),
-        (503, "-1", 0.0),
-        (503, "inf", 0.0),
-        (503, "nan", 0.0),
-        (503, "soon", 0.0),
-        # The limit of one workspace says nothing on requests of others.
-        (429, "3", 0.0),
-        (200, "3", 0.0),
-    ],
-)
-def test_a_pause_is_a_finite_time_in_a_503(status, text, seconds):
-    response = SimpleNamespace(status=status, headers={"Retry-After": text})
-    assert requested_pause(response) == seconds
--- a/packages/fleet/tests/gateway/test_cache_lists.py
+++ b/packages/fleet/tests/gateway/test_cache_lists.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import contextlib
+from types import SimpleNamespace
 
 import msgspec
 import pytest
@@ -21,7 +22,9 @@
     CacheLists,
 )
 from marjoramyard.fleet.gateway.dialect import GATEWAY_DIALECTS
+from marjoramyard.fleet.gateway.endpoint_notices import EndpointNotices
 from marjoramyard.fleet.gateway.upstream import open_endpoint_session
+from marjoramyard.fleet.gateway.view import FleetView
 
 SHARED_TOKENS = 3780
 PREFIXES = 60
@@ -72,8 +75,11 @@
 @pytest.fixture
 async def lists():
     async with open_endpoint_session() as session:
-        call = GATEWAY_DIALECTS.get("native").cache_list
-        yield CacheLists(session, Tasks(), call)
+        dialect = GATEWAY_DIALECTS.get("native")
+        view = FleetView(dialect, 5.0)
+        brokers = SimpleNamespace(on_pause=lambda *_: None)
+        notices = EndpointNotices(view, brokers)
+        yield CacheLists(session, Tasks(), dialect.cache_list, view, notices)
 
 
 async def ask(lists, *engines):
@@ -200,3 +206,26 @@
     async with engine_with([]) as (address, _):
         pass
     assert await ask(lists, registration("e", address)) == {}
+
+
+async def test_a_pausing_engine_is_not_asked(lists):
+    """Guards against calls to an engine that has asked for no requests."""
+    async with engine_with([]) as (address, calls):
+        engine = registration("e", address)
+        lists.view.registrations.merge(engine, 0.0)
+        lists.view.record_pause(engine, 5.0)
+        await ask(lists, engine)
+    assert not calls
+
+
+async def test_a_pause_that_an_engine_asks_for_in_a_call_is_kept(lists):
+    """Guards against requests to an engine that refused a call."""
+
+    async def refuse(_):
+        return web.Response(status=503, headers={"Retry-After": "5"})
+
+    async with engine_with([], respond=refuse) as (address, _):
+        engine = registration("e", address)
+        lists.view.registrations.merge(engine, 0.0)
+        await ask(lists, engine)
+    assert not lists.view.may_send_to(engine)
--- a/packages/fleet/tests/gateway/test_request_handler.py
+++ b/packages/fleet/tests/gateway/test_request_handler.py
@@ -18,6 +18,7 @@
 from marjoramyard.fleet.gateway.cold_starts import ColdStarts
 from marjoramyard.fleet.gateway.dialect import GATEWAY_DIALECTS
 from marjoramyard.fleet.gateway.early_refusal import parse_head
+from marjoramyard.fleet.gateway.endpoint_notices import EndpointNotices
 from marjoramyard.fleet.gateway.request_handler import RequestHandler
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.kernel.metrics import Metrics
@@ -53,8 +54,9 @@
         stopping=asyncio.Event(),
     )
     brokers = SimpleNamespace(lag=SimpleNamespace(on_wake_up=[]))
+    notices = EndpointNotices(view, brokers)
     instance = RequestHandler(
-        view, None, brokers, ColdStarts(view, 1.5, 5.0), app
+        view, None, brokers, ColdStarts(view, 1.5, 5.0), notices, app
     )
     instance.guard.limit.limit = 1.0
     with instance.guard.limit.admit("large"):
--- a/packages/fleet/tests/gateway/test_request_run.py
+++ b/packages/fleet/tests/gateway/test_request_run.py
@@ -22,6 +22,7 @@
 from marjoramyard.fleet.gateway.cold_starts import ColdStarts
 from marjoramyard.fleet.gateway.delivery import CallerGoneError
 from marjoramyard.fleet.gateway.dialect import GATEWAY_DIALECTS, HeaderNames
+from marjoramyard.fleet.gateway.endpoint_notices import EndpointNotices
 from marjoramyard.fleet.gateway.engine_load import EngineLoads
 from marjoramyard.fleet.gateway.request_run import RequestRun, RequestRunContext
 from marjoramyard.fleet.gateway.request_trace import RequestTrace, Unplaceable
@@ -112,6 +113,7 @@
         brokers,
         ColdStarts(view, 1.5, 5.0),
         EngineLoads(),
+        EndpointNotices(view, brokers),
         HeaderNames(),
         metrics,
     )
