Send nothing to an endpoint whose responses say that it leaves

What callers could see: an endpoint says in its responses that it is leaving (Server-Leaving: 1) while its heartbeat is delayed or lost, still gets requests, and cuts them off when it exits. Gateways passed the header on and did not read it.

A gateway records it with the head of any response, success or failure, for that lifetime of the endpoint; the endpoint is then not usable, also if it is the last one. It tells the broker, which tells the other gateways: one that has forwarded a request passes on the response without reading it.

Weighed: telling the control hosts instead (a heartbeat of the same lifetime would undo it, and a cut-off gateway learns nothing), and the gateway alone (a forwarding gateway would go on sending). A gateway without a broker still keeps what it has read itself.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_client.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_client.py
@@ -17,10 +17,11 @@
     BROKER_TIMEOUT_SECONDS,
     FORWARDING_PARAMETER,
     HEARTBEAT_INTERVAL_SECONDS,
-    PAUSE_PROTOCOL,
+    NOTICE_PROTOCOL,
     ZONE_PARAMETER,
     BrokerMessage,
     CachedPrefix,
+    EndpointLeaving,
     EndpointPause,
     Finished,
     FirstToken,
@@ -175,8 +176,8 @@
         self.outbox = list(self.running.values())
         if socket.protocol in BROKER_PROTOCOLS:
             self.outbox = [*self._cached_prefixes(service), *self.outbox]
-        if socket.protocol == PAUSE_PROTOCOL:
-            self.outbox = [*self._pauses(service), *self.outbox]
+        if socket.protocol == NOTICE_PROTOCOL:
+            self.outbox = [*self._notices(service), *self.outbox]
         self._schedule_flush()
         try:
             await self.liveness.wait_for(self._read(service, address, socket))
@@ -199,11 +200,16 @@
             for prefix in self.history.recent()
         ]
 
-    def _pauses(self, service: str) -> list[EndpointPause]:
-        return [
+    def _notices(self, service: str) -> list[GatewayMessage]:
+        pauses = [
             EndpointPause(service, endpoint, seconds * 1000)
             for endpoint, seconds in self.view.pauses_of(service).items()
         ]
+        leaving = [
+            EndpointLeaving(service, endpoint.endpoint, endpoint.born)
+            for endpoint in self.view.leaving_of(service)
+        ]
+        return pauses + leaving
 
     async def _read(self, service: str, address: str, socket) -> None:
         while self._broker_of(service) == address:
@@ -226,6 +232,10 @@
         if isinstance(message, Heartbeat):
             self.peers = message.peers
             return
+        if isinstance(message, EndpointLeaving):
+            if self.view.record_leaving(message.endpoint, message.born):
+                self._release_unplaceable()
+            return
         pending = self.pending.pop(message.number, None)
         if pending is not None and not pending.future.done():
             pending.future.set_result(message)
@@ -338,16 +348,24 @@
             self._send(running)
 
     def on_pause(self, endpoint: Registration, seconds: float) -> None:
-        """Tells the broker of a pause that an endpoint has asked for.
+        """Tells the broker of a pause that an endpoint has asked for."""
+        self._send_notice(
+            EndpointPause(endpoint.service, endpoint.endpoint, seconds * 1000)
+        )
 
-        Requests for which no other endpoint is left don't wait any longer.
-        """
-        if self.socket is not None and self.socket.protocol == PAUSE_PROTOCOL:
-            self._send(
-                EndpointPause(
-                    endpoint.service, endpoint.endpoint, seconds * 1000
-                )
-            )
+    def on_leaving(self, endpoint: Registration) -> None:
+        """Tells the broker that an endpoint has said that it is leaving."""
+        self._send_notice(
+            EndpointLeaving(endpoint.service, endpoint.endpoint, endpoint.born)
+        )
+
+    def _send_notice(self, notice: EndpointPause | EndpointLeaving) -> None:
+        if self.socket is not None and self.socket.protocol == NOTICE_PROTOCOL:
+            self._send(notice)
+        self._release_unplaceable()
+
+    def _release_unplaceable(self) -> None:
+        """Ends the wait of requests for which no endpoint is left."""
         for number, placement in list(self.pending.items()):
             if self.view.sendable(placement.service, placement.excluded):
                 continue
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_clients.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_clients.py
@@ -64,6 +64,12 @@
         if client is not None:
             client.on_pause(endpoint, seconds)
 
+    def on_leaving(self, endpoint: Registration) -> None:
+        """Tells a broker that an endpoint has said that it is leaving."""
+        client = self.clients.get(endpoint.service)
+        if client is not None:
+            client.on_leaving(endpoint)
+
     def peers(self) -> list[str]:
         """Returns addresses of gateways that have room for requests."""
         return [
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_protocol.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_protocol.py
@@ -16,9 +16,10 @@
 PREFIX_PROTOCOL = "broker-2"
 """The WebSocket protocol of brokers that know `CachedPrefix`. A broker of an
 earlier release does not select it, and would reject unknown messages."""
-PAUSE_PROTOCOL = "broker-3"
-"""The same for brokers that know `EndpointPause` too."""
-BROKER_PROTOCOLS = (PAUSE_PROTOCOL, PREFIX_PROTOCOL)
+NOTICE_PROTOCOL = "broker-3"
+"""The same for brokers and gateways that know `EndpointPause` and
+`EndpointLeaving` too."""
+BROKER_PROTOCOLS = (NOTICE_PROTOCOL, PREFIX_PROTOCOL)
 """The latest one first."""
 HEARTBEAT_INTERVAL_SECONDS = 0.1
 BROKER_TIMEOUT_SECONDS = 0.4
@@ -143,6 +144,20 @@
     pause_ms: float
 
 
+class EndpointLeaving(msgspec.Struct, tag="leaving"):
+    """An endpoint has said in a response that it is leaving.
+
+    A gateway tells the broker, which tells the other gateways.
+
+    Attributes:
+        born: The start of the endpoint's lifetime, in Unix milliseconds.
+    """
+
+    service: str
+    endpoint: str
+    born: int
+
+
 class PlaceGrant(msgspec.Struct, tag="grant", omit_defaults=True):
     """The request may be sent to this endpoint now.
 
@@ -200,9 +215,10 @@
     | RunningRequest
     | CachedPrefix
     | EndpointPause
+    | EndpointLeaving
     | Heartbeat
 )
-BrokerMessage = PlaceGrant | PlaceRefusal | Heartbeat
+BrokerMessage = PlaceGrant | PlaceRefusal | EndpointLeaving | Heartbeat
 
 gateway_message_decoder = msgspec.json.Decoder(list[GatewayMessage])
 broker_message_decoder = msgspec.json.Decoder(list[BrokerMessage])
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
@@ -26,8 +26,10 @@
     BROKER_PROTOCOLS,
     FORWARDING_PARAMETER,
     HEARTBEAT_INTERVAL_SECONDS,
+    NOTICE_PROTOCOL,
     ZONE_PARAMETER,
     CachedPrefix,
+    EndpointLeaving,
     EndpointPause,
     Finished,
     FirstToken,
@@ -101,6 +103,7 @@
             request.query.get(FORWARDING_PARAMETER, ""),
         )
         self.gateways[gateway.number] = gateway
+        self._tell_leaving(gateway, self._known_leaving())
         try:
             async for frame in socket:
                 if frame.type is aiohttp.WSMsgType.TEXT:
@@ -244,6 +247,9 @@
                 until = _now_ms() + message.pause_ms
                 broker.pause(gateway.router, message.endpoint, until)
             return
+        if isinstance(message, EndpointLeaving):
+            self._on_leaving(message)
+            return
         service = gateway.services.get(message.number)
         if service is None:
             return
@@ -260,6 +266,31 @@
             self._on_finished(broker, key, message)
             del gateway.services[message.number]
 
+    def _on_leaving(self, message: EndpointLeaving) -> None:
+        """Passes on that an endpoint is leaving.
+
+        A gateway that forwards requests passes on the endpoint's response too,
+        without reading it.
+        """
+        if self.view.record_leaving(message.endpoint, message.born):
+            for gateway in self.gateways.values():
+                self._tell_leaving(gateway, [message])
+
+    def _known_leaving(self) -> list[EndpointLeaving]:
+        return [
+            EndpointLeaving(service, endpoint.endpoint, endpoint.born)
+            for service in self.brokers
+            for endpoint in self.view.leaving_of(service)
+        ]
+
+    @staticmethod
+    def _tell_leaving(
+        gateway: GatewayConnection, notices: list[EndpointLeaving]
+    ) -> None:
+        """Queues notices for a gateway, unless it is of an earlier release."""
+        if notices and gateway.socket.ws_protocol == NOTICE_PROTOCOL:
+            gateway.outbox.extend(notices)
+
     def _on_first_token(
         self, broker: Broker, key: str, message: FirstToken
     ) -> None:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/dialect.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/dialect.py
@@ -20,6 +20,7 @@
         workspace: The workspace, set for the endpoint.
         target: The endpoint that is addressed; another one rejects the request.
         not_run: Set by an endpoint that did not run the request.
+        leaving: Set to "1" by an endpoint that is leaving.
         signature: The endpoint's signature of the response.
         prompt_parts: The prompt parts, as ID:TOKENS.
         token_counts: The number of prompt tokens and the maximum of output
@@ -35,6 +36,7 @@
     workspace: str = "Workspace"
     target: str = "Target-Endpoint"
     not_run: str = "Not-Run"
+    leaving: str = "Server-Leaving"
     signature: str = "Answer-Signature"
     prompt_parts: str = "Prompt-Parts"
     token_counts: str = "Token-Counts"
--- a/packages/fleet/src/marjoramyard/fleet/gateway/endpoint_notices.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/endpoint_notices.py
@@ -15,11 +15,18 @@
 
 
 class EndpointNotices:
-    """Records what endpoints say, and tells their brokers."""
+    """Records what endpoints say, and tells their brokers.
 
-    def __init__(self, view: FleetView, brokers: BrokerClients):
+    Attributes:
+        leaving_header: The header of endpoints that are leaving.
+    """
+
+    def __init__(
+        self, view: FleetView, brokers: BrokerClients, leaving_header: str
+    ):
         self.view = view
         self.brokers = brokers
+        self.leaving_header = leaving_header
 
     def read(
         self, endpoint: Registration, response: aiohttp.ClientResponse
@@ -33,6 +40,9 @@
         seconds = requested_pause(response)
         if seconds and self.view.record_pause(endpoint, seconds):
             self.brokers.on_pause(endpoint, seconds)
+        if response.headers.get(self.leaving_header) == "1":
+            if self.view.record_leaving(endpoint.endpoint, endpoint.born):
+                self.brokers.on_leaving(endpoint)
 
 
 def requested_pause(response: aiohttp.ClientResponse) -> float:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/role.py
@@ -185,7 +185,7 @@
         cold_starts = ColdStarts(
             view, settings.cold_overrun, settings.cold_slack
         )
-        notices = EndpointNotices(view, brokers)
+        notices = EndpointNotices(view, brokers, dialect.headers.leaving)
         handler = RequestHandler(
             view, session, brokers, cold_starts, notices, app
         )
--- a/packages/fleet/src/marjoramyard/fleet/gateway/view.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/view.py
@@ -82,6 +82,8 @@
             requested, for versions that are not in force yet.
         health: The health of each endpoint, as seen by this gateway.
         pauses: The pauses that endpoints have asked this gateway for.
+        leaving: The start of the lifetime in which an endpoint has said that
+            it is leaving, by endpoint.
         unresponsive_reports: By control host, when it last reported and the
             endpoints whose heartbeats it misses.
         gateway_count: The number of gateways in the fleet.
@@ -98,6 +100,7 @@
         self.zones = EvacuatedZones()
         self.health: dict[str, EndpointHealth] = {}
         self.pauses = EndpointPauses()
+        self.leaving: dict[str, int] = {}
         self.unresponsive_reports: dict[str, tuple[float, frozenset[str]]] = {}
         self.gateway_count = 1
         self.gateway_counts: dict[str, tuple[float, int]] = {}
@@ -217,6 +220,8 @@
         if held is None or held.born != registration.born:
             self.health[registration.endpoint] = EndpointHealth()
             self.pauses.forget(registration.endpoint)
+        if registration.state is EndpointState.DEPARTED:
+            self.leaving.pop(registration.endpoint, None)
         logger.info(
             "endpoint",
             endpoint=registration.endpoint,
@@ -252,6 +257,42 @@
         ]
         return frozenset.intersection(*recent) if recent else frozenset()
 
+    def record_leaving(self, endpoint: str, born: int) -> bool:
+        """Records that an endpoint has said that it is leaving.
+
+        Its heartbeats may say so later, or may not arrive.
+
+        Args:
+            endpoint: The endpoint.
+            born: The start of its lifetime, as registered.
+
+        Returns:
+            Whether that is news; False if the endpoint is unknown, or has been
+            restarted since.
+        """
+        held = self.registrations.by_endpoint.get(endpoint)
+        if held is None or held.born != born or self.is_leaving(held):
+            return False
+        self.leaving[endpoint] = born
+        self.usable_by_service.clear()
+        logger.info("endpoint_leaving", endpoint=endpoint)
+        return True
+
+    def is_leaving(self, registration: Registration) -> bool:
+        """Whether an endpoint has said in its lifetime that it is leaving."""
+        return self.leaving.get(registration.endpoint) == registration.born
+
+    def leaving_of(self, service: str) -> list[Registration]:
+        """Returns a service's endpoints that have said that they leave."""
+        known = self.registrations.by_endpoint
+        return [
+            known[endpoint]
+            for endpoint in self.leaving
+            if endpoint in known
+            and known[endpoint].service == service
+            and self.is_leaving(known[endpoint])
+        ]
+
     def record_pause(self, endpoint: Registration, seconds: float) -> bool:
         """Records that an endpoint has asked this gateway for a pause.
 
@@ -385,11 +426,16 @@
         return (
             registration.state is EndpointState.READY
             and registration.availability_zone not in self.zones.evacuated
+            and not self.is_leaving(registration)
         )
 
     def is_evacuated(self, service: str) -> bool:
         """Whether evacuations exclude all ready endpoints of a service."""
-        ready = self.registrations.usable(service)
+        ready = [
+            registration
+            for registration in self.registrations.usable(service)
+            if not self.is_leaving(registration)
+        ]
         return bool(ready) and not any(map(self.accepts_requests, ready))
 
     def _is_healthy(
--- a/packages/fleet/tests/gateway/test_broker_client.py
+++ b/packages/fleet/tests/gateway/test_broker_client.py
@@ -29,9 +29,10 @@
 from marjoramyard.fleet.gateway.broker_protocol import (
     BROKER_PATH,
     BROKER_TIMEOUT_SECONDS,
-    PAUSE_PROTOCOL,
+    NOTICE_PROTOCOL,
     PREFIX_PROTOCOL,
     CachedPrefix,
+    EndpointLeaving,
     EndpointPause,
     PlaceGrant,
     RunningRequest,
@@ -68,6 +69,12 @@
     def sendable(self, _service, _excluded):
         return []
 
+    def leaving_of(self, _service):
+        return [LEAVING]
+
+    def record_leaving(self, _endpoint, _born):
+        return True
+
 
 @pytest.fixture
 def metrics():
@@ -248,10 +255,14 @@
     assert await first_messages(metrics, ()) == [RUNNING]
 
 
-async def test_a_new_broker_is_told_of_pauses(metrics):
-    """Guards against grants for engines that have asked for a pause."""
-    messages = await first_messages(metrics, (PAUSE_PROTOCOL,))
+LEAVING = Registration(endpoint="e2", service="llm", address="", born=5)
+
+
+async def test_a_new_broker_is_told_what_endpoints_have_said(metrics):
+    """Guards against grants for engines that pause or leave."""
+    messages = await first_messages(metrics, (NOTICE_PROTOCOL,))
     assert EndpointPause("llm", "e1", 2000.0) in messages
+    assert EndpointLeaving("llm", "e2", 5) in messages
 
 
 async def test_a_request_stops_waiting_when_the_last_endpoint_pauses(metrics):
@@ -260,7 +271,7 @@
     """
     async with aiohttp.ClientSession() as session:
         client = BrokerClient(ViewOfBrokers([]), session, LoopLag(metrics))
-        client.socket = SimpleNamespace(protocol=PAUSE_PROTOCOL, closed=True)
+        client.socket = SimpleNamespace(protocol=NOTICE_PROTOCOL, closed=True)
         waiting = asyncio.create_task(place(client))
         await asyncio.sleep(0)
         client.on_pause(
@@ -270,3 +281,16 @@
         assert await waiting is None
         assert client.outbox == []
         assert client.pending == {}
+
+
+async def test_a_request_stops_waiting_when_the_last_endpoint_leaves(metrics):
+    """Guards against callers that wait in the broker's queue for an endpoint
+    that another gateway has seen leaving.
+    """
+    async with aiohttp.ClientSession() as session:
+        client = BrokerClient(ViewOfBrokers([]), session, LoopLag(metrics))
+        client.socket = SimpleNamespace(protocol=NOTICE_PROTOCOL, closed=True)
+        waiting = asyncio.create_task(place(client))
+        await asyncio.sleep(0)
+        client._on_message(EndpointLeaving("llm", "e0", 5))
+        assert await waiting is None
--- a/packages/fleet/tests/gateway/test_broker_server.py
+++ b/packages/fleet/tests/gateway/test_broker_server.py
@@ -22,7 +22,9 @@
     BROKER_PATH,
     FORWARDING_PARAMETER,
     HEARTBEAT_INTERVAL_SECONDS,
+    NOTICE_PROTOCOL,
     ZONE_PARAMETER,
+    EndpointLeaving,
     EndpointPause,
     Heartbeat,
     PlaceGrant,
@@ -74,7 +76,9 @@
     async with (
         aiohttp.ClientSession() as session,
         session.ws_connect(
-            url, params={ZONE_PARAMETER: zone, FORWARDING_PARAMETER: forwarding}
+            url,
+            params={ZONE_PARAMETER: zone, FORWARDING_PARAMETER: forwarding},
+            protocols=(NOTICE_PROTOCOL,),
         ) as socket,
     ):
         yield socket
@@ -171,6 +175,33 @@
         assert isinstance(await receive_reply(other, 1), PlaceGrant)
 
 
+async def receive_leaving(socket):
+    async with asyncio.timeout(10):
+        async for frame in socket:
+            for message in broker_message_decoder.decode(frame.data):
+                if isinstance(message, EndpointLeaving):
+                    return message
+
+
+async def test_gateways_learn_from_each_other_which_endpoints_leave(
+    broker_url,
+):
+    """Guards against requests to a leaving endpoint by a gateway that has
+    passed on its response without reading it, or connects later.
+    """
+    async with (
+        connected(broker_url) as reading,
+        connected(broker_url) as forwarding,
+        asyncio.timeout(10),
+    ):
+        leaving = EndpointLeaving("llm", "e0", 0)
+        await reading.send_str(msgspec.json.encode([leaving]).decode())
+        assert await receive_leaving(forwarding) == leaving
+        await request_placement(forwarding, 1, "w")
+        async with connected(broker_url) as later:
+            assert await receive_leaving(later) == leaving
+
+
 async def receive_peers(socket, expected):
     async with asyncio.timeout(10):
         async for frame in socket:
--- a/packages/fleet/tests/gateway/test_request_run.py
+++ b/packages/fleet/tests/gateway/test_request_run.py
@@ -113,7 +113,7 @@
         brokers,
         ColdStarts(view, 1.5, 5.0),
         EngineLoads(),
-        EndpointNotices(view, brokers),
+        EndpointNotices(view, brokers, "Server-Leaving"),
         HeaderNames(),
         metrics,
     )
--- a/packages/fleet/tests/gateway/test_view.py
+++ b/packages/fleet/tests/gateway/test_view.py
@@ -132,3 +132,40 @@
     assert sendable(view) == {"1", "2", "3"}
     assert not view.record_pause(old, 10.0)
     assert sendable(view) == {"1", "2", "3"}
+
+
+def test_an_endpoint_that_says_it_leaves_is_not_usable_at_once(view):
+    """Guards against requests to a leaving endpoint, also if no other is left
+    and its heartbeats still say that it is ready.
+    """
+    assert usable(view) == {"1", "2", "3"}
+    assert view.record_leaving("1", 0)
+    view.apply("c", SyncReply("e", 0, words=[registration("1", sequence=9)]), 0)
+    assert usable(view) == {"2", "3"}
+    assert usable(view, "2", "3") == set()
+    assert [r.endpoint for r in view.leaving_of("api")] == ["1"]
+
+
+def test_a_restarted_endpoint_is_not_leaving(view):
+    """Guards against a new endpoint that gets nothing for what the one before
+    has said, and against a late response of that one.
+    """
+    view.record_leaving("1", 0)
+    new = msgspec.structs.replace(registration("1"), born=2)
+    view.apply("c", SyncReply("e", 0, words=[new]), 0.0)
+    assert usable(view) == {"1", "2", "3"}
+    assert not view.record_leaving("1", 0)
+    assert usable(view) == {"1", "2", "3"}
+
+
+def test_a_departed_endpoint_s_notice_is_forgotten(view):
+    view.record_leaving("1", 0)
+    departed = registration("1", EndpointState.DEPARTED)
+    view.apply("c", SyncReply("e", 0, words=[departed]), 0.0)
+    assert view.leaving == {}
+
+
+def test_a_service_whose_endpoints_leave_is_not_evacuated(view):
+    for name in ("1", "2", "3"):
+        view.record_leaving(name, 0)
+    assert not view.is_evacuated("api")
