--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -47,6 +47,10 @@
         if fault.kind is FaultKind.ISOLATE_CONTROL_HOSTS:
             await self._isolate_control_hosts(fault)
             return
+        if fault.kind is FaultKind.SHED:
+            # No fault of the endpoint: the promises hold meanwhile.
+            await self.endpoints[fault.number].shed(fault.seconds)
+            return
         span = self.fleet.begin_fault(
             fault.target.value, fault.kind.value, fault.number
         )
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -58,6 +58,9 @@
         id: The id of the request.
         key_sent: Whether the endpoint got the caller's API key.
         after_event: The last event the gateway had; 0 for a new stream.
+        pause_seconds: The pause that the endpoint asked for when it turned the
+            request away; 0.0 if it took it.
+        said_leaving: Whether the response said that the endpoint is leaving.
     """
 
     id: str
@@ -65,6 +68,13 @@
     started_at: float
     key_sent: bool = False
     after_event: int = 0
+    pause_seconds: float = 0.0
+    said_leaving: bool = False
+
+    @property
+    def was_taken(self) -> bool:
+        """Whether the endpoint did not turn the request away."""
+        return not self.pause_seconds
 
 
 class ConfigChange(msgspec.Struct, kw_only=True):
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -135,6 +135,20 @@
     record.attempts[-1].endpoint = "i-9-1"
 
 
+def requests_in_a_pause(record):
+    record.calls += [call(n, sent_at=120.0) for n in range(60, 64)]
+    record.attempts.append(attempt(60, 120.0, "i-7-1", pause_seconds=3.0))
+    record.attempts += [attempt(n, 121.0, "i-7-1") for n in range(61, 64)]
+
+
+def request_to_endpoint_that_said_it_leaves(record):
+    record.calls += [call(70, sent_at=120.0), call(71, sent_at=123.0)]
+    record.attempts += [
+        attempt(70, 120.0, "i-8-1", said_leaving=True),
+        attempt(71, 123.0, "i-8-1"),
+    ]
+
+
 def older_config_read(record):
     record.config_reads.append(ConfigRead(host=1, version=2, sent_at=102.0))
 
@@ -176,6 +190,10 @@
     revoked_key_still_accepted: "revoked_keys_are_refused",
     api_key_forwarded: "api_keys_are_not_forwarded",
     request_to_draining_endpoint: "draining_endpoints_get_no_new_requests",
+    requests_in_a_pause: "pauses_are_kept",
+    request_to_endpoint_that_said_it_leaves: (
+        "leaving_endpoints_get_no_new_requests"
+    ),
     older_config_read: "config_never_reverts",
     last_change_lost: "last_config_is_kept",
     response_after_deadline: "responses_meet_deadlines",
@@ -210,3 +228,21 @@
     )
     record.fault_spans.append(stall)
     assert violations(record) == []
+
+
+def test_two_requests_that_were_on_their_way_are_allowed():
+    record = valid_record()
+    requests_in_a_pause(record)
+    record.attempts.pop()
+    assert violations(record) == []
+
+
+def test_a_request_that_was_turned_away_has_not_run():
+    """Guards against a check that takes a refusal by an endpoint for a run."""
+    record = valid_record()
+    once = next(c for c in record.calls if c.kind is RouteKind.NON_IDEMPOTENT)
+    once.status, once.retry_after = 503, "1"
+    for one in record.attempts:
+        if one.id == once.id:
+            one.pause_seconds = 0.3
+    assert violations(record) == []
