Tell refused callers when the first endpoint takes requests

A caller whose last send was refused got the Retry-After of that endpoint, some seconds, though others were free; and with jitter it could come back before the end of a pause of all. It is told 0.3 to 0.5 s now if an endpoint does not pause, else the time until the first pause ends and that much more.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
@@ -450,11 +450,17 @@
             if not error.reason.startswith("status"):
                 health.record_failure(now)
             if not self.caller.may_repeat:
-                raise FleetError(attempts_failure(error, self.may_have_run))
+                raise self._attempts_error(error)
         if self.sends >= self.caller.route.max_attempts:
-            raise FleetError(attempts_failure(error, self.may_have_run))
+            raise self._attempts_error(error)
         if not self.budget.spend():
-            raise FleetError(attempts_failure(error, self.may_have_run))
+            raise self._attempts_error(error)
+
+    def _attempts_error(self, error: SendFailedError) -> FleetError:
+        pause_seconds = self.view.pause_seconds(self.service.name)
+        return FleetError(
+            attempts_failure(error, self.may_have_run, pause_seconds)
+        )
 
     def _outcome(self) -> Outcome:
         return Outcome.UNKNOWN if self.may_have_run else Outcome.NOT_RUN
--- a/packages/fleet/src/marjoramyard/fleet/gateway/run_failures.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/run_failures.py
@@ -67,8 +67,18 @@
     )
 
 
-def attempts_failure(error: SendFailedError, may_have_run: bool) -> Failure:
-    """Returns the failure of a request that may not be sent again."""
+def attempts_failure(
+    error: SendFailedError, may_have_run: bool, pause_seconds: float
+) -> Failure:
+    """Returns the failure of a request that may not be sent again.
+
+    Args:
+        error: The last failed send.
+        may_have_run: Whether an endpoint may have run the request.
+        pause_seconds: The time until an endpoint ends its pause; 0.0 if one
+            does not pause. The pause of the last endpoint alone does not keep
+            callers from coming back to another one.
+    """
     if may_have_run:
         return failure(
             FailureKind.ENDPOINT_LOST,
@@ -76,11 +86,10 @@
             "request may have run",
             Outcome.UNKNOWN,
         )
-    wait_seconds = error.retry_after or BUSY_RETRY_SECONDS
     return failure(
         FailureKind.BUSY,
         "all available endpoints are at capacity; retry later",
-        retry_after=jitter(wait_seconds),
+        retry_after=pause_seconds + jitter(BUSY_RETRY_SECONDS),
     )
 
 
--- a/packages/fleet/tests/gateway/test_request_run.py
+++ b/packages/fleet/tests/gateway/test_request_run.py
@@ -18,6 +18,11 @@
 from marjoramyard.coordination.routing.table import PromptPart, RouteTable
 from marjoramyard.coordination.serving.retries import RetryBudget
 from marjoramyard.fleet.gateway.admission import CallerRequest
+from marjoramyard.fleet.gateway.attempts import (
+    SendFailedError,
+    SendOutcome,
+    SendPlan,
+)
 from marjoramyard.fleet.gateway.broker_protocol import PlaceGrant
 from marjoramyard.fleet.gateway.cold_starts import ColdStarts
 from marjoramyard.fleet.gateway.delivery import CallerGoneError
@@ -258,3 +263,24 @@
     for _ in range(8):
         plan = await run._plan(run._candidates())
         assert plan.endpoint.endpoint == "e1"
+
+
+@pytest.mark.parametrize("others_pause, seconds", [(False, 0.3), (True, 5.0)])
+def test_callers_come_back_when_the_first_endpoint_takes_requests(
+    view, metrics, others_pause, seconds
+):
+    """Guards against callers that wait for the pause of the endpoint that
+    refused them although another one is free, and against some that come back
+    in a pause of all.
+    """
+    add_endpoint(view, "e1")
+    paused(view, "e0", 5.0)
+    if others_pause:
+        paused(view, "e1", 9.0)
+    run = make_run(view, metrics, False)
+    run.trace.sends.append("e0")
+    registration = view.registrations.by_endpoint["e0"]
+    refused = SendFailedError(SendOutcome.REFUSED, "status 503", 5.0)
+    with pytest.raises(FleetError) as caught:
+        run._on_send_failed(SendPlan(registration), refused)
+    assert seconds <= caught.value.failure.retry_after <= seconds + 0.5
