Keep the pauses of endpoints behind agents, and notice that they leave

An agent now counts as not ready during a pause, and once a response has said that the endpoint leaves, until it is restarted.

--- a/packages/fleet/src/marjoramyard/fleet/agent/attempts.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/attempts.py
@@ -140,6 +140,7 @@
 
     async def _exchange(self, session: aiohttp.ClientSession) -> Failure | None:
         run = self.run_request
+        incarnation = self.endpoint.announced.incarnation
         url = f"http://{self.endpoint.announced.address}{run.path}"
         timeout = aiohttp.ClientTimeout(
             total=None,
@@ -156,6 +157,9 @@
                 timeout=timeout,
                 allow_redirects=False,
             )
+            self.endpoint.on_response(
+                incarnation, self.upstream.status, self.upstream.headers
+            )
             self._begin_response(self.upstream)
             await self._read_response(session)
             return self._check_complete()
--- a/packages/fleet/src/marjoramyard/fleet/agent/endpoint.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/endpoint.py
@@ -2,16 +2,19 @@
 
 import asyncio
 import time
+from collections.abc import Mapping
 
 import aiohttp
 
 from marjoramyard.coordination.serving.prefixes import PrefixHistory
 from marjoramyard.coordination.serving.slots import SlotLimit
 from marjoramyard.fleet.messages import EndpointAnnouncement
+from marjoramyard.fleet.util.pause_requests import requested_pause
 from marjoramyard.kernel.logs import get_logger
 
 logger = get_logger(__name__)
 
+LEAVING_HEADER = "Server-Leaving"
 ANNOUNCEMENT_TIMEOUT_SECONDS = 6.0
 """Time without an announcement after which an endpoint is not ready."""
 _PROBE_TIMEOUT_SECONDS = 1.0
@@ -27,6 +30,10 @@
         dead_incarnation: The last incarnation that was found dead.
         slot_limit: The limit of concurrent requests.
         prefixes: The prompt prefixes that its cache may hold.
+        paused_until: When a pause that the endpoint has asked for ends;
+            monotonic time, in seconds.
+        leaving_incarnation: The last incarnation that has said in a response
+            that it is leaving.
     """
 
     def __init__(self, max_slots: int):
@@ -36,6 +43,8 @@
         self.dead_incarnation = ""
         self.slot_limit = SlotLimit(1)
         self.prefixes = PrefixHistory()
+        self.paused_until = float("-inf")
+        self.leaving_incarnation = ""
 
     def on_announcement(self, announcement: EndpointAnnouncement) -> bool:
         """Applies an announcement of the endpoint to its agent.
@@ -49,6 +58,7 @@
         )
         if is_restart:
             self.prefixes = PrefixHistory()
+            self.paused_until = float("-inf")
             self.slot_limit = SlotLimit(self._capped(announcement.slots))
             logger.info(
                 "endpoint_announced",
@@ -73,13 +83,37 @@
         announced = self.announced
         if announced is None or announced.state != "ready":
             return False
-        if announced.incarnation == self.dead_incarnation:
+        if announced.incarnation in (
+            self.dead_incarnation,
+            self.leaving_incarnation,
+        ):
             return False
+        now = time.monotonic()
         return (
-            time.monotonic() - self.last_announced_at
-            < ANNOUNCEMENT_TIMEOUT_SECONDS
+            now >= self.paused_until
+            and now - self.last_announced_at < ANNOUNCEMENT_TIMEOUT_SECONDS
         )
 
+    def on_response(
+        self, incarnation: str, status: int, headers: Mapping[str, str]
+    ) -> None:
+        """Reads what the endpoint says of itself in a response.
+
+        Args:
+            incarnation: The incarnation that the request was sent to.
+            status: The status of the response.
+            headers: Its headers.
+        """
+        if incarnation != self.announced.incarnation:
+            return
+        seconds = requested_pause(status, headers)
+        if seconds:
+            until = time.monotonic() + seconds
+            self.paused_until = max(self.paused_until, until)
+            logger.info("endpoint_pauses", seconds=seconds)
+        if headers.get(LEAVING_HEADER) == "1":
+            self.leaving_incarnation = incarnation
+
     def mark_dead(self) -> str:
         """Records the death of the current incarnation; returns its id."""
         self.dead_incarnation = self.announced.incarnation
--- a/packages/fleet/src/marjoramyard/fleet/agent/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/role.py
@@ -97,6 +97,7 @@
                 was_ready = not was_ready
                 logger.info("endpoint_ready", ready=was_ready)
                 self.membership.announce_now()
+                self.slot_allocator.grant_free_slots()
 
     def endpoint_routes(self) -> list[web.RouteDef]:
         """Returns the routes for the endpoint."""
--- a/packages/fleet/src/marjoramyard/fleet/gateway/endpoint_notices.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/endpoint_notices.py
@@ -1,17 +1,11 @@
 """What endpoints say of themselves in their responses."""
 
-import math
-
 import aiohttp
 
 from marjoramyard.coordination.membership.registrations import Registration
 from marjoramyard.fleet.gateway.broker_clients import BrokerClients
 from marjoramyard.fleet.gateway.view import FleetView
-from marjoramyard.kernel.logs import get_logger
-
-logger = get_logger(__name__)
-
-HTTP_UNAVAILABLE = 503
+from marjoramyard.fleet.util.pause_requests import requested_pause
 
 
 class EndpointNotices:
@@ -37,25 +31,9 @@
             endpoint: The endpoint, as registered when the request was sent.
             response: Its response.
         """
-        seconds = requested_pause(response)
+        seconds = requested_pause(response.status, response.headers)
         if seconds and self.view.record_pause(endpoint, seconds):
             self.brokers.on_pause(endpoint, seconds)
         if response.headers.get(self.leaving_header) == "1":
             if self.view.record_leaving(endpoint.endpoint, endpoint.born):
                 self.brokers.on_leaving(endpoint)
-
-
-def requested_pause(response: aiohttp.ClientResponse) -> float:
-    """Returns for how many seconds the endpoint wants no requests, or 0."""
-    if response.status != HTTP_UNAVAILABLE:
-        return 0.0
-    return parse_retry_after(response.headers.get("Retry-After", ""))
-
-
-def parse_retry_after(text: str) -> float:
-    """Decodes `Retry-After` in seconds; returns 0 if it is invalid."""
-    try:
-        seconds = float(text)
-    except ValueError:
-        return 0.0
-    return seconds if 0.0 < seconds < math.inf else 0.0
