--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
@@ -413,7 +413,7 @@
         """
         if error.timed_out and self.context.brokers.lag.is_lagging:
             return False
-        return error.outcome in (SendOutcome.NOT_SENT, SendOutcome.BROKEN)
+        return error.outcome is not SendOutcome.WITHDRAWN
 
     def _may_retry(self) -> bool:
         """Whether another send is allowed; spends no retry budget."""
@@ -447,6 +447,8 @@
                 return
             raise self._no_endpoint(self._why_unplaceable())
         self.sends += 1
+        if error.outcome is SendOutcome.REFUSED:
+            health.record_failure(now)
         if error.outcome is SendOutcome.BROKEN:
             if not error.reason.startswith("status"):
                 health.record_failure(now)
--- a/packages/fleet/tests/gateway/test_request_run.py
+++ b/packages/fleet/tests/gateway/test_request_run.py
@@ -314,3 +314,21 @@
     assert caught.value.failure.outcome == Outcome.NOT_RUN.value
     assert run.trace.unplaceable is Unplaceable.PAUSED
     assert view.health_of("e0").failures == 0
+
+
+def test_an_endpoint_that_refused_a_request_is_left_out_for_a_moment(
+    view, metrics
+):
+    """Guards against an endpoint that refuses all requests at once, and gets
+    more of them than the others because it is always idle.
+    """
+    add_endpoint(view, "e1")
+    run = make_run(view, metrics, False)
+    run.trace.sends.append("e0")
+    refused = SendFailedError(SendOutcome.REFUSED, "status 503")
+    assert run._is_endpoint_fault(refused)
+    with pytest.raises(FleetError):
+        run._on_send_failed(
+            SendPlan(view.registrations.by_endpoint["e0"]), refused
+        )
+    assert [r.endpoint for r in view.sendable("api", set())] == ["e1"]
