Take back what the broker granted and no endpoint ran

A refused send and a grant that was not used undid neither. A gateway now says that a request has not run, and the broker takes all of it back.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
@@ -308,7 +308,10 @@
             self.view.health_of(in_flight.endpoint).record_failure(
                 time.monotonic()
             )
-        broker.finish(key)
+        if message.not_run:
+            broker.take_back(key)
+        else:
+            broker.finish(key)
 
     def _submit(
         self, gateway: GatewayConnection, message: PlaceRequest
