--- a/packages/fleet/src/marjoramyard/fleet/gateway/view.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/view.py
@@ -308,6 +308,9 @@
         if held is None or held.born != endpoint.born:
             return False
         self.pauses.record(endpoint.endpoint, time.monotonic() + seconds)
+        logger.info(
+            "endpoint_pause", endpoint=endpoint.endpoint, seconds=seconds
+        )
         return True
 
     def may_send_to(self, registration: Registration) -> bool:
