Check a caller again once its endpoint's connection is established

Deadline, caller, key and lease are now looked at again right before the first byte. A request that is given up there has not run, and says so.

The new test failed before: the endpoint received the request of a caller that had left while the connection was established.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/attempts.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/attempts.py
@@ -104,7 +104,7 @@
     request: CallerRequest,
     plan: SendPlan,
     names: HeaderNames,
-    may_send: Callable[[], bool],
+    check: Callable[[], None],
     on_head: Callable[[aiohttp.ClientResponse], None],
 ) -> AsyncIterator[aiohttp.ClientResponse]:
     """Sends a request and yields the response once its head has arrived.
@@ -114,8 +114,8 @@
         request: The request.
         plan: Where and how it is sent.
         names: The header names of the dialect.
-        may_send: Whether the endpoint may still get the request; called once
-            there is a connection.
+        check: Called once there is a connection. Raises an exception if the
+            request must not be sent any more.
         on_head: Called with each response, also one that is not yielded.
 
     Leaving the context closes the connection, so an endpoint whose response was
@@ -126,11 +126,6 @@
     """
     url = URL(f"http://{plan.endpoint.address}{request.target}", encoded=True)
     headers = outgoing_headers(request, plan, names, time.monotonic())
-
-    def check() -> None:
-        if not may_send():
-            raise SendFailedError(SendOutcome.WITHDRAWN, "no longer usable")
-
     try:
         with check_before_send(check):
             response = await session.request(
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
@@ -273,6 +273,22 @@
                 )
             )
 
+    def _recheck_connected(self, endpoint: Registration) -> None:
+        """Checks everything again once there is a connection.
+
+        Raises:
+            SendFailedError: The endpoint must not get requests any more.
+            FleetError: The deadline has passed, or the key or the lease is no
+                longer valid.
+            CallerGoneError: The caller has closed its connection.
+        """
+        self.may_have_run = self.may_have_run_before
+        self._recheck_caller()
+        self._recheck_key()
+        if not self.view.may_send_to(endpoint):
+            raise SendFailedError(SendOutcome.WITHDRAWN, "no longer usable")
+        self.may_have_run = True
+
     def _least_loaded(self, candidates: list[Registration]) -> Registration:
         loads = self.context.loads
         return min(
@@ -346,7 +362,7 @@
                 self.caller,
                 plan,
                 context.names,
-                lambda: self.view.may_send_to(plan.endpoint),
+                lambda: self._recheck_connected(plan.endpoint),
                 lambda head: context.notices.read(plan.endpoint, head),
             ) as upstream:
                 if upstream.status >= 500 and self._may_retry():
--- a/packages/fleet/tests/gateway/test_request_run.py
+++ b/packages/fleet/tests/gateway/test_request_run.py
@@ -5,7 +5,10 @@
 from types import SimpleNamespace
 
 import aiohttp
+import msgspec
 import pytest
+from aiohttp import web
+from aiohttp.test_utils import TestServer
 
 from marjoramyard.coordination.membership.registrations import Registration
 from marjoramyard.coordination.placement.cold_start import GRANT_VALID_MS
@@ -33,6 +36,7 @@
 from marjoramyard.fleet.gateway.engine_load import EngineLoads
 from marjoramyard.fleet.gateway.request_run import RequestRun, RequestRunContext
 from marjoramyard.fleet.gateway.request_trace import RequestTrace, Unplaceable
+from marjoramyard.fleet.gateway.upstream import open_endpoint_session
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.fleet.sync_messages import SyncReply
 from marjoramyard.kernel.errors import FailureKind, FleetError, Outcome
@@ -299,11 +303,10 @@
     tried = []
 
     @asynccontextmanager
-    async def open_response(_session, _caller, plan, _names, may_send, _read):
+    async def open_response(_session, _caller, plan, _names, check, _read):
         tried.append(plan.endpoint.endpoint)
         paused(view, plan.endpoint.endpoint)
-        assert not may_send()
-        raise SendFailedError(SendOutcome.WITHDRAWN, "no longer usable")
+        check()
         yield
 
     with pytest.MonkeyPatch.context() as patch:
@@ -332,3 +335,42 @@
             SendPlan(view.registrations.by_endpoint["e0"]), refused
         )
     assert [r.endpoint for r in view.sendable("api", set())] == ["e1"]
+
+
+async def test_a_request_whose_caller_leaves_while_connecting_is_not_sent(
+    view, metrics
+):
+    """Guards against endpoints that work for callers that have left.
+
+    A late event loop takes long to establish a connection.
+    """
+    received = []
+
+    async def respond(request):
+        received.append(request.path)
+        return web.Response()
+
+    app = web.Application()
+    app.add_routes([web.get("/", respond)])
+    async with TestServer(app) as server, open_endpoint_session() as session:
+        registration = Registration(
+            endpoint="e0",
+            service="api",
+            address=f"{server.host}:{server.port}",
+            sequence=1,
+        )
+        view.registrations.merge(registration, 0.0)
+        run = make_run(view, metrics, True)
+        run.context = msgspec.structs.replace(run.context, session=session)
+        connect = session.connector._create_connection
+
+        async def connect_late(*arguments):
+            connection = await connect(*arguments)
+            run.delivery.caller_left = True
+            return connection
+
+        session.connector._create_connection = connect_late
+        with pytest.raises(CallerGoneError):
+            await run.run_to_completion()
+    assert received == []
+    assert not run.may_have_run
