Part the choice of an endpoint from the run of a request

SendPlanner chooses the endpoint of each send, RequestRun sends and retries; what has become of the sends so far is a typed SendProgress that both use.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
@@ -32,15 +32,13 @@
     needs_engine,
     render_failure,
 )
-from marjoramyard.fleet.gateway.request_run import (
-    RequestRun,
-    RequestRunContext,
-)
+from marjoramyard.fleet.gateway.request_run import RequestRun
 from marjoramyard.fleet.gateway.request_trace import RequestTrace
 from marjoramyard.fleet.gateway.run_failures import (
     BUSY_RETRY_SECONDS,
     deadline_failure,
 )
+from marjoramyard.fleet.gateway.send_planning import RequestRunContext
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.fleet.util.jitter import jitter
 from marjoramyard.kernel.errors import (
@@ -246,7 +244,9 @@
             async with asyncio.timeout_at(caller.deadline_at):
                 return await run.run_to_completion()
         except TimeoutError:
-            raise FleetError(deadline_failure(run.may_have_run)) from None
+            raise FleetError(
+                deadline_failure(run.progress.may_have_run)
+            ) from None
 
     def _budget(self, service: str) -> RetryBudget:
         share = (
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
@@ -1,17 +1,12 @@
-"""Runs one request: placement, sends, and retries after failed sends."""
+"""Runs one request: sends, and retries after failed sends."""
 
-import random
 import time
 from collections.abc import Iterator
 from contextlib import contextmanager
 
-import aiohttp
-import msgspec
 from aiohttp import web
 
 from marjoramyard.coordination.membership.registrations import Registration
-from marjoramyard.coordination.placement.cold_start import GRANT_VALID_MS
-from marjoramyard.coordination.placement.local_placement import place_prompt
 from marjoramyard.coordination.routing.config import Service
 from marjoramyard.coordination.serving.retries import RetryBudget
 from marjoramyard.fleet.gateway.admission import CallerRequest
@@ -21,84 +16,38 @@
     SendPlan,
     open_response,
 )
-from marjoramyard.fleet.gateway.broker_clients import BrokerClients
-from marjoramyard.fleet.gateway.broker_protocol import (
-    PlaceGrant,
-    PlaceRefusal,
-    RunningRequest,
-)
-from marjoramyard.fleet.gateway.cold_starts import ColdStarts
+from marjoramyard.fleet.gateway.broker_protocol import RunningRequest
 from marjoramyard.fleet.gateway.delivery import ResponseDelivery
-from marjoramyard.fleet.gateway.dialect import HeaderNames
-from marjoramyard.fleet.gateway.endpoint_notices import EndpointNotices
-from marjoramyard.fleet.gateway.engine_load import (
-    EngineLoads,
-    LocalRequest,
-    estimate_prefill_rate,
-)
-from marjoramyard.fleet.gateway.request_trace import (
-    PlacedBy,
-    RequestTrace,
-    Unplaceable,
-)
+from marjoramyard.fleet.gateway.engine_load import LocalRequest
+from marjoramyard.fleet.gateway.request_trace import RequestTrace
 from marjoramyard.fleet.gateway.run_failures import (
     BUSY_RETRY_SECONDS,
     attempts_failure,
     deadline_failure,
-    late_failure,
-    no_endpoint_failure,
 )
-from marjoramyard.fleet.gateway.view import FleetView
+from marjoramyard.fleet.gateway.send_planning import (
+    MAX_CONNECT_ATTEMPTS,
+    RequestRunContext,
+    SendPlanner,
+    SendProgress,
+)
 from marjoramyard.kernel.errors import (
     FailureKind,
     FleetError,
     Outcome,
     failure,
 )
-from marjoramyard.kernel.metrics import Metrics
 
-MAX_CONNECT_ATTEMPTS = 4
-"""Connection attempts per request, each to another endpoint if there is one.
-Each takes half a second at the most, and callers wait for seconds."""
 MIN_EVENTS = 8
 """Events after which the longest gap of a stream shows how its engine does."""
 
 
-class RequestRunContext(msgspec.Struct, frozen=True):
-    """State that all request runs of a gateway share.
-
-    Attributes:
-        view: The gateway's view of the fleet.
-        session: The HTTP session for requests to endpoints.
-        brokers: The clients of the services' brokers.
-        cold_starts: The limits of endpoints that have just started.
-        loads: The requests that this gateway has in flight at each engine.
-        notices: What endpoints say of themselves in their responses.
-        names: The header names of the dialect.
-        metrics: The metrics of the process.
-    """
-
-    view: FleetView
-    session: aiohttp.ClientSession
-    brokers: BrokerClients
-    cold_starts: ColdStarts
-    loads: EngineLoads
-    notices: EndpointNotices
-    names: HeaderNames
-    metrics: Metrics
-
-
 class RequestRun:
     """Sends one request, with retries, until it has a response or fails.
 
     Attributes:
-        tried: Endpoints that the request was sent to or whose grant it
-            returned.
-        sends: Failed sends that may have reached an endpoint.
-        connect_failures: Sends of which no byte reached an endpoint.
-        may_have_run: Whether an endpoint may have run the request.
-        may_have_run_before: The value of `may_have_run` before the current
-            send.
+        progress: What has become of its sends so far.
+        planner: Chooses the endpoint of each send.
     """
 
     def __init__(
@@ -117,11 +66,10 @@
         self.trace = trace
         self.service = service
         self.budget = budget
-        self.tried: set[str] = set()
-        self.sends = 0
-        self.connect_failures = 0
-        self.may_have_run = False
-        self.may_have_run_before = False
+        self.progress = SendProgress()
+        self.planner = SendPlanner(
+            context, caller, delivery, trace, service, self.progress
+        )
 
     async def run_to_completion(self) -> web.StreamResponse:
         """Sends the request until it has a response or may not be sent again.
@@ -131,104 +79,12 @@
                 request may have run.
         """
         while True:
-            candidates = self._candidates()
-            plan = await self._plan(candidates)
+            plan = await self.planner.plan()
             try:
                 return await self._send(plan)
             except SendFailedError as error:
                 self._on_send_failed(plan, error)
 
-    def _candidates(self) -> list[Registration]:
-        candidates = self.view.sendable(self.service.name, self.tried)
-        if not candidates:
-            candidates = self.view.sendable(self.service.name, set())
-            if (
-                not candidates
-                or self.sends
-                or self.connect_failures >= MAX_CONNECT_ATTEMPTS
-            ):
-                raise self._no_endpoint(self._why_unplaceable())
-        return candidates
-
-    def _why_unplaceable(self) -> Unplaceable:
-        service = self.service.name
-        if self.view.is_evacuated(service):
-            return Unplaceable.EVACUATED
-        if self.view.pause_seconds(service):
-            return Unplaceable.PAUSED
-        return Unplaceable.NONE_READY
-
-    def _no_endpoint(self, why: Unplaceable) -> FleetError:
-        self.trace.unplaceable = why
-        pause_seconds = self.view.pause_seconds(self.service.name)
-        return FleetError(
-            no_endpoint_failure(self.may_have_run, why, pause_seconds)
-        )
-
-    async def _plan(self, candidates: list[Registration]) -> SendPlan:
-        if not self.caller.parts or self.service.engine is None:
-            chosen = self._least_loaded(self._placeable(candidates))
-            self.context.cold_starts.record(self.service, chosen.endpoint)
-            return SendPlan(chosen, "", self._last_event_id())
-        client = self.context.brokers.client_for(self.service.name)
-        started_at = time.monotonic()
-        broker_number, reply = await client.place(
-            self.caller, self.service, self.tried
-        )
-        self.trace.wait_ms += (time.monotonic() - started_at) * 1000
-        if isinstance(reply, PlaceRefusal):
-            self.trace.predicted_ms = round(reply.predicted_ms)
-            raise FleetError(late_failure(reply, self.may_have_run))
-        if reply is None:
-            # Endpoints may have changed during the wait for the broker.
-            plan = self._plan_locally(self._candidates(), broker_number)
-        else:
-            age_ms = (time.monotonic() - started_at) * 1000
-            plan = self._plan_granted(reply, broker_number, age_ms)
-        self._record_placement(plan)
-        return plan
-
-    def _record_placement(self, plan: SendPlan) -> None:
-        by = PlacedBy.BROKER if plan.is_granted else PlacedBy.GATEWAY
-        self.trace.placed_by = by
-        self.context.metrics.count("placements", by=by.value)
-
-    def _plan_granted(
-        self, reply: PlaceGrant, broker_number: int, age_ms: float
-    ) -> SendPlan:
-        """Plans a send by the broker's grant, if that may still be used.
-
-        Args:
-            reply: The grant.
-            broker_number: The number of the request.
-            age_ms: The time since the grant was requested.
-        """
-        known = self.view.registrations.by_endpoint
-        registration = known.get(reply.endpoint)
-        has_expired = reply.is_cold and age_ms > GRANT_VALID_MS
-        if (
-            registration is None
-            or has_expired
-            or not self.view.may_send_to(registration)
-        ):
-            # The broker may not know yet that the endpoint is draining or
-            # pausing, or its zone evacuated.
-            self.context.brokers.client_for(self.service.name).return_grant(
-                broker_number
-            )
-            self.tried.add(reply.endpoint)
-            return self._plan_locally(self._candidates(), broker_number)
-        source = known.get(reply.fetch_from)
-        may_fetch = source is not None and self.view.may_send_to(source)
-        return SendPlan(
-            registration,
-            source.address if may_fetch else "",
-            self._last_event_id(),
-            reply.tokens,
-            broker_number,
-            True,
-        )
-
     def _recheck_caller(self) -> None:
         """Checks right before the send that the caller is still waiting.
 
@@ -240,7 +96,7 @@
             CallerGoneError: The caller has closed its connection.
         """
         if time.monotonic() >= self.caller.deadline_at:
-            raise FleetError(deadline_failure(self.may_have_run))
+            raise FleetError(deadline_failure(self.progress.may_have_run))
         if self.context.brokers.lag.is_lagging:
             self.delivery.raise_if_caller_left()
 
@@ -262,7 +118,7 @@
                 if workspace is None
                 else FailureKind.NO_LEASE
             )
-            if self.may_have_run:
+            if self.progress.may_have_run:
                 kind = FailureKind.ENDPOINT_LOST
             raise FleetError(
                 failure(
@@ -282,81 +138,28 @@
                 longer valid.
             CallerGoneError: The caller has closed its connection.
         """
-        self.may_have_run = self.may_have_run_before
+        self.progress.may_have_run = self.progress.may_have_run_before
         self._recheck_caller()
         self._recheck_key()
         if not self.view.may_send_to(endpoint):
             raise SendFailedError(SendOutcome.WITHDRAWN, "no longer usable")
-        self.may_have_run = True
-
-    def _least_loaded(self, candidates: list[Registration]) -> Registration:
-        loads = self.context.loads
-        return min(
-            candidates,
-            key=lambda registration: (
-                loads.load_of(registration.endpoint).running,
-                random.random(),
-            ),
-        )
-
-    def _placeable(self, candidates: list[Registration]) -> list[Registration]:
-        """Returns the endpoints that may be chosen without a broker."""
-        found = self.context.cold_starts.placeable(self.service, candidates)
-        if not found:
-            raise self._no_endpoint(Unplaceable.COLD)
-        return found
-
-    def _plan_locally(
-        self, candidates: list[Registration], broker_number: int
-    ) -> SendPlan:
-        """Places a prompt by this gateway's own requests in flight."""
-        candidates = self._placeable(candidates)
-        loads = self.context.loads
-        loads.rate = estimate_prefill_rate(
-            self.view.table.config, len(candidates)
-        )
-        profile = self.service.engine
-        fetch_ms = 0.0
-        if profile.link_mbps > 0:
-            fetch_ms = profile.token_bytes * 8 / profile.link_mbps / 1000
-        placement = place_prompt(
-            self.caller.parts,
-            [
-                loads.load_of(registration.endpoint)
-                for registration in candidates
-            ],
-            fetch_ms,
-        )
-        by_id = {
-            registration.endpoint: registration for registration in candidates
-        }
-        source = by_id.get(placement.fetch_from)
-        return SendPlan(
-            by_id[placement.endpoint],
-            source.address if source is not None else "",
-            self._last_event_id(),
-            placement.prefill_tokens,
-            broker_number,
-        )
+        self.progress.may_have_run = True
 
     def _workspace_name(self) -> str:
         workspace = self.caller.workspace
         return workspace.name if workspace is not None else ""
 
-    def _last_event_id(self) -> str:
-        return self.delivery.events.last_id or self.caller.last_event
-
     async def _send(self, plan: SendPlan) -> web.StreamResponse:
         context = self.context
         endpoint = plan.endpoint.endpoint
         with self._track(plan) as tracked:
             self._recheck_caller()
             self._recheck_key()
-            self.tried.add(endpoint)
+            self.progress.tried.add(endpoint)
             self.trace.sends.append(endpoint)
             self.trace.prefill_tokens += plan.prefill_tokens
-            self.may_have_run_before = self.may_have_run
-            self.may_have_run = True
+            self.progress.may_have_run_before = self.progress.may_have_run
+            self.progress.may_have_run = True
             async with open_response(
                 context.session,
                 self.caller,
@@ -439,7 +242,7 @@
         """Whether another send is allowed; spends no retry budget."""
         return (
             self.caller.may_repeat
-            and self.sends + 1 < self.caller.route.max_attempts
+            and self.progress.sends + 1 < self.caller.route.max_attempts
             and self.budget.tokens >= 1.0
         )
 
@@ -458,15 +261,15 @@
         now = time.monotonic()
         health = self.view.health_of(plan.endpoint.endpoint)
         if error.outcome is not SendOutcome.BROKEN:
-            self.may_have_run = self.may_have_run_before
+            self.progress.may_have_run = self.progress.may_have_run_before
         if error.outcome in (SendOutcome.NOT_SENT, SendOutcome.WITHDRAWN):
             if self._is_endpoint_fault(error):
                 health.record_failure(now)
-            self.connect_failures += 1
-            if self.connect_failures < MAX_CONNECT_ATTEMPTS:
+            self.progress.connect_failures += 1
+            if self.progress.connect_failures < MAX_CONNECT_ATTEMPTS:
                 return
-            raise self._no_endpoint(self._why_unplaceable())
-        self.sends += 1
+            raise self.planner.no_endpoint()
+        self.progress.sends += 1
         if error.outcome is SendOutcome.REFUSED:
             health.record_failure(now)
         if error.outcome is SendOutcome.BROKEN:
@@ -474,7 +277,7 @@
                 health.record_failure(now)
             if not self.caller.may_repeat:
                 raise self._attempts_error(error)
-        if self.sends >= self.caller.route.max_attempts:
+        if self.progress.sends >= self.caller.route.max_attempts:
             raise self._attempts_error(error)
         if not self.budget.spend():
             raise self._attempts_error(error)
@@ -482,8 +285,10 @@
     def _attempts_error(self, error: SendFailedError) -> FleetError:
         pause_seconds = self.view.pause_seconds(self.service.name)
         return FleetError(
-            attempts_failure(error, self.may_have_run, pause_seconds)
+            attempts_failure(error, self.progress.may_have_run, pause_seconds)
         )
 
     def _outcome(self) -> Outcome:
-        return Outcome.UNKNOWN if self.may_have_run else Outcome.NOT_RUN
+        return (
+            Outcome.UNKNOWN if self.progress.may_have_run else Outcome.NOT_RUN
+        )
--- /dev/null
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/send_planning.py
@@ -0,0 +1,262 @@
+"""Chooses the endpoint of each send of a request."""
+
+import random
+import time
+
+import aiohttp
+import msgspec
+
+from marjoramyard.coordination.membership.registrations import Registration
+from marjoramyard.coordination.placement.cold_start import GRANT_VALID_MS
+from marjoramyard.coordination.placement.local_placement import place_prompt
+from marjoramyard.coordination.routing.config import Service
+from marjoramyard.fleet.gateway.admission import CallerRequest
+from marjoramyard.fleet.gateway.attempts import SendPlan
+from marjoramyard.fleet.gateway.broker_clients import BrokerClients
+from marjoramyard.fleet.gateway.broker_protocol import PlaceGrant, PlaceRefusal
+from marjoramyard.fleet.gateway.cold_starts import ColdStarts
+from marjoramyard.fleet.gateway.delivery import ResponseDelivery
+from marjoramyard.fleet.gateway.dialect import HeaderNames
+from marjoramyard.fleet.gateway.endpoint_notices import EndpointNotices
+from marjoramyard.fleet.gateway.engine_load import (
+    EngineLoads,
+    estimate_prefill_rate,
+)
+from marjoramyard.fleet.gateway.request_trace import (
+    PlacedBy,
+    RequestTrace,
+    Unplaceable,
+)
+from marjoramyard.fleet.gateway.run_failures import (
+    late_failure,
+    no_endpoint_failure,
+)
+from marjoramyard.fleet.gateway.view import FleetView
+from marjoramyard.kernel.errors import FleetError
+from marjoramyard.kernel.metrics import Metrics
+
+MAX_CONNECT_ATTEMPTS = 4
+"""Connection attempts per request, each to another endpoint if there is one.
+Each takes half a second at the most, and callers wait for seconds."""
+
+
+class RequestRunContext(msgspec.Struct, frozen=True):
+    """State that all request runs of a gateway share.
+
+    Attributes:
+        view: The gateway's view of the fleet.
+        session: The HTTP session for requests to endpoints.
+        brokers: The clients of the services' brokers.
+        cold_starts: The limits of endpoints that have just started.
+        loads: The requests that this gateway has in flight at each engine.
+        notices: What endpoints say of themselves in their responses.
+        names: The header names of the dialect.
+        metrics: The metrics of the process.
+    """
+
+    view: FleetView
+    session: aiohttp.ClientSession
+    brokers: BrokerClients
+    cold_starts: ColdStarts
+    loads: EngineLoads
+    notices: EndpointNotices
+    names: HeaderNames
+    metrics: Metrics
+
+
+class SendProgress(msgspec.Struct):
+    """What has become of the sends of one request so far.
+
+    Attributes:
+        tried: Endpoints that the request was sent to or whose grant it
+            returned.
+        sends: Failed sends that may have reached an endpoint.
+        connect_failures: Sends of which no byte reached an endpoint.
+        may_have_run: Whether an endpoint may have run the request.
+        may_have_run_before: The value of `may_have_run` before the current
+            send.
+    """
+
+    tried: set[str] = set()
+    sends: int = 0
+    connect_failures: int = 0
+    may_have_run: bool = False
+    may_have_run_before: bool = False
+
+
+class SendPlanner:
+    """Chooses the endpoint of each send of one request."""
+
+    def __init__(
+        self,
+        context: RequestRunContext,
+        caller: CallerRequest,
+        delivery: ResponseDelivery,
+        trace: RequestTrace,
+        service: Service,
+        progress: SendProgress,
+    ):
+        self.context = context
+        self.view = context.view
+        self.caller = caller
+        self.delivery = delivery
+        self.trace = trace
+        self.service = service
+        self.progress = progress
+
+    def candidates(self) -> list[Registration]:
+        """Returns the endpoints that may get the request.
+
+        Raises:
+            FleetError: There is none.
+        """
+        candidates = self.view.sendable(self.service.name, self.progress.tried)
+        if not candidates:
+            candidates = self.view.sendable(self.service.name, set())
+            if (
+                not candidates
+                or self.progress.sends
+                or self.progress.connect_failures >= MAX_CONNECT_ATTEMPTS
+            ):
+                raise self.no_endpoint()
+        return candidates
+
+    def _why_unplaceable(self) -> Unplaceable:
+        service = self.service.name
+        if self.view.is_evacuated(service):
+            return Unplaceable.EVACUATED
+        if self.view.pause_seconds(service):
+            return Unplaceable.PAUSED
+        return Unplaceable.NONE_READY
+
+    def no_endpoint(self, why: Unplaceable | None = None) -> FleetError:
+        """Returns the error of a request for which there is no endpoint."""
+        why = why or self._why_unplaceable()
+        self.trace.unplaceable = why
+        pause_seconds = self.view.pause_seconds(self.service.name)
+        return FleetError(
+            no_endpoint_failure(self.progress.may_have_run, why, pause_seconds)
+        )
+
+    async def plan(self) -> SendPlan:
+        """Plans the next send.
+
+        Raises:
+            FleetError: The request can't be placed, or not in time.
+        """
+        candidates = self.candidates()
+        if not self.caller.parts or self.service.engine is None:
+            chosen = self._least_loaded(self._placeable(candidates))
+            self.context.cold_starts.record(self.service, chosen.endpoint)
+            return SendPlan(chosen, "", self._last_event_id())
+        client = self.context.brokers.client_for(self.service.name)
+        started_at = time.monotonic()
+        broker_number, reply = await client.place(
+            self.caller, self.service, self.progress.tried
+        )
+        self.trace.wait_ms += (time.monotonic() - started_at) * 1000
+        if isinstance(reply, PlaceRefusal):
+            self.trace.predicted_ms = round(reply.predicted_ms)
+            raise FleetError(late_failure(reply, self.progress.may_have_run))
+        if reply is None:
+            # Endpoints may have changed during the wait for the broker.
+            plan = self._plan_locally(self.candidates(), broker_number)
+        else:
+            age_ms = (time.monotonic() - started_at) * 1000
+            plan = self.plan_granted(reply, broker_number, age_ms)
+        self._record_placement(plan)
+        return plan
+
+    def _record_placement(self, plan: SendPlan) -> None:
+        by = PlacedBy.BROKER if plan.is_granted else PlacedBy.GATEWAY
+        self.trace.placed_by = by
+        self.context.metrics.count("placements", by=by.value)
+
+    def plan_granted(
+        self, reply: PlaceGrant, broker_number: int, age_ms: float
+    ) -> SendPlan:
+        """Plans a send by the broker's grant, if that may still be used.
+
+        Args:
+            reply: The grant.
+            broker_number: The number of the request.
+            age_ms: The time since the grant was requested.
+        """
+        known = self.view.registrations.by_endpoint
+        registration = known.get(reply.endpoint)
+        has_expired = reply.is_cold and age_ms > GRANT_VALID_MS
+        if (
+            registration is None
+            or has_expired
+            or not self.view.may_send_to(registration)
+        ):
+            # The broker may not know yet that the endpoint is draining or
+            # pausing, or its zone evacuated.
+            self.context.brokers.client_for(self.service.name).return_grant(
+                broker_number
+            )
+            self.progress.tried.add(reply.endpoint)
+            return self._plan_locally(self.candidates(), broker_number)
+        source = known.get(reply.fetch_from)
+        may_fetch = source is not None and self.view.may_send_to(source)
+        return SendPlan(
+            registration,
+            source.address if may_fetch else "",
+            self._last_event_id(),
+            reply.tokens,
+            broker_number,
+            True,
+        )
+
+    def _least_loaded(self, candidates: list[Registration]) -> Registration:
+        loads = self.context.loads
+        return min(
+            candidates,
+            key=lambda registration: (
+                loads.load_of(registration.endpoint).running,
+                random.random(),
+            ),
+        )
+
+    def _placeable(self, candidates: list[Registration]) -> list[Registration]:
+        """Returns the endpoints that may be chosen without a broker."""
+        found = self.context.cold_starts.placeable(self.service, candidates)
+        if not found:
+            raise self.no_endpoint(Unplaceable.COLD)
+        return found
+
+    def _plan_locally(
+        self, candidates: list[Registration], broker_number: int
+    ) -> SendPlan:
+        """Places a prompt by this gateway's own requests in flight."""
+        candidates = self._placeable(candidates)
+        loads = self.context.loads
+        loads.rate = estimate_prefill_rate(
+            self.view.table.config, len(candidates)
+        )
+        profile = self.service.engine
+        fetch_ms = 0.0
+        if profile.link_mbps > 0:
+            fetch_ms = profile.token_bytes * 8 / profile.link_mbps / 1000
+        placement = place_prompt(
+            self.caller.parts,
+            [
+                loads.load_of(registration.endpoint)
+                for registration in candidates
+            ],
+            fetch_ms,
+        )
+        by_id = {
+            registration.endpoint: registration for registration in candidates
+        }
+        source = by_id.get(placement.fetch_from)
+        return SendPlan(
+            by_id[placement.endpoint],
+            source.address if source is not None else "",
+            self._last_event_id(),
+            placement.prefill_tokens,
+            broker_number,
+        )
+
+    def _last_event_id(self) -> str:
+        return self.delivery.events.last_id or self.caller.last_event
--- a/packages/fleet/tests/gateway/test_request_run.py
+++ b/packages/fleet/tests/gateway/test_request_run.py
@@ -34,8 +34,9 @@
 from marjoramyard.fleet.gateway.dialect import GATEWAY_DIALECTS, HeaderNames
 from marjoramyard.fleet.gateway.endpoint_notices import EndpointNotices
 from marjoramyard.fleet.gateway.engine_load import EngineLoads
-from marjoramyard.fleet.gateway.request_run import RequestRun, RequestRunContext
+from marjoramyard.fleet.gateway.request_run import RequestRun
 from marjoramyard.fleet.gateway.request_trace import RequestTrace, Unplaceable
+from marjoramyard.fleet.gateway.send_planning import RequestRunContext
 from marjoramyard.fleet.gateway.upstream import open_endpoint_session
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.fleet.sync_messages import SyncReply
@@ -196,13 +197,13 @@
     client = SimpleNamespace(return_grant=returned.append)
     run = make_run(view, metrics, False)
     run.context.brokers.client_for = lambda _: client
-    run.service = Service("api", engine=EngineProfile(slots=1))
+    run.planner.service = Service("api", engine=EngineProfile(slots=1))
     grant = PlaceGrant(1, "e0", is_cold=is_cold)
-    assert run._plan_granted(grant, 7, GRANT_VALID_MS).is_granted
+    assert run.planner.plan_granted(grant, 7, GRANT_VALID_MS).is_granted
     if not is_cold:
-        assert run._plan_granted(grant, 7, GRANT_VALID_MS + 1).is_granted
+        assert run.planner.plan_granted(grant, 7, GRANT_VALID_MS + 1).is_granted
         return
-    plan = run._plan_granted(grant, 7, GRANT_VALID_MS + 1)
+    plan = run.planner.plan_granted(grant, 7, GRANT_VALID_MS + 1)
     assert not plan.is_granted
     assert returned == [7]
 
@@ -233,11 +234,11 @@
     paused(view, "e0")
     returned = []
     run = make_run(view, metrics, False)
-    run.service = Service("api", engine=EngineProfile(slots=1))
+    run.planner.service = Service("api", engine=EngineProfile(slots=1))
     run.context.brokers.client_for = lambda _: SimpleNamespace(
         return_grant=returned.append
     )
-    plan = run._plan_granted(PlaceGrant(1, "e0"), 7, 1.0)
+    plan = run.planner.plan_granted(PlaceGrant(1, "e0"), 7, 1.0)
     assert plan.endpoint.endpoint == "e1"
     assert returned == [7]
 
@@ -247,9 +248,9 @@
     add_endpoint(view, "e1")
     run = make_run(view, metrics, False)
     grant = PlaceGrant(1, "e1", fetch_from="e0")
-    assert run._plan_granted(grant, 7, 1.0).fetch_from == "127.0.0.1:1"
+    assert run.planner.plan_granted(grant, 7, 1.0).fetch_from == "127.0.0.1:1"
     paused(view, "e0")
-    assert run._plan_granted(grant, 7, 1.0).fetch_from == ""
+    assert run.planner.plan_granted(grant, 7, 1.0).fetch_from == ""
 
 
 async def test_endpoints_may_pause_during_the_wait_for_the_broker(
@@ -264,10 +265,10 @@
 
     run = make_run(view, metrics, False)
     run.caller.parts = (PromptPart("own", 10),)
-    run.service = Service("api", engine=EngineProfile(slots=1))
+    run.planner.service = Service("api", engine=EngineProfile(slots=1))
     run.context.brokers.client_for = lambda _: SimpleNamespace(place=place)
     for _ in range(8):
-        plan = await run._plan(run._candidates())
+        plan = await run.planner.plan()
         assert plan.endpoint.endpoint == "e1"
 
 
@@ -373,4 +374,4 @@
         with pytest.raises(CallerGoneError):
             await run.run_to_completion()
     assert received == []
-    assert not run.may_have_run
+    assert not run.progress.may_have_run
