Tell gateways of a leaving endpoint that the broker's own gateway has seen

The gateway of the host that brokers shares its view with the broker. What it had read was no news to the broker, which told nobody. The broker keeps now of whom it has told. The new test failed before: the other gateway was told nothing.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
@@ -71,6 +71,8 @@
         usable: The last list of usable endpoints of each service.
         dispatch_scheduled: Whether a dispatch is scheduled on the event loop.
         serves_majority: Whether most gateways of the fleet are connected.
+        told_leaving: The start of the lifetime of each endpoint of which the
+            gateways were told that it leaves.
     """
 
     def __init__(
@@ -88,6 +90,7 @@
         self.usable: dict[str, list[Registration]] = {}
         self.dispatch_scheduled = False
         self.serves_majority = False
+        self.told_leaving: dict[str, int] = {}
 
     async def serve(self, request: web.Request) -> web.WebSocketResponse:
         """Handles the WebSocket connection of a gateway until it closes."""
@@ -272,9 +275,18 @@
         A gateway that forwards requests passes on the endpoint's response too,
         without reading it.
         """
-        if self.view.record_leaving(message.endpoint, message.born):
-            for gateway in self.gateways.values():
-                self._tell_leaving(gateway, [message])
+        self.view.record_leaving(message.endpoint, message.born)
+        if self.told_leaving.get(message.endpoint) == message.born:
+            return
+        known = self.view.leaving
+        self.told_leaving = {
+            endpoint: born
+            for endpoint, born in self.told_leaving.items()
+            if known.get(endpoint) == born
+        }
+        self.told_leaving[message.endpoint] = message.born
+        for gateway in self.gateways.values():
+            self._tell_leaving(gateway, [message])
 
     def _known_leaving(self) -> list[EndpointLeaving]:
         return [
--- a/packages/fleet/tests/gateway/test_broker_server.py
+++ b/packages/fleet/tests/gateway/test_broker_server.py
@@ -220,6 +220,22 @@
             assert await receive_leaving(later) == leaving
 
 
+async def test_gateways_learn_what_the_broker_s_own_gateway_has_read():
+    """Guards against a notice that stays at the host that brokers, whose
+    gateway and broker share one view.
+    """
+    view = view_of_one_engine()
+    server = BrokerServer(view, ColdStarts(view, 1.5, 5.0), NO_CACHE_LISTS)
+    socket = SimpleNamespace(closed=True, ws_protocol=NOTICE_PROTOCOL)
+    other = GatewayConnection(1, socket)
+    server.gateways[1] = other
+    view.record_leaving("e0", 0)
+    notice = EndpointLeaving("llm", "e0", 0)
+    for _ in range(2):
+        server._on_message(other, notice)
+    assert other.outbox == [notice]
+
+
 async def receive_peers(socket, expected):
     async with asyncio.timeout(10):
         async for frame in socket:
