Don't take back a request that runs without a grant

A grant that arrives after its request was placed without the broker is ended; since grants are taken back the workspace would not have been charged for the request that runs. Seen by reading; the new test failed before in that case.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_client.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_client.py
@@ -241,7 +241,8 @@
             pending.future.set_result(message)
         elif isinstance(message, PlaceGrant):
             # The caller disconnected, or the request was placed locally.
-            self._send(Finished(message.number, not_run=True))
+            is_placed = message.number in self.running
+            self._send(Finished(message.number, not_run=not is_placed))
 
     def _release_pending(self) -> None:
         """Lets pending requests proceed without a broker."""
