--- a/packages/coordination/src/marjoramyard/coordination/placement/broker.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/broker.py
@@ -264,7 +264,7 @@
             self.enqueue(queued)
         return results
 
-    def take_back(self, key: str) -> None:
+    def undo_grant(self, key: str) -> None:
         """Removes a request that its engine refused or never got.
 
         Unlike `finish`, it leaves no trace: the engine has not cached its
--- a/packages/coordination/tests/placement/test_refusing_engines.py
+++ b/packages/coordination/tests/placement/test_refusing_engines.py
@@ -28,7 +28,7 @@
     """Guards against an engine that counts as having cached what it refused."""
     broker = make_broker(2)
     refused = grant_next(broker, "1")
-    broker.take_back(refused.key)
+    broker.undo_grant(refused.key)
     excluded = frozenset({refused.endpoint})
     served = grant_next(broker, "2", excluded_endpoints=excluded)
     broker.record_first_token(served.key, 200.0)
@@ -45,7 +45,7 @@
     so served less than its share.
     """
     broker = make_broker(1)
-    broker.take_back(grant_next(broker, "1").key)
+    broker.undo_grant(grant_next(broker, "1").key)
     engine = broker.engines["e0"]
     assert broker.virtual_time["w"] == 0.0
     assert (engine.running, engine.prefill_tokens) == (0, 0.0)
@@ -59,7 +59,7 @@
     served = grant_next(broker, "1")
     broker.record_first_token(served.key, 200.0)
     broker.finish(served.key)
-    broker.take_back(grant_next(broker, "2", now=200.0).key)
+    broker.undo_grant(grant_next(broker, "2", now=200.0).key)
     cached = broker.engines["e0"].prefix_cache.parts
     assert "shared" in cached
     assert "own-2" not in cached
@@ -67,5 +67,5 @@
 
 def test_an_unknown_request_is_not_taken_back():
     broker = make_broker(1)
-    broker.take_back("unknown")
+    broker.undo_grant("unknown")
     assert broker.virtual_time == {}
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
@@ -71,8 +71,8 @@
         usable: The last list of usable endpoints of each service.
         dispatch_scheduled: Whether a dispatch is scheduled on the event loop.
         serves_majority: Whether most gateways of the fleet are connected.
-        told_leaving: The start of the lifetime of each endpoint of which the
-            gateways were told that it leaves.
+        announced_leaving: The endpoints of which the gateways were told that
+            they leave, with the start of their lifetime.
     """
 
     def __init__(
@@ -90,7 +90,7 @@
         self.usable: dict[str, list[Registration]] = {}
         self.dispatch_scheduled = False
         self.serves_majority = False
-        self.told_leaving: dict[str, int] = {}
+        self.announced_leaving: dict[str, int] = {}
 
     async def serve(self, request: web.Request) -> web.WebSocketResponse:
         """Handles the WebSocket connection of a gateway until it closes."""
@@ -106,7 +106,7 @@
             request.query.get(FORWARDING_PARAMETER, ""),
         )
         self.gateways[gateway.number] = gateway
-        self._tell_leaving(gateway, self._known_leaving())
+        self._announce_leaving(gateway, self._known_leaving())
         try:
             async for frame in socket:
                 if frame.type is aiohttp.WSMsgType.TEXT:
@@ -276,17 +276,17 @@
         without reading it.
         """
         self.view.record_leaving(message.endpoint, message.born)
-        if self.told_leaving.get(message.endpoint) == message.born:
+        if self.announced_leaving.get(message.endpoint) == message.born:
             return
         known = self.view.leaving
-        self.told_leaving = {
+        self.announced_leaving = {
             endpoint: born
-            for endpoint, born in self.told_leaving.items()
+            for endpoint, born in self.announced_leaving.items()
             if known.get(endpoint) == born
         }
-        self.told_leaving[message.endpoint] = message.born
+        self.announced_leaving[message.endpoint] = message.born
         for gateway in self.gateways.values():
-            self._tell_leaving(gateway, [message])
+            self._announce_leaving(gateway, [message])
 
     def _known_leaving(self) -> list[EndpointLeaving]:
         return [
@@ -296,7 +296,7 @@
         ]
 
     @staticmethod
-    def _tell_leaving(
+    def _announce_leaving(
         gateway: GatewayConnection, notices: list[EndpointLeaving]
     ) -> None:
         """Queues notices for a gateway, unless it is of an earlier release."""
@@ -321,7 +321,7 @@
                 time.monotonic()
             )
         if message.not_run:
-            broker.take_back(key)
+            broker.undo_grant(key)
         else:
             broker.finish(key)
 
--- a/packages/standin/src/marjoramyard/standin/experiment/simulation.py
+++ b/packages/standin/src/marjoramyard/standin/experiment/simulation.py
@@ -260,14 +260,14 @@
         engine_request = attempt.engine_request
         if self.shedding.is_paused(gateway, engine.name, self.loop.now):
             self.usage.returned_grants += 1
-            self._take_back(attempt)
+            self._undo_grant(attempt)
             self._submit_again(attempt, engine.name)
             return
         self.loop.after(
             delay, lambda: self._arrive(attempt, engine_request, engine)
         )
 
-    def _take_back(self, attempt: Attempt) -> None:
+    def _undo_grant(self, attempt: Attempt) -> None:
         """Tells the broker that an attempt is not at its engine."""
         self.by_engine_request.pop(id(attempt.engine_request), None)
         attempt.engine_request = None
@@ -337,7 +337,7 @@
             )
         if attempt.is_over:
             return
-        self._take_back(attempt)
+        self._undo_grant(attempt)
         attempt.sends += 1
         if attempt.sends < MAX_SENDS:
             self._submit_again(attempt, engine.name)
