--- a/packages/coordination/src/marjoramyard/coordination/placement/broker.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/broker.py
@@ -264,21 +264,6 @@
             self.enqueue(queued)
         return results
 
-    def undo_grant(self, key: str) -> None:
-        """Removes a request that its engine refused or never got.
-
-        Unlike `finish`, it leaves no trace: the engine has not cached its
-        prompt, and its workspace is not charged.
-        """
-        request = self.in_flight.get(key)
-        if request is None:
-            return
-        self.finish(key)
-        self.charge(request.workspace, -request.cost)
-        engine = self.engines.get(request.endpoint)
-        if engine is not None:
-            engine.prefix_cache.discard(request.new_parts)
-
     def _max_backlog_ms(self) -> float:
         queued_tokens = sum(queue.tokens for queue in self.queues.values())
         return self.backlog_limit.for_queue(
@@ -326,13 +311,11 @@
             memory_tokens,
             now,
             router=request.router,
-            workspace=request.workspace,
-            cost=service_cost(plan.prefill_tokens, request.output_tokens),
-            new_parts=engine.prefix_cache.missing(request.parts),
         )
         self.add_in_flight(engine, request.key, in_flight)
         engine.prefix_cache.add(request.parts)
-        self.charge(request.workspace, in_flight.cost)
+        cost = service_cost(plan.prefill_tokens, request.output_tokens)
+        self.charge(request.workspace, cost)
         return PlacementGrant(
             request.key,
             engine.endpoint,
--- a/packages/coordination/src/marjoramyard/coordination/placement/engines.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/engines.py
@@ -44,9 +44,6 @@
             may be removed from it before its first token is reported.
         router: The router that sends the request (a gateway).
         expected_first_token_at: When the first token is expected, in ms.
-        workspace: The workspace that was charged.
-        cost: What it was charged, in prefill tokens.
-        new_parts: Prompt parts that the engine had not cached before.
     """
 
     endpoint: str
@@ -56,9 +53,6 @@
     is_prefilling: bool = True
     router: str = ""
     expected_first_token_at: float = 0.0
-    workspace: str = ""
-    cost: float = 0.0
-    new_parts: tuple[str, ...] = ()
 
 
 class Engine:
--- a/packages/coordination/src/marjoramyard/coordination/placement/prefix_cache.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/prefix_cache.py
@@ -59,20 +59,6 @@
             self.tokens += part.tokens - old_tokens
         self.evict_to(self.capacity)
 
-    def missing(self, parts: Iterable[PromptPart]) -> tuple[str, ...]:
-        """Returns the digests of the parts of a prompt that are not cached."""
-        return tuple(
-            part.digest for part in parts if part.digest not in self.parts
-        )
-
-    def discard(self, digests: Iterable[str]) -> None:
-        """Removes parts that the engine did not get."""
-        for digest in digests:
-            tokens = self.parts.pop(digest, None)
-            if tokens is not None:
-                self.index.remove(digest, self.endpoint)
-                self.tokens -= tokens
-
     def evict_to(self, capacity: float) -> None:
         """Evicts the least recently used parts until `capacity` is met.
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_client.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_client.py
@@ -241,8 +241,7 @@
             pending.future.set_result(message)
         elif isinstance(message, PlaceGrant):
             # The caller disconnected, or the request was placed locally.
-            is_placed = message.number in self.running
-            self._send(Finished(message.number, not_run=not is_placed))
+            self._send(Finished(message.number))
 
     def _release_pending(self) -> None:
         """Lets pending requests proceed without a broker."""
@@ -377,7 +376,7 @@
 
     def return_grant(self, number: int) -> None:
         """Tells the broker that a grant is not used."""
-        self._send(Finished(number, not_run=True))
+        self._send(Finished(number))
 
     def on_first_token(self, number: int) -> None:
         """Reports the first token of a request to the broker."""
@@ -387,11 +386,7 @@
             self._send(FirstToken(number, self.lag.is_lagging))
 
     def on_finished(
-        self,
-        number: int,
-        failed: bool,
-        gap_ratio: float = 0.0,
-        not_run: bool = False,
+        self, number: int, failed: bool, gap_ratio: float = 0.0
     ) -> None:
         """Reports that a request is no longer at its endpoint.
 
@@ -399,13 +394,12 @@
             number: The request's number.
             failed: Whether the endpoint failed to respond.
             gap_ratio: See `Finished`.
-            not_run: Whether the endpoint refused the request or never got it.
         """
         if self.lag.is_lagging:
             # This gateway may have caused the gap.
             gap_ratio = 0.0
         if self.running.pop(number, None) is not None:
-            self._send(Finished(number, failed, gap_ratio, not_run))
+            self._send(Finished(number, failed, gap_ratio))
 
 
 def _log_send_failure(task: asyncio.Future) -> None:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_protocol.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_protocol.py
@@ -87,13 +87,11 @@
         failed: The endpoint failed to respond.
         gap_ratio: The longest gap between two events of its stream, relative to
             the objective for it; 0.0 if unknown.
-        not_run: The endpoint refused the request, or never got it.
     """
 
     number: int
     failed: bool = False
     gap_ratio: float = 0.0
-    not_run: bool = False
 
 
 class RunningRequest(msgspec.Struct, tag="running"):
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
@@ -320,10 +320,7 @@
             self.view.health_of(in_flight.endpoint).record_failure(
                 time.monotonic()
             )
-        if message.not_run:
-            broker.undo_grant(key)
-        else:
-            broker.finish(key)
+        broker.finish(key)
 
     def _submit(
         self, gateway: GatewayConnection, message: PlaceRequest
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
@@ -183,7 +183,7 @@
         """Counts a send in the local load and at the broker while it lasts."""
         endpoint = plan.endpoint.endpoint
         client = None
-        failed = not_run = False
+        failed = False
         if plan.broker_number:
             client = self.context.brokers.client_for(self.service.name)
             running = RunningRequest(
@@ -207,15 +207,11 @@
                 yield tracked
         except SendFailedError as error:
             failed = self._is_endpoint_fault(error)
-            not_run = error.outcome in (
-                SendOutcome.NOT_SENT,
-                SendOutcome.REFUSED,
-            )
             raise
         finally:
             if client is not None:
                 client.on_finished(
-                    plan.broker_number, failed, self._gap_ratio(), not_run
+                    plan.broker_number, failed, self._gap_ratio()
                 )
 
     def _gap_ratio(self) -> float:
