--- a/packages/fleet/src/marjoramyard/fleet/agent/endpoint.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/endpoint.py
@@ -14,7 +14,7 @@
 
 logger = get_logger(__name__)
 
-LEAVING_HEADER = "Server-Leaving"
+LEAVING_HEADER = "Endpoint-Leaving"
 ANNOUNCEMENT_TIMEOUT_SECONDS = 6.0
 """Time without an announcement after which an endpoint is not ready."""
 _PROBE_TIMEOUT_SECONDS = 1.0
--- a/packages/fleet/src/marjoramyard/fleet/gateway/dialect.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/dialect.py
@@ -36,7 +36,7 @@
     workspace: str = "Workspace"
     target: str = "Target-Endpoint"
     not_run: str = "Not-Run"
-    leaving: str = "Server-Leaving"
+    leaving: str = "Endpoint-Leaving"
     signature: str = "Answer-Signature"
     prompt_parts: str = "Prompt-Parts"
     token_counts: str = "Token-Counts"
--- a/packages/fleet/tests/agent/test_endpoint.py
+++ b/packages/fleet/tests/agent/test_endpoint.py
@@ -6,7 +6,7 @@
 from marjoramyard.fleet.messages import EndpointAnnouncement
 
 PAUSE = {"Retry-After": "60"}
-LEAVING = {"Server-Leaving": "1"}
+LEAVING = {"Endpoint-Leaving": "1"}
 
 
 def announcement(incarnation):
--- a/packages/fleet/tests/gateway/request_runs.py
+++ b/packages/fleet/tests/gateway/request_runs.py
@@ -97,7 +97,7 @@
         brokers,
         ColdStarts(view, 1.5, 5.0),
         EngineLoads(),
-        EndpointNotices(view, brokers, "Server-Leaving"),
+        EndpointNotices(view, brokers, "Endpoint-Leaving"),
         HeaderNames(),
         metrics,
     )
--- a/packages/fleet/tests/gateway/test_cache_lists.py
+++ b/packages/fleet/tests/gateway/test_cache_lists.py
@@ -78,7 +78,7 @@
         dialect = GATEWAY_DIALECTS.get("native")
         view = FleetView(dialect, 5.0)
         brokers = SimpleNamespace(on_pause=lambda *_: None)
-        notices = EndpointNotices(view, brokers, "Server-Leaving")
+        notices = EndpointNotices(view, brokers, "Endpoint-Leaving")
         yield CacheLists(session, Tasks(), dialect.cache_list, view, notices)
 
 
--- a/packages/fleet/tests/gateway/test_endpoint_notices.py
+++ b/packages/fleet/tests/gateway/test_endpoint_notices.py
@@ -18,10 +18,10 @@
     )
     brokers = SimpleNamespace(on_leaving=told.append)
     endpoint = Registration(endpoint="e0", service="api", address="", born=3)
-    notices = EndpointNotices(view, brokers, "Server-Leaving")
+    notices = EndpointNotices(view, brokers, "Endpoint-Leaving")
     notices.read(
         endpoint,
-        SimpleNamespace(status=status, headers={"Server-Leaving": value}),
+        SimpleNamespace(status=status, headers={"Endpoint-Leaving": value}),
     )
     assert recorded == ([("e0", 3)] if leaves else [])
     assert told == ([endpoint] if leaves else [])
--- a/packages/fleet/tests/gateway/test_request_handler.py
+++ b/packages/fleet/tests/gateway/test_request_handler.py
@@ -54,7 +54,7 @@
         stopping=asyncio.Event(),
     )
     brokers = SimpleNamespace(lag=SimpleNamespace(on_wake_up=[]))
-    notices = EndpointNotices(view, brokers, "Server-Leaving")
+    notices = EndpointNotices(view, brokers, "Endpoint-Leaving")
     instance = RequestHandler(
         view, None, brokers, ColdStarts(view, 1.5, 5.0), notices, app
     )
--- a/tests/platform/test_gateway_dialect.py
+++ b/tests/platform/test_gateway_dialect.py
@@ -4,7 +4,7 @@
 import pytest
 
 from marjoramyard.coordination.routing.table import PromptPart
-from marjoramyard.platform.gateway_dialect import read_cache_list
+from marjoramyard.platform.gateway_dialect import HEADERS, read_cache_list
 
 
 def test_the_cached_parts_of_an_engine_are_read():
@@ -16,3 +16,8 @@
 def test_a_faulty_list_is_refused(body):
     with pytest.raises(msgspec.DecodeError):
         read_cache_list(body)
+
+
+def test_the_header_of_leaving_engines_is_the_platform_s():
+    """Guards against notices of leaving engines that are not read."""
+    assert HEADERS.leaving == "Server-Leaving"
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -95,7 +95,7 @@
         self.record.attempts.append(attempt)
         headers = {"Request-Id": call_id}
         if attempt.said_leaving:
-            headers["Server-Leaving"] = "1"
+            headers["Endpoint-Leaving"] = "1"
         if attempt.pause_seconds:
             headers |= {
                 "Not-Run": "1",
--- a/tests/test_endpoint_pauses.py
+++ b/tests/test_endpoint_pauses.py
@@ -47,7 +47,7 @@
         self.arrivals.append(time.monotonic())
         headers = self.response_headers(request)
         if self.leaves:
-            headers["Server-Leaving"] = "1"
+            headers["Endpoint-Leaving"] = "1"
         self.responses.append(time.monotonic())
         if self.pauses:
             del headers["Answer-Signature"]
