Log which requests are the same when a response breaks off

Change: the line of a request whose response broke off has its fingerprint: a digest of workspace, method, host, path with query, and body. Entries computed one already; both use one function now.

--- a/packages/fleet/src/marjoramyard/fleet/entry/requests.py
+++ b/packages/fleet/src/marjoramyard/fleet/entry/requests.py
@@ -1,6 +1,5 @@
 """A caller's request after its admission."""
 
-import hashlib
 import time
 from dataclasses import dataclass, field
 
@@ -11,6 +10,10 @@
     Service,
     Workspace,
 )
+from marjoramyard.coordination.serving.fingerprints import (
+    body_digest,
+    request_fingerprint,
+)
 from marjoramyard.coordination.serving.prefixes import prefix_digest
 from marjoramyard.coordination.serving.request_queues import RequestClass
 from marjoramyard.fleet.messages import CallTicket
@@ -70,17 +73,14 @@
     @property
     def body_digest(self) -> str:
         """The digest of method, service, path and body, for the ledger."""
-        state = hashlib.sha256()
-        for part in (self.http.method, self.service_id, self.path):
-            state.update(part.encode() + b"\0")
-        state.update(self.body)
-        return state.hexdigest()
+        return body_digest(
+            self.http.method, self.service_id, self.path, self.body
+        )
 
     @property
     def fingerprint(self) -> Fingerprint:
         """Identifies the workspace's request, also when it is resent."""
-        text = f"{self.workspace_id}\0{self.body_digest}"
-        return Fingerprint(hashlib.sha256(text.encode()).hexdigest()[:32])
+        return request_fingerprint(self.workspace_id, self.body_digest)
 
     def seconds_left(self) -> float:
         """Returns the seconds until the deadline."""
--- a/packages/fleet/src/marjoramyard/fleet/gateway/admission.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/admission.py
@@ -12,10 +12,15 @@
     RouteTable,
     parse_prompt_parts,
 )
+from marjoramyard.coordination.serving.fingerprints import (
+    body_digest,
+    request_fingerprint,
+)
 from marjoramyard.fleet.gateway.dialect import HeaderNames
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.fleet.util.headers import Headers, end_to_end
 from marjoramyard.kernel.errors import FailureKind, raise_failure
+from marjoramyard.kernel.ids import Fingerprint
 
 NO_CONFIG_RETRY_SECONDS = 0.5
 """`Retry-After` while the gateway has no configuration yet. It gets one within
@@ -66,6 +71,16 @@
         """Whether the request may be sent again after it may have run."""
         return self.route.may_repeat
 
+    @property
+    def fingerprint(self) -> Fingerprint:
+        """Identifies the workspace's request, also when it is sent again."""
+        return request_fingerprint(
+            self.workspace.name if self.workspace is not None else "",
+            body_digest(
+                self.method, self.route.hostname, self.target, self.body
+            ),
+        )
+
     @property
     def unshared_memory_tokens(self) -> float:
         """Tokens of engine memory needed beside shared prompt parts."""
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
@@ -208,6 +208,7 @@
             ),
             config=self.view.version,
             sends=trace.sends,
+            fingerprint=caller.fingerprint if trace.has_broken else None,
             placed_by=trace.placed_by.value if trace.placed_by else None,
             wait_ms=round(trace.wait_ms),
             predicted_ms=trace.predicted_ms,
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
@@ -270,6 +270,7 @@
             health.record_failure(now)
         if error.outcome is SendOutcome.BROKEN:
             if not error.reason.startswith("status"):
+                self.trace.has_broken = True
                 health.record_failure(now)
             if not self.caller.may_repeat:
                 raise self._attempts_error(error)
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_trace.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_trace.py
@@ -36,6 +36,7 @@
         prefill_tokens: Prompt tokens that the sends were expected to prefill.
         predicted_ms: The broker's prediction for a refused request.
         unplaceable: Why no endpoint could be chosen, if so.
+        has_broken: Whether the response of an endpoint broke off.
     """
 
     sends: list[str] = []
@@ -44,3 +45,4 @@
     prefill_tokens: float = 0.0
     predicted_ms: int | None = None
     unplaceable: Unplaceable | None = None
+    has_broken: bool = False
