--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -15,6 +15,7 @@
 TIMEOUT_SECONDS = 30.0
 API_KEY = "key-of-shop-1234"
 LOG_LINES_PRINTED = 20
+CACHED_PARTS_PATH = "/cached-parts"
 
 
 async def wait_until(check, seconds=TIMEOUT_SECONDS):
@@ -49,6 +50,8 @@
         self.sequence = itertools.count(1)
 
     async def handle(self, request):
+        if request.path == CACHED_PARTS_PATH:
+            return web.json_response([])
         body = await request.read()
         self.requests.append(
             (request.headers["Request-Id"], request.headers, body)
--- a/tests/test_endpoint_pauses.py
+++ b/tests/test_endpoint_pauses.py
@@ -17,7 +17,6 @@
 LEAVING_NOTICE_SECONDS = 2.0
 """How long after it said that it leaves an endpoint may still get requests."""
 CALLERS = 8
-CACHED_PARTS_PATH = "/cached-parts"
 
 
 class ObservedEndpoint(FakeEndpoint):
@@ -38,11 +37,6 @@
         self.responses = []
         self.respond = self.respond_and_record
 
-    async def handle(self, request):
-        if request.path == CACHED_PARTS_PATH:
-            return web.json_response([])
-        return await super().handle(request)
-
     async def respond_and_record(self, request):
         self.arrivals.append(time.monotonic())
         headers = self.response_headers(request)
