--- a/packages/coordination/src/marjoramyard/coordination/governance/bundle.py
+++ b/packages/coordination/src/marjoramyard/coordination/governance/bundle.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from marjoramyard.coordination.fairness.scheduler import FairnessPolicy
+from marjoramyard.coordination.governance.suspects import QUARANTINE_SECONDS
 from marjoramyard.coordination.serving.request_queues import RequestClass
 from marjoramyard.kernel.util.canonical import canonical_bytes, digest
 
@@ -93,7 +94,7 @@
     credit_limit: float = 1_000_000.0
     retry_ratio: float = 0.1
     retry_burst: float = 10.0
-    quarantine_seconds: float = 600.0
+    quarantine_seconds: float = QUARANTINE_SECONDS
     ledger_capacity: int = 100_000
 
     def fairness(self) -> FairnessPolicy:
--- a/packages/coordination/src/marjoramyard/coordination/governance/commands.py
+++ b/packages/coordination/src/marjoramyard/coordination/governance/commands.py
@@ -11,6 +11,7 @@
     ChangeRecord,
 )
 from marjoramyard.coordination.governance.orders import Order
+from marjoramyard.coordination.governance.suspects import EndedRun
 from marjoramyard.kernel.errors import Failure
 
 
@@ -70,11 +71,21 @@
 
 
 class ReportDeath(msgspec.Struct, tag="report-death", frozen=True):
-    """Reports that an endpoint died while requests were running on it."""
+    """Reports that an endpoint died while requests were running on it.
+
+    Attributes:
+        death_id: Identifies the death in all reports of it.
+        fingerprints: The requests, in reports of the first release, which
+            tell no more of them.
+        runs: The requests.
+        seconds_ago: How long before the report the endpoint died.
+    """
 
     death_id: str
-    fingerprints: list[str]
+    fingerprints: list[str] = []
     at: float = 0.0
+    runs: list[EndedRun] = []
+    seconds_ago: float = 0.0
 
 
 class HoldSuspect(msgspec.Struct, tag="hold-suspect", frozen=True):
@@ -94,6 +105,19 @@
     at: float = 0.0
 
 
+class ClearSuspects(msgspec.Struct, tag="clear-suspects", frozen=True):
+    """Ends the suspicion and the quarantine of requests.
+
+    Attributes:
+        fingerprints: The requests.
+        cleared_by: The gateway where they completed, or the operator.
+    """
+
+    fingerprints: list[str]
+    cleared_by: str
+    at: float = 0.0
+
+
 class IssueOrder(msgspec.Struct, tag="issue-order", frozen=True):
     """Issues an operator's order to an endpoint."""
 
@@ -147,6 +171,7 @@
     | ReportDeath
     | HoldSuspect
     | ReleaseSuspect
+    | ClearSuspects
     | IssueOrder
     | AcceptConfig
     | ChangeZone
--- a/packages/coordination/src/marjoramyard/coordination/governance/state.py
+++ b/packages/coordination/src/marjoramyard/coordination/governance/state.py
@@ -11,6 +11,7 @@
     Approve,
     CancelCall,
     ChangeZone,
+    ClearSuspects,
     Command,
     ConfigDocument,
     FinishCall,
@@ -34,7 +35,11 @@
     LifecycleState,
 )
 from marjoramyard.coordination.governance.orders import Order
-from marjoramyard.coordination.governance.suspects import Suspect, Suspects
+from marjoramyard.coordination.governance.suspects import (
+    EndedRun,
+    Suspect,
+    Suspects,
+)
 from marjoramyard.kernel.errors import Failure
 from marjoramyard.kernel.registry import Registry
 
@@ -51,6 +56,7 @@
     calls: dict[str, LedgerEntry] = {}
     suspects: dict[str, Suspect] = {}
     deaths: list[str] = []
+    suspects_revision: int = 0
     orders: dict[str, Order] = {}
     last_order: int = 0
     config: ConfigDocument | None = None
@@ -70,7 +76,9 @@
         self.now = stored.now
         self.bundles = BundleLifecycle(stored.lifecycle)
         self.ledger = Ledger(stored.calls)
-        self.suspects = Suspects(stored.suspects, stored.deaths)
+        self.suspects = Suspects(
+            stored.suspects, stored.deaths, stored.suspects_revision
+        )
         self.orders = stored.orders
         self.last_order = stored.last_order
         self.config = stored.config
@@ -91,6 +99,7 @@
             self.ledger.entries,
             self.suspects.records,
             self.suspects.death_reports,
+            self.suspects.revision,
             self.orders,
             self.last_order,
             self.config,
@@ -183,10 +192,15 @@
 
 @HANDLERS.register("ReportDeath")
 def _report_death(state: ControlState, command: ReportDeath) -> Reply:
+    # Agents of the first release isolate each suspect, and do not say so.
+    runs = command.runs or [
+        EndedRun(fingerprint, is_isolated=True)
+        for fingerprint in command.fingerprints
+    ]
     convicted = state.suspects.report_death(
         command.death_id,
-        command.fingerprints,
-        state.now,
+        runs,
+        state.now - command.seconds_ago,
         state.bundles.view.policy.quarantine_seconds,
     )
     return Reply(convicted=convicted)
@@ -204,6 +218,12 @@
     return Reply(granted=True)
 
 
+@HANDLERS.register("ClearSuspects")
+def _clear_suspects(state: ControlState, command: ClearSuspects) -> Reply:
+    cleared = [state.suspects.clear(name) for name in command.fingerprints]
+    return Reply(granted=any(cleared))
+
+
 @HANDLERS.register("IssueOrder")
 def _issue_order(state: ControlState, command: IssueOrder) -> Reply:
     state.last_order += 1
--- a/packages/coordination/src/marjoramyard/coordination/governance/suspects.py
+++ b/packages/coordination/src/marjoramyard/coordination/governance/suspects.py
@@ -1,22 +1,53 @@
-"""Identifies and quarantines requests that crash endpoints."""
+"""Identifies and quarantines requests that crash endpoints.
 
+Control hosts decide by what agents and gateways report. A gateway decides the
+same way by its own reports, for as long as no control host has accepted them.
+"""
+
+from collections.abc import Sequence
 from enum import Enum
 
 import msgspec
 
 HOLD_SECONDS = 120.0
 DEATHS_TO_CONVICT = 2
+QUARANTINE_SECONDS = 600.0
+FIRST_QUARANTINE_SECONDS = 10.0
+"""The first quarantine of a request that did not run in isolation. It may have
+run beside the cause of both crashes, so it is tried again soon."""
+QUARANTINE_GROWTH = 4.0
+MAX_RECORDS = 2000
 _MAX_DEATH_REPORTS = 5000
 _SUSPICION_SECONDS = 3600.0
 
 
+class EndedRun(msgspec.Struct, frozen=True):
+    """A request that was running when an endpoint died.
+
+    Attributes:
+        fingerprint: Identifies the request.
+        seconds: How long it had run.
+        earlier_deaths: The endpoints that had died under earlier sends of the
+            same attempt.
+        is_isolated: Whether it ran with a hold, and was the only suspect on
+            its endpoint.
+    """
+
+    fingerprint: str
+    seconds: float = 0.0
+    earlier_deaths: int = 0
+    is_isolated: bool = False
+
+
 class Suspect(msgspec.Struct):
     """A request that was running when an endpoint died.
 
     Attributes:
-        deaths: The number of endpoints that died while it was running.
+        deaths: The deaths that count: each happened to a run that had begun
+            after the one before.
         last_at: The time of the last death.
-        held_by: The agent with the exclusive right to run it, if any.
+        held_by: The agent or gateway with the exclusive right to run it, if
+            any.
         held_until: When that right expires.
         convicted_until: The end of its quarantine, in which it is refused.
     """
@@ -37,17 +68,30 @@
 
 
 class Suspects:
-    """Identifies the request that crashes endpoints by the second crash.
+    """Tells requests that crash endpoints from those that ran beside them.
+
+    A request that crashes each endpoint never completes, so a response from
+    any endpoint clears a suspect. Deaths count as evidence only one after the
+    other: when several endpoints die at once for another reason, a popular
+    request may be running on all of them.
 
-    After a first crash all requests that were running are suspects. Each
-    suspect then runs on one endpoint at a time, with at most one suspect per
-    endpoint, so a second crash identifies the cause. A suspect that completes
-    is cleared.
+    Attributes:
+        records: The suspects, by fingerprint.
+        death_reports: The deaths and fingerprints reported last.
+        revision: Is increased whenever the result of `published` changes, other
+            than by time.
     """
 
-    def __init__(self, records: dict[str, Suspect], death_reports: list[str]):
+    def __init__(
+        self,
+        records: dict[str, Suspect],
+        death_reports: list[str],
+        revision: int = 0,
+    ):
         self.records = records
         self.death_reports = death_reports
+        self.known_reports = set(death_reports)
+        self.revision = revision
 
     def standing(self, fingerprint: str, at: float) -> Standing:
         """Returns the status of a fingerprint."""
@@ -58,69 +102,112 @@
             return Standing.CONVICTED
         return Standing.SUSPECT
 
+    def must_hold(self, fingerprint: str) -> bool:
+        """Returns whether gateways must refuse a request or hold it."""
+        suspect = self.records.get(fingerprint)
+        return suspect is not None and suspect.deaths >= DEATHS_TO_CONVICT
+
+    def quarantine_seconds(self, fingerprint: str, at: float) -> float:
+        """Returns the rest of a request's quarantine; 0.0 for none."""
+        suspect = self.records.get(fingerprint)
+        if suspect is None:
+            return 0.0
+        return max(0.0, suspect.convicted_until - at)
+
+    def published(self, at: float) -> dict[str, float]:
+        """Returns the suspects that gateways must hold or refuse.
+
+        Returns:
+            The rest of the quarantine in seconds, by fingerprint; 0.0 for those
+            that may run with a hold.
+        """
+        return {
+            fingerprint: self.quarantine_seconds(fingerprint, at)
+            for fingerprint in self.records
+            if self.must_hold(fingerprint)
+        }
+
     def report_death(
         self,
         death_id: str,
-        fingerprints: list[str],
+        runs: Sequence[EndedRun],
         at: float,
         quarantine: float,
     ) -> list[str]:
         """Records the death of an endpoint.
 
-        A death that is reported several times, by an agent and by entries,
-        counts once per request.
+        A death that is reported several times counts once per request.
 
         Args:
             death_id: Identifies the death in all reports of it.
-            fingerprints: The requests that were running on the endpoint.
-            at: The time of the report.
-            quarantine: How long to refuse a convicted request, in seconds.
+            runs: The requests that were running on the endpoint.
+            at: The time of the death.
+            quarantine: How long to refuse a convicted request at most, in
+                seconds.
 
         Returns:
             The fingerprints convicted by this death.
         """
         self._remove_expired(at)
         convicted = []
-        for fingerprint in fingerprints:
-            if not self._is_new_report(f"{death_id} {fingerprint}"):
+        for run in runs:
+            if not self._is_new_report(f"{death_id} {run.fingerprint}"):
                 continue
-            suspect = self.records.setdefault(fingerprint, Suspect(0, at))
-            suspect.deaths += 1
-            suspect.last_at = at
+            suspect = self.records.setdefault(run.fingerprint, Suspect(0, at))
+            if not _is_evidence(suspect, run, at):
+                continue
+            suspect.deaths = max(suspect.deaths, run.earlier_deaths) + 1
+            suspect.last_at = max(suspect.last_at, at)
             suspect.held_by = ""
             if suspect.deaths >= DEATHS_TO_CONVICT:
-                suspect.convicted_until = at + quarantine
-                convicted.append(fingerprint)
+                self.revision += 1
+                suspect.convicted_until = at + _quarantine_seconds(
+                    suspect, run, quarantine
+                )
+                convicted.append(run.fingerprint)
+        self._limit_records(at)
         return convicted
 
     def _is_new_report(self, report: str) -> bool:
-        if report in self.death_reports:
+        if report in self.known_reports:
             return False
         self.death_reports.append(report)
+        self.known_reports.add(report)
+        for expired in self.death_reports[:-_MAX_DEATH_REPORTS]:
+            self.known_reports.discard(expired)
         del self.death_reports[:-_MAX_DEATH_REPORTS]
         return True
 
-    def hold(self, fingerprint: str, agent: str, at: float) -> bool:
-        """Grants an agent the exclusive right to run a suspect, if free."""
+    def hold(self, fingerprint: str, holder: str, at: float) -> bool:
+        """Grants the exclusive right to run a suspect, if free."""
         suspect = self.records.get(fingerprint)
         if suspect is None:
             return True
         if suspect.convicted_until > at:
             return False
-        if suspect.held_by not in ("", agent) and suspect.held_until > at:
+        if suspect.held_by not in ("", holder) and suspect.held_until > at:
             return False
-        suspect.held_by = agent
+        suspect.held_by = holder
         suspect.held_until = at + HOLD_SECONDS
         return True
 
-    def release(self, fingerprint: str, agent: str, clear: bool) -> None:
-        """Ends an agent's hold; `clear` also removes the suspicion."""
+    def release(self, fingerprint: str, holder: str, clear: bool) -> None:
+        """Ends a hold; `clear` also removes the suspicion."""
         suspect = self.records.get(fingerprint)
-        if suspect is None or suspect.held_by != agent:
+        if suspect is None or suspect.held_by != holder:
             return
         suspect.held_by = ""
         if clear:
-            del self.records[fingerprint]
+            self.clear(fingerprint)
+
+    def clear(self, fingerprint: str) -> bool:
+        """Ends a suspicion and a quarantine; returns whether there was one."""
+        suspect = self.records.pop(fingerprint, None)
+        if suspect is None:
+            return False
+        if suspect.deaths >= DEATHS_TO_CONVICT:
+            self.revision += 1
+        return True
 
     def _remove_expired(self, at: float) -> None:
         expired = [
@@ -132,4 +219,41 @@
             < at
         ]
         for fingerprint in expired:
-            del self.records[fingerprint]
+            self.clear(fingerprint)
+
+    def _limit_records(self, at: float) -> None:
+        """Removes the weakest suspicions, so that a flood can't fill memory."""
+        excess = len(self.records) - MAX_RECORDS
+        if excess <= 0:
+            return
+        weakest = sorted(
+            self.records,
+            key=lambda fingerprint: (
+                self.records[fingerprint].convicted_until > at,
+                self.records[fingerprint].deaths,
+                self.records[fingerprint].last_at,
+            ),
+        )
+        for fingerprint in weakest[:excess]:
+            self.clear(fingerprint)
+
+
+def _is_evidence(suspect: Suspect, run: EndedRun, at: float) -> bool:
+    """Returns whether a death adds to what is known of a suspect."""
+    if run.is_isolated or run.earlier_deaths >= suspect.deaths:
+        return True
+    return at - run.seconds >= suspect.last_at
+
+
+def _quarantine_seconds(
+    suspect: Suspect, run: EndedRun, longest: float
+) -> float:
+    """Returns how long to refuse a convicted request.
+
+    After a quarantine it may run again, at one endpoint at a time, and is
+    either cleared or refused for longer.
+    """
+    if run.is_isolated:
+        return longest
+    repeated = suspect.deaths - DEATHS_TO_CONVICT
+    return min(longest, FIRST_QUARANTINE_SECONDS * QUARANTINE_GROWTH**repeated)
--- a/packages/ctl/src/marjoramyard/ctl/cmd/cluster.py
+++ b/packages/ctl/src/marjoramyard/ctl/cmd/cluster.py
@@ -57,7 +57,7 @@
     return value_or_exit(
         await connection.control.call_leader(
             MEMBER_PATH,
-            change,
+            lambda: change,
             HostStatus,
             _MEMBER_CHANGE_SECONDS,
             _CALL_SECONDS,
@@ -150,7 +150,7 @@
     while loop.time() < deadline:
         response = await connection.control.call_leader(
             MEMBER_PATH,
-            MemberChange("promote", replica),
+            lambda: MemberChange("promote", replica),
             HostStatus,
             _MEMBER_CHANGE_SECONDS,
             _CALL_SECONDS,
--- a/packages/ctl/src/marjoramyard/ctl/cmd/views.py
+++ b/packages/ctl/src/marjoramyard/ctl/cmd/views.py
@@ -3,7 +3,10 @@
 import click
 from result import Err
 
-from marjoramyard.coordination.governance.commands import IssueOrder
+from marjoramyard.coordination.governance.commands import (
+    ClearSuspects,
+    IssueOrder,
+)
 from marjoramyard.ctl.session import Connection, Session, value_or_exit
 from marjoramyard.fleet.messages import Empty, HostStatus
 from marjoramyard.fleet.paths import STATUS_PATH
@@ -105,6 +108,21 @@
     session.show([{"fingerprint": k, **v} for k, v in suspects.items()])
 
 
+@click.command("clear-suspect")
+@click.argument("fingerprint")
+@click.option("--as", "who", required=True, help="Operator name.")
+@click.pass_obj
+def clear_suspect(session: Session, fingerprint: str, who: str) -> None:
+    """Ends the suspicion and the quarantine of a request."""
+
+    async def work(connection: Connection) -> object:
+        command = ClearSuspects([fingerprint], who)
+        reply = await connection.control.command(command, _ORDER_SECONDS)
+        return {"cleared": value_or_exit(reply).granted}
+
+    session.show(session.run(work))
+
+
 @click.command()
 @click.argument("endpoint")
 @click.argument(
@@ -128,5 +146,13 @@
 
 def setup(main: click.Group) -> None:
     """Adds the commands."""
-    for command in (status, changes, workspaces, endpoints, suspects, order):
+    for command in (
+        status,
+        changes,
+        workspaces,
+        endpoints,
+        suspects,
+        clear_suspect,
+        order,
+    ):
         main.add_command(command)
--- a/packages/fleet/src/marjoramyard/fleet/agent/attempt_service.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/attempt_service.py
@@ -8,6 +8,7 @@
 import msgspec
 from aiohttp import web
 
+from marjoramyard.coordination.governance.suspects import EndedRun
 from marjoramyard.coordination.serving.frames import KEEPALIVE, ReplayLostError
 from marjoramyard.fleet.agent.attempts import Attempt, AttemptState
 from marjoramyard.fleet.agent.calls import finish_call, start_call
@@ -213,10 +214,15 @@
 
         The report lists the requests that were running.
         """
+        now = time.monotonic()
         running = [
-            Fingerprint(a.run_request.fingerprint)
-            for a in self.attempts.values()
-            if a.state is AttemptState.SENT
+            EndedRun(
+                attempt.run_request.fingerprint,
+                now - attempt.sent_at,
+                is_isolated=attempt.held_suspect,
+            )
+            for attempt in self.attempts.values()
+            if attempt.state is AttemptState.SENT
         ]
         announced = self.endpoint.announced
         if announced.incarnation == self.endpoint.dead_incarnation:
--- a/packages/fleet/src/marjoramyard/fleet/agent/attempts.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/attempts.py
@@ -61,6 +61,7 @@
         resumes: How often the engine's stream was resumed.
         held_suspect: The request is a suspect, and the agent has been
             granted a hold for it.
+        sent_at: When it was sent to the endpoint; monotonic time, in seconds.
         is_delivered: The last frame was written to an entry.
     """
 
@@ -96,6 +97,7 @@
         self.resumes = 0
         self.task: asyncio.Task | None = None
         self.held_suspect = False
+        self.sent_at = 0.0
         self.is_delivered = False
 
     @property
@@ -148,6 +150,7 @@
             sock_read=run.stall_seconds,
         )
         self.state = AttemptState.SENT
+        self.sent_at = time.monotonic()
         try:
             self.upstream = await session.request(
                 run.method,
--- a/packages/fleet/src/marjoramyard/fleet/agent/suspects.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/suspects.py
@@ -1,6 +1,6 @@
 """The agent's isolation of requests that may crash endpoints."""
 
-import random
+from collections.abc import Sequence
 
 from result import Err
 
@@ -9,11 +9,12 @@
     ReleaseSuspect,
     ReportDeath,
 )
+from marjoramyard.coordination.governance.suspects import EndedRun
 from marjoramyard.fleet.application import Application
 from marjoramyard.fleet.membership import RouterMembership
-from marjoramyard.fleet.refusals import quarantined
+from marjoramyard.fleet.refusals import quarantined, suspect_held
 from marjoramyard.fleet.util.control_client import ControlClient
-from marjoramyard.kernel.errors import Failure, FailureKind, failure
+from marjoramyard.kernel.errors import Failure
 from marjoramyard.kernel.ids import Fingerprint
 
 _HOLD_TIMEOUT_SECONDS = 3.0
@@ -57,14 +58,14 @@
             None if the hold is granted, else the refusal.
         """
         if self.held is not None:
-            return _suspect_held()
+            return suspect_held()
         self.held = fingerprint
         command = HoldSuspect(fingerprint, self.app.incarnation)
         reply = await self.control.command(command, _HOLD_TIMEOUT_SECONDS)
         if isinstance(reply, Err) or not reply.ok_value.granted:
             self.held = None
             seconds = self.membership.quarantine_seconds_left(fingerprint)
-            return quarantined(seconds) if seconds else _suspect_held()
+            return quarantined(seconds) if seconds else suspect_held()
         return None
 
     def release(self, fingerprint: Fingerprint, clear: bool) -> None:
@@ -81,25 +82,16 @@
             self.control.command(command, _REPORT_TIMEOUT_SECONDS)
         )
 
-    async def report(
-        self, death_id: str, fingerprints: list[Fingerprint]
-    ) -> None:
+    async def report(self, death_id: str, runs: Sequence[EndedRun]) -> None:
         """Reports an endpoint's death and its requests to the control hosts.
 
         Args:
             death_id: Identifies the death, so that it counts once.
-            fingerprints: The requests that were running.
+            runs: The requests that were running.
         """
-        self.membership.suspects.update(fingerprints)
-        command = ReportDeath(death_id, list(fingerprints))
+        self.membership.suspects.update(
+            Fingerprint(run.fingerprint) for run in runs
+        )
+        command = ReportDeath(death_id, runs=list(runs))
         await self.control.command(command, _REPORT_TIMEOUT_SECONDS)
         self.app.metrics.count("endpoint_deaths_reported")
-
-
-def _suspect_held() -> Failure:
-    return failure(
-        FailureKind.SUSPECT_HELD,
-        "this request was running when an endpoint died; it is run again "
-        "separately from other such requests",
-        retry_after=random.uniform(0.5, 1.5),
-    )
--- a/packages/fleet/src/marjoramyard/fleet/control/service.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/service.py
@@ -227,6 +227,8 @@
             return True
         if self._zone_revision() > request.zone_revision:
             return True
+        if self._suspects_revision() > request.suspects_revision:
+            return True
         return (
             request.epoch != self.endpoints.epoch
             or request.cursor < self.published_cursors[request.urgent_only]
@@ -237,6 +239,16 @@
         node = self.role.running_node
         return node.state.evacuations.revision if node is not None else 0
 
+    def _suspects_revision(self) -> int:
+        node = self.role.running_node
+        return node.state.suspects.revision if node is not None else 0
+
+    def _suspects_for(self, request: SyncRequest) -> dict[str, float] | None:
+        """Returns the suspects that gateways must know, unless it has them."""
+        if self._suspects_revision() <= request.suspects_revision:
+            return None
+        return self.role.running_node.state.suspects.published(time.time())
+
     def _evacuated_zones(self) -> list[str]:
         node = self.role.running_node
         if node is None:
@@ -267,6 +279,8 @@
             self.endpoints.unresponsive_revision,
             self._is_settled(),
             self._is_settled() and self.role.cluster_manager.is_isolated(),
+            self._suspects_revision(),
+            self._suspects_for(request),
         )
 
     def _is_settled(self) -> bool:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/admission.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/admission.py
@@ -49,6 +49,7 @@
         output_tokens: The maximum number of output tokens.
         last_event: The ID of the last event that the caller has; "" for none.
         waited_ms: How long the caller has probably waited in earlier attempts.
+        known_fingerprint: The fingerprint, once it has been computed.
     """
 
     attempt: str
@@ -65,6 +66,7 @@
     output_tokens: int = 0
     last_event: str = ""
     waited_ms: float = 0.0
+    known_fingerprint: Fingerprint | None = None
 
     @property
     def may_repeat(self) -> bool:
@@ -74,12 +76,14 @@
     @property
     def fingerprint(self) -> Fingerprint:
         """Identifies the workspace's request, also when it is sent again."""
-        return request_fingerprint(
-            self.workspace.name if self.workspace is not None else "",
-            body_digest(
-                self.method, self.route.hostname, self.target, self.body
-            ),
-        )
+        if self.known_fingerprint is None:
+            self.known_fingerprint = request_fingerprint(
+                self.workspace.name if self.workspace is not None else "",
+                body_digest(
+                    self.method, self.route.hostname, self.target, self.body
+                ),
+            )
+        return self.known_fingerprint
 
     @property
     def unshared_memory_tokens(self) -> float:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/attempts.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/attempts.py
@@ -39,6 +39,7 @@
         reason: The cause, for logs.
         retry_after: The `Retry-After` of the endpoint in seconds; 0 for none.
         timed_out: The connection could not be established in time.
+        is_connection_lost: The connection was lost after the request was sent.
     """
 
     def __init__(
@@ -47,12 +48,14 @@
         reason: str,
         retry_after: float = 0.0,
         timed_out: bool = False,
+        is_connection_lost: bool = False,
     ):
         super().__init__(f"{outcome.value}: {reason}")
         self.outcome = outcome
         self.reason = reason
         self.retry_after = retry_after
         self.timed_out = timed_out
+        self.is_connection_lost = is_connection_lost
 
 
 class SendPlan(msgspec.Struct, frozen=True):
@@ -145,7 +148,9 @@
             timed_out=isinstance(error, aiohttp.ConnectionTimeoutError),
         ) from error
     except (aiohttp.ClientError, OSError, ValueError) as error:
-        raise SendFailedError(SendOutcome.BROKEN, repr(error)) from error
+        raise SendFailedError(
+            SendOutcome.BROKEN, repr(error), is_connection_lost=True
+        ) from error
     try:
         on_head(response)
         check_response_head(request, response, names)
--- a/packages/fleet/src/marjoramyard/fleet/gateway/control_sync.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/control_sync.py
@@ -132,6 +132,7 @@
                 fetches_config=True,
                 unresponsive_revision=revision,
                 urgent_only=not is_source,
+                suspects_revision=self.view.suspects.revision,
             )
             result = await self._call(address, request)
             if isinstance(result, Err):
--- /dev/null
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/crash_detection.py
@@ -0,0 +1,164 @@
+"""Finds out whether an endpoint has died while requests were running on it."""
+
+import asyncio
+import time
+
+import msgspec
+
+from marjoramyard.coordination.governance.suspects import EndedRun
+from marjoramyard.coordination.membership.registrations import Registration
+from marjoramyard.fleet.gateway.suspects import GatewaySuspects
+from marjoramyard.fleet.gateway.view import FleetView
+from marjoramyard.fleet.util.tasks import TaskGroup
+from marjoramyard.kernel.ids import Fingerprint
+from marjoramyard.kernel.util.addresses import parse_address
+
+GATHER_SECONDS = 0.01
+"""The requests of a dead endpoint break off within this time."""
+PROBE_TIMEOUT_SECONDS = 0.5
+OBSERVATION_SECONDS = 5.0
+"""How long to watch for a new lifetime of an endpoint that accepts
+connections: one that is restarted at once may never be seen to refuse any."""
+_LOOK_SECONDS = 0.1
+
+
+def lifetime_of(endpoint: Registration) -> str:
+    """Identifies one lifetime of an endpoint at all gateways."""
+    return f"{endpoint.endpoint}@{endpoint.born}"
+
+
+class BrokenRun(msgspec.Struct):
+    """A request whose connection to its endpoint was lost.
+
+    Attributes:
+        fingerprint: Identifies the request.
+        sent_at: On the monotonic clock, in seconds.
+        broken_at: On the same clock.
+        earlier: The lifetimes of the endpoints that earlier sends of the
+            request were lost with.
+        is_survived: Whether the endpoint accepted a connection afterwards.
+    """
+
+    fingerprint: Fingerprint
+    sent_at: float
+    broken_at: float
+    earlier: tuple[str, ...] = ()
+    is_survived: bool = False
+
+
+class Observation(msgspec.Struct):
+    """An endpoint that is watched because connections to it were lost.
+
+    Attributes:
+        endpoint: The endpoint, in the lifetime that was observed.
+        until: When to end, on the monotonic clock in seconds.
+        runs: The requests that were lost.
+    """
+
+    endpoint: Registration
+    until: float
+    runs: list[BrokenRun]
+
+
+class CrashDetector:
+    """Reports endpoints that have died, with the requests that were running.
+
+    A lost connection alone is no evidence: connections are reset, and
+    responses cut off, by endpoints that go on running.
+
+    Attributes:
+        observations: The endpoints that are watched, by lifetime.
+        died: The lifetimes that have ended so, with the time.
+    """
+
+    def __init__(
+        self, view: FleetView, suspects: GatewaySuspects, tasks: TaskGroup
+    ):
+        self.view = view
+        self.suspects = suspects
+        self.tasks = tasks
+        self.observations: dict[str, Observation] = {}
+        self.died: dict[str, float] = {}
+
+    def on_broken(self, endpoint: Registration, run: BrokenRun) -> None:
+        """Notes a request whose connection to its endpoint was lost."""
+        lifetime = lifetime_of(endpoint)
+        until = run.broken_at + OBSERVATION_SECONDS
+        observation = self.observations.get(lifetime)
+        if observation is not None:
+            observation.runs.append(run)
+            observation.until = until
+            return
+        observation = Observation(endpoint, until, [run])
+        self.observations[lifetime] = observation
+        self.tasks.spawn(self._observe(lifetime, observation))
+
+    async def _observe(self, lifetime: str, observation: Observation) -> None:
+        try:
+            while time.monotonic() < observation.until:
+                if await self._has_died(observation):
+                    self.died[lifetime] = time.monotonic()
+                    await asyncio.sleep(GATHER_SECONDS)
+                    self._report(lifetime, observation)
+                    return
+                await asyncio.sleep(_LOOK_SECONDS)
+        finally:
+            del self.observations[lifetime]
+
+    async def _has_died(self, observation: Observation) -> bool:
+        if self._is_replaced(observation.endpoint):
+            for run in observation.runs:
+                run.is_survived = False
+            return True
+        unexamined = [run for run in observation.runs if not run.is_survived]
+        if not unexamined:
+            return False
+        if await refuses_connections(observation.endpoint.address):
+            return True
+        for run in unexamined:
+            run.is_survived = True
+        return False
+
+    def _is_replaced(self, endpoint: Registration) -> bool:
+        """Whether another lifetime is registered at an endpoint's address."""
+        registrations = self.view.registrations
+        name = registrations.by_address.get(endpoint.address, "")
+        current = registrations.by_endpoint.get(name)
+        return current is not None and current.born > endpoint.born
+
+    def _report(self, lifetime: str, observation: Observation) -> None:
+        runs = [run for run in observation.runs if not run.is_survived]
+        died_at = min(run.broken_at for run in runs)
+        self._forget_old_deaths(died_at)
+        self.suspects.report_death(
+            lifetime, [self._ended_run(run) for run in runs], died_at
+        )
+
+    def _ended_run(self, run: BrokenRun) -> EndedRun:
+        return EndedRun(
+            run.fingerprint,
+            run.broken_at - run.sent_at,
+            sum(lifetime in self.died for lifetime in run.earlier),
+        )
+
+    def _forget_old_deaths(self, now: float) -> None:
+        for lifetime, died_at in list(self.died.items()):
+            if now - died_at > 2 * OBSERVATION_SECONDS:
+                del self.died[lifetime]
+
+
+async def refuses_connections(address: str) -> bool:
+    """Returns whether nothing listens at an address.
+
+    A host that does not reply in time says nothing about its endpoint.
+    """
+    host, port = parse_address(address)
+    try:
+        async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
+            _, writer = await asyncio.open_connection(host, port)
+    except ConnectionRefusedError:
+        return True
+    except (OSError, TimeoutError):
+        return False
+    writer.transport.abort()
+    return False
--- a/packages/fleet/src/marjoramyard/fleet/gateway/delivery.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/delivery.py
@@ -78,7 +78,9 @@
                 return await self._relay_stream(upstream, on_first)
             return await self._relay_complete(upstream, on_first)
         except (aiohttp.ClientError, ValueError) as error:
-            raise SendFailedError(SendOutcome.BROKEN, repr(error)) from error
+            raise SendFailedError(
+                SendOutcome.BROKEN, repr(error), is_connection_lost=True
+            ) from error
 
     async def _relay_complete(
         self, upstream: aiohttp.ClientResponse, on_first
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
@@ -21,6 +21,7 @@
 from marjoramyard.fleet.gateway.broker_clients import BrokerClients
 from marjoramyard.fleet.gateway.caller_patience import CallerPatience
 from marjoramyard.fleet.gateway.cold_starts import ColdStarts
+from marjoramyard.fleet.gateway.crash_detection import CrashDetector
 from marjoramyard.fleet.gateway.delivery import (
     CallerGoneError,
     ResponseDelivery,
@@ -80,6 +81,7 @@
         brokers: BrokerClients,
         cold_starts: ColdStarts,
         notices: EndpointNotices,
+        crashes: CrashDetector,
         app: Application,
     ):
         self.view = view
@@ -97,6 +99,8 @@
             cold_starts,
             EngineLoads(),
             notices,
+            crashes.suspects,
+            crashes,
             self.names,
             app.metrics,
         )
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
@@ -17,6 +17,10 @@
     open_response,
 )
 from marjoramyard.fleet.gateway.broker_protocol import RunningRequest
+from marjoramyard.fleet.gateway.crash_detection import (
+    BrokenRun,
+    lifetime_of,
+)
 from marjoramyard.fleet.gateway.delivery import ResponseDelivery
 from marjoramyard.fleet.gateway.engine_load import LocalRequest
 from marjoramyard.fleet.gateway.request_trace import RequestTrace
@@ -31,6 +35,7 @@
     SendPlanner,
     SendProgress,
 )
+from marjoramyard.fleet.gateway.suspects import RunPermit
 from marjoramyard.kernel.errors import (
     FailureKind,
     FleetError,
@@ -48,6 +53,7 @@
     Attributes:
         progress: What has become of its sends so far.
         planner: Chooses the endpoint of each send.
+        permit: Is needed if the request may crash endpoints.
     """
 
     def __init__(
@@ -67,6 +73,7 @@
         self.service = service
         self.budget = budget
         self.progress = SendProgress()
+        self.permit = RunPermit(context.suspects, caller)
         self.planner = SendPlanner(
             context, caller, delivery, trace, service, self.progress
         )
@@ -78,12 +85,53 @@
             FleetError: There is no response; the outcome says whether the
                 request may have run.
         """
-        while True:
-            plan = await self.planner.plan()
-            try:
-                return await self._send(plan)
-            except SendFailedError as error:
-                self._on_send_failed(plan, error)
+        try:
+            while True:
+                await self._acquire_permit()
+                plan = await self.planner.plan()
+                try:
+                    response = await self._send(plan)
+                except SendFailedError as error:
+                    self._on_send_failed(plan, error)
+                else:
+                    self.permit.on_answered()
+                    return response
+        finally:
+            self.permit.release()
+
+    async def _acquire_permit(self) -> None:
+        """Waits until the request may run, which most may at once.
+
+        Raises:
+            FleetError: It must not run, or not now.
+        """
+        try:
+            await self.permit.acquire()
+        except FleetError as error:
+            raise self._refusal(error) from None
+
+    def _recheck_permit(self) -> None:
+        """Checks that the request has not been quarantined meanwhile.
+
+        Raises:
+            FleetError: It has.
+        """
+        try:
+            self.permit.check()
+        except FleetError as error:
+            raise self._refusal(error) from None
+
+    def _refusal(self, error: FleetError) -> FleetError:
+        """Returns a refusal, as is true for a request that may have run."""
+        if not self.progress.may_have_run:
+            return error
+        return FleetError(
+            failure(
+                FailureKind.ENDPOINT_LOST,
+                error.failure.message,
+                Outcome.UNKNOWN,
+            )
+        )
 
     def _recheck_caller(self) -> None:
         """Checks right before the send that the caller is still waiting.
@@ -139,11 +187,13 @@
             CallerGoneError: The caller has closed its connection.
         """
         self.progress.may_have_run = self.progress.may_have_run_before
+        self._recheck_permit()
         self._recheck_caller()
         self._recheck_key()
         if not self.view.may_send_to(endpoint):
             raise SendFailedError(SendOutcome.WITHDRAWN, "no longer usable")
         self.progress.may_have_run = True
+        self.progress.sent_at = time.monotonic()
 
     def _workspace_name(self) -> str:
         workspace = self.caller.workspace
@@ -255,6 +305,10 @@
             retry_after="yes" if error.retry_after else "no",
         )
         now = time.monotonic()
+        if error.is_connection_lost:
+            self._on_connection_lost(plan.endpoint, now)
+            if self.permit.is_held:
+                raise self._attempts_error(error)
         health = self.view.health_of(plan.endpoint.endpoint)
         if error.outcome is not SendOutcome.BROKEN:
             self.progress.may_have_run = self.progress.may_have_run_before
@@ -279,6 +333,19 @@
         if not self.budget.spend():
             raise self._attempts_error(error)
 
+    def _on_connection_lost(self, endpoint: Registration, now: float) -> None:
+        progress = self.progress
+        self.context.crashes.on_broken(
+            endpoint,
+            BrokenRun(
+                self.caller.fingerprint,
+                progress.sent_at,
+                now,
+                progress.lost_with,
+            ),
+        )
+        progress.lost_with += (lifetime_of(endpoint),)
+
     def _attempts_error(self, error: SendFailedError) -> FleetError:
         pause_seconds = self.view.pause_seconds(self.service.name)
         return FleetError(
--- a/packages/fleet/src/marjoramyard/fleet/gateway/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/role.py
@@ -22,12 +22,15 @@
 from marjoramyard.fleet.gateway.config_fetcher import ConfigFetcher
 from marjoramyard.fleet.gateway.connections import CallerConnections
 from marjoramyard.fleet.gateway.control_sync import ControlSync
+from marjoramyard.fleet.gateway.crash_detection import CrashDetector
 from marjoramyard.fleet.gateway.dialect import GATEWAY_DIALECTS
 from marjoramyard.fleet.gateway.early_refusal import EarlyRefusal
 from marjoramyard.fleet.gateway.endpoint_notices import EndpointNotices
 from marjoramyard.fleet.gateway.request_handler import RequestHandler
+from marjoramyard.fleet.gateway.suspects import GatewaySuspects
 from marjoramyard.fleet.gateway.upstream import open_endpoint_session
 from marjoramyard.fleet.gateway.view import FleetView
+from marjoramyard.fleet.util.control_client import ControlClient
 from marjoramyard.kernel.logs import get_logger
 
 logger = get_logger(__name__)
@@ -186,8 +189,16 @@
             view, settings.cold_overrun, settings.cold_slack
         )
         notices = EndpointNotices(view, brokers, dialect.headers.leaving)
+        suspects = GatewaySuspects(
+            view,
+            ControlClient(app.client, settings.seed_addresses()),
+            app.tasks,
+            app.metrics,
+            str(app.incarnation),
+        )
+        crashes = CrashDetector(view, suspects, app.tasks)
         handler = RequestHandler(
-            view, session, brokers, cold_starts, notices, app
+            view, session, brokers, cold_starts, notices, crashes, app
         )
         broker_server = BrokerServer(
             view,
--- a/packages/fleet/src/marjoramyard/fleet/gateway/send_planning.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/send_planning.py
@@ -15,6 +15,7 @@
 from marjoramyard.fleet.gateway.broker_clients import BrokerClients
 from marjoramyard.fleet.gateway.broker_protocol import PlaceGrant, PlaceRefusal
 from marjoramyard.fleet.gateway.cold_starts import ColdStarts
+from marjoramyard.fleet.gateway.crash_detection import CrashDetector
 from marjoramyard.fleet.gateway.delivery import ResponseDelivery
 from marjoramyard.fleet.gateway.dialect import HeaderNames
 from marjoramyard.fleet.gateway.endpoint_notices import EndpointNotices
@@ -31,6 +32,7 @@
     late_failure,
     no_endpoint_failure,
 )
+from marjoramyard.fleet.gateway.suspects import GatewaySuspects
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.kernel.errors import FleetError
 from marjoramyard.kernel.metrics import Metrics
@@ -50,6 +52,8 @@
         cold_starts: The limits of endpoints that have just started.
         loads: The requests that this gateway has in flight at each engine.
         notices: What endpoints say of themselves in their responses.
+        suspects: The requests that may crash endpoints.
+        crashes: Detects endpoints that have died.
         names: The header names of the dialect.
         metrics: The metrics of the process.
     """
@@ -60,6 +64,8 @@
     cold_starts: ColdStarts
     loads: EngineLoads
     notices: EndpointNotices
+    suspects: GatewaySuspects
+    crashes: CrashDetector
     names: HeaderNames
     metrics: Metrics
 
@@ -75,6 +81,10 @@
         may_have_run: Whether an endpoint may have run the request.
         may_have_run_before: The value of `may_have_run` before the current
             send.
+        sent_at: When the current send began, on the monotonic clock in
+            seconds.
+        lost_with: The lifetimes of the endpoints to which connections were
+            lost.
     """
 
     tried: set[str] = set()
@@ -82,6 +92,8 @@
     connect_failures: int = 0
     may_have_run: bool = False
     may_have_run_before: bool = False
+    sent_at: float = 0.0
+    lost_with: tuple[str, ...] = ()
 
 
 class SendPlanner:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/view.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/view.py
@@ -17,6 +17,7 @@
 )
 from marjoramyard.coordination.routing.table import RouteTable
 from marjoramyard.fleet.gateway.dialect import GatewayDialect
+from marjoramyard.fleet.gateway.known_suspects import KnownSuspects
 from marjoramyard.fleet.gateway.zones import EvacuatedZones
 from marjoramyard.fleet.sync_messages import SyncReply
 from marjoramyard.kernel.logs import get_logger
@@ -78,6 +79,7 @@
         lease: The lease within which API keys may be accepted.
         table: The routes of the configuration in force; None before the first.
         zones: The evacuated zones.
+        suspects: The requests that may crash endpoints.
         pending_renewals: By version, when the last confirmation of it was
             requested, for versions that are not in force yet.
         health: The health of each endpoint, as seen by this gateway.
@@ -98,6 +100,7 @@
         self.table: RouteTable | None = None
         self.registrations = Registrations()
         self.zones = EvacuatedZones()
+        self.suspects = KnownSuspects()
         self.health: dict[str, EndpointHealth] = {}
         self.pauses = EndpointPauses()
         self.leaving: dict[str, int] = {}
@@ -153,6 +156,7 @@
             self._renew_lease(reply.version, sent_at)
         now = time.monotonic()
         self.zones.update(reply.zone_revision, reply.evacuated_zones, now)
+        self.suspects.update(reply.suspects_revision, reply.suspects, now)
         for registration in reply.words:
             self._merge(registration, now)
         self._record_unresponsive(source, reply, now)
--- a/packages/fleet/src/marjoramyard/fleet/refusals.py
+++ b/packages/fleet/src/marjoramyard/fleet/refusals.py
@@ -1,4 +1,6 @@
-"""Failures that both entries and agents return."""
+"""Failures that entries, agents and gateways return."""
+
+import random
 
 from marjoramyard.kernel.errors import Failure, FailureKind, failure
 
@@ -15,3 +17,13 @@
         "the quarantine to end",
         retry_after=seconds,
     )
+
+
+def suspect_held() -> Failure:
+    """Returns the refusal of a suspect that runs elsewhere, or has to wait."""
+    return failure(
+        FailureKind.SUSPECT_HELD,
+        "this request was running when an endpoint died; it is run again "
+        "separately from other such requests",
+        retry_after=random.uniform(0.5, 1.5),
+    )
--- a/packages/fleet/src/marjoramyard/fleet/sync_messages.py
+++ b/packages/fleet/src/marjoramyard/fleet/sync_messages.py
@@ -94,6 +94,7 @@
         unresponsive_revision: The revision of the responder's unresponsive
             endpoints that it has; 0 from a gateway without revisions.
         urgent_only: Whether only urgent changes of endpoints are wanted.
+        suspects_revision: The revision of its suspects.
     """
 
     gateway: str
@@ -108,6 +109,7 @@
     fetches_config: bool = False
     unresponsive_revision: int = 0
     urgent_only: bool = False
+    suspects_revision: int = 0
 
 
 class SyncReply(msgspec.Struct, omit_defaults=True):
@@ -139,6 +141,10 @@
             start.
         is_isolated: Whether it has not heard of most other control hosts
             lately, so that it does not know of new endpoints.
+        suspects_revision: The revision of `suspects`; a lower one than the
+            gateway's is outdated.
+        suspects: The requests that gateways must hold or refuse, as
+            `Suspects.published`; None if the gateway has this revision.
     """
 
     epoch: str
@@ -157,6 +163,8 @@
     unresponsive_revision: int = 0
     is_settled: bool = False
     is_isolated: bool = False
+    suspects_revision: int = 0
+    suspects: dict[str, float] | None = None
 
 
 class PutConfig(msgspec.Struct, frozen=True):
--- a/packages/fleet/src/marjoramyard/fleet/util/control_client.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/control_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 from typing import Any, TypeVar
 
 from result import Err, Ok, Result
@@ -53,7 +54,7 @@
     async def call_leader(
         self,
         path: str,
-        message: Any,
+        build: Callable[[], Any],
         reply: type[T],
         timeout: float,
         attempt_seconds: float = ATTEMPT_SECONDS,
@@ -62,7 +63,7 @@
 
         Args:
             path: The path to post to.
-            message: The message.
+            build: Returns the message, for each attempt anew.
             reply: The type of the reply.
             timeout: The total time in seconds.
             attempt_seconds: The time for each attempt in seconds.
@@ -78,7 +79,7 @@
             result = await self.client.call(
                 address,
                 path,
-                message,
+                build(),
                 reply,
                 min(attempt_seconds, max(seconds_left, 0.1)),
             )
@@ -109,18 +110,28 @@
         self, command: Command, timeout: float = 5.0
     ) -> Result[Reply, Failure]:
         """Has the control hosts replicate and apply a command."""
-        return await self.call_leader(COMMAND_PATH, command, Reply, timeout)
+        return await self.command_built_by(lambda: command, timeout)
+
+    async def command_built_by(
+        self, build: Callable[[], Command], timeout: float
+    ) -> Result[Reply, Failure]:
+        """Sends a command that tells a time relative to its sending."""
+        return await self.call_leader(COMMAND_PATH, build, Reply, timeout)
 
     async def look_up(
         self, key: str, body_digest: str, timeout: float = 5.0
     ) -> Result[Reply, Failure]:
         """Looks up a call in the ledger."""
         message = CallLookUp(key, body_digest)
-        return await self.call_leader(LOOK_UP_PATH, message, Reply, timeout)
+        return await self.call_leader(
+            LOOK_UP_PATH, lambda: message, Reply, timeout
+        )
 
     async def query(
         self, subject: str, argument: str = "", timeout: float = 8.0
     ) -> Result[QueryReply, Failure]:
         """Sends an operator's query."""
         message = Query(subject, argument)
-        return await self.call_leader(QUERY_PATH, message, QueryReply, timeout)
+        return await self.call_leader(
+            QUERY_PATH, lambda: message, QueryReply, timeout
+        )
--- a/packages/fleet/tests/control/test_service_polls.py
+++ b/packages/fleet/tests/control/test_service_polls.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from marjoramyard.coordination.governance.state import ControlState
+from marjoramyard.coordination.governance.suspects import EndedRun
 from marjoramyard.coordination.membership.registrations import Registration
 from marjoramyard.fleet.control.service import FleetService
 from marjoramyard.fleet.sync_messages import SyncRequest
@@ -165,3 +167,27 @@
     for task in tasks:
         task.cancel()
     assert other.received_bytes < own.received_bytes / 20
+
+
+async def test_a_waiting_gateway_is_told_of_a_suspect_at_once():
+    """Guards against gateways that send on what has crashed endpoints of
+    others, and against replies that repeat the list to all of them.
+    """
+    role = Role()
+    service = FleetService(role)
+    state = ControlState()
+    role.running_node = SimpleNamespace(state=state)
+    request = SyncRequest("g~1", epoch=service.endpoints.epoch)
+    request = msgspec.structs.replace(request, wait_seconds=1.0)
+    waiting = asyncio.create_task(service.sync(request))
+    await asyncio.sleep(0)
+    for number in range(2):
+        run = EndedRun("f", earlier_deaths=number)
+        state.suspects.report_death(f"e{number}", [run], time.time(), 60.0)
+    service.on_applied()
+    reply = await waiting
+    assert 0 < reply.suspects["f"] <= 60.0
+    known = msgspec.structs.replace(
+        request, suspects_revision=reply.suspects_revision, wait_seconds=0.0
+    )
+    assert (await service.sync(known)).suspects is None
--- a/packages/fleet/tests/gateway/request_runs.py
+++ b/packages/fleet/tests/gateway/request_runs.py
@@ -16,6 +16,7 @@
 from marjoramyard.coordination.serving.retries import RetryBudget
 from marjoramyard.fleet.gateway.admission import CallerRequest
 from marjoramyard.fleet.gateway.cold_starts import ColdStarts
+from marjoramyard.fleet.gateway.crash_detection import CrashDetector
 from marjoramyard.fleet.gateway.delivery import CallerGoneError
 from marjoramyard.fleet.gateway.dialect import GATEWAY_DIALECTS, HeaderNames
 from marjoramyard.fleet.gateway.endpoint_notices import EndpointNotices
@@ -23,6 +24,7 @@
 from marjoramyard.fleet.gateway.request_run import RequestRun
 from marjoramyard.fleet.gateway.request_trace import RequestTrace
 from marjoramyard.fleet.gateway.send_planning import RequestRunContext
+from marjoramyard.fleet.gateway.suspects import GatewaySuspects
 from marjoramyard.fleet.gateway.view import FleetView
 
 SERVICE = Service("api")
@@ -91,6 +93,7 @@
         deadline_at=now + seconds_left,
     )
     brokers = SimpleNamespace(lag=SimpleNamespace(is_lagging=is_lagging))
+    suspects = GatewaySuspects(view, None, None, metrics, "gateway~1")
     context = RequestRunContext(
         view,
         SessionThatTimesOut(),
@@ -98,6 +101,8 @@
         ColdStarts(view, 1.5, 5.0),
         EngineLoads(),
         EndpointNotices(view, brokers, "Endpoint-Leaving"),
+        suspects,
+        CrashDetector(view, suspects, None),
         HeaderNames(),
         metrics,
     )
--- /dev/null
+++ b/packages/fleet/tests/gateway/test_crash_detection.py
@@ -0,0 +1,138 @@
+"""Tests of how a gateway detects that an endpoint has died."""
+
+import asyncio
+import time
+from types import SimpleNamespace
+
+import pytest
+
+from marjoramyard.coordination.membership.registrations import (
+    Registration,
+    Registrations,
+)
+from marjoramyard.fleet.gateway import crash_detection as module
+from marjoramyard.fleet.gateway.crash_detection import (
+    BrokenRun,
+    CrashDetector,
+    lifetime_of,
+    refuses_connections,
+)
+from marjoramyard.fleet.util.tasks import task_group
+from marjoramyard.standin.processes import free_address
+
+WAIT_SECONDS = 0.3
+
+
+class Reports:
+    """Records the deaths that are reported."""
+
+    def __init__(self):
+        self.deaths = []
+
+    def report_death(self, death_id, runs, died_at):
+        self.deaths.append((death_id, runs))
+
+
+@pytest.fixture
+async def detector(monkeypatch):
+    monkeypatch.setattr(module, "OBSERVATION_SECONDS", WAIT_SECONDS)
+    monkeypatch.setattr(module, "_LOOK_SECONDS", 0.02)
+    view = SimpleNamespace(registrations=Registrations())
+    async with task_group() as tasks:
+        yield CrashDetector(view, Reports(), tasks)
+
+
+def register(detector, name, address, born):
+    registration = Registration(
+        endpoint=name, service="api", address=address, born=born
+    )
+    detector.view.registrations.merge(registration, 0.0)
+    return registration
+
+
+def broken_run(fingerprint, earlier=()):
+    now = time.monotonic()
+    return BrokenRun(fingerprint, now - 0.1, now, earlier)
+
+
+async def test_a_dead_endpoint_is_reported_once_with_all_its_runs(detector):
+    """Guards against a death that is missed, or counted for each request."""
+    endpoint = register(detector, "e1", free_address(), 1)
+    for name in ("f", "g"):
+        detector.on_broken(endpoint, broken_run(name))
+    await asyncio.sleep(WAIT_SECONDS)
+    [(death_id, runs)] = detector.suspects.deaths
+    assert death_id == lifetime_of(endpoint)
+    assert [run.fingerprint for run in runs] == ["f", "g"]
+    assert runs[0].seconds == pytest.approx(0.1, abs=0.01)
+    assert detector.observations == {}
+
+
+async def test_an_endpoint_that_resets_connections_is_not_dead(detector):
+    """Guards against suspecting requests whose connections were reset."""
+    server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    endpoint = register(detector, "e1", f"{host}:{port}", 1)
+    detector.on_broken(endpoint, broken_run("f"))
+    await asyncio.sleep(2 * WAIT_SECONDS)
+    server.close()
+    assert detector.suspects.deaths == []
+    assert detector.observations == {}
+
+
+async def test_runs_that_an_endpoint_survived_are_not_reported(detector):
+    """Guards against suspecting a request whose connection was reset some time
+    before its endpoint died.
+    """
+    server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    endpoint = register(detector, "e1", f"{host}:{port}", 1)
+    detector.on_broken(endpoint, broken_run("reset"))
+    await asyncio.sleep(WAIT_SECONDS / 3)
+    server.close()
+    await server.wait_closed()
+    detector.on_broken(endpoint, broken_run("crashed"))
+    await asyncio.sleep(WAIT_SECONDS)
+    [(_, runs)] = detector.suspects.deaths
+    assert [run.fingerprint for run in runs] == ["crashed"]
+
+
+async def test_an_endpoint_that_is_back_at_once_was_dead(detector):
+    """Guards against missing a crash after which a new lifetime listens before
+    anybody looks.
+    """
+    server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    endpoint = register(detector, "e1", f"{host}:{port}", 1)
+    detector.on_broken(endpoint, broken_run("f"))
+    await asyncio.sleep(WAIT_SECONDS / 3)
+    register(detector, "e2", f"{host}:{port}", 2)
+    await asyncio.sleep(WAIT_SECONDS)
+    server.close()
+    [(death_id, _)] = detector.suspects.deaths
+    assert death_id == lifetime_of(endpoint)
+
+
+async def test_deaths_under_earlier_sends_are_counted(detector):
+    """Guards against losing count of endpoints that one attempt crashes."""
+    first, second = (
+        register(detector, name, free_address(), 1) for name in ("e1", "e2")
+    )
+    detector.on_broken(first, broken_run("f"))
+    await asyncio.sleep(WAIT_SECONDS / 3)
+    earlier = (lifetime_of(first), "e9@1")
+    detector.on_broken(second, broken_run("f", earlier))
+    await asyncio.sleep(WAIT_SECONDS)
+    counts = [runs[0].earlier_deaths for _, runs in detector.suspects.deaths]
+    assert counts == [0, 1]
+
+
+async def test_a_host_that_does_not_reply_says_nothing(monkeypatch):
+    """Guards against taking a network partition for a crash."""
+
+    async def connect(*_):
+        await asyncio.Event().wait()
+
+    monkeypatch.setattr(module.asyncio, "open_connection", connect)
+    monkeypatch.setattr(module, "PROBE_TIMEOUT_SECONDS", 0.01)
+    assert not await refuses_connections("127.0.0.1:1")
--- a/packages/fleet/tests/gateway/test_request_handler.py
+++ b/packages/fleet/tests/gateway/test_request_handler.py
@@ -55,8 +55,9 @@
     )
     brokers = SimpleNamespace(lag=SimpleNamespace(on_wake_up=[]))
     notices = EndpointNotices(view, brokers, "Endpoint-Leaving")
+    crashes = SimpleNamespace(suspects=None)
     instance = RequestHandler(
-        view, None, brokers, ColdStarts(view, 1.5, 5.0), notices, app
+        view, None, brokers, ColdStarts(view, 1.5, 5.0), notices, crashes, app
     )
     instance.guard.limit.limit = 1.0
     with instance.guard.limit.admit("large"):
--- a/packages/fleet/tests/gateway/test_request_run.py
+++ b/packages/fleet/tests/gateway/test_request_run.py
@@ -182,3 +182,44 @@
             await run.run_to_completion()
     assert received == []
     assert not run.progress.may_have_run
+
+
+async def test_a_request_that_is_quarantined_while_connecting_is_not_sent(
+    view, metrics
+):
+    """Guards against sends of a crashing request by requests that waited for
+    an endpoint when its quarantine began.
+    """
+    run = make_run(view, metrics, False)
+
+    @asynccontextmanager
+    async def open_response(_session, _caller, _plan, _names, check, _read):
+        view.suspects.update(1, {run.caller.fingerprint: 9.0}, time.monotonic())
+        check()
+        yield
+
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(request_run, "open_response", open_response)
+        with pytest.raises(FleetError) as caught:
+            await run.run_to_completion()
+    assert caught.value.failure.kind is FailureKind.QUARANTINED
+    assert caught.value.failure.outcome == Outcome.NOT_RUN.value
+
+
+async def test_a_held_suspect_is_sent_once(view, metrics):
+    """Guards against a suspect that crashes a second endpoint before the first
+    crash has been noticed.
+    """
+    add_endpoint(view, "e1")
+    run = make_run(view, metrics, False)
+    run.permit.is_held = True
+    run.trace.sends.append("e0")
+    run.progress.may_have_run = True
+    lost = SendFailedError(SendOutcome.BROKEN, "lost", is_connection_lost=True)
+    broken = []
+    run.context.crashes.on_broken = lambda *found: broken.append(found)
+    plan = SendPlan(view.registrations.by_endpoint["e0"])
+    with pytest.raises(FleetError) as caught:
+        run._on_send_failed(plan, lost)
+    assert caught.value.failure.outcome == Outcome.UNKNOWN.value
+    assert [endpoint.endpoint for endpoint, _ in broken] == ["e0"]
--- a/packages/kernel/src/marjoramyard/kernel/errors.py
+++ b/packages/kernel/src/marjoramyard/kernel/errors.py
@@ -41,7 +41,7 @@
     LEDGER_FULL = ("ledger_full", 503)
     NO_QUORUM = ("no_quorum", 503)
     NOT_LEADER = ("not_leader", 421)
-    QUARANTINED = ("request_quarantined", 422)
+    QUARANTINED = ("request_quarantined", 503)
     SUSPECT_HELD = ("suspect_held_apart", 503)
     RETRY_BUDGET_EXHAUSTED = ("retry_budget_spent", 503)
     ENDPOINT_LOST = ("endpoint_lost", 502)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -64,7 +64,9 @@
         yield fleet, endpoints
 
 
-async def send_to_all(fleet, service, seconds, crashing=True, bodies=None):
+async def send_to_all(
+    fleet, service, seconds, crashing=True, bodies=None, gap=RETRY_SECONDS
+):
     """Sends the crashing request and others beside it for some time.
 
     Returns:
@@ -80,9 +82,7 @@
         for number in range(CALLERS)
     ]
     if crashing:
-        calls.append(
-            send_repeatedly(fleet, path, crashes, until, RETRY_SECONDS)
-        )
+        calls.append(send_repeatedly(fleet, path, crashes, until, gap))
     statuses = await asyncio.gather(*calls)
     others = itertools.chain.from_iterable(statuses[:CALLERS])
     return (statuses[CALLERS] if crashing else []), list(others)
@@ -120,6 +120,23 @@
         assert later <= ALLOWED_LATER_SENDS
 
 
+@pytest.mark.parametrize("service", ["api", "chat"])
+async def test_a_gateway_without_control_hosts_refuses_it_too(
+    tmp_path, service
+):
+    """Guards against a gateway that lets such requests through while no
+    control host can decide.
+    """
+    async with fleet_with_endpoints(tmp_path, service) as (fleet, endpoints):
+        for number in range(3):
+            await fleet.children[f"control-{number}"].kill()
+        await send_to_all(fleet, service, TEST_SECONDS / 2)
+        later = sends_after_third_end(endpoints, NOTICE_SECONDS)
+        ends = sum(len(endpoint.ends) for endpoint in endpoints)
+        assert later <= ALLOWED_LATER_SENDS
+        assert ends <= ALLOWED_ENDS + ALLOWED_LATER_SENDS
+
+
 async def test_a_popular_request_is_served_while_endpoints_crash(tmp_path):
     """Guards against refusing a harmless request that many callers send, byte
     for byte, because endpoints crash for another reason while it runs.
