Let the soak's endpoints refuse requests that are meant for another one

Trace: a gateway had sent the request to the endpoint's last incarnation, and the one that had just started at the same address took it and asked for a pause. It must answer 421, as the protocol says and the addressed endpoint's name is in the request; ours didn't look. The gateway kept the pause for the one that it had asked.

--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -57,11 +57,15 @@
         self.runner: web.AppRunner | None = None
         self.is_shedding = False
         self.crashes = TaskGroup()
+        self.changing = asyncio.Lock()
 
     async def start(self) -> None:
         """Starts a new incarnation, unless one is running."""
-        if self.runner is not None:
-            return
+        async with self.changing:
+            if self.runner is None:
+                await self._start()
+
+    async def _start(self) -> None:
         self.name = f"i-{self.number}-{next(self.incarnations)}"
         self.state = "ready"
         self.started_at_ms = time.time_ns() // 1_000_000
@@ -83,6 +87,10 @@
 
     async def stop(self) -> None:
         """Stops like a crash: aborts all connections and sends no update."""
+        async with self.changing:
+            await self._stop()
+
+    async def _stop(self) -> None:
         runner, self.runner = self.runner, None
         if runner is not None:
             for connection in list(runner.server.connections):
@@ -92,6 +100,9 @@
 
     async def _handle(self, request: web.Request, name: str):
         call_id = request.headers["Request-Id"]
+        if request.headers["Target-Endpoint"] != name:
+            headers = {"Request-Id": call_id, "Not-Run": "1"}
+            return web.Response(status=421, headers=headers)
         after = int(request.headers.get("Last-Event-Id") or 0)
         attempt = Attempt(
             id=call_id,
