Keep endpoints' pauses on every path of an agent

What callers and endpoints saw: an attempt that waited for a hold, or for the ledger, was sent to an endpoint that had asked for a pause or said that it leaves meanwhile; orders and resumed streams ignored pauses, and what an endpoint says in the response of a resumed stream was not read; refused callers were told to come back in 1 to 3 s, whatever the pause.

Change: agents look again after the wait for a hold, before the ledger has the start of a call; orders wait; streams are not resumed; the refusal's Retry-After contains the rest of the pause. A call whose start the ledger has is still sent: it can't be refused any more.

--- a/packages/fleet/src/marjoramyard/fleet/agent/attempt_service.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/attempt_service.py
@@ -148,6 +148,7 @@
                 raise FleetError(refusal)
             held = True
         try:
+            self._recheck_endpoint()
             await self._start_call(run)
         except BaseException:
             if held:
@@ -164,6 +165,17 @@
         self.attempts[AttemptId(run.attempt)] = attempt
         return attempt
 
+    def _recheck_endpoint(self) -> None:
+        """Checks after the wait for a hold that the endpoint takes requests.
+
+        A call can't be refused any more once the ledger has its start.
+
+        Raises:
+            FleetError: It pauses, leaves or has died.
+        """
+        if not self.endpoint.is_ready:
+            raise FleetError(self.endpoint.refusal())
+
     async def _start_call(self, run: RunRequest) -> None:
         if run.call is not None:
             refusal = await start_call(self.control, run)
--- a/packages/fleet/src/marjoramyard/fleet/agent/attempts.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/attempts.py
@@ -238,6 +238,8 @@
             await self.space_available.wait()
 
     def _can_resume(self) -> bool:
+        if self.endpoint.pause_seconds:
+            return False
         return bool(self.events and self.events.last_id and self.resume_path)
 
     async def _resume(
@@ -253,11 +255,15 @@
         """
         self.events.discard_partial()
         address = self.endpoint.announced.address
+        incarnation = self.endpoint.announced.incarnation
         response = await session.get(
             f"http://{address}{self.resume_path}",
             headers={"Last-Event-ID": self.events.last_id},
             allow_redirects=False,
         )
+        self.endpoint.on_response(
+            incarnation, response.status, response.headers
+        )
         if response.status != HTTP_OK:
             response.close()
             raise aiohttp.ClientPayloadError(
--- a/packages/fleet/src/marjoramyard/fleet/agent/endpoint.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/endpoint.py
@@ -1,6 +1,7 @@
 """The agent's view of its endpoint."""
 
 import asyncio
+import random
 import time
 from collections.abc import Mapping
 
@@ -10,6 +11,7 @@
 from marjoramyard.coordination.serving.slots import SlotLimit
 from marjoramyard.fleet.messages import EndpointAnnouncement
 from marjoramyard.fleet.util.pause_requests import requested_pause
+from marjoramyard.kernel.errors import Failure, FailureKind, failure
 from marjoramyard.kernel.logs import get_logger
 
 logger = get_logger(__name__)
@@ -88,10 +90,23 @@
             self.leaving_incarnation,
         ):
             return False
-        now = time.monotonic()
+        announced_ago = time.monotonic() - self.last_announced_at
         return (
-            now >= self.paused_until
-            and now - self.last_announced_at < ANNOUNCEMENT_TIMEOUT_SECONDS
+            not self.pause_seconds
+            and announced_ago < ANNOUNCEMENT_TIMEOUT_SECONDS
+        )
+
+    @property
+    def pause_seconds(self) -> float:
+        """The time until its pause ends; 0.0 if it does not pause."""
+        return max(0.0, self.paused_until - time.monotonic())
+
+    def refusal(self) -> Failure:
+        """Returns the refusal of a request while it is not ready."""
+        return failure(
+            FailureKind.NO_ENDPOINT,
+            "the endpoint is not ready; use another",
+            retry_after=self.pause_seconds + random.uniform(1.0, 3.0),
         )
 
     def on_response(
--- a/packages/fleet/src/marjoramyard/fleet/agent/orders.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/orders.py
@@ -63,6 +63,8 @@
             return True
         if announced is None or announced.name != order.endpoint:
             return False
+        if self.endpoint.pause_seconds:
+            return False
         if self.forwarded == (announced.incarnation, order.number):
             return True
         refusal = self.guard.admit(order.number)
--- a/packages/fleet/src/marjoramyard/fleet/agent/slot_allocator.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/slot_allocator.py
@@ -325,11 +325,7 @@
         if refusal is not None:
             return refusal
         if not self.endpoint.is_ready:
-            return failure(
-                FailureKind.NO_ENDPOINT,
-                "the endpoint is not ready; use another",
-                retry_after=random.uniform(1.0, 3.0),
-            )
+            return self.endpoint.refusal()
         self._update_usage()
         if grant:
             if self.grants.pop(grant, None) is None:
--- a/packages/fleet/tests/agent/test_attempt_service.py
+++ b/packages/fleet/tests/agent/test_attempt_service.py
@@ -12,11 +12,19 @@
 from marjoramyard.fleet.agent.attempt_service import AttemptService
 from marjoramyard.fleet.agent.attempts import endpoint_headers
 from marjoramyard.fleet.agent.calls import start_call
+from marjoramyard.fleet.agent.endpoint import Endpoint
 from marjoramyard.fleet.agent.meters import METERS
 from marjoramyard.fleet.agent.suspects import SuspectGuard
-from marjoramyard.fleet.messages import CallTicket, CancelReply, RunRequest
+from marjoramyard.fleet.messages import (
+    CallTicket,
+    CancelReply,
+    EndpointAnnouncement,
+    RunRequest,
+)
 from marjoramyard.kernel.errors import FailureKind, FleetError, failure
 
+LEAVING = {"Endpoint-Leaving": "1"}
+
 
 def run_request(attempt="a1", call=None):
     return RunRequest(
@@ -84,6 +92,54 @@
     assert refused.value.failure.kind is FailureKind.CANCELLED
 
 
+@pytest.mark.parametrize("headers", [{"Retry-After": "60"}, LEAVING])
+async def test_an_endpoint_may_pause_or_leave_while_a_hold_is_awaited(headers):
+    """Guards against a suspect, or a call, that is sent to an endpoint which
+    has asked for a pause or is leaving since the attempt was admitted.
+    """
+    service = make_service()
+    service.endpoint = ready_endpoint()
+    service.membership = SimpleNamespace(
+        bundle=SimpleNamespace(services={"chat": SimpleNamespace()}),
+        quarantine_seconds_left=lambda _: None,
+    )
+    guard = HeldGuard(service.endpoint, headers)
+    service.suspect_guard = guard
+    service.control = FakeControl()
+    run = run_request(call=CallTicket("k", "d", 0))
+    with pytest.raises(FleetError) as refused:
+        await service._prepare(run, b"")
+    assert refused.value.failure.kind is FailureKind.NO_ENDPOINT
+    assert service.control.commands == []
+    assert guard.released == ["f"]
+
+
+def ready_endpoint():
+    endpoint = Endpoint(0)
+    endpoint.on_announcement(
+        EndpointAnnouncement("e", "e~1", "127.0.0.1:1", "chat", 4, "ready")
+    )
+    return endpoint
+
+
+class HeldGuard:
+    """Grants a hold; the endpoint answers another request meanwhile."""
+
+    def __init__(self, endpoint, headers):
+        self.endpoint = endpoint
+        self.headers = headers
+        self.released = []
+
+    def is_suspect(self, _fingerprint, _marked):
+        return True
+
+    async def hold(self, _fingerprint):
+        self.endpoint.on_response("e~1", 503, self.headers)
+
+    def release(self, fingerprint, clear):
+        self.released.append(fingerprint)
+
+
 async def _read_nothing():
     return b""
 
--- a/packages/fleet/tests/agent/test_endpoint.py
+++ b/packages/fleet/tests/agent/test_endpoint.py
@@ -48,3 +48,9 @@
     endpoint.on_response("e~1", 429, PAUSE)
     endpoint.on_response("e~1", 503, {})
     assert endpoint.is_ready
+
+
+def test_refused_attempts_are_told_when_the_pause_ends(endpoint):
+    """Guards against callers that come back before an endpoint's pause ends."""
+    endpoint.on_response("e~1", 503, PAUSE)
+    assert 60.0 < endpoint.refusal().retry_after < 64.0
