Don't isolate a request at agents that its endpoint has answered lately

Cause: the same as at gateways. A popular request that ran when an endpoint died for another reason was a suspect, and each of its copies, at all agents, had to wait for the hold.

Change: agents keep the memory of recent answers that gateways have (governance/recent_answers.py), and leave such requests out of their reports.

--- a/packages/fleet/src/marjoramyard/fleet/agent/attempt_service.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/attempt_service.py
@@ -8,6 +8,7 @@
 import msgspec
 from aiohttp import web
 
+from marjoramyard.coordination.governance.recent_answers import RecentAnswers
 from marjoramyard.coordination.governance.suspects import EndedRun
 from marjoramyard.coordination.serving.frames import KEEPALIVE, ReplayLostError
 from marjoramyard.fleet.agent.attempts import Attempt, AttemptState
@@ -53,6 +54,7 @@
         ended: When each attempt ended; monotonic time, in seconds.
         delivered: Attempts whose last frame was sent, oldest first.
         tombstones: Cancelled attempt ids, oldest first.
+        answered: The requests that the endpoint has answered lately.
         http_session: The HTTP client session for the endpoint.
     """
 
@@ -74,6 +76,7 @@
         self.ended: dict[AttemptId, float] = {}
         self.delivered: OrderedDict[AttemptId, None] = OrderedDict()
         self.tombstones: OrderedDict[AttemptId, None] = OrderedDict()
+        self.answered = RecentAnswers()
         self.http_session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0),
             auto_decompress=False,
@@ -217,6 +220,7 @@
         run = attempt.run_request
         if reason is None:
             self.endpoint.prefixes.record_run(run.prefix)
+            self.answered.record(run.fingerprint, time.monotonic())
         if attempt.held_suspect:
             fingerprint = Fingerprint(run.fingerprint)
             self.suspect_guard.release(fingerprint, clear=reason is None)
@@ -235,6 +239,7 @@
             )
             for attempt in self.attempts.values()
             if attempt.state is AttemptState.SENT
+            and not self.answered.contains(attempt.run_request.fingerprint, now)
         ]
         announced = self.endpoint.announced
         if announced.incarnation == self.endpoint.dead_incarnation:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/suspects.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/suspects.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Sequence
 
+from marjoramyard.coordination.governance.recent_answers import RecentAnswers
 from marjoramyard.coordination.governance.suspects import (
     QUARANTINE_SECONDS,
     EndedRun,
@@ -30,9 +31,6 @@
 alone."""
 ANNOUNCEMENT_SECONDS = 1.0
 """How long control hosts take to announce what a report has changed."""
-ANSWERED_SECONDS = 10.0
-"""A request that was answered so recently does not crash endpoints."""
-MAX_ANSWERED = 4096
 
 
 class GatewaySuspects:
@@ -44,7 +42,7 @@
     Attributes:
         known: The suspects that the control hosts have announced.
         own: The decisions by reports that no control host has accepted yet.
-        answered: When endpoints last answered requests, in that order.
+        answered: The requests that endpoints have answered lately.
     """
 
     def __init__(
@@ -60,7 +58,7 @@
         self.tasks = tasks
         self.metrics = metrics
         self.own = Suspects({}, [])
-        self.answered: dict[str, float] = {}
+        self.answered = RecentAnswers()
 
     @property
     def is_empty(self) -> bool:
@@ -91,26 +89,15 @@
 
     def on_answered(self, fingerprint: Fingerprint) -> None:
         """Notes that an endpoint has answered a request, and clears it."""
-        now = time.monotonic()
-        self.answered.pop(fingerprint, None)
-        self.answered[fingerprint] = now
-        self._forget_old_answers(now)
+        self.answered.record(fingerprint, time.monotonic())
         if not self.is_empty:
             self._clear(fingerprint)
 
-    def _forget_old_answers(self, now: float) -> None:
-        while self.answered:
-            oldest = next(iter(self.answered))
-            is_old = now - self.answered[oldest] > ANSWERED_SECONDS
-            if not is_old and len(self.answered) <= MAX_ANSWERED:
-                return
-            del self.answered[oldest]
-
     def _clear_answered(self) -> None:
         """Clears announced suspects that this gateway knows to be harmless."""
-        self._forget_old_answers(time.monotonic())
+        now = time.monotonic()
         for fingerprint in self.known.fingerprints():
-            if fingerprint in self.answered:
+            if self.answered.contains(fingerprint, now):
                 self._clear(fingerprint)
 
     def _clear(self, fingerprint: Fingerprint) -> None:
@@ -141,8 +128,12 @@
             self.tasks.spawn(self._report(death))
 
     def _unanswered(self, runs: Sequence[EndedRun]) -> list[EndedRun]:
-        self._forget_old_answers(time.monotonic())
-        return [run for run in runs if run.fingerprint not in self.answered]
+        now = time.monotonic()
+        return [
+            run
+            for run in runs
+            if not self.answered.contains(run.fingerprint, now)
+        ]
 
     async def _report(self, death: Death) -> None:
         report = self.tasks.spawn(
--- a/packages/fleet/tests/agent/test_attempt_service.py
+++ b/packages/fleet/tests/agent/test_attempt_service.py
@@ -1,5 +1,6 @@
 """Tests of attempts at an agent: cancellation, calls, suspects, meters."""
 
+import time
 from collections import OrderedDict
 from types import SimpleNamespace
 
@@ -9,8 +10,9 @@
 
 from marjoramyard.coordination.governance.commands import Reply
 from marjoramyard.coordination.governance.ledger import CallState, LedgerView
+from marjoramyard.coordination.governance.recent_answers import RecentAnswers
 from marjoramyard.fleet.agent.attempt_service import AttemptService
-from marjoramyard.fleet.agent.attempts import endpoint_headers
+from marjoramyard.fleet.agent.attempts import AttemptState, endpoint_headers
 from marjoramyard.fleet.agent.calls import start_call
 from marjoramyard.fleet.agent.endpoint import Endpoint
 from marjoramyard.fleet.agent.meters import METERS
@@ -207,3 +209,36 @@
     assert meter.collect() == 18.0
     meter.total = 0.0
     assert meter.collect() == 0.0
+
+
+async def test_a_request_that_was_answered_lately_is_not_reported():
+    """Guards against isolating a popular request each time its endpoint dies
+    for another reason.
+    """
+    service = make_service()
+    service.answered = RecentAnswers()
+    service.answered.record("popular", time.monotonic())
+    service.attempts = {
+        name: SimpleNamespace(
+            run_request=SimpleNamespace(fingerprint=name),
+            state=AttemptState.SENT,
+            sent_at=time.monotonic(),
+            held_suspect=False,
+        )
+        for name in ("popular", "other")
+    }
+    service.endpoint = ready_endpoint()
+    service.endpoint.is_alive = _is_not_alive
+    service.membership = SimpleNamespace(announce_now=lambda: None)
+    service.app.tasks = SimpleNamespace(spawn=lambda found: found)
+    reported = []
+    service.suspect_guard = SimpleNamespace(
+        report=lambda _death_id, runs: reported.extend(runs)
+    )
+    service.http_session = None
+    await service._check_endpoint()
+    assert [run.fingerprint for run in reported] == ["other"]
+
+
+async def _is_not_alive(_session):
+    return False
--- a/packages/fleet/tests/gateway/test_suspects.py
+++ b/packages/fleet/tests/gateway/test_suspects.py
@@ -190,17 +190,6 @@
     assert gateway.reports.control.commands == []
 
 
-async def test_few_answers_are_remembered(gateway, monkeypatch):
-    """Guards against memory that grows with each request."""
-    monkeypatch.setattr(module, "MAX_ANSWERED", 3)
-    for number in range(9):
-        gateway.on_answered(f"f{number}")
-    assert list(gateway.answered) == ["f6", "f7", "f8"]
-    monkeypatch.setattr(module, "ANSWERED_SECONDS", 0.0)
-    gateway.on_answered("g")
-    assert set(gateway.answered) <= {"g"}
-
-
 async def test_a_request_that_is_answered_before_the_report_is_left_out(
     gateway,
 ):
