--- a/packages/standin/src/marjoramyard/standin/experiment/deployments.py
+++ b/packages/standin/src/marjoramyard/standin/experiment/deployments.py
@@ -86,6 +86,9 @@
     SHED = "shed"
     """Some engines turn a share of their requests away, and ask the gateway for
     a pause of `factor` seconds."""
+    CRASHING_REQUEST = "crashing_request"
+    """Requests, `count` of them, crash each engine that runs them, and come
+    again every `factor` seconds."""
     BROKER_LOST = "broker_lost"
     """The broker is replaced by one that has no state."""
 
--- a/packages/standin/src/marjoramyard/standin/experiment/disturbances.py
+++ b/packages/standin/src/marjoramyard/standin/experiment/disturbances.py
@@ -8,14 +8,10 @@
     Disturbance,
     DisturbanceKind,
 )
-from marjoramyard.standin.experiment.scoring import Outcome
 
 if TYPE_CHECKING:
     from marjoramyard.standin.experiment.simulation import Simulation
 
-DETECTION_MS = 100.0
-"""Delay until the policy learns of an engine's crash or restart."""
-
 
 def schedule(simulation: "Simulation", disturbance: Disturbance) -> None:
     """Schedules a disturbance's effects on engines or the broker."""
@@ -25,6 +21,9 @@
     if disturbance.kind is DisturbanceKind.BROKER_LOST:
         loop.at(at, functools.partial(_replace_broker, simulation))
         return
+    if disturbance.kind is DisturbanceKind.CRASHING_REQUEST:
+        loop.at(at, lambda: simulation.crashing.start(disturbance))
+        return
     if disturbance.kind not in (
         DisturbanceKind.CRASH,
         DisturbanceKind.SLOW,
@@ -70,30 +69,13 @@
 
 
 def _crash(simulation: "Simulation", names: list[str]) -> None:
-    interrupted = []
     for name in names:
-        simulation.down.add(name)
-        interrupted += simulation.engines[name].crash()
-    _update_engines_after_detection(simulation)
-    for request in interrupted:
-        attempt = simulation.by_engine_request.pop(id(request), None)
-        if attempt is not None:
-            simulation.finish(attempt, Outcome.FAILED)
+        simulation.crash_engine(name)
 
 
 def _restore(simulation: "Simulation", names: list[str]) -> None:
-    simulation.down.difference_update(names)
-    _update_engines_after_detection(simulation)
-
-
-def _update_engines_after_detection(simulation: "Simulation") -> None:
-    def update() -> None:
-        simulation.policy.set_engines(
-            name for name in simulation.engines if name not in simulation.down
-        )
-        simulation.dispatch()
-
-    simulation.loop.after(DETECTION_MS, update)
+    for name in names:
+        simulation.restore_engine(name)
 
 
 def _set_slowdown(
--- a/packages/standin/src/marjoramyard/standin/experiment/policies.py
+++ b/packages/standin/src/marjoramyard/standin/experiment/policies.py
@@ -27,11 +27,13 @@
     """A placement policy, with the interface of the broker.
 
     Attributes:
+        quarantines: Whether gateways refuse requests that crash engines.
         honours_pauses: Whether gateways send nothing to engines that have
             asked them for a pause.
     """
 
     honours_pauses: bool
+    quarantines: bool
 
     def pause(self, router: str, endpoint: str, until: float) -> None:
         """Excludes an engine from the choices for a router."""
@@ -88,6 +90,7 @@
     """Base of policies that grant each request at once, without a queue."""
 
     honours_pauses = False
+    quarantines = True
 
     def __init__(self, deployment: Deployment, rng: random.Random):
         self.deployment = deployment
@@ -197,6 +200,7 @@
     """The broker of gateways that keep the pauses engines ask for."""
 
     honours_pauses = True
+    quarantines = True
 
 
 class UntoldBroker(PausingBroker):
@@ -206,12 +210,18 @@
         """Does nothing."""
 
 
-class UnheedingBroker(Broker):
+class UnheedingBroker(PausingBroker):
     """The broker of gateways that ignore pauses."""
 
     honours_pauses = False
 
 
+class ForgetfulBroker(PausingBroker):
+    """The broker of gateways that keep no record of crashing requests."""
+
+    quarantines = False
+
+
 def _register_broker(name: str, broker: type[Broker]) -> None:
     def make(deployment: Deployment, rng: random.Random) -> Broker:
         made = broker(
@@ -226,3 +236,4 @@
 _register_broker("broker", PausingBroker)
 _register_broker("pauses-ignored", UnheedingBroker)
 _register_broker("pauses-untold", UntoldBroker)
+_register_broker("crashes-ignored", ForgetfulBroker)
--- a/packages/standin/src/marjoramyard/standin/experiment/simulation.py
+++ b/packages/standin/src/marjoramyard/standin/experiment/simulation.py
@@ -11,6 +11,7 @@
     PlacementRefusal,
     PlacementRequest,
 )
+from marjoramyard.standin.experiment.crashing import CrashingRequests
 from marjoramyard.standin.experiment.deployments import Deployment
 from marjoramyard.standin.experiment.disturbances import schedule
 from marjoramyard.standin.experiment.engine_model import (
@@ -38,6 +39,8 @@
 """Time that a gateway spends on a request before it asks the broker."""
 DISPATCH_INTERVAL_MS = 100.0
 """Interval at which the broker dispatches and expires requests."""
+DETECTION_MS = 100.0
+"""Delay until the policy learns of an engine's crash or restart."""
 DRAIN_MS = 20_000.0
 """Time simulated after the last arrival."""
 RETRY_JITTER = 0.5
@@ -59,6 +62,7 @@
         zones: Zone of each engine. The broker is in zone 0.
         down: Engines that have crashed.
         shedding: Engines that turn requests away, and gateways' pauses.
+        crashing: Requests that crash engines, and what is refused for it.
     """
 
     def __init__(self, deployment: Deployment, policy: str, seed: int):
@@ -91,6 +95,7 @@
         self.down: set[str] = set()
         self.shedding = Shedding(self.rng)
         self.usage = ResourceUsage()
+        self.crashing = CrashingRequests(self)
         self.policy = self.new_policy()
 
     def new_policy(self) -> Policy:
@@ -106,7 +111,7 @@
         for record in self.records:
             self.loop.at(
                 record.request.arrival_ms,
-                lambda record=record: self._start_attempt(record),
+                lambda record=record: self.start_attempt(record),
             )
         for disturbance in self.deployment.disturbances:
             schedule(self, disturbance)
@@ -127,6 +132,7 @@
             sum(e.prefill_ms for e in engines) / engine_ms
         )
         self.usage.utilisation = sum(e.busy_ms for e in engines) / engine_ms
+        self.usage.engine_deaths = self.crashing.deaths
         self.usage.preemptions = sum(e.preemptions for e in engines)
         self.usage.shared_prefilled_tokens = sum(
             e.shared_prefilled_tokens for e in engines
@@ -148,8 +154,13 @@
     def _broker_ms(self, attempt: Attempt) -> float:
         return self._hop_ms(self._zone_of(attempt.record.request), 0)
 
-    def _start_attempt(self, record: RequestRecord) -> None:
+    def start_attempt(self, record: RequestRecord) -> None:
+        """Starts an attempt of a caller, unless it is refused at once."""
         record.attempts += 1
+        if self.crashing.is_refused(record.request):
+            self.usage.quarantined += 1
+            record.outcome = Outcome.REFUSED
+            return
         self.attempt_count += 1
         attempt = Attempt(self.attempt_count, record, self.loop.now)
         self.attempts[attempt.key] = attempt
@@ -223,7 +234,7 @@
         )
         if request.is_impatient:
             wait = 0.0
-        self.loop.after(latency_ms + wait, lambda: self._start_attempt(record))
+        self.loop.after(latency_ms + wait, lambda: self.start_attempt(record))
 
     def _send(self, attempt: Attempt, grant: PlacementGrant) -> None:
         request = attempt.record.request
@@ -315,6 +326,7 @@
         pause_ms = self.shedding.turn_away(engine.name)
         if pause_ms is None:
             engine.submit(engine_request, self.loop.now)
+            self.crashing.on_arrival(attempt)
             return
         self.usage.turned_away += 1
         zone = self._zone_of(attempt.record.request)
@@ -345,6 +357,29 @@
             refusal = PlacementRefusal(attempt.key, TURNED_AWAY_RETRY_MS, 0.0)
             self._on_refusal(attempt, refusal)
 
+    def crash_engine(self, name: str) -> list[Attempt]:
+        """Ends an engine; returns the attempts that were running there."""
+        self.down.add(name)
+        attempts = []
+        for request in self.engines[name].crash():
+            attempt = self.by_engine_request.pop(id(request), None)
+            if attempt is not None:
+                attempts.append(attempt)
+                self.finish(attempt, Outcome.FAILED)
+        self.loop.after(DETECTION_MS, self._update_engines)
+        return attempts
+
+    def restore_engine(self, name: str) -> None:
+        """Starts an engine that has crashed."""
+        self.down.discard(name)
+        self.loop.after(DETECTION_MS, self._update_engines)
+
+    def _update_engines(self) -> None:
+        self.policy.set_engines(
+            name for name in self.engines if name not in self.down
+        )
+        self.dispatch()
+
     def _time_out(self, attempt: Attempt) -> None:
         if not attempt.is_over and attempt.engine_request is not None:
             attempt.engine.cancel(attempt.engine_request)
@@ -382,6 +417,7 @@
         """Ends an attempt and reports the end to the broker."""
         attempt.is_over = True
         attempt.record.outcome = outcome
+        self.crashing.on_end(attempt.record.request, outcome)
         latency_ms = self._broker_ms(attempt) + self.deployment.hop_ms
         self.loop.after(latency_ms, lambda: self._report_end(attempt))
 
--- a/packages/standin/src/marjoramyard/standin/experiment/simulation_run.py
+++ b/packages/standin/src/marjoramyard/standin/experiment/simulation_run.py
@@ -22,6 +22,8 @@
         refusals: Refused attempts.
         turned_away: Sends that engines turned away.
         returned_grants: Grants for engines that had asked for a pause.
+        quarantined: Attempts that were refused because of crashes.
+        engine_deaths: Engines that ended under requests that crash them.
     """
 
     fetched_gb: float = 0.0
@@ -33,6 +35,8 @@
     refusals: int = 0
     turned_away: int = 0
     returned_grants: int = 0
+    quarantined: int = 0
+    engine_deaths: int = 0
 
 
 class SimulationRun(msgspec.Struct):
--- a/packages/standin/src/marjoramyard/standin/experiment/workloads.py
+++ b/packages/standin/src/marjoramyard/standin/experiment/workloads.py
@@ -32,6 +32,7 @@
         max_output_tokens: The caller's limit of generated tokens.
         hint_tokens: The caller's estimate of generated tokens.
         is_impatient: Whether the caller retries at once after a refusal.
+        crashes: The name of a request that crashes engines; "" for others.
     """
 
     number: int
@@ -44,6 +45,12 @@
     max_output_tokens: int
     hint_tokens: int
     is_impatient: bool = False
+    crashes: str = ""
+
+    @property
+    def fingerprint(self) -> str:
+        """Identifies the request, also when it is sent again."""
+        return self.crashes or f"r{self.number}"
 
     @property
     def prompt_tokens(self) -> int:
--- a/packages/standin/tests/experiment/test_experiment.py
+++ b/packages/standin/tests/experiment/test_experiment.py
@@ -110,3 +110,16 @@
     ignored = simulate(deployment, "pauses-ignored", 0)
     assert kept.usage.turned_away < ignored.usage.turned_away / 10
     assert kept.scores.goal > ignored.scores.goal
+
+
+def test_gateways_stop_a_request_that_crashes_engines():
+    """Guards against a model in which such requests cost nothing, and against
+    refusing others because of them.
+    """
+    path = EXAMPLES / "crashing-requests.yaml"
+    deployment = read_deployment(path)
+    kept = simulate(deployment, "broker", 1)
+    ignored = simulate(deployment, "crashes-ignored", 1)
+    assert kept.usage.engine_deaths <= 5
+    assert ignored.usage.engine_deaths >= 15
+    assert kept.scores.goal > ignored.scores.goal
