Part the permission to run a request from what a gateway knows of suspects

Small modules with one job: gateway/run_permit.py, gateway/suspects.py and gateway/suspect_reports.py, and their tests.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
@@ -29,13 +29,13 @@
     attempts_failure,
     deadline_failure,
 )
+from marjoramyard.fleet.gateway.run_permit import RunPermit
 from marjoramyard.fleet.gateway.send_planning import (
     MAX_CONNECT_ATTEMPTS,
     RequestRunContext,
     SendPlanner,
     SendProgress,
 )
-from marjoramyard.fleet.gateway.suspects import RunPermit
 from marjoramyard.kernel.errors import (
     FailureKind,
     FleetError,
@@ -87,7 +87,8 @@
         """
         try:
             while True:
-                await self._acquire_permit()
+                with self._permit_refusals():
+                    await self.permit.acquire()
                 plan = await self.planner.plan()
                 try:
                     response = await self._send(plan)
@@ -99,39 +100,22 @@
         finally:
             self.permit.release()
 
-    async def _acquire_permit(self) -> None:
-        """Waits until the request may run, which most may at once.
-
-        Raises:
-            FleetError: It must not run, or not now.
-        """
-        try:
-            await self.permit.acquire()
-        except FleetError as error:
-            raise self._refusal(error) from None
-
-    def _recheck_permit(self) -> None:
-        """Checks that the request has not been quarantined meanwhile.
+    @contextmanager
+    def _permit_refusals(self) -> Iterator[None]:
+        """Says truly of refused requests whether they may have run.
 
         Raises:
-            FleetError: It has.
+            FleetError: The request must not run, or not now.
         """
         try:
-            self.permit.check()
+            yield
         except FleetError as error:
-            raise self._refusal(error) from None
-
-    def _refusal(self, error: FleetError) -> FleetError:
-        """Returns a refusal, as is true for a request that may have run."""
-        if not self.progress.may_have_run:
-            return error
-        return FleetError(
-            failure(
-                FailureKind.ENDPOINT_LOST,
-                error.failure.message,
-                Outcome.UNKNOWN,
-            )
-        )
+            if not self.progress.may_have_run:
+                raise
+            message = error.failure.message
+            raise FleetError(
+                failure(FailureKind.ENDPOINT_LOST, message, Outcome.UNKNOWN)
+            ) from None
 
     def _recheck_caller(self) -> None:
         """Checks right before the send that the caller is still waiting.
@@ -187,7 +171,8 @@
             CallerGoneError: The caller has closed its connection.
         """
         self.progress.may_have_run = self.progress.may_have_run_before
-        self._recheck_permit()
+        with self._permit_refusals():
+            self.permit.check()
         self._recheck_caller()
         self._recheck_key()
         if not self.view.may_send_to(endpoint):
--- a/packages/fleet/src/marjoramyard/fleet/gateway/suspect_reports.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/suspect_reports.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Callable, Sequence
 
+import msgspec
 from result import Err, Result
 
 from marjoramyard.coordination.governance.commands import (
@@ -30,7 +31,7 @@
 """Responses within this time are told together."""
 
 
-class Death:
+class Death(msgspec.Struct, frozen=True):
     """The death of an endpoint, to be reported.
 
     Attributes:
@@ -39,10 +40,9 @@
         died_at: On the monotonic clock, in seconds.
     """
 
-    def __init__(self, death_id: str, runs: Sequence[EndedRun], died_at: float):
-        self.death_id = death_id
-        self.runs = runs
-        self.died_at = died_at
+    death_id: str
+    runs: Sequence[EndedRun]
+    died_at: float
 
 
 class SuspectReports:
--- /dev/null
+++ b/packages/fleet/tests/gateway/test_run_permit.py
@@ -0,0 +1,82 @@
+"""Tests of the permission to run a request."""
+
+import asyncio
+import sys
+from pathlib import Path
+
+import pytest
+from result import Err, Ok
+
+from marjoramyard.coordination.governance.commands import (
+    HoldSuspect,
+    ReleaseSuspect,
+    Reply,
+)
+from marjoramyard.fleet.gateway.run_permit import RunPermit
+from marjoramyard.kernel.errors import FailureKind, FleetError, failure
+
+sys.path.insert(0, str(Path(__file__).parent))
+
+from gateway_suspects import CALLER, announce, gateway_suspects  # noqa: E402
+
+
+@pytest.fixture
+async def gateway(monkeypatch):
+    async with gateway_suspects(monkeypatch) as found:
+        yield found
+
+
+async def test_other_requests_need_no_hold(gateway):
+    """Guards against delaying each request while there are suspects."""
+    announce(gateway, other=5.0)
+    permit = RunPermit(gateway, CALLER)
+    await permit.acquire()
+    permit.check()
+    permit.release()
+    assert gateway.reports.control.commands == []
+
+
+async def test_a_request_in_quarantine_is_refused_until_it_ends(gateway):
+    """Guards against a caller that is not told when to come back."""
+    announce(gateway, f=5.0)
+    with pytest.raises(FleetError) as raised:
+        await RunPermit(gateway, CALLER).acquire()
+    assert raised.value.failure.kind is FailureKind.QUARANTINED
+    assert raised.value.failure.kind.status == 503
+    assert 4.0 < raised.value.failure.retry_after <= 5.0
+
+
+async def test_after_its_quarantine_a_request_runs_with_a_hold(gateway):
+    """Guards against several endpoints that crash when a quarantine ends."""
+    announce(gateway, f=0.0)
+    permit = RunPermit(gateway, CALLER)
+    await permit.acquire()
+    assert permit.is_held
+    permit.release()
+    await asyncio.sleep(0.01)
+    assert gateway.reports.control.kinds() == [HoldSuspect, ReleaseSuspect]
+
+
+@pytest.mark.parametrize(
+    "reply",
+    [Ok(Reply(granted=False)), Err(failure(FailureKind.NO_QUORUM, "none"))],
+)
+async def test_a_suspect_without_a_hold_is_refused(gateway, reply):
+    """Guards against running a suspect that runs elsewhere, or while no
+    control host can tell.
+    """
+    announce(gateway, f=0.0)
+    gateway.reports.control.reply = reply
+    with pytest.raises(FleetError) as raised:
+        await RunPermit(gateway, CALLER).acquire()
+    assert raised.value.failure.kind is FailureKind.SUSPECT_HELD
+
+
+async def test_a_suspect_that_is_cleared_while_it_waits_runs(gateway):
+    """Guards against refusing a popular request that endpoints answer."""
+    announce(gateway, f=0.0)
+    gateway.reports.control.reply = Ok(Reply(granted=False))
+    waiting = asyncio.create_task(RunPermit(gateway, CALLER).acquire())
+    await asyncio.sleep(0.05)
+    announce(gateway)
+    await waiting
