--- a/packages/fleet/tests/gateway/test_request_run.py
+++ b/packages/fleet/tests/gateway/test_request_run.py
@@ -213,6 +213,8 @@
     """
     add_endpoint(view, "e1")
     run = make_run(view, metrics, False)
+    route = msgspec.structs.replace(run.caller.route, max_attempts=3)
+    run.caller.route = route
     run.permit.is_held = True
     run.trace.sends.append("e0")
     run.progress.may_have_run = True
