Tell gateways of single crashes by the control hosts of their zone only

Cause: each control host sent each gateway the list of all that ran when an endpoint was lost, up to 200 requests, after each report: with six hosts and fifteen gateways that used it some 90 lists of 7 KB for each endpoint lost (an estimate; 7 KB a second is what a node may use).

Change: what must be held or refused keeps its own revision, and comes from every control host.

--- a/packages/coordination/src/marjoramyard/coordination/governance/state.py
+++ b/packages/coordination/src/marjoramyard/coordination/governance/state.py
@@ -57,6 +57,7 @@
     suspects: dict[str, Suspect] = {}
     deaths: list[str] = []
     suspects_revision: int = 0
+    watched_revision: int = 0
     orders: dict[str, Order] = {}
     last_order: int = 0
     config: ConfigDocument | None = None
@@ -77,7 +78,10 @@
         self.bundles = BundleLifecycle(stored.lifecycle)
         self.ledger = Ledger(stored.calls)
         self.suspects = Suspects(
-            stored.suspects, stored.deaths, stored.suspects_revision
+            stored.suspects,
+            stored.deaths,
+            stored.suspects_revision,
+            stored.watched_revision,
         )
         self.orders = stored.orders
         self.last_order = stored.last_order
@@ -100,6 +104,7 @@
             self.suspects.records,
             self.suspects.death_reports,
             self.suspects.revision,
+            self.suspects.watched_revision,
             self.orders,
             self.last_order,
             self.config,
--- a/packages/coordination/src/marjoramyard/coordination/governance/suspects.py
+++ b/packages/coordination/src/marjoramyard/coordination/governance/suspects.py
@@ -83,8 +83,8 @@
     Attributes:
         records: The suspects, by fingerprint.
         death_reports: The deaths and fingerprints reported last.
-        revision: Is increased whenever `published` or `watched` changes, other
-            than by time.
+        revision: Is increased whenever `published` changes, other than by time.
+        watched_revision: The same for `watched`.
     """
 
     def __init__(
@@ -92,11 +92,13 @@
         records: dict[str, Suspect],
         death_reports: list[str],
         revision: int = 0,
+        watched_revision: int = 0,
     ):
         self.records = records
         self.death_reports = death_reports
         self.known_reports = set(death_reports)
         self.revision = revision
+        self.watched_revision = watched_revision
 
     def standing(self, fingerprint: str, at: float) -> Standing:
         """Returns the status of a fingerprint."""
@@ -179,7 +181,7 @@
             suspect.deaths = max(suspect.deaths, run.earlier_deaths) + 1
             suspect.last_at = max(suspect.last_at, at)
             suspect.held_by = ""
-            self.revision += 1
+            self._on_changed(suspect)
             if suspect.deaths >= DEATHS_TO_CONVICT:
                 suspect.convicted_until = at + _quarantine_seconds(
                     suspect, run, quarantine
@@ -223,11 +225,17 @@
 
     def clear(self, fingerprint: str) -> bool:
         """Ends a suspicion and a quarantine; returns whether there was one."""
-        if self.records.pop(fingerprint, None) is None:
+        suspect = self.records.pop(fingerprint, None)
+        if suspect is None:
             return False
-        self.revision += 1
+        self._on_changed(suspect)
         return True
 
+    def _on_changed(self, suspect: Suspect) -> None:
+        self.watched_revision += 1
+        if suspect.deaths >= DEATHS_TO_CONVICT:
+            self.revision += 1
+
     def _correct_clock(self, at: float) -> None:
         """Moves times back that a leader's clock had put into the future.
 
--- a/packages/coordination/tests/governance/test_suspects.py
+++ b/packages/coordination/tests/governance/test_suspects.py
@@ -1,5 +1,7 @@
 """Tests of the quarantine of requests that crash endpoints."""
 
+from typing import NamedTuple
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -179,8 +181,16 @@
 )
 
 
+class Announced(NamedTuple):
+    revision: int
+    names: set[str]
+
+
 def announced(suspects, at):
-    return set(suspects.published(at)), set(suspects.watched(at))
+    return (
+        Announced(suspects.revision, set(suspects.published(at))),
+        Announced(suspects.watched_revision, set(suspects.watched(at))),
+    )
 
 
 @pytest.mark.parametrize("quarantine", [0.5, QUARANTINE])
@@ -189,14 +199,15 @@
     """Guards against: a gateway that is not told of a suspect."""
     suspects = Suspects({}, [])
     for at, (step, endpoint, name) in enumerate(steps):
-        before = suspects.revision, announced(suspects, at)
+        before = announced(suspects, at)
         if step == "death":
             death_id = f"e{endpoint}-{at // 3}"
             suspects.report_death(death_id, runs(name), at, quarantine)
         else:
             suspects.clear(name)
-        after = suspects.revision, announced(suspects, at)
-        assert after[0] > before[0] or after[1] == before[1]
+        after = announced(suspects, at)
+        for old, new in zip(before, after, strict=True):
+            assert new.revision > old.revision or new.names == old.names
 
 
 @given(steps=_STEPS)
--- a/packages/fleet/src/marjoramyard/fleet/control/service.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/service.py
@@ -13,6 +13,7 @@
     AcceptConfig,
     ConfigDocument,
 )
+from marjoramyard.coordination.governance.suspects import Suspects
 from marjoramyard.coordination.placement.broker_selection import (
     BrokerCandidate,
     BrokerSelector,
@@ -54,6 +55,7 @@
 endpoints of a lost zone come back one by one."""
 MAX_SYNC_WAIT_SECONDS = 2.0
 _GATEWAY_TIMEOUT_SECONDS = 5.0
+_NO_SUSPECTS = Suspects({}, [])
 _BROKER_TIMEOUT_SECONDS = 2.5
 """Gateways without a sync request for this time are no broker candidates. They
 have missed two polls."""
@@ -227,7 +229,7 @@
             return True
         if self._zone_revision() > request.zone_revision:
             return True
-        if self._suspects_revision() > request.suspects_revision:
+        if self._has_new_suspects(request) or self._has_new_watched(request):
             return True
         return (
             request.epoch != self.endpoints.epoch
@@ -239,18 +241,27 @@
         node = self.role.running_node
         return node.state.evacuations.revision if node is not None else 0
 
-    def _suspects_revision(self) -> int:
+    def _suspects(self) -> Suspects:
         node = self.role.running_node
-        return node.state.suspects.revision if node is not None else 0
+        return node.state.suspects if node is not None else _NO_SUSPECTS
+
+    def _has_new_suspects(self, request: SyncRequest) -> bool:
+        return self._suspects().revision > request.suspects_revision
+
+    def _has_new_watched(self, request: SyncRequest) -> bool:
+        """Whether there are new watched requests, which are many at times."""
+        newest = self._suspects().watched_revision
+        return not request.urgent_only and newest > request.watched_revision
 
     def _add_suspects(self, request: SyncRequest, reply: SyncReply) -> None:
         """Adds the suspects to a reply, unless the gateway has them."""
-        reply.suspects_revision = self._suspects_revision()
-        if reply.suspects_revision > request.suspects_revision:
-            suspects = self.role.running_node.state.suspects
-            now = time.time()
-            reply.suspects = suspects.published(now)
-            reply.watched = suspects.watched(now)
+        suspects = self._suspects()
+        if self._has_new_suspects(request):
+            reply.suspects_revision = suspects.revision
+            reply.suspects = suspects.published(time.time())
+        if self._has_new_watched(request):
+            reply.watched_revision = suspects.watched_revision
+            reply.watched = suspects.watched(time.time())
 
     def _evacuated_zones(self) -> list[str]:
         node = self.role.running_node
--- a/packages/fleet/src/marjoramyard/fleet/gateway/control_sync.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/control_sync.py
@@ -133,6 +133,7 @@
                 unresponsive_revision=revision,
                 urgent_only=not is_source,
                 suspects_revision=self.view.suspects.revision,
+                watched_revision=self.view.suspects.watched_revision,
             )
             result = await self._call(address, request)
             if isinstance(result, Err):
--- a/packages/fleet/src/marjoramyard/fleet/gateway/known_suspects.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/known_suspects.py
@@ -17,6 +17,7 @@
         quarantined_until: The end of the quarantine on the monotonic clock, in
             seconds, by fingerprint; 0.0 for a suspect that may run with a
             hold.
+        watched_revision: The revision of the report on watched suspects.
         watched: Suspects that run as other requests do. A response to one must
             be told.
         on_update: Called after a new report has been applied.
@@ -25,6 +26,7 @@
     def __init__(self):
         self.revision = 0
         self.quarantined_until: dict[str, float] = {}
+        self.watched_revision = 0
         self.watched: set[str] = set()
         self.on_update: Callable[[], None] = lambda: None
 
@@ -37,7 +39,6 @@
         self,
         revision: int,
         suspects: dict[str, float],
-        watched: Sequence[str],
         now: float,
     ) -> None:
         """Applies a control host's report, unless it is outdated.
@@ -45,7 +46,6 @@
         Args:
             revision: The revision of the report.
             suspects: The rest of each quarantine in seconds.
-            watched: The suspects that need no hold.
             now: The time on the monotonic clock, in seconds.
         """
         if revision <= self.revision:
@@ -56,16 +56,19 @@
             fingerprint: now + seconds if seconds else 0.0
             for fingerprint, seconds in suspects.items()
         }
-        self.watched = set(watched)
         if before.keys() != suspects.keys():
             logger.info(
-                "suspects_reported",
-                revision=revision,
-                suspects=len(suspects),
-                watched=len(watched),
+                "suspects_reported", revision=revision, suspects=len(suspects)
             )
         self.on_update()
 
+    def watch(self, revision: int, watched: Sequence[str]) -> None:
+        """Applies a report on watched suspects, unless it is outdated."""
+        if revision > self.watched_revision:
+            self.watched_revision = revision
+            self.watched = set(watched)
+            self.on_update()
+
     def fingerprints(self) -> list[Fingerprint]:
         """Returns all suspects."""
         return [*self.quarantined_until, *self.watched]
--- a/packages/fleet/src/marjoramyard/fleet/gateway/view.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/view.py
@@ -157,9 +157,9 @@
         now = time.monotonic()
         self.zones.update(reply.zone_revision, reply.evacuated_zones, now)
         if reply.suspects is not None:
-            self.suspects.update(
-                reply.suspects_revision, reply.suspects, reply.watched, now
-            )
+            self.suspects.update(reply.suspects_revision, reply.suspects, now)
+        if reply.watched is not None:
+            self.suspects.watch(reply.watched_revision, reply.watched)
         for registration in reply.words:
             self._merge(registration, now)
         self._record_unresponsive(source, reply, now)
--- a/packages/fleet/src/marjoramyard/fleet/sync_messages.py
+++ b/packages/fleet/src/marjoramyard/fleet/sync_messages.py
@@ -95,6 +95,7 @@
             endpoints that it has; 0 from a gateway without revisions.
         urgent_only: Whether only urgent changes of endpoints are wanted.
         suspects_revision: The revision of its suspects.
+        watched_revision: The revision of its watched requests.
     """
 
     gateway: str
@@ -110,6 +111,7 @@
     unresponsive_revision: int = 0
     urgent_only: bool = False
     suspects_revision: int = 0
+    watched_revision: int = 0
 
 
 class SyncReply(msgspec.Struct, omit_defaults=True):
@@ -145,7 +147,9 @@
             gateway's is outdated.
         suspects: The requests that gateways must hold or refuse, as
             `Suspects.published`; None if the gateway has this revision.
-        watched: The requests of which gateways must tell responses.
+        watched_revision: The revision of `watched`.
+        watched: The requests of which gateways must tell responses; None if
+            the gateway has this revision, or wants only urgent changes.
     """
 
     epoch: str
@@ -166,7 +170,8 @@
     is_isolated: bool = False
     suspects_revision: int = 0
     suspects: dict[str, float] | None = None
-    watched: list[str] = []
+    watched_revision: int = 0
+    watched: list[str] | None = None
 
 
 class PutConfig(msgspec.Struct, frozen=True):
--- a/packages/fleet/tests/control/test_service_polls.py
+++ b/packages/fleet/tests/control/test_service_polls.py
@@ -188,6 +188,25 @@
     reply = await waiting
     assert 0 < reply.suspects["f"] <= 60.0
     known = msgspec.structs.replace(
-        request, suspects_revision=reply.suspects_revision, wait_seconds=0.0
+        request,
+        suspects_revision=reply.suspects_revision,
+        watched_revision=reply.watched_revision,
+        wait_seconds=0.0,
     )
-    assert (await service.sync(known)).suspects is None
+    reply = await service.sync(known)
+    assert reply.suspects is None and reply.watched is None
+
+
+async def test_only_one_zone_s_hosts_tell_a_gateway_of_a_single_crash():
+    """Guards against lists of all that ran on a lost endpoint from each control
+    host to each gateway.
+    """
+    role = Role()
+    service = FleetService(role)
+    state = ControlState()
+    role.running_node = SimpleNamespace(state=state)
+    state.suspects.report_death("e", [EndedRun("f")], time.time(), 60.0)
+    request = SyncRequest("g~1", epoch=service.endpoints.epoch)
+    urgent = msgspec.structs.replace(request, urgent_only=True)
+    assert (await service.sync(request)).watched == ["f"]
+    assert (await service.sync(urgent)).watched is None
--- a/packages/fleet/tests/gateway/gateway_suspects.py
+++ b/packages/fleet/tests/gateway/gateway_suspects.py
@@ -51,7 +51,7 @@
 
 def announce(gateway, **seconds):
     known = gateway.known
-    known.update(known.revision + 1, seconds, [], time.monotonic())
+    known.update(known.revision + 1, seconds, time.monotonic())
 
 
 def report_deaths(gateway, count):
--- a/packages/fleet/tests/gateway/test_request_run.py
+++ b/packages/fleet/tests/gateway/test_request_run.py
@@ -195,7 +195,7 @@
     @asynccontextmanager
     async def open_response(_session, _caller, _plan, _names, check, _read):
         found = {run.caller.fingerprint: 9.0}
-        view.suspects.update(1, found, [], time.monotonic())
+        view.suspects.update(1, found, time.monotonic())
         check()
         yield
 
