Count the responses to a crashing request instead of looking at the last one

Trace: the test lasts six seconds, and the first quarantine is five since, so the run that follows it falls into the last second.

--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -23,6 +23,8 @@
 """How long after the third end all gateways may take to hear of it."""
 RETRY_SECONDS = 0.3
 CALLERS = 6
+MIN_SERVED_SHARE = 0.95
+"""Of the other callers' requests."""
 TEST_SECONDS = 6.0
 
 
@@ -101,8 +103,8 @@
         ends = sum(len(endpoint.ends) for endpoint in endpoints)
         assert later <= ALLOWED_LATER_SENDS
         assert ends <= ALLOWED_ENDS + ALLOWED_LATER_SENDS
-        assert crashing[-1] == 503
-        assert others[-CALLERS:] == [200] * CALLERS
+        assert sum(status != 503 for status in crashing) <= ALLOWED_ENDS
+        assert others.count(200) > MIN_SERVED_SHARE * len(others)
 
 
 @pytest.mark.parametrize("service", ["api", "chat"])
