Judge a shutdown in the soak by what the gateway could do

Trace: no process with that id had logged `started`, and no call was cut; Python can't handle a signal before its interpreter is set up.

The gateway's log has 6.73 s from draining to stopped, and the record has stalls of the soak process of 1.8 s in that time. The time is not judged during such a stall, like that of late responses. Both have a test with and without.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -3,6 +3,7 @@
 Each check yields one line for each violation.
 """
 
+import signal
 from collections import Counter, defaultdict
 from collections.abc import Callable, Iterator
 
@@ -397,7 +398,9 @@
     """A gateway that gets SIGTERM completes the requests it has accepted.
 
     Gateways under another fault are ignored, and so are calls during a fault
-    of an endpoint.
+    of an endpoint. One that has not started yet may be ended by the signal; it
+    has accepted nothing. Its time to exit is not measured during a stall of
+    the soak process itself.
     """
     for shutdown in record.shutdowns:
         if shutdown.target != "gateway":
@@ -413,13 +416,16 @@
         ]
         if other_faults:
             continue
-        if shutdown.exit_code != 0:
+        ended_at_start = (
+            shutdown.exit_code == -signal.SIGTERM and not shutdown.had_started
+        )
+        if shutdown.exit_code != 0 and not ended_at_start:
             yield f"gateway {shutdown.number} exited with {shutdown.exit_code}"
-        if shutdown.ended_at - shutdown.signalled_at > GRACE_SECONDS:
-            yield (
-                f"gateway {shutdown.number} took "
-                f"{shutdown.ended_at - shutdown.signalled_at:.1f} s to exit"
-            )
+        seconds = shutdown.ended_at - shutdown.signalled_at
+        if seconds > GRACE_SECONDS and not disturbed(
+            record, shutdown.signalled_at, shutdown.ended_at, ("soak", 0)
+        ):
+            yield f"gateway {shutdown.number} took {seconds:.1f} s to exit"
         for call in record.calls:
             if _was_truncated(record, call, shutdown):
                 yield (
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -166,6 +166,7 @@
         if not node.child.is_running:
             return
         signalled_at = time.monotonic()
+        pid = node.child.pid
         try:
             limit = GRACE_SECONDS + KILL_MARGIN_SECONDS
             code = await node.child.terminate(limit)
@@ -179,6 +180,7 @@
                 signalled_at=signalled_at,
                 ended_at=time.monotonic(),
                 exit_code=code,
+                had_started=_logged_its_start(node, pid),
             )
         )
         await asyncio.sleep(seconds)
@@ -206,6 +208,15 @@
         return span
 
 
+def _logged_its_start(node: Node, pid: int) -> bool:
+    """Whether a process was ready to handle signals when it was started."""
+    with node.child.log.open(encoding="utf-8") as lines:
+        return any(
+            '"event": "started"' in line and f'"pid": {pid},' in line
+            for line in lines
+        )
+
+
 def _port(address: str) -> int:
     return int(address.rpartition(":")[2])
 
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -125,13 +125,19 @@
 
 
 class Shutdown(msgspec.Struct, kw_only=True):
-    """A process that got SIGTERM, and how it exited."""
+    """A process that got SIGTERM, and how it exited.
+
+    Attributes:
+        had_started: Whether it had logged its start, from when on it handles
+            the signal.
+    """
 
     target: str
     number: int
     signalled_at: float
     ended_at: float
     exit_code: int
+    had_started: bool = True
 
 
 class Record(msgspec.Struct):
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -275,3 +275,29 @@
         if one.id == once.id:
             one.pause_seconds = 0.3
     assert violations(record) == []
+
+
+@pytest.mark.parametrize("had_started", [False, True])
+def test_sigterm_may_end_a_process_that_has_not_started(had_started):
+    """Python can't handle a signal before its interpreter is set up."""
+    record = valid_record()
+    record.shutdowns[0].exit_code = -15
+    record.shutdowns[0].had_started = had_started
+    assert bool(violations(record)) == had_started
+
+
+@pytest.mark.parametrize("is_stalled", [False, True])
+def test_the_time_to_exit_is_not_measured_by_a_stalled_soak(is_stalled):
+    record = valid_record()
+    record.shutdowns[0].ended_at = record.shutdowns[0].signalled_at + 9.0
+    if is_stalled:
+        record.fault_spans.append(
+            FaultSpan(
+                target="soak",
+                kind="lag",
+                number=0,
+                started_at=106.0,
+                ended_at=107.5,
+            )
+        )
+    assert bool(violations(record)) != is_stalled
