Let no control host's clock prolong a quarantine

Cause, found by reading: the rest of a quarantine is computed by the clock of the control host that answers a poll. One whose clock is set back by an hour told gateways to refuse a request for an hour, and they keep that until the next change.

Change: no death lies in the future, so the time counts from the last death at the earliest.

Result: a pure test, which failed without it.

--- a/packages/coordination/src/marjoramyard/coordination/governance/suspects.py
+++ b/packages/coordination/src/marjoramyard/coordination/governance/suspects.py
@@ -115,11 +115,14 @@
         return suspect is not None and suspect.deaths >= DEATHS_TO_CONVICT
 
     def quarantine_seconds(self, fingerprint: str, at: float) -> float:
-        """Returns the rest of a request's quarantine; 0.0 for none."""
+        """Returns the rest of a request's quarantine; 0.0 for none.
+
+        It is never longer than the quarantine, even by a clock that is behind.
+        """
         suspect = self.records.get(fingerprint)
         if suspect is None:
             return 0.0
-        return max(0.0, suspect.convicted_until - at)
+        return max(0.0, suspect.convicted_until - max(at, suspect.last_at))
 
     def published(self, at: float) -> dict[str, float]:
         """Returns the suspects that gateways must hold or refuse.
--- a/packages/coordination/tests/governance/test_suspects.py
+++ b/packages/coordination/tests/governance/test_suspects.py
@@ -149,6 +149,17 @@
     assert suspects.standing("q", later) is not Standing.CONVICTED
 
 
+def test_a_clock_that_is_behind_prolongs_no_quarantine():
+    """Guards against: a control host that tells gateways to refuse a request
+    for an hour, because its clock was set back by one.
+    """
+    suspects = Suspects({}, [])
+    for number in range(DEATHS_TO_CONVICT):
+        at = 3600.0 + number
+        suspects.report_death(f"e{number}", runs("p"), at, QUARANTINE)
+    assert suspects.published(1.0) == {"p": FIRST_QUARANTINE_SECONDS}
+
+
 def test_many_suspects_do_not_displace_a_convicted_one():
     """Guards against: filling memory, or lifting a quarantine, by many
     requests that crash endpoints.
