--- a/packages/fleet/src/marjoramyard/fleet/gateway/attempts.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/attempts.py
@@ -12,7 +12,7 @@
 from marjoramyard.coordination.membership.registrations import Registration
 from marjoramyard.fleet.gateway.admission import CallerRequest
 from marjoramyard.fleet.gateway.dialect import HeaderNames
-from marjoramyard.fleet.gateway.upstream import check_before_send
+from marjoramyard.fleet.util.endpoint_session import check_before_send
 from marjoramyard.fleet.util.headers import Headers
 from marjoramyard.fleet.util.pause_requests import parse_retry_after
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/role.py
@@ -29,9 +29,9 @@
 from marjoramyard.fleet.gateway.request_handler import RequestHandler
 from marjoramyard.fleet.gateway.suspect_reports import SuspectReports
 from marjoramyard.fleet.gateway.suspects import GatewaySuspects
-from marjoramyard.fleet.gateway.upstream import open_endpoint_session
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.fleet.util.control_client import ControlClient
+from marjoramyard.fleet.util.endpoint_session import open_endpoint_session
 from marjoramyard.kernel.logs import get_logger
 
 logger = get_logger(__name__)
--- a/packages/fleet/src/marjoramyard/fleet/gateway/stream_relay.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/stream_relay.py
@@ -6,7 +6,7 @@
 import aiohttp
 from aiohttp import web
 
-from marjoramyard.fleet.gateway.upstream import StrictHandler
+from marjoramyard.fleet.util.endpoint_session import StrictHandler
 
 MAX_BUFFERED_BYTES = 1 << 16
 """A caller with more unsent bytes than this is too slow for direct writes."""
--- a/packages/fleet/tests/gateway/test_cache_lists.py
+++ b/packages/fleet/tests/gateway/test_cache_lists.py
@@ -23,8 +23,8 @@
 )
 from marjoramyard.fleet.gateway.dialect import GATEWAY_DIALECTS
 from marjoramyard.fleet.gateway.endpoint_notices import EndpointNotices
-from marjoramyard.fleet.gateway.upstream import open_endpoint_session
 from marjoramyard.fleet.gateway.view import FleetView
+from marjoramyard.fleet.util.endpoint_session import open_endpoint_session
 
 SHARED_TOKENS = 3780
 PREFIXES = 60
--- a/packages/fleet/tests/gateway/test_delivery.py
+++ b/packages/fleet/tests/gateway/test_delivery.py
@@ -13,7 +13,7 @@
     ResponseDelivery,
 )
 from marjoramyard.fleet.gateway.stream_relay import MAX_BUFFERED_BYTES
-from marjoramyard.fleet.gateway.upstream import open_endpoint_session
+from marjoramyard.fleet.util.endpoint_session import open_endpoint_session
 
 HEAD = (
     b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
--- a/packages/fleet/tests/gateway/test_request_run.py
+++ b/packages/fleet/tests/gateway/test_request_run.py
@@ -19,7 +19,7 @@
 )
 from marjoramyard.fleet.gateway.delivery import CallerGoneError
 from marjoramyard.fleet.gateway.request_trace import Unplaceable
-from marjoramyard.fleet.gateway.upstream import open_endpoint_session
+from marjoramyard.fleet.util.endpoint_session import open_endpoint_session
 from marjoramyard.kernel.errors import FailureKind, FleetError, Outcome
 from marjoramyard.kernel.metrics import Metrics
 
--- a/packages/fleet/tests/gateway/test_upstream.py
+++ b/packages/fleet/tests/util/test_endpoint_session.py
@@ -4,7 +4,7 @@
 from aiohttp import web
 from aiohttp.test_utils import TestServer
 
-from marjoramyard.fleet.gateway.upstream import (
+from marjoramyard.fleet.util.endpoint_session import (
     check_before_send,
     open_endpoint_session,
 )
