Log how the responses of endpoints end

The hypotheses on broken-off responses can't be told apart by the logs: a request's line says `complete` and neither how its response was framed, nor how the connection ended, nor whether part of an event was left. Now it says so (ended_by, ended_at; on agents endpoint_response). No decision is changed.

--- a/packages/fleet/src/marjoramyard/fleet/agent/attempts.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/attempts.py
@@ -13,9 +13,13 @@
 from marjoramyard.fleet.agent.endpoint import Endpoint
 from marjoramyard.fleet.agent.meters import METERS
 from marjoramyard.fleet.messages import RunRequest
+from marjoramyard.fleet.util.endpoint_session import termination_of
 from marjoramyard.fleet.util.headers import end_to_end, is_stream
 from marjoramyard.kernel.errors import Failure, FailureKind, Outcome, failure
 from marjoramyard.kernel.ids import WorkspaceId
+from marjoramyard.kernel.logs import get_logger
+
+logger = get_logger(__name__)
 
 ORPHAN_TIMEOUT_SECONDS = 5.0
 """How long an attempt may run without a connection from its entry."""
@@ -199,6 +203,13 @@
 
     def _release_upstream(self) -> None:
         response = self.upstream
+        if response is not None:
+            logger.info(
+                "endpoint_response",
+                attempt=self.run_request.attempt,
+                status=response.status,
+                ended_by=termination_of(response).value,
+            )
         if response is not None and not response.content.at_eof():
             response.close()
         elif response is not None:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/delivery.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/delivery.py
@@ -6,10 +6,15 @@
 import aiohttp
 from aiohttp import web
 
+from marjoramyard.coordination.serving.response_ends import (
+    BodyContent,
+    Termination,
+)
 from marjoramyard.fleet.gateway.attempts import SendFailedError, SendOutcome
 from marjoramyard.fleet.gateway.events import EventSplitter
 from marjoramyard.fleet.gateway.stream_relay import DirectStreamRelay
 from marjoramyard.fleet.util.connections import has_peer_closed
+from marjoramyard.fleet.util.endpoint_session import termination_of
 from marjoramyard.fleet.util.headers import copy_headers, end_to_end, is_stream
 
 
@@ -30,6 +35,7 @@
             in seconds.
         longest_gap: The longest time between two writes, in seconds.
         write_count: How often body bytes were written.
+        ends: How each response of an endpoint ended, for logs.
     """
 
     def __init__(
@@ -44,6 +50,7 @@
         self.written_at = 0.0
         self.longest_gap = 0.0
         self.write_count = 0
+        self.ends: list[tuple[Termination, BodyContent]] = []
 
     @property
     def has_started(self) -> bool:
@@ -81,6 +88,20 @@
             raise SendFailedError(
                 SendOutcome.BROKEN, repr(error), is_connection_lost=True
             ) from error
+        finally:
+            self._record_end(upstream)
+
+    def _record_end(self, upstream: aiohttp.ClientResponse) -> None:
+        content = BodyContent.OPAQUE
+        if is_stream(list(upstream.headers.items())):
+            content = (
+                BodyContent.INSIDE_EVENT
+                if self.events.buffer
+                else BodyContent.BETWEEN_EVENTS
+                if self.bytes_sent
+                else BodyContent.NO_EVENT
+            )
+        self.ends.append((termination_of(upstream), content))
 
     async def _relay_complete(
         self, upstream: aiohttp.ClientResponse, on_first
