--- a/packages/standin/src/marjoramyard/standin/engine.py
+++ b/packages/standin/src/marjoramyard/standin/engine.py
@@ -3,11 +3,18 @@
 import asyncio
 import secrets
 from collections.abc import AsyncIterator
+from enum import Enum
 
 import msgspec
 from aiohttp import web
 
 from marjoramyard.standin.announced_endpoint import AnnouncedEndpoint
+from marjoramyard.standin.raw_responses import (
+    BreakOffError,
+    ConnectionEnd,
+    Framing,
+    RawResponse,
+)
 
 _RESPONSE_WORDS = (
     "snow boots fit well when the heel stays down and toes move".split()
@@ -22,13 +29,23 @@
     content: str = ""
 
 
+class CutPlace(Enum):
+    """Where in its content a stream breaks off."""
+
+    INSIDE_EVENT = "inside-event"
+    BETWEEN_EVENTS = "between-events"
+
+
 class ChatRequest(msgspec.Struct):
     """The supported fields of a chat request, with fault injection.
 
     Attributes:
         max_tokens: Number of tokens in the response.
         stall_after: Stops sending after this many tokens; -1 for never.
-        cut_after: Closes the connection after this many tokens; -1 for never.
+        cut_after: Ends the connection after this many tokens; -1 for never.
+        cut_place: Where in the content of a stream it does so.
+        cut_by: How it does so.
+        framing: How the response tells its end.
         resumable: Sends event ids and a URL from which the stream can be
             resumed.
         crash: Kills the engine process when it receives the request.
@@ -40,6 +57,9 @@
     max_tokens: int = 8
     stall_after: int = -1
     cut_after: int = -1
+    cut_place: CutPlace = CutPlace.INSIDE_EVENT
+    cut_by: ConnectionEnd = ConnectionEnd.FIN
+    framing: Framing = Framing.CHUNKS
     resumable: bool = False
     crash: bool = False
 
@@ -118,31 +138,35 @@
     ) -> web.Response:
         words = [word async for word in self._tokens(chat)]
         self.served += 1
-        if chat.cut_after >= 0:
-            return TruncatedResponse()
         message = {"role": "assistant", "content": " ".join(words)}
-        return web.json_response(
-            {
-                "id": f"chat-{secrets.token_hex(4)}",
-                "object": "chat.completion",
-                "model": chat.model,
-                "choices": [{"index": 0, "message": message}],
-                "usage": self._usage(chat, request_bytes),
-            }
+        completion = {
+            "id": f"chat-{secrets.token_hex(4)}",
+            "object": "chat.completion",
+            "model": chat.model,
+            "choices": [{"index": 0, "message": message}],
+            "usage": self._usage(chat, request_bytes),
+        }
+        if chat.cut_after < 0 and chat.framing is not Framing.CLOSE:
+            return web.json_response(completion)
+        body = msgspec.json.encode(completion)
+        return RawResponse(
+            _pieces(body, is_cut=chat.cut_after >= 0),
+            Framing.LENGTH if chat.framing is Framing.CHUNKS else chat.framing,
+            chat.cut_by if chat.cut_after >= 0 else ConnectionEnd.FIN,
+            length=len(body),
+            headers={"Content-Type": "application/json"},
         )
 
     async def _stream(
         self, request: web.Request, chat: ChatRequest, request_bytes: int
     ) -> web.StreamResponse:
-        response = web.StreamResponse()
-        response.content_type = "text/event-stream"
+        headers = {"Content-Type": "text/event-stream"}
         if chat.resumable:
             name = secrets.token_hex(6)
             self.streams[name] = chat
-            response.headers["Content-Location"] = f"/v1/streams/{name}"
-        return await self._write_events(
-            request, response, chat, request_bytes, 0
-        )
+            headers["Content-Location"] = f"/v1/streams/{name}"
+        events = self._events(chat, request_bytes)
+        return await self._send_events(request, chat, events, headers)
 
     async def on_resume(self, request: web.Request) -> web.StreamResponse:
         """Resumes a stream after the event named by Last-Event-ID."""
@@ -150,52 +174,53 @@
         if chat is None:
             raise web.HTTPNotFound
         first = int(request.headers.get("Last-Event-ID", "-1")) + 1
-        response = web.StreamResponse()
-        response.content_type = "text/event-stream"
         uncut = msgspec.structs.replace(chat, cut_after=-1)
-        return await self._write_events(request, response, uncut, 0, first)
+        headers = {"Content-Type": "text/event-stream"}
+        events = self._events(uncut, 0, first)
+        return await self._send_events(request, uncut, events, headers)
 
-    async def _write_events(
+    async def _send_events(
         self,
         request: web.Request,
-        response: web.StreamResponse,
         chat: ChatRequest,
-        request_bytes: int,
-        first: int,
+        events: AsyncIterator[bytes],
+        headers: dict[str, str],
     ) -> web.StreamResponse:
+        if chat.cut_after >= 0 or chat.framing is Framing.CLOSE:
+            end = chat.cut_by if chat.cut_after >= 0 else ConnectionEnd.FIN
+            return RawResponse(events, chat.framing, end, headers=headers)
+        response = web.StreamResponse(headers=headers)
         await response.prepare(request)
+        async for event in events:
+            await response.write(event)
+        await response.write_eof()
+        return response
+
+    async def _events(
+        self, chat: ChatRequest, request_bytes: int, first: int = 0
+    ) -> AsyncIterator[bytes]:
         index = first
         async for word in self._tokens(chat, first):
             if index == chat.cut_after:
-                # Cuts within an event, not between two.
-                await response.write(b"data: {")
-                await asyncio.sleep(0.01)
-                request.transport.close()
-                return response
+                if chat.cut_place is CutPlace.INSIDE_EVENT:
+                    yield b"data: {"
+                raise BreakOffError
             delta = {"choices": [{"index": 0, "delta": {"content": word}}]}
             event = b"data: " + msgspec.json.encode(delta) + b"\n\n"
             if chat.resumable:
                 event = b"id: %d\n" % index + event
-            await response.write(event)
+            yield event
             index += 1
         usage = {"choices": [], "usage": self._usage(chat, request_bytes)}
-        await response.write(b"data: " + msgspec.json.encode(usage) + b"\n\n")
-        await response.write(b"data: [DONE]\n\n")
-        await response.write_eof()
+        yield b"data: " + msgspec.json.encode(usage) + b"\n\n"
+        yield b"data: [DONE]\n\n"
         self.served += 1
-        return response
-
 
-class TruncatedResponse(web.Response):
-    """A response that ends before its Content-Length is reached."""
-
-    async def prepare(self, request: web.BaseRequest) -> None:
-        """Sends part of the body and closes the connection."""
-        request.transport.write(
-            b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-            b'Content-Length: 100\r\n\r\n{"choices":['
-        )
-        request.transport.close()
 
-    async def write_eof(self, data: bytes = b"") -> None:
-        """Sends nothing, as the connection is closed."""
+async def _pieces(body: bytes, is_cut: bool) -> AsyncIterator[bytes]:
+    """Yields a body, or its first half."""
+    if not is_cut:
+        yield body
+        return
+    yield body[: len(body) // 2]
+    raise BreakOffError
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,12 +10,22 @@
 ROOT = Path(__file__).parents[1]
 
 
-@pytest.fixture
-def bundle() -> dict:
+def read_small_bundle() -> dict:
     text = (ROOT / "tests/roots/small/bundle.yaml").read_text()
     return yaml.safe_load(text)
 
 
+@pytest.fixture
+def bundle() -> dict:
+    return read_small_bundle()
+
+
+@pytest.fixture(scope="module")
+def small_bundle() -> dict:
+    """For fleets that several tests share."""
+    return read_small_bundle()
+
+
 @pytest.fixture
 async def fleet(tmp_path):
     async with local_fleet(tmp_path / "fleet") as running:
--- a/tests/crashing_endpoints.py
+++ b/tests/crashing_endpoints.py
@@ -4,11 +4,17 @@
 import contextlib
 import itertools
 import time
+from enum import Enum
 
 import aiohttp
 from aiohttp import web
 from gateway_fleet import FakeEndpoint
 
+from marjoramyard.standin.raw_responses import (
+    Framing,
+    RawResponse,
+)
+
 CRASHING_BODY = "crash"
 WORK_SECONDS = 0.02
 CRASH_SECONDS = 0.05
@@ -18,6 +24,22 @@
 STREAM_EVENTS = 4
 
 
+class CrashPlace(Enum):
+    """How far the response to a crashing request comes."""
+
+    BEFORE_RESPONSE = "before-response"
+    INSIDE_EVENT = "inside-event"
+    """Of a stream without a length; the connection is closed regularly."""
+    BETWEEN_EVENTS = "between-events"
+    """As above."""
+
+
+_PARTS = {
+    CrashPlace.INSIDE_EVENT: [b"id: 1\ndata: x\n\n", b"id: 2\nda"],
+    CrashPlace.BETWEEN_EVENTS: [b"id: 1\ndata: x\n\n"],
+}
+
+
 class CrashingEndpoint(FakeEndpoint):
     """An endpoint that ends under `CRASHING_BODY` and comes back.
 
@@ -26,10 +48,18 @@
     Attributes:
         ends: When it ended, on the monotonic clock in seconds.
         crashing_arrivals: When crashing requests arrived, on the same clock.
+        crash_place: How far the response to a crashing request comes.
     """
 
-    def __init__(self, name, fleet, service="api"):
+    def __init__(
+        self,
+        name,
+        fleet,
+        service="api",
+        crash_place=CrashPlace.BEFORE_RESPONSE,
+    ):
         super().__init__(name, service)
+        self.crash_place = crash_place
         self.fleet = fleet
         self.base_name = name
         self.lifetimes = itertools.count(1)
@@ -96,12 +126,27 @@
                         await self.fleet.send_heartbeat(self, host=host)
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
+    async def crash_after_a_while(self):
+        await asyncio.sleep(CRASH_SECONDS)
+        asyncio.get_running_loop().create_task(self.crash())
+        await asyncio.Event().wait()
+
+    async def pieces_until_crash(self):
+        for part in _PARTS[self.crash_place]:
+            yield part
+        await self.crash_after_a_while()
+
     async def run(self, request):
         if (await request.read()).decode() == CRASHING_BODY:
             self.crashing_arrivals.append(time.monotonic())
-            await asyncio.sleep(CRASH_SECONDS)
-            asyncio.get_running_loop().create_task(self.crash())
-            await asyncio.Event().wait()
+            if self.crash_place is CrashPlace.BEFORE_RESPONSE:
+                await self.crash_after_a_while()
+            return RawResponse(
+                self.pieces_until_crash(),
+                Framing.CLOSE,
+                headers=self.response_headers(request)
+                | {"Content-Type": "text/event-stream"},
+            )
         headers = self.response_headers(request)
         if not request.path.startswith("/chat/"):
             await asyncio.sleep(WORK_SECONDS)
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -9,6 +9,7 @@
 from crashing_endpoints import (
     CRASHING_BODY,
     CrashingEndpoint,
+    CrashPlace,
     distinct_bodies,
     send,
     send_repeatedly,
@@ -42,7 +43,9 @@
 
 
 @contextlib.asynccontextmanager
-async def fleet_with_endpoints(folder, service):
+async def fleet_with_endpoints(
+    folder, service, crash_place=CrashPlace.BEFORE_RESPONSE
+):
     """A gateway with three endpoints of a service that requests can crash."""
     async with (
         gateway_fleet(folder) as fleet,
@@ -50,7 +53,7 @@
     ):
         await fleet.put_config(document())
         endpoints = [
-            CrashingEndpoint(f"i-{number}", fleet, service)
+            CrashingEndpoint(f"i-{number}", fleet, service, crash_place)
             for number in range(3)
         ]
         for endpoint in endpoints:
@@ -107,6 +110,29 @@
         assert others.count(200) > MIN_SERVED_SHARE * len(others)
 
 
+@pytest.mark.parametrize(
+    "crash_place",
+    [CrashPlace.INSIDE_EVENT, CrashPlace.BETWEEN_EVENTS],
+    ids=lambda place: place.value,
+)
+async def test_a_request_that_crashes_endpoints_in_a_stream_is_stopped_too(
+    tmp_path, crash_place
+):
+    """Guards against a broken-off stream without a length that counts as an
+    answer to the request that crashed its endpoint.
+    """
+    async with fleet_with_endpoints(tmp_path, "chat", crash_place) as (
+        fleet,
+        endpoints,
+    ):
+        _, others = await send_to_all(fleet, "chat", TEST_SECONDS)
+        later = sends_after_third_end(endpoints, NOTICE_SECONDS)
+        ends = sum(len(endpoint.ends) for endpoint in endpoints)
+        assert later <= ALLOWED_LATER_SENDS
+        assert ends <= ALLOWED_ENDS + ALLOWED_LATER_SENDS
+        assert others.count(200) > MIN_SERVED_SHARE * len(others)
+
+
 @pytest.mark.parametrize("service", ["api", "chat"])
 async def test_a_gateway_that_starts_again_refuses_it_too(tmp_path, service):
     """Guards against a gateway that restarts without knowing which requests
