Split streams whose lines end with CRLF or CR too

Callers of a gateway got the events of such a stream only at its end: its splitter knew LF alone, so all of it counted as one partial event that was written when the stream had ended. Ending the streams that stop inside an event would have broken them off.

--- a/packages/coordination/src/marjoramyard/coordination/serving/events.py
+++ b/packages/coordination/src/marjoramyard/coordination/serving/events.py
@@ -2,7 +2,9 @@
 
 import re
 
-_EVENT_END = b"\n\n"
+_EVENT_ENDS = (b"\n\n", b"\n\r\n", b"\r\r")
+"""Two line ends in a row; lines end with LF, CRLF or CR."""
+_ID_LINES = (b"\nid:", b"\rid:")
 _EVENT_ID = re.compile(rb"^id: ?([^\r\n]*)", re.MULTILINE)
 
 
@@ -13,26 +15,47 @@
     had been forwarded, the resumed stream would repeat that part.
 
     Attributes:
-        last_id: Id of the last event returned, or "" if there is none.
+        buffer: The bytes of a partial event.
     """
 
     def __init__(self):
-        self.partial = b""
-        self.last_id = ""
+        self.buffer = bytearray()
+        self._last_with_id = b""
 
     def feed(self, data: bytes) -> bytes:
         """Adds data and returns the events that are complete now."""
-        self.partial += data
-        end = self.partial.rfind(_EVENT_END)
-        if end < 0:
-            return b""
-        complete = self.partial[: end + len(_EVENT_END)]
-        self.partial = self.partial[end + len(_EVENT_END) :]
-        ids = _EVENT_ID.findall(complete)
-        if ids:
-            self.last_id = ids[-1].decode(errors="replace")
+        if self.buffer or not data.endswith(_EVENT_ENDS):
+            data = self._take_complete(data)
+        if _has_id(data):
+            self._last_with_id = data
+        return data
+
+    def _take_complete(self, data: bytes) -> bytes:
+        self.buffer += data
+        end = max(_end_of_last(self.buffer, mark) for mark in _EVENT_ENDS)
+        complete = bytes(self.buffer[:end])
+        del self.buffer[:end]
         return complete
 
     def discard_partial(self) -> None:
         """Discards a partial event, which a resumed stream will repeat."""
-        self.partial = b""
+        self.buffer.clear()
+
+    @property
+    def last_id(self) -> str:
+        """The ID of the last event returned that has one; "" for none."""
+        # Only few streams are resumed, so IDs are not decoded as they arrive.
+        lines = self._last_with_id.replace(b"\r", b"\n")
+        ids = _EVENT_ID.findall(lines)
+        return ids[-1].strip().decode("latin-1") if ids else ""
+
+
+def _end_of_last(data: bytearray, mark: bytes) -> int:
+    position = data.rfind(mark)
+    return position + len(mark) if position >= 0 else 0
+
+
+def _has_id(events: bytes) -> bool:
+    return events.startswith(b"id:") or any(
+        line in events for line in _ID_LINES
+    )
--- a/packages/fleet/src/marjoramyard/fleet/gateway/delivery.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/delivery.py
@@ -6,12 +6,12 @@
 import aiohttp
 from aiohttp import web
 
+from marjoramyard.coordination.serving.events import EventSplitter
 from marjoramyard.coordination.serving.response_ends import (
     BodyContent,
     Termination,
 )
 from marjoramyard.fleet.gateway.attempts import SendFailedError, SendOutcome
-from marjoramyard.fleet.gateway.events import EventSplitter
 from marjoramyard.fleet.gateway.stream_relay import DirectStreamRelay
 from marjoramyard.fleet.util.connections import has_peer_closed
 from marjoramyard.fleet.util.endpoint_session import termination_of
@@ -125,7 +125,7 @@
             raise SendFailedError(
                 SendOutcome.BROKEN, f"resumed with status {upstream.status}"
             )
-        self.events.buffer.clear()
+        self.events.discard_partial()
         content = upstream.content
         while not content.at_eof():
             events = self.events.feed(await content.readany())
