Report the reset of a stream's connection to its reader

What callers saw: a stream without a length whose connection was reset after its first event arrived as a complete 200.

Cause: the connection's handler marks the body as failed, and the library marks it as ended too. While the direct relay waits for the connection no reader waits for data; the loop then asked whether the body is at its end, which is true, and never asked whether it has failed. Where a reader waits (before the first event, in a plain body) it gets the failure, which is why those cases were right.

The loop now reads until there is no more data; reading reports a failure.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/delivery.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/delivery.py
@@ -126,9 +126,9 @@
                 SendOutcome.BROKEN, f"resumed with status {upstream.status}"
             )
         self.events.discard_partial()
-        content = upstream.content
-        while not content.at_eof():
-            events = self.events.feed(await content.readany())
+        # Not `at_eof`, which is true of a body that has failed as well.
+        while data := await upstream.content.readany():
+            events = self.events.feed(data)
             if events:
                 on_first()
                 await self._forward(upstream, events)
