Decide in one place whether a response is complete

What callers saw: a stream without a length that ended inside an event, or before any, arrived as a complete 200; with its partial event.

Cause: when the endpoint's connection was closed, the gateway wrote what was left of a partial event and ended its own response regularly. Nothing asked where in its content the stream had ended. A response that was taken for complete also cleared its request of suspicion and its endpoint of failures, so a request that crashes engines within an event was sent on.

coordination/serving/response_ends.py decides by what ended the body (framing, close, failure) and where in its content; fleet/util/ response_body.py reads a body and asks it. Gateways use it for plain bodies and streams, first and resumed ones. A stream that breaks off so is resumed, sent again or cut visibly as any other.

--- a/packages/coordination/src/marjoramyard/coordination/serving/events.py
+++ b/packages/coordination/src/marjoramyard/coordination/serving/events.py
@@ -2,9 +2,14 @@
 
 import re
 
+from marjoramyard.coordination.serving.response_ends import BodyContent
+
 _EVENT_ENDS = (b"\n\n", b"\n\r\n", b"\r\r")
 """Two line ends in a row; lines end with LF, CRLF or CR."""
 _ID_LINES = (b"\nid:", b"\rid:")
+_LAST_EVENT = re.compile(rb"(?:^|[\r\n])data: ?\[DONE\][\r\n]*$")
+_TAIL_BYTES = 64
+"""Long enough for the last event of a stream."""
 _EVENT_ID = re.compile(rb"^id: ?([^\r\n]*)", re.MULTILINE)
 
 
@@ -20,14 +25,17 @@
 
     def __init__(self):
         self.buffer = bytearray()
+        self._last = b""
         self._last_with_id = b""
 
     def feed(self, data: bytes) -> bytes:
         """Adds data and returns the events that are complete now."""
         if self.buffer or not data.endswith(_EVENT_ENDS):
             data = self._take_complete(data)
-        if _has_id(data):
-            self._last_with_id = data
+        if data:
+            self._last = data
+            if _has_id(data):
+                self._last_with_id = data
         return data
 
     def _take_complete(self, data: bytes) -> bytes:
@@ -41,6 +49,17 @@
         """Discards a partial event, which a resumed stream will repeat."""
         self.buffer.clear()
 
+    @property
+    def content(self) -> BodyContent:
+        """Where in its content the stream is."""
+        if _has_partial_event(self.buffer):
+            return BodyContent.INSIDE_EVENT
+        if not self._last:
+            return BodyContent.NO_EVENT
+        if _LAST_EVENT.search(self._last[-_TAIL_BYTES:]):
+            return BodyContent.FINISHED
+        return BodyContent.BETWEEN_EVENTS
+
     @property
     def last_id(self) -> str:
         """The ID of the last event returned that has one; "" for none."""
@@ -55,6 +74,16 @@
     return position + len(mark) if position >= 0 else 0
 
 
+def _has_partial_event(rest: bytearray) -> bool:
+    """Whether there is more than blank lines and complete comments."""
+    if not rest:
+        return False
+    has_open_line = not rest.endswith((b"\n", b"\r"))
+    return has_open_line or any(
+        line and not line.startswith(b":") for line in rest.splitlines()
+    )
+
+
 def _has_id(events: bytes) -> bool:
     return events.startswith(b"id:") or any(
         line in events for line in _ID_LINES
--- a/packages/fleet/src/marjoramyard/fleet/agent/attempts.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/attempts.py
@@ -13,8 +13,8 @@
 from marjoramyard.fleet.agent.endpoint import Endpoint
 from marjoramyard.fleet.agent.meters import METERS
 from marjoramyard.fleet.messages import RunRequest
-from marjoramyard.fleet.util.endpoint_session import termination_of
 from marjoramyard.fleet.util.headers import end_to_end, is_stream
+from marjoramyard.fleet.util.response_body import is_framed
 from marjoramyard.kernel.errors import Failure, FailureKind, Outcome, failure
 from marjoramyard.kernel.ids import WorkspaceId
 from marjoramyard.kernel.logs import get_logger
@@ -208,7 +208,7 @@
                 "endpoint_response",
                 attempt=self.run_request.attempt,
                 status=response.status,
-                ended_by=termination_of(response).value,
+                is_framed=is_framed(response),
             )
         if response is not None and not response.content.at_eof():
             response.close()
--- a/packages/fleet/src/marjoramyard/fleet/gateway/delivery.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/delivery.py
@@ -9,13 +9,14 @@
 from marjoramyard.coordination.serving.events import EventSplitter
 from marjoramyard.coordination.serving.response_ends import (
     BodyContent,
+    ResponseEnd,
     Termination,
 )
 from marjoramyard.fleet.gateway.attempts import SendFailedError, SendOutcome
 from marjoramyard.fleet.gateway.stream_relay import DirectStreamRelay
 from marjoramyard.fleet.util.connections import has_peer_closed
-from marjoramyard.fleet.util.endpoint_session import termination_of
 from marjoramyard.fleet.util.headers import copy_headers, end_to_end, is_stream
+from marjoramyard.fleet.util.response_body import BrokenOffError, ResponseBody
 
 
 class CallerGoneError(Exception):
@@ -35,7 +36,8 @@
             in seconds.
         longest_gap: The longest time between two writes, in seconds.
         write_count: How often body bytes were written.
-        ends: How each response of an endpoint ended, for logs.
+        ends: What ended each response of an endpoint and where, for logs.
+        end: How the last response that was read to its end ended.
     """
 
     def __init__(
@@ -51,6 +53,7 @@
         self.longest_gap = 0.0
         self.write_count = 0
         self.ends: list[tuple[Termination, BodyContent]] = []
+        self.end = ResponseEnd.COMPLETE
 
     @property
     def has_started(self) -> bool:
@@ -80,54 +83,53 @@
             SendFailedError: The endpoint's response broke off.
             CallerGoneError: The caller has closed its connection.
         """
+        is_event_stream = self.has_started or is_stream(
+            list(upstream.headers.items())
+        )
+        is_success = upstream.status < 300
+        body = ResponseBody(
+            upstream, self.events if is_event_stream and is_success else None
+        )
         try:
-            if self.has_started or is_stream(list(upstream.headers.items())):
-                return await self._relay_stream(upstream, on_first)
-            return await self._relay_complete(upstream, on_first)
-        except (aiohttp.ClientError, ValueError) as error:
+            if is_event_stream:
+                return await self._relay_stream(body, on_first)
+            return await self._relay_complete(body, on_first)
+        except BrokenOffError as error:
             raise SendFailedError(
-                SendOutcome.BROKEN, repr(error), is_connection_lost=True
+                SendOutcome.BROKEN,
+                str(error),
+                is_connection_lost=error.is_connection_lost,
             ) from error
         finally:
-            self._record_end(upstream)
-
-    def _record_end(self, upstream: aiohttp.ClientResponse) -> None:
-        content = BodyContent.OPAQUE
-        if is_stream(list(upstream.headers.items())):
-            content = (
-                BodyContent.INSIDE_EVENT
-                if self.events.buffer
-                else BodyContent.BETWEEN_EVENTS
-                if self.bytes_sent
-                else BodyContent.NO_EVENT
-            )
-        self.ends.append((termination_of(upstream), content))
+            self.ends.append((body.termination, body.content))
 
     async def _relay_complete(
-        self, upstream: aiohttp.ClientResponse, on_first
+        self, body: ResponseBody, on_first
     ) -> web.Response:
         """Buffers a plain response until it is complete.
 
         One that breaks off can then still be retried or reported as a failure.
         """
-        body = await upstream.read()
+        upstream = body.response
+        data = await body.read_all()
+        self.end = body.check_end()
         on_first()
         self.first_at = asyncio.get_running_loop().time()
-        response = web.Response(status=upstream.status, body=body)
+        response = web.Response(status=upstream.status, body=data)
         copy_headers(end_to_end(list(upstream.headers.items())), response)
-        self.bytes_sent = len(body)
+        self.bytes_sent = len(data)
         return response
 
     async def _relay_stream(
-        self, upstream: aiohttp.ClientResponse, on_first
+        self, body: ResponseBody, on_first
     ) -> web.StreamResponse:
+        upstream = body.response
         if self.has_started and upstream.status >= 300:
             raise SendFailedError(
                 SendOutcome.BROKEN, f"resumed with status {upstream.status}"
             )
         self.events.discard_partial()
-        # Not `at_eof`, which is true of a body that has failed as well.
-        while data := await upstream.content.readany():
+        while data := await body.read_any():
             events = self.events.feed(data)
             if events:
                 on_first()
@@ -137,6 +139,7 @@
                     upstream, self.request, self._process_directly
                 )
                 await relay.run()
+        self.end = body.check_end()
         return await self._finish(upstream)
 
     def _process_directly(self, data: bytes) -> bytes:
--- a/packages/fleet/src/marjoramyard/fleet/util/endpoint_session.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/endpoint_session.py
@@ -8,8 +8,6 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
-from marjoramyard.coordination.serving.response_ends import Termination
-
 IDLE_SECONDS = 3.0
 """Keep-alive timeout. Shorter than that of endpoints, some of which close
 sooner than they say: a request sent while the endpoint closes the connection
@@ -18,8 +16,6 @@
 """Connect timeout. After it the request has not run and may be sent to another
 endpoint."""
 _READ_BYTES = 1 << 16
-_BODILESS = (204, 304)
-"""Statuses of responses that never have a body."""
 
 
 class StrictHandler(ResponseHandler):
@@ -63,23 +59,6 @@
             self.on_read()
 
 
-def termination_of(response: aiohttp.ClientResponse) -> Termination:
-    """Returns what ended a response that has been read to its end."""
-    if response.content.exception() is not None:
-        return Termination.FAILURE
-    return Termination.FRAMING if is_framed(response) else Termination.CLOSE
-
-
-def is_framed(response: aiohttp.ClientResponse) -> bool:
-    """Whether the end of a response's body can be known from its bytes."""
-    if response.method == "HEAD" or response.status in _BODILESS:
-        return True
-    encoding = response.headers.get("Transfer-Encoding", "")
-    if encoding:
-        return encoding.lower().endswith("chunked")
-    return "Content-Length" in response.headers
-
-
 _send_check: ContextVar[Callable[[], None] | None] = ContextVar(
     "send_check", default=None
 )
--- /dev/null
+++ b/packages/fleet/src/marjoramyard/fleet/util/response_body.py
@@ -0,0 +1,115 @@
+"""Reads responses of endpoints and says how they ended.
+
+Everything that reads a response of an endpoint asks here whether it is
+complete: the end of a connection alone does not say so.
+"""
+
+import aiohttp
+
+from marjoramyard.coordination.serving.events import EventSplitter
+from marjoramyard.coordination.serving.response_ends import (
+    BodyContent,
+    ResponseEnd,
+    Termination,
+    response_end,
+)
+
+_BODILESS = (204, 304)
+"""Statuses of responses that never have a body."""
+
+
+class BrokenOffError(Exception):
+    """A response is not complete.
+
+    Attributes:
+        is_connection_lost: Whether its connection ended with it.
+    """
+
+    def __init__(self, reason: str, is_connection_lost: bool):
+        super().__init__(reason)
+        self.is_connection_lost = is_connection_lost
+
+
+class ResponseBody:
+    """The body of one response.
+
+    Attributes:
+        response: The response.
+        events: Splits the body if it is a stream, else None.
+        ends_with_mark: Whether a stream is complete only with a last event
+            that says so.
+        error: Why reading failed, if it did.
+    """
+
+    def __init__(
+        self,
+        response: aiohttp.ClientResponse,
+        events: EventSplitter | None = None,
+        ends_with_mark: bool = False,
+    ):
+        self.response = response
+        self.events = events
+        self.ends_with_mark = ends_with_mark
+        self.error: Exception | None = None
+
+    async def read_any(self) -> bytes:
+        """Returns data that has arrived, or b"" if none will follow.
+
+        Raises:
+            aiohttp.ServerTimeoutError: No data arrived in time.
+        """
+        try:
+            return await self.response.content.readany()
+        except aiohttp.ServerTimeoutError:
+            raise
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            self.error = error
+            return b""
+
+    async def read_all(self) -> bytes:
+        """Returns the data up to the end, complete or not."""
+        data = bytearray()
+        while chunk := await self.read_any():
+            data += chunk
+        return bytes(data)
+
+    @property
+    def termination(self) -> Termination:
+        """What ended the body."""
+        if self.error is not None:
+            return Termination.FAILURE
+        if is_framed(self.response):
+            return Termination.FRAMING
+        return Termination.CLOSE
+
+    @property
+    def content(self) -> BodyContent:
+        """Where in its content the body ended."""
+        if self.events is None:
+            return BodyContent.OPAQUE
+        return self.events.content
+
+    def check_end(self) -> ResponseEnd:
+        """Returns how the body ended, once it has been read to its end.
+
+        Raises:
+            BrokenOffError: It is not complete.
+        """
+        end = response_end(self.termination, self.content, self.ends_with_mark)
+        if end is ResponseEnd.BROKEN_OFF:
+            reason = f"ended by {self.termination.value}, {self.content.value}"
+            if self.error is not None:
+                reason += f": {self.error!r}"
+            is_lost = self.termination is not Termination.FRAMING
+            raise BrokenOffError(reason, is_lost)
+        return end
+
+
+def is_framed(response: aiohttp.ClientResponse) -> bool:
+    """Whether the end of a response's body can be told from its bytes."""
+    if response.method == "HEAD" or response.status in _BODILESS:
+        return True
+    encoding = response.headers.get("Transfer-Encoding", "")
+    if encoding:
+        return encoding.lower().endswith("chunked")
+    return "Content-Length" in response.headers
