Read endpoints' responses at agents as gateways do

What callers saw at an entry: part of a plain body without a length arrived as a complete 200 when the endpoint's connection was reset.

Cause: agents had a session of their own, without the gateway's connection handler, and the library takes a reset of such a body for its end. Streams were right by their last event only.

Agents use the shared session and reader now. With the session come what gateways had and agents lacked: no reuse of a connection after extra bytes, no second send by the library itself, a short keep-alive. A stream that was closed inside an event is resumed where the engine allows it, and its end counts as a lost connection, so the endpoint is examined.

--- a/packages/fleet/src/marjoramyard/fleet/agent/attempt_service.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/attempt_service.py
@@ -4,7 +4,6 @@
 import time
 from collections import OrderedDict
 
-import aiohttp
 import msgspec
 from aiohttp import web
 
@@ -22,6 +21,7 @@
 from marjoramyard.fleet.paths import OFFER_PATH, RUN_HEADER, RUN_PATH
 from marjoramyard.fleet.refusals import quarantined
 from marjoramyard.fleet.util.control_client import ControlClient
+from marjoramyard.fleet.util.endpoint_session import create_endpoint_session
 from marjoramyard.fleet.util.rpc import json_response, read_message
 from marjoramyard.kernel.errors import (
     Failure,
@@ -77,11 +77,7 @@
         self.delivered: OrderedDict[AttemptId, None] = OrderedDict()
         self.tombstones: OrderedDict[AttemptId, None] = OrderedDict()
         self.answered = RecentAnswers()
-        self.http_session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0),
-            auto_decompress=False,
-            timeout=aiohttp.ClientTimeout(total=None),
-        )
+        self.http_session = create_endpoint_session()
 
     def routes(self) -> list[web.RouteDef]:
         """Returns the routes for entries."""
--- a/packages/fleet/src/marjoramyard/fleet/agent/attempts.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/attempts.py
@@ -14,7 +14,7 @@
 from marjoramyard.fleet.agent.meters import METERS
 from marjoramyard.fleet.messages import RunRequest
 from marjoramyard.fleet.util.headers import end_to_end, is_stream
-from marjoramyard.fleet.util.response_body import is_framed
+from marjoramyard.fleet.util.response_body import BrokenOffError, ResponseBody
 from marjoramyard.kernel.errors import Failure, FailureKind, Outcome, failure
 from marjoramyard.kernel.ids import WorkspaceId
 from marjoramyard.kernel.logs import get_logger
@@ -23,13 +23,10 @@
 
 ORPHAN_TIMEOUT_SECONDS = 5.0
 """How long an attempt may run without a connection from its entry."""
-STREAM_END = b"[DONE]"
 MAX_ENGINE_RESUMES = 3
 """Consecutive resumes without an event in between."""
 HTTP_OK = 200
 _CONNECT_TIMEOUT_SECONDS = 2.0
-_STREAM_TAIL_BYTES = 64
-"""Long enough for the last event of a stream."""
 
 
 class AttemptState(Enum):
@@ -49,6 +46,21 @@
     return [*end_to_end(headers), ("Accept-Encoding", "identity")]
 
 
+def broken_off(error: BrokenOffError) -> Failure:
+    """Returns the failure of a response that broke off."""
+    if error.is_connection_lost:
+        return failure(
+            FailureKind.ENDPOINT_LOST,
+            f"connection to the endpoint lost: {error}",
+            Outcome.UNKNOWN,
+        )
+    return failure(
+        FailureKind.RESPONSE_TRUNCATED,
+        "the endpoint ended the stream without its last event",
+        Outcome.UNKNOWN,
+    )
+
+
 class Attempt:
     """Runs one request on the endpoint and buffers the response's frames.
 
@@ -60,7 +72,6 @@
             seconds.
         deadline_at: Monotonic time, in seconds.
         response_body: The body of a call's response, to be stored.
-        stream_tail: The last bytes of the response.
         resume_path: Where the engine's stream can be resumed, or "".
         resumes: How often the engine's stream was resumed.
         held_suspect: The request is a suspect, and the agent has been
@@ -94,7 +105,6 @@
         self.status = 0
         self.headers: list[tuple[str, str]] = []
         self.last_token_at: float | None = None
-        self.stream_tail = b""
         self.upstream: aiohttp.ClientResponse | None = None
         self.events: EventSplitter | None = None
         self.resume_path = ""
@@ -169,7 +179,7 @@
             )
             self._begin_response(self.upstream)
             await self._read_response(session)
-            return self._check_complete()
+            return None
         except aiohttp.ClientConnectorError:
             self.state = AttemptState.ADMITTED
             return failure(
@@ -181,6 +191,8 @@
                 f"the endpoint sent no data for {run.stall_seconds:g} s",
                 Outcome.UNKNOWN,
             )
+        except BrokenOffError as error:
+            return broken_off(error)
         except (aiohttp.ClientError, OSError) as error:
             return failure(
                 FailureKind.ENDPOINT_LOST,
@@ -203,27 +215,25 @@
 
     def _release_upstream(self) -> None:
         response = self.upstream
-        if response is not None:
-            logger.info(
-                "endpoint_response",
-                attempt=self.run_request.attempt,
-                status=response.status,
-                is_framed=is_framed(response),
-            )
         if response is not None and not response.content.at_eof():
             response.close()
         elif response is not None:
             response.release()
 
     async def _read_response(self, session: aiohttp.ClientSession) -> None:
-        """Reads the response; resumes an interrupted stream if possible."""
+        """Reads the response; resumes a broken-off stream if possible.
+
+        Raises:
+            BrokenOffError: The response is not complete.
+            aiohttp.ClientError: The stream can't be resumed.
+        """
         tries = 0
         while True:
             before = self.events.last_id if self.events else ""
             try:
-                await self._read_chunks(self.upstream)
+                await self._read_body(self.upstream)
                 return
-            except aiohttp.ClientPayloadError:
+            except BrokenOffError:
                 # Resumes are limited only while no new event arrives.
                 progressed = self.events and self.events.last_id != before
                 tries = 1 if progressed else tries + 1
@@ -232,13 +242,23 @@
                 self.upstream.close()
                 self.upstream = await self._resume(session)
 
-    async def _read_chunks(self, response: aiohttp.ClientResponse) -> None:
-        async for chunk in response.content.iter_any():
-            if self.events is not None:
-                chunk = self.events.feed(chunk)
-                if not chunk:
-                    continue
-            await self._add_chunk(chunk)
+    async def _read_body(self, response: aiohttp.ClientResponse) -> None:
+        body = ResponseBody(response, self.events, ends_with_mark=True)
+        try:
+            while chunk := await body.read_any():
+                if self.events is not None:
+                    chunk = self.events.feed(chunk)
+                if chunk:
+                    await self._add_chunk(chunk)
+            body.check_end()
+        finally:
+            logger.info(
+                "endpoint_response",
+                attempt=self.run_request.attempt,
+                status=response.status,
+                ended_by=body.termination.value,
+                ended_at=body.content.value,
+            )
 
     async def _add_chunk(self, chunk: bytes) -> None:
         self._observe(chunk)
@@ -294,26 +314,12 @@
             self.last_token_at = now
         if self.run_request.call is not None:
             self.response_body += chunk
-        self.stream_tail = (self.stream_tail + chunk)[-_STREAM_TAIL_BYTES:]
 
     def _charge(self) -> None:
         amount = self.meter.collect()
         if amount > 0:
             self.scheduler.charge(self.workspace, amount)
 
-    def _check_complete(self) -> Failure | None:
-        """Returns a failure if a stream has ended without its last event.
-
-        An engine that aborts a response may still end its HTTP body normally.
-        """
-        if is_stream(self.headers) and STREAM_END not in self.stream_tail:
-            return failure(
-                FailureKind.RESPONSE_TRUNCATED,
-                "the endpoint ended the stream without its last event",
-                Outcome.UNKNOWN,
-            )
-        return None
-
     def cancel(self) -> None:
         """Cancels the request at the endpoint, which frees the slot."""
         self.cancelled = True
--- a/packages/fleet/src/marjoramyard/fleet/util/endpoint_session.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/endpoint_session.py
@@ -103,9 +103,8 @@
         return connection
 
 
-@asynccontextmanager
-async def open_endpoint_session() -> AsyncIterator[aiohttp.ClientSession]:
-    """Opens the HTTP session for requests to endpoints."""
+def create_endpoint_session() -> aiohttp.ClientSession:
+    """Creates the HTTP session for requests to endpoints."""
     session = aiohttp.ClientSession(
         connector=StrictConnector(
             limit=0,
@@ -128,6 +127,13 @@
     # aiohttp would resend idempotent requests when a reused connection breaks,
     # bypassing the retry budget.
     session._retry_connection = False
+    return session
+
+
+@asynccontextmanager
+async def open_endpoint_session() -> AsyncIterator[aiohttp.ClientSession]:
+    """Opens the HTTP session for requests to endpoints."""
+    session = create_endpoint_session()
     try:
         yield session
     finally:
