Don't complete a response whose endpoint died with it

What callers saw: where a connection without a length or chunks just ends, a plain body, or a stream between two events, arrived as complete although its endpoint had died in the middle.

Cause: the end of the connection was taken for the end of the message. Its bytes can't tell (ResponseEnd.UNKNOWN), so it is asked now whether the endpoint has ended: by what is known of its lifetime, else by a connection. One that is known to leave may end right after its last response; its end says nothing.

Not claimed: an endpoint that breaks a response off between two events and goes on, or whose parent process goes on listening.

--- a/packages/fleet/src/marjoramyard/fleet/agent/attempts.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/attempts.py
@@ -10,6 +10,7 @@
 from marjoramyard.coordination.fairness.scheduler import FairScheduler
 from marjoramyard.coordination.serving.events import EventSplitter
 from marjoramyard.coordination.serving.frames import ReplayBuffer
+from marjoramyard.coordination.serving.response_ends import ResponseEnd
 from marjoramyard.fleet.agent.endpoint import Endpoint
 from marjoramyard.fleet.agent.meters import METERS
 from marjoramyard.fleet.messages import RunRequest
@@ -231,7 +232,7 @@
         while True:
             before = self.events.last_id if self.events else ""
             try:
-                await self._read_body(self.upstream)
+                await self._read_body(self.upstream, session)
                 return
             except BrokenOffError:
                 # Resumes are limited only while no new event arrives.
@@ -242,7 +243,9 @@
                 self.upstream.close()
                 self.upstream = await self._resume(session)
 
-    async def _read_body(self, response: aiohttp.ClientResponse) -> None:
+    async def _read_body(
+        self, response: aiohttp.ClientResponse, session: aiohttp.ClientSession
+    ) -> None:
         body = ResponseBody(response, self.events, ends_with_mark=True)
         try:
             while chunk := await body.read_any():
@@ -250,7 +253,8 @@
                     chunk = self.events.feed(chunk)
                 if chunk:
                     await self._add_chunk(chunk)
-            body.check_end()
+            if body.check_end() is ResponseEnd.UNKNOWN:
+                await self._check_survival(session)
         finally:
             logger.info(
                 "endpoint_response",
@@ -260,6 +264,20 @@
                 ended_at=body.content.value,
             )
 
+    async def _check_survival(self, session: aiohttp.ClientSession) -> None:
+        """Checks that the endpoint has not ended together with its response.
+
+        One that leaves may end right after its last response.
+
+        Raises:
+            BrokenOffError: It has; the response may have been broken off.
+        """
+        if self.endpoint.is_leaving or await self.endpoint.is_alive(session):
+            return
+        raise BrokenOffError(
+            "the endpoint ended with its response", is_connection_lost=True
+        )
+
     async def _add_chunk(self, chunk: bytes) -> None:
         self._observe(chunk)
         self.replay_buffer.add_data(chunk)
--- a/packages/fleet/src/marjoramyard/fleet/agent/endpoint.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/endpoint.py
@@ -96,6 +96,15 @@
             and announced_ago < ANNOUNCEMENT_TIMEOUT_SECONDS
         )
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether it has said that it is leaving."""
+        announced = self.announced
+        return (
+            announced.state == "leaving"
+            or announced.incarnation == self.leaving_incarnation
+        )
+
     @property
     def pause_seconds(self) -> float:
         """The time until its pause ends; 0.0 if it does not pause."""
--- a/packages/fleet/src/marjoramyard/fleet/gateway/crash_detection.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/crash_detection.py
@@ -6,7 +6,10 @@
 import msgspec
 
 from marjoramyard.coordination.governance.suspects import EndedRun
-from marjoramyard.coordination.membership.registrations import Registration
+from marjoramyard.coordination.membership.registrations import (
+    EndpointState,
+    Registration,
+)
 from marjoramyard.fleet.gateway.suspects import GatewaySuspects
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.fleet.util.tasks import TaskGroup
@@ -93,6 +96,21 @@
         self.observations[lifetime] = observation
         self.tasks.spawn(self._observe(lifetime, observation))
 
+    async def has_ended(self, endpoint: Registration) -> bool:
+        """Whether an endpoint that has just closed a connection has ended.
+
+        One that leaves may end right after its last response, so its end says
+        nothing of that response.
+        """
+        if self.view.is_leaving(endpoint):
+            return False
+        if lifetime_of(endpoint) in self.died or self._is_replaced(endpoint):
+            return True
+        known = self.view.registrations.by_endpoint.get(endpoint.endpoint)
+        if known is not None and known.state is not EndpointState.READY:
+            return False
+        return await refuses_connections(endpoint.address)
+
     async def _observe(self, lifetime: str, observation: Observation) -> None:
         try:
             while time.monotonic() < observation.until:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
@@ -8,6 +8,7 @@
 
 from marjoramyard.coordination.membership.registrations import Registration
 from marjoramyard.coordination.routing.config import Service
+from marjoramyard.coordination.serving.response_ends import ResponseEnd
 from marjoramyard.coordination.serving.retries import RetryBudget
 from marjoramyard.fleet.gateway.admission import CallerRequest
 from marjoramyard.fleet.gateway.attempts import (
@@ -210,9 +211,24 @@
                 response = await self.delivery.relay(
                     upstream, tracked.finish_prefill
                 )
+            if self.delivery.end is ResponseEnd.UNKNOWN:
+                await self._check_survival(plan.endpoint)
         self.view.health_of(endpoint).record_success(time.monotonic())
         return response
 
+    async def _check_survival(self, endpoint: Registration) -> None:
+        """Checks that an endpoint has not ended together with its response.
+
+        Raises:
+            SendFailedError: It has; the response may have been broken off.
+        """
+        if await self.context.crashes.has_ended(endpoint):
+            raise SendFailedError(
+                SendOutcome.BROKEN,
+                "the endpoint ended with its response",
+                is_connection_lost=True,
+            )
+
     @contextmanager
     def _track(self, plan: SendPlan) -> Iterator[LocalRequest]:
         """Counts a send in the local load and at the broker while it lasts."""
--- a/packages/fleet/tests/gateway/test_crash_detection.py
+++ b/packages/fleet/tests/gateway/test_crash_detection.py
@@ -1,11 +1,16 @@
 """Tests of how a gateway detects that an endpoint has died."""
 
 import asyncio
+import contextlib
 import time
 
+import msgspec
 import pytest
 
-from marjoramyard.coordination.membership.registrations import Registration
+from marjoramyard.coordination.membership.registrations import (
+    EndpointState,
+    Registration,
+)
 from marjoramyard.fleet.gateway import crash_detection as module
 from marjoramyard.fleet.gateway.crash_detection import (
     BrokenRun,
@@ -40,6 +45,15 @@
         yield CrashDetector(view, Reports(), tasks)
 
 
+@contextlib.asynccontextmanager
+async def listening():
+    """Yields an address that accepts connections."""
+    server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    yield f"{host}:{port}"
+    server.close()
+
+
 def register(detector, name, address, born):
     registration = Registration(
         endpoint=name, service="api", address=address, born=born
@@ -161,3 +175,31 @@
     monkeypatch.setattr(module.asyncio, "open_connection", connect)
     monkeypatch.setattr(module, "PROBE_TIMEOUT_SECONDS", 0.01)
     assert not await refuses_connections("127.0.0.1:1")
+
+
+async def test_an_endpoint_that_refuses_connections_has_ended(detector):
+    """Guards against completing a response whose endpoint died with it."""
+    assert await detector.has_ended(register(detector, "e1", free_address(), 1))
+
+
+async def test_an_endpoint_whose_address_is_used_again_has_ended(detector):
+    """Guards against a new lifetime that vouches for the one before it."""
+    async with listening() as address:
+        endpoint = register(detector, "e1", address, 1)
+        assert not await detector.has_ended(endpoint)
+        register(detector, "e2", address, 2)
+        assert await detector.has_ended(endpoint)
+
+
+async def test_the_end_of_an_endpoint_that_leaves_says_nothing(detector):
+    """Guards against failing the last responses of endpoints that leave."""
+    address = free_address()
+    endpoint = register(detector, "e1", address, 1)
+    draining = msgspec.structs.replace(
+        endpoint, state=EndpointState.DRAINING, sequence=1
+    )
+    detector.view.registrations.merge(draining, 0.0)
+    assert not await detector.has_ended(endpoint)
+    other = register(detector, "e2", free_address(), 1)
+    detector.view.record_leaving("e2", 1)
+    assert not await detector.has_ended(other)
--- a/packages/standin/src/marjoramyard/standin/engine.py
+++ b/packages/standin/src/marjoramyard/standin/engine.py
@@ -10,6 +10,7 @@
 
 from marjoramyard.standin.announced_endpoint import AnnouncedEndpoint
 from marjoramyard.standin.raw_responses import (
+    ARRIVAL_SECONDS,
     BreakOffError,
     ConnectionEnd,
     Framing,
@@ -45,6 +46,7 @@
         cut_after: Ends the connection after this many tokens; -1 for never.
         cut_place: Where in the content of a stream it does so.
         cut_by: How it does so.
+        cut_by_crash: Kills the engine process there instead.
         framing: How the response tells its end.
         resumable: Sends event ids and a URL from which the stream can be
             resumed.
@@ -59,6 +61,7 @@
     cut_after: int = -1
     cut_place: CutPlace = CutPlace.INSIDE_EVENT
     cut_by: ConnectionEnd = ConnectionEnd.FIN
+    cut_by_crash: bool = False
     framing: Framing = Framing.CHUNKS
     resumable: bool = False
     crash: bool = False
@@ -150,7 +153,7 @@
             return web.json_response(completion)
         body = msgspec.json.encode(completion)
         return RawResponse(
-            _pieces(body, is_cut=chat.cut_after >= 0),
+            self._body(chat, body),
             Framing.LENGTH if chat.framing is Framing.CHUNKS else chat.framing,
             chat.cut_by if chat.cut_after >= 0 else ConnectionEnd.FIN,
             length=len(body),
@@ -204,7 +207,7 @@
             if index == chat.cut_after:
                 if chat.cut_place is CutPlace.INSIDE_EVENT:
                     yield b"data: {"
-                raise BreakOffError
+                await self._break_off(chat)
             delta = {"choices": [{"index": 0, "delta": {"content": word}}]}
             event = b"data: " + msgspec.json.encode(delta) + b"\n\n"
             if chat.resumable:
@@ -216,11 +219,18 @@
         yield b"data: [DONE]\n\n"
         self.served += 1
 
-
-async def _pieces(body: bytes, is_cut: bool) -> AsyncIterator[bytes]:
-    """Yields a body, or its first half."""
-    if not is_cut:
-        yield body
-        return
-    yield body[: len(body) // 2]
-    raise BreakOffError
+    async def _body(
+        self, chat: ChatRequest, body: bytes
+    ) -> AsyncIterator[bytes]:
+        """Yields a body, or its first half."""
+        if chat.cut_after < 0:
+            yield body
+            return
+        yield body[: len(body) // 2]
+        await self._break_off(chat)
+
+    async def _break_off(self, chat: ChatRequest) -> None:
+        if chat.cut_by_crash:
+            await asyncio.sleep(ARRIVAL_SECONDS)
+            await self.crash()
+        raise BreakOffError
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 
+import pytest
 from callers import chat
 
 from marjoramyard.standin.local_fleet import start_small_fleet, wait_until
@@ -71,3 +72,32 @@
 
     assert await wait_until(is_refused, "the restarted entry to refuse it")
     assert len([n for n in ENGINES if not fleet.children[n].is_running]) == 2
+
+
+@pytest.mark.parametrize("stream", [False, True], ids=["plain", "stream"])
+async def test_a_request_that_crashes_engines_in_its_response_is_stopped_too(
+    fleet, bundle, stream
+):
+    """Guards against a response without a length that counts as an answer to
+    the request that crashed its engine.
+    """
+    await start_small_fleet(fleet, bundle)
+    for name in ENGINES[:3]:
+        await fleet.add_endpoint(name, "engine", "chat")
+    await fleet.wait_until_serving(*ENGINES[:3])
+
+    async def refused():
+        response = await chat(
+            fleet,
+            stream=stream,
+            framing="close",
+            cut_after=2,
+            cut_by_crash=True,
+            cut_place="between-events",
+        )
+        assert response.is_truncated or response.status != 200
+        return "request_quarantined" in response.text
+
+    await wait_until(refused, "the request to be quarantined")
+    crashed = [n for n in ENGINES[:3] if not fleet.children[n].is_running]
+    assert len(crashed) == 2
