Count an endpoint dead only if it refuses connections

An agent examines its endpoint once a connection was lost, and counted it as dead for good when the response to the probe broke off, although its description says 'whether it accepts a connection'. One spoiled response beside one lost connection took a running endpoint out until it was restarted. A reset is looked at again, as an endpoint that has just died may have accepted the connection before.

test_an_endpoint_that_accepts_connections_is_alive fails without it, three of three.

--- a/packages/fleet/src/marjoramyard/fleet/agent/endpoint.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/endpoint.py
@@ -20,6 +20,8 @@
 ANNOUNCEMENT_TIMEOUT_SECONDS = 6.0
 """Time without an announcement after which an endpoint is not ready."""
 _PROBE_TIMEOUT_SECONDS = 1.0
+_PROBES = 3
+_PROBE_INTERVAL_SECONDS = 0.05
 
 
 class Endpoint:
@@ -145,19 +147,27 @@
         return self.dead_incarnation
 
     async def is_alive(self, session: aiohttp.ClientSession) -> bool:
-        """Probes the endpoint; returns whether it accepts a connection.
+        """Probes the endpoint; returns whether it accepts connections.
 
         One lost connection does not imply that the endpoint died. An
         endpoint that does not respond in time counts as alive.
         """
-        try:
-            async with asyncio.timeout(_PROBE_TIMEOUT_SECONDS):
-                async with session.get(
-                    f"http://{self.announced.address}/health"
-                ) as response:
-                    await response.read()
-                    return True
-        except TimeoutError:
-            return True
-        except (aiohttp.ClientError, OSError):
-            return False
+        for _ in range(_PROBES):
+            try:
+                await self._probe(session)
+                return True
+            except (TimeoutError, aiohttp.ServerTimeoutError):
+                return True
+            except aiohttp.ClientConnectorError:
+                return False
+            except (aiohttp.ClientError, OSError):
+                # It resets connections, or died after accepting this one.
+                await asyncio.sleep(_PROBE_INTERVAL_SECONDS)
+        return True
+
+    async def _probe(self, session: aiohttp.ClientSession) -> None:
+        async with asyncio.timeout(_PROBE_TIMEOUT_SECONDS):
+            async with session.get(
+                f"http://{self.announced.address}/health"
+            ) as response:
+                await response.read()
--- a/packages/fleet/tests/agent/test_endpoint.py
+++ b/packages/fleet/tests/agent/test_endpoint.py
@@ -1,9 +1,15 @@
 """What an agent learns from its endpoint."""
 
+import asyncio
+import contextlib
+
+import msgspec
 import pytest
 
 from marjoramyard.fleet.agent.endpoint import Endpoint
 from marjoramyard.fleet.messages import EndpointAnnouncement
+from marjoramyard.fleet.util.endpoint_session import open_endpoint_session
+from marjoramyard.standin.processes import free_address
 
 PAUSE = {"Retry-After": "60"}
 LEAVING = {"Endpoint-Leaving": "1"}
@@ -54,3 +60,44 @@
     """Guards against callers that come back before an endpoint's pause ends."""
     endpoint.on_response("e~1", 503, PAUSE)
     assert 60.0 < endpoint.refusal().retry_after < 64.0
+
+
+@contextlib.asynccontextmanager
+async def endpoint_that_sends(data):
+    """Yields the view of an endpoint that sends bytes and closes."""
+
+    async def serve(_reader, writer):
+        writer.write(data)
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    found = Endpoint(0)
+    found.on_announcement(
+        msgspec.structs.replace(announcement("e~1"), address=f"{host}:{port}")
+    )
+    yield found
+    server.close()
+
+
+@pytest.mark.parametrize(
+    "data", [b"", b"garbage", b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\nha"]
+)
+async def test_an_endpoint_that_accepts_connections_is_alive(data):
+    """Guards against counting an endpoint dead, for good, because the
+    response to one probe broke off.
+    """
+    async with (
+        endpoint_that_sends(data) as endpoint,
+        open_endpoint_session() as session,
+    ):
+        assert await endpoint.is_alive(session)
+
+
+async def test_an_endpoint_that_refuses_connections_is_dead(endpoint):
+    """Guards against requests to an endpoint that has died."""
+    endpoint.announced = msgspec.structs.replace(
+        endpoint.announced, address=free_address()
+    )
+    async with open_endpoint_session() as session:
+        assert not await endpoint.is_alive(session)
