Let the soak's endpoints frame their responses in all ways and break them off

Endpoints of the soak sent chunks or a length only, and ended a response early only by their own end. Now a third of the responses has neither, and one in twenty breaks off, by FIN or RST, inside an event or between two. Requests that crash endpoints do so inside an event too. A new check, whole_responses_are_delivered, is the opposite of complete_responses. A response that its endpoint broke off is no harm of a gateway's shutdown.

A reset by a relay, or by an endpoint that crashes, is an RST now: it was a FIN, which says of such a response that it is complete. The endpoint code wrote a traceback for each connection that its gateway had left; it doesn't.

--- a/packages/standin/src/marjoramyard/standin/raw_responses.py
+++ b/packages/standin/src/marjoramyard/standin/raw_responses.py
@@ -101,6 +101,6 @@
         transport.close()
         return
     connection = transport.get_extra_info("socket")
-    if connection is not None:
+    if connection is not None and connection.fileno() >= 0:
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
     transport.abort()
--- a/packages/standin/src/marjoramyard/standin/relay.py
+++ b/packages/standin/src/marjoramyard/standin/relay.py
@@ -4,6 +4,8 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
+from marjoramyard.standin.raw_responses import ConnectionEnd, end_connection
+
 _CHUNK_BYTES = 65536
 
 
@@ -49,9 +51,9 @@
         self.stalled_writers |= self.writers
 
     def break_connections(self) -> None:
-        """Aborts all present connections; new ones are accepted."""
+        """Resets all present connections; new ones are accepted."""
         for writer in list(self.writers):
-            writer.transport.abort()
+            end_connection(writer.transport, ConnectionEnd.RST)
 
     async def serve_one(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -103,7 +105,8 @@
             if self._is_forwarding(writer):
                 writer.close()
         except OSError:
-            writer.transport.abort()
+            # A regular end would say that the target had sent everything.
+            end_connection(writer.transport, ConnectionEnd.RST)
         finally:
             self.writers.discard(writer)
             self.stalled_writers.discard(writer)
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -62,6 +62,8 @@
             request away; 0.0 if it took it.
         said_leaving: Whether the response said that the endpoint is leaving.
         crashing: The body of a request that crashes the endpoint, or "".
+        broke_off: Whether the endpoint broke its response off.
+        whole_at: When it had sent all of its response; 0.0 if it has not.
     """
 
     id: str
@@ -72,6 +74,8 @@
     pause_seconds: float = 0.0
     said_leaving: bool = False
     crashing: str = ""
+    broke_off: bool = False
+    whole_at: float = 0.0
 
     @property
     def was_taken(self) -> bool:
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -90,6 +90,11 @@
     stream.body = "id: 1\ndata: somebody"
 
 
+def whole_response_reported_incomplete(record):
+    record.calls[0].is_complete = False
+    record.attempts[0].whole_at = 100.05
+
+
 def non_idempotent_request_run_twice(record):
     record.attempts.append(
         attempt([*RouteKind].index(RouteKind.NON_IDEMPOTENT), 103.0, "i-1-1")
@@ -208,6 +213,7 @@
     response_of_another_request: "complete_responses",
     truncated_stream_reported_complete: "complete_responses",
     incomplete_stream_of_another_request: "complete_responses",
+    whole_response_reported_incomplete: "whole_responses_are_delivered",
     non_idempotent_request_run_twice: "at_most_once",
     three_attempts: "attempts_are_bounded",
     not_run_status_although_it_ran: "not_run_means_not_executed",
@@ -277,6 +283,17 @@
     assert violations(record) == []
 
 
+@pytest.mark.parametrize("broke_off", [False, True])
+def test_a_stream_that_its_endpoint_broke_off_is_no_harm_of_a_shutdown(
+    broke_off,
+):
+    """A gateway that shuts down passes on how such a response ended."""
+    record = valid_record()
+    stream_truncated_by_shutdown(record)
+    record.attempts[-1].broke_off = broke_off
+    assert bool(violations(record)) != broke_off
+
+
 @pytest.mark.parametrize("had_started", [False, True])
 def test_sigterm_may_end_a_process_that_has_not_started(had_started):
     """Python can't handle a signal before its interpreter is set up."""
