Tell HTTP/1.0 callers how a stream ended

What callers saw: HTTP/1.0 has no chunks, so a response of unknown length ends with its connection. At an entry a broken-off stream ended there by a regular close, like a whole one. At a gateway each stream ended by a 500 'outcome unknown' after its endpoint had run it, as chunks can't be enabled.

Both ways in now end such a response by break_off_response, and gateways serve streams to HTTP/1.0 callers without chunks.

Weighed: refusing these callers before the run (505). It is as true, but serves nobody; serving them takes no more code.

Failed before: the gateway's [whole] and the entry's [2] of the new tests (the entry's end was regular).

--- a/packages/fleet/src/marjoramyard/fleet/entry/responses.py
+++ b/packages/fleet/src/marjoramyard/fleet/entry/responses.py
@@ -9,6 +9,7 @@
 from marjoramyard.coordination.serving.frames import Frame, FrameHeader
 from marjoramyard.fleet.entry.requests import CallerRequest
 from marjoramyard.fleet.messages import FailureBody
+from marjoramyard.fleet.util.connections import break_off_response
 from marjoramyard.fleet.util.headers import copy_headers, is_stream
 from marjoramyard.kernel.errors import Failure, FailureKind, Outcome, failure
 
@@ -114,8 +115,7 @@
     async def abort(self, reason: Failure) -> None:
         """Ends a response that has begun, so that it is seen to be incomplete.
 
-        A stream gets an error event. The connection is closed without the
-        last chunk, which would mark the body as complete.
+        A stream gets an error event.
         """
         if is_stream(self.response_header.headers):
             body = msgspec.json.encode(FailureBody(reason))
@@ -123,8 +123,6 @@
                 await self._write(b"event: error\ndata: " + body + b"\n\n")
             except (CallerStalledError, ConnectionError):
                 pass
-        transport = self.request.http.transport
-        if transport is not None and not transport.is_closing():
-            # Lets the event be sent before the connection is closed.
-            await asyncio.sleep(0)
-            transport.close()
+        # Lets the event be sent before the connection is closed.
+        await asyncio.sleep(0)
+        break_off_response(self.request.http)
--- a/packages/fleet/src/marjoramyard/fleet/gateway/delivery.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/delivery.py
@@ -14,7 +14,10 @@
 )
 from marjoramyard.fleet.gateway.attempts import SendFailedError, SendOutcome
 from marjoramyard.fleet.gateway.stream_relay import DirectStreamRelay
-from marjoramyard.fleet.util.connections import has_peer_closed
+from marjoramyard.fleet.util.connections import (
+    break_off_response,
+    has_peer_closed,
+)
 from marjoramyard.fleet.util.headers import copy_headers, end_to_end, is_stream
 from marjoramyard.fleet.util.response_body import BrokenOffError, ResponseBody
 
@@ -37,6 +40,7 @@
         longest_gap: The longest time between two writes, in seconds.
         write_count: How often body bytes were written.
         ends: What ended each response of an endpoint and where, for logs.
+        is_chunked: Whether a stream is sent in chunks; HTTP/1.0 has none.
         end: How the last response that was read to its end ended.
     """
 
@@ -54,6 +58,7 @@
         self.write_count = 0
         self.ends: list[tuple[Termination, BodyContent]] = []
         self.end = ResponseEnd.COMPLETE
+        self.is_chunked = request.version >= aiohttp.HttpVersion11
 
     @property
     def has_started(self) -> bool:
@@ -134,7 +139,7 @@
             if events:
                 on_first()
                 await self._forward(upstream, events)
-            if self.has_started:
+            if self.has_started and self.is_chunked:
                 relay = DirectStreamRelay(
                     upstream, self.request, self._process_directly
                 )
@@ -175,8 +180,9 @@
     async def _start(self, upstream: aiohttp.ClientResponse) -> None:
         response = web.StreamResponse(status=upstream.status)
         copy_headers(end_to_end(list(upstream.headers.items())), response)
-        response.enable_chunked_encoding()
-        if self.closes_connection():
+        if self.is_chunked:
+            response.enable_chunked_encoding()
+        if self.closes_connection() or not self.is_chunked:
             response.force_close()
         self.response = response
         self.first_at = asyncio.get_running_loop().time()
@@ -196,9 +202,5 @@
         return self.response
 
     def abort(self) -> None:
-        """Closes the connection without the final chunk.
-
-        The caller can't mistake the response for a complete one.
-        """
-        if self.request.transport is not None:
-            self.request.transport.close()
+        """Closes the connection so that the response is seen as incomplete."""
+        break_off_response(self.request)
--- a/packages/fleet/src/marjoramyard/fleet/util/connections.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/connections.py
@@ -1,8 +1,14 @@
-"""The state of TCP connections."""
+"""The state and the end of TCP connections."""
 
 import asyncio
 import select
+import socket
+import struct
 
+from aiohttp import HttpVersion11, web
+
+_DISCARD_AND_RESET = struct.pack("ii", 1, 0)
+"""SO_LINGER with a timeout of zero."""
 _CLOSED = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
@@ -19,3 +25,28 @@
     poll = select.poll()
     poll.register(connection.fileno(), select.POLLRDHUP)
     return any(events & _CLOSED for _, events in poll.poll(0))
+
+
+def reset(transport: asyncio.Transport) -> None:
+    """Resets a connection, which its peer can't take for a regular end."""
+    connection = transport.get_extra_info("socket")
+    if connection is not None and connection.fileno() >= 0:
+        connection.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, _DISCARD_AND_RESET
+        )
+    transport.abort()
+
+
+def break_off_response(request: web.BaseRequest) -> None:
+    """Ends a caller's connection in the middle of a response.
+
+    In HTTP/1.1 the missing last chunk shows that the response is incomplete.
+    In HTTP/1.0 it ends with its connection, so only a reset does.
+    """
+    transport = request.transport
+    if transport is None:
+        return
+    if request.version < HttpVersion11:
+        reset(transport)
+    else:
+        transport.close()
--- a/packages/standin/src/marjoramyard/standin/raw_responses.py
+++ b/packages/standin/src/marjoramyard/standin/raw_responses.py
@@ -1,16 +1,15 @@
 """Responses whose framing and end are chosen by a test."""
 
 import asyncio
-import socket
-import struct
 from collections.abc import AsyncIterable
 from enum import Enum
 
 from aiohttp import web
 
+from marjoramyard.fleet.util.connections import reset
+
 ARRIVAL_SECONDS = 0.01
 """Lets the last bytes arrive before the connection ends."""
-_LINGER_ZERO = struct.pack("ii", 1, 0)
 
 
 class Framing(Enum):
@@ -99,8 +98,5 @@
     """Ends a connection as told."""
     if connection_end is ConnectionEnd.FIN:
         transport.close()
-        return
-    connection = transport.get_extra_info("socket")
-    if connection is not None and connection.fileno() >= 0:
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
-    transport.abort()
+    else:
+        reset(transport)
--- a/tests/test_response_ends.py
+++ b/tests/test_response_ends.py
@@ -187,6 +187,43 @@
     assert found == (200, b"".join(EVENTS), True)
 
 
+async def ask_http_1_0(address, path, headers, body):
+    """Returns status, body and whether the connection ended regularly."""
+    host, port = address.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    lines = [f"POST {path} HTTP/1.0", f"Content-Length: {len(body)}"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    writer.write("\r\n".join([*lines, "", ""]).encode() + body)
+    data, is_complete = b"", True
+    try:
+        while piece := await reader.read(1 << 16):
+            data += piece
+    except ConnectionResetError:
+        is_complete = False
+    writer.close()
+    head, _, received = data.partition(b"\r\n\r\n")
+    return int(head.split()[1]), received, is_complete
+
+
+@pytest.mark.parametrize("place", ["whole", *STREAM_CUTS])
+async def test_a_gateway_tells_http_1_0_callers_how_a_stream_ended(
+    gateway, place
+):
+    """Guards against streams to HTTP/1.0 callers that fail after they ran, and
+    against broken-off ones that end like whole ones.
+    """
+    told = {"content": "stream", "framing": "chunks"}
+    told |= {"place": place, "end": "fin"}
+    headers = {"Host": "shop.example", "Request-Id": f"1-0-{place}"}
+    status, body, is_complete = await ask_http_1_0(
+        gateway.listen_address, "/stream/x", headers, json.dumps(told).encode()
+    )
+    if place == "whole":
+        assert (status, body, is_complete) == (200, b"".join(EVENTS), True)
+    else:
+        assert not (status == 200 and is_complete)
+
+
 @pytest_asyncio.fixture(scope="module", loop_scope="module")
 async def entry(tmp_path_factory, small_bundle):
     """An entry with one engine behind its agent."""
@@ -243,3 +280,22 @@
     response = await chat(entry, stream=True, framing=framing, max_tokens=3)
     assert response.is_complete_stream
     assert response.text.count('"delta"') == 3
+
+
+@pytest.mark.parametrize("cut_after", [-1, 2])
+async def test_an_entry_tells_http_1_0_callers_how_a_stream_ended(
+    entry, cut_after
+):
+    """Guards against a broken-off stream that ends like a whole one."""
+    message = {"role": "user", "content": "Which boots?"}
+    chat_request = {"model": "chat", "messages": [message], "stream": True}
+    chat_request |= {"max_tokens": 4, "cut_after": cut_after}
+    status, body, is_complete = await ask_http_1_0(
+        entry.entries["entry-1"],
+        "/v1/chat/completions",
+        entry.headers("counter") | {"Host": "shop.example"},
+        json.dumps(chat_request).encode(),
+    )
+    assert status == 200
+    assert is_complete == (cut_after < 0)
+    assert body.endswith(b"data: [DONE]\n\n") == is_complete
