Log a forwarded response as passed on only if it was whole

A gateway that forwards a request to another one copies the response without parsing it, and logged and counted 'forwarded' for any that ended by a regular close: also for one that a killed peer had broken off, of which its caller saw, by its framing, that it was incomplete. The end of the connection was taken for the end of the message in the log, and the alert on 'peer-lost' missed killed gateways.

The head and the last bytes of the response tell. The test of a response that a lost peer cuts off failed with the outcome 'forwarded'.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/overload_guard.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/overload_guard.py
@@ -187,7 +187,7 @@
             id=request.plan.attempt,
             peer=request.plan.peer,
             outcome=outcome,
-            response_bytes=request.response_bytes,
+            response_bytes=request.response.size,
             total_ms=round((now - request.started_at) * 1000),
         )
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/peer_forwarding.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/peer_forwarding.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from marjoramyard.fleet.gateway.early_refusal import RequestHead
+from marjoramyard.fleet.gateway.forwarded_response import ForwardedResponse
 from marjoramyard.kernel.logs import get_logger
 from marjoramyard.kernel.util.addresses import parse_address
 
@@ -135,7 +136,7 @@
         on_end: Called once when the request has ended.
         unsent: Bytes of the request until the connection is established.
         peer: The connection to the peer; None before it is established.
-        response_bytes: Bytes of the response received so far.
+        response: What has been received of the response.
         has_ended: Whether the request has ended.
     """
 
@@ -150,7 +151,7 @@
         self.on_end = on_end
         self.unsent = bytearray()
         self.peer: asyncio.Transport | None = None
-        self.response_bytes = 0
+        self.response = ForwardedResponse()
         self.has_ended = False
         loop = asyncio.get_running_loop()
         self.started_at = loop.time()
@@ -226,21 +227,21 @@
         """Called when bytes of the response are received."""
         if self.has_ended or self.caller.is_closing():
             return
-        self.response_bytes += len(data)
+        self.response.feed(data)
         self.caller.write(data)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Called when the peer has closed the connection."""
-        if self.response_bytes:
-            outcome = "forwarded" if exc is None else "peer-lost"
-            self._end(outcome, b"")
+        if self.response.size:
+            is_complete = self.response.is_complete
+            self._end("forwarded" if is_complete else "peer-lost", b"")
         else:
             self._end("peer-lost", self.plan.failures.lost)
 
     def _time_out(self) -> None:
         not_sent = self.plan.failures.not_sent
         late = self.plan.failures.timed_out if self.is_sent else not_sent
-        self._end("deadline", b"" if self.response_bytes else late)
+        self._end("deadline", b"" if self.response.size else late)
 
     def _end(self, outcome: str, response: bytes) -> None:
         """Ends the request; sends a response if the peer has sent none."""
--- a/packages/fleet/tests/gateway/test_peer_forwarding.py
+++ b/packages/fleet/tests/gateway/test_peer_forwarding.py
@@ -174,9 +174,10 @@
     async def cut_off(_reader, writer):
         writer.write(RESPONSE[:-3])
 
-    async with forwarding(cut_off) as (_, _, reader, writer):
+    async with forwarding(cut_off) as (_, gateway, reader, writer):
         writer.write(request_bytes())
         assert await reader.read() == RESPONSE[:-3]
+    assert gateway.outcomes == ["peer-lost"]
 
 
 async def test_a_suspended_peer_does_not_hold_up_a_caller():
