Don't forward requests of HTTP/1.0 callers

Since such callers are served streams without chunks, the response to a forwarded request would end with the peer's connection; a peer that is killed would have completed it. They are served or refused here. test_requests_of_http_1_0_are_not_forwarded fails without the change.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/peer_forwarding.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/peer_forwarding.py
@@ -101,8 +101,11 @@
 def can_forward(head: RequestHead) -> bool:
     """Whether a request can be forwarded without parsing it further.
 
-    A request whose `Connection` header names other headers can't.
+    A request whose `Connection` header names other headers can't, and neither
+    can one of HTTP/1.0, whose response may end with the peer's connection.
     """
+    if not head.lowered.partition(b"\r\n")[0].endswith(b" http/1.1"):
+        return False
     if head.lowered.count(_CONNECTION) > 1:
         return False
     value = head.header(b"connection").lower().encode("latin-1")
--- a/packages/fleet/tests/gateway/test_peer_forwarding.py
+++ b/packages/fleet/tests/gateway/test_peer_forwarding.py
@@ -224,6 +224,14 @@
     assert not can_forward(head_of("Connection: close", "Connection: X-Secret"))
 
 
+def test_requests_of_http_1_0_are_not_forwarded():
+    """Guards against a response that ends with the connection of a lost peer
+    and looks whole.
+    """
+    old = request_bytes().replace(b"HTTP/1.1", b"HTTP/1.0")
+    assert not can_forward(parse_head(old))
+
+
 def test_the_peer_with_the_fewest_requests_is_chosen():
     selector = PeerSelector()
     selector.on_started("a")
