Read lists of cached parts with the shared reader of responses

The last reader of endpoints' responses at a gateway that had its own way; a list that breaks off was refused already, as it can't be decoded. The reader's own tests stand in test_response_body.py.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/cache_lists.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/cache_lists.py
@@ -17,6 +17,7 @@
 from marjoramyard.fleet.gateway.dialect import CacheListCall
 from marjoramyard.fleet.gateway.endpoint_notices import EndpointNotices
 from marjoramyard.fleet.gateway.view import FleetView
+from marjoramyard.fleet.util.response_body import BrokenOffError, ResponseBody
 from marjoramyard.fleet.util.tasks import TaskGroup
 from marjoramyard.kernel.logs import get_logger
 
@@ -33,7 +34,12 @@
 """Engines are asked only by a gateway that has just started: a list delays
 their work."""
 _NOT_OFFERED = (404, 405, 501)
-_FAILURES = (aiohttp.ClientError, OSError, msgspec.DecodeError)
+_FAILURES = (
+    aiohttp.ClientError,
+    OSError,
+    BrokenOffError,
+    msgspec.DecodeError,
+)
 
 
 class CacheLists:
@@ -115,7 +121,8 @@
         """Returns what an engine has cached.
 
         Raises:
-            aiohttp.ClientError: There was no complete response.
+            aiohttp.ClientError: There was no successful response.
+            BrokenOffError: The response is not complete.
             OSError: The engine can't be reached, or not in time.
             msgspec.DecodeError: The response can't be decoded.
         """
@@ -129,4 +136,7 @@
             if response.status in _NOT_OFFERED:
                 self.not_offered.add(engine.service)
             response.raise_for_status()
-            return self.call.decode(await response.read())
+            body = ResponseBody(response)
+            data = await body.read_all()
+            body.check_end()
+            return self.call.decode(data)
--- a/packages/fleet/src/marjoramyard/fleet/util/response_body.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/response_body.py
@@ -1,7 +1,7 @@
 """Reads responses of endpoints and says how they ended.
 
-Everything that reads a response of an endpoint asks here whether it is
-complete: the end of a connection alone does not say so.
+All that pass a response on, or use its body, ask here whether it is complete:
+the end of a connection alone does not say so.
 """
 
 import aiohttp
