Refuse requests at entries that can't wait for the end of a pause

What callers saw: while the only endpoint of a service had asked for a pause of 30 s, requests waited at an entry for their whole deadline (15 s) and got 504. An entry knew that the agent was down, not for how long.

Agents say in their replies to offers how long their endpoint pauses, and an entry reads it in responses that it delivers. If all agents of a service pause for longer than a request can wait, it is refused at once and told when the first pause ends; one that can wait does. An entry without ready agents offers its backlog to the others, whose replies tell.

--- a/packages/fleet/src/marjoramyard/fleet/agent/slot_allocator.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/slot_allocator.py
@@ -201,7 +201,11 @@
             totals_sync.make_delta() if message.totals is not None else None
         )
         return OfferReply(
-            self.free, len(self.addresses), totals, self.is_leaving()
+            self.free,
+            len(self.addresses),
+            totals,
+            self.is_leaving(),
+            round(self.endpoint.pause_seconds, 3),
         )
 
     def remove_entry(self, entry: str) -> None:
--- a/packages/fleet/src/marjoramyard/fleet/entry/dispatchers.py
+++ b/packages/fleet/src/marjoramyard/fleet/entry/dispatchers.py
@@ -19,6 +19,11 @@
     ServiceQueue,
 )
 from marjoramyard.fleet.application import Application
+from marjoramyard.fleet.entry.paused_agents import (
+    PausedAgents,
+    WaitingRequests,
+    pause_refusal,
+)
 from marjoramyard.fleet.entry.requests import CallerRequest
 from marjoramyard.fleet.messages import (
     FreeSlotsMessage,
@@ -96,6 +101,8 @@
     Attributes:
         agents: The agents that this entry uses, by incarnation.
         other_agents: The service's other agents that are ready.
+        paused: The agents whose endpoints have asked for a pause.
+        waiting: The requests in the queue.
         dequeue_rate: Granted requests per second, as a moving average.
     """
 
@@ -106,6 +113,8 @@
         self.totals = Totals(app.settings.name, app.incarnation)
         self.agents: dict[str, AgentView] = {}
         self.other_agents: list[DirectoryRow] = []
+        self.paused = PausedAgents()
+        self.waiting = WaitingRequests()
         self.flush_scheduled = False
         self.dequeue_rate = 0.0
         self.last_dequeued_at = time.monotonic()
@@ -143,6 +152,32 @@
             if view.row.state == "ready" and view.backoff_until <= now
         ]
 
+    def agents_for_offers(self) -> list[AgentView]:
+        """Returns the ready agents, or all if there are none.
+
+        The others' replies say whether, and how long, they pause.
+        """
+        return self.ready_agents() or [
+            view
+            for view in self.agents.values()
+            if view.backoff_until <= time.monotonic()
+        ]
+
+    def pause_end(self) -> float:
+        """Returns when the first pause ends, if all endpoints pause; or 0.0."""
+        if self.other_agents:
+            return 0.0
+        return self.paused.first_end(
+            [view.row.address for view in self.agents.values()]
+        )
+
+    def record_pause(self, address: str, seconds: float) -> None:
+        """Records a pause, and refuses those who can't wait for its end."""
+        self.paused.record(address, seconds)
+        end = self.pause_end()
+        if end:
+            self.waiting.refuse_until(end)
+
     def back_off(self, address: str) -> None:
         """Excludes an agent from `ready_agents` for the backoff time."""
         for view in self.agents.values():
@@ -179,10 +214,13 @@
             first: Whether it goes to the head of its class.
 
         Raises:
-            FleetError: The deadline passed, or the workspace's queue is
-                full; the request was not run.
+            FleetError: The deadline passed, or the workspace's queue is full,
+                or all endpoints pause for longer; the request was not run.
         """
         self._check_limits(request)
+        end = self.pause_end()
+        if end > time.monotonic() + request.seconds_left():
+            raise FleetError(pause_refusal(end))
         item = QueuedRequest(
             request.workspace_id,
             request.request_class,
@@ -192,6 +230,7 @@
             asyncio.get_running_loop().create_future(),
         )
         self.queue.add(item, first)
+        self.waiting.add(item.payload, request)
         self._schedule_flush()
         try:
             async with asyncio.timeout(max(0.0, request.seconds_left())):
@@ -298,7 +337,7 @@
         self.flush_scheduled = False
         self.queue.changed.clear()
         waiting = set(self.queue.workspaces)
-        outdated = [v for v in self.ready_agents() if waiting - v.offered]
+        outdated = [v for v in self.agents_for_offers() if waiting - v.offered]
         busy = [view for view in outdated if view.free == 0]
         picked = random.sample(busy, min(_MAX_BUSY_AGENTS_OFFERED, len(busy)))
         for view in outdated:
@@ -312,7 +351,7 @@
             older_than: Age in seconds at which a complete offer is repeated.
         """
         now = time.monotonic()
-        for view in self.ready_agents():
+        for view in self.agents_for_offers():
             stale = view.last_full_offer_at + older_than <= now
             if stale and (self.queue.workspaces or view.offered):
                 self._send_offer(view, full=True)
@@ -414,6 +453,7 @@
             view.totals_sync.apply_delta(reply.totals)
         if reply.leaving:
             view.row = msgspec.structs.replace(view.row, state="leaving")
+        self.record_pause(view.row.address, reply.pause_seconds)
 
 
 class Dispatchers:
--- a/packages/fleet/src/marjoramyard/fleet/entry/request_handler.py
+++ b/packages/fleet/src/marjoramyard/fleet/entry/request_handler.py
@@ -31,6 +31,7 @@
 from marjoramyard.fleet.messages import RunRequest
 from marjoramyard.fleet.refusals import quarantined
 from marjoramyard.fleet.util.control_client import ControlClient
+from marjoramyard.fleet.util.pause_requests import requested_pause
 from marjoramyard.kernel.errors import (
     Failure,
     FailureKind,
@@ -171,6 +172,9 @@
         try:
             async with aclosing(client.frames()) as frames:
                 response = await delivery.run(frames)
+            seconds = requested_pause(response.status, response.headers)
+            if seconds:
+                dispatcher.record_pause(placement.address, seconds)
             self.app.metrics.count("attempts", outcome="complete")
             return response
         except AttemptRefusedError as error:
--- a/packages/fleet/src/marjoramyard/fleet/messages.py
+++ b/packages/fleet/src/marjoramyard/fleet/messages.py
@@ -99,12 +99,14 @@
         entries: The number of entries that make offers to the agent.
         totals: Sent if the offer had totals.
         leaving: The agent is shutting down.
+        pause_seconds: How long its endpoint still pauses; 0.0 if it doesn't.
     """
 
     free: int
     entries: int = 1
     totals: TotalsDelta | None = None
     leaving: bool = False
+    pause_seconds: float = 0.0
 
 
 class FreeSlotsMessage(msgspec.Struct):
--- a/tests/test_endpoint_behaviours.py
+++ b/tests/test_endpoint_behaviours.py
@@ -5,9 +5,9 @@
 import re
 
 import aiohttp
-import msgspec
 import pytest
 import pytest_asyncio
+from agent_endpoints import announcing
 from gateway_fleet import (
     FakeEndpoint,
     config,
@@ -16,7 +16,6 @@
     wait_until,
 )
 
-from marjoramyard.fleet.messages import EndpointAnnouncement
 from marjoramyard.standin.behaviours import (
     BEHAVIOURS,
     BODY,
@@ -94,15 +93,6 @@
         await start_small_fleet(fleet, bundle, control=1)
         await fleet.start_agent("raw")
         endpoint = BehavingEndpoint(free_address())
-        announcement = EndpointAnnouncement(
-            "raw", "raw~1", endpoint.address, "shop", 4, "ready"
-        )
-
-        async def announce():
-            url = f"http://{fleet.announce_addresses['raw']}/announce"
-            body = msgspec.json.encode(announcement)
-            async with fleet.session.post(url, data=body) as response:
-                await response.read()
 
         async def ask(name):
             async with fleet.session.get(
@@ -114,7 +104,10 @@
         async def serves():
             return (await ask("plain"))[0] == 200
 
-        async with endpoint.running(), repeating(announce):
+        async with (
+            endpoint.running(),
+            announcing(fleet, "raw", endpoint.address, "shop"),
+        ):
             await wait_until(serves)
             yield ask
 
