Show that streams without a length are resumed when they break off

test_a_stream_without_a_length_is_resumed_at_another_endpoint, by FIN and RST, inside an event and between two; the resumed stream ends with its connection and is completed. No logic is changed.

--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -18,6 +18,13 @@
     wait_until,
 )
 
+from marjoramyard.standin.raw_responses import (
+    BreakOffError,
+    ConnectionEnd,
+    Framing,
+    RawResponse,
+)
+
 
 @pytest.fixture
 async def fleet(tmp_path):
@@ -293,6 +300,57 @@
         assert "id: 99" not in text
 
 
+@pytest.mark.parametrize(
+    ("part", "connection_end"),
+    [
+        (b"id: 4\nda", ConnectionEnd.FIN),
+        (b"id: 4\nda", ConnectionEnd.RST),
+        (b"", ConnectionEnd.RST),
+    ],
+    ids=["inside-fin", "inside-rst", "between-rst"],
+)
+async def test_a_stream_without_a_length_is_resumed_at_another_endpoint(
+    fleet, endpoint, part, connection_end
+):
+    """Guards against a broken-off stream that is completed instead of resumed,
+    and against a resumed one that ends with its connection.
+    """
+    await fleet.put_config(config(2, route("s", "/s/", **STREAM)))
+    events = [b"id: %d\ndata: event\n\n" % number for number in range(1, 7)]
+
+    async def pieces(last_id):
+        if last_id is not None:
+            yield b"".join(events[int(last_id) :])
+            return
+        yield b"".join(events[:3])
+        yield part
+        raise BreakOffError
+
+    async with FakeEndpoint("i-2").running() as other:
+        await fleet.send_heartbeat(other)
+
+        async def respond(request, which):
+            last_id = request.headers.get("Last-Event-Id")
+            return RawResponse(
+                pieces(last_id),
+                Framing.CLOSE,
+                ConnectionEnd.FIN if last_id else connection_end,
+                headers=which.response_headers(request)
+                | {"Content-Type": "text/event-stream"},
+            )
+
+        endpoint.respond = lambda request: respond(request, endpoint)
+        other.respond = lambda request: respond(request, other)
+
+        async def completed():
+            async with fleet.request("/s/x") as response:
+                if response.status != 200:
+                    return None
+                return await response.read()
+
+        assert await wait_until(completed) == b"".join(events)
+
+
 async def test_a_stream_that_cannot_resume_is_truncated_visibly(
     fleet, endpoint
 ):
