--- a/packages/fleet/src/marjoramyard/fleet/entry/request_handler.py
+++ b/packages/fleet/src/marjoramyard/fleet/entry/request_handler.py
@@ -10,23 +10,21 @@
 
 from marjoramyard.coordination.serving.retries import RetryBudget
 from marjoramyard.fleet.application import Application
+from marjoramyard.fleet.entry.agent_views import Placement
 from marjoramyard.fleet.entry.attempt_client import (
     AttemptClient,
     AttemptLostError,
     AttemptRefusedError,
 )
 from marjoramyard.fleet.entry.calls import CallLedgerClient
-from marjoramyard.fleet.entry.dispatchers import (
-    Dispatchers,
-    Placement,
-    ServiceDispatcher,
-)
+from marjoramyard.fleet.entry.dispatchers import Dispatchers
 from marjoramyard.fleet.entry.requests import CallerRequest
 from marjoramyard.fleet.entry.responses import (
     CallerStalledError,
     ResponseDelivery,
     ResponseFailedError,
 )
+from marjoramyard.fleet.entry.service_dispatcher import ServiceDispatcher
 from marjoramyard.fleet.membership import RouterMembership
 from marjoramyard.fleet.messages import RunRequest
 from marjoramyard.fleet.refusals import quarantined
--- a/packages/fleet/tests/entry/test_request_handler.py
+++ b/packages/fleet/tests/entry/test_request_handler.py
@@ -4,8 +4,8 @@
 
 import pytest
 
+from marjoramyard.fleet.entry.agent_views import Placement
 from marjoramyard.fleet.entry.attempt_client import AttemptLostError
-from marjoramyard.fleet.entry.dispatchers import Placement
 from marjoramyard.fleet.entry.request_handler import (
     RequestHandler,
     RetryBudgets,
