--- a/packages/coordination/src/marjoramyard/coordination/serving/events.py
+++ b/packages/coordination/src/marjoramyard/coordination/serving/events.py
@@ -6,7 +6,6 @@
 
 _EVENT_ENDS = (b"\n\n", b"\n\r\n", b"\r\r")
 """Two line ends in a row; lines end with LF, CRLF or CR."""
-_ID_LINES = (b"\nid:", b"\rid:")
 _LAST_EVENT = re.compile(rb"(?:^|[\r\n])data: ?\[DONE\][\r\n]*$")
 _TAIL_BYTES = 64
 """Long enough for the last event of a stream."""
@@ -32,15 +31,18 @@
         """Adds data and returns the events that are complete now."""
         if self.buffer or not data.endswith(_EVENT_ENDS):
             data = self._take_complete(data)
-        if data:
-            self._last = data
-            if _has_id(data):
-                self._last_with_id = data
+        if not data:
+            return data
+        self._last = data
+        if _has_id(data):
+            self._last_with_id = data
         return data
 
     def _take_complete(self, data: bytes) -> bytes:
         self.buffer += data
-        end = max(_end_of_last(self.buffer, mark) for mark in _EVENT_ENDS)
+        end = _end_of_last(self.buffer, b"\n\n")
+        if b"\r" in self.buffer:
+            end = max(_end_of_last(self.buffer, mark) for mark in _EVENT_ENDS)
         complete = bytes(self.buffer[:end])
         del self.buffer[:end]
         return complete
@@ -85,6 +87,4 @@
 
 
 def _has_id(events: bytes) -> bool:
-    return events.startswith(b"id:") or any(
-        line in events for line in _ID_LINES
-    )
+    return events.startswith(b"id:") or b"\nid:" in events or b"\rid:" in events
