Log the end of a response only if it was read to its end

A request whose caller had left was logged as ended by its framing. Also name the field end_position, as _at is for times here, and read bodies in tests by one function.

--- a/packages/fleet/src/marjoramyard/fleet/agent/attempts.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/attempts.py
@@ -256,13 +256,14 @@
             if body.check_end() is ResponseEnd.UNKNOWN:
                 await self._check_survival(session)
         finally:
-            logger.info(
-                "endpoint_response",
-                attempt=self.run_request.attempt,
-                status=response.status,
-                ended_by=body.termination.value,
-                ended_at=body.content.value,
-            )
+            if body.has_ended:
+                logger.info(
+                    "endpoint_response",
+                    attempt=self.run_request.attempt,
+                    status=response.status,
+                    ended_by=body.termination.value,
+                    end_position=body.content.value,
+                )
 
     async def _check_survival(self, session: aiohttp.ClientSession) -> None:
         """Checks that the endpoint has not ended together with its response.
--- a/packages/fleet/src/marjoramyard/fleet/gateway/delivery.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/delivery.py
@@ -41,7 +41,7 @@
         write_count: How often body bytes were written.
         ends: What ended each response of an endpoint and where, for logs.
         is_chunked: Whether a stream is sent in chunks; HTTP/1.0 has none.
-        end: How the last response that was read to its end ended.
+        last_end: How the last response that was read to its end ended.
     """
 
     def __init__(
@@ -57,7 +57,7 @@
         self.longest_gap = 0.0
         self.write_count = 0
         self.ends: list[tuple[Termination, BodyContent]] = []
-        self.end = ResponseEnd.COMPLETE
+        self.last_end = ResponseEnd.COMPLETE
         self.is_chunked = request.version >= aiohttp.HttpVersion11
 
     @property
@@ -106,7 +106,8 @@
                 is_connection_lost=error.is_connection_lost,
             ) from error
         finally:
-            self.ends.append((body.termination, body.content))
+            if body.has_ended:
+                self.ends.append((body.termination, body.content))
 
     async def _relay_complete(
         self, body: ResponseBody, on_first
@@ -117,7 +118,7 @@
         """
         upstream = body.response
         data = await body.read_all()
-        self.end = body.check_end()
+        self.last_end = body.check_end()
         on_first()
         self.first_at = asyncio.get_running_loop().time()
         response = web.Response(status=upstream.status, body=data)
@@ -144,7 +145,7 @@
                     upstream, self.request, self._process_directly
                 )
                 await relay.run()
-        self.end = body.check_end()
+        self.last_end = body.check_end()
         return await self._finish(upstream)
 
     def _process_directly(self, data: bytes) -> bytes:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
@@ -214,7 +214,7 @@
             sends=trace.sends,
             fingerprint=caller.fingerprint if trace.has_broken else None,
             ended_by=[end.value for end, _ in delivery.ends],
-            ended_at=[content.value for _, content in delivery.ends],
+            end_position=[content.value for _, content in delivery.ends],
             placed_by=trace.placed_by.value if trace.placed_by else None,
             wait_ms=round(trace.wait_ms),
             predicted_ms=trace.predicted_ms,
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
@@ -211,7 +211,7 @@
                 response = await self.delivery.relay(
                     upstream, tracked.finish_prefill
                 )
-            if self.delivery.end is ResponseEnd.UNKNOWN:
+            if self.delivery.last_end is ResponseEnd.UNKNOWN:
                 await self._check_survival(plan.endpoint)
         self.view.health_of(endpoint).record_success(time.monotonic())
         return response
--- a/packages/fleet/src/marjoramyard/fleet/util/response_body.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/response_body.py
@@ -39,6 +39,7 @@
         ends_with_mark: Whether a stream is complete only with a last event
             that says so.
         error: Why reading failed, if it did.
+        has_ended: Whether it has been read to its end.
     """
 
     def __init__(
@@ -51,6 +52,7 @@
         self.events = events
         self.ends_with_mark = ends_with_mark
         self.error: Exception | None = None
+        self.has_ended = False
 
     async def read_any(self) -> bytes:
         """Returns data that has arrived, or b"" if none will follow.
@@ -58,13 +60,15 @@
         Raises:
             aiohttp.ServerTimeoutError: No data arrived in time.
         """
+        data = b""
         try:
-            return await self.response.content.readany()
+            data = await self.response.content.readany()
         except aiohttp.ServerTimeoutError:
             raise
         except (aiohttp.ClientError, OSError, ValueError) as error:
             self.error = error
-            return b""
+        self.has_ended = not data
+        return data
 
     async def read_all(self) -> bytes:
         """Returns the data up to the end, complete or not."""
--- a/tests/callers.py
+++ b/tests/callers.py
@@ -99,5 +99,16 @@
     return text, False
 
 
+async def read_body(response):
+    """Returns the body that arrives, and whether it is complete."""
+    body = b""
+    try:
+        async for data in response.content.iter_any():
+            body += data
+    except aiohttp.ClientError:
+        return body, False
+    return body, True
+
+
 async def gather(*work):
     return await asyncio.gather(*work)
--- a/tests/test_endpoint_behaviours.py
+++ b/tests/test_endpoint_behaviours.py
@@ -8,6 +8,7 @@
 import pytest
 import pytest_asyncio
 from agent_endpoints import announcing
+from callers import read_body
 from gateway_fleet import (
     FakeEndpoint,
     config,
@@ -35,17 +36,6 @@
     return b"Request-Id: %b\r\nAnswer-Signature: by raw\r\n" % request_id
 
 
-async def read(response):
-    """Returns status, body and whether the response was complete."""
-    body = b""
-    try:
-        async for data in response.content.iter_any():
-            body += data
-    except aiohttp.ClientError:
-        return response.status, body, False
-    return response.status, body, True
-
-
 @contextlib.asynccontextmanager
 async def repeating(action):
     """Repeats an action in the background."""
@@ -73,7 +63,7 @@
 
         async def ask(name):
             async with fleet.request(f"/b/{name}") as response:
-                return await read(response)
+                return response.status, *await read_body(response)
 
         async def serves():
             return (await ask("plain"))[0] == 200
@@ -99,7 +89,7 @@
                 fleet.url("entry-1", f"/services/shop/stock/{name}"),
                 headers=fleet.headers("counter"),
             ) as response:
-                return await read(response)
+                return response.status, *await read_body(response)
 
         async def serves():
             return (await ask("plain"))[0] == 200
--- a/tests/test_response_ends.py
+++ b/tests/test_response_ends.py
@@ -4,10 +4,9 @@
 import itertools
 import json
 
-import aiohttp
 import pytest
 import pytest_asyncio
-from callers import chat
+from callers import chat, read_body
 from gateway_fleet import (
     FakeEndpoint,
     config,
@@ -137,14 +136,8 @@
     """Returns the status, body and whether the response was complete."""
     told = {"content": content, "framing": framing}
     told |= {"place": place, "end": end}
-    body = b""
     async with fleet.request(f"/{content}/x", json=told) as response:
-        try:
-            async for data in response.content.iter_any():
-                body += data
-        except aiohttp.ClientError:
-            return response.status, body, False
-    return response.status, body, True
+        return response.status, *await read_body(response)
 
 
 pytestmark = pytest.mark.asyncio(loop_scope="module")
