Part the soak's checks by what they are about

A file of 500 lines had all of them. Functions and bounds are the same, by a comparison of their syntax trees; only _endpoint_number is public now, as two modules use it.

--- /dev/null
+++ b/tests/soak/checks/configurations.py
@@ -0,0 +1,59 @@
+"""Changes of the configuration."""
+
+from collections.abc import Iterator
+
+from soak.checks.registry import check
+from soak.record import Record
+
+REVOCATION_SECONDS = 5.0
+"""A revoked key must be refused by every gateway within this time."""
+CONFIG_PROPAGATION_SECONDS = 2.0
+"""A control host that responds must return an acknowledged configuration
+within this time."""
+
+
+@check
+def revoked_keys_are_refused(record: Record) -> Iterator[str]:
+    """No request runs with a key that was revoked."""
+    revoked_at = {
+        key: change.acknowledged_at
+        for change in record.config_changes
+        for key in change.revoked_keys
+    }
+    ran = {attempt.id for attempt in record.attempts}
+    for call in record.calls:
+        at = revoked_at.get(call.key)
+        if at is None or call.id not in ran:
+            continue
+        if call.sent_at > at + REVOCATION_SECONDS:
+            yield (
+                f"{call.id} ran with a key that was revoked "
+                f"{call.sent_at - at:.1f} s before"
+            )
+
+
+@check
+def config_never_reverts(record: Record) -> Iterator[str]:
+    """No control host returns a version older than an acknowledged one."""
+    for read in record.config_reads:
+        for change in record.config_changes:
+            due = change.acknowledged_at + CONFIG_PROPAGATION_SECONDS
+            if read.version < change.version and read.sent_at > due:
+                yield (
+                    f"control {read.host} returned {read.version} "
+                    f"{read.sent_at - change.acknowledged_at:.1f} s after "
+                    f"{change.version} was acknowledged"
+                )
+
+
+@check
+def last_config_is_kept(record: Record) -> Iterator[str]:
+    """The newest acknowledged configuration is in force at the end."""
+    newest = max(
+        (change.version for change in record.config_changes), default=0
+    )
+    if record.final_version < newest:
+        yield (
+            f"version {record.final_version} at the end, "
+            f"{newest} was acknowledged"
+        )
--- /dev/null
+++ b/tests/soak/checks/responses.py
@@ -0,0 +1,160 @@
+"""What callers get."""
+
+from collections import defaultdict
+from collections.abc import Iterator
+
+from soak.checks.registry import (
+    UNDISTURBED_SECONDS,
+    check,
+    disturbed,
+    endpoint_number,
+)
+from soak.record import (
+    REPEATABLE_KINDS,
+    Record,
+    expected_body,
+)
+
+RECOVERY_SECONDS = 12.0
+"""Callers must be served again within this time after the last fault."""
+DEADLINE_TOLERANCE_SECONDS = 0.7
+"""How long after its deadline a response may still end."""
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+MIN_SERVED_SHARE = 0.9
+
+
+@check
+def complete_responses(record: Record) -> Iterator[str]:
+    """A response with status 200 is the expected one, or a prefix of it."""
+    for call in record.calls:
+        if call.status != 200:
+            continue
+        expected = expected_body(call.id, call.kind)
+        if call.is_complete and call.body != expected:
+            yield f"{call.id} ({call.kind.value}) got a wrong or truncated body"
+        elif not call.is_complete and not expected.startswith(call.body):
+            yield f"{call.id} ({call.kind.value}) began with unexpected bytes"
+
+
+@check
+def whole_responses_are_delivered(record: Record) -> Iterator[str]:
+    """A response that its endpoint has sent to its end reaches its caller.
+
+    Calls during a fault of their gateway or of the endpoint are ignored, and so
+    are responses that came too late for their caller.
+    """
+    by_id = {call.id: call for call in record.calls}
+    for attempt in record.attempts:
+        call = by_id.get(attempt.id)
+        if call is None or not attempt.whole_at:
+            continue
+        is_late = (
+            attempt.whole_at + DEADLINE_TOLERANCE_SECONDS
+            > call.sent_at + call.deadline_seconds
+        )
+        targets = (
+            ("gateway", call.gateway),
+            ("endpoint", endpoint_number(attempt.endpoint)),
+            ("soak", 0),
+        )
+        since = call.sent_at - UNDISTURBED_SECONDS
+        if is_late or disturbed(record, since, call.ended_at, *targets):
+            continue
+        if not (call.status == 200 and call.is_complete):
+            yield f"{call.id} got {call.status} for a whole response"
+
+
+@check
+def at_most_once(record: Record) -> Iterator[str]:
+    """A request that must not be repeated runs at most once."""
+    attempts = defaultdict(int)
+    for attempt in record.attempts:
+        attempts[attempt.id] += attempt.was_taken
+    for call in record.calls:
+        if call.kind not in REPEATABLE_KINDS and attempts[call.id] > 1:
+            yield f"{call.id} ({call.kind.value}) ran {attempts[call.id]} times"
+
+
+@check
+def attempts_are_bounded(record: Record) -> Iterator[str]:
+    """A repeatable request is attempted at most twice."""
+    attempts = defaultdict(int)
+    for attempt in record.attempts:
+        attempts[attempt.id] += 1
+    for call in record.calls:
+        if attempts[call.id] > 2:
+            yield f"{call.id} ran {attempts[call.id]} times, limit is 2"
+
+
+@check
+def not_run_means_not_executed(record: Record) -> Iterator[str]:
+    """A request with a "not run" status was taken by no endpoint."""
+    ran = {attempt.id for attempt in record.attempts if attempt.was_taken}
+    for call in record.calls:
+        is_reported_not_run = (
+            call.status in NOT_RUN_STATUSES
+            and call.kind not in REPEATABLE_KINDS
+        )
+        if is_reported_not_run and call.id in ran:
+            yield f"{call.id} got {call.status} although it ran"
+
+
+@check
+def refusals_have_retry_after(record: Record) -> Iterator[str]:
+    """Responses 429 and 503 have a Retry-After header."""
+    for call in record.calls:
+        if call.status in (429, 503) and not call.retry_after:
+            yield f"{call.id} got {call.status} without Retry-After"
+
+
+@check
+def no_unexpected_client_errors(record: Record) -> Iterator[str]:
+    """Valid requests get no 4xx status but the "not run" ones.
+
+    Status 401 is expected for a key that was revoked.
+    """
+    revoked = {
+        key for change in record.config_changes for key in change.revoked_keys
+    }
+    for call in record.calls:
+        is_unexpected = (
+            400 <= call.status < 500 and call.status not in NOT_RUN_STATUSES
+        )
+        if is_unexpected and not (call.status == 401 and call.key in revoked):
+            yield f"{call.id} ({call.kind.value}) got {call.status}"
+
+
+@check
+def responses_meet_deadlines(record: Record) -> Iterator[str]:
+    """Every response ends by its deadline, within the tolerance.
+
+    Calls during a fault of their gateway are ignored, and so are those during
+    a stall of the soak process itself.
+    """
+    for call in record.calls:
+        late_seconds = call.ended_at - call.sent_at - call.deadline_seconds
+        since = call.sent_at - UNDISTURBED_SECONDS
+        targets = (("gateway", call.gateway), ("soak", 0))
+        if late_seconds > DEADLINE_TOLERANCE_SECONDS and not disturbed(
+            record, since, call.ended_at, *targets
+        ):
+            yield f"{call.id} ended {late_seconds:.2f} s late: {call.status}"
+
+
+@check
+def service_recovers(record: Record) -> Iterator[str]:
+    """Callers are served again after the last fault."""
+    due = record.faults_ended_at + RECOVERY_SECONDS
+    revoked = {
+        key for change in record.config_changes for key in change.revoked_keys
+    }
+    calls = [
+        call
+        for call in record.calls
+        if call.sent_at > due and call.key not in revoked
+    ]
+    served = [call for call in calls if call.is_complete and call.status == 200]
+    if not calls:
+        yield "no request was sent after the recovery"
+    elif len(served) < MIN_SERVED_SHARE * len(calls):
+        yield f"only {len(served)} of {len(calls)} served after the recovery"
