Let registered functions add to the cost of an engine

Cause: what tells engines apart (streams, connections, zones) has no place in the cost of a plan, and a broker's successor starts without what was learnt of each engine.

Change: a registry of costs that apply in pools of unequal engines, an estimate of an engine that a broker can hand over, and the flag by which all of these take effect. Nothing sets the flag yet.

--- a/packages/coordination/src/marjoramyard/coordination/placement/broker.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/broker.py
@@ -14,6 +14,7 @@
 """
 
 import math
+from collections.abc import Callable
 from functools import partial
 from itertools import islice
 
@@ -23,6 +24,7 @@
     InFlightRequest,
 )
 from marjoramyard.coordination.placement.fair_queues import FairQueues
+from marjoramyard.coordination.placement.plan_costs import extra_cost_ms
 from marjoramyard.coordination.placement.plans import best_plan
 from marjoramyard.coordination.placement.request_queue import (
     QueuedRequest,
@@ -301,6 +303,7 @@
             available,
             self.profile,
             partial(self._usable_endpoints, request),
+            self._extra_cost_of(request, now),
         )
         engine = plan.engine
         if not engine.accepts(memory_tokens, max_backlog_ms):
@@ -324,6 +327,14 @@
             engine.is_cold,
         )
 
+    def _extra_cost_of(
+        self, request: PlacementRequest, now: float
+    ) -> Callable[[Engine], float]:
+        """Returns what sets unequal engines apart; nothing for equal ones."""
+        if not self.is_uneven:
+            return lambda _: 0.0
+        return lambda engine: extra_cost_ms(request, engine, now)
+
     def _refuse_unplaceable(
         self, request: PlacementRequest, now: float
     ) -> PlacementRefusal:
--- a/packages/coordination/src/marjoramyard/coordination/placement/engine_pool.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/engine_pool.py
@@ -40,6 +40,7 @@
         prefix_index: The engines of each cached prompt part.
         load: The load of all engines together.
         pauses: The pauses that engines have asked routers for.
+        is_uneven: Whether the engines clearly differ in speed.
     """
 
     def __init__(
@@ -57,6 +58,7 @@
         self.cold: set[str] = set()
         self.pauses = RouterPauses()
         self.load = PoolLoad(self.engines, self.pauses)
+        self.is_uneven = False
 
     def set_engines(self, usable: Iterable[str]) -> None:
         """Sets the endpoints that may get new requests.
--- a/packages/coordination/src/marjoramyard/coordination/placement/engines.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/engines.py
@@ -55,6 +55,20 @@
     expected_first_token_at: float = 0.0
 
 
+class EngineEstimate(msgspec.Struct, frozen=True):
+    """What a broker has learnt of an engine, for its successor.
+
+    Attributes:
+        endpoint: The engine's endpoint.
+        born: When it was started, in ms since the Unix epoch; 0 if unknown.
+        rate: Its prefill rate, in tokens per ms.
+    """
+
+    endpoint: str
+    born: int
+    rate: float
+
+
 class Engine:
     """A broker's model of one engine.
 
@@ -115,6 +129,14 @@
         self.is_cold = False
         self.allowance = math.inf
 
+    def estimate(self) -> EngineEstimate:
+        """Returns what has been learnt of the engine."""
+        return EngineEstimate(self.endpoint, self.born, self.rate)
+
+    def adopt(self, estimate: EngineEstimate) -> None:
+        """Takes over what another broker has learnt of the engine."""
+        self.rate = estimate.rate
+
     def refresh(self, now: float, grants_cold: bool) -> None:
         """Updates whether the engine is cold and what it may get.
 
--- a/packages/coordination/src/marjoramyard/coordination/placement/plans.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/plans.py
@@ -46,6 +46,7 @@
     available: Iterable[Engine],
     profile: EngineProfile,
     list_endpoints: Callable[[], list[str]],
+    extra_cost_ms: Callable[[Engine], float] = lambda _: 0.0,
 ) -> Plan:
     """Returns the cheapest plan.
 
@@ -55,6 +56,7 @@
         available: Those of them with a free slot and memory; not empty.
         profile: The properties shared by all engines.
         list_endpoints: Returns all endpoints that the request may use.
+        extra_cost_ms: Returns costs of an engine that are not considered here.
     """
     cached = {
         engine.endpoint: engine.prefix_cache.leading_tokens(request.parts)
@@ -68,7 +70,13 @@
         _preferred_if_uncached(request, source, list_endpoints),
     )
     plans = (
-        _plan(prompt, engine, cached[engine.endpoint], profile)
+        _plan(
+            prompt,
+            engine,
+            cached[engine.endpoint],
+            profile,
+            extra_cost_ms(engine),
+        )
         for engine in available
     )
     return min(plans, key=lambda plan: plan.cost_ms)
@@ -109,12 +117,16 @@
 
 
 def _plan(
-    prompt: _Prompt, engine: Engine, cached: int, profile: EngineProfile
+    prompt: _Prompt,
+    engine: Engine,
+    cached: int,
+    profile: EngineProfile,
+    extra_cost_ms: float,
 ) -> Plan:
     source = prompt.source
     without_fetch = max(1.0, prompt.tokens - cached)
     fetchable = prompt.cached_at_source - cached
-    base = engine.wait_ms + fetchable * DUPLICATE_MS_PER_TOKEN
+    base = engine.wait_ms + fetchable * DUPLICATE_MS_PER_TOKEN + extra_cost_ms
     if prompt.preferred and engine.endpoint != prompt.preferred:
         base += NOT_PREFERRED_MS
     cost = base + without_fetch / engine.rate
