Give the model engines of unequal speed and reports of pauses

Cause: the deployments with hard load have engines up to 2.7 times apart in speed, objectives from 300 ms on, and a limit that follows the pauses of streams; the model had equal engines and reported no pauses.

--- a/packages/standin/src/marjoramyard/standin/experiment/deployments.py
+++ b/packages/standin/src/marjoramyard/standin/experiment/deployments.py
@@ -121,6 +121,8 @@
         seconds: Duration of the arrivals.
         engines: Number of engines.
         speeds: Parameters of each engine.
+        step_factors: How much longer than `speeds` say a step of an engine
+            takes; engines use the factors in turn.
         zones: Availability zones; engines and gateways are spread over them.
         gateways: Number of gateways.
         hop_ms: One-way latency within a zone.
@@ -135,6 +137,7 @@
     seconds: float = 30.0
     engines: int = 6
     speeds: EngineParameters = EngineParameters()
+    step_factors: tuple[float, ...] = (1.0,)
     zones: int = 3
     gateways: int = 9
     hop_ms: float = 0.7
--- a/packages/standin/src/marjoramyard/standin/experiment/engine_model.py
+++ b/packages/standin/src/marjoramyard/standin/experiment/engine_model.py
@@ -95,6 +95,8 @@
         queue: Requests that wait for a slot and memory.
         prefilling: Requests of the batch in their prefill phase.
         decoding: Requests of the batch that generate tokens.
+        step_factor: Factor by which steps always take longer than the
+            parameters say.
         slowdown: Factor by which steps take longer than usual.
         incarnation: Number of crashes so far.
         shared_prefilled_tokens: Tokens of shared parts that were prefilled
@@ -108,8 +110,10 @@
         schedule: Callable[[float, Callable[[], None]], None],
         on_event: Callable[[SimulatedRequest, float], None],
         on_end: Callable[[SimulatedRequest, float], None],
+        step_factor: float = 1.0,
     ):
         self.name = name
+        self.step_factor = step_factor
         self.parameters = parameters
         self.schedule = schedule
         self.on_event = on_event
@@ -220,9 +224,10 @@
         step_ms = (
             parameters.step_ms + context * parameters.context_ms_per_k / 1000
         )
-        duration_ms = (step_ms + prefill_ms) * self.slowdown
+        factor = self.step_factor * self.slowdown
+        duration_ms = (step_ms + prefill_ms) * factor
         self.busy_ms += duration_ms
-        self.prefill_ms += prefill_ms * self.slowdown
+        self.prefill_ms += prefill_ms * factor
         self.prefilled_tokens += prefilled
         end = now + duration_ms
         incarnation = self.incarnation
--- a/packages/standin/src/marjoramyard/standin/experiment/policies.py
+++ b/packages/standin/src/marjoramyard/standin/experiment/policies.py
@@ -52,6 +52,9 @@
     def record_first_token(self, key: str, now: float) -> None:
         """Records the arrival of a request's first event."""
 
+    def record_longest_gap(self, ratio: float) -> None:
+        """Records the longest gap of a long stream that has ended."""
+
     def finish(self, key: str) -> None:
         """Records that a request has ended at its engine."""
 
@@ -130,6 +133,9 @@
     def record_first_token(self, key: str, now: float) -> None:
         """Does nothing, as the policy does not use it."""
 
+    def record_longest_gap(self, ratio: float) -> None:
+        """Does nothing, as the policy does not use it."""
+
     def finish(self, key: str) -> None:
         """Records that a request has ended at its engine."""
         engine = self.in_flight.pop(key, None)
--- a/packages/standin/src/marjoramyard/standin/experiment/simulation.py
+++ b/packages/standin/src/marjoramyard/standin/experiment/simulation.py
@@ -45,6 +45,8 @@
 """Time simulated after the last arrival."""
 RETRY_JITTER = 0.5
 """Width of the jitter of retry delays, relative to the delay."""
+MIN_EVENTS = 8
+"""Events after which a gateway reports the longest gap of a stream."""
 MAX_SENDS = 2
 """How often a gateway sends an attempt that engines turn away."""
 TURNED_AWAY_RETRY_MS = 400.0
@@ -85,6 +87,7 @@
                 self.loop.at,
                 self._on_event,
                 self._on_end,
+                deployment.step_factors[number % len(deployment.step_factors)],
             )
             for number in range(deployment.engines)
         }
@@ -396,6 +399,7 @@
             latency_ms = self._broker_ms(attempt) + self.deployment.hop_ms
             self.loop.after(latency_ms, lambda: self._first_token(attempt))
         attempt.last_event_at = now
+        attempt.event_count += 1
 
     def _first_token(self, attempt: Attempt) -> None:
         if not attempt.is_over:
@@ -423,6 +427,9 @@
 
     def _report_end(self, attempt: Attempt) -> None:
         self.attempts.pop(attempt.key, None)
+        kind = attempt.record.request.kind
+        if attempt.event_count >= MIN_EVENTS:
+            self.policy.record_longest_gap(attempt.record.gap_ms / kind.gap_ms)
         self.policy.finish(attempt.key)
         self.dispatch()
 
--- a/packages/standin/src/marjoramyard/standin/experiment/simulation_run.py
+++ b/packages/standin/src/marjoramyard/standin/experiment/simulation_run.py
@@ -55,6 +55,7 @@
         key: Identifies it to the broker; changes when it is submitted again.
         excluded: Engines that it must not be sent to.
         sends: How often engines have turned it away.
+        event_count: Events of its response so far.
     """
 
     def __init__(self, number: int, record: RequestRecord, started_at: float):
@@ -66,6 +67,7 @@
         self.engine: SimulatedEngine | None = None
         self.engine_request: SimulatedRequest | None = None
         self.last_event_at = 0.0
+        self.event_count = 0
         self.is_over = False
 
     def renumber(self, number: int) -> None:
