Hold requests at a gateway that has just started until it can serve

Cause: after all power is lost, gateways with more processor listen 0.3 s after their start, but have a configuration and a lease only 0.65 s later, once a control host leads; small ones some 20 ms after they listen.

Change: a gateway that was never able to serve holds requests until its first lease, for startup_wait_seconds after its start and a third of the caller's time at most. Once it could serve, it refuses at once as before.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/admission.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/admission.py
@@ -1,6 +1,5 @@
 """Reads a caller's request: its route, workspace, deadline and prompt."""
 
-import time
 from collections.abc import Sequence
 
 import msgspec
@@ -127,10 +126,19 @@
 
 
 def admit(
-    request: web.Request, view: FleetView, names: HeaderNames
+    request: web.Request,
+    view: FleetView,
+    names: HeaderNames,
+    arrived_at: float,
 ) -> AdmittedRequest:
     """Finds the route and the workspace of a request.
 
+    Args:
+        request: The request.
+        view: The gateway's view of the fleet.
+        names: The header names of the dialect.
+        arrived_at: When the request arrived, on the monotonic clock in seconds.
+
     Raises:
         FleetError: The request can't be served; it has not run.
     """
@@ -141,7 +149,6 @@
             "this gateway has no configuration yet; retry shortly",
             retry_after=NO_CONFIG_RETRY_SECONDS,
         )
-    arrived_at = time.monotonic()
     route = table.route(request.host, request.path)
     if route is None:
         raise_failure(
@@ -217,6 +224,12 @@
     return max(0.0, allowed_ms / 1000)
 
 
+def stated_seconds(request: web.Request, names: HeaderNames) -> float:
+    """Returns how long a caller says that it waits; 0.0 if it doesn't say."""
+    text = request.headers.get(names.deadline_ms, "")
+    return int(text) / 1000 if text.isdigit() else 0.0
+
+
 def _output_tokens(request: web.Request, names: HeaderNames) -> int:
     _, _, text = request.headers.get(names.token_counts, "").partition(",")
     return int(text) if text.strip().isdigit() else 0
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
@@ -17,6 +17,7 @@
     CallerRequest,
     admit,
     read_caller_request,
+    stated_seconds,
 )
 from marjoramyard.fleet.gateway.broker_clients import BrokerClients
 from marjoramyard.fleet.gateway.caller_patience import CallerPatience
@@ -40,6 +41,7 @@
     deadline_failure,
 )
 from marjoramyard.fleet.gateway.send_planning import RequestRunContext
+from marjoramyard.fleet.gateway.startup_wait import StartupWait
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.fleet.util.jitter import jitter
 from marjoramyard.kernel.errors import (
@@ -70,6 +72,7 @@
         guard: Refuses or forwards prompts beyond the limit.
         budgets: The retry budgets by service.
         patience: Tells new callers from those that were refused before.
+        startup: Holds requests while the gateway can't serve yet.
         active_count: Requests in progress.
         started_count: All requests so far.
     """
@@ -109,6 +112,7 @@
         self.guard.on_ended = self._on_ended
         self.budgets: dict[str, RetryBudget] = {}
         self.patience = CallerPatience()
+        self.startup = StartupWait(view, app.settings.startup_wait_seconds)
         self.active_count = 0
         self.started_count = 0
 
@@ -122,7 +126,8 @@
         status, outcome = 0, "caller-left"
         try:
             self._refuse_if_unable()
-            admitted = admit(request, self.view, self.names)
+            await self.startup.hold(stated_seconds(request, self.names))
+            admitted = admit(request, self.view, self.names, started_at)
             with self._within_limit(admitted):
                 caller = read_caller_request(request, admitted, self.names)
                 caller.waited_ms = self.patience.waited_ms(
--- a/packages/fleet/src/marjoramyard/fleet/gateway/view.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/view.py
@@ -92,6 +92,7 @@
         gateway_counts: By control host, when it last reported and that number.
         usable_by_service: Cached results for `usable`.
         on_config: Called after a new configuration has come into force.
+        on_lease: Called after the lease has been renewed.
     """
 
     def __init__(self, dialect: GatewayDialect, lease_seconds: float):
@@ -112,6 +113,7 @@
         self.usable_by_service: dict[str, UsableEndpoints] = {}
         self.pending_renewals: dict[int, float] = {}
         self.on_config: list[Callable[[], None]] = []
+        self.on_lease: list[Callable[[], None]] = []
 
     @property
     def version(self) -> int:
@@ -185,7 +187,7 @@
         faster than it polls.
         """
         if self.version >= version:
-            self.lease.renew(sent_at, self.lease.seconds)
+            self._renew(sent_at)
         else:
             self.pending_renewals[version] = sent_at
             while len(self.pending_renewals) > MAX_PENDING_RENEWALS:
@@ -194,9 +196,14 @@
     def _renew_when_installed(self) -> None:
         for version, sent_at in list(self.pending_renewals.items()):
             if version <= self.version:
-                self.lease.renew(sent_at, self.lease.seconds)
+                self._renew(sent_at)
                 del self.pending_renewals[version]
 
+    def _renew(self, sent_at: float) -> None:
+        self.lease.renew(sent_at, self.lease.seconds)
+        for listener in self.on_lease:
+            listener()
+
     def install(self, document: ConfigDocument) -> bool:
         """Puts a configuration in force; returns whether it could be decoded.
 
--- a/packages/fleet/src/marjoramyard/fleet/settings.py
+++ b/packages/fleet/src/marjoramyard/fleet/settings.py
@@ -107,6 +107,9 @@
             over the fleet, is this multiple of what it tolerates, plus
             `cold_slack`.
         cold_slack: See `cold_overrun`.
+        startup_wait_seconds: How long after its start the gateway holds
+            requests until it has a configuration and a lease; 0 to refuse them
+            at once.
     """
 
     listen: str
@@ -122,6 +125,7 @@
     forwarding_port_offset: int = 0
     cold_overrun: float = 1.5
     cold_slack: float = 5.0
+    startup_wait_seconds: float = 0.0
 
     def forwarding_address(self) -> str:
         """Returns the address for forwarded requests; "" if there is none."""
--- a/packages/fleet/tests/gateway/test_request_handler.py
+++ b/packages/fleet/tests/gateway/test_request_handler.py
@@ -43,14 +43,16 @@
 
 
 @pytest.fixture
-def handler():
+async def handler():
     view = FleetView(GATEWAY_DIALECTS.get("native"), 60.0)
     view.table = RouteTable(CONFIG)
     view.lease.renew(seconds_since_boot(), 60.0)
     metrics = Metrics("gateway", "g0")
     app = SimpleNamespace(
         metrics=metrics,
-        settings=SimpleNamespace(retry_ratio=0.2, retry_slack=10),
+        settings=SimpleNamespace(
+            retry_ratio=0.2, retry_slack=10, startup_wait_seconds=0.0
+        ),
         stopping=asyncio.Event(),
     )
     brokers = SimpleNamespace(lag=SimpleNamespace(on_wake_up=[]))
