Follow the number of ready engines in a broker's initial rate

Cause: a broker took the configured rate divided by the engines that were ready when its first message arrived, and kept it for engines that it had not measured. A gateway that was asked once while few engines were ready, and became the broker later, began with a multiple of the engines' rate.

Change: when more engines are ready, those that were not measured get the rate that a broker would begin with now. Measured engines keep theirs.

--- a/packages/coordination/src/marjoramyard/coordination/placement/engine_pool.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/engine_pool.py
@@ -82,6 +82,17 @@
                 del self.engines[name]
         self.load.forget()
 
+    def set_initial_rate(self, rate: float) -> None:
+        """Sets the rate of engines that have not been measured.
+
+        Args:
+            rate: The prefill rate of an engine, in tokens per ms.
+        """
+        self.rate = rate
+        for engine in self.engines.values():
+            engine.set_initial_rate(rate)
+        self.load.forget()
+
     def set_lifetime(self, endpoint: str, born: int) -> None:
         """Sets when an engine was started, in ms since the Unix epoch.
 
@@ -318,7 +329,9 @@
         engine.used_memory_tokens += request.memory_tokens
         is_timely = request.router not in self.lagging_routers
         engine.add_prefill(
-            request.prefill_tokens, request.granted_at, is_timely
+            request.prefill_tokens,
+            request.granted_at,
+            is_timely and not request.began_earlier,
         )
         request.expected_first_token_at = (
             request.granted_at + engine.wait_ms + FIRST_TOKEN_LATENCY_MS
--- a/packages/coordination/src/marjoramyard/coordination/placement/engines.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/engines.py
@@ -43,6 +43,8 @@
         is_prefilling: Whether the prompt is in the engine's backlog. A prompt
             may be removed from it before its first token is reported.
         router: The router that sends the request (a gateway).
+        began_earlier: Whether it was sent before `granted_at`, so that a part
+            of the prompt may have been prefilled by then.
         expected_first_token_at: When the first token is expected, in ms.
     """
 
@@ -52,6 +54,7 @@
     granted_at: float
     is_prefilling: bool = True
     router: str = ""
+    began_earlier: bool = False
     expected_first_token_at: float = 0.0
 
 
@@ -82,6 +85,8 @@
         memory_tokens: Its memory, in tokens; 0 if unlimited.
         initial_rate: The initial prefill rate, in tokens per ms.
         rate: The estimated prefill rate, in tokens per ms.
+        rate_known_at: When the rate was last measured, by this broker or by the
+            one from which it was adopted, in ms; -inf if it was not.
         prefix_cache: The prompt parts that it is expected to have cached.
         running: The number of its requests in flight, including those that
             were granted but have not arrived.
@@ -113,6 +118,7 @@
         self.memory_tokens = profile.memory_tokens
         self.initial_rate = rate
         self.rate = rate
+        self.rate_known_at = -math.inf
         self.prefix_cache = PrefixCache(
             profile.memory_tokens, endpoint, prefix_index
         )
@@ -133,6 +139,16 @@
         """Returns what has been learnt of the engine."""
         return EngineEstimate(self.endpoint, self.born, self.rate)
 
+    def set_initial_rate(self, rate: float) -> None:
+        """Sets the initial prefill rate; a measured rate stays.
+
+        Args:
+            rate: The rate in tokens per ms.
+        """
+        self.initial_rate = rate
+        if self.rate_known_at == -math.inf:
+            self.rate = rate
+
     def adopt(self, estimate: EngineEstimate) -> None:
         """Takes over what another broker has learnt of the engine."""
         self.rate = estimate.rate
@@ -198,8 +214,8 @@
         Args:
             tokens: Prompt tokens to prefill.
             now: When the request was granted or reported, in ms.
-            is_timely: Whether the router sends the request without delay;
-                False if it is lagging.
+            is_timely: Whether the router sends the request at this time; False
+                if it is lagging, or has sent it before.
         """
         if self.prefill_tokens <= 0:
             self._start_sample(now + FIRST_TOKEN_LATENCY_MS)
@@ -239,6 +255,7 @@
         self._start_sample(now)
         if is_valid:
             self._update_rate(rate)
+            self.rate_known_at = now
 
     def _update_rate(self, sample: float) -> None:
         low, high = RELATIVE_RATE_BOUNDS
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
@@ -69,6 +69,7 @@
         gateways: The open connections, by number.
         last_gateway_number: Number of the newest connection.
         usable: The last list of usable endpoints of each service.
+        ready_counts: The most ready engines that each service had.
         dispatch_scheduled: Whether a dispatch is scheduled on the event loop.
         serves_majority: Whether most gateways of the fleet are connected.
         announced_leaving: The endpoints of which the gateways were told that
@@ -88,6 +89,7 @@
         self.gateways: dict[int, GatewayConnection] = {}
         self.last_gateway_number = 0
         self.usable: dict[str, list[Registration]] = {}
+        self.ready_counts: dict[str, int] = {}
         self.dispatch_scheduled = False
         self.serves_majority = False
         self.announced_leaving: dict[str, int] = {}
@@ -168,10 +170,7 @@
             return None
         broker = self.brokers.get(service)
         if broker is None:
-            # All ready engines count here, including unresponsive ones and
-            # those in backoff.
-            ready_count = len(self.view.registrations.usable(service))
-            rate = estimate_prefill_rate(table.config, ready_count)
+            rate = self._initial_rate(service)
             limit = self.cold_starts.limit_of(configured)
             broker = Broker(configured.engine, rate, limit)
             broker.cold_grants_from = math.inf
@@ -184,8 +183,24 @@
             self.usable[service] = usable
             broker.set_engines(r.endpoint for r in usable)
             self._update_engines(broker, configured, usable)
+            rate = self._initial_rate(service)
+            if rate < broker.rate:
+                broker.set_initial_rate(rate)
         return broker
 
+    def _initial_rate(self, service: str) -> float:
+        """Returns the prefill rate of an engine that was not measured.
+
+        Engines that were ready before count too: the configured rate is that of
+        all together. So do unresponsive ones and those in backoff.
+        """
+        ready_count = max(
+            len(self.view.registrations.usable(service)),
+            self.ready_counts.get(service, 0),
+        )
+        self.ready_counts[service] = ready_count
+        return estimate_prefill_rate(self.view.table.config, ready_count)
+
     def _update_engines(
         self, broker: Broker, service: Service, usable: list[Registration]
     ) -> None:
