Hand the broker's estimates and virtual times over to its successor

Cause: a broker's successor knew neither the measured rates of the engines nor which workspaces had been served most. It accepted prompts at the initial rate, which were late.

A request reported in flight says how long ago it was sent: it is not charged a second time, and its prompt gives no sample of the rate. Protocol broker-4.

--- a/packages/coordination/src/marjoramyard/coordination/placement/broker.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/broker.py
@@ -202,8 +202,9 @@
     def add_unbrokered(self, sent: UnbrokeredRequest, now: float) -> None:
         """Adds a request that a router sent without a grant.
 
-        Its workspace is charged as for a granted request. A request that is
-        known already or is at an unknown engine is ignored.
+        Its workspace is charged as for a granted request, unless a predecessor
+        has done so. A request that is known already or is at an unknown engine
+        is ignored.
         """
         engine = self.engines.get(sent.endpoint)
         if engine is None or sent.key in self.in_flight:
@@ -216,10 +217,11 @@
             now,
             is_prefilling,
             sent.router,
+            began_earlier=sent.age_ms > 0,
         )
         self.add_in_flight(engine, sent.key, in_flight)
         cost = service_cost(sent.prefill_tokens, sent.output_tokens)
-        self.charge(sent.workspace, cost)
+        self.charge_reported(sent.workspace, cost, now - sent.age_ms)
 
     # Grants.
 
--- a/packages/coordination/src/marjoramyard/coordination/placement/fair_queues.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/fair_queues.py
@@ -1,5 +1,8 @@
 """Fair queueing of one service's requests among workspaces."""
 
+from collections.abc import Mapping
+
+from marjoramyard.coordination.placement.charges import Charges
 from marjoramyard.coordination.placement.engine_pool import EnginePool
 from marjoramyard.coordination.placement.request_queue import (
     QueuedRequest,
@@ -18,6 +21,7 @@
         virtual_time: The service that each workspace has received, in
             prefill tokens. After an idle period it is raised to the minimum
             of the active workspaces.
+        charges: What workspaces have been charged lately.
         queued: All queued requests, by key.
         suspended: Queued requests of unresponsive routers, by key. They are
             in no queue.
@@ -30,6 +34,7 @@
         super().__init__(profile, rate, cold_limit)
         self.queues: dict[str, RequestQueue] = {}
         self.virtual_time: dict[str, float] = {}
+        self.charges = Charges()
         self.queued: dict[str, QueuedRequest] = {}
         self.suspended: dict[str, QueuedRequest] = {}
         self.counter = 0
@@ -56,17 +61,18 @@
         A workspace must not accumulate a claim to service while it is idle;
         it would block the others until it has caught up.
         """
+        self.virtual_time[workspace] = max(
+            self.virtual_time.get(workspace, 0.0), self.virtual_time_floor()
+        )
+
+    def virtual_time_floor(self) -> float:
+        """Returns the least virtual time of a workspace that becomes active."""
         active = [
             self.virtual_time.get(name, 0.0)
             for name, queue in self.queues.items()
             if queue.heap
         ]
-        floor = min(
-            active, default=max(self.virtual_time.values(), default=0.0)
-        )
-        self.virtual_time[workspace] = max(
-            self.virtual_time.get(workspace, 0.0), floor
-        )
+        return min(active, default=max(self.virtual_time.values(), default=0.0))
 
     def cancel(self, key: str) -> None:
         """Removes a queued request whose caller has disconnected.
@@ -116,6 +122,40 @@
         self.virtual_time[workspace] = (
             self.virtual_time.get(workspace, 0.0) + cost
         )
+        self.charges.add(workspace, cost)
+
+    def charge_reported(
+        self, workspace: str, cost: float, began_at: float
+    ) -> None:
+        """Charges a workspace for a request that a router has sent.
+
+        Nothing if the adopted virtual times contain it.
+
+        Args:
+            workspace: The workspace.
+            cost: The service, in prefill tokens.
+            began_at: When the router has sent the request.
+        """
+        if began_at <= self.charges.adopted_at:
+            return
+        self.charge(workspace, cost)
+        self.charges.add_reported(workspace, cost, began_at)
+
+    def adopt_virtual_times(
+        self, leads: Mapping[str, float], made_at: float
+    ) -> None:
+        """Takes over the virtual times of another broker.
+
+        What this broker has charged meanwhile is added to them.
+
+        Args:
+            leads: The virtual times, in prefill tokens above the least one.
+            made_at: When they were current.
+        """
+        self.charges.adopted_at = made_at
+        self.virtual_time = dict(leads)
+        for workspace, cost in self.charges.since(made_at).items():
+            self.virtual_time[workspace] = leads.get(workspace, 0.0) + cost
 
     def pop_next(self) -> QueuedRequest | None:
         """Removes the first request of the workspace with least service."""
--- a/packages/coordination/src/marjoramyard/coordination/placement/requests.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/requests.py
@@ -64,6 +64,7 @@
         workspace: The workspace whose share is charged.
         output_tokens: Upper limit or estimate of the generated tokens.
         router: The router that sent the request.
+        age_ms: How long ago the router sent it, in ms.
     """
 
     key: str
@@ -73,6 +74,7 @@
     workspace: str = ""
     output_tokens: int = 0
     router: str = ""
+    age_ms: float = 0.0
 
 
 def service_cost(prefill_tokens: float, output_tokens: int) -> float:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_client.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_client.py
@@ -16,8 +16,11 @@
     BROKER_PROTOCOLS,
     BROKER_TIMEOUT_SECONDS,
     FORWARDING_PARAMETER,
+    HANDOVER_PROTOCOL,
     HEARTBEAT_INTERVAL_SECONDS,
     NOTICE_PROTOCOL,
+    PREFIX_PROTOCOL,
+    SERVICE_PARAMETER,
     ZONE_PARAMETER,
     BrokerMessage,
     CachedPrefix,
@@ -31,9 +34,12 @@
     PlaceRefusal,
     PlaceRequest,
     RunningRequest,
+    SnapshotAnnouncement,
     Withdraw,
     broker_message_decoder,
+    includes,
 )
+from marjoramyard.fleet.gateway.held_snapshot import HeldSnapshot
 from marjoramyard.fleet.gateway.prefix_history import PrefixHistory
 from marjoramyard.fleet.gateway.refusal_cache import RefusalCache
 from marjoramyard.fleet.gateway.view import FleetView
@@ -82,8 +88,10 @@
         last_number: The number of the last request.
         pending: Placement requests without a reply, by number.
         running: Requests at endpoints, by number.
+        sent_at: When they were sent, on the monotonic clock in seconds.
         outbox: Messages to be sent in the next frame.
         history: The shared prompt parts that were recently sent to engines.
+        held: What the broker has announced for its successor.
     """
 
     def __init__(
@@ -110,8 +118,10 @@
         self.last_number = 0
         self.pending: dict[int, PendingPlacement] = {}
         self.running: dict[int, RunningRequest] = {}
+        self.sent_at: dict[int, float] = {}
         self.outbox: list[GatewayMessage] = []
         self.history = PrefixHistory()
+        self.held = HeldSnapshot()
         self.flush_scheduled = False
 
     @property
@@ -161,6 +171,7 @@
                     params={
                         ZONE_PARAMETER: self.zone,
                         FORWARDING_PARAMETER: self.forwarding_address,
+                        SERVICE_PARAMETER: service,
                     },
                     protocols=BROKER_PROTOCOLS,
                     compress=0,
@@ -173,11 +184,7 @@
         logger.info("broker_connected", service=service, broker=address)
         self.socket = socket
         self.liveness.reset()
-        self.outbox = list(self.running.values())
-        if socket.protocol in BROKER_PROTOCOLS:
-            self.outbox = [*self._cached_prefixes(service), *self.outbox]
-        if socket.protocol == NOTICE_PROTOCOL:
-            self.outbox = [*self._notices(service), *self.outbox]
+        self.outbox = self._first_messages(service, socket.protocol)
         self._schedule_flush()
         try:
             await self.liveness.wait_for(self._read(service, address, socket))
@@ -190,6 +197,35 @@
             await self._close(socket)
             logger.info("broker_lost", service=service, broker=address)
 
+    def _first_messages(
+        self, service: str, protocol: str | None
+    ) -> list[GatewayMessage]:
+        """Returns what a new broker is told, as far as it knows the messages.
+
+        Args:
+            service: The broker's service.
+            protocol: The protocol that the broker has selected.
+        """
+        messages: list[GatewayMessage] = []
+        if includes(protocol, HANDOVER_PROTOCOL):
+            messages += self.held.handover(service)
+        if includes(protocol, NOTICE_PROTOCOL):
+            messages += self._notices(service)
+        if includes(protocol, PREFIX_PROTOCOL):
+            messages += self._cached_prefixes(service)
+        if includes(protocol, HANDOVER_PROTOCOL):
+            return messages + self._running_with_ages()
+        return messages + list(self.running.values())
+
+    def _running_with_ages(self) -> list[RunningRequest]:
+        now = time.monotonic()
+        return [
+            msgspec.structs.replace(
+                running, age_ms=(now - self.sent_at[number]) * 1000
+            )
+            for number, running in self.running.items()
+        ]
+
     def _cached_prefixes(self, service: str) -> list[CachedPrefix]:
         return [
             CachedPrefix(
@@ -232,6 +268,9 @@
         if isinstance(message, Heartbeat):
             self.peers = message.peers
             return
+        if isinstance(message, SnapshotAnnouncement):
+            self.held.record(message)
+            return
         if isinstance(message, EndpointLeaving):
             if self.view.record_leaving(message.endpoint, message.born):
                 self._release_unplaceable()
@@ -344,6 +383,7 @@
         """
         self.history.add(running.endpoint, parts)
         self.running[running.number] = running
+        self.sent_at[running.number] = time.monotonic()
         if not is_granted:
             self._send(running)
 
@@ -360,7 +400,9 @@
         )
 
     def _send_notice(self, notice: EndpointPause | EndpointLeaving) -> None:
-        if self.socket is not None and self.socket.protocol == NOTICE_PROTOCOL:
+        if self.socket is not None and includes(
+            self.socket.protocol, NOTICE_PROTOCOL
+        ):
             self._send(notice)
         self._release_unplaceable()
 
@@ -398,6 +440,7 @@
         if self.lag.is_lagging:
             # This gateway may have caused the gap.
             gap_ratio = 0.0
+        self.sent_at.pop(number, None)
         if self.running.pop(number, None) is not None:
             self._send(Finished(number, failed, gap_ratio))
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_protocol.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_protocol.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from marjoramyard.coordination.placement.snapshots import BrokerSnapshot
 from marjoramyard.coordination.routing.table import PromptPart
 
 BROKER_PATH = "/fleet/v1/broker"
@@ -13,13 +14,18 @@
 FORWARDING_PARAMETER = "forwarding"
 """The query parameter with the address at which a connecting gateway accepts
 forwarded requests; "" for none."""
+SERVICE_PARAMETER = "service"
+"""The query parameter with the service for which a gateway connects."""
 PREFIX_PROTOCOL = "broker-2"
 """The WebSocket protocol of brokers that know `CachedPrefix`. A broker of an
 earlier release does not select it, and would reject unknown messages."""
 NOTICE_PROTOCOL = "broker-3"
 """The same for brokers and gateways that know `EndpointPause` and
 `EndpointLeaving` too."""
-BROKER_PROTOCOLS = (NOTICE_PROTOCOL, PREFIX_PROTOCOL)
+HANDOVER_PROTOCOL = "broker-4"
+"""The same for those that know `SnapshotAnnouncement`, `SnapshotHandover` and
+the age of a `RunningRequest` too."""
+BROKER_PROTOCOLS = (HANDOVER_PROTOCOL, NOTICE_PROTOCOL, PREFIX_PROTOCOL)
 """The latest one first."""
 HEARTBEAT_INTERVAL_SECONDS = 0.1
 BROKER_TIMEOUT_SECONDS = 0.4
@@ -28,6 +34,18 @@
 missed heartbeats, so that a short pause of a busy host does not count."""
 
 
+def includes(selected: str | None, protocol: str) -> bool:
+    """Returns whether a peer knows the messages of a protocol.
+
+    Args:
+        selected: The protocol that was selected with the peer; None if it is of
+            a release before all of them.
+        protocol: One of `BROKER_PROTOCOLS`.
+    """
+    oldest = BROKER_PROTOCOLS.index(protocol)
+    return selected in BROKER_PROTOCOLS[: oldest + 1]
+
+
 def _decode_parts(parts: list[tuple[str, int]]) -> tuple[PromptPart, ...]:
     return tuple(PromptPart(digest, size) for digest, size in parts)
 
@@ -94,13 +112,14 @@
     gap_ratio: float = 0.0
 
 
-class RunningRequest(msgspec.Struct, tag="running"):
+class RunningRequest(msgspec.Struct, tag="running", omit_defaults=True):
     """A request that is running without a grant of this broker.
 
     Attributes:
         tokens: Prompt tokens that are still to be prefilled.
         memory: Tokens of engine memory, without shared prompt parts.
         output_tokens: The maximum number of output tokens.
+        age_ms: How long ago it was sent, in milliseconds.
     """
 
     number: int
@@ -110,6 +129,7 @@
     memory: float
     workspace: str = ""
     output_tokens: int = 0
+    age_ms: float = 0.0
 
 
 class CachedPrefix(msgspec.Struct, tag="cached"):
@@ -158,6 +178,35 @@
     born: int
 
 
+class SnapshotAnnouncement(msgspec.Struct, tag="snapshot", omit_defaults=True):
+    """A broker tells a gateway what its successor should know.
+
+    Attributes:
+        service: The service of the broker.
+        snapshot: What has changed since the last announcement on this
+            connection, or all.
+        is_full: Whether it replaces what was announced before.
+    """
+
+    service: str
+    snapshot: BrokerSnapshot
+    is_full: bool = False
+
+
+class SnapshotHandover(msgspec.Struct, tag="handover"):
+    """A gateway tells a new broker what the last one has announced.
+
+    Attributes:
+        service: The service of the broker.
+        snapshot: All that was announced.
+        age_ms: Milliseconds since the last announcement.
+    """
+
+    service: str
+    snapshot: BrokerSnapshot
+    age_ms: float
+
+
 class PlaceGrant(msgspec.Struct, tag="grant", omit_defaults=True):
     """The request may be sent to this endpoint now.
 
@@ -216,9 +265,16 @@
     | CachedPrefix
     | EndpointPause
     | EndpointLeaving
+    | SnapshotHandover
+    | Heartbeat
+)
+BrokerMessage = (
+    PlaceGrant
+    | PlaceRefusal
+    | EndpointLeaving
+    | SnapshotAnnouncement
     | Heartbeat
 )
-BrokerMessage = PlaceGrant | PlaceRefusal | EndpointLeaving | Heartbeat
 
 gateway_message_decoder = msgspec.json.Decoder(list[GatewayMessage])
 broker_message_decoder = msgspec.json.Decoder(list[BrokerMessage])
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
@@ -22,11 +22,13 @@
     UnbrokeredRequest,
 )
 from marjoramyard.coordination.routing.config import Service
+from marjoramyard.fleet.gateway.broker_handovers import BrokerHandovers
 from marjoramyard.fleet.gateway.broker_protocol import (
     BROKER_PROTOCOLS,
     FORWARDING_PARAMETER,
     HEARTBEAT_INTERVAL_SECONDS,
     NOTICE_PROTOCOL,
+    SERVICE_PARAMETER,
     ZONE_PARAMETER,
     CachedPrefix,
     EndpointLeaving,
@@ -39,14 +41,17 @@
     PlaceRefusal,
     PlaceRequest,
     RunningRequest,
+    SnapshotHandover,
     Withdraw,
     gateway_message_decoder,
+    includes,
 )
 from marjoramyard.fleet.gateway.cache_lists import CacheLists
 from marjoramyard.fleet.gateway.cold_starts import ColdStarts
 from marjoramyard.fleet.gateway.engine_load import estimate_prefill_rate
 from marjoramyard.fleet.gateway.gateway_connection import (
     GatewayConnection,
+    is_on_this_host,
     peers_of,
 )
 from marjoramyard.fleet.gateway.view import FleetView
@@ -67,6 +72,7 @@
     Attributes:
         brokers: The brokers, by service.
         gateways: The open connections, by number.
+        handovers: What the brokers take over, and announce for successors.
         last_gateway_number: Number of the newest connection.
         usable: The last list of usable endpoints of each service.
         ready_counts: The most ready engines that each service had.
@@ -87,6 +93,7 @@
         self.cold_starts = cold_starts
         self.brokers: dict[str, Broker] = {}
         self.gateways: dict[int, GatewayConnection] = {}
+        self.handovers = BrokerHandovers(self.brokers, self.gateways)
         self.last_gateway_number = 0
         self.usable: dict[str, list[Registration]] = {}
         self.ready_counts: dict[str, int] = {}
@@ -106,8 +113,11 @@
             socket,
             request.query.get(ZONE_PARAMETER, ""),
             request.query.get(FORWARDING_PARAMETER, ""),
+            request.query.get(SERVICE_PARAMETER, ""),
+            is_on_this_host(request),
         )
         self.gateways[gateway.number] = gateway
+        self.handovers.refresh(_now_ms())
         self._announce_leaving(gateway, self._known_leaving())
         try:
             async for frame in socket:
@@ -176,6 +186,7 @@
             broker.cold_grants_from = math.inf
             self.brokers[service] = broker
             self._update_cold_grants(broker)
+            self.handovers.add(service, broker, _now_ms())
             logger.info("brokering", service=service, rate=round(rate, 1))
         broker.set_router_count(len(self.gateways))
         usable = self.view.usable(service, set())
@@ -186,6 +197,7 @@
             rate = self._initial_rate(service)
             if rate < broker.rate:
                 broker.set_initial_rate(rate)
+            self.handovers.apply_estimates(service)
         return broker
 
     def _initial_rate(self, service: str) -> float:
@@ -268,6 +280,10 @@
         if isinstance(message, EndpointLeaving):
             self._on_leaving(message)
             return
+        if isinstance(message, SnapshotHandover):
+            self._refresh_broker(message.service)
+            self.handovers.adopt(message, _now_ms())
+            return
         service = gateway.services.get(message.number)
         if service is None:
             return
@@ -315,7 +331,7 @@
         gateway: GatewayConnection, notices: list[EndpointLeaving]
     ) -> None:
         """Queues notices for a gateway, unless it is of an earlier release."""
-        if notices and gateway.socket.ws_protocol == NOTICE_PROTOCOL:
+        if notices and includes(gateway.socket.ws_protocol, NOTICE_PROTOCOL):
             gateway.outbox.extend(notices)
 
     def _on_first_token(
@@ -384,6 +400,7 @@
                 workspace=message.workspace,
                 output_tokens=message.output_tokens,
                 router=gateway.router,
+                age_ms=message.age_ms,
             )
             broker.add_unbrokered(unbrokered, _now_ms())
 
@@ -488,6 +505,7 @@
         while True:
             await asyncio.sleep(HEARTBEAT_INTERVAL_SECONDS)
             self._check_majority()
+            self.handovers.refresh(_now_ms())
             for gateway in self.gateways.values():
                 self._suspend_if_expired(gateway)
             for gateway in self.gateways.values():
@@ -496,6 +514,7 @@
                         peers=peers_of(gateway, self.gateways.values()),
                     )
                 )
+            self.handovers.announce(_now_ms())
             self._schedule_dispatch()
 
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/gateway_connection.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/gateway_connection.py
@@ -32,6 +32,9 @@
         number: Identifies the connection on this host.
         zone: The availability zone of the gateway.
         forwarding_address: Where it accepts forwarded requests; "" if nowhere.
+        service: The service for which it has connected; "" if it is of a
+            release that doesn't say so.
+        is_local: Whether it is on the broker's host.
         is_lagging: Whether the gateway last reported that it is lagging.
         needs_peers: Whether it last reported that it wants to forward requests.
         outbox: Messages to be sent in the next frame.
@@ -47,10 +50,14 @@
         socket: web.WebSocketResponse,
         zone: str = "",
         forwarding_address: str = "",
+        service: str = "",
+        is_local: bool = False,
     ):
         self.number = number
         self.zone = zone
         self.forwarding_address = forwarding_address
+        self.service = service
+        self.is_local = is_local
         self.is_lagging = False
         self.needs_peers = False
         self.socket = socket
@@ -84,6 +91,15 @@
         return f"{self.number}/{number}"
 
 
+def is_on_this_host(request: web.Request) -> bool:
+    """Returns whether a request comes from the host that serves it."""
+    if request.transport is None:
+        return False
+    peer = request.transport.get_extra_info("peername")
+    own = request.transport.get_extra_info("sockname")
+    return bool(peer and own) and peer[0] == own[0]
+
+
 def peers_of(
     gateway: GatewayConnection, gateways: Iterable[GatewayConnection]
 ) -> list[str]:
