--- a/packages/coordination/tests/placement/engine_simulation.py
+++ b/packages/coordination/tests/placement/engine_simulation.py
@@ -78,14 +78,18 @@
     def run(self, arrivals, settle_ms=60_000.0):
         """Submits (time, request) pairs in order, and waits for the engines."""
         for at, request in arrivals:
-            self.run_until(at)
-            self.submitted[request.key] = request
-            refused = self.broker.submit(request, at)
-            if refused is not None:
-                self.refused[request.key] = refused
-            self.dispatch()
+            self.submit(at, request)
         self.run_until(arrivals[-1][0] + settle_ms)
 
+    def submit(self, at, request):
+        """Submits a request after all that was due before."""
+        self.run_until(at)
+        self.submitted[request.key] = request
+        refused = self.broker.submit(request, at)
+        if refused is not None:
+            self.refused[request.key] = refused
+        self.dispatch()
+
     def run_until(self, end):
         """Ends all prefills that are due by the given time."""
         while self.prefilling and min(self.prefilling)[0] <= end:
--- a/packages/coordination/tests/placement/test_snapshots.py
+++ b/packages/coordination/tests/placement/test_snapshots.py
@@ -9,7 +9,13 @@
 from hypothesis import strategies as st
 
 sys.path.insert(0, str(Path(__file__).parent))
-from engine_simulation import RATE, make_broker, make_request  # noqa: E402
+from engine_simulation import (  # noqa: E402
+    RATE,
+    Simulation,
+    make_broker,
+    make_request,
+    poisson_arrivals,
+)
 
 from marjoramyard.coordination.placement.engines import (  # noqa: E402
     EngineEstimate,
@@ -24,6 +30,8 @@
     take_snapshot,
 )
 
+PROMPT_TOKENS = 6000
+
 rates = st.floats(1.0, 200.0)
 engines = st.dictionaries(st.sampled_from("abcd"), rates).map(
     lambda by_name: tuple(
@@ -85,33 +93,55 @@
     assert take_snapshot(broker).leads == {}
 
 
-def endpoint_name(number):
-    return f"engine-{number:03}.zone-{number % 4}"
-
-
-def snapshot_of(engine_count, workspace_count):
-    """Returns a snapshot in which nothing is left out."""
-    return BrokerSnapshot(
-        tuple(
-            EngineEstimate(
-                endpoint_name(number), 1_790_000_000_000 + number, RATE + 0.25
-            )
-            for number in range(engine_count)
-        ),
-        {
-            f"workspace-{number:03}": 12_340.0 + number
-            for number in range(workspace_count)
-        },
-    )
+MAX_BYTES = {(26, 30): 4_000, (330, 104): 32_000}
+"""Limits on the size of an announcement, by engines and workspaces."""
 
 
-@pytest.mark.parametrize(
-    ("engine_count", "workspace_count", "limit"),
-    [(26, 30, 4_000), (330, 104, 32_000)],
-)
-def test_a_full_announcement_is_small(engine_count, workspace_count, limit):
+@pytest.mark.parametrize("engine_count, workspace_count", MAX_BYTES)
+def test_a_full_announcement_is_small(engine_count, workspace_count):
     """Guards against announcements that fill a small host's link."""
-    snapshot = snapshot_of(engine_count, workspace_count)
+    estimates = (
+        EngineEstimate(f"engine-{n:03}.zone-{n % 4}", 1_790_000_000_000, 36.25)
+        for n in range(engine_count)
+    )
+    leads = {f"workspace-{n:03}": 12_340.0 for n in range(workspace_count)}
+    snapshot = BrokerSnapshot(tuple(estimates), leads)
     size = len(msgspec.json.encode(snapshot))
     print(f"{engine_count} engines, {workspace_count} workspaces: {size} bytes")
-    assert size <= limit
+    assert size <= MAX_BYTES[engine_count, workspace_count]
+
+
+def announcement_sizes(simulation, arrivals):
+    """Returns the bytes of the announcements of each second of a load."""
+    known = EMPTY_SNAPSHOT
+    sizes = []
+    for at, request in arrivals:
+        if at >= 1000 * (len(sizes) + 1):
+            simulation.run_until(at)
+            current = take_snapshot(simulation.broker)
+            changes = changes_between(known, current)
+            known = merged(known, changes)
+            sizes.append(len(msgspec.json.encode(changes)))
+        simulation.submit(at, request)
+    return sizes
+
+
+@pytest.mark.parametrize("engine_count, workspace_count", MAX_BYTES)
+def test_announcements_under_overload_are_small(engine_count, workspace_count):
+    """Guards against virtual times that are announced at each change.
+
+    All workspaces have queued requests all the time.
+    """
+    broker = make_broker(engine_count)
+    simulation = Simulation(broker, rate=0.8 * RATE, report_ms=25.0)
+    capacity = engine_count * RATE * 1000 / PROMPT_TOKENS
+    per_second = 1.5 * capacity / workspace_count
+    load = {
+        f"workspace-{n:03}": (per_second, PROMPT_TOKENS)
+        for n in range(workspace_count)
+    }
+    sizes = announcement_sizes(simulation, poisson_arrivals(load, 3.2))
+    print(f"{engine_count} engines, {workspace_count} workspaces: {sizes}")
+    assert len(sizes) == 3
+    assert max(sizes) <= MAX_BYTES[engine_count, workspace_count]
+    assert max(sizes[1:]) <= sizes[0] / 2
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_handovers.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_handovers.py
@@ -191,7 +191,7 @@
         if state is None:
             return
         adoption = state.handover.adopt(message.snapshot, message.age_ms, now)
-        if adoption is None:
+        if adoption is None or not (adoption.engines or adoption.workspaces):
             return
         logger.info(
             "broker_snapshot_adopted",
--- /dev/null
+++ b/packages/fleet/tests/gateway/test_broker_handover.py
@@ -0,0 +1,430 @@
+"""What brokers announce to gateways, and gateways to the next broker."""
+
+import asyncio
+import contextlib
+import time
+from types import SimpleNamespace
+
+import aiohttp
+import msgspec
+import pytest
+from aiohttp import web
+
+from marjoramyard.coordination.membership.registrations import Registration
+from marjoramyard.coordination.placement.engines import EngineEstimate
+from marjoramyard.coordination.placement.handover import MAX_AGE_MS
+from marjoramyard.coordination.placement.snapshots import BrokerSnapshot
+from marjoramyard.coordination.routing.config import (
+    EngineProfile,
+    FleetConfig,
+    RequestKind,
+    Route,
+    Service,
+)
+from marjoramyard.coordination.routing.table import PromptPart, RouteTable
+from marjoramyard.fleet.gateway.admission import CallerRequest
+from marjoramyard.fleet.gateway.broker_client import BrokerClient
+from marjoramyard.fleet.gateway.broker_handovers import (
+    ANNOUNCE_INTERVAL_MS,
+    MAX_HOLDERS,
+    UNUSED_MS,
+    BrokerHandovers,
+    choose_holders,
+)
+from marjoramyard.fleet.gateway.broker_protocol import (
+    BROKER_PATH,
+    HANDOVER_PROTOCOL,
+    NOTICE_PROTOCOL,
+    PREFIX_PROTOCOL,
+    PlaceGrant,
+    PlaceRefusal,
+    RunningRequest,
+    SnapshotAnnouncement,
+    SnapshotHandover,
+    includes,
+)
+from marjoramyard.fleet.gateway.broker_server import BrokerServer
+from marjoramyard.fleet.gateway.cold_starts import ColdStarts
+from marjoramyard.fleet.gateway.dialect import GATEWAY_DIALECTS
+from marjoramyard.fleet.gateway.gateway_connection import GatewayConnection
+from marjoramyard.fleet.gateway.held_snapshot import HeldSnapshot
+from marjoramyard.fleet.gateway.view import FleetView
+from marjoramyard.fleet.util.lag import LoopLag
+from marjoramyard.kernel.metrics import Metrics
+
+NO_CACHE_LISTS = SimpleNamespace(request=lambda *_: None)
+OBJECTIVE_MS = 500.0
+MEASURED_RATE = 2.0
+"""The prefill rate of the engine, in tokens per ms; a broker expects 50."""
+PROMPT_TOKENS = 1800
+BORN = 7
+SERVICE = Service("llm", engine=EngineProfile(slots=64, memory_tokens=500_000))
+ROUTE = Route(
+    name="chat",
+    hostname="h",
+    path_prefix="/",
+    request_kind=RequestKind.STREAM,
+    timeout_ms=5000,
+    objective_ms=OBJECTIVE_MS,
+    service="llm",
+)
+
+
+def view_of_one_engine():
+    view = FleetView(GATEWAY_DIALECTS.get("native"), 5.0)
+    view.table = RouteTable(FleetConfig(1, services=(SERVICE,)))
+    view.registrations.merge(
+        Registration(
+            endpoint="e0", service="llm", address="127.0.0.1:1", born=BORN
+        ),
+        0.0,
+    )
+    return view
+
+
+class RunningBroker:
+    """A broker server that listens on a loopback address.
+
+    Attributes:
+        address: Where gateways connect.
+        broker: The broker of the service.
+    """
+
+    def __init__(self):
+        view = view_of_one_engine()
+        self.server = BrokerServer(
+            view, ColdStarts(view, 1.5, 5.0), NO_CACHE_LISTS
+        )
+        app = web.Application()
+        app.add_routes([web.get(BROKER_PATH, self.server.serve)])
+        self.runner = web.AppRunner(app, shutdown_timeout=0.1)
+        self.address = ""
+        self.tasks = []
+
+    async def start(self):
+        await self.runner.setup()
+        site = web.TCPSite(self.runner, "127.0.0.1", 0)
+        await site.start()
+        port = site._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        self.tasks = [
+            asyncio.create_task(self.server.send_heartbeats_forever())
+        ]
+
+    async def stop(self):
+        for task in self.tasks:
+            task.cancel()
+        self.tasks = []
+        for gateway in list(self.server.gateways.values()):
+            await gateway.socket.close()
+        await self.runner.cleanup()
+
+    @property
+    def broker(self):
+        return self.server._refresh_broker("llm")
+
+    def measure_engine(self):
+        """Has the broker measure the rate of the engine."""
+        engine = self.broker.engines["e0"]
+        engine.rate = MEASURED_RATE
+        engine.rate_known_at = time.monotonic() * 1000
+
+
+@contextlib.asynccontextmanager
+async def running_broker():
+    broker = RunningBroker()
+    await broker.start()
+    try:
+        yield broker
+    finally:
+        await broker.stop()
+
+
+@contextlib.asynccontextmanager
+async def connected_client(view):
+    metrics = Metrics("gateway", "g0")
+    async with aiohttp.ClientSession() as session:
+        client = BrokerClient(view, session, LoopLag(metrics), "a")
+        tasks = [
+            asyncio.create_task(client.run("llm")),
+            asyncio.create_task(client.send_heartbeats_forever()),
+        ]
+        try:
+            await wait_until(lambda: client.is_connected)
+            yield client
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            metrics.close()
+
+
+async def wait_until(condition):
+    async with asyncio.timeout(10):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+async def place(client, number):
+    now = time.monotonic()
+    request = CallerRequest(
+        attempt=str(number),
+        method="POST",
+        target="/",
+        headers=[],
+        body=b"",
+        route=ROUTE,
+        workspace=None,
+        arrived_at=now,
+        deadline_at=now + 5,
+        parts=(PromptPart(f"own-{number}", PROMPT_TOKENS),),
+        output_tokens=10,
+    )
+    async with asyncio.timeout(10):
+        _, reply = await client.place(request, SERVICE, set())
+    return reply
+
+
+async def test_the_successor_of_a_lost_broker_decides_by_the_measured_rate(
+    capsys,
+):
+    """Guards against prompts that a new broker accepts at a multiple of the
+    engines' rate, and that are late.
+    """
+    async with running_broker() as first, running_broker() as second:
+        addresses = [first.address, second.address]
+        view = SimpleNamespace(
+            brokers_of=lambda _: addresses,
+            pauses_of=lambda _: {},
+            leaving_of=lambda _: [],
+        )
+        async with connected_client(view) as client:
+            first.measure_engine()
+            await wait_until(lambda: client.held.snapshot.engines)
+            await first.stop()
+            await wait_until(lambda: second.server.gateways)
+            await wait_until(lambda: client.is_connected)
+            assert isinstance(await place(client, 1), PlaceGrant)
+            assert isinstance(await place(client, 2), PlaceRefusal)
+            assert second.broker.engines["e0"].rate == MEASURED_RATE
+    assert "broker_snapshot_adopted" in capsys.readouterr().out
+
+
+async def test_a_successor_without_a_snapshot_expects_the_initial_rate():
+    """The same without a handover, as when all holders are lost."""
+    async with running_broker() as successor:
+        view = SimpleNamespace(
+            brokers_of=lambda _: [successor.address],
+            pauses_of=lambda _: {},
+            leaving_of=lambda _: [],
+        )
+        async with connected_client(view) as client:
+            assert isinstance(await place(client, 1), PlaceGrant)
+            assert isinstance(await place(client, 2), PlaceGrant)
+
+
+def connection(number, zone="a", protocol=HANDOVER_PROTOCOL, **changes):
+    socket = SimpleNamespace(closed=False, ws_protocol=protocol)
+    fields = {"service": "llm", **changes}
+    return GatewayConnection(number, socket, zone, **fields)
+
+
+def test_holders_are_in_different_availability_zones():
+    """Guards against snapshots that are lost with one availability zone."""
+    gateways = [connection(n, "aaaabbcde"[n]) for n in range(9)]
+    holders = choose_holders([], gateways)
+    assert len({gateway.zone for gateway in holders}) == MAX_HOLDERS
+
+
+def test_holders_stay_the_same():
+    """Guards against announcements that are full each time."""
+    gateways = [connection(n, "ab"[n % 2]) for n in range(8)]
+    current = [gateways[n] for n in (4, 5, 6, 7)]
+    holders = choose_holders(current, gateways)
+    assert {h.number for h in holders} == {4, 5, 6, 7}
+
+
+def test_a_gateway_on_the_broker_s_host_is_the_last_choice():
+    """Guards against a snapshot that is lost with its broker."""
+    local = connection(1, is_local=True)
+    remote = connection(2)
+    assert choose_holders([], [local, remote]) == [remote, local]
+    assert choose_holders([local], [local]) == [local]
+
+
+def announced(gateway):
+    return [m for m in gateway.outbox if isinstance(m, SnapshotAnnouncement)]
+
+
+class Brokering:
+    """The handovers of a host whose broker has measured one engine."""
+
+    def __init__(self, *gateways):
+        view = view_of_one_engine()
+        self.server = BrokerServer(
+            view, ColdStarts(view, 1.5, 5.0), NO_CACHE_LISTS
+        )
+        self.server.gateways.update({g.number: g for g in gateways})
+        self.broker = self.server._refresh_broker("llm")
+        self.handovers: BrokerHandovers = self.server.handovers
+        self.now = time.monotonic() * 1000 + ANNOUNCE_INTERVAL_MS
+        self.handovers.refresh(self.now)
+        self.set_rate(MEASURED_RATE)
+
+    def set_rate(self, rate):
+        self.broker.engines["e0"].rate = rate
+        self.broker.engines["e0"].rate_known_at = self.now
+
+    def use_for(self, ms):
+        """Has the open connections stay for a time."""
+        end = self.now + ms
+        while self.now < end:
+            self.now += UNUSED_MS / 2
+            self.handovers.refresh(self.now)
+
+    def announce(self):
+        self.now += ANNOUNCE_INTERVAL_MS
+        self.handovers.announce(self.now)
+
+
+def test_earlier_releases_get_no_announcements():
+    """Guards against gateways that close the connection at an unknown message
+    while a release is rolled out.
+    """
+    gateways = [
+        connection(1, protocol=NOTICE_PROTOCOL),
+        connection(2, protocol=PREFIX_PROTOCOL),
+        connection(3, protocol=None),
+        connection(4),
+    ]
+    Brokering(*gateways).announce()
+    assert [len(announced(g)) for g in gateways] == [0, 0, 0, 1]
+
+
+def test_only_changes_are_announced_after_a_full_snapshot():
+    gateway = connection(1)
+    brokering = Brokering(gateway)
+    for rate in (MEASURED_RATE, MEASURED_RATE * 1.05, MEASURED_RATE * 2):
+        brokering.set_rate(rate)
+        brokering.announce()
+    first, second, third = announced(gateway)
+    assert first.is_full
+    assert second.snapshot == BrokerSnapshot()
+    assert third.snapshot.engines == (
+        EngineEstimate("e0", BORN, MEASURED_RATE * 2),
+    )
+
+
+def test_a_gateway_that_becomes_a_holder_is_told_all():
+    first = connection(1)
+    brokering = Brokering(first)
+    brokering.announce()
+    second = connection(2)
+    brokering.server.gateways[2] = second
+    brokering.announce()
+    [message] = announced(second)
+    assert message.is_full
+    assert message.snapshot.engines
+    assert not announced(first)[-1].is_full
+
+
+def test_gateways_of_other_services_are_told_nothing():
+    """Guards against snapshots of a service whose broker is another host."""
+    other = connection(1, service="other")
+    Brokering(other).announce()
+    assert announced(other) == []
+
+
+def handover(rate, age_ms=100.0):
+    engines = (EngineEstimate("e0", BORN, rate),)
+    return SnapshotHandover("llm", BrokerSnapshot(engines), age_ms)
+
+
+@pytest.mark.parametrize(
+    ("pause_ms", "adopted"), [(UNUSED_MS - 1.0, False), (UNUSED_MS + 1.0, True)]
+)
+def test_a_broker_adopts_again_after_another_was_used(pause_ms, adopted):
+    """Guards against a broker that was suspended, and decides by what it had
+    learnt before.
+    """
+    brokering = Brokering(connection(1))
+    brokering.set_rate(30.0)
+    brokering.use_for(60_000.0)
+    brokering.now += pause_ms
+    brokering.handovers.refresh(brokering.now)
+    brokering.handovers.adopt(handover(20.0), brokering.now)
+    assert brokering.broker.engines["e0"].rate == (20.0 if adopted else 30.0)
+
+
+def test_gateways_of_other_services_do_not_use_a_broker():
+    """Guards against a host that brokers another service, and keeps what it
+    had learnt when this service has used another host.
+    """
+    brokering = Brokering(connection(1))
+    brokering.set_rate(30.0)
+    brokering.server.gateways[1] = connection(1, service="other")
+    brokering.use_for(60_000.0)
+    brokering.server.gateways[2] = connection(2)
+    brokering.handovers.refresh(brokering.now)
+    brokering.handovers.adopt(handover(20.0), brokering.now)
+    assert brokering.broker.engines["e0"].rate == 20.0
+
+
+def test_an_unknown_service_is_ignored():
+    brokering = Brokering(connection(1))
+    message = SnapshotHandover("other", BrokerSnapshot(), 0.0)
+    brokering.handovers.adopt(message, brokering.now)
+
+
+def full(rate):
+    engines = (EngineEstimate("e0", BORN, rate),)
+    return SnapshotAnnouncement("llm", BrokerSnapshot(engines), True)
+
+
+def test_a_gateway_holds_the_newest_announcement():
+    held = HeldSnapshot()
+    assert held.handover("llm") == []
+    held.record(full(20.0))
+    changes = BrokerSnapshot((EngineEstimate("e1", BORN, 30.0),))
+    held.record(SnapshotAnnouncement("llm", changes))
+    [message] = held.handover("llm")
+    assert [e.rate for e in message.snapshot.engines] == [20.0, 30.0]
+    assert message.age_ms < MAX_AGE_MS
+    held.record(full(25.0))
+    [message] = held.handover("llm")
+    assert [e.rate for e in message.snapshot.engines] == [25.0]
+
+
+def test_a_gateway_hands_nothing_old_over():
+    """Guards against estimates from before a pause of the gateway."""
+    held = HeldSnapshot()
+    held.record(full(20.0))
+    held.received_at -= MAX_AGE_MS / 1000 + 0.1
+    assert held.handover("llm") == []
+
+
+@pytest.mark.parametrize("protocol", [None, PREFIX_PROTOCOL, NOTICE_PROTOCOL])
+def test_a_broker_of_an_earlier_release_is_told_nothing_new(protocol):
+    """Guards against a broker that closes the connection at an unknown
+    message while a release is rolled out.
+    """
+    view = SimpleNamespace(
+        pauses_of=lambda _: {}, leaving_of=lambda _: [], brokers_of=None
+    )
+    client = BrokerClient(view, None, None)
+    client.held.record(full(20.0))
+    running = RunningRequest(1, "llm", "e0", 400.0, 400.0)
+    client.on_started(running, (), is_granted=True)
+    assert client._first_messages("llm", protocol) == [running]
+    first, second = client._first_messages("llm", HANDOVER_PROTOCOL)
+    assert first.snapshot == client.held.snapshot
+    assert second == msgspec.structs.replace(running, age_ms=second.age_ms)
+    assert second.age_ms > 0
+
+
+def test_a_later_protocol_includes_the_earlier_ones():
+    assert includes(HANDOVER_PROTOCOL, NOTICE_PROTOCOL)
+    assert includes(NOTICE_PROTOCOL, PREFIX_PROTOCOL)
+    assert not includes(PREFIX_PROTOCOL, NOTICE_PROTOCOL)
+    assert not includes(NOTICE_PROTOCOL, HANDOVER_PROTOCOL)
+    assert not includes(None, PREFIX_PROTOCOL)
