Keep adopted rates within the range of measured ones

Cause: a rate of zero from a faulty broker would divide by zero.

Change: an adopted rate is clamped as a sample is.

--- a/packages/coordination/src/marjoramyard/coordination/placement/engines.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/engines.py
@@ -23,8 +23,8 @@
 """Smaller samples are continued. An engine prefills so few tokens in a single
 step, so their duration does not depend on its rate."""
 RELATIVE_RATE_BOUNDS = (0.05, 3.0)
-"""Range to which samples are clamped, relative to the initial rate. What is
-beyond is an error of the reports."""
+"""Range to which samples and adopted rates are clamped, relative to the initial
+rate. What is beyond is an error of the reports."""
 FIRST_TOKEN_LATENCY_MS = 25.0
 """Time from the end of a prefill until the first event reaches the caller. A
 sample that starts with an idle engine starts that much later, as its end is
@@ -151,7 +151,7 @@
 
     def adopt(self, estimate: EngineEstimate) -> None:
         """Takes over what another broker has learnt of the engine."""
-        self.rate = estimate.rate
+        self.rate = self._within_bounds(estimate.rate)
 
     def refresh(self, now: float, grants_cold: bool) -> None:
         """Updates whether the engine is cold and what it may get.
@@ -258,7 +258,10 @@
             self.rate_known_at = now
 
     def _update_rate(self, sample: float) -> None:
-        low, high = RELATIVE_RATE_BOUNDS
-        sample = max(sample, low * self.initial_rate)
-        sample = min(sample, high * self.initial_rate)
+        sample = self._within_bounds(sample)
         self.rate += RATE_SAMPLE_WEIGHT * (sample - self.rate)
+
+    def _within_bounds(self, rate: float) -> float:
+        low, high = RELATIVE_RATE_BOUNDS
+        rate = max(rate, low * self.initial_rate)
+        return min(rate, high * self.initial_rate)
--- a/packages/coordination/tests/placement/test_handover.py
+++ b/packages/coordination/tests/placement/test_handover.py
@@ -11,6 +11,7 @@
 from engine_simulation import RATE, make_broker  # noqa: E402
 
 from marjoramyard.coordination.placement.engines import (  # noqa: E402
+    RELATIVE_RATE_BOUNDS,
     EngineEstimate,
 )
 from marjoramyard.coordination.placement.handover import (  # noqa: E402
@@ -70,6 +71,17 @@
     assert rates_of(broker)["e0"] == RATE
 
 
+@pytest.mark.parametrize("rate", [-1.0, 0.0, 1e9])
+def test_an_adopted_rate_is_in_the_range_of_measured_ones(rate):
+    """Guards against a division by zero, and against engines that are never
+    chosen again.
+    """
+    broker, handover = successor()
+    handover.adopt(snapshot({"e0": rate}), 0.0, NOW)
+    low, high = RELATIVE_RATE_BOUNDS
+    assert low * RATE <= rates_of(broker)["e0"] <= high * RATE
+
+
 def test_an_engine_that_is_found_later_gets_its_estimate():
     broker, handover = successor(engines=1)
     handover.adopt(snapshot({"e1": 20.0}), 0.0, NOW)
