Count the age of an announcement from when it was sent

Cause: announcements wait in the socket of a suspended gateway, which would hand them over as new.

Change: an announcement carries the time of the broker's clock; the gateway takes the difference of the clocks from the least delayed one on the connection.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_client.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_client.py
@@ -184,6 +184,7 @@
         logger.info("broker_connected", service=service, broker=address)
         self.socket = socket
         self.liveness.reset()
+        self.held.start_connection()
         self.outbox = self._first_messages(service, socket.protocol)
         self._schedule_flush()
         try:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_handovers.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_handovers.py
@@ -91,7 +91,10 @@
         self.count = 0
 
     def announce(
-        self, broker: Broker, gateways: Collection[GatewayConnection]
+        self,
+        broker: Broker,
+        gateways: Collection[GatewayConnection],
+        now: float,
     ) -> None:
         """Queues announcements for the holders.
 
@@ -99,7 +102,8 @@
 
         Args:
             broker: The broker.
-            gateways: The gateways that use it.
+            gateways: The gateways that may hold its snapshot.
+            now: The time in ms.
         """
         current = take_snapshot(broker)
         changes = changes_between(self.announced, current)
@@ -116,7 +120,10 @@
             full = is_full or gateway not in previous
             gateway.outbox.append(
                 SnapshotAnnouncement(
-                    self.service, self.announced if full else changes, full
+                    self.service,
+                    self.announced if full else changes,
+                    int(now),
+                    full,
                 )
             )
 
@@ -209,7 +216,7 @@
                 continue
             announcer.due_at = now + ANNOUNCE_INTERVAL_MS
             announcer.announce(
-                self.brokers[service], self._possible_holders(service)
+                self.brokers[service], self._possible_holders(service), now
             )
 
     def _possible_holders(self, service: str) -> list[GatewayConnection]:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_protocol.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_protocol.py
@@ -185,11 +185,14 @@
         service: The service of the broker.
         snapshot: What has changed since the last announcement on this
             connection, or all.
+        sent_ms: When it was sent, in milliseconds of the broker's monotonic
+            clock.
         is_full: Whether it replaces what was announced before.
     """
 
     service: str
     snapshot: BrokerSnapshot
+    sent_ms: int
     is_full: bool = False
 
 
--- a/packages/fleet/tests/gateway/test_broker_handover.py
+++ b/packages/fleet/tests/gateway/test_broker_handover.py
@@ -48,7 +48,10 @@
 from marjoramyard.fleet.gateway.cold_starts import ColdStarts
 from marjoramyard.fleet.gateway.dialect import GATEWAY_DIALECTS
 from marjoramyard.fleet.gateway.gateway_connection import GatewayConnection
-from marjoramyard.fleet.gateway.held_snapshot import HeldSnapshot
+from marjoramyard.fleet.gateway.held_snapshot import (
+    MAX_DRIFT_MS,
+    HeldSnapshot,
+)
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.fleet.util.lag import LoopLag
 from marjoramyard.kernel.metrics import Metrics
@@ -383,30 +386,63 @@
     brokering.handovers.adopt(message, brokering.now)
 
 
-def full(rate):
-    engines = (EngineEstimate("e0", BORN, rate),)
-    return SnapshotAnnouncement("llm", BrokerSnapshot(engines), True)
+def now_ms():
+    return int(time.monotonic() * 1000)
+
+
+def announcement(rate, endpoint="e0", sent_ms=None, is_full=True):
+    snapshot = BrokerSnapshot((EngineEstimate(endpoint, BORN, rate),))
+    sent_ms = now_ms() if sent_ms is None else sent_ms
+    return SnapshotAnnouncement("llm", snapshot, sent_ms, is_full)
 
 
 def test_a_gateway_holds_the_newest_announcement():
     held = HeldSnapshot()
     assert held.handover("llm") == []
-    held.record(full(20.0))
-    changes = BrokerSnapshot((EngineEstimate("e1", BORN, 30.0),))
-    held.record(SnapshotAnnouncement("llm", changes))
+    held.record(announcement(20.0))
+    held.record(announcement(30.0, "e1", is_full=False))
     [message] = held.handover("llm")
     assert [e.rate for e in message.snapshot.engines] == [20.0, 30.0]
-    assert message.age_ms < MAX_AGE_MS
-    held.record(full(25.0))
+    held.record(announcement(25.0))
     [message] = held.handover("llm")
     assert [e.rate for e in message.snapshot.engines] == [25.0]
 
 
+def test_the_clocks_of_broker_and_gateway_may_differ():
+    held = HeldSnapshot()
+    for offset in (10**9, -(10**9)):
+        held.start_connection()
+        held.record(announcement(20.0, sent_ms=now_ms() + offset))
+        [message] = held.handover("llm")
+        assert 0 <= message.age_ms < MAX_AGE_MS
+
+
+def test_clocks_that_move_apart_do_not_make_a_snapshot_old():
+    """Guards against a handover that ends after hours of one connection."""
+    held = HeldSnapshot()
+    for number in range(20_000):
+        drift = number // 4
+        held.record(announcement(20.0, sent_ms=now_ms() - drift))
+    [message] = held.handover("llm")
+    assert message.age_ms < 100
+
+
+def test_an_announcement_that_waited_in_the_socket_is_old():
+    """Guards against estimates from before a pause of the gateway, which its
+    new broker takes for the newest.
+    """
+    held = HeldSnapshot()
+    held.record(announcement(20.0, sent_ms=now_ms()))
+    held.record(announcement(25.0, sent_ms=now_ms() - 3000))
+    [message] = held.handover("llm")
+    assert message.age_ms >= 3000 - MAX_DRIFT_MS
+
+
 def test_a_gateway_hands_nothing_old_over():
-    """Guards against estimates from before a pause of the gateway."""
+    """Guards against estimates from before an outage."""
     held = HeldSnapshot()
-    held.record(full(20.0))
-    held.received_at -= MAX_AGE_MS / 1000 + 0.1
+    held.record(announcement(20.0))
+    held.made_at -= MAX_AGE_MS + 1.0
     assert held.handover("llm") == []
 
 
@@ -419,7 +455,7 @@
         pauses_of=lambda _: {}, leaving_of=lambda _: [], brokers_of=None
     )
     client = BrokerClient(view, None, None)
-    client.held.record(full(20.0))
+    client.held.record(announcement(20.0))
     running = RunningRequest(1, "llm", "e0", 400.0, 400.0)
     client.on_started(running, (), is_granted=True)
     assert client._first_messages("llm", protocol) == [running]
