Keep the distances of adopted virtual times while requests arrive

Cause: the queue of a new broker is empty. The first request that it queued raised all workspaces to the largest virtual time, so those adopted had no effect.

Change: in the first second the least adopted virtual time counts as that of an active workspace.

--- a/packages/coordination/src/marjoramyard/coordination/placement/fair_queues.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/fair_queues.py
@@ -22,6 +22,8 @@
             prefill tokens. After an idle period it is raised to the minimum
             of the active workspaces.
         charges: What workspaces have been charged lately.
+        keeps_floor: Whether the least adopted virtual time counts as that of an
+            active workspace, as requests of active ones are still to arrive.
         queued: All queued requests, by key.
         suspended: Queued requests of unresponsive routers, by key. They are
             in no queue.
@@ -35,6 +37,7 @@
         self.queues: dict[str, RequestQueue] = {}
         self.virtual_time: dict[str, float] = {}
         self.charges = Charges()
+        self.keeps_floor = False
         self.queued: dict[str, QueuedRequest] = {}
         self.suspended: dict[str, QueuedRequest] = {}
         self.counter = 0
@@ -72,6 +75,8 @@
             for name, queue in self.queues.items()
             if queue.heap
         ]
+        if self.keeps_floor:
+            active.append(0.0)
         return min(active, default=max(self.virtual_time.values(), default=0.0))
 
     def cancel(self, key: str) -> None:
@@ -153,6 +158,7 @@
             made_at: When they were current.
         """
         self.charges.adopted_at = made_at
+        self.keeps_floor = True
         self.virtual_time = dict(leads)
         for workspace, cost in self.charges.since(made_at).items():
             self.virtual_time[workspace] = leads.get(workspace, 0.0) + cost
--- a/packages/coordination/src/marjoramyard/coordination/placement/handover.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/handover.py
@@ -18,6 +18,10 @@
 """How long after it came into use a broker adopts snapshots. Routers connect
 within a second, and a later one may come from a broker in use beside it."""
 
+ARRIVAL_MS = 1000.0
+"""How long after it came into use a broker may lack requests of workspaces that
+were active at its predecessor. Routers connect and callers send within it."""
+
 
 class KnownEstimate(msgspec.Struct, frozen=True, order=True):
     """An estimate, ordered by when it was current.
@@ -89,6 +93,8 @@
 
     def close_if_over(self, now: float) -> None:
         """Forgets what was needed to adopt snapshots once it is too late."""
+        if now - self.opened_at > ARRIVAL_MS:
+            self.broker.keeps_floor = False
         if now - self.opened_at > WINDOW_MS:
             self._forget()
             self.broker.charges.stop()
--- a/packages/coordination/tests/placement/test_broker_change.py
+++ b/packages/coordination/tests/placement/test_broker_change.py
@@ -6,25 +6,26 @@
 
 import pytest
 
+from marjoramyard.coordination.placement.handover import (
+    ARRIVAL_MS,
+    Handover,
+)
+from marjoramyard.coordination.placement.requests import UnbrokeredRequest
+from marjoramyard.coordination.placement.snapshots import (
+    BrokerSnapshot,
+    take_snapshot,
+)
+
 sys.path.insert(0, str(Path(__file__).parent))
 from engine_simulation import (  # noqa: E402
     OBJECTIVE_MS,
     RATE,
     Simulation,
     make_broker,
+    make_request,
     poisson_arrivals,
 )
 
-from marjoramyard.coordination.placement.handover import (  # noqa: E402
-    Handover,
-)
-from marjoramyard.coordination.placement.requests import (  # noqa: E402
-    UnbrokeredRequest,
-)
-from marjoramyard.coordination.placement.snapshots import (  # noqa: E402
-    take_snapshot,
-)
-
 ACTUAL_RATE = RATE / 4
 """The prefill rate of the engines, in tokens per ms. A broker begins with
 `RATE`."""
@@ -45,11 +46,13 @@
     Routers report what is in flight, and submit queued requests once more.
     """
 
+    handover = None
+
     def replace_broker(self):
         predecessor = self.broker
         self.broker = make_broker(2)
-        handover = Handover(self.broker, self.now)
-        handover.adopt(take_snapshot(predecessor), 0.0, self.now)
+        self.handover = Handover(self.broker, self.now)
+        self.handover.adopt(take_snapshot(predecessor), 0.0, self.now)
         for key, request in predecessor.in_flight.items():
             self.report(key, request)
         for queued in predecessor.queued.values():
@@ -58,6 +61,11 @@
                 self.refused[queued.request.key] = refused
         self.dispatch()
 
+    def submit(self, at, request):
+        if self.handover is not None:
+            self.handover.close_if_over(at)
+        super().submit(at, request)
+
     def report(self, key, request):
         submitted = self.submitted[key]
         tokens = request.prefill_tokens if request.is_prefilling else 0.0
@@ -157,3 +165,32 @@
     ]
     late = [ms for ms in accepted if ms > OBJECTIVE_MS]
     assert len(late) <= 0.02 * len(accepted)
+
+
+def served_first(broker, now):
+    """Returns whose request is granted first if `large` submits first."""
+    for number in range(3):
+        for workspace in ("large", "small"):
+            key = f"{workspace}-{now}-{number}"
+            broker.submit(make_request(key, workspace, now), now)
+    return broker.pop_next().request.workspace
+
+
+def test_a_workspace_that_had_more_than_its_share_comes_later():
+    """Guards against virtual times that are forgotten when the first request
+    is queued, as nothing else is queued at a new broker.
+    """
+    broker = make_broker(1)
+    handover = Handover(broker, 0.0)
+    handover.adopt(BrokerSnapshot(leads={"large": 50_000.0}), 0.0, 0.0)
+    handover.close_if_over(ARRIVAL_MS)
+    assert served_first(broker, ARRIVAL_MS) == "small"
+
+
+def test_a_workspace_has_no_claim_for_time_in_which_it_was_idle():
+    """Guards against a claim that remains after all gateways have connected."""
+    broker = make_broker(1)
+    handover = Handover(broker, 0.0)
+    handover.adopt(BrokerSnapshot(leads={"large": 50_000.0}), 0.0, 0.0)
+    handover.close_if_over(ARRIVAL_MS + 1.0)
+    assert served_first(broker, ARRIVAL_MS + 1.0) == "large"
--- a/packages/coordination/tests/placement/test_handover.py
+++ b/packages/coordination/tests/placement/test_handover.py
@@ -7,25 +7,21 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-sys.path.insert(0, str(Path(__file__).parent))
-from engine_simulation import RATE, make_broker  # noqa: E402
-
-from marjoramyard.coordination.placement.engines import (  # noqa: E402
+from marjoramyard.coordination.placement.engines import (
     RELATIVE_RATE_BOUNDS,
     EngineEstimate,
 )
-from marjoramyard.coordination.placement.handover import (  # noqa: E402
+from marjoramyard.coordination.placement.handover import (
     MAX_AGE_MS,
     WINDOW_MS,
     Adoption,
     Handover,
 )
-from marjoramyard.coordination.placement.requests import (  # noqa: E402
-    UnbrokeredRequest,
-)
-from marjoramyard.coordination.placement.snapshots import (  # noqa: E402
-    BrokerSnapshot,
-)
+from marjoramyard.coordination.placement.requests import UnbrokeredRequest
+from marjoramyard.coordination.placement.snapshots import BrokerSnapshot
+
+sys.path.insert(0, str(Path(__file__).parent))
+from engine_simulation import RATE, make_broker  # noqa: E402
 
 NOW = 100_000.0
 BORN = 7
--- a/packages/coordination/tests/placement/test_snapshots.py
+++ b/packages/coordination/tests/placement/test_snapshots.py
@@ -8,19 +8,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-sys.path.insert(0, str(Path(__file__).parent))
-from engine_simulation import (  # noqa: E402
-    RATE,
-    Simulation,
-    make_broker,
-    make_request,
-    poisson_arrivals,
-)
-
-from marjoramyard.coordination.placement.engines import (  # noqa: E402
-    EngineEstimate,
-)
-from marjoramyard.coordination.placement.snapshots import (  # noqa: E402
+from marjoramyard.coordination.placement.engines import EngineEstimate
+from marjoramyard.coordination.placement.snapshots import (
     EMPTY_SNAPSHOT,
     LEAD_TOLERANCE_TOKENS,
     TOLERANCE,
@@ -30,6 +19,15 @@
     take_snapshot,
 )
 
+sys.path.insert(0, str(Path(__file__).parent))
+from engine_simulation import (  # noqa: E402
+    RATE,
+    Simulation,
+    make_broker,
+    make_request,
+    poisson_arrivals,
+)
+
 PROMPT_TOKENS = 6000
 
 rates = st.floats(1.0, 200.0)
--- a/packages/coordination/tests/placement/test_successor_rates.py
+++ b/packages/coordination/tests/placement/test_successor_rates.py
@@ -5,13 +5,11 @@
 
 import pytest
 
+from marjoramyard.coordination.placement.requests import UnbrokeredRequest
+
 sys.path.insert(0, str(Path(__file__).parent))
 from engine_simulation import RATE, make_broker  # noqa: E402
 
-from marjoramyard.coordination.placement.requests import (  # noqa: E402
-    UnbrokeredRequest,
-)
-
 ACTUAL_RATE = 26.0
 """The prefill rate of the engines, in tokens per ms; `RATE` is expected."""
 REPORT_MS = 25.0
