--- a/packages/coordination/src/marjoramyard/coordination/placement/broker.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/broker.py
@@ -4,7 +4,7 @@
 ends, so it knows the load of every engine, which routers on their own could
 only estimate. Its state is not stored: if a broker is lost, routers place
 requests by their own estimates, and report what is in flight to its
-successor.
+successor. A few of them hand it what the broker had learnt.
 
 An engine serves its own queue first come, first served, so under overload
 all of its responses would be late. The broker therefore queues requests
