Change the initial rate only when more engines are ready

Cause: a broker that began without any engine kept the default rate, and a changed configuration would have moved the range of measured rates.

Change: the rate follows the largest number of ready engines, and nothing else.

Result: test_broker_initial_rates.py, with none and with 10 of 26 engines known.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
@@ -180,7 +180,11 @@
             return None
         broker = self.brokers.get(service)
         if broker is None:
-            rate = self._initial_rate(service)
+            # All ready engines count here, including unresponsive ones and
+            # those in backoff.
+            ready_count = len(self.view.registrations.usable(service))
+            self.ready_counts[service] = ready_count
+            rate = estimate_prefill_rate(table.config, ready_count)
             limit = self.cold_starts.limit_of(configured)
             broker = Broker(configured.engine, rate, limit)
             broker.cold_grants_from = math.inf
@@ -194,24 +198,22 @@
             self.usable[service] = usable
             broker.set_engines(r.endpoint for r in usable)
             self._update_engines(broker, configured, usable)
-            rate = self._initial_rate(service)
-            if rate < broker.rate:
-                broker.set_initial_rate(rate)
+            self._update_initial_rate(service, broker)
             self.handovers.apply_estimates(service)
         return broker
 
-    def _initial_rate(self, service: str) -> float:
-        """Returns the prefill rate of an engine that was not measured.
+    def _update_initial_rate(self, service: str, broker: Broker) -> None:
+        """Divides the configured rate by the most engines that were ready.
 
-        Engines that were ready before count too: the configured rate is that of
-        all together. So do unresponsive ones and those in backoff.
+        A broker may begin while few of them are known.
         """
-        ready_count = max(
-            len(self.view.registrations.usable(service)),
-            self.ready_counts.get(service, 0),
-        )
+        ready_count = len(self.view.registrations.usable(service))
+        if ready_count <= self.ready_counts[service]:
+            return
         self.ready_counts[service] = ready_count
-        return estimate_prefill_rate(self.view.table.config, ready_count)
+        broker.set_initial_rate(
+            estimate_prefill_rate(self.view.table.config, ready_count)
+        )
 
     def _update_engines(
         self, broker: Broker, service: Service, usable: list[Registration]
--- a/packages/fleet/tests/gateway/test_broker_initial_rates.py
+++ b/packages/fleet/tests/gateway/test_broker_initial_rates.py
@@ -4,7 +4,10 @@
 
 import pytest
 
-from marjoramyard.coordination.membership.registrations import Registration
+from marjoramyard.coordination.membership.registrations import (
+    EndpointState,
+    Registration,
+)
 from marjoramyard.coordination.routing.config import (
     CallerLimits,
     EngineProfile,
@@ -21,13 +24,15 @@
 TOKENS_PER_SECOND = 650_000
 
 
-def register(view, numbers):
+def register(view, numbers, state=EndpointState.READY, sequence=0):
     for number in numbers:
         view.registrations.merge(
             Registration(
                 endpoint=f"e{number}",
                 service="llm",
                 address=f"127.0.0.1:{number + 1}",
+                state=state,
+                sequence=sequence,
             ),
             0.0,
         )
@@ -46,17 +51,33 @@
     return view
 
 
-def test_a_broker_that_began_before_most_engines_knows_their_rate(view):
+@pytest.fixture
+def server(view):
+    cache_lists = SimpleNamespace(request=lambda *_: None)
+    return BrokerServer(view, ColdStarts(view, 1.5, 5.0), cache_lists)
+
+
+@pytest.mark.parametrize("known_count", [0, 10])
+def test_a_broker_that_began_before_most_engines_knows_their_rate(
+    view, server, known_count
+):
     """Guards against a successor that was once asked while the fleet started,
     and later accepts prompts at a multiple of the engines' rate.
     """
-    cache_lists = SimpleNamespace(request=lambda *_: None)
-    server = BrokerServer(view, ColdStarts(view, 1.5, 5.0), cache_lists)
-    register(view, range(10))
+    register(view, range(known_count))
     server._refresh_broker("llm")
-    register(view, range(10, 26))
+    register(view, range(known_count, 26))
     broker = server._refresh_broker("llm")
     assert len(broker.engines) == 26
     assert broker.total_prefill_rate == pytest.approx(
         PREFILL_RATE_FACTOR * TOKENS_PER_SECOND / 1000
     )
+
+
+def test_engines_that_fail_do_not_change_the_rate_of_the_others(view, server):
+    """Guards against a rate that rises while engines are down."""
+    register(view, range(26))
+    rate = server._refresh_broker("llm").rate
+    register(view, range(7), EndpointState.DRAINING, sequence=1)
+    broker = server._refresh_broker("llm")
+    assert broker.total_prefill_rate == pytest.approx(19 * rate)
