Keep the bounds of measured engines and forget rates at a restart

Cause: a lower initial rate moved the bounds of measured engines too, so a measured rate fell to three times the new one. A broker in use kept the estimate of a restarted engine and announced it with the new `born`.

Change: the initial rate is set only while an engine is not measured. When `born` changes from a known one, the engine returns to the initial rate and its current sample is discarded.

--- a/packages/coordination/src/marjoramyard/coordination/placement/engine_pool.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/engine_pool.py
@@ -96,13 +96,14 @@
     def set_lifetime(self, endpoint: str, born: int) -> None:
         """Sets when an engine was started, in ms since the Unix epoch.
 
-        A restart empties its cache.
+        A restart empties its cache, and the engine returns to the initial rate.
         """
         engine = self.engines.get(endpoint)
         if engine is None or engine.born == born:
             return
         if engine.born:
             engine.prefix_cache.clear()
+            engine.forget_rate(self.rate)
             self.pauses.forget_endpoint(endpoint)
             self.load.forget()
         engine.born = born
--- a/packages/coordination/src/marjoramyard/coordination/placement/engines.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/engines.py
@@ -140,15 +140,27 @@
         return EngineEstimate(self.endpoint, self.born, self.rate)
 
     def set_initial_rate(self, rate: float) -> None:
-        """Sets the initial prefill rate; a measured rate stays.
+        """Sets the initial prefill rate of an engine that was not measured.
+
+        The rate of a measured engine and its bounds stay.
 
         Args:
             rate: The rate in tokens per ms.
         """
-        self.initial_rate = rate
         if self.rate_known_at == -math.inf:
+            self.initial_rate = rate
             self.rate = rate
 
+    def forget_rate(self, rate: float) -> None:
+        """Returns to the initial rate, as the engine was restarted.
+
+        Args:
+            rate: The initial rate in tokens per ms.
+        """
+        self.rate_known_at = -math.inf
+        self.is_sample_valid = False
+        self.set_initial_rate(rate)
+
     def adopt(self, estimate: EngineEstimate) -> None:
         """Takes over what another broker has learnt of the engine."""
         self.rate = self._within_bounds(estimate.rate)
--- a/packages/coordination/tests/placement/test_handover.py
+++ b/packages/coordination/tests/placement/test_handover.py
@@ -18,7 +18,10 @@
     Handover,
 )
 from marjoramyard.coordination.placement.requests import UnbrokeredRequest
-from marjoramyard.coordination.placement.snapshots import BrokerSnapshot
+from marjoramyard.coordination.placement.snapshots import (
+    BrokerSnapshot,
+    take_snapshot,
+)
 
 sys.path.insert(0, str(Path(__file__).parent))
 from engine_simulation import RATE, make_broker  # noqa: E402
@@ -87,6 +90,49 @@
     assert rates_of(broker)["e1"] == 20.0
 
 
+def test_a_new_initial_rate_does_not_move_the_range_of_a_measured_engine():
+    """Guards against a rate that falls because other engines became ready."""
+    broker, _ = successor()
+    measure(broker, "e0", RATE, NOW)
+    broker.set_initial_rate(RATE / 10)
+    for second in range(1, 30):
+        measure(broker, "e0", RATE, NOW + second * 2000.0)
+    assert rates_of(broker) == {
+        "e0": pytest.approx(RATE, rel=0.05),
+        "e1": RATE / 10,
+    }
+
+
+def test_a_restarted_engine_returns_to_the_initial_rate():
+    """Guards against the estimate of an earlier lifetime that is announced
+    for the new one.
+    """
+    broker, _ = successor()
+    measure(broker, "e0", 0.5 * RATE, NOW)
+    assert rates_of(broker)["e0"] < RATE
+    broker.set_lifetime("e0", BORN + 1)
+    assert rates_of(broker)["e0"] == RATE
+    assert take_snapshot(broker).engines == ()
+
+
+def test_a_sample_that_spans_a_restart_is_discarded():
+    """Guards against a rate that includes the time of the restart."""
+    broker, _ = successor()
+    engine = broker.engines["e0"]
+    engine.add_prefill(6000.0, NOW)
+    broker.set_lifetime("e0", BORN + 1)
+    engine.finish_prefill(6000.0, NOW + 1000.0)
+    assert rates_of(broker)["e0"] == RATE
+
+
+def test_an_engine_whose_lifetime_becomes_known_keeps_its_rate():
+    broker = make_broker(1)
+    measure(broker, "e0", 0.5 * RATE, NOW)
+    measured = rates_of(broker)
+    broker.set_lifetime("e0", BORN)
+    assert rates_of(broker) == measured
+
+
 def test_an_adopted_rate_is_not_replaced_by_the_initial_one():
     broker, handover = successor()
     handover.adopt(snapshot({"e0": 20.0}), 0.0, NOW)
