Adopt no virtual times that may include own charges

Cause: a broker added its charges to its own announcement when a gateway handed it back, also by way of another broker. An engine that was removed and returned in the window did not get its estimate again. Negative leads of a malformed message were adopted.

Change: virtual times made once its first announcement is due (less 10 ms for errors of the time) are not adopted. An estimate is skipped only while the engine has it. Leads that are not positive are ignored. New tests also for charges after a pause and for what is kept after the window.

--- a/packages/coordination/src/marjoramyard/coordination/placement/handover.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/handover.py
@@ -15,12 +15,16 @@
 MAX_AGE_MS = 5000.0
 """Older snapshots are not adopted: the load has changed since."""
 WINDOW_MS = 3000.0
-"""How long after it came into use a broker adopts snapshots. Routers connect
-within a second, and a later one may come from a broker in use beside it."""
-
+"""How long after it came into use a broker adopts snapshots."""
 ARRIVAL_MS = 1000.0
 """How long after it came into use a broker may lack requests of workspaces that
-were active at its predecessor. Routers connect and callers send within it."""
+were active at its predecessor."""
+ANNOUNCE_INTERVAL_MS = 1000.0
+"""The time between two announcements, and until the first one of a broker that
+came into use."""
+DATING_ERROR_MS = 10.0
+"""Bound on the error of the time of a snapshot: times are truncated, and clocks
+differ slightly in speed."""
 
 
 class KnownEstimate(msgspec.Struct, frozen=True, order=True):
@@ -109,6 +113,8 @@
     ) -> Adoption | None:
         """Adopts what is newer than what the broker knows.
 
+        Leads that are not positive are ignored.
+
         Args:
             snapshot: What a predecessor has learnt.
             age_ms: How long ago it was current.
@@ -123,8 +129,11 @@
         for estimate in snapshot.engines:
             self._record(estimate, made_at)
         engines = self.apply_estimates()
-        has_adopted = self._adopt_leads(snapshot.leads, made_at)
-        workspaces = len(snapshot.leads) if has_adopted else 0
+        leads = {
+            name: lead for name, lead in snapshot.leads.items() if lead > 0
+        }
+        has_adopted = self._adopt_leads(leads, made_at)
+        workspaces = len(leads) if has_adopted else 0
         return Adoption(engines, workspaces)
 
     def _record(self, estimate: EngineEstimate, made_at: float) -> None:
@@ -145,10 +154,13 @@
             engine = self.broker.engines.get(endpoint)
             if engine is None or engine.born != born:
                 continue
-            if self.applied.get(endpoint) == known:
-                continue
             if known.made_at < engine.rate_known_at:
                 continue
+            if (
+                known.made_at == engine.rate_known_at
+                and self.applied.get(endpoint) == known
+            ):
+                continue
             engine.adopt(known.estimate)
             engine.rate_known_at = known.made_at
             self.applied[endpoint] = known
@@ -158,6 +170,8 @@
         return count
 
     def _adopt_leads(self, leads: dict[str, float], made_at: float) -> bool:
+        if self._may_include_own_charges(made_at):
+            return False
         content = msgspec.json.encode(leads, order="sorted")
         newest = (made_at, content)
         if made_at <= self.used_until or newest <= self.leads_from:
@@ -165,3 +179,12 @@
         self.leads_from = newest
         self.broker.adopt_virtual_times(leads, made_at)
         return True
+
+    def _may_include_own_charges(self, made_at: float) -> bool:
+        """Returns whether virtual times may include this broker's charges.
+
+        From its first announcement on, gateways hand them back, or tell another
+        broker that announces them.
+        """
+        first_at = self.opened_at + ANNOUNCE_INTERVAL_MS
+        return made_at >= first_at - DATING_ERROR_MS
--- a/packages/coordination/tests/placement/test_handover.py
+++ b/packages/coordination/tests/placement/test_handover.py
@@ -12,6 +12,7 @@
     EngineEstimate,
 )
 from marjoramyard.coordination.placement.handover import (
+    ANNOUNCE_INTERVAL_MS,
     MAX_AGE_MS,
     WINDOW_MS,
     Adoption,
@@ -90,6 +91,20 @@
     assert rates_of(broker)["e1"] == 20.0
 
 
+def test_an_engine_that_is_removed_and_returns_gets_its_estimate():
+    """Guards against the initial rate for an engine that was unusable for a
+    moment.
+    """
+    broker, handover = successor()
+    handover.adopt(snapshot({"e1": 20.0}), 0.0, NOW)
+    broker.set_engines(["e0"])
+    broker.set_engines(["e0", "e1"])
+    broker.set_lifetime("e1", BORN)
+    assert handover.apply_estimates() == 1
+    assert rates_of(broker)["e1"] == 20.0
+    assert handover.apply_estimates() == 0
+
+
 def test_a_new_initial_rate_does_not_move_the_range_of_a_measured_engine():
     """Guards against a rate that falls because other engines became ready."""
     broker, _ = successor()
@@ -189,6 +204,84 @@
     assert broker.virtual_time == {"w": 5000.0}
 
 
+@pytest.mark.parametrize("truncated_ms", [0.0, 0.9])
+def test_a_broker_does_not_add_its_charges_to_its_own_announcement(
+    truncated_ms,
+):
+    """Guards against workspaces that pay twice when a gateway reconnects to
+    the same broker.
+    """
+    broker, handover = successor()
+    broker.charge("w", 10_000.0)
+    held = snapshot(leads={"w": 10_000.0})
+    age_ms = 200.0 + truncated_ms
+    handover.adopt(held, age_ms, NOW + ANNOUNCE_INTERVAL_MS + 200.0)
+    assert broker.virtual_time == {"w": 10_000.0}
+
+
+def test_charges_that_another_broker_has_adopted_are_not_added():
+    """Guards against workspaces that pay twice when gateways change to another
+    broker and back.
+    """
+    first, from_second = successor()
+    first.keeps_floor = True
+    first.charge("w", 10_000.0)
+    second, from_first = successor(now=NOW + 1100.0)
+    from_first.adopt(take_snapshot(first), 100.0, NOW + 1100.0)
+    from_second.adopt(take_snapshot(second), 100.0, NOW + 2200.0)
+    assert second.virtual_time == {"w": 10_000.0}
+    assert first.virtual_time == {"w": 10_000.0}
+
+
+def test_a_gateway_may_connect_later_than_the_first_announcement():
+    """Guards against a bound on the time of the handover instead of the
+    announcement's.
+    """
+    broker, handover = successor()
+    broker.charge("w", 300.0)
+    now = NOW + ANNOUNCE_INTERVAL_MS + 200.0
+    handover.adopt(snapshot(leads={"w": 900.0}), 400.0, now)
+    assert broker.virtual_time == {"w": 1200.0}
+
+
+def test_a_charge_after_a_pause_is_added_to_adopted_virtual_times():
+    """Guards against service that is forgotten when a broker is used again,
+    and against charges from before the pause.
+    """
+    broker, handover = successor()
+    broker.charge("w", 5000.0)
+    handover.reopen(NOW + 9000.0, used_until=NOW + 1000.0)
+    broker.charge("w", 300.0)
+    handover.adopt(snapshot(leads={"w": 900.0}), 500.0, NOW + 9100.0)
+    assert broker.virtual_time == {"w": 1200.0}
+
+
+def test_nothing_is_kept_when_it_is_too_late_to_adopt():
+    """Guards against memory that grows with the charges, and against engines
+    that adopt an estimate minutes later.
+    """
+    broker, handover = successor()
+    broker.charge("w", 300.0)
+    broker.add_unbrokered(reported("r", "w", 100.0), NOW)
+    handover.adopt(snapshot({"e9": 20.0}, {"w": 900.0}), 500.0, NOW)
+    handover.close_if_over(NOW + WINDOW_MS + 1.0)
+    broker.charge("w", 300.0)
+    assert not handover.estimates
+    assert not handover.applied
+    assert not broker.charges.by_workspace
+    assert not broker.charges.reported
+    assert not broker.keeps_floor
+
+
+def test_leads_that_are_not_positive_are_ignored():
+    """Guards against a malformed message that puts a workspace before all."""
+    broker, handover = successor()
+    held = snapshot(leads={"u": -900.0, "v": 0.0, "w": 900.0})
+    adoption = handover.adopt(held, 0.0, NOW)
+    assert adoption == Adoption(engines=0, workspaces=1)
+    assert broker.virtual_time == {"w": 900.0}
+
+
 def reported(key, workspace, age_ms, tokens=1000.0):
     return UnbrokeredRequest(
         key=key,
