Count a broker as used by gateways of other hosts only

Cause: the gateway of its own host kept a broker in use while it was cut off or suspended, so it ignored its successor. Leads that were removed were not announced if nothing else was left. A test depended on the clock.

Change: local gateways do not count; the window closes in any case. Removed leads are announced. The test of a delayed announcement has a constant clock; its assertion is the same. New tests for what had none: full announcements, hosts, engines that register later, `sent_at`. MAX_HOLDERS is now MAX_SNAPSHOT_HOLDERS, as the broker has another one.

--- a/packages/coordination/src/marjoramyard/coordination/placement/snapshots.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/snapshots.py
@@ -9,12 +9,11 @@
 from marjoramyard.coordination.placement.fair_queues import FairQueues
 
 TOLERANCE = 0.1
-"""Smaller changes of an estimate, relative to it, are not announced. Estimated
-rates err by as much."""
+"""Smaller changes of an estimate, relative to it, are not announced."""
 LEAD_TOLERANCE_TOKENS = 500.0
-"""Smaller changes of a virtual time are not announced: a fraction of a
-prompt."""
+"""Smaller changes of a virtual time are not announced, in prefill tokens."""
 SIGNIFICANT_DIGITS = 4
+"""The decimal digits to which announced numbers are rounded."""
 
 
 class BrokerSnapshot(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_handovers.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_handovers.py
@@ -10,7 +10,10 @@
 import msgspec
 
 from marjoramyard.coordination.placement.broker import Broker
-from marjoramyard.coordination.placement.handover import Handover
+from marjoramyard.coordination.placement.handover import (
+    ANNOUNCE_INTERVAL_MS,
+    Handover,
+)
 from marjoramyard.coordination.placement.snapshots import (
     EMPTY_SNAPSHOT,
     BrokerSnapshot,
@@ -30,9 +33,8 @@
 
 logger = get_logger(__name__)
 
-MAX_HOLDERS = 4
+MAX_SNAPSHOT_HOLDERS = 4
 """The number of gateways that hold a broker's snapshot."""
-ANNOUNCE_INTERVAL_MS = 1000.0
 FULL_INTERVAL = 30
 """Of so many announcements one is full, so that engines that are gone are
 forgotten."""
@@ -46,8 +48,8 @@
 ) -> list[GatewayConnection]:
     """Returns the gateways that are to hold a snapshot.
 
-    They are in different availability zones if possible, rather on other hosts
-    than the broker, and rather those that hold it already.
+    They are in different availability zones if possible, preferably on other
+    hosts than the broker, and preferably current holders.
 
     Args:
         current: Those that hold it.
@@ -56,7 +58,7 @@
     holders: list[GatewayConnection] = []
     zones: Counter[str] = Counter()
     remaining = list(gateways)
-    while remaining and len(holders) < MAX_HOLDERS:
+    while remaining and len(holders) < MAX_SNAPSHOT_HOLDERS:
         best = min(
             remaining,
             key=lambda gateway: (
@@ -109,7 +111,7 @@
         changes = changes_between(self.announced, current)
         is_full = self.count % FULL_INTERVAL == 0
         self.announced = current if is_full else merged(self.announced, changes)
-        if self.announced == EMPTY_SNAPSHOT:
+        if self.announced == EMPTY_SNAPSHOT == changes:
             return
         self.count += 1
         previous, self.holders = (
@@ -134,7 +136,7 @@
     Attributes:
         handover: What the broker adopts.
         announcer: What it announces.
-        used_at: When it was last in use, in ms.
+        used_at: When gateways of other hosts last used it, in ms.
     """
 
     handover: Handover
@@ -174,17 +176,20 @@
         A broker that was suspended counts as unused meanwhile.
         """
         for service, state in self.services.items():
-            if not self._is_used(service):
-                continue
-            if now - state.used_at > UNUSED_MS:
-                state.handover.reopen(now, state.used_at)
-                state.announcer = SnapshotAnnouncer(service, now)
+            if self._is_used(service):
+                if now - state.used_at > UNUSED_MS:
+                    state.handover.reopen(now, state.used_at)
+                    state.announcer = SnapshotAnnouncer(service, now)
+                state.used_at = now
             state.handover.close_if_over(now)
-            state.used_at = now
 
     def _is_used(self, service: str) -> bool:
+        """Returns whether gateways of other hosts use a broker.
+
+        The gateway of its own host stays when the host is cut off.
+        """
         return any(
-            gateway.service in ("", service)
+            not gateway.is_local and gateway.service in ("", service)
             for gateway in self.gateways.values()
         )
 
--- a/packages/fleet/tests/gateway/test_broker_handover.py
+++ b/packages/fleet/tests/gateway/test_broker_handover.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import itertools
+import math
 import time
 from types import SimpleNamespace
 
@@ -13,7 +14,10 @@
 
 from marjoramyard.coordination.membership.registrations import Registration
 from marjoramyard.coordination.placement.engines import EngineEstimate
-from marjoramyard.coordination.placement.handover import MAX_AGE_MS
+from marjoramyard.coordination.placement.handover import (
+    ANNOUNCE_INTERVAL_MS,
+    MAX_AGE_MS,
+)
 from marjoramyard.coordination.placement.snapshots import BrokerSnapshot
 from marjoramyard.coordination.routing.config import (
     EngineProfile,
@@ -23,11 +27,12 @@
     Service,
 )
 from marjoramyard.coordination.routing.table import PromptPart, RouteTable
+from marjoramyard.fleet.gateway import held_snapshot
 from marjoramyard.fleet.gateway.admission import CallerRequest
 from marjoramyard.fleet.gateway.broker_client import BrokerClient
 from marjoramyard.fleet.gateway.broker_handovers import (
-    ANNOUNCE_INTERVAL_MS,
-    MAX_HOLDERS,
+    FULL_INTERVAL,
+    MAX_SNAPSHOT_HOLDERS,
     UNUSED_MS,
     BrokerHandovers,
     choose_holders,
@@ -47,7 +52,10 @@
 from marjoramyard.fleet.gateway.broker_server import BrokerServer
 from marjoramyard.fleet.gateway.cold_starts import ColdStarts
 from marjoramyard.fleet.gateway.dialect import GATEWAY_DIALECTS
-from marjoramyard.fleet.gateway.gateway_connection import GatewayConnection
+from marjoramyard.fleet.gateway.gateway_connection import (
+    GatewayConnection,
+    is_on_this_host,
+)
 from marjoramyard.fleet.gateway.held_snapshot import (
     MAX_DRIFT_MS,
     HeldSnapshot,
@@ -243,7 +251,7 @@
     """Guards against snapshots that are lost with one availability zone."""
     gateways = [connection(n, "aaaabbcde"[n]) for n in range(9)]
     holders = choose_holders([], gateways)
-    assert len({gateway.zone for gateway in holders}) == MAX_HOLDERS
+    assert len({gateway.zone for gateway in holders}) == MAX_SNAPSHOT_HOLDERS
 
 
 def test_holders_stay_the_same():
@@ -262,6 +270,29 @@
     assert choose_holders([local], [local]) == [local]
 
 
+def request_between(peer, own):
+    names = {"peername": peer, "sockname": own}
+    return SimpleNamespace(transport=SimpleNamespace(get_extra_info=names.get))
+
+
+@pytest.mark.parametrize(
+    ("peer", "own", "is_local"),
+    [
+        (("10.0.0.1", 4000), ("10.0.0.1", 80), True),
+        (("10.0.0.2", 4000), ("10.0.0.1", 80), False),
+        (("::1", 4000, 0, 0), ("::1", 80, 0, 0), True),
+        (None, None, False),
+        (None, ("10.0.0.1", 80), False),
+    ],
+)
+def test_a_host_is_recognized_by_its_address(peer, own, is_local):
+    assert is_on_this_host(request_between(peer, own)) is is_local
+
+
+def test_a_closed_connection_is_of_no_known_host():
+    assert not is_on_this_host(SimpleNamespace(transport=None))
+
+
 def announced(gateway):
     return [m for m in gateway.outbox if isinstance(m, SnapshotAnnouncement)]
 
@@ -325,6 +356,39 @@
     )
 
 
+def test_an_announcement_is_full_at_regular_intervals():
+    """Guards against holders that never forget engines that are gone."""
+    gateway = connection(1)
+    brokering = Brokering(gateway)
+    for _ in range(2 * FULL_INTERVAL + 1):
+        brokering.announce()
+    full = [n for n, m in enumerate(announced(gateway)) if m.is_full]
+    assert full == [0, FULL_INTERVAL, 2 * FULL_INTERVAL]
+    assert announced(gateway)[FULL_INTERVAL].snapshot.engines
+
+
+def test_removed_leads_are_announced_if_nothing_else_is_left():
+    """Guards against a successor that favours others over a workspace whose
+    lead is gone.
+    """
+    gateway = connection(1)
+    brokering = Brokering(gateway)
+    brokering.broker.engines["e0"].rate_known_at = -math.inf
+    brokering.broker.keeps_floor = True
+    brokering.broker.charge("w", 10_000.0)
+    brokering.announce()
+    brokering.broker.virtual_time.clear()
+    for _ in range(3):
+        brokering.announce()
+    first, second = announced(gateway)
+    assert first.snapshot.leads == {"w": 10_000.0}
+    assert second.snapshot.leads == {"w": 0.0}
+    held = HeldSnapshot()
+    held.record(first)
+    held.record(second)
+    assert held.snapshot == BrokerSnapshot()
+
+
 def test_a_gateway_that_becomes_a_holder_is_told_all():
     first = connection(1)
     brokering = Brokering(first)
@@ -380,6 +444,45 @@
     assert brokering.broker.engines["e0"].rate == 20.0
 
 
+def test_a_broker_s_own_gateway_does_not_keep_it_in_use():
+    """Guards against a broker that was cut off with the gateway of its host,
+    and ignores its successor when the others return.
+    """
+    brokering = Brokering(connection(1), connection(2, is_local=True))
+    brokering.set_rate(30.0)
+    brokering.use_for(60_000.0)
+    del brokering.server.gateways[1]
+    brokering.use_for(4000.0)
+    brokering.server.gateways[3] = connection(3)
+    brokering.handovers.refresh(brokering.now)
+    brokering.handovers.adopt(handover(20.0), brokering.now)
+    assert brokering.broker.engines["e0"].rate == 20.0
+
+
+def test_a_broker_without_other_gateways_keeps_no_charges():
+    """Guards against memory that grows on a fleet of one host."""
+    brokering = Brokering(connection(1, is_local=True))
+    brokering.broker.charge("w", 300.0)
+    brokering.use_for(60_000.0)
+    assert not brokering.broker.charges.by_workspace
+
+
+def test_an_engine_that_registers_after_the_handover_adopts_its_estimate():
+    """Guards against a successor that knows the engines a moment later."""
+    brokering = Brokering(connection(1))
+    engines = (EngineEstimate("e1", BORN, 20.0),)
+    message = SnapshotHandover("llm", BrokerSnapshot(engines), 100.0)
+    brokering.handovers.adopt(message, brokering.now)
+    brokering.server.view.registrations.merge(
+        Registration(
+            endpoint="e1", service="llm", address="127.0.0.1:2", born=BORN
+        ),
+        0.0,
+    )
+    broker = brokering.server._refresh_broker("llm")
+    assert broker.engines["e1"].rate == 20.0
+
+
 def test_an_unknown_service_is_ignored():
     brokering = Brokering(connection(1))
     message = SnapshotHandover("other", BrokerSnapshot(), 0.0)
@@ -427,13 +530,15 @@
     assert message.age_ms < 100
 
 
-def test_an_announcement_that_waited_in_the_socket_is_old():
+def test_an_announcement_that_waited_in_the_socket_is_old(monkeypatch):
     """Guards against estimates from before a pause of the gateway, which its
     new broker takes for the newest.
     """
+    now = now_ms()
+    monkeypatch.setattr(held_snapshot, "_now_ms", lambda: now)
     held = HeldSnapshot()
-    held.record(announcement(20.0, sent_ms=now_ms()))
-    held.record(announcement(25.0, sent_ms=now_ms() - 3000))
+    held.record(announcement(20.0, sent_ms=now))
+    held.record(announcement(25.0, sent_ms=now - 3000))
     [message] = held.handover("llm")
     assert message.age_ms >= 3000 - MAX_DRIFT_MS
 
@@ -465,6 +570,16 @@
     assert second.age_ms > 0
 
 
+def test_a_gateway_forgets_when_ended_requests_were_sent():
+    """Guards against memory that grows with the requests."""
+    client = BrokerClient(None, None, SimpleNamespace(is_lagging=False))
+    running = RunningRequest(1, "llm", "e0", 400.0, 400.0)
+    client.on_started(running, (), is_granted=True)
+    assert list(client.sent_at) == [1]
+    client.on_finished(1, failed=False)
+    assert client.sent_at == {}
+
+
 def test_a_later_protocol_includes_the_earlier_ones():
     assert includes(HANDOVER_PROTOCOL, NOTICE_PROTOCOL)
     assert includes(NOTICE_PROTOCOL, PREFIX_PROTOCOL)
