--- a/packages/coordination/src/marjoramyard/coordination/placement/broker.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/broker.py
@@ -4,7 +4,7 @@
 ends, so it knows the load of every engine, which routers on their own could
 only estimate. Its state is not stored: if a broker is lost, routers place
 requests by their own estimates, and report what is in flight to its
-successor.
+successor. A few of them hand it what the broker had learnt.
 
 An engine serves its own queue first come, first served, so under overload
 all of its responses would be late. The broker therefore queues requests
@@ -202,8 +202,9 @@
     def add_unbrokered(self, sent: UnbrokeredRequest, now: float) -> None:
         """Adds a request that a router sent without a grant.
 
-        Its workspace is charged as for a granted request. A request that is
-        known already or is at an unknown engine is ignored.
+        Its workspace is charged as for a granted request, unless a predecessor
+        has done so. A request that is known already or is at an unknown engine
+        is ignored.
         """
         engine = self.engines.get(sent.endpoint)
         if engine is None or sent.key in self.in_flight:
@@ -216,10 +217,11 @@
             now,
             is_prefilling,
             sent.router,
+            began_earlier=sent.age_ms > 0,
         )
         self.add_in_flight(engine, sent.key, in_flight)
         cost = service_cost(sent.prefill_tokens, sent.output_tokens)
-        self.charge(sent.workspace, cost)
+        self.charge_reported(sent.workspace, cost, now - sent.age_ms)
 
     # Grants.
 
--- a/packages/coordination/src/marjoramyard/coordination/placement/engines.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/engines.py
@@ -23,8 +23,8 @@
 """Smaller samples are continued. An engine prefills so few tokens in a single
 step, so their duration does not depend on its rate."""
 RELATIVE_RATE_BOUNDS = (0.05, 3.0)
-"""Range to which samples are clamped, relative to the initial rate. What is
-beyond is an error of the reports."""
+"""Range to which samples and adopted rates are clamped, relative to the initial
+rate. What is beyond is an error of the reports."""
 FIRST_TOKEN_LATENCY_MS = 25.0
 """Time from the end of a prefill until the first event reaches the caller. A
 sample that starts with an idle engine starts that much later, as its end is
@@ -43,6 +43,8 @@
         is_prefilling: Whether the prompt is in the engine's backlog. A prompt
             may be removed from it before its first token is reported.
         router: The router that sends the request (a gateway).
+        began_earlier: Whether it was sent before `granted_at`, so that a part
+            of the prompt may have been prefilled by then.
         expected_first_token_at: When the first token is expected, in ms.
     """
 
@@ -52,6 +54,7 @@
     granted_at: float
     is_prefilling: bool = True
     router: str = ""
+    began_earlier: bool = False
     expected_first_token_at: float = 0.0
 
 
@@ -82,6 +85,8 @@
         memory_tokens: Its memory, in tokens; 0 if unlimited.
         initial_rate: The initial prefill rate, in tokens per ms.
         rate: The estimated prefill rate, in tokens per ms.
+        rate_known_at: When the rate was last measured, by this broker or by the
+            one from which it was adopted, in ms; -inf if it was not.
         prefix_cache: The prompt parts that it is expected to have cached.
         running: The number of its requests in flight, including those that
             were granted but have not arrived.
@@ -113,6 +118,7 @@
         self.memory_tokens = profile.memory_tokens
         self.initial_rate = rate
         self.rate = rate
+        self.rate_known_at = -math.inf
         self.prefix_cache = PrefixCache(
             profile.memory_tokens, endpoint, prefix_index
         )
@@ -133,9 +139,31 @@
         """Returns what has been learnt of the engine."""
         return EngineEstimate(self.endpoint, self.born, self.rate)
 
+    def set_initial_rate(self, rate: float) -> None:
+        """Sets the initial prefill rate of an engine that was not measured.
+
+        The rate of a measured engine and its bounds stay.
+
+        Args:
+            rate: The rate in tokens per ms.
+        """
+        if self.rate_known_at == -math.inf:
+            self.initial_rate = rate
+            self.rate = rate
+
+    def forget_rate(self, rate: float) -> None:
+        """Returns to the initial rate, as the engine was restarted.
+
+        Args:
+            rate: The initial rate in tokens per ms.
+        """
+        self.rate_known_at = -math.inf
+        self.is_sample_valid = False
+        self.set_initial_rate(rate)
+
     def adopt(self, estimate: EngineEstimate) -> None:
         """Takes over what another broker has learnt of the engine."""
-        self.rate = estimate.rate
+        self.rate = self._within_bounds(estimate.rate)
 
     def refresh(self, now: float, grants_cold: bool) -> None:
         """Updates whether the engine is cold and what it may get.
@@ -198,8 +226,8 @@
         Args:
             tokens: Prompt tokens to prefill.
             now: When the request was granted or reported, in ms.
-            is_timely: Whether the router sends the request without delay;
-                False if it is lagging.
+            is_timely: Whether the router sends the request at this time; False
+                if it is lagging, or has sent it before.
         """
         if self.prefill_tokens <= 0:
             self._start_sample(now + FIRST_TOKEN_LATENCY_MS)
@@ -239,9 +267,13 @@
         self._start_sample(now)
         if is_valid:
             self._update_rate(rate)
+            self.rate_known_at = now
 
     def _update_rate(self, sample: float) -> None:
-        low, high = RELATIVE_RATE_BOUNDS
-        sample = max(sample, low * self.initial_rate)
-        sample = min(sample, high * self.initial_rate)
+        sample = self._within_bounds(sample)
         self.rate += RATE_SAMPLE_WEIGHT * (sample - self.rate)
+
+    def _within_bounds(self, rate: float) -> float:
+        low, high = RELATIVE_RATE_BOUNDS
+        rate = max(rate, low * self.initial_rate)
+        return min(rate, high * self.initial_rate)
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
@@ -22,11 +22,13 @@
     UnbrokeredRequest,
 )
 from marjoramyard.coordination.routing.config import Service
+from marjoramyard.fleet.gateway.broker_handovers import BrokerHandovers
 from marjoramyard.fleet.gateway.broker_protocol import (
     BROKER_PROTOCOLS,
     FORWARDING_PARAMETER,
     HEARTBEAT_INTERVAL_SECONDS,
     NOTICE_PROTOCOL,
+    SERVICE_PARAMETER,
     ZONE_PARAMETER,
     CachedPrefix,
     EndpointLeaving,
@@ -39,14 +41,17 @@
     PlaceRefusal,
     PlaceRequest,
     RunningRequest,
+    SnapshotHandover,
     Withdraw,
     gateway_message_decoder,
+    includes,
 )
 from marjoramyard.fleet.gateway.cache_lists import CacheLists
 from marjoramyard.fleet.gateway.cold_starts import ColdStarts
 from marjoramyard.fleet.gateway.engine_load import estimate_prefill_rate
 from marjoramyard.fleet.gateway.gateway_connection import (
     GatewayConnection,
+    is_on_this_host,
     peers_of,
 )
 from marjoramyard.fleet.gateway.view import FleetView
@@ -67,8 +72,10 @@
     Attributes:
         brokers: The brokers, by service.
         gateways: The open connections, by number.
+        handovers: What the brokers take over, and announce for successors.
         last_gateway_number: Number of the newest connection.
         usable: The last list of usable endpoints of each service.
+        ready_counts: The most ready engines that each service had.
         dispatch_scheduled: Whether a dispatch is scheduled on the event loop.
         serves_majority: Whether most gateways of the fleet are connected.
         announced_leaving: The endpoints of which the gateways were told that
@@ -86,8 +93,10 @@
         self.cold_starts = cold_starts
         self.brokers: dict[str, Broker] = {}
         self.gateways: dict[int, GatewayConnection] = {}
+        self.handovers = BrokerHandovers(self.brokers, self.gateways)
         self.last_gateway_number = 0
         self.usable: dict[str, list[Registration]] = {}
+        self.ready_counts: dict[str, int] = {}
         self.dispatch_scheduled = False
         self.serves_majority = False
         self.announced_leaving: dict[str, int] = {}
@@ -104,8 +113,11 @@
             socket,
             request.query.get(ZONE_PARAMETER, ""),
             request.query.get(FORWARDING_PARAMETER, ""),
+            request.query.get(SERVICE_PARAMETER, ""),
+            is_on_this_host(request),
         )
         self.gateways[gateway.number] = gateway
+        self.handovers.refresh(_now_ms())
         self._announce_leaving(gateway, self._known_leaving())
         try:
             async for frame in socket:
@@ -171,12 +183,14 @@
             # All ready engines count here, including unresponsive ones and
             # those in backoff.
             ready_count = len(self.view.registrations.usable(service))
+            self.ready_counts[service] = ready_count
             rate = estimate_prefill_rate(table.config, ready_count)
             limit = self.cold_starts.limit_of(configured)
             broker = Broker(configured.engine, rate, limit)
             broker.cold_grants_from = math.inf
             self.brokers[service] = broker
             self._update_cold_grants(broker)
+            self.handovers.add(service, broker, _now_ms())
             logger.info("brokering", service=service, rate=round(rate, 1))
         broker.set_router_count(len(self.gateways))
         usable = self.view.usable(service, set())
@@ -184,8 +198,23 @@
             self.usable[service] = usable
             broker.set_engines(r.endpoint for r in usable)
             self._update_engines(broker, configured, usable)
+            self._update_initial_rate(service, broker)
+            self.handovers.apply_estimates(service)
         return broker
 
+    def _update_initial_rate(self, service: str, broker: Broker) -> None:
+        """Divides the configured rate by the most engines that were ready.
+
+        A broker may begin while few of them are known.
+        """
+        ready_count = len(self.view.registrations.usable(service))
+        if ready_count <= self.ready_counts[service]:
+            return
+        self.ready_counts[service] = ready_count
+        broker.set_initial_rate(
+            estimate_prefill_rate(self.view.table.config, ready_count)
+        )
+
     def _update_engines(
         self, broker: Broker, service: Service, usable: list[Registration]
     ) -> None:
@@ -253,6 +282,10 @@
         if isinstance(message, EndpointLeaving):
             self._on_leaving(message)
             return
+        if isinstance(message, SnapshotHandover):
+            self._refresh_broker(message.service)
+            self.handovers.adopt(message, _now_ms())
+            return
         service = gateway.services.get(message.number)
         if service is None:
             return
@@ -300,7 +333,7 @@
         gateway: GatewayConnection, notices: list[EndpointLeaving]
     ) -> None:
         """Queues notices for a gateway, unless it is of an earlier release."""
-        if notices and gateway.socket.ws_protocol == NOTICE_PROTOCOL:
+        if notices and includes(gateway.socket.ws_protocol, NOTICE_PROTOCOL):
             gateway.outbox.extend(notices)
 
     def _on_first_token(
@@ -369,6 +402,7 @@
                 workspace=message.workspace,
                 output_tokens=message.output_tokens,
                 router=gateway.router,
+                age_ms=message.age_ms,
             )
             broker.add_unbrokered(unbrokered, _now_ms())
 
@@ -473,6 +507,7 @@
         while True:
             await asyncio.sleep(HEARTBEAT_INTERVAL_SECONDS)
             self._check_majority()
+            self.handovers.refresh(_now_ms())
             for gateway in self.gateways.values():
                 self._suspend_if_expired(gateway)
             for gateway in self.gateways.values():
@@ -481,6 +516,7 @@
                         peers=peers_of(gateway, self.gateways.values()),
                     )
                 )
+            self.handovers.announce(_now_ms())
             self._schedule_dispatch()
 
 
