Tell engines of different speed apart

Cause: one limit on the backlog held for all engines of a pool, and streams on slow engines kept it at its minimum for the fast ones. The estimate of an engine's rate included the latency of reports.

Change: the broker compares the times of prompts at nearly idle engines. While the engines clearly differ, each has its own backlog limit, driven by its own long streams, and its own estimate of the rate without latency; long streams cost more at engines that delay them. Nothing changes for equal engines.

--- a/packages/coordination/src/marjoramyard/coordination/placement/backlog_limit.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/backlog_limit.py
@@ -14,6 +14,27 @@
 """Applied for each stream with a gap longer than its objective."""
 
 
+def limit_for_queue(queue_ms: float, limit_ms: float) -> float:
+    """Returns the limit for a queue, in ms.
+
+    Args:
+        queue_ms: How long all engines together would take to prefill it.
+        limit_ms: The limit while there is a long queue.
+    """
+    length = (queue_ms - SHORT_QUEUE_MS) / (LONG_QUEUE_MS - SHORT_QUEUE_MS)
+    share = min(1.0, max(0.0, length))
+    return MIN_BACKLOG_MS + share * (limit_ms - MIN_BACKLOG_MS)
+
+
+def longest_for_queue(queue_ms: float) -> float:
+    """Returns the limit for a queue of an engine without late streams, in ms.
+
+    Args:
+        queue_ms: See `limit_for_queue`.
+    """
+    return limit_for_queue(queue_ms, MAX_BACKLOG_MS)
+
+
 class BacklogLimit:
     """Adapts the backlog limit to the gaps of the streams.
 
@@ -40,9 +61,7 @@
         Args:
             queue_ms: How long all engines together would take to prefill it.
         """
-        length = (queue_ms - SHORT_QUEUE_MS) / (LONG_QUEUE_MS - SHORT_QUEUE_MS)
-        share = min(1.0, max(0.0, length))
-        return MIN_BACKLOG_MS + share * (self.limit_ms - MIN_BACKLOG_MS)
+        return limit_for_queue(queue_ms, self.limit_ms)
 
     def record_longest_gap(self, ratio: float) -> None:
         """Adapts the limit to a stream that has ended.
--- a/packages/coordination/src/marjoramyard/coordination/placement/broker.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/broker.py
@@ -18,6 +18,10 @@
 from functools import partial
 from itertools import islice
 
+import marjoramyard.coordination.placement.stream_costs  # noqa: F401  (registers its cost)
+from marjoramyard.coordination.placement.backlog_limit import (
+    longest_for_queue,
+)
 from marjoramyard.coordination.placement.engines import (
     FIRST_TOKEN_LATENCY_MS,
     Engine,
@@ -216,6 +220,7 @@
             now,
             is_prefilling,
             sent.router,
+            is_timed=False,
         )
         self.add_in_flight(engine, sent.key, in_flight)
         cost = service_cost(sent.prefill_tokens, sent.output_tokens)
@@ -268,9 +273,11 @@
 
     def _max_backlog_ms(self) -> float:
         queued_tokens = sum(queue.tokens for queue in self.queues.values())
-        return self.backlog_limit.for_queue(
-            queued_tokens / self.total_prefill_rate
-        )
+        queue_ms = queued_tokens / self.total_prefill_rate
+        if self.is_uneven:
+            # Each engine has its own limit in addition.
+            return longest_for_queue(queue_ms)
+        return self.backlog_limit.for_queue(queue_ms)
 
     def _place(
         self, request: PlacementRequest, now: float, max_backlog_ms: float
--- a/packages/coordination/src/marjoramyard/coordination/placement/engine_pool.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/engine_pool.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 
 from marjoramyard.coordination.placement.backlog_limit import BacklogLimit
+from marjoramyard.coordination.placement.engine_speeds import SpeedComparison
 from marjoramyard.coordination.placement.engines import (
     FIRST_TOKEN_LATENCY_MS,
     Engine,
@@ -40,6 +41,7 @@
         prefix_index: The engines of each cached prompt part.
         load: The load of all engines together.
         pauses: The pauses that engines have asked routers for.
+        speeds: Compares the speeds of the engines.
         is_uneven: Whether the engines clearly differ in speed.
     """
 
@@ -58,6 +60,7 @@
         self.cold: set[str] = set()
         self.pauses = RouterPauses()
         self.load = PoolLoad(self.engines, self.pauses)
+        self.speeds = SpeedComparison(FIRST_TOKEN_LATENCY_MS)
         self.is_uneven = False
 
     def set_engines(self, usable: Iterable[str]) -> None:
@@ -74,7 +77,9 @@
                     self.rate,
                     self.cold_limit,
                     self.prefix_index,
+                    self.backlog_limit,
                 )
+                self.engines[name].is_told_apart = self.is_uneven
         for name, engine in list(self.engines.items()):
             engine.is_usable = name in names
             if not engine.is_usable and not engine.running:
@@ -85,13 +90,15 @@
     def set_lifetime(self, endpoint: str, born: int) -> None:
         """Sets when an engine was started, in ms since the Unix epoch.
 
-        A restart empties its cache.
+        A restart empties its cache, and what has been learnt of its speed and
+        its streams no longer holds.
         """
         engine = self.engines.get(endpoint)
         if engine is None or engine.born == born:
             return
         if engine.born:
             engine.prefix_cache.clear()
+            engine.forget_learnt()
             self.pauses.forget_endpoint(endpoint)
             self.load.forget()
         engine.born = born
@@ -212,8 +219,33 @@
         engine.prefilling.pop(key, None)
         request.is_prefilling = False
         engine.finish_prefill(request.prefill_tokens, now, is_timely)
+        self._record_prefill(engine, request, now, is_timely)
         self.load.record_change()
 
+    def _record_prefill(
+        self,
+        engine: Engine,
+        request: InFlightRequest,
+        now: float,
+        is_timely: bool,
+    ) -> None:
+        if not is_timely or not request.is_timed:
+            engine.busy_time.interrupt()
+            return
+        engine.record_prefill(request, now, self.speeds.latency.ms)
+        self._compare_speeds(now)
+
+    def _compare_speeds(self, now: float) -> None:
+        usable = [e.speed for e in self.engines.values() if e.is_usable]
+        if self.speeds.update(usable, now):
+            self.set_uneven(self.speeds.is_uneven)
+
+    def set_uneven(self, is_uneven: bool) -> None:
+        """Sets whether the engines clearly differ in speed."""
+        self.is_uneven = is_uneven
+        for engine in self.engines.values():
+            engine.is_told_apart = is_uneven
+
     def _finish_earlier_prefills(
         self, engine: Engine, latest: InFlightRequest, now: float
     ) -> None:
@@ -235,6 +267,7 @@
         del engine.prefilling[key]
         request.is_prefilling = False
         engine.finish_prefill(request.prefill_tokens, now, False)
+        engine.busy_time.interrupt()
         self.load.record_change()
 
     def finish(self, key: str) -> None:
@@ -251,6 +284,7 @@
         engine.running -= 1
         engine.used_memory_tokens -= request.memory_tokens
         if request.is_prefilling:
+            engine.busy_time.interrupt()
             engine.prefill_tokens = max(
                 0.0, engine.prefill_tokens - request.prefill_tokens
             )
@@ -264,13 +298,25 @@
         if engine is not None:
             engine.prefix_cache.add(parts)
 
-    def record_longest_gap(self, ratio: float) -> None:
+    def record_longest_gap(self, key: str, ratio: float) -> None:
         """Records the longest gap of a stream that has ended.
 
         Args:
+            key: The request; it must not have been removed yet.
             ratio: See `BacklogLimit.record_longest_gap`.
         """
         self.backlog_limit.record_longest_gap(ratio)
+        request = self.in_flight.get(key)
+        engine = self.engines.get(request.endpoint) if request else None
+        if engine is not None:
+            engine.pace.record(ratio)
+
+    def backlog_limit_range(self) -> tuple[float, float]:
+        """Returns the lowest and the highest limit of an engine, in ms."""
+        if not self.is_uneven or not self.engines:
+            return self.backlog_limit.limit_ms, self.backlog_limit.limit_ms
+        limits = [e.pace.limit_ms for e in self.engines.values()]
+        return min(limits), max(limits)
 
     def set_lagging(self, router: str, is_lagging: bool) -> None:
         """Sets whether a router is short of processor time.
@@ -317,6 +363,8 @@
         engine.allowance -= 1.0
         engine.used_memory_tokens += request.memory_tokens
         is_timely = request.router not in self.lagging_routers
+        request.is_timed = request.is_timed and is_timely
+        request.found_idle = engine.is_nearly_idle
         engine.add_prefill(
             request.prefill_tokens, request.granted_at, is_timely
         )
--- a/packages/coordination/src/marjoramyard/coordination/placement/engines.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/engines.py
@@ -4,9 +4,16 @@
 
 import msgspec
 
+from marjoramyard.coordination.placement.backlog_limit import BacklogLimit
+from marjoramyard.coordination.placement.busy_time import BusyTime
 from marjoramyard.coordination.placement.cold_start import ColdStartThrottle
+from marjoramyard.coordination.placement.engine_speeds import (
+    EngineSpeed,
+    PrefillSample,
+)
 from marjoramyard.coordination.placement.prefix_cache import PrefixCache
 from marjoramyard.coordination.placement.prefix_index import PrefixIndex
+from marjoramyard.coordination.placement.stream_pace import StreamPace
 from marjoramyard.coordination.routing.config import EngineProfile
 
 USABLE_SLOT_FRACTION = 0.95
@@ -22,6 +29,9 @@
 MIN_SAMPLE_TOKENS = 500.0
 """Smaller samples are continued. An engine prefills so few tokens in a single
 step, so their duration does not depend on its rate."""
+LOW_LOAD_FRACTION = 0.5
+"""Fraction of an engine's slots up to which its streams hardly slow down the
+prefill."""
 RELATIVE_RATE_BOUNDS = (0.05, 3.0)
 """Range to which samples are clamped, relative to the initial rate. What is
 beyond is an error of the reports."""
@@ -44,6 +54,9 @@
             may be removed from it before its first token is reported.
         router: The router that sends the request (a gateway).
         expected_first_token_at: When the first token is expected, in ms.
+        is_timed: Whether `granted_at` is when the router was told to send the
+            request, and it did so without delay.
+        found_idle: Whether the engine had no backlog and few streams.
     """
 
     endpoint: str
@@ -53,6 +66,8 @@
     is_prefilling: bool = True
     router: str = ""
     expected_first_token_at: float = 0.0
+    is_timed: bool = True
+    found_idle: bool = False
 
 
 class EngineEstimate(msgspec.Struct, frozen=True):
@@ -62,11 +77,18 @@
         endpoint: The engine's endpoint.
         born: When it was started, in ms since the Unix epoch; 0 if unknown.
         rate: Its prefill rate, in tokens per ms.
+        ms_per_token: Its time per prefilled token without the latency of
+            messages; 0.0 if unknown.
+        gap_ratio: See `StreamPace.gap_ratio`; 0.0 if unknown.
+        backlog_ms: Its own limit on the backlog; 0.0 if unknown.
     """
 
     endpoint: str
     born: int
     rate: float
+    ms_per_token: float = 0.0
+    gap_ratio: float = 0.0
+    backlog_ms: float = 0.0
 
 
 class Engine:
@@ -98,6 +120,12 @@
         throttle: Limits its requests while it is cold.
         is_cold: Whether it was cold at the last `refresh`.
         allowance: How many further requests it may get until then.
+        common_limit: The limit on the backlog that all engines share.
+        speed: How fast it prefills, for comparison with the others.
+        busy_time: Estimates the rate while it is told apart.
+        pace: How its long streams do.
+        is_told_apart: Whether the engines of the pool clearly differ, so that
+            it has its own limit on the backlog.
     """
 
     def __init__(
@@ -107,6 +135,7 @@
         rate: float,
         cold_limit: int = 0,
         prefix_index: PrefixIndex | None = None,
+        backlog_limit: BacklogLimit | None = None,
     ):
         self.endpoint = endpoint
         self.slots = profile.slots
@@ -128,14 +157,36 @@
         self.throttle = ColdStartThrottle(cold_limit)
         self.is_cold = False
         self.allowance = math.inf
+        self.common_limit = backlog_limit or BacklogLimit()
+        self.is_told_apart = False
+        self.forget_learnt()
 
-    def estimate(self) -> EngineEstimate:
-        """Returns what has been learnt of the engine."""
-        return EngineEstimate(self.endpoint, self.born, self.rate)
+    def forget_learnt(self) -> None:
+        """Forgets what sets the engine apart, as it has restarted."""
+        self.speed = EngineSpeed(self.initial_rate)
+        self.busy_time = BusyTime()
+        self.pace = StreamPace(self.common_limit)
+
+    def estimate(self, latency_ms: float = 0.0) -> EngineEstimate:
+        """Returns what has been learnt of the engine.
+
+        Args:
+            latency_ms: See `EngineSpeed.times_per_token`.
+        """
+        return EngineEstimate(
+            self.endpoint,
+            self.born,
+            self.rate,
+            self.speed.ms_per_token(latency_ms),
+            self.pace.gap_ratio,
+            self.pace.own_limit_ms,
+        )
 
     def adopt(self, estimate: EngineEstimate) -> None:
         """Takes over what another broker has learnt of the engine."""
         self.rate = estimate.rate
+        self.speed.adopted_ms_per_token = estimate.ms_per_token
+        self.pace.adopt(estimate.gap_ratio, estimate.backlog_ms)
 
     def refresh(self, now: float, grants_cold: bool) -> None:
         """Updates whether the engine is cold and what it may get.
@@ -149,6 +200,14 @@
         if self.is_cold and not grants_cold:
             self.allowance = 0.0
 
+    @property
+    def is_nearly_idle(self) -> bool:
+        """Whether it has no backlog and few streams."""
+        return (
+            self.prefill_tokens <= 0
+            and self.running <= self.slots * LOW_LOAD_FRACTION
+        )
+
     @property
     def wait_ms(self) -> float:
         """The expected time to prefill the backlog, in ms."""
@@ -161,8 +220,11 @@
 
         Args:
             memory_tokens: The engine memory that the request needs, in tokens.
-            max_backlog_ms: The longest time that its backlog may take.
+            max_backlog_ms: The longest time that its backlog may take; less
+                if its own limit is lower.
         """
+        if self.is_told_apart:
+            max_backlog_ms = min(max_backlog_ms, self.pace.limit_ms)
         return self.wait_ms <= max_backlog_ms and self.has_capacity(
             memory_tokens
         )
@@ -237,7 +299,28 @@
         is_valid = self.is_sample_valid
         rate = self.sample_tokens / elapsed_ms
         self._start_sample(now)
-        if is_valid:
+        if is_valid and not self.is_told_apart:
+            self._update_rate(rate)
+
+    def record_prefill(
+        self, request: InFlightRequest, now: float, latency_ms: float
+    ) -> None:
+        """Records the time of a prefill whose first token was just reported.
+
+        Args:
+            request: The request.
+            now: When the report arrived, in ms.
+            latency_ms: Time from the end of a prefill until its report, and
+                from a grant until its prefill can begin, together.
+        """
+        tokens = request.prefill_tokens
+        can_start_at = request.granted_at + latency_ms
+        if request.found_idle:
+            self.speed.record(
+                PrefillSample(now, tokens, now - request.granted_at)
+            )
+        rate = self.busy_time.record(tokens, can_start_at, now)
+        if rate and self.is_told_apart:
             self._update_rate(rate)
 
     def _update_rate(self, sample: float) -> None:
--- a/packages/coordination/tests/placement/engine_simulation.py
+++ b/packages/coordination/tests/placement/engine_simulation.py
@@ -96,19 +96,28 @@
                 self.now - self.submitted[key].submitted_at
             )
             self.broker.record_first_token(key, self.now)
-            self.broker.record_longest_gap(self.gap_ratio)
+            endpoint = self.broker.in_flight[key].endpoint
+            self.broker.record_longest_gap(key, self.gap_ratio_at(endpoint))
             self.broker.finish(key)
             self.dispatch()
         self.now = end
 
+    def prefill_ms(self, endpoint, tokens):
+        """Returns how long an engine takes to prefill a prompt."""
+        return tokens / self.rate
+
+    def gap_ratio_at(self, endpoint):
+        """Returns the longest gap that an engine's streams have."""
+        return self.gap_ratio
+
     def dispatch(self):
         for result in self.broker.dispatch(self.now):
             if isinstance(result, PlacementRefusal):
                 self.refused[result.key] = result
                 continue
             start = max(self.now + self.grant_ms, self.free_at[result.endpoint])
-            self.free_at[result.endpoint] = (
-                start + result.prefill_tokens / self.rate
+            self.free_at[result.endpoint] = start + self.prefill_ms(
+                result.endpoint, result.prefill_tokens
             )
             reported_at = self.free_at[result.endpoint] + self.report_ms
             self.prefilling.append((reported_at, result.key))
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
@@ -73,6 +73,7 @@
         serves_majority: Whether most gateways of the fleet are connected.
         announced_leaving: The endpoints of which the gateways were told that
             they leave, with the start of their lifetime.
+        uneven: Services whose engines were found to differ in speed.
     """
 
     def __init__(
@@ -91,6 +92,7 @@
         self.dispatch_scheduled = False
         self.serves_majority = False
         self.announced_leaving: dict[str, int] = {}
+        self.uneven: set[str] = set()
 
     async def serve(self, request: web.Request) -> web.WebSocketResponse:
         """Handles the WebSocket connection of a gateway until it closes."""
@@ -313,8 +315,22 @@
             )
         broker.record_first_token(key, _now_ms(), not message.is_late)
 
+    def _log_unevenness(self, service: str, broker: Broker) -> None:
+        """Logs when the engines of a service begin or cease to differ."""
+        if broker.is_uneven == (service in self.uneven):
+            return
+        self.uneven ^= {service}
+        difference = broker.speeds.difference
+        logger.info(
+            "engines_uneven" if broker.is_uneven else "engines_even",
+            service=service,
+            engines=len(broker.engines),
+            ratio=round(difference.ratio, 2) if difference else None,
+            latency_ms=round(broker.speeds.latency.ms),
+        )
+
     def _on_finished(self, broker: Broker, key: str, message: Finished) -> None:
-        broker.record_longest_gap(message.gap_ratio)
+        broker.record_longest_gap(key, message.gap_ratio)
         in_flight = broker.in_flight.get(key)
         if in_flight is not None and message.failed:
             self.view.health_of(in_flight.endpoint).record_failure(
@@ -400,6 +416,7 @@
                 continue
             for decision in [*broker.expire(now), *broker.dispatch(now)]:
                 self._queue_decision(decision)
+            self._log_unevenness(service, broker)
         for gateway in self.gateways.values():
             self._flush(gateway)
 
@@ -440,12 +457,16 @@
             for service, broker in self.brokers.items():
                 counts = broker.counts()
                 if any(counts.values()):
+                    lowest, highest = broker.backlog_limit_range()
                     logger.info(
                         "broker_load",
                         service=service,
                         wait_ms=round(broker.mean_wait_ms),
                         rate=round(broker.total_prefill_rate),
                         backlog_ms=round(broker.backlog_limit.limit_ms),
+                        is_uneven=broker.is_uneven,
+                        lowest_backlog_ms=round(lowest),
+                        highest_backlog_ms=round(highest),
                         suspended=len(broker.suspended),
                         **counts,
                     )
--- a/packages/standin/src/marjoramyard/standin/experiment/policies.py
+++ b/packages/standin/src/marjoramyard/standin/experiment/policies.py
@@ -52,7 +52,7 @@
     def record_first_token(self, key: str, now: float) -> None:
         """Records the arrival of a request's first event."""
 
-    def record_longest_gap(self, ratio: float) -> None:
+    def record_longest_gap(self, key: str, ratio: float) -> None:
         """Records the longest gap of a long stream that has ended."""
 
     def finish(self, key: str) -> None:
@@ -133,7 +133,7 @@
     def record_first_token(self, key: str, now: float) -> None:
         """Does nothing, as the policy does not use it."""
 
-    def record_longest_gap(self, ratio: float) -> None:
+    def record_longest_gap(self, key: str, ratio: float) -> None:
         """Does nothing, as the policy does not use it."""
 
     def finish(self, key: str) -> None:
--- a/packages/standin/src/marjoramyard/standin/experiment/simulation.py
+++ b/packages/standin/src/marjoramyard/standin/experiment/simulation.py
@@ -429,7 +429,9 @@
         self.attempts.pop(attempt.key, None)
         kind = attempt.record.request.kind
         if attempt.event_count >= MIN_EVENTS:
-            self.policy.record_longest_gap(attempt.record.gap_ms / kind.gap_ms)
+            self.policy.record_longest_gap(
+                attempt.key, attempt.record.gap_ms / kind.gap_ms
+            )
         self.policy.finish(attempt.key)
         self.dispatch()
 
