--- a/packages/fleet/tests/gateway/test_broker_server.py
+++ b/packages/fleet/tests/gateway/test_broker_server.py
@@ -9,6 +9,7 @@
 import msgspec
 import pytest
 from aiohttp import web
+from structlog.testing import capture_logs
 
 from marjoramyard.coordination.membership.registrations import Registration
 from marjoramyard.coordination.placement.cold_start import HANDOVER_MS
@@ -26,6 +27,7 @@
     ZONE_PARAMETER,
     EndpointLeaving,
     EndpointPause,
+    Finished,
     Heartbeat,
     PlaceGrant,
     PlaceRefusal,
@@ -305,3 +307,36 @@
     broker = server_with_cold_engine._refresh_broker("llm")
     assert broker.engines["e0"].throttle.is_cold(time.monotonic() * 1000)
     assert broker.cold_limit == 9
+
+
+def idle_server():
+    return BrokerServer(
+        view := view_of_one_engine(),
+        ColdStarts(view, 1.5, 5.0),
+        NO_CACHE_LISTS,
+    )
+
+
+async def test_the_log_says_once_when_engines_begin_and_cease_to_differ():
+    """Guards against operators who can't tell why engines are treated apart."""
+    server = idle_server()
+    broker = server._refresh_broker("llm")
+    with capture_logs() as lines:
+        for is_uneven in (False, True, True, False, False):
+            broker.set_uneven(is_uneven)
+            server._dispatch()
+    events = [line["event"] for line in lines]
+    assert events == ["engines_uneven", "engines_even"]
+
+
+async def test_the_gap_of_a_stream_counts_for_its_engine():
+    """Guards against slow engines whose late streams limit fast ones."""
+    server = idle_server()
+    gateway = GatewayConnection(1, None)
+    server.gateways[1] = gateway
+    request = PlaceRequest(1, "llm", "w", [("p", 1800)], 280, 500.0, 5000.0)
+    server._on_message(gateway, request)
+    broker = server.brokers["llm"]
+    (grant,) = broker.dispatch(time.monotonic() * 1000)
+    server._on_message(gateway, Finished(1, gap_ratio=1.5))
+    assert broker.engines[grant.endpoint].pace.gap_ratio == 1.5
