Compare engines by prompts behind others too, and bound backlogs by the latency

A backlog longer than the latency of grants and reports keeps an engine no busier, and its prompts can't be reordered.

Change: a prompt behind another is timed from the report before it; an engine's own limit is at most the minimum plus the latency.

--- a/packages/coordination/src/marjoramyard/coordination/placement/engine_pool.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/engine_pool.py
@@ -309,7 +309,7 @@
         request = self.in_flight.get(key)
         engine = self.engines.get(request.endpoint) if request else None
         if engine is not None:
-            engine.pace.record(ratio)
+            engine.pace.record(ratio, self.speeds.latency.ms)
 
     def backlog_limit_range(self) -> tuple[float, float]:
         """Returns the lowest and the highest limit of an engine, in ms."""
@@ -364,7 +364,7 @@
         engine.used_memory_tokens += request.memory_tokens
         is_timely = request.router not in self.lagging_routers
         request.is_timed = request.is_timed and is_timely
-        request.found_idle = engine.is_nearly_idle
+        request.found_few_streams = engine.has_few_streams
         engine.add_prefill(
             request.prefill_tokens, request.granted_at, is_timely
         )
--- a/packages/coordination/src/marjoramyard/coordination/placement/engine_speeds.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/engine_speeds.py
@@ -2,7 +2,8 @@
 
 The time from a grant to the report of the first token has a part that depends
 on the prompt's length and a part that does not: the latency of messages and of
-a step. Both are estimated from prompts that were granted to idle engines.
+a step. The latter is taken out of the times of prompts that found the engine
+idle. Others are timed from the report of the prompt before them.
 """
 
 import math
@@ -38,7 +39,7 @@
 QUANTILE = 1 / 3
 """Of the times per token. Higher ones may include a temporary slowdown, and
 the lowest a cached part that the broker does not know of."""
-UNEVEN_RATIO = 1.18
+UNEVEN_RATIO = 1.2
 """The pool is uneven from this ratio of slow to fast engines on."""
 EVEN_RATIO = 1.08
 """The pool is even again below this ratio."""
@@ -54,17 +55,20 @@
 
 
 class PrefillSample(msgspec.Struct, frozen=True):
-    """The time that one prompt took at an idle engine.
+    """The time that one prompt took.
 
     Attributes:
         at: When its first token was reported, in ms.
         tokens: Prompt tokens that were prefilled.
-        elapsed_ms: Time from the grant until then.
+        elapsed_ms: Time from the grant until then if it found the engine idle,
+            and else from the report of the prompt before it.
+        found_idle: Whether it found the engine idle.
     """
 
     at: float
     tokens: float
     elapsed_ms: float
+    found_idle: bool = True
 
 
 class EngineSpeed:
@@ -92,8 +96,10 @@
         """Adds a sample, unless the prompt is too long."""
         if sample.tokens > MAX_TOKENS or sample.tokens <= 0:
             return
-        is_long = sample.tokens >= self.min_tokens
-        (self.samples if is_long else self.short_samples).append(sample)
+        if sample.tokens >= self.min_tokens:
+            self.samples.append(sample)
+        elif sample.found_idle:
+            self.short_samples.append(sample)
 
     def forget_before(self, limit: float) -> None:
         """Removes samples that were taken before a time, in ms."""
@@ -101,6 +107,12 @@
             while samples and samples[0].at < limit:
                 samples.popleft()
 
+    @property
+    def idle_samples(self) -> list[PrefillSample]:
+        """Samples of prompts that found the engine idle, of any length."""
+        found_idle = [s for s in self.samples if s.found_idle]
+        return [*found_idle, *self.short_samples]
+
     def times_per_token(self, latency_ms: float) -> list[float]:
         """Returns the time per token of each long sample, in ms.
 
@@ -108,8 +120,8 @@
             latency_ms: The part of the time that doesn't depend on the length.
         """
         times = [
-            max(0.0, sample.elapsed_ms - latency_ms) / sample.tokens
-            for sample in self.samples
+            max(0.0, s.elapsed_ms - s.found_idle * latency_ms) / s.tokens
+            for s in self.samples
         ]
         if len(times) < MIN_SAMPLES and self.adopted_ms_per_token:
             return [self.adopted_ms_per_token] * MAX_SAMPLES
@@ -185,7 +197,7 @@
         compared = list(speeds)
         for speed in compared:
             speed.forget_before(now - MAX_AGE_MS)
-        self.latency.update([[*s.samples, *s.short_samples] for s in compared])
+        self.latency.update([s.idle_samples for s in compared])
         times = [s.times_per_token(self.latency.ms) for s in compared]
         difference = compare([t for t in times if len(t) >= MIN_SAMPLES])
         if difference is None:
--- a/packages/coordination/src/marjoramyard/coordination/placement/engines.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/engines.py
@@ -56,7 +56,7 @@
         expected_first_token_at: When the first token is expected, in ms.
         is_timed: Whether `granted_at` is when the router was told to send the
             request, and it did so without delay.
-        found_idle: Whether the engine had no backlog and few streams.
+        found_few_streams: Whether the engine ran few requests.
     """
 
     endpoint: str
@@ -67,7 +67,7 @@
     router: str = ""
     expected_first_token_at: float = 0.0
     is_timed: bool = True
-    found_idle: bool = False
+    found_few_streams: bool = False
 
 
 class EngineEstimate(msgspec.Struct, frozen=True):
@@ -121,6 +121,7 @@
         is_cold: Whether it was cold at the last `refresh`.
         allowance: How many further requests it may get until then.
         common_limit: The limit on the backlog that all engines share.
+        latency_ms: The last known latency; see `record_prefill`.
         speed: How fast it prefills, for comparison with the others.
         busy_time: Estimates the rate while it is told apart.
         pace: How its long streams do.
@@ -158,6 +159,7 @@
         self.is_cold = False
         self.allowance = math.inf
         self.common_limit = backlog_limit or BacklogLimit()
+        self.latency_ms = FIRST_TOKEN_LATENCY_MS
         self.is_told_apart = False
         self.forget_learnt()
 
@@ -167,17 +169,13 @@
         self.busy_time = BusyTime()
         self.pace = StreamPace(self.common_limit)
 
-    def estimate(self, latency_ms: float = 0.0) -> EngineEstimate:
-        """Returns what has been learnt of the engine.
-
-        Args:
-            latency_ms: See `EngineSpeed.times_per_token`.
-        """
+    def estimate(self) -> EngineEstimate:
+        """Returns what has been learnt of the engine."""
         return EngineEstimate(
             self.endpoint,
             self.born,
             self.rate,
-            self.speed.ms_per_token(latency_ms),
+            self.speed.ms_per_token(self.latency_ms),
             self.pace.gap_ratio,
             self.pace.own_limit_ms,
         )
@@ -201,12 +199,9 @@
             self.allowance = 0.0
 
     @property
-    def is_nearly_idle(self) -> bool:
-        """Whether it has no backlog and few streams."""
-        return (
-            self.prefill_tokens <= 0
-            and self.running <= self.slots * LOW_LOAD_FRACTION
-        )
+    def has_few_streams(self) -> bool:
+        """Whether it runs few requests."""
+        return self.running <= self.slots * LOW_LOAD_FRACTION
 
     @property
     def wait_ms(self) -> float:
@@ -313,11 +308,15 @@
             latency_ms: Time from the end of a prefill until its report, and
                 from a grant until its prefill can begin, together.
         """
+        self.latency_ms = latency_ms
         tokens = request.prefill_tokens
         can_start_at = request.granted_at + latency_ms
-        if request.found_idle:
+        previous = self.busy_time.reported_at
+        if request.found_few_streams and previous is not None:
+            found_idle = previous <= can_start_at
+            began_at = request.granted_at if found_idle else previous
             self.speed.record(
-                PrefillSample(now, tokens, now - request.granted_at)
+                PrefillSample(now, tokens, now - began_at, found_idle)
             )
         rate = self.busy_time.record(tokens, can_start_at, now)
         if rate and self.is_told_apart:
--- a/packages/coordination/src/marjoramyard/coordination/placement/stream_pace.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/stream_pace.py
@@ -43,12 +43,14 @@
             return self.common.limit_ms
         return self.own_limit_ms
 
-    def record(self, ratio: float) -> None:
+    def record(self, ratio: float, latency_ms: float) -> None:
         """Adapts the limit to a stream that has ended.
 
         Args:
             ratio: The longest gap between two events, relative to the
                 objective for it; 0.0 if unknown.
+            latency_ms: Time from the end of a prefill until the next prompt
+                reaches the engine. A longer backlog keeps it no busier.
         """
         if ratio <= 0.0:
             return
@@ -59,7 +61,8 @@
         self.streams += 1
         self.gap_ratio += RATIO_WEIGHT * (ratio - self.gap_ratio)
         limit_ms = self.own_limit_ms + STEP_MS * (TARGET_RATIO - ratio)
-        self.own_limit_ms = min(MAX_BACKLOG_MS, max(MIN_BACKLOG_MS, limit_ms))
+        ceiling_ms = min(MAX_BACKLOG_MS, MIN_BACKLOG_MS + latency_ms)
+        self.own_limit_ms = min(ceiling_ms, max(MIN_BACKLOG_MS, limit_ms))
 
     def adopt(self, gap_ratio: float, limit_ms: float) -> None:
         """Takes over what another broker has learnt.
--- a/packages/coordination/tests/placement/test_engine_speeds.py
+++ b/packages/coordination/tests/placement/test_engine_speeds.py
@@ -94,6 +94,15 @@
     assert MS_PER_TOKEN <= statistics.fmean(estimates) <= 1.3 * MS_PER_TOKEN
 
 
+def test_a_prompt_behind_another_is_timed_from_the_report_before_it():
+    """Guards against engines that look fast as the latency counts twice."""
+    speed = EngineSpeed(RATE)
+    for _ in range(MIN_SAMPLES):
+        speed.record(PrefillSample(0.0, 4000.0, 100.0, found_idle=False))
+    assert speed.ms_per_token(60.0) == 100.0 / 4000.0
+    assert not speed.idle_samples
+
+
 def test_what_another_broker_has_estimated_holds_until_samples_replace_it():
     """Guards against engines that are alike for a new broker."""
     speed = EngineSpeed(RATE)
