Keep the estimate of the rate as it was

Cause: a rate without latency is that of the prefill alone. Under overload the engines also decode: in a trial on the model with hops of 12 ms it was 24 tokens/ms for slow engines that prefilled 14 in each busy ms, and the rate as it was estimated before 11 to 16.

--- a/packages/coordination/src/marjoramyard/coordination/placement/engine_pool.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/engine_pool.py
@@ -230,7 +230,7 @@
         is_timely: bool,
     ) -> None:
         if not is_timely or not request.is_timed:
-            engine.busy_time.interrupt()
+            engine.reported_at = None
             return
         engine.record_prefill(request, now, self.speeds.latency.ms)
         self._compare_speeds(now)
@@ -267,7 +267,7 @@
         del engine.prefilling[key]
         request.is_prefilling = False
         engine.finish_prefill(request.prefill_tokens, now, False)
-        engine.busy_time.interrupt()
+        engine.reported_at = None
         self.load.record_change()
 
     def finish(self, key: str) -> None:
@@ -284,7 +284,7 @@
         engine.running -= 1
         engine.used_memory_tokens -= request.memory_tokens
         if request.is_prefilling:
-            engine.busy_time.interrupt()
+            engine.reported_at = None
             engine.prefill_tokens = max(
                 0.0, engine.prefill_tokens - request.prefill_tokens
             )
--- a/packages/coordination/src/marjoramyard/coordination/placement/engines.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/engines.py
@@ -5,7 +5,6 @@
 import msgspec
 
 from marjoramyard.coordination.placement.backlog_limit import BacklogLimit
-from marjoramyard.coordination.placement.busy_time import BusyTime
 from marjoramyard.coordination.placement.cold_start import ColdStartThrottle
 from marjoramyard.coordination.placement.engine_speeds import (
     EngineSpeed,
@@ -123,7 +122,8 @@
         common_limit: The limit on the backlog that all engines share.
         latency_ms: The last known latency; see `record_prefill`.
         speed: How fast it prefills, for comparison with the others.
-        busy_time: Estimates the rate while it is told apart.
+        reported_at: When its last prefill was reported, in ms; None if it is
+            not known how long it has been busy.
         pace: How its long streams do.
         is_told_apart: Whether the engines of the pool clearly differ, so that
             it has its own limit on the backlog.
@@ -166,7 +166,7 @@
     def forget_learnt(self) -> None:
         """Forgets what sets the engine apart, as it has restarted."""
         self.speed = EngineSpeed(self.initial_rate)
-        self.busy_time = BusyTime()
+        self.reported_at: float | None = None
         self.pace = StreamPace(self.common_limit)
 
     def estimate(self) -> EngineEstimate:
@@ -294,13 +294,13 @@
         is_valid = self.is_sample_valid
         rate = self.sample_tokens / elapsed_ms
         self._start_sample(now)
-        if is_valid and not self.is_told_apart:
+        if is_valid:
             self._update_rate(rate)
 
     def record_prefill(
         self, request: InFlightRequest, now: float, latency_ms: float
     ) -> None:
-        """Records the time of a prefill whose first token was just reported.
+        """Records the time of a prefill, for comparison of the engines.
 
         Args:
             request: The request.
@@ -311,16 +311,13 @@
         self.latency_ms = latency_ms
         tokens = request.prefill_tokens
         can_start_at = request.granted_at + latency_ms
-        previous = self.busy_time.reported_at
+        previous, self.reported_at = self.reported_at, now
         if request.found_few_streams and previous is not None:
             found_idle = previous <= can_start_at
             began_at = request.granted_at if found_idle else previous
             self.speed.record(
                 PrefillSample(now, tokens, now - began_at, found_idle)
             )
-        rate = self.busy_time.record(tokens, can_start_at, now)
-        if rate and self.is_told_apart:
-            self._update_rate(rate)
 
     def _update_rate(self, sample: float) -> None:
         low, high = RELATIVE_RATE_BOUNDS
--- a/packages/coordination/tests/placement/test_engine_speeds.py
+++ b/packages/coordination/tests/placement/test_engine_speeds.py
@@ -7,6 +7,7 @@
 import pytest
 
 from marjoramyard.coordination.placement.engine_speeds import (
+    MAX_SAMPLES,
     MIN_SAMPLES,
     EngineSpeed,
     PrefillSample,
@@ -112,3 +113,15 @@
     for _ in range(MIN_SAMPLES):
         speed.record(PrefillSample(0.0, 4000.0, 120.0))
     assert speed.ms_per_token(20.0) == 100.0 / 4000.0
+
+
+def test_an_engine_that_becomes_slow_is_known_to_be_slow_soon():
+    """Guards against an engine whose earlier speed is remembered for long."""
+    speed = EngineSpeed(RATE)
+    for number in range(MAX_SAMPLES):
+        speed.record(PrefillSample(number, 4000.0, 100.0))
+    for number in range(MAX_SAMPLES):
+        speed.record(PrefillSample(number, 4000.0, 300.0))
+    assert speed.ms_per_token(0.0) == 300.0 / 4000.0
+    speed.forget_before(MAX_SAMPLES)
+    assert speed.ms_per_token(0.0) == 0.0
