--- a/packages/coordination/src/marjoramyard/coordination/placement/engine_speeds.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/engine_speeds.py
@@ -32,8 +32,8 @@
 """Samples older than this are ignored."""
 MIN_SAMPLES = 4
 """Engines with fewer samples are not compared."""
-MIN_ENGINES = 6
-"""Of fewer engines, a single one that is slow for a while would decide."""
+MIN_ENGINES = 9
+"""Of fewer engines, one or two with much other work would decide."""
 MIN_GROUP_SAMPLES = 16
 """Samples that the fast and the slow engines must have together, each."""
 QUANTILE = 1 / 3
@@ -43,7 +43,7 @@
 """The pool is uneven from this ratio of slow to fast engines on."""
 EVEN_RATIO = 1.08
 """The pool is even again below this ratio."""
-MIN_SIGNIFICANCE = 3.0
+MIN_SIGNIFICANCE = 4.0
 """The ratio must differ from 1 by this many standard errors."""
 CHECK_INTERVAL_MS = 500.0
 """Interval between comparisons of the engines."""
