--- a/packages/coordination/src/marjoramyard/coordination/placement/broker.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/broker.py
@@ -18,7 +18,6 @@
 from functools import partial
 from itertools import islice
 
-import marjoramyard.coordination.placement.stream_costs  # noqa: F401  (registers its cost)
 from marjoramyard.coordination.placement.backlog_limit import (
     longest_for_queue,
 )
--- a/packages/coordination/src/marjoramyard/coordination/placement/engines.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/engines.py
@@ -78,7 +78,6 @@
         rate: Its prefill rate, in tokens per ms.
         ms_per_token: Its time per prefilled token without the latency of
             messages; 0.0 if unknown.
-        gap_ratio: See `StreamPace.gap_ratio`; 0.0 if unknown.
         backlog_ms: Its own limit on the backlog; 0.0 if unknown.
     """
 
@@ -86,7 +85,6 @@
     born: int
     rate: float
     ms_per_token: float = 0.0
-    gap_ratio: float = 0.0
     backlog_ms: float = 0.0
 
 
@@ -176,7 +174,6 @@
             self.born,
             self.rate,
             self.speed.ms_per_token(self.latency_ms),
-            self.pace.gap_ratio,
             self.pace.own_limit_ms,
         )
 
@@ -184,7 +181,7 @@
         """Takes over what another broker has learnt of the engine."""
         self.rate = estimate.rate
         self.speed.adopted_ms_per_token = estimate.ms_per_token
-        self.pace.adopt(estimate.gap_ratio, estimate.backlog_ms)
+        self.pace.adopt(estimate.backlog_ms)
 
     def refresh(self, now: float, grants_cold: bool) -> None:
         """Updates whether the engine is cold and what it may get.
--- a/packages/coordination/src/marjoramyard/coordination/placement/stream_pace.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/stream_pace.py
@@ -13,8 +13,6 @@
 An engine sees only a few long streams per second."""
 MAX_RATIO = 2.0
 """Higher ratios count as this one."""
-RATIO_WEIGHT = 0.2
-"""Weight of a new stream in the moving average."""
 MIN_STREAMS = 3
 """An engine with fewer long streams uses the common limit."""
 
@@ -24,15 +22,12 @@
 
     Attributes:
         common: The limit that all engines share.
-        gap_ratio: The moving average of the longest gap of a stream, relative
-            to the objective for it; 0.0 if unknown.
         own_limit_ms: The engine's own limit; 0.0 if unknown.
         streams: The number of its long streams so far.
     """
 
     def __init__(self, common: BacklogLimit):
         self.common = common
-        self.gap_ratio = 0.0
         self.own_limit_ms = 0.0
         self.streams = 0
 
@@ -56,23 +51,19 @@
             return
         ratio = min(ratio, MAX_RATIO)
         if not self.streams:
-            self.gap_ratio = ratio
             self.own_limit_ms = self.common.limit_ms
         self.streams += 1
-        self.gap_ratio += RATIO_WEIGHT * (ratio - self.gap_ratio)
         limit_ms = self.own_limit_ms + STEP_MS * (TARGET_RATIO - ratio)
         ceiling_ms = min(MAX_BACKLOG_MS, MIN_BACKLOG_MS + latency_ms)
         self.own_limit_ms = min(ceiling_ms, max(MIN_BACKLOG_MS, limit_ms))
 
-    def adopt(self, gap_ratio: float, limit_ms: float) -> None:
+    def adopt(self, limit_ms: float) -> None:
         """Takes over what another broker has learnt.
 
         Args:
-            gap_ratio: See `gap_ratio`; 0.0 if unknown.
             limit_ms: The engine's own limit; 0.0 if unknown.
         """
-        if gap_ratio <= 0.0:
+        if limit_ms <= 0.0:
             return
-        self.gap_ratio = gap_ratio
         self.own_limit_ms = min(MAX_BACKLOG_MS, max(MIN_BACKLOG_MS, limit_ms))
         self.streams = MIN_STREAMS
