Merge the parts that tell engines of different speed apart

Cause: one limit on the backlog held for all engines, and streams that paused too long on slow ones kept it at its minimum for fast ones.

An estimate of an engine is encoded as an array, which keeps the bound on announcements of 330 engines.

--- a/packages/coordination/src/marjoramyard/coordination/placement/engines.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/engines.py
@@ -4,9 +4,15 @@
 
 import msgspec
 
+from marjoramyard.coordination.placement.backlog_limit import BacklogLimit
 from marjoramyard.coordination.placement.cold_start import ColdStartThrottle
+from marjoramyard.coordination.placement.engine_speeds import (
+    EngineSpeed,
+    PrefillSample,
+)
 from marjoramyard.coordination.placement.prefix_cache import PrefixCache
 from marjoramyard.coordination.placement.prefix_index import PrefixIndex
+from marjoramyard.coordination.placement.stream_pace import StreamPace
 from marjoramyard.coordination.routing.config import EngineProfile
 
 USABLE_SLOT_FRACTION = 0.95
@@ -22,6 +28,9 @@
 MIN_SAMPLE_TOKENS = 500.0
 """Smaller samples are continued. An engine prefills so few tokens in a single
 step, so their duration does not depend on its rate."""
+LOW_LOAD_FRACTION = 0.5
+"""Fraction of an engine's slots up to which its streams hardly slow down the
+prefill."""
 RELATIVE_RATE_BOUNDS = (0.05, 3.0)
 """Range to which samples and adopted rates are clamped, relative to the initial
 rate. What is beyond is an error of the reports."""
@@ -46,6 +55,9 @@
         began_earlier: Whether it was sent before `granted_at`, so that a part
             of the prompt may have been prefilled by then.
         expected_first_token_at: When the first token is expected, in ms.
+        is_timed: Whether `granted_at` is when the router was told to send the
+            request, and it did so without delay.
+        found_few_streams: Whether the engine ran few requests.
     """
 
     endpoint: str
@@ -56,20 +68,27 @@
     router: str = ""
     began_earlier: bool = False
     expected_first_token_at: float = 0.0
+    is_timed: bool = True
+    found_few_streams: bool = False
 
 
-class EngineEstimate(msgspec.Struct, frozen=True):
+class EngineEstimate(msgspec.Struct, frozen=True, array_like=True):
     """What a broker has learnt of an engine, for its successor.
 
     Attributes:
         endpoint: The engine's endpoint.
         born: When it was started, in ms since the Unix epoch; 0 if unknown.
         rate: Its prefill rate, in tokens per ms.
+        ms_per_token: Its time per prefilled token without the latency of
+            messages; 0.0 if unknown.
+        backlog_ms: Its own limit on the backlog; 0.0 if unknown.
     """
 
     endpoint: str
     born: int
     rate: float
+    ms_per_token: float = 0.0
+    backlog_ms: float = 0.0
 
 
 class Engine:
@@ -103,6 +122,14 @@
         throttle: Limits its requests while it is cold.
         is_cold: Whether it was cold at the last `refresh`.
         allowance: How many further requests it may get until then.
+        common_limit: The limit on the backlog that all engines share.
+        latency_ms: The last known latency; see `record_prefill`.
+        speed: How fast it prefills, for comparison with the others.
+        reported_at: When its last prefill was reported, in ms; None if it is
+            not known how long it has been busy.
+        pace: How its long streams do.
+        is_told_apart: Whether the engines of the pool clearly differ, so that
+            it has its own limit on the backlog.
     """
 
     def __init__(
@@ -112,6 +139,7 @@
         rate: float,
         cold_limit: int = 0,
         prefix_index: PrefixIndex | None = None,
+        backlog_limit: BacklogLimit | None = None,
     ):
         self.endpoint = endpoint
         self.slots = profile.slots
@@ -134,10 +162,26 @@
         self.throttle = ColdStartThrottle(cold_limit)
         self.is_cold = False
         self.allowance = math.inf
+        self.common_limit = backlog_limit or BacklogLimit()
+        self.latency_ms = FIRST_TOKEN_LATENCY_MS
+        self.is_told_apart = False
+        self.forget_learnt()
+
+    def forget_learnt(self) -> None:
+        """Forgets what sets the engine apart, as it has restarted."""
+        self.speed = EngineSpeed(self.initial_rate)
+        self.reported_at: float | None = None
+        self.pace = StreamPace(self.common_limit)
 
     def estimate(self) -> EngineEstimate:
         """Returns what has been learnt of the engine."""
-        return EngineEstimate(self.endpoint, self.born, self.rate)
+        return EngineEstimate(
+            self.endpoint,
+            self.born,
+            self.rate,
+            self.speed.ms_per_token(self.latency_ms),
+            self.pace.own_limit_ms,
+        )
 
     def set_initial_rate(self, rate: float) -> None:
         """Sets the initial prefill rate of an engine that was not measured.
@@ -164,6 +208,8 @@
     def adopt(self, estimate: EngineEstimate) -> None:
         """Takes over what another broker has learnt of the engine."""
         self.rate = self._within_bounds(estimate.rate)
+        self.speed.adopted_ms_per_token = estimate.ms_per_token
+        self.pace.adopt(estimate.backlog_ms)
 
     def refresh(self, now: float, grants_cold: bool) -> None:
         """Updates whether the engine is cold and what it may get.
@@ -177,6 +223,11 @@
         if self.is_cold and not grants_cold:
             self.allowance = 0.0
 
+    @property
+    def has_few_streams(self) -> bool:
+        """Whether it runs few requests."""
+        return self.running <= self.slots * LOW_LOAD_FRACTION
+
     @property
     def wait_ms(self) -> float:
         """The expected time to prefill the backlog, in ms."""
@@ -189,8 +240,11 @@
 
         Args:
             memory_tokens: The engine memory that the request needs, in tokens.
-            max_backlog_ms: The longest time that its backlog may take.
+            max_backlog_ms: The longest time that its backlog may take; less
+                if its own limit is lower.
         """
+        if self.is_told_apart:
+            max_backlog_ms = min(max_backlog_ms, self.pace.limit_ms)
         return self.wait_ms <= max_backlog_ms and self.has_capacity(
             memory_tokens
         )
@@ -269,6 +323,28 @@
             self._update_rate(rate)
             self.rate_known_at = now
 
+    def record_prefill(
+        self, request: InFlightRequest, now: float, latency_ms: float
+    ) -> None:
+        """Records the time of a prefill, for comparison of the engines.
+
+        Args:
+            request: The request.
+            now: When the report arrived, in ms.
+            latency_ms: Time from the end of a prefill until its report, and
+                from a grant until its prefill can begin, together.
+        """
+        self.latency_ms = latency_ms
+        tokens = request.prefill_tokens
+        can_start_at = request.granted_at + latency_ms
+        previous, self.reported_at = self.reported_at, now
+        if request.found_few_streams and previous is not None:
+            found_idle = previous <= can_start_at
+            began_at = request.granted_at if found_idle else previous
+            self.speed.record(
+                PrefillSample(now, tokens, now - began_at, found_idle)
+            )
+
     def _update_rate(self, sample: float) -> None:
         sample = self._within_bounds(sample)
         self.rate += RATE_SAMPLE_WEIGHT * (sample - self.rate)
