Admit requests by the wait at the engine that they would get

The predicted wait was the mean over all engines, so a few engines with long prompts had requests refused though others were idle. While engines differ in speed, what is ahead of a request now raises the waits from the least loaded engine up, and the forecast is that of the engine that a grant would probably name, with its own rate. When engines are lost, queued requests that can't be on time any more are refused at once. Engines that are alike are treated as before.

--- a/packages/coordination/src/marjoramyard/coordination/placement/broker.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/broker.py
@@ -14,17 +14,15 @@
 """
 
 import math
-from collections.abc import Callable
+from collections.abc import Iterable
 from functools import partial
 from itertools import islice
 
-from marjoramyard.coordination.placement.engines import (
-    FIRST_TOKEN_LATENCY_MS,
-    Engine,
-    InFlightRequest,
+from marjoramyard.coordination.placement.admission import (
+    MAX_HOLDERS,
+    Admission,
 )
-from marjoramyard.coordination.placement.fair_queues import FairQueues
-from marjoramyard.coordination.placement.plan_costs import extra_cost_ms
+from marjoramyard.coordination.placement.engines import Engine, InFlightRequest
 from marjoramyard.coordination.placement.plans import best_plan
 from marjoramyard.coordination.placement.request_queue import (
     QueuedRequest,
@@ -37,41 +35,51 @@
     refusal,
     service_cost,
 )
-from marjoramyard.coordination.placement.size_shares import SizeShares
+from marjoramyard.coordination.placement.wait_forecast import (
+    forecast_at,
+    soonest,
+)
 from marjoramyard.coordination.routing.config import EngineProfile
 
-MAX_WAIT_FRACTION = 0.8
-"""Fraction of the time available for waiting that the predicted wait may
-take. The rest covers errors of the prediction: under overload, waits are
-close to the limit."""
-LARGE_PROMPT_SLACK_MS = 300.0
-"""Permitted wait of a prompt whose prefill alone exceeds its objective.
-Without it, the largest prompts would always be refused."""
-LARGE_PROMPT_SHARE = 0.25
-"""Prompts whose prefill takes more than this share of their objective are
-large."""
-MAX_HOLDERS = 32
-"""Of those that have a prefix, how many are compared in a large pool."""
 MAX_DEFERRED = 4
 """The maximum number of requests deferred in one round of dispatching. Each
 of them costs an evaluation of all engines. Requests behind them wait for the
 next end of a prefill, some ms later."""
+REVIEW_MS = 100.0
+"""Time between two reviews of the queue. Engines may come and go with each
+request, and a review evaluates all queued ones."""
 
 
-class Broker(FairQueues):
+class Broker(Admission):
     """Queues, admits and places the requests of one service.
 
     All times are in ms of one clock.
 
     Attributes:
-        size_shares: How many large prompts, and how many of all, are served.
+        has_lost_engines: Whether engines were lost since the queue was last
+            reviewed.
+        reviewed_at: When the queue was last reviewed.
+        lost_wait_count: How many queued requests were refused because engines
+            were lost.
     """
 
     def __init__(
         self, profile: EngineProfile, rate: float, cold_limit: int = 0
     ):
         super().__init__(profile, rate, cold_limit)
-        self.size_shares = SizeShares()
+        self.has_lost_engines = False
+        self.reviewed_at = -math.inf
+        self.lost_wait_count = 0
+
+    def set_engines(self, usable: Iterable[str]) -> None:
+        """Sets the endpoints that may get new requests."""
+        names = list(usable)
+        kept = set(names)
+        self.has_lost_engines |= any(
+            engine.is_usable and engine.endpoint not in kept
+            for engine in self.engines.values()
+        )
+        super().set_engines(names)
 
     def counts(self) -> dict[str, int]:
         """Returns the number of requests in each state.
@@ -118,87 +126,6 @@
         cached, _ = self.prefix_index.longest_prefix(request.parts)
         return max(1.0, request.prompt_tokens - cached)
 
-    def predicted_wait_ms(
-        self, workspace: str, order: tuple[bool, float] = (True, math.inf)
-    ) -> float:
-        """Returns the predicted wait of a new request until its prefill.
-
-        Ahead of it are requests of its own workspace that come no later in the
-        order of service, and requests of other workspaces until their virtual
-        time reaches the one at which the new request will be served.
-
-        Args:
-            workspace: The workspace of the request.
-            order: The `QueuedRequest.order` of the request.
-
-        Returns:
-            The wait in ms; 0.0 if no engine is usable.
-        """
-        own = self.queues.get(workspace)
-        start = self.virtual_time.get(workspace, 0.0)
-        reached = start + (own.tokens_before(order) if own else 0.0)
-        ahead = 0.0
-        for name, queue in self.queues.items():
-            if not queue.heap:
-                continue
-            if queue is own:
-                ahead += reached - start
-                continue
-            gap = reached - self.virtual_time.get(name, 0.0)
-            ahead += min(max(gap, 0.0), queue.tokens)
-        if not self.serving_count:
-            return 0.0
-        return self.mean_wait_ms + ahead / self.total_prefill_rate
-
-    def _prefill_ms(self, queued: QueuedRequest) -> float:
-        count = self.serving_count or 1
-        return queued.cost / (self.total_prefill_rate / count)
-
-    def _is_large(self, queued: QueuedRequest) -> bool:
-        request = queued.request
-        allowed_ms = request.first_token_due_at - request.submitted_at
-        return self._prefill_ms(queued) > LARGE_PROMPT_SHARE * allowed_ms
-
-    def _due_at(self, queued: QueuedRequest) -> float:
-        """Returns when the first token is due.
-
-        A prompt whose prefill alone exceeds its objective gets the time that
-        it needs, and some slack. While too few large prompts are served, each
-        of them may wait as long as a small one.
-        """
-        request = queued.request
-        slack_ms = LARGE_PROMPT_SLACK_MS
-        if queued.is_large and self.size_shares.is_large_behind():
-            slack_ms = request.first_token_due_at - request.submitted_at
-        needed_ms = self._prefill_ms(queued) + FIRST_TOKEN_LATENCY_MS + slack_ms
-        return max(request.first_token_due_at, request.submitted_at + needed_ms)
-
-    def _refuse_if_late(
-        self, queued: QueuedRequest, now: float
-    ) -> PlacementRefusal | None:
-        if not self.serving_count:
-            return None
-        request = queued.request
-        wait_ms = self.predicted_wait_ms(request.workspace, queued.order)
-        first_token_ms = (
-            wait_ms + self._prefill_ms(queued) + FIRST_TOKEN_LATENCY_MS
-        )
-        slack_ms = self._due_at(queued) - now - self._prefill_ms(queued)
-        over_ms = (
-            wait_ms + FIRST_TOKEN_LATENCY_MS - slack_ms * MAX_WAIT_FRACTION
-        )
-        if over_ms <= 0:
-            return None
-        return refusal(request.key, wait_ms, first_token_ms, over_ms)
-
-    def _is_late(self, queued: QueuedRequest, now: float) -> bool:
-        """Returns whether even the least loaded engine would be too late."""
-        least = min(e.wait_ms for e in self.load.current().lightest)
-        first_token_at = (
-            now + least + self._prefill_ms(queued) + FIRST_TOKEN_LATENCY_MS
-        )
-        return first_token_at > self._due_at(queued)
-
     def add_unbrokered(self, sent: UnbrokeredRequest, now: float) -> None:
         """Adds a request that a router sent without a grant.
 
@@ -327,14 +254,6 @@
             engine.is_cold,
         )
 
-    def _extra_cost_of(
-        self, request: PlacementRequest, now: float
-    ) -> Callable[[Engine], float]:
-        """Returns what sets unequal engines apart; nothing for equal ones."""
-        if not self.is_uneven:
-            return lambda _: 0.0
-        return lambda engine: extra_cost_ms(request, engine, now)
-
     def _refuse_unplaceable(
         self, request: PlacementRequest, now: float
     ) -> PlacementRefusal:
@@ -371,14 +290,12 @@
             if engine.is_usable and self._may_use(request, engine.endpoint)
         ]
 
-    def _may_use(self, request: PlacementRequest, endpoint: str) -> bool:
-        return (
-            endpoint not in request.excluded_endpoints
-            and endpoint not in self.pauses.of(request.router)
-        )
-
     def expire(self, now: float) -> list[PlacementRefusal]:
-        """Removes and refuses queued requests whose deadline has passed."""
+        """Removes and refuses queued requests that waited in vain.
+
+        Their deadline has passed, or engines were lost and they can't be on
+        time any more.
+        """
         expired = [
             queued.request
             for queued in (*self.queued.values(), *self.suspended.values())
@@ -386,6 +303,35 @@
         ]
         for request in expired:
             self.cancel(request.key)
-        return [
+        refusals = [
             PlacementRefusal(r.key, 0.0, now - r.submitted_at) for r in expired
         ]
+        if self.has_lost_engines and now >= self.reviewed_at + REVIEW_MS:
+            refusals += self._review_queue(now)
+        return refusals
+
+    def _review_queue(self, now: float) -> list[PlacementRefusal]:
+        """Refuses the queued requests that can't be on time any more.
+
+        A request is kept if no others are queued.
+        """
+        self.has_lost_engines = False
+        self.reviewed_at = now
+        lightest = self.load.current().lightest
+        if not self.is_uneven or not lightest:
+            return []
+        refusals = []
+        ahead = 0.0
+        for queued in self.service_order():
+            level_ms = self.load.level_ms(ahead)
+            best = soonest(lightest, queued.cost, level_ms)
+            forecast = forecast_at(best, queued.cost, level_ms)
+            if len(self.queued) == 1 or not self._misses(queued, forecast, now):
+                ahead += queued.cost
+                continue
+            request = queued.request
+            self.cancel(request.key)
+            waited_ms = now - request.submitted_at
+            refusals.append(refusal(request.key, forecast.wait_ms, waited_ms))
+        self.lost_wait_count += len(refusals)
+        return refusals
--- a/packages/coordination/src/marjoramyard/coordination/placement/engine_pool.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/engine_pool.py
@@ -179,6 +179,12 @@
         """
         return self.load.current().mean_wait_ms
 
+    @property
+    def least_wait_ms(self) -> float:
+        """The wait of the least loaded engine; 0.0 if there are none."""
+        lightest = self.load.current().lightest
+        return min((engine.wait_ms for engine in lightest), default=0.0)
+
     @property
     def serving_count(self) -> float:
         """The number of serving engines.
--- a/packages/coordination/src/marjoramyard/coordination/placement/fair_queues.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/fair_queues.py
@@ -1,10 +1,14 @@
 """Fair queueing of one service's requests among workspaces."""
 
+import heapq
+from collections.abc import Iterator
+
 from marjoramyard.coordination.placement.engine_pool import EnginePool
 from marjoramyard.coordination.placement.request_queue import (
     QueuedRequest,
     RequestQueue,
 )
+from marjoramyard.coordination.placement.requests import service_cost
 from marjoramyard.coordination.routing.config import EngineProfile
 
 
@@ -111,6 +115,27 @@
         if queued is not None:
             self.queues[queued.request.workspace].remove(queued)
 
+    def service_order(self) -> Iterator[QueuedRequest]:
+        """Yields the queued requests in the order of their expected service."""
+        heads = []
+        for name, queue in self.queues.items():
+            requests = queue.in_order()
+            first = next(requests, None)
+            if first is not None:
+                start = self.virtual_time.get(name, 0.0)
+                heads.append((start, name, first, requests))
+        heapq.heapify(heads)
+        while heads:
+            reached, name, queued, requests = heads[0]
+            yield queued
+            following = next(requests, None)
+            if following is None:
+                heapq.heappop(heads)
+                continue
+            output_tokens = queued.request.output_tokens
+            reached += service_cost(queued.cost, output_tokens)
+            heapq.heapreplace(heads, (reached, name, following, requests))
+
     def charge(self, workspace: str, cost: float) -> None:
         """Charges a workspace for service, in prefill tokens."""
         self.virtual_time[workspace] = (
--- a/packages/coordination/src/marjoramyard/coordination/placement/plans.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/plans.py
@@ -32,12 +32,14 @@
         engine: The engine.
         fetch_from: The engine to fetch cached prompt parts from, or "".
         prefill_tokens: Prompt tokens that the engine would prefill.
+        fetch_ms: The time that fetching takes before the prefill.
     """
 
     cost_ms: float
     engine: Engine
     fetch_from: str
     prefill_tokens: float
+    fetch_ms: float = 0.0
 
 
 def best_plan(
@@ -47,6 +49,7 @@
     profile: EngineProfile,
     list_endpoints: Callable[[], list[str]],
     extra_cost_ms: Callable[[Engine], float] = lambda _: 0.0,
+    level_ms: float = 0.0,
 ) -> Plan:
     """Returns the cheapest plan.
 
@@ -57,6 +60,8 @@
         profile: The properties shared by all engines.
         list_endpoints: Returns all endpoints that the request may use.
         extra_cost_ms: Returns costs of an engine that are not considered here.
+        level_ms: The wait to which prompts ahead of the request raise shorter
+            ones.
     """
     cached = {
         engine.endpoint: engine.prefix_cache.leading_tokens(request.parts)
@@ -68,6 +73,7 @@
         source,
         cached[source.endpoint],
         _preferred_if_uncached(request, source, list_endpoints),
+        level_ms,
     )
     plans = (
         _plan(
@@ -90,12 +96,14 @@
         source: The engine with the longest cached prefix.
         cached_at_source: The length of that prefix, in tokens.
         preferred: The preferred engine, or "" if a shared part is cached.
+        level_ms: The least wait at any engine.
     """
 
     tokens: int
     source: Engine
     cached_at_source: int
     preferred: str
+    level_ms: float
 
 
 def _preferred_if_uncached(
@@ -126,7 +134,8 @@
     source = prompt.source
     without_fetch = max(1.0, prompt.tokens - cached)
     fetchable = prompt.cached_at_source - cached
-    base = engine.wait_ms + fetchable * DUPLICATE_MS_PER_TOKEN + extra_cost_ms
+    wait_ms = max(engine.wait_ms, prompt.level_ms)
+    base = wait_ms + fetchable * DUPLICATE_MS_PER_TOKEN + extra_cost_ms
     if prompt.preferred and engine.endpoint != prompt.preferred:
         base += NOT_PREFERRED_MS
     cost = base + without_fetch / engine.rate
@@ -137,7 +146,7 @@
     fetch_cost = base + fetch_ms + with_fetch / engine.rate
     if not profile.link_mbps or fetch_cost >= cost:
         return Plan(cost, engine, "", without_fetch)
-    return Plan(fetch_cost, engine, source.endpoint, with_fetch)
+    return Plan(fetch_cost, engine, source.endpoint, with_fetch, fetch_ms)
 
 
 def _fetch_ms_per_token(profile: EngineProfile) -> float:
--- a/packages/coordination/src/marjoramyard/coordination/placement/pool_load.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/pool_load.py
@@ -6,6 +6,7 @@
 
 from marjoramyard.coordination.placement.engines import Engine
 from marjoramyard.coordination.placement.router_pauses import RouterPauses
+from marjoramyard.coordination.placement.wait_forecast import WaitLevels
 
 CHANGE_SHARE = 1 / 64
 """Sums may be out of date by changes of this share of the engines."""
@@ -43,6 +44,8 @@
         pauses: The pauses that engines have asked routers for.
         router_count: The number of routers.
         sums: The last sums.
+        wait_levels: The waits from which they were computed, if they have been
+            needed.
         changes: The number of changes since then.
     """
 
@@ -51,6 +54,7 @@
         self.pauses = pauses
         self.router_count = 1
         self.sums: LoadSums | None = None
+        self.wait_levels: WaitLevels | None = None
         self.changes = 0
 
     def record_change(self) -> None:
@@ -66,12 +70,31 @@
         tolerated = int(len(self.engines) * CHANGE_SHARE)
         if self.sums is None or self.changes > tolerated:
             self.sums = self._compute()
+            self.wait_levels = None
             self.changes = 0
         return self.sums
 
+    def level_ms(self, tokens: float) -> float:
+        """Returns the shortest wait after engines got further prompts, in ms.
+
+        Args:
+            tokens: The tokens to prefill of these prompts.
+        """
+        if tokens <= 0.0:
+            return 0.0
+        self.current()
+        if self.wait_levels is None:
+            self.wait_levels = WaitLevels(self._serving())
+        return self.wait_levels.level_ms(tokens)
+
+    def _serving(self) -> list[Engine]:
+        """Returns the usable engines, without cold ones if there are others."""
+        usable = [e for e in self.engines.values() if e.is_usable]
+        return [e for e in usable if not e.is_cold] or usable
+
     def _compute(self) -> LoadSums:
         usable = [e for e in self.engines.values() if e.is_usable]
-        serving = [e for e in usable if not e.is_cold] or usable
+        serving = self._serving()
         shares = self._router_shares(serving)
         count = sum(shares)
         wait_ms = sum(
--- a/packages/coordination/src/marjoramyard/coordination/placement/request_queue.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/request_queue.py
@@ -1,6 +1,7 @@
 """The queue of one workspace's requests."""
 
 import heapq
+from collections.abc import Iterator
 
 import msgspec
 
@@ -57,6 +58,12 @@
             if other <= order and not queued.is_removed
         )
 
+    def in_order(self) -> Iterator[QueuedRequest]:
+        """Yields the requests in the order of service."""
+        for _, _, queued in sorted(self.heap, key=lambda entry: entry[:2]):
+            if not queued.is_removed:
+                yield queued
+
     def remove(self, queued: QueuedRequest) -> None:
         """Removes a request, whose cost no longer counts from now on.
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
@@ -444,6 +444,8 @@
                         "broker_load",
                         service=service,
                         wait_ms=round(broker.mean_wait_ms),
+                        least_wait_ms=round(broker.least_wait_ms),
+                        refused_after_loss=broker.lost_wait_count,
                         rate=round(broker.total_prefill_rate),
                         backlog_ms=round(broker.backlog_limit.limit_ms),
                         suspended=len(broker.suspended),
