--- a/packages/coordination/src/marjoramyard/coordination/placement/broker.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/broker.py
@@ -18,6 +18,9 @@
 from functools import partial
 from itertools import islice
 
+from marjoramyard.coordination.placement import (
+    connection_costs,  # noqa: F401  (registers its costs)
+)
 from marjoramyard.coordination.placement.admission import (
     MAX_HOLDERS,
     Admission,
--- a/packages/coordination/src/marjoramyard/coordination/placement/engine_pool.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/engine_pool.py
@@ -41,6 +41,7 @@
         load: The load of all engines together.
         pauses: The pauses that engines have asked routers for.
         is_uneven: Whether the engines clearly differ in speed.
+        reuse_count: How many requests probably found an idle connection.
     """
 
     def __init__(
@@ -59,6 +60,7 @@
         self.pauses = RouterPauses()
         self.load = PoolLoad(self.engines, self.pauses)
         self.is_uneven = False
+        self.reuse_count = 0
 
     def set_engines(self, usable: Iterable[str]) -> None:
         """Sets the endpoints that may get new requests.
@@ -92,10 +94,17 @@
             return
         if engine.born:
             engine.prefix_cache.clear()
+            engine.idle_connections.clear()
             self.pauses.forget_endpoint(endpoint)
             self.load.forget()
         engine.born = born
 
+    def set_availability_zone(self, endpoint: str, zone: str) -> None:
+        """Sets where an engine runs. Unknown engines are ignored."""
+        engine = self.engines.get(endpoint)
+        if engine is not None:
+            engine.availability_zone = zone
+
     def set_cold_limit(self, limit: int) -> None:
         """Sets how many requests per window a cold engine may get.
 
@@ -141,6 +150,11 @@
             self.pauses.forget_router(router)
             self.load.forget()
 
+    def forget_connections(self, router: str) -> None:
+        """Removes the connections of a router that has disconnected."""
+        for engine in self.engines.values():
+            engine.idle_connections.forget(router)
+
     def end_pauses(self, now: float) -> None:
         """Ends the pauses whose time is over."""
         if self.pauses.by_endpoint and self.pauses.expire(now):
@@ -243,10 +257,15 @@
         engine.finish_prefill(request.prefill_tokens, now, False)
         self.load.record_change()
 
-    def finish(self, key: str) -> None:
+    def finish(self, key: str, idle_at: float | None = None) -> None:
         """Removes a request that is no longer at its engine.
 
         Unknown requests are ignored.
+
+        Args:
+            key: The request.
+            idle_at: Since when its connection is idle; None if it is closed or
+                if that is not known.
         """
         request = self.in_flight.pop(key, None)
         engine = self.engines.get(request.endpoint) if request else None
@@ -254,6 +273,8 @@
             return
         engine.prefilling.pop(key, None)
         self.load.record_change()
+        if idle_at is not None:
+            engine.idle_connections.record(request.router, idle_at)
         engine.running -= 1
         engine.used_memory_tokens -= request.memory_tokens
         if request.is_prefilling:
@@ -319,6 +340,8 @@
         if request.is_prefilling:
             engine.prefilling[key] = request
         engine.running += 1
+        if engine.idle_connections.take(request.router, request.granted_at):
+            self.reuse_count += 1
         engine.throttle.record(request.granted_at)
         engine.allowance -= 1.0
         engine.used_memory_tokens += request.memory_tokens
--- a/packages/coordination/src/marjoramyard/coordination/placement/engines.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/engines.py
@@ -5,6 +5,9 @@
 import msgspec
 
 from marjoramyard.coordination.placement.cold_start import ColdStartThrottle
+from marjoramyard.coordination.placement.idle_connections import (
+    IdleConnections,
+)
 from marjoramyard.coordination.placement.prefix_cache import PrefixCache
 from marjoramyard.coordination.placement.prefix_index import PrefixIndex
 from marjoramyard.coordination.routing.config import EngineProfile
@@ -98,6 +101,9 @@
         throttle: Limits its requests while it is cold.
         is_cold: Whether it was cold at the last `refresh`.
         allowance: How many further requests it may get until then.
+        availability_zone: Where it runs; "" if unknown.
+        idle_connections: The idle connections that routers probably have to
+            it.
     """
 
     def __init__(
@@ -128,6 +134,8 @@
         self.throttle = ColdStartThrottle(cold_limit)
         self.is_cold = False
         self.allowance = math.inf
+        self.availability_zone = ""
+        self.idle_connections = IdleConnections()
 
     def estimate(self) -> EngineEstimate:
         """Returns what has been learnt of the engine."""
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
@@ -146,6 +146,7 @@
         for broker in self.brokers.values():
             broker.set_lagging(gateway.router, False)
             broker.forget_pauses(gateway.router)
+            broker.forget_connections(gateway.router)
         for number, service in gateway.services.items():
             broker = self.brokers[service]
             # The request may be queued or granted.
@@ -193,6 +194,9 @@
         broker.set_cold_limit(self.cold_starts.limit_of(service))
         for registration in usable:
             broker.set_lifetime(registration.endpoint, registration.born)
+            broker.set_availability_zone(
+                registration.endpoint, registration.availability_zone
+            )
             self.cache_lists.request(
                 registration,
                 partial(broker.add_cached, registration.endpoint),
@@ -320,7 +324,7 @@
             self.view.health_of(in_flight.endpoint).record_failure(
                 time.monotonic()
             )
-        broker.finish(key)
+        broker.finish(key, None if message.failed else _now_ms())
 
     def _submit(
         self, gateway: GatewayConnection, message: PlaceRequest
@@ -343,6 +347,7 @@
             excluded_endpoints=frozenset(message.without),
             router=gateway.router,
             is_overdue=message.is_overdue,
+            availability_zone=gateway.zone,
         )
         refusal = broker.submit(placement_request, now)
         if refusal is not None:
@@ -446,6 +451,7 @@
                         wait_ms=round(broker.mean_wait_ms),
                         least_wait_ms=round(broker.least_wait_ms),
                         refused_after_loss=broker.lost_wait_count,
+                        reused=broker.reuse_count,
                         rate=round(broker.total_prefill_rate),
                         backlog_ms=round(broker.backlog_limit.limit_ms),
                         suspended=len(broker.suspended),
--- a/packages/fleet/src/marjoramyard/fleet/gateway/engine_load.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/engine_load.py
@@ -1,8 +1,12 @@
 """Tracks this gateway's requests in flight at each engine."""
 
+import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
+from marjoramyard.coordination.placement.idle_connections import (
+    IdleConnections,
+)
 from marjoramyard.coordination.placement.local_placement import EngineView
 from marjoramyard.coordination.routing.config import FleetConfig
 
@@ -27,11 +31,13 @@
     Attributes:
         rate: The estimated prefill rate of an engine, in tokens per
             millisecond.
+        idle_connections: The connections to endpoints that are probably idle.
     """
 
     def __init__(self):
         self.engines: dict[str, EngineView] = {}
         self.rate = DEFAULT_PREFILL_RATE
+        self.idle_connections = IdleConnections()
 
     def load_of(self, endpoint: str) -> EngineView:
         """Returns the load of an endpoint."""
@@ -41,10 +47,15 @@
 
     @contextmanager
     def track(self, endpoint: str, tokens: float) -> Iterator["LocalRequest"]:
-        """Counts a request while it is at an endpoint."""
+        """Counts a request while it is at an endpoint.
+
+        Its connection counts as idle afterwards, unless an exception is raised.
+        """
         request = LocalRequest(self.load_of(endpoint), tokens)
+        self.idle_connections.take(endpoint, time.monotonic() * 1000)
         try:
             yield request
+            self.idle_connections.record(endpoint, time.monotonic() * 1000)
         finally:
             request.on_prefilled = None
             request.finish_prefill()
