--- a/packages/coordination/src/marjoramyard/coordination/placement/admission.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/admission.py
@@ -187,22 +187,19 @@
         """
         request = queued.request
         _, names = self.prefix_index.longest_prefix(request.parts[:-1])
-        holders = [
-            self.engines[name]
-            for name in islice(names, MAX_HOLDERS)
-            if self.engines[name].is_usable and self._may_use(request, name)
-        ]
+        holders = [self.engines[name] for name in islice(names, MAX_HOLDERS)]
         lightest = self.load.current().lightest
-        found = (
-            self._soonest(queued, holders, level_ms),
-            self._soonest(queued, lightest, level_ms),
-        )
-        compared = [engine for engine in found if engine is not None]
-        if not compared:
+        best = self._soonest(queued, lightest, level_ms)
+        if best is None:
             return None
+        compared = [best]
+        holder = self._soonest(queued, holders, level_ms)
+        if holder not in (None, best):
+            compared.append(holder)
+        sources = [engine for engine in holders[:1] if engine.is_usable]
         return best_plan(
             request,
-            compared + holders[:1],
+            compared + sources,
             compared,
             self.profile,
             lambda: [engine.endpoint for engine in compared],
@@ -234,6 +231,10 @@
 
     def _is_late(self, queued: QueuedRequest, now: float) -> bool:
         """Returns whether even the best engine would be too late."""
+        if self.is_uneven:
+            some = forecast_at(self.load.current().lightest[0], queued.cost)
+            if not self._misses(queued, some, now):
+                return False
         return self._misses(queued, self._earliest_forecast(queued), now)
 
     def _misses(
@@ -245,10 +246,10 @@
 
     def _earliest_forecast(self, queued: QueuedRequest) -> WaitForecast:
         """Returns the forecast of the request that is served next."""
-        if self.is_uneven:
-            lightest = self.load.current().lightest
-            return forecast_at(soonest(lightest, queued.cost), queued.cost)
-        return WaitForecast(self.least_wait_ms, self._prefill_ms(queued))
+        if not self.is_uneven:
+            return WaitForecast(self.least_wait_ms, self._prefill_ms(queued))
+        lightest = self.load.current().lightest
+        return forecast_at(soonest(lightest, queued.cost), queued.cost)
 
     def _extra_cost_of(
         self, request: PlacementRequest, now: float
--- a/packages/coordination/src/marjoramyard/coordination/placement/wait_forecast.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/wait_forecast.py
@@ -49,7 +49,7 @@
     """
 
     def __init__(self, engines: Iterable[Engine]):
-        ordered = sorted((engine.wait_ms, engine.rate) for engine in engines)
+        ordered = sorted([(engine.wait_ms, engine.rate) for engine in engines])
         self.waits = [wait_ms for wait_ms, _ in ordered]
         self.filled: list[float] = []
         self.rates: list[float] = []
