--- a/packages/coordination/src/marjoramyard/coordination/placement/broker.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/broker.py
@@ -62,8 +62,8 @@
         has_lost_engines: Whether engines were lost since the queue was last
             reviewed.
         reviewed_at: When the queue was last reviewed.
-        lost_wait_count: How many queued requests were refused because engines
-            were lost.
+        refused_after_loss: How many queued requests were refused because
+            engines were lost.
     """
 
     def __init__(
@@ -72,7 +72,7 @@
         super().__init__(profile, rate, cold_limit)
         self.has_lost_engines = False
         self.reviewed_at = -math.inf
-        self.lost_wait_count = 0
+        self.refused_after_loss = 0
 
     def set_engines(self, usable: Iterable[str]) -> None:
         """Sets the endpoints that may get new requests."""
@@ -336,5 +336,5 @@
             self.cancel(request.key)
             waited_ms = now - request.submitted_at
             refusals.append(refusal(request.key, forecast.wait_ms, waited_ms))
-        self.lost_wait_count += len(refusals)
+        self.refused_after_loss += len(refusals)
         return refusals
--- a/packages/coordination/tests/placement/test_wait_forecast.py
+++ b/packages/coordination/tests/placement/test_wait_forecast.py
@@ -161,6 +161,19 @@
     assert 0 < last.over_ms < 100
 
 
+def test_a_refusal_without_a_queue_is_not_held():
+    """Guards against gateways that refuse on after an engine has become idle.
+
+    An engine with one prompt may report its end at any time.
+    """
+    broker = make_uneven_broker(3)
+    occupy(broker, 3)
+    refused = broker.submit(make_chat("chat"), 0.0)
+    assert refused.over_ms == 0.0
+    broker.record_first_token("busy-0", 1.0)
+    assert broker.submit(make_chat("next"), 1.0) is None
+
+
 def test_a_workspace_within_its_share_is_accepted_beside_a_long_queue():
     """Guards against refusing small workspaces for the queue of a large one.
 
@@ -270,7 +283,7 @@
     assert all(r.retry_after_ms >= MIN_RETRY_AFTER_MS for r in refused)
     assert 11 <= len(broker.queued) <= 14
     assert len(refused) == 36 - len(broker.queued)
-    assert broker.lost_wait_count == len(refused)
+    assert broker.refused_after_loss == len(refused)
     assert list(broker.queued) == [
         f"k{number:02}" for number in range(len(broker.queued))
     ]
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
@@ -450,7 +450,7 @@
                         service=service,
                         wait_ms=round(broker.mean_wait_ms),
                         least_wait_ms=round(broker.least_wait_ms),
-                        refused_after_loss=broker.lost_wait_count,
+                        refused_after_loss=broker.refused_after_loss,
                         reused=broker.reuse_count,
                         rate=round(broker.total_prefill_rate),
                         backlog_ms=round(broker.backlog_limit.limit_ms),
