--- a/packages/coordination/src/marjoramyard/coordination/placement/connection_costs.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/connection_costs.py
@@ -4,9 +4,9 @@
 from marjoramyard.coordination.placement.plan_costs import PLAN_COSTS
 from marjoramyard.coordination.placement.requests import PlacementRequest
 
-NEW_CONNECTION_MS = 30.0
+NEW_CONNECTION_MS = 10.0
 """Cost of a new connection, for the processor time of both sides above all."""
-REMOTE_ZONE_MS = 10.0
+REMOTE_ZONE_MS = 5.0
 """Cost of a request and its response between two availability zones."""
 MAX_LOCAL_SHARED_TOKENS = 1000
 """Prompts with more shared tokens may go to another zone without a cost. Their
