--- a/packages/standin/src/marjoramyard/standin/experiment/policies.py
+++ b/packages/standin/src/marjoramyard/standin/experiment/policies.py
@@ -239,7 +239,7 @@
 
     def __init__(self, profile: EngineProfile, rate: float):
         super().__init__(profile, rate)
-        self.is_uneven = True
+        self.set_uneven(True)
 
 
 def _register_broker(name: str, broker: type[Broker]) -> None:
