Balance prompts of a flood among gateways by their processor

Cause: one workspace's client flooded one small gateway, which refused up to 1,028 prompts a second while 43 others idled. By reading: a broker named only gateways that had sent a message within 0.3 s, and a gateway without prompts sends none, so idle gateways were never named; forwarding was off while more than half of the callers' connections were open; the gateway served up to its limit and forwarded what was left over with what its processor was left for; each late wake-up cut forwarding, the cheaper work, too; a gateway that was overloaded by forwarded prompts alone didn't say so.

Change: while a gateway needs peers, the broker asks idle ones for a heartbeat. It names them by requests per core, as many as the excess needs, and counts what it has assigned. An overloaded gateway forwards the prompts of a dominant workspace first and serves what its processor is left for. A late gateway serves fewer before it forwards fewer. The last known peers are used for 5 s without a broker.

Without the probes test_an_idle_gateway_stays_known_as_one_with_room fails.

--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -157,7 +157,6 @@
     command = [sys.executable, "-m", "marjoramyard.fleet", "run"]
     if profile:
         command[1:1] = ["-m", "cProfile", "-o", profile]
-        command[4:5] = ["-m"]
     command.append(str(folder / "gateway.yaml"))
     child = ChildProcess("gateway", command, folder / "gateway.log")
     fleet.children["gateway"] = child
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_client.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_client.py
@@ -15,6 +15,7 @@
     BROKER_PATH,
     BROKER_PROTOCOLS,
     BROKER_TIMEOUT_SECONDS,
+    CORES_PARAMETER,
     FORWARDING_PARAMETER,
     HEARTBEAT_INTERVAL_SECONDS,
     NOTICE_PROTOCOL,
@@ -49,6 +50,24 @@
 Within this time the control hosts select another one if it is lost."""
 CONNECT_SECONDS = 0.4
 """Timeout of opening and of closing a connection."""
+PEERS_KEPT_SECONDS = 5.0
+"""How long the last known peers are used without a broker that has been told
+that they are needed. Within this time another broker is selected."""
+
+
+class ForwardingInfo(msgspec.Struct, frozen=True):
+    """What brokers are told of this gateway when it connects.
+
+    Attributes:
+        address: Where it accepts forwarded requests; "" for nowhere.
+        cores: Its processor cores.
+    """
+
+    address: str = ""
+    cores: float = 1.0
+
+
+NO_FORWARDING = ForwardingInfo()
 
 
 class PendingPlacement(msgspec.Struct, frozen=True):
@@ -71,14 +90,18 @@
     Attributes:
         refusals: Recent refusals that still hold.
         zone: The availability zone of this gateway.
-        forwarding_address: Where this gateway accepts forwarded requests; ""
-            for nowhere.
+        forwarding: What brokers are told of this gateway.
         avoided_until: When brokers that did not respond are used again, by
             address, on the monotonic clock in seconds.
         liveness: Expires when the broker sends nothing for too long.
-        peers: Addresses of gateways that have room for forwarded requests, as
-            last reported by the broker.
+        peers: The gateways that have room for forwarded requests, as last
+            reported by a broker: their processor cores by address.
+        peers_until: Until when they are used, on the monotonic clock in
+            seconds.
         needs_peers: Whether this gateway wants to forward requests.
+        excess: Returns the prompts a second that it forwards or refuses.
+        has_reported_need: Whether the broker was last told that this gateway
+            needs peers.
         last_number: The number of the last request.
         pending: Placement requests without a reply, by number.
         running: Requests at endpoints, by number.
@@ -92,12 +115,15 @@
         session: aiohttp.ClientSession,
         lag: LoopLag,
         zone: str = "",
-        forwarding_address: str = "",
+        forwarding: ForwardingInfo = NO_FORWARDING,
     ):
         self.zone = zone
-        self.forwarding_address = forwarding_address
-        self.peers: list[str] = []
+        self.forwarding = forwarding
+        self.peers: dict[str, float] = {}
+        self.peers_until = float("-inf")
         self.needs_peers: Callable[[], bool] = lambda: False
+        self.excess: Callable[[], float] = lambda: 0.0
+        self.has_reported_need = False
         self.avoided_until: dict[str, float] = {}
         self.view = view
         self.session = session
@@ -160,7 +186,8 @@
                     f"http://{address}{BROKER_PATH}",
                     params={
                         ZONE_PARAMETER: self.zone,
-                        FORWARDING_PARAMETER: self.forwarding_address,
+                        FORWARDING_PARAMETER: self.forwarding.address,
+                        CORES_PARAMETER: f"{self.forwarding.cores:g}",
                     },
                     protocols=BROKER_PROTOCOLS,
                     compress=0,
@@ -172,6 +199,7 @@
             return
         logger.info("broker_connected", service=service, broker=address)
         self.socket = socket
+        self.has_reported_need = False
         self.liveness.reset()
         self.outbox = list(self.running.values())
         if socket.protocol in BROKER_PROTOCOLS:
@@ -230,7 +258,7 @@
 
     def _on_message(self, message: BrokerMessage) -> None:
         if isinstance(message, Heartbeat):
-            self.peers = message.peers
+            self._on_heartbeat(message)
             return
         if isinstance(message, EndpointLeaving):
             if self.view.record_leaving(message.endpoint, message.born):
@@ -243,6 +271,25 @@
             # The caller disconnected, or the request was placed locally.
             self._send(Finished(message.number))
 
+    def _on_heartbeat(self, heartbeat: Heartbeat) -> None:
+        if heartbeat.is_probe:
+            self._send_heartbeat()
+        if not heartbeat.peers and not self.has_reported_need:
+            # A new broker names none until it knows that they are needed.
+            return
+        # A broker of an earlier release doesn't tell the cores.
+        missing = len(heartbeat.peers) - len(heartbeat.peer_cores)
+        cores = [*heartbeat.peer_cores, *[1.0] * missing]
+        self.peers = dict(zip(heartbeat.peers, cores, strict=False))
+        self.peers_until = time.monotonic() + PEERS_KEPT_SECONDS
+
+    def known_peers(self) -> dict[str, float]:
+        """Returns the gateways that have room: their cores by address.
+
+        The last known ones are used for a while after a broker was lost.
+        """
+        return self.peers if time.monotonic() < self.peers_until else {}
+
     def _release_pending(self) -> None:
         """Lets pending requests proceed without a broker."""
         pending, self.pending = self.pending, {}
@@ -319,15 +366,30 @@
                 self._send(Withdraw(number))
 
     async def send_heartbeats_forever(self) -> None:
-        """Sends heartbeats while a request is pending or being prefilled."""
+        """Sends heartbeats while the broker needs to know of this gateway.
+
+        That is while a request is pending or being prefilled, and while this
+        gateway needs peers, until the broker is told that it no longer does.
+        """
         while True:
             await asyncio.sleep(HEARTBEAT_INTERVAL_SECONDS)
-            if self.pending or any(r.tokens for r in self.running.values()):
-                self._send(
-                    Heartbeat(
-                        self.lag.is_lagging, needs_peers=self.needs_peers()
-                    )
-                )
+            if (
+                self.pending
+                or any(r.tokens for r in self.running.values())
+                or self.needs_peers()
+                or self.has_reported_need
+            ):
+                self._send_heartbeat()
+
+    def _send_heartbeat(self) -> None:
+        needs_peers = self.needs_peers()
+        excess = round(self.excess(), 1) if needs_peers else 0.0
+        self.has_reported_need = needs_peers and self.socket is not None
+        self._send(
+            Heartbeat(
+                self.lag.is_lagging, needs_peers=needs_peers, excess=excess
+            )
+        )
 
     def on_started(
         self,
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_clients.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_clients.py
@@ -6,7 +6,11 @@
 import aiohttp
 
 from marjoramyard.coordination.membership.registrations import Registration
-from marjoramyard.fleet.gateway.broker_client import BrokerClient
+from marjoramyard.fleet.gateway.broker_client import (
+    NO_FORWARDING,
+    BrokerClient,
+    ForwardingInfo,
+)
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.fleet.util.lag import LoopLag
 from marjoramyard.fleet.util.tasks import TaskGroup
@@ -23,11 +27,12 @@
         session: aiohttp.ClientSession,
         metrics: Metrics,
         zone: str = "",
-        forwarding_address: str = "",
+        forwarding: ForwardingInfo = NO_FORWARDING,
     ):
         self.zone = zone
-        self.forwarding_address = forwarding_address
+        self.forwarding = forwarding
         self.needs_peers: Callable[[], bool] = lambda: False
+        self.excess: Callable[[], float] = lambda: 0.0
         self.tasks = tasks
         self.view = view
         self.session = session
@@ -50,9 +55,10 @@
                 self.session,
                 self.lag,
                 self.zone,
-                self.forwarding_address,
+                self.forwarding,
             )
             client.needs_peers = lambda: self.needs_peers()
+            client.excess = lambda: self.excess()
             self.clients[service] = client
             self.tasks.spawn(client.run(service))
             self.tasks.spawn(client.send_heartbeats_forever())
@@ -70,14 +76,12 @@
         if client is not None:
             client.on_leaving(endpoint)
 
-    def peers(self) -> list[str]:
-        """Returns addresses of gateways that have room for requests."""
-        return [
-            peer
-            for client in self.clients.values()
-            if client.is_connected
-            for peer in client.peers
-        ]
+    def peers(self) -> dict[str, float]:
+        """Returns the gateways that have room: their cores by address."""
+        peers: dict[str, float] = {}
+        for client in self.clients.values():
+            peers |= client.known_peers()
+        return peers
 
 
 @asynccontextmanager
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_protocol.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_protocol.py
@@ -13,6 +13,8 @@
 FORWARDING_PARAMETER = "forwarding"
 """The query parameter with the address at which a connecting gateway accepts
 forwarded requests; "" for none."""
+CORES_PARAMETER = "cores"
+"""The query parameter with the processor cores of a connecting gateway."""
 PREFIX_PROTOCOL = "broker-2"
 """The WebSocket protocol of brokers that know `CachedPrefix`. A broker of an
 earlier release does not select it, and would reject unknown messages."""
@@ -193,18 +195,25 @@
     """The sender is alive.
 
     A broker sends heartbeats all the time, a gateway while it has requests that
-    are queued or being prefilled.
+    are queued or being prefilled, while it needs peers, and when it is asked.
 
     Attributes:
         is_late: The sender's event loop is lagging.
         needs_peers: From a gateway, whether it wants to forward requests.
+        excess: From a gateway, the prompts a second that it forwards or
+            refuses.
         peers: From a broker, addresses of gateways that have room for requests
             of the receiver.
+        peer_cores: The processor cores of each of these gateways.
+        is_probe: From a broker, whether it asks for a heartbeat.
     """
 
     is_late: bool = False
     needs_peers: bool = False
+    excess: float = 0.0
     peers: list[str] = []
+    peer_cores: list[float] = []
+    is_probe: bool = False
 
 
 GatewayMessage = (
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
@@ -24,6 +24,7 @@
 from marjoramyard.coordination.routing.config import Service
 from marjoramyard.fleet.gateway.broker_protocol import (
     BROKER_PROTOCOLS,
+    CORES_PARAMETER,
     FORWARDING_PARAMETER,
     HEARTBEAT_INTERVAL_SECONDS,
     NOTICE_PROTOCOL,
@@ -47,7 +48,9 @@
 from marjoramyard.fleet.gateway.engine_load import estimate_prefill_rate
 from marjoramyard.fleet.gateway.gateway_connection import (
     GatewayConnection,
-    peers_of,
+    gateways_to_probe,
+    name_all_peers,
+    read_cores,
 )
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.kernel.logs import get_logger
@@ -104,6 +107,7 @@
             socket,
             request.query.get(ZONE_PARAMETER, ""),
             request.query.get(FORWARDING_PARAMETER, ""),
+            read_cores(request.query.get(CORES_PARAMETER, "")),
         )
         self.gateways[gateway.number] = gateway
         self._announce_leaving(gateway, self._known_leaving())
@@ -230,6 +234,7 @@
         if isinstance(message, Heartbeat):
             gateway.is_lagging = message.is_late
             gateway.needs_peers = message.needs_peers
+            gateway.excess = message.excess
             for broker in self.brokers.values():
                 broker.set_lagging(gateway.router, message.is_late)
             return
@@ -475,14 +480,23 @@
             self._check_majority()
             for gateway in self.gateways.values():
                 self._suspend_if_expired(gateway)
-            for gateway in self.gateways.values():
-                gateway.outbox.append(
-                    Heartbeat(
-                        peers=peers_of(gateway, self.gateways.values()),
-                    )
-                )
+            self._queue_heartbeats()
             self._schedule_dispatch()
 
+    def _queue_heartbeats(self) -> None:
+        gateways = self.gateways.values()
+        named = name_all_peers(gateways)
+        probed = gateways_to_probe(gateways)
+        for gateway in gateways:
+            peers = named.get(gateway.number, [])
+            gateway.outbox.append(
+                Heartbeat(
+                    peers=[peer.address for peer in peers],
+                    peer_cores=[peer.cores for peer in peers],
+                    is_probe=gateway.number in probed,
+                )
+            )
+
 
 def _log_send_failure(task: asyncio.Future) -> None:
     if not task.cancelled() and task.exception() is not None:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/connections.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/connections.py
@@ -34,6 +34,8 @@
 
     Attributes:
         limit: The maximum number of connections.
+        max_outgoing: The maximum number of connections to endpoints and to
+            other gateways.
         max_forwarded: The maximum number of forwarded requests.
         forwarded_count: Returns the number of forwarded requests. Their
             connections are not among the listener's.
@@ -45,6 +47,8 @@
         self.limit = max(
             32, int((max_descriptors - RESERVED_DESCRIPTORS) * CALLER_SHARE)
         )
+        available = max(0, max_descriptors - RESERVED_DESCRIPTORS)
+        self.max_outgoing = max(self.limit // 2, available - self.limit)
         self.max_forwarded = int(self.limit * FORWARDED_SHARE)
         self.forwarded_count: Callable[[], int] = lambda: 0
         self.listener: Listener | None = None
--- a/packages/fleet/src/marjoramyard/fleet/gateway/gateway_connection.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/gateway_connection.py
@@ -1,7 +1,8 @@
 """The gateways that are connected to a broker server."""
 
 import heapq
-from collections.abc import Iterable
+import math
+from collections.abc import Collection
 
 from aiohttp import web
 
@@ -9,6 +10,12 @@
     HEARTBEAT_INTERVAL_SECONDS,
     BrokerMessage,
 )
+from marjoramyard.fleet.gateway.peer_naming import (
+    MIN_CORES,
+    PeerDemand,
+    PeerNaming,
+    PeerRoom,
+)
 from marjoramyard.fleet.util.liveness import LivenessTimer
 
 GATEWAY_TIMEOUT_SECONDS = 0.3
@@ -16,11 +23,12 @@
 message. Gateways without queued requests or prompts being prefilled send no
 heartbeats; they have nothing to suspend. The smallest hosts get their processor
 in turns, with pauses of up to 0.1 s."""
-MAX_PEERS = 6
-"""How many gateways a gateway forwards requests to at the same time."""
-REMOTE_ZONE_COST = 8
-"""How many more requests a gateway in the same availability zone may have than
-one in another zone and still be preferred."""
+DEFAULT_CORES = 1.0
+PROBED_AFTER_TICKS = 2
+"""Heartbeat intervals without a message after which an idle gateway is asked
+for a heartbeat; one less than `GATEWAY_TIMEOUT_SECONDS`."""
+MAX_PROBED = 64
+"""How many gateways are asked for a heartbeat at the same time."""
 
 
 class GatewayConnection:
@@ -32,8 +40,11 @@
         number: Identifies the connection on this host.
         zone: The availability zone of the gateway.
         forwarding_address: Where it accepts forwarded requests; "" if nowhere.
+        cores: The processor cores of the gateway.
         is_lagging: Whether the gateway last reported that it is lagging.
         needs_peers: Whether it last reported that it wants to forward requests.
+        excess: The prompts a second that it last reported as forwarded or
+            refused.
         outbox: Messages to be sent in the next frame.
         services: Services of the queued, granted and unbrokered requests, by
             the number that the gateway gave the request.
@@ -47,12 +58,15 @@
         socket: web.WebSocketResponse,
         zone: str = "",
         forwarding_address: str = "",
+        cores: float = DEFAULT_CORES,
     ):
         self.number = number
         self.zone = zone
         self.forwarding_address = forwarding_address
+        self.cores = cores
         self.is_lagging = False
         self.needs_peers = False
+        self.excess = 0.0
         self.socket = socket
         self.outbox: list[BrokerMessage] = []
         self.services: dict[int, str] = {}
@@ -70,6 +84,11 @@
             and not self.liveness.has_expired
         )
 
+    @property
+    def requests_per_core(self) -> float:
+        """Requests in progress relative to the processor of the gateway."""
+        return len(self.services) / max(self.cores, MIN_CORES)
+
     @property
     def router(self) -> str:
         """The name that identifies the gateway to the brokers."""
@@ -84,20 +103,62 @@
         return f"{self.number}/{number}"
 
 
-def peers_of(
-    gateway: GatewayConnection, gateways: Iterable[GatewayConnection]
-) -> list[str]:
-    """Returns where a gateway may forward requests; empty if not needed.
+def read_cores(text: str) -> float:
+    """Returns the processor cores that a connecting gateway has sent.
 
-    The least busy gateways, and rather those in its availability zone.
+    Gateways of earlier releases send none; they count as one core.
     """
-    if not gateway.needs_peers:
-        return []
+    try:
+        cores = float(text or DEFAULT_CORES)
+    except ValueError:
+        return DEFAULT_CORES
+    return cores if math.isfinite(cores) and cores > 0 else DEFAULT_CORES
 
-    def cost(peer: GatewayConnection) -> int:
-        remote = peer.zone != gateway.zone
-        return len(peer.services) + REMOTE_ZONE_COST * remote
 
-    candidates = [p for p in gateways if p.accepts_forwarded]
-    chosen = heapq.nsmallest(MAX_PEERS, candidates, key=cost)
-    return [peer.forwarding_address for peer in chosen]
+def name_all_peers(
+    gateways: Collection[GatewayConnection],
+) -> dict[int, list[PeerRoom]]:
+    """Returns where each gateway that needs peers may forward prompts.
+
+    By the number of the gateway.
+    """
+    needing = [gateway for gateway in gateways if gateway.needs_peers]
+    if not needing:
+        return {}
+    naming = PeerNaming(
+        PeerRoom(
+            gateway.forwarding_address,
+            gateway.zone,
+            gateway.cores,
+            len(gateway.services),
+        )
+        for gateway in gateways
+        if gateway.accepts_forwarded
+    )
+    return {
+        gateway.number: naming.name_peers(
+            PeerDemand(gateway.number, gateway.zone, gateway.excess)
+        )
+        for gateway in needing
+    }
+
+
+def gateways_to_probe(
+    gateways: Collection[GatewayConnection],
+) -> set[int]:
+    """Returns the numbers of idle gateways that are to send a heartbeat.
+
+    While one gateway needs peers, the idle ones must show that they are alive.
+    """
+    if not any(gateway.needs_peers for gateway in gateways):
+        return set()
+    silent = [
+        gateway
+        for gateway in gateways
+        if gateway.forwarding_address
+        and gateway.liveness.missed_ticks >= PROBED_AFTER_TICKS
+    ]
+    chosen = heapq.nsmallest(
+        MAX_PROBED, silent, key=lambda gateway: gateway.requests_per_core
+    )
+    return {gateway.number for gateway in chosen}
--- a/packages/fleet/src/marjoramyard/fleet/gateway/overload.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/overload.py
@@ -51,7 +51,7 @@
 
 
 SERVING = LimitSteps(MIN_LIMIT, decrease_factor=0.7, increase_step=1.0)
-FORWARDING = LimitSteps(64.0, decrease_factor=0.85, increase_step=4.0)
+FORWARDING = LimitSteps(128.0, decrease_factor=0.85, increase_step=4.0)
 """A forwarded prompt takes a fraction of the processor time of a served one, so
 an overloaded gateway rather serves fewer prompts than it forwards."""
 
@@ -64,6 +64,7 @@
         limit: The maximum number of prompts in service.
         active: Prompts in service by workspace.
         total: Prompts in service.
+        started: Prompts that started since the last report.
         overloaded_by_one_until: When the gateway becomes ready again, on the
             monotonic clock in seconds.
         refused: Refused prompts by workspace since the last report.
@@ -74,6 +75,7 @@
         self.limit = float("inf")
         self.active: Counter[str] = Counter()
         self.total = 0
+        self.started = 0
         self.overloaded_by_one_until = 0.0
         self.refused: Counter[str] = Counter()
 
@@ -82,6 +84,17 @@
         """Whether one workspace has recently overloaded this gateway."""
         return time.monotonic() < self.overloaded_by_one_until
 
+    def is_dominant(self, workspace: str, elsewhere: Counter[str]) -> bool:
+        """Whether a workspace has most of this gateway's prompts.
+
+        Args:
+            workspace: The workspace.
+            elsewhere: Prompts that are being forwarded, by workspace.
+        """
+        total = self.total + elsewhere.total()
+        count = self.active[workspace] + elsewhere[workspace]
+        return total >= MIN_LIMIT and count > total * DOMINANT_SHARE
+
     def _has_dominant_workspace(self) -> bool:
         largest = max(self.active.values(), default=0)
         return self.total >= MIN_LIMIT and largest > self.total * DOMINANT_SHARE
@@ -126,15 +139,24 @@
         """
         if not self.admits(workspace):
             raise FleetError(self.refuse(workspace))
-        self.active[workspace] += 1
-        self.total += 1
+        self.enter(workspace)
         try:
             yield
         finally:
-            self.total -= 1
-            self.active[workspace] -= 1
-            if not self.active[workspace]:
-                del self.active[workspace]
+            self.leave(workspace)
+
+    def enter(self, workspace: str) -> None:
+        """Counts a prompt that starts."""
+        self.active[workspace] += 1
+        self.total += 1
+        self.started += 1
+
+    def leave(self, workspace: str) -> None:
+        """Discounts a prompt that has ended."""
+        self.total -= 1
+        self.active[workspace] -= 1
+        if not self.active[workspace]:
+            del self.active[workspace]
 
     def refuse(self, workspace: str) -> Failure:
         """Counts a refused prompt and returns the failure for its caller."""
@@ -145,6 +167,11 @@
             retry_after=jitter(OVERLOAD_RETRY_SECONDS),
         )
 
+    def pop_started_count(self) -> int:
+        """Returns the prompts that started since the last call."""
+        started, self.started = self.started, 0
+        return started
+
     def pop_refused_counts(self) -> Counter[str]:
         """Returns the refused prompts since the last call, by workspace."""
         refused, self.refused = self.refused, Counter()
--- a/packages/fleet/src/marjoramyard/fleet/gateway/overload_guard.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/overload_guard.py
@@ -2,22 +2,21 @@
 
 import asyncio
 import math
-import time
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
 from aiohttp import web
 
 from marjoramyard.coordination.routing.config import Route
+from marjoramyard.fleet.gateway.balancing import Decision
 from marjoramyard.fleet.gateway.broker_clients import BrokerClients
+from marjoramyard.fleet.gateway.demand import GatewayDemand
 from marjoramyard.fleet.gateway.dialect import GatewayDialect
 from marjoramyard.fleet.gateway.early_refusal import (
     RequestHead,
     response_bytes,
 )
-from marjoramyard.fleet.gateway.overload import (
-    FORWARDING,
-    ConcurrencyLimit,
-)
 from marjoramyard.fleet.gateway.peer_forwarding import (
     ForwardedRequest,
     ForwardingFailures,
@@ -40,9 +39,8 @@
 logger = get_logger(__name__)
 
 LOG_INTERVAL_SECONDS = 1.0
-NEEDS_PEERS_SECONDS = 2.0
-"""How long after an overload a gateway is told of others that have room, and
-gets no requests of others itself."""
+LOGGED_PEERS = 4
+"""How many of the peers that got the most prompts are logged."""
 UNREACHABLE_RETRY_SECONDS = 0.1
 """`Retry-After` of a prompt whose peer could not be reached; the next one goes
 to another peer."""
@@ -52,12 +50,12 @@
     """Protects a gateway from more prompts than its processor can serve.
 
     Attributes:
+        demand: The prompts relative to the processor of this gateway.
         limit: The limit on prompts in service.
         forwarding_limit: The limit on prompts being forwarded.
-        max_forwarded: The most prompts to forward at the same time.
         peers: Chooses the gateways that prompts are forwarded to.
-        overloaded_at: When a prompt was last beyond the limit, on the monotonic
-            clock in seconds.
+        peer_count: How many gateways had room for the last prompt that was
+            checked.
         forwarding_failures: Responses to forwarded prompts that got none.
         on_started: Called when a prompt starts to be forwarded.
         on_ended: Called when a forwarded prompt has ended.
@@ -70,17 +68,29 @@
         self.names = view.dialect.headers
         self.brokers = brokers
         self.metrics = metrics
-        self.limit = ConcurrencyLimit()
-        self.forwarding_limit = ConcurrencyLimit(FORWARDING)
-        self.max_forwarded = 0
+        self.demand = GatewayDemand()
+        self.limit = self.demand.limit
+        self.forwarding_limit = self.demand.forwarding_limit
         self.peers = PeerSelector()
-        self.overloaded_at = float("-inf")
+        self.peer_count = 0
         self.forwarding_failures = _forwarding_failures(view.dialect)
         self.on_started: Callable[[], None] = lambda: None
         self.on_ended: Callable[[], None] = lambda: None
-        brokers.needs_peers = self._needs_peers
-        brokers.lag.on_wake_up.append(self.limit.on_wake_up)
-        brokers.lag.on_wake_up.append(self.forwarding_limit.on_wake_up)
+        brokers.needs_peers = lambda: self.demand.is_overloaded
+        brokers.excess = lambda: self.demand.excess.rate
+        brokers.lag.on_wake_up.append(self.demand.on_wake_up)
+
+    @contextmanager
+    def admit(self, workspace: str) -> Iterator[None]:
+        """Counts a prompt while it is in service.
+
+        Raises:
+            FleetError: The limit is reached; the prompt has not run.
+        """
+        if not self.limit.admits(workspace):
+            self.demand.note_excess()
+        with self.limit.admit(workspace):
+            yield
 
     def refuse_early(self, head: RequestHead) -> bytes | None:
         """Returns the response to a prompt beyond the limit, else None."""
@@ -92,7 +102,7 @@
         self.metrics.count(
             "requests", outcome=FailureKind.OVERLOADED.code, kind=kind
         )
-        self.overloaded_at = time.monotonic()
+        self.demand.note_excess()
         refused = self.limit.refuse(workspace)
         return response_bytes(render_failure(refused, self.view.dialect))
 
@@ -121,10 +131,6 @@
         """Returns the number of prompts that are being forwarded."""
         return self.forwarding_limit.total
 
-    def _needs_peers(self) -> bool:
-        """Whether prompts were refused or forwarded recently."""
-        return time.monotonic() - self.overloaded_at < NEEDS_PEERS_SECONDS
-
     def start_forwarding(
         self, head: RequestHead, data: bytes, caller: asyncio.Transport
     ) -> ForwardedRequest | None:
@@ -139,29 +145,28 @@
             The forwarded request; None if no gateway has room for it.
         """
         found = self._route_and_workspace(head)
-        if found is None or self.limit.admits(found[1]):
+        if found is None:
             return None
-        self.overloaded_at = time.monotonic()
-        if not self._may_forward() or not can_forward(head):
+        route, workspace = found
+        peers = self.brokers.peers()
+        self.peer_count = len(peers)
+        decision = self.demand.decide(workspace, bool(peers))
+        if decision is not Decision.FORWARD or not can_forward(head):
             return None
         now = asyncio.get_running_loop().time()
-        peer = self.peers.choose(self.brokers.peers(), now)
+        peer = self.peers.choose(peers, now, peers)
         if not peer:
             return None
-        plan = self._forwarding_plan(head, found[0], peer)
+        plan = self._forwarding_plan(head, route, workspace, peer)
         forwarded = ForwardedRequest(plan, caller, self._on_forwarded)
         forwarded.send(closing_request(head, data))
         self.peers.on_started(peer)
-        self.forwarding_limit.total += 1
+        self.demand.on_forwarded(workspace, peer)
         self.on_started()
         return forwarded
 
-    def _may_forward(self) -> bool:
-        limit = self.forwarding_limit
-        return not limit.is_reached and limit.total < self.max_forwarded
-
     def _forwarding_plan(
-        self, head: RequestHead, route: Route, peer: str
+        self, head: RequestHead, route: Route, workspace: str, peer: str
     ) -> ForwardingPlan:
         text = head.header(self.names.deadline_ms.lower().encode())
         seconds = route.timeout_ms / 1000
@@ -172,6 +177,7 @@
             head.header(self.names.attempt.lower().encode()),
             seconds,
             self.forwarding_failures,
+            workspace,
         )
 
     def _on_forwarded(self, request: ForwardedRequest, outcome: str) -> None:
@@ -179,7 +185,7 @@
         self.peers.on_ended(request.plan.peer)
         if not request.is_sent and outcome == "not-sent":
             self.peers.avoid(request.plan.peer, now)
-        self.forwarding_limit.total -= 1
+        self.demand.on_ended(request.plan.workspace)
         self.on_ended()
         self.metrics.count("forwarded_requests", outcome=outcome)
         logger.info(
@@ -192,20 +198,37 @@
         )
 
     async def log_refusals_forever(self) -> None:
-        """Logs the prompts that were refused by the limit, once a second."""
+        """Logs what became of the prompts of an overload, once a second."""
         while True:
             await asyncio.sleep(LOG_INTERVAL_SECONDS)
             refused = self.limit.pop_refused_counts()
-            if refused:
-                logger.info(
-                    "gateway_overloaded",
-                    limit=_rounded(self.limit.limit),
-                    active=self.limit.total,
-                    forwarding_limit=_rounded(self.forwarding_limit.limit),
-                    forwarded=self.forwarding_limit.total,
-                    refused=refused.total(),
-                    most_of=refused.most_common(1)[0][0],
-                )
+            forwarded = self.demand.pop_forwarded_counts()
+            started = self.limit.pop_started_count()
+            if refused or forwarded:
+                self._log_overload(refused, forwarded, started)
+
+    def _log_overload(
+        self, refused: Counter[str], forwarded: Counter[str], started: int
+    ) -> None:
+        logger.info(
+            "gateway_overloaded",
+            limit=_rounded(self.limit.limit),
+            active=self.limit.total,
+            own_limit=_rounded(self.demand.policy.own_limit),
+            processor_share=round(self.demand.processor_share, 2),
+            forwarding_limit=_rounded(self.forwarding_limit.limit),
+            forwarded=self.forwarding_limit.total,
+            peers=self.peer_count,
+            served_started=started,
+            forwarded_started=forwarded.total(),
+            forwarded_to=dict(forwarded.most_common(LOGGED_PEERS)),
+            refused=refused.total(),
+            most_of=_most_common(refused or self.forwarding_limit.active),
+        )
+
+
+def _most_common(counts: Counter[str]) -> str:
+    return counts.most_common(1)[0][0] if counts else ""
 
 
 def _rounded(limit: float) -> int | None:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/peer_forwarding.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/peer_forwarding.py
@@ -8,12 +8,14 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
+from types import MappingProxyType
 
 import msgspec
 
 from marjoramyard.fleet.gateway.early_refusal import RequestHead
 from marjoramyard.fleet.gateway.forwarded_response import ForwardedResponse
+from marjoramyard.fleet.gateway.peer_naming import MIN_CORES
 from marjoramyard.kernel.logs import get_logger
 from marjoramyard.kernel.util.addresses import parse_address
 
@@ -31,6 +33,8 @@
 AVOID_SECONDS = 1.0
 """How long a gateway that could not be reached gets no requests."""
 
+NO_CORES: Mapping[str, float] = MappingProxyType({})
+
 _CONNECTION = b"\r\nconnection:"
 _PLAIN_OPTIONS = (b"", b"keep-alive", b"close")
 
@@ -57,12 +61,14 @@
         attempt: The caller's ID of the attempt, for logs.
         seconds_left: Seconds until the request's deadline.
         failures: The responses if the peer sends none.
+        workspace: The workspace of the caller.
     """
 
     peer: str
     attempt: str
     seconds_left: float
     failures: ForwardingFailures
+    workspace: str = ""
 
 
 class PeerSelector:
@@ -78,10 +84,30 @@
         self.active: Counter[str] = Counter()
         self.avoided_until: dict[str, float] = {}
 
-    def choose(self, peers: list[str], now: float) -> str:
-        """Returns the peer with the fewest requests; "" if there is none."""
+    def choose(
+        self,
+        peers: Iterable[str],
+        now: float,
+        cores: Mapping[str, float] = NO_CORES,
+    ) -> str:
+        """Returns the peer with the fewest requests for its processor.
+
+        Args:
+            peers: The peers that have room.
+            now: The time on the event loop clock in seconds.
+            cores: The processor cores of peers; 1.0 for others.
+
+        Returns:
+            The peer; "" if there is none.
+        """
         usable = [p for p in peers if self.avoided_until.get(p, 0.0) <= now]
-        return min(usable, key=lambda peer: self.active[peer], default="")
+
+        def load(peer: str) -> float:
+            return (self.active[peer] + 1) / max(
+                cores.get(peer, 1.0), MIN_CORES
+            )
+
+        return min(usable, key=load, default="")
 
     def avoid(self, peer: str, now: float) -> None:
         """Stops using a peer for a while."""
@@ -187,7 +213,8 @@
 
     def cancel(self) -> None:
         """Ends the request because its caller has left."""
-        self._end("caller-left", b"")
+        is_complete = self.response.is_complete
+        self._end("forwarded" if is_complete else "caller-left", b"")
 
     async def _connect(self) -> None:
         """Connects to the peer.
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
@@ -163,7 +163,7 @@
         if not needs_engine(self.view, admitted.route):
             return nullcontext()
         workspace = admitted.workspace
-        return self.guard.limit.admit(workspace.name if workspace else "")
+        return self.guard.admit(workspace.name if workspace else "")
 
     def _refuse_if_unable(self) -> None:
         """Refuses requests while draining or out of connections."""
--- a/packages/fleet/src/marjoramyard/fleet/gateway/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/role.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 
 from marjoramyard.fleet.application import Application
+from marjoramyard.fleet.gateway.broker_client import ForwardingInfo
 from marjoramyard.fleet.gateway.broker_clients import (
     BrokerClients,
     open_broker_session,
@@ -68,7 +69,6 @@
         self.connections = CallerConnections(self.settings.max_descriptors)
         handler.closes_connections = self.sheds_connections
         self.connections.forwarded_count = handler.guard.forwarded_count
-        handler.guard.max_forwarded = self.connections.max_forwarded
         handler.is_full = lambda: self.connections.is_full
 
     def is_ready(self) -> bool:
@@ -110,8 +110,8 @@
         )
 
     def _refuses_early(self) -> bool:
-        reached = self.handler.guard.limit.is_reached
-        return reached and not self.closes_connections()
+        is_stopping = self.app.stopping.is_set()
+        return self.handler.guard.demand.is_checked and not is_stopping
 
     def sheds_connections(self) -> bool:
         """Whether connections are closed after the response.
@@ -184,7 +184,9 @@
             to_brokers,
             app.metrics,
             settings.zone,
-            settings.forwarding_address(),
+            ForwardingInfo(
+                settings.forwarding_address(), settings.processor_cores
+            ),
         )
         cold_starts = ColdStarts(
             view, settings.cold_overrun, settings.cold_slack
@@ -214,6 +216,10 @@
         app.tasks.spawn(broker_server.log_load_forever())
         app.tasks.spawn(handler.guard.log_refusals_forever())
         role = GatewayRole(app, view, handler)
+        demand = handler.guard.demand
+        demand.cores = settings.processor_cores
+        demand.max_forwarded = role.connections.max_forwarded
+        demand.max_outgoing = role.connections.max_outgoing
         fetcher = ConfigFetcher(app.client, view, settings.zone)
         app.tasks.spawn(fetcher.run())
         app.tasks.spawn(ControlSync(app, view, fetcher).run())
--- /dev/null
+++ b/packages/fleet/tests/gateway/test_named_peers.py
@@ -0,0 +1,201 @@
+"""Peers that a broker names to gateways, over real connections."""
+
+import asyncio
+import contextlib
+import time
+from types import SimpleNamespace
+
+import aiohttp
+import pytest
+from aiohttp import web
+
+from marjoramyard.coordination.routing.config import (
+    EngineProfile,
+    FleetConfig,
+    Service,
+)
+from marjoramyard.coordination.routing.table import RouteTable
+from marjoramyard.fleet.gateway.broker_client import (
+    PEERS_KEPT_SECONDS,
+    BrokerClient,
+    ForwardingInfo,
+)
+from marjoramyard.fleet.gateway.broker_protocol import BROKER_PATH, Heartbeat
+from marjoramyard.fleet.gateway.broker_server import BrokerServer
+from marjoramyard.fleet.gateway.cold_starts import ColdStarts
+from marjoramyard.fleet.gateway.dialect import GATEWAY_DIALECTS
+from marjoramyard.fleet.gateway.gateway_connection import (
+    GATEWAY_TIMEOUT_SECONDS,
+)
+from marjoramyard.fleet.gateway.view import FleetView
+
+TIMEOUT_SECONDS = 10.0
+IDLE_ADDRESS = "127.0.0.1:2"
+HEARTBEATS = 10
+
+
+class RunningBroker:
+    """A broker and the gateways that connect to it.
+
+    Attributes:
+        server: The broker.
+        view: The view of the fleet of all.
+        clients: The tasks of the gateways.
+    """
+
+    def __init__(self, session):
+        self.session = session
+        self.view = FleetView(GATEWAY_DIALECTS.get("native"), 5.0)
+        service = Service("llm", engine=EngineProfile())
+        config = FleetConfig(1, services=(service,))
+        self.view.table = RouteTable(config)
+        caches = SimpleNamespace(request=lambda *_: None)
+        cold_starts = ColdStarts(self.view, 1.5, 5.0)
+        self.server = BrokerServer(self.view, cold_starts, caches)
+        self.tasks = []
+
+    @contextlib.asynccontextmanager
+    async def running(self):
+        app = web.Application()
+        app.add_routes([web.get(BROKER_PATH, self.server.serve)])
+        runner = web.AppRunner(app, shutdown_timeout=0.1)
+        await runner.setup()
+        site = web.TCPSite(runner, "127.0.0.1", 0)
+        await site.start()
+        port = site._server.sockets[0].getsockname()[1]
+        self.view.brokers_of = lambda _: [f"127.0.0.1:{port}"]
+        heartbeats = asyncio.create_task(self.server.send_heartbeats_forever())
+        try:
+            async with asyncio.timeout(TIMEOUT_SECONDS):
+                yield
+        finally:
+            heartbeats.cancel()
+            for socket in [g.socket for g in self.server.gateways.values()]:
+                await socket.close()
+            await runner.cleanup()
+
+    async def connect(self, address, cores=1.0, needs_peers=False):
+        """Returns the client of a gateway once it is connected."""
+        client = BrokerClient(
+            self.view,
+            self.session,
+            SimpleNamespace(is_lagging=False),
+            "a",
+            ForwardingInfo(address, cores),
+        )
+        client.needs_peers = lambda: needs_peers
+        client.excess = lambda: 30.0
+        self.tasks += [
+            asyncio.create_task(client.run("llm")),
+            asyncio.create_task(client.send_heartbeats_forever()),
+        ]
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            while not client.is_connected:
+                await asyncio.sleep(0.01)
+        return client
+
+    async def close(self):
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+
+@pytest.fixture
+async def broker():
+    async with aiohttp.ClientSession() as session:
+        instance = RunningBroker(session)
+        yield instance
+        await instance.close()
+
+
+async def until(check):
+    async with asyncio.timeout(TIMEOUT_SECONDS):
+        while not check():
+            await asyncio.sleep(0.01)
+
+
+def peers_in_heartbeats(client):
+    """Returns a list that gets the peers of each following heartbeat."""
+    named = []
+    on_heartbeat = client._on_heartbeat
+
+    def record(heartbeat):
+        named.append(heartbeat.peers)
+        on_heartbeat(heartbeat)
+
+    client._on_heartbeat = record
+    return named
+
+
+async def test_an_idle_gateway_stays_known_as_one_with_room(broker):
+    """Guards against prompts that one gateway refuses while most others idle.
+
+    A gateway without prompts has no reason to send heartbeats.
+    """
+    async with broker.running():
+        await broker.connect(IDLE_ADDRESS, cores=0.25)
+        overloaded = await broker.connect("127.0.0.1:1", needs_peers=True)
+        await until(overloaded.known_peers)
+        assert overloaded.known_peers() == {IDLE_ADDRESS: 0.25}
+        named = peers_in_heartbeats(overloaded)
+        await until(lambda: len(named) >= HEARTBEATS)
+        assert named == [[IDLE_ADDRESS]] * len(named)
+
+
+async def test_a_suspended_gateway_is_no_longer_named(broker):
+    """Guards against prompts that wait for a suspended host."""
+    async with broker.running():
+        idle = await broker.connect(IDLE_ADDRESS)
+        overloaded = await broker.connect("127.0.0.1:1", needs_peers=True)
+        await until(overloaded.known_peers)
+        idle._send_heartbeat = lambda: None
+        stopped_at = time.monotonic()
+        await until(lambda: not overloaded.known_peers())
+        assert time.monotonic() - stopped_at < 10 * GATEWAY_TIMEOUT_SECONDS
+
+
+async def test_a_gateway_tells_when_it_no_longer_needs_peers(broker):
+    """Guards against a gateway that is taken for overloaded for ever: it sends
+    no heartbeats once it has no prompts.
+    """
+    async with broker.running():
+        client = await broker.connect("127.0.0.1:1", needs_peers=True)
+        (gateway,) = broker.server.gateways.values()
+        await until(lambda: gateway.needs_peers)
+        assert gateway.excess == 30.0
+        assert not gateway.accepts_forwarded
+        client.needs_peers = lambda: False
+        await until(lambda: gateway.accepts_forwarded)
+
+
+async def test_the_last_known_peers_are_used_when_the_broker_is_lost(broker):
+    """Guards against a flood that is refused while there is no broker."""
+    async with broker.running():
+        await broker.connect(IDLE_ADDRESS)
+        overloaded = await broker.connect("127.0.0.1:1", needs_peers=True)
+        await until(overloaded.known_peers)
+    await until(lambda: not overloaded.is_connected)
+    assert list(overloaded.known_peers()) == [IDLE_ADDRESS]
+    assert overloaded.peers_until < time.monotonic() + PEERS_KEPT_SECONDS
+    overloaded.peers_until = time.monotonic()
+    assert not overloaded.known_peers()
+
+
+async def test_a_new_broker_does_not_void_the_known_peers_at_once(broker):
+    """Guards against refusals until a new broker knows who needs peers."""
+    async with broker.running():
+        client = await broker.connect("127.0.0.1:1")
+        client._on_message(Heartbeat(peers=["p"], peer_cores=[0.5]))
+        client._on_message(Heartbeat())
+        assert client.known_peers() == {"p": 0.5}
+        client.needs_peers = lambda: True
+        await until(lambda: client.has_reported_need)
+        client._on_message(Heartbeat())
+        assert not client.known_peers()
+
+
+async def test_brokers_of_earlier_releases_name_peers_without_cores(broker):
+    async with broker.running():
+        client = await broker.connect("127.0.0.1:1")
+        client._on_message(Heartbeat(peers=["p", "q"]))
+        assert client.known_peers() == {"p": 1.0, "q": 1.0}
--- a/packages/fleet/tests/gateway/test_peer_forwarding.py
+++ b/packages/fleet/tests/gateway/test_peer_forwarding.py
@@ -256,3 +256,12 @@
             pass
         assert await reader.read() == RESPONSE
     assert gateway.outcomes == ["forwarded"]
+
+
+def test_peers_are_chosen_by_what_they_got_for_their_processor():
+    """Guards against small gateways that get as much as large ones."""
+    selector = PeerSelector()
+    cores = {"small": 0.25, "large": 1.0}
+    for _ in range(50):
+        selector.on_started(selector.choose(cores, 0.0, cores))
+    assert 9 <= selector.active["small"] <= 11
--- /dev/null
+++ b/packages/fleet/tests/gateway/test_peer_naming.py
@@ -0,0 +1,143 @@
+"""Which gateways overloaded ones may forward prompts to."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from marjoramyard.fleet.gateway.broker_protocol import (
+    HEARTBEAT_INTERVAL_SECONDS,
+)
+from marjoramyard.fleet.gateway.gateway_connection import (
+    GATEWAY_TIMEOUT_SECONDS,
+    MAX_PROBED,
+    GatewayConnection,
+    gateways_to_probe,
+    name_all_peers,
+    read_cores,
+)
+from marjoramyard.fleet.gateway.peer_naming import (
+    MAX_PEERS,
+    MIN_PEERS,
+    PROMPTS_PER_CORE,
+    PeerDemand,
+    PeerNaming,
+    PeerRoom,
+)
+
+TIMEOUT_TICKS = round(GATEWAY_TIMEOUT_SECONDS / HEARTBEAT_INTERVAL_SECONDS)
+
+
+def room(name, cores=0.25, requests=0, zone="a"):
+    return PeerRoom(name, zone, cores, requests)
+
+
+def names(peers):
+    return [peer.address for peer in peers]
+
+
+def test_gateways_with_more_processor_are_named_first():
+    """Guards against a flood that is sent on to other small hosts while large
+    ones idle.
+    """
+    rooms = [room(f"small-{n}") for n in range(20)]
+    rooms += [room(f"large-{n}", cores=1.5, requests=1) for n in range(3)]
+    rooms += [room("full", cores=1.5, requests=80)]
+    peers = PeerNaming(rooms).name_peers(PeerDemand(1, "a", 300.0))
+    assert names(peers[:3]) == ["large-0", "large-1", "large-2"]
+    assert "full" not in names(peers)
+
+
+def test_requests_count_relative_to_the_processor():
+    rooms = [room("small", cores=0.25, requests=2), room("large", 2.0, 4)]
+    peers = PeerNaming(rooms).name_peers(PeerDemand(1, "a", 10.0))
+    assert names(peers) == ["large", "small"]
+
+
+def test_a_large_excess_is_spread_over_as_many_as_can_serve_it():
+    """Guards against a flood of one workspace that overloads its peers."""
+    rooms = [room(str(n)) for n in range(40)]
+    excess = 10 * 0.25 * PROMPTS_PER_CORE
+    peers = PeerNaming(rooms).name_peers(PeerDemand(1, "a", excess))
+    assert sum(p.cores for p in peers) * PROMPTS_PER_CORE >= excess
+    few = PeerNaming(rooms).name_peers(PeerDemand(1, "a", 1.0))
+    assert len(few) == MIN_PEERS
+    many = PeerNaming(rooms).name_peers(PeerDemand(1, "a", 1e6))
+    assert len(many) == MAX_PEERS
+
+
+def test_several_overloaded_gateways_are_not_told_of_the_same_few():
+    """Guards against one idle gateway that all others send to."""
+    rooms = [room(str(n), requests=n % 3) for n in range(18)]
+    naming = PeerNaming(rooms)
+    named = [
+        set(names(naming.name_peers(PeerDemand(number, "a", 50.0))))
+        for number in range(3)
+    ]
+    assert not named[0] & named[1]
+    assert not named[1] & named[2]
+
+
+def test_gateways_in_the_same_zone_are_preferred_while_they_have_room():
+    rooms = [room(f"near-{n}", requests=1) for n in range(MIN_PEERS)]
+    rooms += [room(f"far-{n}", zone="b") for n in range(MIN_PEERS)]
+    peers = PeerNaming(rooms).name_peers(PeerDemand(1, "a", 10.0))
+    assert {p.zone for p in peers} == {"a"}
+    rooms = [room("near", requests=20), room("far", zone="b")]
+    peers = PeerNaming(rooms).name_peers(PeerDemand(1, "a", 10.0))
+    assert names(peers) == ["far", "near"]
+
+
+def gateway(number, cores=0.25, needs_peers=False):
+    connection = GatewayConnection(
+        number, SimpleNamespace(), "a", f"127.0.0.1:{number}", cores
+    )
+    connection.needs_peers = needs_peers
+    return connection
+
+
+@pytest.fixture
+def gateways():
+    overloaded = gateway(1, needs_peers=True)
+    return [overloaded, *(gateway(number) for number in range(2, 6))]
+
+
+def test_overloaded_and_silent_gateways_are_not_named(gateways):
+    gateways[1].needs_peers = True
+    for _ in range(TIMEOUT_TICKS):
+        gateways[2].liveness.tick()
+    named = name_all_peers(gateways)
+    assert set(named) == {1, 2}
+    for peers in named.values():
+        assert {p.address for p in peers} == {"127.0.0.1:4", "127.0.0.1:5"}
+
+
+def test_idle_gateways_are_asked_for_a_heartbeat_before_they_expire(gateways):
+    """Guards against idle gateways that are taken for lost: they send nothing
+    by themselves.
+    """
+    for _ in range(TIMEOUT_TICKS - 1):
+        gateways[3].liveness.tick()
+    assert not gateways[3].liveness.has_expired
+    assert gateways_to_probe(gateways) == {4}
+    gateways[0].needs_peers = False
+    assert not gateways_to_probe(gateways)
+
+
+def test_the_gateways_with_the_most_room_are_asked():
+    """Guards against a load of heartbeats that grows with the fleet."""
+    fleet = [gateway(1, needs_peers=True)]
+    fleet += [gateway(number) for number in range(2, 2 * MAX_PROBED + 2)]
+    for one in fleet:
+        one.services = dict.fromkeys(range(one.number % 2), "llm")
+        for _ in range(TIMEOUT_TICKS):
+            one.liveness.tick()
+    probed = gateways_to_probe(fleet)
+    assert len(probed) == MAX_PROBED
+    assert all(number % 2 == 0 for number in probed)
+
+
+@pytest.mark.parametrize("text", ["", "x", "nan", "inf", "-1", "0"])
+def test_gateways_that_send_no_valid_processor_count_as_one_core(text):
+    """Guards against a broker that fails on gateways of other releases."""
+    assert read_cores(text) == 1.0
+    assert read_cores("0.25") == 0.25
