Test lost peers and shutdowns of gateways that forward

Cause: what happens to forwarded prompts was tested for one connection, not for processes.

Change: tests with real processes kill the peer that holds forwarded prompts, and stop the overloaded gateway gracefully while it forwards.

--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -112,3 +112,97 @@
     ids = {line["id"] for line in events(fleet, "gateway", "request_forwarded")}
     served = {line["id"] for line in events(fleet, "peer", "request")}
     assert ids <= served
+
+
+FORWARDED_PROMPTS = 12
+
+
+async def overload(fleet, endpoint):
+    """Overloads the gateway; returns the prompts that it holds.
+
+    From then on it forwards all prompts to the peer.
+    """
+
+    async def engine_is_known():
+        return (await send_prompt(fleet, "/chat/x"))[0] == 200
+
+    await wait_until(engine_is_known)
+    held = [
+        asyncio.create_task(send_prompt(fleet, "/chat/hold"))
+        for _ in range(HELD_PROMPTS)
+    ]
+
+    async def all_are_held():
+        return len(endpoint.requests) > HELD_PROMPTS
+
+    await wait_until(all_are_held)
+    gateway = fleet.children["gateway"]
+    gateway.suspend()
+    await asyncio.sleep(SUSPENDED_SECONDS)
+    gateway.signal(signal.SIGCONT)
+
+    async def peer_serves():
+        """The peer may learn of the engine later than the gateway."""
+        status, _ = await send_prompt(fleet, "/chat/x")
+        served = events(fleet, "peer", "request")
+        return status == 200 and "complete" in {x["outcome"] for x in served}
+
+    await wait_until(peer_serves)
+    return held
+
+
+async def forward_prompts(fleet, endpoint):
+    """Returns prompts that the peer has sent to the engine, which holds them.
+
+    Those that were sent before the gateway forwards them are held too.
+    """
+    before = len(endpoint.requests)
+    sent = [
+        asyncio.create_task(send_prompt(fleet, "/chat/hold"))
+        for _ in range(FORWARDED_PROMPTS)
+    ]
+
+    async def all_have_arrived():
+        return len(endpoint.requests) >= before + FORWARDED_PROMPTS
+
+    await wait_until(all_have_arrived)
+    return sent
+
+
+async def test_callers_learn_of_a_lost_peer_and_others_are_served(fleet):
+    """Guards against callers that wait for a peer that was killed, or take
+    their prompt for not run or for complete.
+    """
+    async with engine_that_holds_prompts(fleet) as endpoint:
+        held = await overload(fleet, endpoint)
+        sent = await forward_prompts(fleet, endpoint)
+        await fleet.children["peer"].kill()
+        results = await asyncio.gather(*sent)
+        assert {status for status, _ in results} == {502}
+        assert all('"outcome":"unknown"' in text for _, text in results)
+
+        async def others_are_served():
+            return (await send_prompt(fleet, "/chat/x"))[0] == 200
+
+        endpoint.release.set()
+        assert {status for status, _ in await asyncio.gather(*held)} == {200}
+        await wait_until(others_are_served)
+    ids = [request_id for request_id, _, _ in endpoint.requests]
+    assert len(ids) == len(set(ids))
+
+
+async def test_an_overloaded_gateway_that_stops_finishes_forwarded_prompts(
+    fleet,
+):
+    """Guards against responses that a graceful shutdown cuts off."""
+    async with engine_that_holds_prompts(fleet) as endpoint:
+        held = await overload(fleet, endpoint)
+        sent = await forward_prompts(fleet, endpoint)
+        stopping = asyncio.create_task(fleet.children["gateway"].terminate())
+        endpoint.release.set()
+        results = await asyncio.gather(*sent, *held)
+        assert set(results) == {(200, "done")}
+        await stopping
+    forwarded = events(fleet, "gateway", "request_forwarded")
+    assert len(forwarded) >= FORWARDED_PROMPTS
+    assert {line["outcome"] for line in forwarded} == {"forwarded"}
