Keep connections to peers for the next forwarded prompt

The end of a response in chunks was recognised by its last bytes, which a chunk can contain.

The chunks are followed to find the end. A connection isn't used again after an abandoned, irregular or malformed response, an incomplete request, or bytes that nobody asked for. A prompt that was sent on a connection that breaks is not sent again; its outcome is unknown. Callers are told that their connection is closed. If only part of a response's head has arrived when the peer is lost, the caller now gets 502 instead of an empty response.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/forwarded_response.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/forwarded_response.py
@@ -1,64 +1,105 @@
 """Follows a response whose bytes are passed on without parsing its body."""
 
+from marjoramyard.fleet.gateway.chunked_body import ChunkedBody
+
 MAX_HEAD_BYTES = 1 << 16
 _HEAD_END = b"\r\n\r\n"
-_LAST_CHUNK = b"0\r\n\r\n"
+_CLOSE = b"\r\nConnection: close"
+_VERSION = b"http/1.1 "
 _CHUNKED = b"\r\ntransfer-encoding: chunked"
+_ENCODING = b"\r\ntransfer-encoding:"
 _LENGTH = b"\r\ncontent-length:"
+_CONNECTION = b"\r\nconnection:"
+_WITHOUT_BODY = ([b"204"], [b"304"])
 
 
 class ForwardedResponse:
     """The response of another gateway, which has a length or chunks.
 
     Attributes:
+        closes_caller: Whether the caller is told that its connection is closed
+            after the response.
         size: Bytes received so far.
         body_size: Those of the body.
         length: The length of the body; -1 while it is unknown.
-        is_chunked: Whether the body is sent in chunks.
+        chunks: The body if it is sent in chunks.
+        is_reusable: Whether the connection may be used again once the response
+            is complete.
     """
 
-    def __init__(self):
+    def __init__(self, closes_caller: bool = False):
+        self.closes_caller = closes_caller
         self.size = 0
         self.body_size = 0
         self.length = -1
-        self.is_chunked = False
+        self.chunks: ChunkedBody | None = None
+        self.is_reusable = False
         self._head = b""
         self._has_body_begun = False
-        self._tail = b""
 
-    def feed(self, data: bytes) -> None:
-        """Notes received bytes."""
+    def feed(self, data: bytes) -> bytes:
+        """Notes received bytes; returns those to be passed on."""
         self.size += len(data)
-        if not self._has_body_begun:
-            data = self._take_head(data)
-        self.body_size += len(data)
-        # Longer data replaces the tail.
-        self._tail = (self._tail + data[-len(_LAST_CHUNK) :])[
-            -len(_LAST_CHUNK) :
-        ]
+        if self._has_body_begun:
+            self._feed_body(data)
+            return data
+        passed = self._feed_head(data)
+        # A head that isn't changed is passed on as it is received.
+        return passed if self.closes_caller else data
 
     @property
     def is_complete(self) -> bool:
-        """Whether the response has been received to its end."""
+        """Whether the response has been received to its end, and no more."""
         if not self._has_body_begun:
             return False
-        if self.is_chunked:
-            return self._tail == _LAST_CHUNK
+        if self.chunks is not None:
+            return self.chunks.is_complete and not self.chunks.is_malformed
         return self.body_size == self.length
 
-    def _take_head(self, data: bytes) -> bytes:
-        """Returns the data that belongs to the body."""
+    @property
+    def is_malformed(self) -> bool:
+        """Whether the end of the response can no longer be recognised."""
+        if self.chunks is not None:
+            return self.chunks.is_malformed
+        return 0 <= self.length < self.body_size
+
+    def _feed_body(self, data: bytes) -> None:
+        self.body_size += len(data)
+        if self.chunks is not None:
+            self.chunks.feed(data)
+
+    def _feed_head(self, data: bytes) -> bytes:
+        """Returns the head with what follows it; empty until it is complete."""
         self._head += data
         head, end, body = self._head.partition(_HEAD_END)
         if not end:
-            self._head = self._head[:MAX_HEAD_BYTES]
-            return b""
+            if len(self._head) < MAX_HEAD_BYTES:
+                return b""
+            # Passed on as it is; it ends with the connection.
+            self._has_body_begun = True
+            head, self._head = self._head, b""
+            return head
         self._has_body_begun = True
         self._head = b""
         lowered = head.lower()
-        self.is_chunked = _CHUNKED in lowered
+        self._read_framing(lowered)
+        self._feed_body(body)
+        close = b"" if _CONNECTION in lowered else _CLOSE
+        return head + close + end + body
+
+    def _read_framing(self, lowered: bytes) -> None:
+        if _CHUNKED in lowered:
+            self.chunks = ChunkedBody()
         _, found, value = lowered.partition(_LENGTH)
         if found:
             digits = value.split(b"\r\n", 1)[0].strip()
             self.length = int(digits) if digits.isdigit() else -1
-        return body
+        if lowered.split(b" ", 2)[1:2] in _WITHOUT_BODY:
+            self.length = 0
+            return
+        self.is_reusable = (
+            lowered.startswith(_VERSION)
+            and _CONNECTION not in lowered
+            and lowered.count(_LENGTH) + lowered.count(_ENCODING) == 1
+            and (self.chunks is not None or self.length >= 0)
+        )
--- a/packages/fleet/src/marjoramyard/fleet/gateway/overload_guard.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/overload_guard.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
+import msgspec
 from aiohttp import web
 
 from marjoramyard.coordination.routing.config import Route
@@ -17,13 +18,16 @@
     RequestHead,
     response_bytes,
 )
+from marjoramyard.fleet.gateway.peer_connections import PeerConnections
 from marjoramyard.fleet.gateway.peer_forwarding import (
     ForwardedRequest,
     ForwardingFailures,
     ForwardingPlan,
     PeerSelector,
     can_forward,
+    can_keep_connection,
     closing_request,
+    keeping_request,
 )
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.fleet.util.rpc import failure_response
@@ -54,6 +58,7 @@
         limit: The limit on prompts in service.
         forwarding_limit: The limit on prompts being forwarded.
         peers: Chooses the gateways that prompts are forwarded to.
+        connections: Connections to peers that are kept for the next prompt.
         peer_count: How many gateways had room for the last prompt that was
             checked.
         forwarding_failures: Responses to forwarded prompts that got none.
@@ -72,6 +77,7 @@
         self.limit = self.demand.limit
         self.forwarding_limit = self.demand.forwarding_limit
         self.peers = PeerSelector()
+        self.connections = PeerConnections()
         self.peer_count = 0
         self.forwarding_failures = _forwarding_failures(view.dialect)
         self.on_started: Callable[[], None] = lambda: None
@@ -158,13 +164,34 @@
         if not peer:
             return None
         plan = self._forwarding_plan(head, route, workspace, peer)
-        forwarded = ForwardedRequest(plan, caller, self._on_forwarded)
-        forwarded.send(closing_request(head, data))
+        forwarded = self._send(plan, head, data, caller)
         self.peers.on_started(peer)
         self.demand.on_forwarded(workspace, peer)
         self.on_started()
         return forwarded
 
+    def _send(
+        self,
+        plan: ForwardingPlan,
+        head: RequestHead,
+        data: bytes,
+        caller: asyncio.Transport,
+    ) -> ForwardedRequest:
+        if not can_keep_connection(head):
+            forwarded = ForwardedRequest(plan, caller, self._on_forwarded)
+            forwarded.send(closing_request(head, data))
+            return forwarded
+        request = keeping_request(head, data)
+        size = len(request) + head.size - len(data)
+        forwarded = ForwardedRequest(
+            msgspec.structs.replace(plan, request_size=size),
+            caller,
+            self._on_forwarded,
+            self.connections,
+        )
+        forwarded.send(request)
+        return forwarded
+
     def _forwarding_plan(
         self, head: RequestHead, route: Route, workspace: str, peer: str
     ) -> ForwardingPlan:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/peer_forwarding.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/peer_forwarding.py
@@ -15,6 +15,7 @@
 
 from marjoramyard.fleet.gateway.early_refusal import RequestHead
 from marjoramyard.fleet.gateway.forwarded_response import ForwardedResponse
+from marjoramyard.fleet.gateway.peer_connections import PeerConnections
 from marjoramyard.fleet.gateway.peer_naming import MIN_CORES
 from marjoramyard.kernel.logs import get_logger
 from marjoramyard.kernel.util.addresses import parse_address
@@ -62,6 +63,8 @@
         seconds_left: Seconds until the request's deadline.
         failures: The responses if the peer sends none.
         workspace: The workspace of the caller.
+        request_size: The bytes of the complete request as it is sent; -1 if
+            the connection is not used again.
     """
 
     peer: str
@@ -69,6 +72,7 @@
     seconds_left: float
     failures: ForwardingFailures
     workspace: str = ""
+    request_size: int = -1
 
 
 class PeerSelector:
@@ -138,6 +142,11 @@
     return value in _PLAIN_OPTIONS
 
 
+def can_keep_connection(head: RequestHead) -> bool:
+    """Whether the end of the response can be told from the response alone."""
+    return head.raw.startswith(b"POST ")
+
+
 def closing_request(head: RequestHead, data: bytes) -> bytes:
     """Returns the bytes of a request with `Connection: close`.
 
@@ -148,14 +157,29 @@
         head: The head of the request.
         data: The bytes received so far: the head and a part of the body.
     """
-    raw = head.raw
-    start = head.lowered.find(_CONNECTION)
-    if start >= 0:
-        end = raw.find(b"\r\n", start + 2)
-        raw = raw[:start] + (raw[end:] if end >= 0 else b"")
+    raw = _without_connection(head)
     return raw + b"\r\nConnection: close" + data[len(head.raw) :]
 
 
+def keeping_request(head: RequestHead, data: bytes) -> bytes:
+    """Returns the bytes of a request after which the connection is kept.
+
+    Args:
+        head: The head of the request.
+        data: The bytes received so far: the head and a part of the body.
+    """
+    return _without_connection(head) + data[len(head.raw) :]
+
+
+def _without_connection(head: RequestHead) -> bytes:
+    """Returns the head without its `Connection` header."""
+    start = head.lowered.find(_CONNECTION)
+    if start < 0:
+        return head.raw
+    end = head.raw.find(b"\r\n", start + 2)
+    return head.raw[:start] + (head.raw[end:] if end >= 0 else b"")
+
+
 class ForwardedRequest(asyncio.Protocol):
     """The connection to a peer for one request.
 
@@ -163,9 +187,14 @@
         plan: Where the request is forwarded to.
         caller: The connection of the caller.
         on_end: Called once when the request has ended.
+        connections: The connections that are kept; None to keep none.
+        sent_size: Bytes of the request so far.
+        is_paused: Whether reading of the response is paused.
+        is_kept: Whether the connection waits for another request.
         unsent: Bytes of the request until the connection is established.
         peer: The connection to the peer; None before it is established.
         response: What has been received of the response.
+        has_responded: Whether part of it was sent to the caller.
         has_ended: Whether the request has ended.
     """
 
@@ -174,17 +203,29 @@
         plan: ForwardingPlan,
         caller: asyncio.Transport,
         on_end: Callable[["ForwardedRequest", str], None],
+        connections: PeerConnections | None = None,
     ):
         self.plan = plan
         self.caller = caller
         self.on_end = on_end
         self.unsent = bytearray()
         self.peer: asyncio.Transport | None = None
-        self.response = ForwardedResponse()
+        self.connections = connections
+        self.sent_size = 0
+        self.is_paused = False
+        self.is_kept = False
+        self.has_responded = False
+        self.response = ForwardedResponse(connections is not None)
         self.has_ended = False
         loop = asyncio.get_running_loop()
         self.started_at = loop.time()
-        self.connecting = loop.create_task(self._connect())
+        self.connecting: asyncio.Task | None = None
+        kept = connections.take(plan.peer) if connections else None
+        if kept is None:
+            self.connecting = loop.create_task(self._connect())
+        else:
+            kept.set_protocol(self)
+            self.peer = kept
         self.timer = loop.call_later(
             plan.seconds_left + DEADLINE_MARGIN_SECONDS, self._time_out
         )
@@ -196,6 +237,7 @@
 
     def send(self, data: bytes) -> None:
         """Sends bytes of the request."""
+        self.sent_size += len(data)
         if self.peer is None:
             self.unsent += data
         elif not self.peer.is_closing():
@@ -203,11 +245,13 @@
 
     def pause_reading(self) -> None:
         """Stops reading the response while the caller is slow."""
+        self.is_paused = True
         if self.peer is not None and not self.peer.is_closing():
             self.peer.pause_reading()
 
     def resume_reading(self) -> None:
         """Continues to read the response."""
+        self.is_paused = False
         if self.peer is not None and not self.peer.is_closing():
             self.peer.resume_reading()
 
@@ -257,21 +301,35 @@
         """Called when bytes of the response are received."""
         if self.has_ended or self.caller.is_closing():
             return
-        self.response.feed(data)
-        self.caller.write(data)
+        passed = self.response.feed(data)
+        if passed:
+            self.has_responded = True
+            self.caller.write(passed)
+        if self.connections is None:
+            return
+        if self.response.is_malformed:
+            self._end("malformed", b"")
+        elif self.response.is_complete:
+            self._keep_connection()
+            self._end("forwarded", b"")
+
+    def _keep_connection(self) -> None:
+        """Keeps the connection if nothing is left of request and response."""
+        is_sent = self.sent_size == self.plan.request_size
+        if is_sent and self.response.is_reusable and not self.is_paused:
+            self.connections.keep(self.plan.peer, self.peer)
+            self.is_kept = True
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Called when the peer has closed the connection."""
-        if self.response.size:
-            is_complete = self.response.is_complete
-            self._end("forwarded" if is_complete else "peer-lost", b"")
-        else:
-            self._end("peer-lost", self.plan.failures.lost)
+        outcome = "forwarded" if self.response.is_complete else "peer-lost"
+        lost = self.plan.failures.lost
+        self._end(outcome, b"" if self.has_responded else lost)
 
     def _time_out(self) -> None:
         not_sent = self.plan.failures.not_sent
         late = self.plan.failures.timed_out if self.is_sent else not_sent
-        self._end("deadline", b"" if self.response.size else late)
+        self._end("deadline", b"" if self.has_responded else late)
 
     def _end(self, outcome: str, response: bytes) -> None:
         """Ends the request; sends a response if the peer has sent none."""
@@ -281,7 +339,7 @@
         self.timer.cancel()
         if not self.is_sent:
             self.connecting.cancel()
-        elif not self.peer.is_closing():
+        elif not self.is_kept and not self.peer.is_closing():
             # Not closed gracefully: the peer stops running the request.
             self.peer.abort()
         if not self.caller.is_closing():
--- a/packages/fleet/src/marjoramyard/fleet/gateway/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/role.py
@@ -92,9 +92,12 @@
     ) -> web.StreamResponse:
         """Handles a request that another gateway has forwarded.
 
-        The other gateway closes the connection after the response.
+        The other gateway keeps the connection unless this one closes it.
         """
-        return await self.handler.handle(request)
+        response = await self.handler.handle(request)
+        if self.sheds_connections() and not response.prepared:
+            response.force_close()
+        return response
 
     def wrap_connection(
         self, inner: asyncio.Protocol, is_idle: Callable[[], bool]
@@ -188,6 +191,7 @@
                 settings.forwarding_address(), settings.processor_cores
             ),
         )
+        brokers.is_leaving = app.stopping.is_set
         cold_starts = ColdStarts(
             view, settings.cold_overrun, settings.cold_slack
         )
@@ -246,6 +250,7 @@
             role.connections.listener = listener
             app.tasks.spawn(role.connections.keep_within_limit())
             yield role
+            handler.guard.connections.close()
 
 
 def _serve_forwarded(
