Name no peers that shut down

Cause: a gateway that shuts down was named as a peer until its connection to the broker closed, though it refuses new requests.

Change: it says so in a heartbeat, once and when it is asked, and the broker no longer names it.

Result: test_a_gateway_that_shuts_down_is_no_longer_named.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_client.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_client.py
@@ -100,6 +100,8 @@
             seconds.
         needs_peers: Whether this gateway wants to forward requests.
         excess: Returns the prompts a second that it forwards or refuses.
+        is_leaving: Whether this gateway is shutting down.
+        has_reported_leaving: Whether the broker was told so.
         has_reported_need: Whether the broker was last told that this gateway
             needs peers.
         last_number: The number of the last request.
@@ -124,6 +126,8 @@
         self.needs_peers: Callable[[], bool] = lambda: False
         self.excess: Callable[[], float] = lambda: 0.0
         self.has_reported_need = False
+        self.is_leaving: Callable[[], bool] = lambda: False
+        self.has_reported_leaving = False
         self.avoided_until: dict[str, float] = {}
         self.view = view
         self.session = session
@@ -200,6 +204,7 @@
         logger.info("broker_connected", service=service, broker=address)
         self.socket = socket
         self.has_reported_need = False
+        self.has_reported_leaving = False
         self.liveness.reset()
         self.outbox = list(self.running.values())
         if socket.protocol in BROKER_PROTOCOLS:
@@ -373,21 +378,29 @@
         """
         while True:
             await asyncio.sleep(HEARTBEAT_INTERVAL_SECONDS)
-            if (
-                self.pending
-                or any(r.tokens for r in self.running.values())
-                or self.needs_peers()
-                or self.has_reported_need
-            ):
+            if self._must_send_heartbeat():
                 self._send_heartbeat()
 
+    def _must_send_heartbeat(self) -> bool:
+        is_waiting = bool(self.pending) or any(
+            running.tokens for running in self.running.values()
+        )
+        has_need = self.needs_peers() or self.has_reported_need
+        has_news = self.is_leaving() and not self.has_reported_leaving
+        return is_waiting or has_need or has_news
+
     def _send_heartbeat(self) -> None:
         needs_peers = self.needs_peers()
         excess = round(self.excess(), 1) if needs_peers else 0.0
+        is_leaving = self.is_leaving()
         self.has_reported_need = needs_peers and self.socket is not None
+        self.has_reported_leaving = is_leaving and self.socket is not None
         self._send(
             Heartbeat(
-                self.lag.is_lagging, needs_peers=needs_peers, excess=excess
+                self.lag.is_lagging,
+                needs_peers=needs_peers,
+                excess=excess,
+                is_leaving=is_leaving,
             )
         )
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_clients.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_clients.py
@@ -33,6 +33,7 @@
         self.forwarding = forwarding
         self.needs_peers: Callable[[], bool] = lambda: False
         self.excess: Callable[[], float] = lambda: 0.0
+        self.is_leaving: Callable[[], bool] = lambda: False
         self.tasks = tasks
         self.view = view
         self.session = session
@@ -59,6 +60,7 @@
             )
             client.needs_peers = lambda: self.needs_peers()
             client.excess = lambda: self.excess()
+            client.is_leaving = lambda: self.is_leaving()
             self.clients[service] = client
             self.tasks.spawn(client.run(service))
             self.tasks.spawn(client.send_heartbeats_forever())
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_protocol.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_protocol.py
@@ -202,6 +202,7 @@
         needs_peers: From a gateway, whether it wants to forward requests.
         excess: From a gateway, the prompts a second that it forwards or
             refuses.
+        is_leaving: From a gateway, whether it is shutting down.
         peers: From a broker, addresses of gateways that have room for requests
             of the receiver.
         peer_cores: The processor cores of each of these gateways.
@@ -211,6 +212,7 @@
     is_late: bool = False
     needs_peers: bool = False
     excess: float = 0.0
+    is_leaving: bool = False
     peers: list[str] = []
     peer_cores: list[float] = []
     is_probe: bool = False
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
@@ -235,6 +235,7 @@
             gateway.is_lagging = message.is_late
             gateway.needs_peers = message.needs_peers
             gateway.excess = message.excess
+            gateway.is_leaving = message.is_leaving
             for broker in self.brokers.values():
                 broker.set_lagging(gateway.router, message.is_late)
             return
--- a/packages/fleet/src/marjoramyard/fleet/gateway/gateway_connection.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/gateway_connection.py
@@ -45,6 +45,7 @@
         needs_peers: Whether it last reported that it wants to forward requests.
         excess: The prompts a second that it last reported as forwarded or
             refused.
+        is_leaving: Whether it has reported that it is shutting down.
         outbox: Messages to be sent in the next frame.
         services: Services of the queued, granted and unbrokered requests, by
             the number that the gateway gave the request.
@@ -67,6 +68,7 @@
         self.is_lagging = False
         self.needs_peers = False
         self.excess = 0.0
+        self.is_leaving = False
         self.socket = socket
         self.outbox: list[BrokerMessage] = []
         self.services: dict[int, str] = {}
@@ -80,6 +82,7 @@
         return (
             bool(self.forwarding_address)
             and not self.needs_peers
+            and not self.is_leaving
             and not (self.is_lagging and self.services)
             and not self.liveness.has_expired
         )
--- a/packages/fleet/tests/gateway/test_named_peers.py
+++ b/packages/fleet/tests/gateway/test_named_peers.py
@@ -199,3 +199,23 @@
         client = await broker.connect("127.0.0.1:1")
         client._on_message(Heartbeat(peers=["p", "q"]))
         assert client.known_peers() == {"p": 1.0, "q": 1.0}
+
+
+async def test_a_gateway_that_shuts_down_is_no_longer_named(broker):
+    """Guards against prompts that are forwarded to a gateway that exits."""
+    async with broker.running():
+        idle = await broker.connect(IDLE_ADDRESS)
+        overloaded = await broker.connect("127.0.0.1:1", needs_peers=True)
+        await until(overloaded.known_peers)
+        idle.is_leaving = lambda: True
+        await until(lambda: not overloaded.known_peers())
+
+
+async def test_a_gateway_tells_once_that_it_shuts_down(broker):
+    """Guards against a broker that learns of it only if it asks."""
+    async with broker.running():
+        client = await broker.connect(IDLE_ADDRESS)
+        (gateway,) = broker.server.gateways.values()
+        client.is_leaving = lambda: True
+        await until(lambda: gateway.is_leaving)
+        assert not client._must_send_heartbeat()
