--- a/packages/fleet/src/marjoramyard/fleet/gateway/connections.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/connections.py
@@ -22,7 +22,7 @@
 CROWDED_SHARE = 0.5
 """Share of the limit above which connections are closed after the response
 instead of being kept alive."""
-FORWARDED_SHARE = 0.25
+FORWARDED_SHARE = 0.5
 """Share of the limit for callers whose request is forwarded to another gateway,
 which takes a second connection."""
 CHECK_SECONDS = 0.1
