Count prompts that are read together, and keep forwarding when late

Cause: a gateway that runs a part of the time reads many prompts before it handles the first. It decided to serve them all, and then refused those beyond its limit instead of forwarding them. A decision to refuse a prompt of a dominant workspace was not carried out while the limit admitted it. Peers were asked for only once prompts were refused. The limit on forwarded prompts fell to 128 at each late wake-up.

Change: a prompt that is to be served counts at once. The decision is kept for the refusal.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/demand.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/demand.py
@@ -11,6 +11,7 @@
 )
 from marjoramyard.fleet.gateway.overload import (
     FORWARDING,
+    IN_USE_SHARE,
     LATE_SECONDS,
     ConcurrencyLimit,
 )
@@ -39,6 +40,8 @@
         excess: The prompts a second that are forwarded or refused.
         overloaded_at: When a prompt was last forwarded or refused, on the
             monotonic clock in seconds.
+        expected: Prompts that are about to be in service, by workspace. A late
+            event loop reads many prompts before it handles the first.
         beyond_count: The prompts that were forwarded or refused so far.
         forwarded_to: Forwarded prompts by peer since the last report.
     """
@@ -51,6 +54,7 @@
         self.max_outgoing = 0
         self.policy = BalancingPolicy()
         self.processor = RateMeter(time.process_time, PROCESSOR_SECONDS)
+        self.expected: Counter[str] = Counter()
         self.beyond_count = 0
         self.excess = RateMeter(lambda: self.beyond_count, EXCESS_SECONDS)
         self.overloaded_at = float("-inf")
@@ -64,7 +68,8 @@
     @property
     def is_checked(self) -> bool:
         """Whether prompts may have to be forwarded or refused."""
-        return self.limit.is_reached or self.is_overloaded
+        in_use = self.limit.total >= self.limit.limit * IN_USE_SHARE
+        return in_use or self.is_overloaded
 
     @property
     def processor_share(self) -> float:
@@ -94,14 +99,15 @@
         Args:
             has_peers: Whether other gateways have room.
         """
+        active = self.limit.total + self.expected.total()
         return GatewayLoad(
             limit=self.limit.limit,
-            active=self.limit.total,
+            active=active,
             forwarded=self.forwarding_limit.total,
             max_forwarded=min(
                 self.forwarding_limit.limit,
                 self.max_forwarded,
-                self.max_outgoing - self.limit.total,
+                self.max_outgoing - active,
             ),
             processor_share=self.processor_share,
             has_peers=has_peers,
@@ -118,10 +124,20 @@
         forwarded = self.forwarding_limit.active
         return self.policy.decide(
             self.load(has_peers),
-            self.limit.admits(workspace),
+            self.limit.admits(workspace, self.expected),
             self.limit.is_dominant(workspace, forwarded),
         )
 
+    def expect(self, workspace: str) -> None:
+        """Counts a prompt that is about to be in service."""
+        self.expected[workspace] += 1
+
+    def unexpect(self, workspace: str) -> None:
+        """Discounts a prompt once it is in service or was refused."""
+        self.expected[workspace] -= 1
+        if not self.expected[workspace]:
+            del self.expected[workspace]
+
     def note_excess(self) -> None:
         """Counts a prompt that is forwarded or refused."""
         self.beyond_count += 1
--- a/packages/fleet/src/marjoramyard/fleet/gateway/overload.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/overload.py
@@ -9,8 +9,9 @@
 
 import time
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from contextlib import contextmanager
+from types import MappingProxyType
 
 import msgspec
 
@@ -36,6 +37,9 @@
 same overloaded gateway."""
 
 
+NONE_EXPECTED: Mapping[str, int] = MappingProxyType({})
+
+
 class LimitSteps(msgspec.Struct, frozen=True):
     """How a limit adapts.
 
@@ -51,7 +55,7 @@
 
 
 SERVING = LimitSteps(MIN_LIMIT, decrease_factor=0.7, increase_step=1.0)
-FORWARDING = LimitSteps(128.0, decrease_factor=0.85, increase_step=4.0)
+FORWARDING = LimitSteps(192.0, decrease_factor=0.85, increase_step=8.0)
 """A forwarded prompt takes a fraction of the processor time of a served one, so
 an overloaded gateway rather serves fewer prompts than it forwards."""
 
@@ -120,15 +124,22 @@
         """Whether prompts may be refused."""
         return self.total >= self.limit
 
-    def admits(self, workspace: str) -> bool:
+    def admits(
+        self, workspace: str, expected: Mapping[str, int] = NONE_EXPECTED
+    ) -> bool:
         """Whether another prompt of a workspace may be served now.
 
         A workspace below an even share of the limit is always admitted.
+
+        Args:
+            workspace: The workspace.
+            expected: Prompts that are about to be in service, by workspace.
         """
-        if not self.is_reached:
+        if self.total + sum(expected.values()) < self.limit:
             return True
         workspace_count = len(self.active) + (workspace not in self.active)
-        return self.active[workspace] < self.limit / workspace_count
+        active = self.active[workspace] + expected.get(workspace, 0)
+        return active < self.limit / workspace_count
 
     @contextmanager
     def admit(self, workspace: str) -> Iterator[None]:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/overload_guard.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/overload_guard.py
@@ -59,6 +59,7 @@
         forwarding_limit: The limit on prompts being forwarded.
         peers: Chooses the gateways that prompts are forwarded to.
         connections: Connections to peers that are kept for the next prompt.
+        refused: The last checked prompt if it is to be refused.
         peer_count: How many gateways had room for the last prompt that was
             checked.
         forwarding_failures: Responses to forwarded prompts that got none.
@@ -78,11 +79,12 @@
         self.forwarding_limit = self.demand.forwarding_limit
         self.peers = PeerSelector()
         self.connections = PeerConnections()
+        self.refused: RequestHead | None = None
         self.peer_count = 0
         self.forwarding_failures = _forwarding_failures(view.dialect)
         self.on_started: Callable[[], None] = lambda: None
         self.on_ended: Callable[[], None] = lambda: None
-        brokers.needs_peers = lambda: self.demand.is_overloaded
+        brokers.needs_peers = lambda: self.demand.is_checked
         brokers.excess = lambda: self.demand.excess.rate
         brokers.lag.on_wake_up.append(self.demand.on_wake_up)
 
@@ -101,9 +103,11 @@
     def refuse_early(self, head: RequestHead) -> bytes | None:
         """Returns the response to a prompt beyond the limit, else None."""
         found = self._route_and_workspace(head)
-        if found is None or self.limit.admits(found[1]):
+        if found is None:
             return None
         route, workspace = found
+        if head is not self.refused and self.limit.admits(workspace):
+            return None
         kind = route.request_kind.value
         self.metrics.count(
             "requests", outcome=FailureKind.OVERLOADED.code, kind=kind
@@ -157,6 +161,9 @@
         peers = self.brokers.peers()
         self.peer_count = len(peers)
         decision = self.demand.decide(workspace, bool(peers))
+        self.refused = head if decision is Decision.REFUSE else None
+        if decision is Decision.SERVE:
+            self._expect(workspace)
         if decision is not Decision.FORWARD or not can_forward(head):
             return None
         now = asyncio.get_running_loop().time()
@@ -170,6 +177,12 @@
         self.on_started()
         return forwarded
 
+    def _expect(self, workspace: str) -> None:
+        """Counts a prompt until its handler has had time to count it."""
+        self.demand.expect(workspace)
+        loop = asyncio.get_running_loop()
+        loop.call_soon(loop.call_soon, self.demand.unexpect, workspace)
+
     def _send(
         self,
         plan: ForwardingPlan,
--- a/packages/fleet/tests/gateway/test_balancing.py
+++ b/packages/fleet/tests/gateway/test_balancing.py
@@ -281,3 +281,19 @@
     results = gateway.run(5.0, 0.3 * capacity)
     assert results[Decision.FORWARD] == 0
     assert results[Decision.REFUSE] == 0
+
+
+def test_prompts_that_are_read_together_count_before_they_are_handled(demand):
+    """Guards against prompts that a gateway wants to serve and then refuses:
+    after a pause it reads many of them before it handles the first.
+    """
+    demand.limit.limit = 20.0
+    decisions = []
+    for _ in range(30):
+        decisions.append(demand.decide("large", has_peers=True))
+        if decisions[-1] is Decision.SERVE:
+            demand.expect("large")
+    assert decisions == [Decision.SERVE] * 20 + [Decision.FORWARD] * 10
+    for _ in range(20):
+        demand.unexpect("large")
+    assert not demand.expected
