Draw the requests that kept connections carry

Cause: on a kept connection a smuggled request would get a response that reaches the next caller.

Change: drawn heads are sent as on a kept connection, with another request after them, and read by the HTTP library.

--- a/packages/fleet/tests/gateway/test_drawn_request_heads.py
+++ b/packages/fleet/tests/gateway/test_drawn_request_heads.py
@@ -11,7 +11,9 @@
 from marjoramyard.fleet.gateway.early_refusal import parse_head
 from marjoramyard.fleet.gateway.peer_forwarding import (
     can_forward,
+    can_keep_connection,
     closing_request,
+    keeping_request,
 )
 
 LIMIT = 1 << 16
@@ -130,3 +132,24 @@
     if can_forward(head):
         forwarded = closing_request(head, data)
         assert_same(parse_head(forwarded), forwarded)
+
+
+@settings(max_examples=2000)
+@given(heads)
+def test_a_kept_connection_has_exactly_the_requests_that_were_sent(raw):
+    """Guards against a response to a smuggled request that reaches the next
+    caller whose request uses the connection.
+    """
+    head = parse_head(raw + b"\r\n")
+    if head is None or not can_forward(head) or not can_keep_connection(head):
+        return
+    body = b"x" * (head.size - len(head.raw) - 4)
+    forwarded = keeping_request(head, head.raw + b"\r\n\r\n" + body)
+    assert_same(parse_head(forwarded), forwarded)
+    following = b"POST /next HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+    parsed = parse_by_library(forwarded + following)
+    if parsed is None:
+        return
+    messages, rest = parsed
+    assert rest == b""
+    assert [message.path for message, _ in messages][1:] == ["/next"]
