--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
@@ -25,6 +25,7 @@
 from marjoramyard.fleet.gateway.broker_handovers import BrokerHandovers
 from marjoramyard.fleet.gateway.broker_protocol import (
     BROKER_PROTOCOLS,
+    CORES_PARAMETER,
     FORWARDING_PARAMETER,
     HEARTBEAT_INTERVAL_SECONDS,
     NOTICE_PROTOCOL,
@@ -51,8 +52,10 @@
 from marjoramyard.fleet.gateway.engine_load import estimate_prefill_rate
 from marjoramyard.fleet.gateway.gateway_connection import (
     GatewayConnection,
+    gateways_to_probe,
     is_on_this_host,
-    peers_of,
+    name_all_peers,
+    read_cores,
 )
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.kernel.logs import get_logger
@@ -117,6 +120,7 @@
             request.query.get(FORWARDING_PARAMETER, ""),
             request.query.get(SERVICE_PARAMETER, ""),
             is_on_this_host(request),
+            read_cores(request.query.get(CORES_PARAMETER, "")),
         )
         self.gateways[gateway.number] = gateway
         self.handovers.refresh(_now_ms())
@@ -265,6 +269,8 @@
         if isinstance(message, Heartbeat):
             gateway.is_lagging = message.is_late
             gateway.needs_peers = message.needs_peers
+            gateway.excess = message.excess
+            gateway.is_leaving = message.is_leaving
             for broker in self.brokers.values():
                 broker.set_lagging(gateway.router, message.is_late)
             return
@@ -556,15 +562,24 @@
             self.handovers.refresh(_now_ms())
             for gateway in self.gateways.values():
                 self._suspend_if_expired(gateway)
-            for gateway in self.gateways.values():
-                gateway.outbox.append(
-                    Heartbeat(
-                        peers=peers_of(gateway, self.gateways.values()),
-                    )
-                )
+            self._queue_heartbeats()
             self.handovers.announce(_now_ms())
             self._schedule_dispatch()
 
+    def _queue_heartbeats(self) -> None:
+        gateways = self.gateways.values()
+        named = name_all_peers(gateways)
+        probed = gateways_to_probe(gateways)
+        for gateway in gateways:
+            peers = named.get(gateway.number, [])
+            gateway.outbox.append(
+                Heartbeat(
+                    peers=[peer.address for peer in peers],
+                    peer_cores=[peer.cores for peer in peers],
+                    is_probe=gateway.number in probed,
+                )
+            )
+
 
 def _log_send_failure(task: asyncio.Future) -> None:
     if not task.cancelled() and task.exception() is not None:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/overload.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/overload.py
@@ -9,8 +9,9 @@
 
 import time
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from contextlib import contextmanager
+from types import MappingProxyType
 
 import msgspec
 
@@ -36,6 +37,9 @@
 same overloaded gateway."""
 
 
+NONE_EXPECTED: Mapping[str, int] = MappingProxyType({})
+
+
 class LimitSteps(msgspec.Struct, frozen=True):
     """How a limit adapts.
 
@@ -51,7 +55,7 @@
 
 
 SERVING = LimitSteps(MIN_LIMIT, decrease_factor=0.7, increase_step=1.0)
-FORWARDING = LimitSteps(64.0, decrease_factor=0.85, increase_step=4.0)
+FORWARDING = LimitSteps(192.0, decrease_factor=0.85, increase_step=8.0)
 """A forwarded prompt takes a fraction of the processor time of a served one, so
 an overloaded gateway rather serves fewer prompts than it forwards."""
 
@@ -64,6 +68,7 @@
         limit: The maximum number of prompts in service.
         active: Prompts in service by workspace.
         total: Prompts in service.
+        started: Prompts that started since the last report.
         overloaded_by_one_until: When the gateway becomes ready again, on the
             monotonic clock in seconds.
         refused: Refused prompts by workspace since the last report.
@@ -74,6 +79,7 @@
         self.limit = float("inf")
         self.active: Counter[str] = Counter()
         self.total = 0
+        self.started = 0
         self.overloaded_by_one_until = 0.0
         self.refused: Counter[str] = Counter()
 
@@ -82,6 +88,17 @@
         """Whether one workspace has recently overloaded this gateway."""
         return time.monotonic() < self.overloaded_by_one_until
 
+    def is_dominant(self, workspace: str, elsewhere: Counter[str]) -> bool:
+        """Whether a workspace has most of this gateway's prompts.
+
+        Args:
+            workspace: The workspace.
+            elsewhere: Prompts that are being forwarded, by workspace.
+        """
+        total = self.total + elsewhere.total()
+        count = self.active[workspace] + elsewhere[workspace]
+        return total >= MIN_LIMIT and count > total * DOMINANT_SHARE
+
     def _has_dominant_workspace(self) -> bool:
         largest = max(self.active.values(), default=0)
         return self.total >= MIN_LIMIT and largest > self.total * DOMINANT_SHARE
@@ -107,15 +124,22 @@
         """Whether prompts may be refused."""
         return self.total >= self.limit
 
-    def admits(self, workspace: str) -> bool:
+    def admits(
+        self, workspace: str, expected: Mapping[str, int] = NONE_EXPECTED
+    ) -> bool:
         """Whether another prompt of a workspace may be served now.
 
         A workspace below an even share of the limit is always admitted.
+
+        Args:
+            workspace: The workspace.
+            expected: Prompts that are about to be in service, by workspace.
         """
-        if not self.is_reached:
+        if self.total + sum(expected.values()) < self.limit:
             return True
         workspace_count = len(self.active) + (workspace not in self.active)
-        return self.active[workspace] < self.limit / workspace_count
+        active = self.active[workspace] + expected.get(workspace, 0)
+        return active < self.limit / workspace_count
 
     @contextmanager
     def admit(self, workspace: str) -> Iterator[None]:
@@ -126,15 +150,24 @@
         """
         if not self.admits(workspace):
             raise FleetError(self.refuse(workspace))
-        self.active[workspace] += 1
-        self.total += 1
+        self.enter(workspace)
         try:
             yield
         finally:
-            self.total -= 1
-            self.active[workspace] -= 1
-            if not self.active[workspace]:
-                del self.active[workspace]
+            self.leave(workspace)
+
+    def enter(self, workspace: str) -> None:
+        """Counts a prompt that starts."""
+        self.active[workspace] += 1
+        self.total += 1
+        self.started += 1
+
+    def leave(self, workspace: str) -> None:
+        """Discounts a prompt that has ended."""
+        self.total -= 1
+        self.active[workspace] -= 1
+        if not self.active[workspace]:
+            del self.active[workspace]
 
     def refuse(self, workspace: str) -> Failure:
         """Counts a refused prompt and returns the failure for its caller."""
@@ -145,6 +178,11 @@
             retry_after=jitter(OVERLOAD_RETRY_SECONDS),
         )
 
+    def pop_started_count(self) -> int:
+        """Returns the prompts that started since the last call."""
+        started, self.started = self.started, 0
+        return started
+
     def pop_refused_counts(self) -> Counter[str]:
         """Returns the refused prompts since the last call, by workspace."""
         refused, self.refused = self.refused, Counter()
