Go on at the broker's last pace while no broker responds

Cause: without a broker, gateways placed prompts by their own estimates and refused nothing. Under overload, all of a second's demand reached the engines at once, and the successor refused nearly everything until that backlog was prefilled.

Change: each gateway learns from the broker's replies how many prefill tokens per second it was granted during an overload. While no broker responds after an overload, it sends up to this pace for at most 5 s after the last reply, workspaces below an even share first. The rest is refused as busy, not run. Without an overload or a history nothing changes. Requests show `over-pace-without-broker`, and a counter `pace_refusals` counts them.

In test_send_planning.py the existing fake client of test_endpoints_may_pause_during_the_wait_for_the_broker gets `is_connected=True`, which the planner now reads; its checks are the same.

Not measured on a running fleet.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/run_failures.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/run_failures.py
@@ -33,6 +33,17 @@
     )
 
 
+def pace_failure(may_have_run: bool) -> Failure:
+    """Returns the failure of a request beyond the pace without a broker."""
+    if may_have_run:
+        return no_endpoint_failure(may_have_run)
+    return failure(
+        FailureKind.BUSY,
+        "all endpoints are at capacity and their broker was lost; retry later",
+        retry_after=jitter(BUSY_RETRY_SECONDS),
+    )
+
+
 _UNPLACEABLE_MESSAGES = {
     Unplaceable.NONE_READY: "no endpoint accepts requests now; retry shortly",
     Unplaceable.EVACUATED: "the zones of all endpoints are evacuated",
--- a/packages/fleet/src/marjoramyard/fleet/gateway/send_planning.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/send_planning.py
@@ -12,6 +12,7 @@
 from marjoramyard.coordination.routing.config import Service
 from marjoramyard.fleet.gateway.admission import CallerRequest
 from marjoramyard.fleet.gateway.attempts import SendPlan
+from marjoramyard.fleet.gateway.broker_client import BrokerClient
 from marjoramyard.fleet.gateway.broker_clients import BrokerClients
 from marjoramyard.fleet.gateway.broker_protocol import PlaceGrant, PlaceRefusal
 from marjoramyard.fleet.gateway.cold_starts import ColdStarts
@@ -23,6 +24,7 @@
     EngineLoads,
     estimate_prefill_rate,
 )
+from marjoramyard.fleet.gateway.grant_pace import GrantPaces
 from marjoramyard.fleet.gateway.request_trace import (
     PlacedBy,
     RequestTrace,
@@ -31,6 +33,7 @@
 from marjoramyard.fleet.gateway.run_failures import (
     late_failure,
     no_endpoint_failure,
+    pace_failure,
 )
 from marjoramyard.fleet.gateway.suspects import GatewaySuspects
 from marjoramyard.fleet.gateway.view import FleetView
@@ -56,6 +59,7 @@
         crashes: Detects endpoints that have died.
         names: The header names of the dialect.
         metrics: The metrics of the process.
+        paces: What brokers have recently granted this gateway.
     """
 
     view: FleetView
@@ -68,6 +72,7 @@
     crashes: CrashDetector
     names: HeaderNames
     metrics: Metrics
+    paces: GrantPaces = msgspec.field(default_factory=GrantPaces)
 
 
 class SendProgress(msgspec.Struct):
@@ -166,19 +171,56 @@
         broker_number, reply = await client.place(
             self.caller, self.service, self.progress.tried
         )
-        self.trace.wait_ms += (time.monotonic() - started_at) * 1000
+        age = time.monotonic() - started_at
+        self.trace.wait_ms += age * 1000
+        self._record_reply(reply, age)
         if isinstance(reply, PlaceRefusal):
             self.trace.predicted_ms = round(reply.predicted_ms)
             raise FleetError(late_failure(reply, self.progress.may_have_run))
         if reply is None:
             # Endpoints may have changed during the wait for the broker.
             plan = self._plan_locally(self.candidates(), broker_number)
+            self._check_pace(client, plan)
         else:
-            age_ms = (time.monotonic() - started_at) * 1000
-            plan = self.plan_granted(reply, broker_number, age_ms)
+            plan = self.plan_granted(reply, broker_number, age * 1000)
         self._record_placement(plan)
         return plan
 
+    def _record_reply(
+        self, reply: PlaceGrant | PlaceRefusal | None, waited: float
+    ) -> None:
+        """Records what shows the pace of the broker.
+
+        Args:
+            reply: Its reply, if any.
+            waited: How long the request waited for it, in seconds.
+        """
+        pace = self.context.paces.pace_of(self.service.name)
+        if isinstance(reply, PlaceGrant):
+            pace.on_granted(reply.tokens, waited, time.monotonic())
+        elif isinstance(reply, PlaceRefusal):
+            pace.on_refused(time.monotonic())
+
+    def _check_pace(self, client: BrokerClient, plan: SendPlan) -> None:
+        """Checks that a send without a broker is within the broker's last pace.
+
+        Raises:
+            FleetError: It is not; the request is not sent.
+        """
+        if client.is_connected:
+            return
+        workspace = self.caller.workspace
+        pace = self.context.paces.pace_of(self.service.name)
+        if pace.admits(
+            workspace.name if workspace is not None else "",
+            plan.prefill_tokens,
+            time.monotonic(),
+        ):
+            return
+        self.trace.unplaceable = Unplaceable.OVER_PACE
+        self.context.metrics.count("pace_refusals")
+        raise FleetError(pace_failure(self.progress.may_have_run))
+
     def _record_placement(self, plan: SendPlan) -> None:
         by = PlacedBy.BROKER if plan.is_granted else PlacedBy.GATEWAY
         self.trace.placed_by = by
--- a/packages/fleet/tests/gateway/test_send_planning.py
+++ b/packages/fleet/tests/gateway/test_send_planning.py
@@ -1,6 +1,7 @@
 """Where the sends of one request go, without a network."""
 
 import sys
+import time
 from pathlib import Path
 from types import SimpleNamespace
 
@@ -9,7 +10,9 @@
 from marjoramyard.coordination.placement.cold_start import GRANT_VALID_MS
 from marjoramyard.coordination.routing.config import EngineProfile, Service
 from marjoramyard.coordination.routing.table import PromptPart
-from marjoramyard.fleet.gateway.broker_protocol import PlaceGrant
+from marjoramyard.fleet.gateway.broker_client import BrokerClient
+from marjoramyard.fleet.gateway.broker_protocol import PlaceGrant, PlaceRefusal
+from marjoramyard.fleet.gateway.grant_history import MIN_SPAN_SECONDS
 from marjoramyard.fleet.gateway.request_trace import Unplaceable
 from marjoramyard.fleet.sync_messages import SyncReply
 from marjoramyard.kernel.errors import FailureKind, FleetError, Outcome
@@ -117,7 +120,116 @@
     run = make_run(view, metrics, False)
     run.caller.parts = (PromptPart("own", 10),)
     run.planner.service = Service("api", engine=EngineProfile(slots=1))
-    run.context.brokers.client_for = lambda _: SimpleNamespace(place=place)
+    run.context.brokers.client_for = lambda _: SimpleNamespace(
+        place=place, is_connected=True
+    )
     for _ in range(8):
         plan = await run.planner.plan()
         assert plan.endpoint.endpoint == "e1"
+
+
+def use_lost_broker(run, was_overloaded):
+    """Lets the only broker be lost that granted 10 tokens in each 50 ms."""
+    run.caller.parts = (PromptPart("own", 10),)
+    run.planner.service = Service("api", engine=EngineProfile(slots=1))
+    client = BrokerClient(None, None, None)
+    run.context.brokers.client_for = lambda _: client
+    lost_at = time.monotonic()
+    replies = round(2 * MIN_SPAN_SECONDS / 0.05)
+    pace = run.context.paces.pace_of("api")
+    for number in range(replies):
+        at = lost_at - 0.05 * (replies - number)
+        pace.on_granted(10.0, 0.0, at)
+        if was_overloaded:
+            pace.on_refused(at)
+
+
+async def plans_until_refused(run, most):
+    """Returns the number of sends planned before one is refused."""
+    for count in range(most):
+        try:
+            await run.planner.plan()
+        except FleetError as error:
+            return count, error.failure
+    return most, None
+
+
+async def test_prompts_beyond_the_pace_are_refused_if_the_broker_is_lost(
+    view, metrics
+):
+    """Load: 200 prompts at once after an overload. Guards against engines that
+    get them all as soon as there is no broker.
+    """
+    run = make_run(view, metrics, False)
+    use_lost_broker(run, was_overloaded=True)
+    count, failure = await plans_until_refused(run, 200)
+    assert 1 <= count <= 10
+    assert failure.kind is FailureKind.BUSY
+    assert failure.outcome == Outcome.NOT_RUN.value
+    assert failure.retry_after > 0
+    assert run.trace.unplaceable is Unplaceable.OVER_PACE
+    assert run.context.session.requests == 0
+    assert "marjoramyard_pace_refusals_total{" in (
+        metrics.prometheus_text().decode()
+    )
+
+
+async def test_a_prompt_beyond_the_pace_that_may_have_run_is_not_called_busy(
+    view, metrics
+):
+    """Guards against callers that repeat what an engine has run."""
+    run = make_run(view, metrics, False)
+    use_lost_broker(run, was_overloaded=True)
+    run.progress.may_have_run = True
+    _, failure = await plans_until_refused(run, 200)
+    assert failure.kind is FailureKind.ENDPOINT_LOST
+    assert failure.outcome == Outcome.UNKNOWN.value
+
+
+async def test_no_prompt_is_refused_if_the_broker_is_lost_on_a_calm_day(
+    view, metrics
+):
+    """Load: 200 prompts at once after a calm time."""
+    run = make_run(view, metrics, False)
+    use_lost_broker(run, was_overloaded=False)
+    assert await plans_until_refused(run, 200) == (200, None)
+    assert run.trace.unplaceable is None
+
+
+async def test_a_broker_that_responds_limits_nothing_by_the_pace(view, metrics):
+    """Load: 200 prompts after an overload that wait no longer for the broker,
+    which still responds. Guards against a pace beside the broker's own limit.
+    """
+
+    async def place(*_):
+        return 7, None
+
+    run = make_run(view, metrics, False)
+    use_lost_broker(run, was_overloaded=True)
+    run.context.brokers.client_for = lambda _: SimpleNamespace(
+        place=place, is_connected=True
+    )
+    assert await plans_until_refused(run, 200) == (200, None)
+
+
+async def test_a_gateway_learns_the_pace_from_the_replies_of_the_broker(
+    view, metrics
+):
+    """Load: refusals and grants in turn. Guards against replies that are not
+    recorded.
+    """
+    replies = [PlaceGrant(1, "e0", tokens=10.0), PlaceRefusal(2, 1.0, 1.0)]
+
+    async def place(*_):
+        return 7, replies.pop(0)
+
+    run = make_run(view, metrics, False)
+    run.caller.parts = (PromptPart("own", 10),)
+    run.planner.service = Service("api", engine=EngineProfile(slots=1))
+    run.context.brokers.client_for = lambda _: SimpleNamespace(place=place)
+    assert (await run.planner.plan()).is_granted
+    with pytest.raises(FleetError):
+        await run.planner.plan()
+    history = run.context.paces.pace_of("api").history
+    assert [reply.tokens for reply in history.replies] == [10.0, 0.0]
+    assert [reply.shows_overload for reply in history.replies] == [False, True]
