Let callers beyond the pace return when a broker has a successor

Cause: they were told to return after 0.4 s, within the same outage; most callers come back once.

Change: 1.5 s, as a broker under overload tells them.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/run_failures.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/run_failures.py
@@ -17,6 +17,9 @@
 
 BUSY_RETRY_SECONDS = 0.4
 """`Retry-After` when no endpoint has capacity, before jitter."""
+NO_BROKER_RETRY_SECONDS = 1.5
+"""`Retry-After` beyond the pace without a broker, before jitter. A successor
+responds within this time."""
 MIN_RETRY_SECONDS = 0.15
 """Lower bound of the `Retry-After` of a late request, before jitter."""
 
@@ -40,7 +43,7 @@
     return failure(
         FailureKind.BUSY,
         "all endpoints are at capacity and their broker was lost; retry later",
-        retry_after=jitter(BUSY_RETRY_SECONDS),
+        retry_after=jitter(NO_BROKER_RETRY_SECONDS),
     )
 
 
