Take out the costs of connections and zones

Change: no registry of plan costs, idle connections and zones in the broker, the gateway and the engine model; their tests go with them.

Result: the tests of placement, of the gateway and of the engine model pass.

--- a/packages/coordination/src/marjoramyard/coordination/placement/admission.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/admission.py
@@ -6,7 +6,6 @@
 """
 
 import math
-from collections.abc import Callable
 from itertools import islice
 
 from marjoramyard.coordination.placement.engines import (
@@ -14,7 +13,6 @@
     Engine,
 )
 from marjoramyard.coordination.placement.fair_queues import FairQueues
-from marjoramyard.coordination.placement.plan_costs import extra_cost_ms
 from marjoramyard.coordination.placement.plans import Plan, best_plan
 from marjoramyard.coordination.placement.request_queue import QueuedRequest
 from marjoramyard.coordination.placement.requests import (
@@ -128,7 +126,7 @@
     ) -> PlacementRefusal | None:
         if not self.serving_count:
             return None
-        forecast = self._forecast(queued, now)
+        forecast = self._forecast(queued)
         over_ms = self._over_ms(queued, forecast, now)
         if over_ms <= 0:
             return None
@@ -151,7 +149,7 @@
             - slack_ms * MAX_WAIT_FRACTION
         )
 
-    def _forecast(self, queued: QueuedRequest, now: float) -> WaitForecast:
+    def _forecast(self, queued: QueuedRequest) -> WaitForecast:
         """Returns the forecast of a new request.
 
         The mean over engines that differ in speed says little: some have long
@@ -161,7 +159,7 @@
         if self.is_uneven:
             ahead = self._tokens_ahead(request.workspace, queued.order)
             level_ms = self.load.level_ms(ahead)
-            plan = self._likely_plan(queued, level_ms, now)
+            plan = self._likely_plan(queued, level_ms)
             if plan is not None:
                 return forecast_at(
                     plan.engine, plan.prefill_tokens, level_ms, plan.fetch_ms
@@ -170,7 +168,7 @@
         return WaitForecast(wait_ms, self._prefill_ms(queued))
 
     def _likely_plan(
-        self, queued: QueuedRequest, level_ms: float, now: float
+        self, queued: QueuedRequest, level_ms: float
     ) -> Plan | None:
         """Returns the plan that a request will probably be granted.
 
@@ -180,7 +178,6 @@
         Args:
             queued: The request.
             level_ms: The wait to which prompts ahead raise shorter ones.
-            now: The time.
 
         Returns:
             The plan, or None if no engine has capacity.
@@ -203,7 +200,6 @@
             compared,
             self.profile,
             lambda: [engine.endpoint for engine in compared],
-            self._extra_cost_of(request, now),
             level_ms,
         )
 
@@ -251,14 +247,6 @@
         lightest = self.load.current().lightest
         return forecast_at(soonest(lightest, queued.cost), queued.cost)
 
-    def _extra_cost_of(
-        self, request: PlacementRequest, now: float
-    ) -> Callable[[Engine], float]:
-        """Returns what sets unequal engines apart; nothing for equal ones."""
-        if not self.is_uneven:
-            return lambda _: 0.0
-        return lambda engine: extra_cost_ms(request, engine, now)
-
     def _may_use(self, request: PlacementRequest, endpoint: str) -> bool:
         return (
             endpoint not in request.excluded_endpoints
--- a/packages/coordination/src/marjoramyard/coordination/placement/broker.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/broker.py
@@ -18,9 +18,6 @@
 from functools import partial
 from itertools import islice
 
-from marjoramyard.coordination.placement import (
-    connection_costs,  # noqa: F401  (registers its costs)
-)
 from marjoramyard.coordination.placement.admission import (
     MAX_HOLDERS,
     Admission,
@@ -241,7 +238,6 @@
             available,
             self.profile,
             partial(self._usable_endpoints, request),
-            self._extra_cost_of(request, now),
         )
         engine = plan.engine
         if not engine.accepts(memory_tokens, max_backlog_ms):
--- a/packages/coordination/src/marjoramyard/coordination/placement/engine_pool.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/engine_pool.py
@@ -43,7 +43,6 @@
         pauses: The pauses that engines have asked routers for.
         speeds: Compares the speeds of the engines.
         is_uneven: Whether the engines clearly differ in speed.
-        reuse_count: How many requests probably found an idle connection.
     """
 
     def __init__(
@@ -63,7 +62,6 @@
         self.load = PoolLoad(self.engines, self.pauses)
         self.speeds = SpeedComparison(FIRST_TOKEN_LATENCY_MS)
         self.is_uneven = False
-        self.reuse_count = 0
 
     def set_engines(self, usable: Iterable[str]) -> None:
         """Sets the endpoints that may get new requests.
@@ -113,17 +111,10 @@
             engine.prefix_cache.clear()
             engine.forget_rate(self.rate)
             engine.forget_learnt()
-            engine.idle_connections.clear()
             self.pauses.forget_endpoint(endpoint)
             self.load.forget()
         engine.born = born
 
-    def set_availability_zone(self, endpoint: str, zone: str) -> None:
-        """Sets where an engine runs. Unknown engines are ignored."""
-        engine = self.engines.get(endpoint)
-        if engine is not None:
-            engine.availability_zone = zone
-
     def set_cold_limit(self, limit: int) -> None:
         """Sets how many requests per window a cold engine may get.
 
@@ -169,11 +160,6 @@
             self.pauses.forget_router(router)
             self.load.forget()
 
-    def forget_connections(self, router: str) -> None:
-        """Removes the connections of a router that has disconnected."""
-        for engine in self.engines.values():
-            engine.idle_connections.forget(router)
-
     def end_pauses(self, now: float) -> None:
         """Ends the pauses whose time is over."""
         if self.pauses.by_endpoint and self.pauses.expire(now):
@@ -302,15 +288,10 @@
         engine.reported_at = None
         self.load.record_change()
 
-    def finish(self, key: str, idle_at: float | None = None) -> None:
+    def finish(self, key: str) -> None:
         """Removes a request that is no longer at its engine.
 
         Unknown requests are ignored.
-
-        Args:
-            key: The request.
-            idle_at: Since when its connection is idle; None if it is closed or
-                if that is not known.
         """
         request = self.in_flight.pop(key, None)
         engine = self.engines.get(request.endpoint) if request else None
@@ -318,8 +299,6 @@
             return
         engine.prefilling.pop(key, None)
         self.load.record_change()
-        if idle_at is not None:
-            engine.idle_connections.record(request.router, idle_at)
         engine.running -= 1
         engine.used_memory_tokens -= request.memory_tokens
         if request.is_prefilling:
@@ -398,8 +377,6 @@
         if request.is_prefilling:
             engine.prefilling[key] = request
         engine.running += 1
-        if engine.idle_connections.take(request.router, request.granted_at):
-            self.reuse_count += 1
         engine.throttle.record(request.granted_at)
         engine.allowance -= 1.0
         engine.used_memory_tokens += request.memory_tokens
--- a/packages/coordination/src/marjoramyard/coordination/placement/engines.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/engines.py
@@ -10,9 +10,6 @@
     EngineSpeed,
     PrefillSample,
 )
-from marjoramyard.coordination.placement.idle_connections import (
-    IdleConnections,
-)
 from marjoramyard.coordination.placement.prefix_cache import PrefixCache
 from marjoramyard.coordination.placement.prefix_index import PrefixIndex
 from marjoramyard.coordination.placement.stream_pace import StreamPace
@@ -133,9 +130,6 @@
         pace: How its long streams do.
         is_told_apart: Whether the engines of the pool clearly differ, so that
             it has its own limit on the backlog.
-        availability_zone: Where it runs; "" if unknown.
-        idle_connections: The idle connections that routers probably have to
-            it.
     """
 
     def __init__(
@@ -168,8 +162,6 @@
         self.throttle = ColdStartThrottle(cold_limit)
         self.is_cold = False
         self.allowance = math.inf
-        self.availability_zone = ""
-        self.idle_connections = IdleConnections()
         self.common_limit = backlog_limit or BacklogLimit()
         self.latency_ms = FIRST_TOKEN_LATENCY_MS
         self.is_told_apart = False
--- a/packages/coordination/src/marjoramyard/coordination/placement/plans.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/plans.py
@@ -48,7 +48,6 @@
     available: Iterable[Engine],
     profile: EngineProfile,
     list_endpoints: Callable[[], list[str]],
-    extra_cost_ms: Callable[[Engine], float] = lambda _: 0.0,
     level_ms: float = 0.0,
 ) -> Plan:
     """Returns the cheapest plan.
@@ -59,7 +58,6 @@
         available: Those of them with a free slot and memory; not empty.
         profile: The properties shared by all engines.
         list_endpoints: Returns all endpoints that the request may use.
-        extra_cost_ms: Returns costs of an engine that are not considered here.
         level_ms: The wait to which prompts ahead of the request raise shorter
             ones.
     """
@@ -76,13 +74,7 @@
         level_ms,
     )
     plans = (
-        _plan(
-            prompt,
-            engine,
-            cached[engine.endpoint],
-            profile,
-            extra_cost_ms(engine),
-        )
+        _plan(prompt, engine, cached[engine.endpoint], profile)
         for engine in available
     )
     return min(plans, key=lambda plan: plan.cost_ms)
@@ -129,13 +121,12 @@
     engine: Engine,
     cached: int,
     profile: EngineProfile,
-    extra_cost_ms: float,
 ) -> Plan:
     source = prompt.source
     without_fetch = max(1.0, prompt.tokens - cached)
     fetchable = prompt.cached_at_source - cached
     wait_ms = max(engine.wait_ms, prompt.level_ms)
-    base = wait_ms + fetchable * DUPLICATE_MS_PER_TOKEN + extra_cost_ms
+    base = wait_ms + fetchable * DUPLICATE_MS_PER_TOKEN
     if prompt.preferred and engine.endpoint != prompt.preferred:
         base += NOT_PREFERRED_MS
     cost = base + without_fetch / engine.rate
--- a/packages/coordination/src/marjoramyard/coordination/placement/requests.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/requests.py
@@ -28,7 +28,6 @@
         router: The router that submitted the request and will send it.
         is_overdue: Whether its caller was refused before and has waited for
             longer than the objective. It can't be on time any more.
-        availability_zone: Where the router runs; "" if unknown.
     """
 
     key: str
@@ -41,18 +40,12 @@
     excluded_endpoints: frozenset[str] = frozenset()
     router: str = ""
     is_overdue: bool = False
-    availability_zone: str = ""
 
     @property
     def prompt_tokens(self) -> int:
         """The length of the complete prompt in tokens."""
         return sum(part.tokens for part in self.parts)
 
-    @property
-    def shared_tokens(self) -> int:
-        """The length of the parts that other prompts may have too."""
-        return sum(part.tokens for part in self.parts[:-1])
-
     @property
     def own_memory_tokens(self) -> float:
         """The engine memory needed in addition to shared parts, in tokens."""
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
@@ -160,7 +160,6 @@
         for broker in self.brokers.values():
             broker.set_lagging(gateway.router, False)
             broker.forget_pauses(gateway.router)
-            broker.forget_connections(gateway.router)
         for number, service in gateway.services.items():
             broker = self.brokers[service]
             # The request may be queued or granted.
@@ -225,9 +224,6 @@
         broker.set_cold_limit(self.cold_starts.limit_of(service))
         for registration in usable:
             broker.set_lifetime(registration.endpoint, registration.born)
-            broker.set_availability_zone(
-                registration.endpoint, registration.availability_zone
-            )
             self.cache_lists.request(
                 registration,
                 partial(broker.add_cached, registration.endpoint),
@@ -373,7 +369,7 @@
             self.view.health_of(in_flight.endpoint).record_failure(
                 time.monotonic()
             )
-        broker.finish(key, None if message.failed else _now_ms())
+        broker.finish(key)
 
     def _submit(
         self, gateway: GatewayConnection, message: PlaceRequest
@@ -396,7 +392,6 @@
             excluded_endpoints=frozenset(message.without),
             router=gateway.router,
             is_overdue=message.is_overdue,
-            availability_zone=gateway.zone,
         )
         refusal = broker.submit(placement_request, now)
         if refusal is not None:
@@ -503,7 +498,6 @@
                         wait_ms=round(broker.mean_wait_ms),
                         least_wait_ms=round(broker.least_wait_ms),
                         refused_after_loss=broker.refused_after_loss,
-                        reused=broker.reuse_count,
                         rate=round(broker.total_prefill_rate),
                         backlog_ms=round(broker.backlog_limit.limit_ms),
                         is_uneven=broker.is_uneven,
--- a/packages/fleet/src/marjoramyard/fleet/gateway/engine_load.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/engine_load.py
@@ -1,12 +1,8 @@
 """Tracks this gateway's requests in flight at each engine."""
 
-import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
-from marjoramyard.coordination.placement.idle_connections import (
-    IdleConnections,
-)
 from marjoramyard.coordination.placement.local_placement import EngineView
 from marjoramyard.coordination.routing.config import FleetConfig
 
@@ -31,13 +27,11 @@
     Attributes:
         rate: The estimated prefill rate of an engine, in tokens per
             millisecond.
-        idle_connections: The connections to endpoints that are probably idle.
     """
 
     def __init__(self):
         self.engines: dict[str, EngineView] = {}
         self.rate = DEFAULT_PREFILL_RATE
-        self.idle_connections = IdleConnections()
 
     def load_of(self, endpoint: str) -> EngineView:
         """Returns the load of an endpoint."""
@@ -47,15 +41,10 @@
 
     @contextmanager
     def track(self, endpoint: str, tokens: float) -> Iterator["LocalRequest"]:
-        """Counts a request while it is at an endpoint.
-
-        Its connection counts as idle afterwards, unless an exception is raised.
-        """
+        """Counts a request while it is at an endpoint."""
         request = LocalRequest(self.load_of(endpoint), tokens)
-        self.idle_connections.take(endpoint, time.monotonic() * 1000)
         try:
             yield request
-            self.idle_connections.record(endpoint, time.monotonic() * 1000)
         finally:
             request.on_prefilled = None
             request.finish_prefill()
--- a/packages/fleet/src/marjoramyard/fleet/gateway/send_planning.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/send_planning.py
@@ -222,12 +222,10 @@
 
     def _least_loaded(self, candidates: list[Registration]) -> Registration:
         loads = self.context.loads
-        now = time.monotonic() * 1000
         return min(
             candidates,
             key=lambda registration: (
                 loads.load_of(registration.endpoint).running,
-                not loads.idle_connections.has_one(registration.endpoint, now),
                 random.random(),
             ),
         )
