Review the queue once engines return, without what is refused

Cause: the mark that engines were lost was cleared before the check whether any is left, so a queue that outlived the loss of all engines was not reviewed. A request refused in the review still pushed back its workspace.

Change: the mark stays until there are engines; the order of service counts requests only if they were not removed; the last engine is tried before all engines are compared again.

--- a/packages/coordination/src/marjoramyard/coordination/placement/broker.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/broker.py
@@ -322,17 +322,22 @@
 
         A request is kept if no others are queued.
         """
+        lightest = self.load.current().lightest
+        if not lightest:
+            return []
         self.has_lost_engines = False
         self.reviewed_at = now
-        lightest = self.load.current().lightest
-        if not self.is_uneven or not lightest:
+        if not self.is_uneven:
             return []
         refusals = []
         ahead = 0.0
+        best = lightest[0]
         for queued in self.service_order():
             level_ms = self.load.level_ms(ahead)
-            best = soonest(lightest, queued.cost, level_ms)
             forecast = forecast_at(best, queued.cost, level_ms)
+            if self._misses(queued, forecast, now):
+                best = soonest(lightest, queued.cost, level_ms)
+                forecast = forecast_at(best, queued.cost, level_ms)
             if len(self.queued) == 1 or not self._misses(queued, forecast, now):
                 ahead += queued.cost
                 continue
--- a/packages/coordination/src/marjoramyard/coordination/placement/fair_queues.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/fair_queues.py
@@ -125,7 +125,10 @@
             self.queues[queued.request.workspace].remove(queued)
 
     def service_order(self) -> Iterator[QueuedRequest]:
-        """Yields the queued requests in the order of their expected service."""
+        """Yields the queued requests in the order of their expected service.
+
+        Requests that are removed after they were yielded don't count as served.
+        """
         heads = []
         for name, queue in self.queues.items():
             requests = queue.in_order()
@@ -141,8 +144,9 @@
             if following is None:
                 heapq.heappop(heads)
                 continue
-            output_tokens = queued.request.output_tokens
-            reached += service_cost(queued.cost, output_tokens)
+            if not queued.is_removed:
+                output_tokens = queued.request.output_tokens
+                reached += service_cost(queued.cost, output_tokens)
             heapq.heapreplace(heads, (reached, name, following, requests))
 
     def charge(self, workspace: str, cost: float) -> None:
--- a/packages/coordination/tests/placement/test_wait_forecast.py
+++ b/packages/coordination/tests/placement/test_wait_forecast.py
@@ -61,6 +61,13 @@
         assert isinstance(grant, PlacementGrant)
 
 
+def set_wait(broker, endpoint, wait_ms):
+    """Has an engine take some time for its backlog."""
+    engine = broker.engines[endpoint]
+    engine.prefill_tokens = wait_ms * engine.rate
+    broker.load.forget()
+
+
 def make_engine(wait_ms, rate):
     engine = Engine("e", PROFILE, rate)
     engine.add_prefill(wait_ms * rate, 0.0, True)
@@ -299,12 +306,48 @@
 
 
 def test_queued_requests_are_kept_while_all_engines_are_lost():
-    """Guards against refusing all callers when engines return soon."""
+    """Guards against refusing all callers when engines return soon.
+
+    One of two engines returns when 0.3 s are left. It needs 0.1 s for its
+    prompt, so that three of the queued prompts can be on time.
+    """
     broker = make_uneven_broker(2)
     fill_queue(broker, 8)
     broker.set_engines([])
     assert not broker.expire(1.0)
     assert len(broker.queued) == 8
+    broker.set_engines(["e0"])
+    refused = broker.expire(500.0)
+    assert list(broker.queued) == ["k00", "k01", "k02"]
+    assert len(refused) == 5
+
+
+def test_a_refused_prompt_does_not_push_back_its_workspace_in_a_review():
+    """Guards against refusing a chat for a prompt that is not served.
+
+    Three of four engines are lost, and the last one is busy for 0.5 s. The
+    prompt of 1.2 s can't be on time any more; if it were served, a dozen
+    prompts of the other workspace would come before the chat.
+    """
+    broker = make_uneven_broker(4)
+    prompts = [
+        make_request(
+            "large", "a", tokens=int(1200 * RATE), first_token_due_at=1500.0
+        ),
+        make_chat("chat", "a", first_token_due_at=1600.0),
+    ]
+    prompts += [
+        make_request(
+            f"b{number}", "b", tokens=int(100 * RATE), first_token_due_at=4500.0
+        )
+        for number in range(30)
+    ]
+    for prompt in prompts:
+        assert broker.submit(prompt, 0.0) is None
+    set_wait(broker, "e0", 500.0)
+    broker.set_engines(["e0"])
+    assert [refused.key for refused in broker.expire(1.0)] == ["large"]
+    assert "chat" in broker.queued
 
 
 def test_a_loss_refuses_nothing_while_engines_are_alike():
