Judge a request by an average engine's objective, and by all it would read

Cause: a slow engine extended the objective by its own slowness. Engines without the shared part were compared as if they had it. The forecast counted a transfer from an engine that the router may not use.

Change: the objective of a large prompt is extended by its prefill at an average engine; engines are compared by the complete prompt, holders by the rest; a transfer comes from an engine that may be used.

Result: the three tests failed before and pass now, and so do those of placement, of the gateway and of the engine model.

--- a/packages/coordination/src/marjoramyard/coordination/placement/admission.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/admission.py
@@ -103,21 +103,18 @@
         allowed_ms = request.first_token_due_at - request.submitted_at
         return self._prefill_ms(queued) > LARGE_PROMPT_SHARE * allowed_ms
 
-    def _due_at(self, queued: QueuedRequest, prefill_ms: float) -> float:
+    def _due_at(self, queued: QueuedRequest) -> float:
         """Returns when the first token is due.
 
         A prompt whose prefill alone exceeds its objective gets the time that
-        it needs, and some slack. While too few large prompts are served, each
-        of them may wait as long as a small one.
-
-        Args:
-            queued: The request.
-            prefill_ms: The time that its prefill takes.
+        it needs at an average engine, and some slack. While too few large
+        prompts are served, each of them may wait as long as a small one.
         """
         request = queued.request
         slack_ms = LARGE_PROMPT_SLACK_MS
         if queued.is_large and self.size_shares.is_large_behind():
             slack_ms = request.first_token_due_at - request.submitted_at
+        prefill_ms = self._prefill_ms(queued)
         needed_ms = prefill_ms + FIRST_TOKEN_LATENCY_MS + slack_ms
         return max(request.first_token_due_at, request.submitted_at + needed_ms)
 
@@ -141,8 +138,7 @@
         self, queued: QueuedRequest, forecast: WaitForecast, now: float
     ) -> float:
         """Returns by how much a forecast exceeds the permitted wait."""
-        prefill_ms = forecast.prefill_ms
-        slack_ms = self._due_at(queued, prefill_ms) - now - prefill_ms
+        slack_ms = self._due_at(queued) - now - forecast.prefill_ms
         return (
             forecast.wait_ms
             + FIRST_TOKEN_LATENCY_MS
@@ -186,17 +182,21 @@
         _, names = self.prefix_index.longest_prefix(request.parts[:-1])
         holders = [self.engines[name] for name in islice(names, MAX_HOLDERS)]
         lightest = self.load.current().lightest
-        best = self._soonest(queued, lightest, level_ms)
+        best = self._soonest(request, lightest, request.prompt_tokens, level_ms)
         if best is None:
             return None
         compared = [best]
-        holder = self._soonest(queued, holders, level_ms)
+        holder = self._soonest(request, holders, queued.cost, level_ms)
         if holder not in (None, best):
             compared.append(holder)
-        sources = [engine for engine in holders[:1] if engine.is_usable]
+        sources = [
+            engine
+            for engine in holders
+            if engine.is_usable and self._may_use(request, engine.endpoint)
+        ]
         return best_plan(
             request,
-            compared + sources,
+            compared + sources[:1],
             compared,
             self.profile,
             lambda: [engine.endpoint for engine in compared],
@@ -204,20 +204,22 @@
         )
 
     def _soonest(
-        self, queued: QueuedRequest, engines: list[Engine], level_ms: float
+        self,
+        request: PlacementRequest,
+        engines: list[Engine],
+        prefill_tokens: float,
+        level_ms: float,
     ) -> Engine | None:
         """Returns the engine with capacity that would be done first."""
         if not engines:
             return None
-        best = soonest(engines, queued.cost, level_ms)
-        if self._could_have(queued.request, best):
+        best = soonest(engines, prefill_tokens, level_ms)
+        if self._could_have(request, best):
             return best
         others = [
-            engine
-            for engine in engines
-            if self._could_have(queued.request, engine)
+            engine for engine in engines if self._could_have(request, engine)
         ]
-        return soonest(others, queued.cost, level_ms) if others else None
+        return soonest(others, prefill_tokens, level_ms) if others else None
 
     def _could_have(self, request: PlacementRequest, engine: Engine) -> bool:
         """Returns whether an engine has capacity for a request."""
@@ -228,8 +230,8 @@
     def _is_late(self, queued: QueuedRequest, now: float) -> bool:
         """Returns whether even the best engine would be too late."""
         if self.is_uneven:
-            some = forecast_at(self.load.current().lightest[0], queued.cost)
-            if not self._misses(queued, some, now):
+            first = forecast_at(self.load.current().lightest[0], queued.cost)
+            if not self._misses(queued, first, now):
                 return False
         return self._misses(queued, self._earliest_forecast(queued), now)
 
@@ -238,7 +240,7 @@
     ) -> bool:
         """Returns whether a request is late if a forecast comes true."""
         first_token_at = now + forecast.first_token_ms
-        return first_token_at > self._due_at(queued, forecast.prefill_ms)
+        return first_token_at > self._due_at(queued)
 
     def _earliest_forecast(self, queued: QueuedRequest) -> WaitForecast:
         """Returns the forecast of the request that is served next."""
--- a/packages/coordination/tests/placement/test_wait_forecast.py
+++ b/packages/coordination/tests/placement/test_wait_forecast.py
@@ -3,6 +3,7 @@
 import sys
 from pathlib import Path
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -217,13 +218,65 @@
         assert broker.submit(again, 200.0) is None
         forecast = broker._forecast(broker.queued["again"])
         assert (forecast.wait_ms == pytest.approx(wait_ms)) is is_placed_there
-        for result in broker.dispatch(200.0):
-            assert (result.endpoint == holder.endpoint) is is_placed_there
+        (result,) = broker.dispatch(200.0)
+        assert (result.endpoint == holder.endpoint) is is_placed_there
         broker.cancel("again")
         broker.record_first_token("again", 210.0)
         broker.finish("again")
 
 
+def test_a_slow_engine_does_not_extend_the_objective():
+    """Guards against accepting a prompt that the idle engine serves late.
+
+    The idle engine needs 0.6 s for a prompt that the other one would prefill
+    in 0.15 s, but that one is busy for 0.8 s. It is due within 0.5 s.
+    """
+    broker = make_uneven_broker(2)
+    broker.engines["e0"].rate = RATE / 4
+    set_wait(broker, "e1", 800.0)
+    request = make_request(
+        "k", tokens=int(150 * RATE), first_token_due_at=500.0
+    )
+    assert broker.submit(request, 0.0) is not None
+
+
+def test_engines_without_the_shared_part_are_compared_by_all_they_would_read():
+    """Guards against refusals for a slow engine beside a fast one.
+
+    The engine that has the shared part is busy for 2 s, and others can't
+    fetch it. The slow one is idle a little earlier than the fast one, but
+    would need 0.5 s for the prompt, which the fast one prefills in 0.17 s.
+    """
+    broker = Broker(msgspec.structs.replace(PROFILE, link_mbps=0), RATE)
+    broker.set_engines(["holder", "slow", "fast"])
+    broker.set_uneven(True)
+    shared = (PromptPart("shared", 6000),)
+    broker.add_cached("holder", shared)
+    broker.engines["slow"].rate = RATE / 3
+    for endpoint, wait_ms in (("holder", 2000), ("slow", 300), ("fast", 315)):
+        set_wait(broker, endpoint, wait_ms)
+    request = make_request(
+        "k", tokens=100, shared=shared, first_token_due_at=650.0
+    )
+    assert broker.submit(request, 0.0) is None
+    forecast = broker._forecast(broker.queued["k"])
+    assert forecast.wait_ms == pytest.approx(315.0)
+
+
+def test_the_forecast_has_no_transfer_from_an_engine_that_may_not_be_used():
+    """Guards against a forecast that is shorter than the grant's prefill."""
+    shared = (PromptPart("shared", 6000),)
+    broker = make_uneven_broker(2)
+    broker.add_cached("e0", shared)
+    broker.pause("r1", "e0", 1000.0)
+    for router, tokens in (("r1", 6100), ("r2", 100)):
+        request = make_request(router, tokens=100, shared=shared, router=router)
+        assert broker.submit(request, 0.0) is None
+        forecast = broker._forecast(broker.queued[router])
+        assert forecast.prefill_ms == pytest.approx(tokens / RATE)
+        broker.cancel(router)
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_accepted_requests_are_on_time_under_three_times_the_capacity(seed):
     """Guards against accepting what the forecast should have refused.
