--- a/packages/coordination/src/marjoramyard/coordination/placement/admission.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/admission.py
@@ -6,7 +6,6 @@
 """
 
 import math
-from collections.abc import Callable
 from itertools import islice
 
 from marjoramyard.coordination.placement.engines import (
@@ -14,7 +13,6 @@
     Engine,
 )
 from marjoramyard.coordination.placement.fair_queues import FairQueues
-from marjoramyard.coordination.placement.plan_costs import extra_cost_ms
 from marjoramyard.coordination.placement.plans import Plan, best_plan
 from marjoramyard.coordination.placement.request_queue import QueuedRequest
 from marjoramyard.coordination.placement.requests import (
@@ -105,21 +103,18 @@
         allowed_ms = request.first_token_due_at - request.submitted_at
         return self._prefill_ms(queued) > LARGE_PROMPT_SHARE * allowed_ms
 
-    def _due_at(self, queued: QueuedRequest, prefill_ms: float) -> float:
+    def _due_at(self, queued: QueuedRequest) -> float:
         """Returns when the first token is due.
 
         A prompt whose prefill alone exceeds its objective gets the time that
-        it needs, and some slack. While too few large prompts are served, each
-        of them may wait as long as a small one.
-
-        Args:
-            queued: The request.
-            prefill_ms: The time that its prefill takes.
+        it needs at an average engine, and some slack. While too few large
+        prompts are served, each of them may wait as long as a small one.
         """
         request = queued.request
         slack_ms = LARGE_PROMPT_SLACK_MS
         if queued.is_large and self.size_shares.is_large_behind():
             slack_ms = request.first_token_due_at - request.submitted_at
+        prefill_ms = self._prefill_ms(queued)
         needed_ms = prefill_ms + FIRST_TOKEN_LATENCY_MS + slack_ms
         return max(request.first_token_due_at, request.submitted_at + needed_ms)
 
@@ -128,7 +123,7 @@
     ) -> PlacementRefusal | None:
         if not self.serving_count:
             return None
-        forecast = self._forecast(queued, now)
+        forecast = self._forecast(queued)
         over_ms = self._over_ms(queued, forecast, now)
         if over_ms <= 0:
             return None
@@ -143,15 +138,14 @@
         self, queued: QueuedRequest, forecast: WaitForecast, now: float
     ) -> float:
         """Returns by how much a forecast exceeds the permitted wait."""
-        prefill_ms = forecast.prefill_ms
-        slack_ms = self._due_at(queued, prefill_ms) - now - prefill_ms
+        slack_ms = self._due_at(queued) - now - forecast.prefill_ms
         return (
             forecast.wait_ms
             + FIRST_TOKEN_LATENCY_MS
             - slack_ms * MAX_WAIT_FRACTION
         )
 
-    def _forecast(self, queued: QueuedRequest, now: float) -> WaitForecast:
+    def _forecast(self, queued: QueuedRequest) -> WaitForecast:
         """Returns the forecast of a new request.
 
         The mean over engines that differ in speed says little: some have long
@@ -161,7 +155,7 @@
         if self.is_uneven:
             ahead = self._tokens_ahead(request.workspace, queued.order)
             level_ms = self.load.level_ms(ahead)
-            plan = self._likely_plan(queued, level_ms, now)
+            plan = self._likely_plan(queued, level_ms)
             if plan is not None:
                 return forecast_at(
                     plan.engine, plan.prefill_tokens, level_ms, plan.fetch_ms
@@ -170,7 +164,7 @@
         return WaitForecast(wait_ms, self._prefill_ms(queued))
 
     def _likely_plan(
-        self, queued: QueuedRequest, level_ms: float, now: float
+        self, queued: QueuedRequest, level_ms: float
     ) -> Plan | None:
         """Returns the plan that a request will probably be granted.
 
@@ -180,7 +174,6 @@
         Args:
             queued: The request.
             level_ms: The wait to which prompts ahead raise shorter ones.
-            now: The time.
 
         Returns:
             The plan, or None if no engine has capacity.
@@ -189,39 +182,44 @@
         _, names = self.prefix_index.longest_prefix(request.parts[:-1])
         holders = [self.engines[name] for name in islice(names, MAX_HOLDERS)]
         lightest = self.load.current().lightest
-        best = self._soonest(queued, lightest, level_ms)
+        best = self._soonest(request, lightest, request.prompt_tokens, level_ms)
         if best is None:
             return None
         compared = [best]
-        holder = self._soonest(queued, holders, level_ms)
+        holder = self._soonest(request, holders, queued.cost, level_ms)
         if holder not in (None, best):
             compared.append(holder)
-        sources = [engine for engine in holders[:1] if engine.is_usable]
+        sources = [
+            engine
+            for engine in holders
+            if engine.is_usable and self._may_use(request, engine.endpoint)
+        ]
         return best_plan(
             request,
-            compared + sources,
+            compared + sources[:1],
             compared,
             self.profile,
             lambda: [engine.endpoint for engine in compared],
-            self._extra_cost_of(request, now),
             level_ms,
         )
 
     def _soonest(
-        self, queued: QueuedRequest, engines: list[Engine], level_ms: float
+        self,
+        request: PlacementRequest,
+        engines: list[Engine],
+        prefill_tokens: float,
+        level_ms: float,
     ) -> Engine | None:
         """Returns the engine with capacity that would be done first."""
         if not engines:
             return None
-        best = soonest(engines, queued.cost, level_ms)
-        if self._could_have(queued.request, best):
+        best = soonest(engines, prefill_tokens, level_ms)
+        if self._could_have(request, best):
             return best
         others = [
-            engine
-            for engine in engines
-            if self._could_have(queued.request, engine)
+            engine for engine in engines if self._could_have(request, engine)
         ]
-        return soonest(others, queued.cost, level_ms) if others else None
+        return soonest(others, prefill_tokens, level_ms) if others else None
 
     def _could_have(self, request: PlacementRequest, engine: Engine) -> bool:
         """Returns whether an engine has capacity for a request."""
@@ -232,8 +230,8 @@
     def _is_late(self, queued: QueuedRequest, now: float) -> bool:
         """Returns whether even the best engine would be too late."""
         if self.is_uneven:
-            some = forecast_at(self.load.current().lightest[0], queued.cost)
-            if not self._misses(queued, some, now):
+            first = forecast_at(self.load.current().lightest[0], queued.cost)
+            if not self._misses(queued, first, now):
                 return False
         return self._misses(queued, self._earliest_forecast(queued), now)
 
@@ -242,7 +240,7 @@
     ) -> bool:
         """Returns whether a request is late if a forecast comes true."""
         first_token_at = now + forecast.first_token_ms
-        return first_token_at > self._due_at(queued, forecast.prefill_ms)
+        return first_token_at > self._due_at(queued)
 
     def _earliest_forecast(self, queued: QueuedRequest) -> WaitForecast:
         """Returns the forecast of the request that is served next."""
@@ -251,14 +249,6 @@
         lightest = self.load.current().lightest
         return forecast_at(soonest(lightest, queued.cost), queued.cost)
 
-    def _extra_cost_of(
-        self, request: PlacementRequest, now: float
-    ) -> Callable[[Engine], float]:
-        """Returns what sets unequal engines apart; nothing for equal ones."""
-        if not self.is_uneven:
-            return lambda _: 0.0
-        return lambda engine: extra_cost_ms(request, engine, now)
-
     def _may_use(self, request: PlacementRequest, endpoint: str) -> bool:
         return (
             endpoint not in request.excluded_endpoints
--- a/packages/coordination/src/marjoramyard/coordination/placement/broker.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/broker.py
@@ -18,9 +18,6 @@
 from functools import partial
 from itertools import islice
 
-from marjoramyard.coordination.placement import (
-    connection_costs,  # noqa: F401  (registers its costs)
-)
 from marjoramyard.coordination.placement.admission import (
     MAX_HOLDERS,
     Admission,
@@ -308,7 +305,6 @@
             available,
             self.profile,
             partial(self._usable_endpoints, request),
-            self._extra_cost_of(request, now),
         )
 
     def _grant(
@@ -400,17 +396,22 @@
 
         A request is kept if no others are queued.
         """
+        lightest = self.load.current().lightest
+        if not lightest:
+            return []
         self.has_lost_engines = False
         self.reviewed_at = now
-        lightest = self.load.current().lightest
-        if not self.is_uneven or not lightest:
+        if not self.is_uneven:
             return []
         refusals = []
         ahead = 0.0
+        best = lightest[0]
         for queued in self.service_order():
             level_ms = self.load.level_ms(ahead)
-            best = soonest(lightest, queued.cost, level_ms)
             forecast = forecast_at(best, queued.cost, level_ms)
+            if self._misses(queued, forecast, now):
+                best = soonest(lightest, queued.cost, level_ms)
+                forecast = forecast_at(best, queued.cost, level_ms)
             if len(self.queued) == 1 or not self._misses(queued, forecast, now):
                 ahead += queued.cost
                 continue
--- a/packages/coordination/tests/placement/test_wait_forecast.py
+++ b/packages/coordination/tests/placement/test_wait_forecast.py
@@ -3,6 +3,7 @@
 import sys
 from pathlib import Path
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -61,6 +62,13 @@
         assert isinstance(grant, PlacementGrant)
 
 
+def set_wait(broker, endpoint, wait_ms):
+    """Has an engine take some time for its backlog."""
+    engine = broker.engines[endpoint]
+    engine.prefill_tokens = wait_ms * engine.rate
+    broker.load.forget()
+
+
 def make_engine(wait_ms, rate):
     engine = Engine("e", PROFILE, rate)
     engine.add_prefill(wait_ms * rate, 0.0, True)
@@ -208,15 +216,67 @@
         broker.load.forget()
         again = make_request("again", shared=shared, tokens=1800, now=200.0)
         assert broker.submit(again, 200.0) is None
-        forecast = broker._forecast(broker.queued["again"], 200.0)
+        forecast = broker._forecast(broker.queued["again"])
         assert (forecast.wait_ms == pytest.approx(wait_ms)) is is_placed_there
-        for result in broker.dispatch(200.0):
-            assert (result.endpoint == holder.endpoint) is is_placed_there
+        (result,) = broker.dispatch(200.0)
+        assert (result.endpoint == holder.endpoint) is is_placed_there
         broker.cancel("again")
         broker.record_first_token("again", 210.0)
         broker.finish("again")
 
 
+def test_a_slow_engine_does_not_extend_the_objective():
+    """Guards against accepting a prompt that the idle engine serves late.
+
+    The idle engine needs 0.6 s for a prompt that the other one would prefill
+    in 0.15 s, but that one is busy for 0.8 s. It is due within 0.5 s.
+    """
+    broker = make_uneven_broker(2)
+    broker.engines["e0"].rate = RATE / 4
+    set_wait(broker, "e1", 800.0)
+    request = make_request(
+        "k", tokens=int(150 * RATE), first_token_due_at=500.0
+    )
+    assert broker.submit(request, 0.0) is not None
+
+
+def test_engines_without_the_shared_part_are_compared_by_all_they_would_read():
+    """Guards against refusals for a slow engine beside a fast one.
+
+    The engine that has the shared part is busy for 2 s, and others can't
+    fetch it. The slow one is idle a little earlier than the fast one, but
+    would need 0.5 s for the prompt, which the fast one prefills in 0.17 s.
+    """
+    broker = Broker(msgspec.structs.replace(PROFILE, link_mbps=0), RATE)
+    broker.set_engines(["holder", "slow", "fast"])
+    broker.set_uneven(True)
+    shared = (PromptPart("shared", 6000),)
+    broker.add_cached("holder", shared)
+    broker.engines["slow"].rate = RATE / 3
+    for endpoint, wait_ms in (("holder", 2000), ("slow", 300), ("fast", 315)):
+        set_wait(broker, endpoint, wait_ms)
+    request = make_request(
+        "k", tokens=100, shared=shared, first_token_due_at=650.0
+    )
+    assert broker.submit(request, 0.0) is None
+    forecast = broker._forecast(broker.queued["k"])
+    assert forecast.wait_ms == pytest.approx(315.0)
+
+
+def test_the_forecast_has_no_transfer_from_an_engine_that_may_not_be_used():
+    """Guards against a forecast that is shorter than the grant's prefill."""
+    shared = (PromptPart("shared", 6000),)
+    broker = make_uneven_broker(2)
+    broker.add_cached("e0", shared)
+    broker.pause("r1", "e0", 1000.0)
+    for router, tokens in (("r1", 6100), ("r2", 100)):
+        request = make_request(router, tokens=100, shared=shared, router=router)
+        assert broker.submit(request, 0.0) is None
+        forecast = broker._forecast(broker.queued[router])
+        assert forecast.prefill_ms == pytest.approx(tokens / RATE)
+        broker.cancel(router)
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_accepted_requests_are_on_time_under_three_times_the_capacity(seed):
     """Guards against accepting what the forecast should have refused.
@@ -299,12 +359,48 @@
 
 
 def test_queued_requests_are_kept_while_all_engines_are_lost():
-    """Guards against refusing all callers when engines return soon."""
+    """Guards against refusing all callers when engines return soon.
+
+    One of two engines returns when 0.3 s are left. It needs 0.1 s for its
+    prompt, so that three of the queued prompts can be on time.
+    """
     broker = make_uneven_broker(2)
     fill_queue(broker, 8)
     broker.set_engines([])
     assert not broker.expire(1.0)
     assert len(broker.queued) == 8
+    broker.set_engines(["e0"])
+    refused = broker.expire(500.0)
+    assert list(broker.queued) == ["k00", "k01", "k02"]
+    assert len(refused) == 5
+
+
+def test_a_refused_prompt_does_not_push_back_its_workspace_in_a_review():
+    """Guards against refusing a chat for a prompt that is not served.
+
+    Three of four engines are lost, and the last one is busy for 0.5 s. The
+    prompt of 1.2 s can't be on time any more; if it were served, a dozen
+    prompts of the other workspace would come before the chat.
+    """
+    broker = make_uneven_broker(4)
+    prompts = [
+        make_request(
+            "large", "a", tokens=int(1200 * RATE), first_token_due_at=1500.0
+        ),
+        make_chat("chat", "a", first_token_due_at=1600.0),
+    ]
+    prompts += [
+        make_request(
+            f"b{number}", "b", tokens=int(100 * RATE), first_token_due_at=4500.0
+        )
+        for number in range(30)
+    ]
+    for prompt in prompts:
+        assert broker.submit(prompt, 0.0) is None
+    set_wait(broker, "e0", 500.0)
+    broker.set_engines(["e0"])
+    assert [refused.key for refused in broker.expire(1.0)] == ["large"]
+    assert "chat" in broker.queued
 
 
 def test_a_loss_refuses_nothing_while_engines_are_alike():
