--- a/packages/coordination/src/marjoramyard/coordination/placement/broker.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/broker.py
@@ -25,16 +25,8 @@
 from marjoramyard.coordination.placement.backlog_limit import (
     longest_for_queue,
 )
-from marjoramyard.coordination.placement.dispatch_window import (
-    Choice,
-    DispatchWindow,
-)
 from marjoramyard.coordination.placement.engines import Engine, InFlightRequest
-from marjoramyard.coordination.placement.grant_counts import (
-    GrantCounts,
-    GrantOrder,
-)
-from marjoramyard.coordination.placement.plans import Plan, best_plan
+from marjoramyard.coordination.placement.plans import best_plan
 from marjoramyard.coordination.placement.request_queue import (
     QueuedRequest,
 )
@@ -72,7 +64,6 @@
         reviewed_at: When the queue was last reviewed.
         refused_after_loss: How many queued requests were refused because
             engines were lost.
-        grant_counts: Counts of the grants.
     """
 
     def __init__(
@@ -82,7 +73,6 @@
         self.has_lost_engines = False
         self.reviewed_at = -math.inf
         self.refused_after_loss = 0
-        self.grant_counts = GrantCounts()
 
     def set_engines(self, usable: Iterable[str]) -> None:
         """Sets the endpoints that may get new requests."""
@@ -180,8 +170,6 @@
         if self.lagging_routers:
             self.finish_expected_prefills(now)
         max_backlog_ms = self._max_backlog_ms()
-        if self.is_uneven:
-            return self._dispatch_window(now, max_backlog_ms)
         results: list[PlacementGrant | PlacementRefusal] = []
         deferred: list[QueuedRequest] = []
         while len(deferred) < MAX_DEFERRED and any(
@@ -190,11 +178,17 @@
             queued = self.pop_next()
             if queued is None:
                 break
-            refused = self._refuse_if_hopeless(queued, now)
-            if refused is not None:
-                results.append(refused)
+            request = queued.request
+            others_queued = bool(self.queued)
+            if now >= request.deadline_at or (
+                others_queued and self._is_late(queued, now)
+            ):
+                wait_ms = self.predicted_wait_ms(request.workspace)
+                results.append(
+                    refusal(request.key, wait_ms, now - request.submitted_at)
+                )
                 continue
-            decision = self._place(queued.request, now, max_backlog_ms)
+            decision = self._place(request, now, max_backlog_ms)
             if decision is None:
                 deferred.append(queued)
                 continue
@@ -205,55 +199,6 @@
             self.enqueue(queued)
         return results
 
-    def _dispatch_window(
-        self, now: float, max_backlog_ms: float
-    ) -> list[PlacementGrant | PlacementRefusal]:
-        """Grants the queued requests that windows choose, in turn."""
-        results: list[PlacementGrant | PlacementRefusal] = []
-        has_more = True
-        while has_more:
-            window = DispatchWindow(self, self._may_use, max_backlog_ms, now)
-            decided = [
-                self._grant_choice(window, choice, now)
-                for choice in window.choices()
-            ]
-            results.extend(decided)
-            has_more = window.is_partial and bool(decided)
-        return results
-
-    def _grant_choice(
-        self, window: DispatchWindow, choice: Choice, now: float
-    ) -> PlacementGrant | PlacementRefusal:
-        """Grants a chosen request, or refuses it if it is too late."""
-        queued = choice.queued
-        self.dequeue(queued.request.key)
-        refused = self._refuse_if_hopeless(queued, now)
-        if refused is not None:
-            return refused
-        found = (*self._candidates(queued.request), *choice.engines)
-        usable = {engine.endpoint: engine for engine in found}
-        plan = self._best_plan(
-            queued.request, list(usable.values()), choice.engines, now
-        )
-        order = GrantOrder.OVERTAKING if choice.passed else GrantOrder.IN_ORDER
-        grant = self._grant(queued.request, plan, now, order)
-        self.size_shares.record_grant(queued.is_large, now)
-        window.record_grant(choice, plan.engine.endpoint)
-        return grant
-
-    def _refuse_if_hopeless(
-        self, queued: QueuedRequest, now: float
-    ) -> PlacementRefusal | None:
-        """Refuses a request that has left the queue, if it is too late."""
-        request = queued.request
-        others_queued = bool(self.queued)
-        if now >= request.deadline_at or (
-            others_queued and self._is_late(queued, now)
-        ):
-            wait_ms = self.predicted_wait_ms(request.workspace)
-            return refusal(request.key, wait_ms, now - request.submitted_at)
-        return None
-
     def _max_backlog_ms(self) -> float:
         queued_tokens = sum(queue.tokens for queue in self.queues.values())
         queue_ms = queued_tokens / self.total_prefill_rate
@@ -287,39 +232,20 @@
         ]
         if not available:
             return None
-        plan = self._best_plan(request, usable, available, now)
-        if not plan.engine.accepts(memory_tokens, max_backlog_ms):
-            return None
-        return self._grant(request, plan, now)
-
-    def _best_plan(
-        self,
-        request: PlacementRequest,
-        usable: list[Engine],
-        available: list[Engine],
-        now: float,
-    ) -> Plan:
-        return best_plan(
+        plan = best_plan(
             request,
             usable,
             available,
             self.profile,
             partial(self._usable_endpoints, request),
         )
-
-    def _grant(
-        self,
-        request: PlacementRequest,
-        plan: Plan,
-        now: float,
-        order: GrantOrder = GrantOrder.IN_ORDER,
-    ) -> PlacementGrant:
         engine = plan.engine
-        self.grant_counts.record(request, plan, order)
+        if not engine.accepts(memory_tokens, max_backlog_ms):
+            return None
         in_flight = InFlightRequest(
             engine.endpoint,
             plan.prefill_tokens,
-            request.own_memory_tokens,
+            memory_tokens,
             now,
             router=request.router,
         )
--- a/packages/coordination/src/marjoramyard/coordination/placement/plans.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/plans.py
@@ -132,7 +132,7 @@
     cost = base + without_fetch / engine.rate
     if source is engine or fetchable < MIN_FETCH_TOKENS:
         return Plan(cost, engine, "", without_fetch)
-    fetch_ms = FETCH_SETUP_MS + fetchable * fetch_ms_per_token(profile)
+    fetch_ms = FETCH_SETUP_MS + fetchable * _fetch_ms_per_token(profile)
     with_fetch = max(1.0, prompt.tokens - prompt.cached_at_source)
     fetch_cost = base + fetch_ms + with_fetch / engine.rate
     if not profile.link_mbps or fetch_cost >= cost:
@@ -140,8 +140,7 @@
     return Plan(fetch_cost, engine, source.endpoint, with_fetch, fetch_ms)
 
 
-def fetch_ms_per_token(profile: EngineProfile) -> float:
-    """Returns the time to fetch a cached token; 0.0 if engines can't fetch."""
+def _fetch_ms_per_token(profile: EngineProfile) -> float:
     if not profile.link_mbps:
         return 0.0
     return profile.token_bytes * 8 / profile.link_mbps / 1000
--- a/packages/coordination/src/marjoramyard/coordination/placement/request_queue.py
+++ b/packages/coordination/src/marjoramyard/coordination/placement/request_queue.py
@@ -1,7 +1,6 @@
 """The queue of one workspace's requests."""
 
 import heapq
-import math
 from collections.abc import Iterator
 
 import msgspec
@@ -19,8 +18,6 @@
         comes_last: Whether it comes after the others of its workspace.
         is_removed: Whether the request has left the queue; its heap entry is
             discarded later.
-        overtaken: How many requests behind it were granted before it.
-        held_until: When it must not be passed over any more, in ms.
     """
 
     request: PlacementRequest
@@ -28,8 +25,6 @@
     is_large: bool = False
     comes_last: bool = False
     is_removed: bool = False
-    overtaken: int = 0
-    held_until: float = math.inf
 
     @property
     def order(self) -> tuple[bool, float]:
@@ -64,19 +59,10 @@
         )
 
     def in_order(self) -> Iterator[QueuedRequest]:
-        """Yields the requests in order; those that leave meanwhile are skipped.
-
-        The first ones take little time, however long the queue is.
-        """
-        heap = self.heap.copy()
-        places = [(heap[0], 0)] if heap else []
-        while places:
-            (_, _, queued), place = heapq.heappop(places)
+        """Yields the requests in the order of service."""
+        for _, _, queued in sorted(self.heap, key=lambda entry: entry[:2]):
             if not queued.is_removed:
                 yield queued
-            for child in (2 * place + 1, 2 * place + 2):
-                if child < len(heap):
-                    heapq.heappush(places, (heap[child], child))
 
     def remove(self, queued: QueuedRequest) -> None:
         """Removes a request, whose cost no longer counts from now on.
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
@@ -510,8 +510,6 @@
                         lowest_backlog_ms=round(lowest),
                         highest_backlog_ms=round(highest),
                         suspended=len(broker.suspended),
-                        overtaking=broker.grant_counts.overtaking(),
-                        **broker.grant_counts.by_source(),
                         **counts,
                     )
 
@@ -530,21 +528,6 @@
             for state, count in broker.counts().items()
         ]
 
-    def grant_counts(self) -> list[tuple[float, Labels]]:
-        """Returns the number of grants, by service, source and order."""
-        return [
-            (
-                float(count),
-                {
-                    "service": service,
-                    "source": source.value,
-                    "order": order.value,
-                },
-            )
-            for service, broker in self.brokers.items()
-            for (source, order), count in broker.grant_counts.counts.items()
-        ]
-
     async def send_heartbeats_forever(self) -> None:
         """Sends heartbeats, and suspends unresponsive gateways.
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/role.py
@@ -219,7 +219,6 @@
         app.metrics.gauge(
             "broker_snapshot_holders", broker_server.handovers.holder_counts
         )
-        app.metrics.gauge("broker_grants", broker_server.grant_counts)
         app.tasks.spawn(broker_server.send_heartbeats_forever())
         app.tasks.spawn(broker_server.log_load_forever())
         app.tasks.spawn(handler.guard.log_refusals_forever())
