Use a kept connection again only if nothing is unread or unsent

Cause: take() relied on what the event loop had read. A close that it had not read yet gave the caller 502, unread bytes became the next caller's response. After an early response a connection was kept while the body of the request was still in its write buffer.

Change: take() asks the kernel for input (has_input); a connection is kept only with an empty write buffer.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/peer_connections.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/peer_connections.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections import defaultdict
 
+from marjoramyard.fleet.util.connections import has_input
+
 KEPT_SECONDS = 2.0
 """How long an unused connection is kept. Much less than the other gateway keeps
 it: a request must not be sent on a connection that is being closed."""
@@ -56,9 +58,10 @@
         while connections:
             connection = connections.pop()
             connection.timer.cancel()
-            if connection.is_usable:
-                return connection.transport
-            connection.transport.abort()
+            transport = connection.transport
+            if connection.is_usable and not has_input(transport):
+                return transport
+            transport.abort()
         self.idle.pop(peer, None)
         return None
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/peer_forwarding.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/peer_forwarding.py
@@ -315,7 +315,10 @@
 
     def _keep_connection(self) -> None:
         """Keeps the connection if nothing is left of request and response."""
-        is_sent = self.sent_size == self.plan.request_size
+        is_sent = (
+            self.sent_size == self.plan.request_size
+            and not self.peer.get_write_buffer_size()
+        )
         if is_sent and self.response.is_reusable and not self.is_paused:
             self.connections.keep(self.plan.peer, self.peer)
             self.is_kept = True
--- a/packages/fleet/src/marjoramyard/fleet/util/connections.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/connections.py
@@ -9,6 +9,7 @@
 
 _DISCARD_AND_RESET = struct.pack("ii", 1, 0)
 """SO_LINGER with a timeout of zero."""
+_INPUT = select.POLLIN | select.POLLRDHUP
 _CLOSED = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
@@ -27,6 +28,21 @@
     return any(events & _CLOSED for _, events in poll.poll(0))
 
 
+def has_input(transport: asyncio.BaseTransport) -> bool:
+    """Returns whether something, or the end, can be read from a connection.
+
+    Asks the kernel. A late event loop may not have read it yet.
+    """
+    connection = transport.get_extra_info("socket")
+    if connection is None:
+        return False
+    if connection.fileno() < 0:
+        return True
+    poll = select.poll()
+    poll.register(connection.fileno(), _INPUT)
+    return bool(poll.poll(0))
+
+
 def reset(transport: asyncio.Transport) -> None:
     """Resets a connection, which its peer can't take for a regular end."""
     connection = transport.get_extra_info("socket")
--- a/packages/fleet/tests/gateway/test_kept_connections.py
+++ b/packages/fleet/tests/gateway/test_kept_connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 
 import pytest
 from hypothesis import given
@@ -35,6 +36,8 @@
     b"b\r\nwhole0\r\n\r\nx\r\n0\r\n\r\n"
 )
 PLAIN = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
+UNSENT_BODY_BYTES = 1 << 25
+"""More than the kernel buffers for a connection."""
 
 
 def closed(response):
@@ -252,6 +255,87 @@
     assert len(peer.requests) == 2
 
 
+@pytest.fixture
+async def unread():
+    """A kept connection and the socket of its peer."""
+    ours, theirs = socket.socketpair()
+    transport, _ = await asyncio.get_running_loop().create_connection(
+        asyncio.Protocol, sock=ours
+    )
+    connections = PeerConnections()
+    connections.keep("p", transport)
+    yield connections, transport, theirs
+    theirs.close()
+    connections.close()
+    transport.abort()
+
+
+async def test_a_kept_connection_without_input_is_used(unread):
+    connections, transport, _ = unread
+    assert connections.take("p") is transport
+
+
+async def test_an_unread_close_is_seen_before_the_next_request(unread):
+    """Guards against a prompt that is lost on a connection that was closed
+    while the event loop was late.
+    """
+    connections, transport, peer = unread
+    peer.close()
+    assert connections.take("p") is None
+    assert transport.is_closing()
+
+
+async def test_unread_bytes_do_not_become_the_next_response(unread):
+    """Guards against a response that reaches another caller."""
+    connections, transport, peer = unread
+    peer.sendall(PLAIN)
+    assert connections.take("p") is None
+    assert transport.is_closing()
+
+
+class EarlyPeer(Peer):
+    """A gateway that responds before it has read the body of the request.
+
+    Attributes:
+        may_respond: Set when it is to respond.
+    """
+
+    def __init__(self, *responses):
+        super().__init__(*responses)
+        self.may_respond = asyncio.Event()
+
+    async def read(self, reader):
+        head = await reader.readuntil(b"\r\n\r\n")
+        await self.may_respond.wait()
+        return head
+
+
+async def test_a_connection_with_an_unsent_request_is_not_used_again():
+    """Guards against a prompt that waits behind the body of another one."""
+    peer = EarlyPeer(PLAIN)
+    async with forwarding(peer) as (gateway, port):
+        started = []
+        start = gateway.start
+
+        def record(*arguments):
+            started.append(start(*arguments))
+            return started[-1]
+
+        gateway.start = record
+        data = request_bytes(b"x" * UNSENT_BODY_BYTES)
+        sending = asyncio.create_task(send(port, data))
+        while not started or (
+            started[0].sent_size != started[0].plan.request_size
+        ):
+            await asyncio.sleep(0.01)
+        assert started[0].peer.get_write_buffer_size()
+        peer.may_respond.set()
+        assert await sending == closed(PLAIN)
+        assert not gateway.kept
+        assert await send(port) == closed(PLAIN)
+    assert len(peer.requests) == 2
+
+
 class FakeTransport:
     """A transport that notes that it is closed."""
 
--- a/packages/fleet/tests/util/test_connections.py
+++ b/packages/fleet/tests/util/test_connections.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from marjoramyard.fleet.util.connections import has_peer_closed
+from marjoramyard.fleet.util.connections import has_input, has_peer_closed
 
 
 @pytest.fixture
@@ -28,6 +28,19 @@
     assert has_peer_closed(transport)
 
 
+async def test_input_is_seen_before_the_event_loop_reads_it(connection):
+    transport, peer = connection
+    assert not has_input(transport)
+    peer.sendall(b"x")
+    assert has_input(transport)
+
+
+async def test_an_end_is_input(connection):
+    transport, peer = connection
+    peer.close()
+    assert has_input(transport)
+
+
 async def test_an_open_connection_with_unread_data_is_not_closed(connection):
     transport, peer = connection
     peer.sendall(b"x")
