Decrease forwarding when the own limit can't be decreased

Cause: prompts of other workspaces in service kept a late gateway from decreasing its limit on forwarded prompts, for as long as they ran.

Change: the limit is also decreased once own_limit is at its lower bound.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/demand.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/demand.py
@@ -87,7 +87,10 @@
         self.processor.measure()
         self.excess.measure()
         is_late = late_seconds > LATE_SECONDS
-        can_serve_fewer = self.limit.total > MIN_OWN_LIMIT
+        can_serve_fewer = (
+            self.limit.total > MIN_OWN_LIMIT
+            and self.policy.own_limit > MIN_OWN_LIMIT
+        )
         if not (is_late and can_serve_fewer):
             self.forwarding_limit.on_wake_up(late_seconds)
         self.limit.on_wake_up(late_seconds)
--- a/packages/fleet/tests/gateway/test_balancing.py
+++ b/packages/fleet/tests/gateway/test_balancing.py
@@ -120,6 +120,21 @@
     assert demand.forwarding_limit.limit < 200
 
 
+def test_prompts_of_others_do_not_keep_a_late_gateway_forwarding(demand):
+    """Guards against long prompts of other workspaces that keep the limit on
+    forwarded prompts from being decreased.
+    """
+    for _ in range(2 * int(MIN_OWN_LIMIT)):
+        demand.limit.enter("other")
+    for _ in range(400):
+        demand.on_forwarded("large", "p")
+    while demand.policy.own_limit > MIN_OWN_LIMIT:
+        demand.on_wake_up(LATE)
+    assert demand.forwarding_limit.limit == float("inf")
+    demand.on_wake_up(LATE)
+    assert demand.forwarding_limit.limit < 400
+
+
 def test_forwarded_and_served_prompts_share_the_connections(demand):
     """Guards against running out of file descriptors: a served prompt needs a
     connection to an endpoint, a forwarded one to a peer.
