Name gateways, not connections, as peers

Cause: a gateway has one connection for each service with engines. It could be named to itself, look idle through an idle connection, be named several times and report its excess several times.

Change: connections are grouped by forwarding address; requests are summed, one connection that refuses is enough for the gateway not to be named, and the excess is divided among the connections that need peers.

Result: 6 new tests of test_peer_naming.py failed before and pass; the other tests of the file pass.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/gateway_connection.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/gateway_connection.py
@@ -2,6 +2,7 @@
 
 import heapq
 import math
+from collections import Counter, defaultdict
 from collections.abc import Collection
 
 from aiohttp import web
@@ -34,7 +35,8 @@
 class GatewayConnection:
     """The connection of one gateway.
 
-    To the brokers, each connection is a router.
+    To the brokers, each connection is a router. A gateway has one for each
+    service with engines.
 
     Attributes:
         number: Identifies the connection on this host.
@@ -88,12 +90,16 @@
         """Whether other gateways may forward requests to this one."""
         return (
             bool(self.forwarding_address)
-            and not self.needs_peers
-            and not self.is_leaving
-            and not (self.is_lagging and self.services)
+            and not self.is_refusing
             and not self.liveness.has_expired
         )
 
+    @property
+    def is_refusing(self) -> bool:
+        """Whether the gateway has reported that it has no room for others."""
+        is_slow = self.is_lagging and bool(self.services)
+        return self.needs_peers or self.is_leaving or is_slow
+
     @property
     def requests_per_core(self) -> float:
         """Requests in progress relative to the processor of the gateway."""
@@ -139,29 +145,53 @@
 ) -> dict[int, list[PeerRoom]]:
     """Returns where each gateway that needs peers may forward prompts.
 
-    By the number of the gateway.
+    By the number of the connection. A gateway has one connection for each
+    service with engines.
     """
     needing = [gateway for gateway in gateways if gateway.needs_peers]
     if not needing:
         return {}
-    naming = PeerNaming(
-        PeerRoom(
-            gateway.forwarding_address,
-            gateway.zone,
-            gateway.cores,
-            len(gateway.services),
-        )
-        for gateway in gateways
-        if gateway.accepts_forwarded
-    )
+    naming = PeerNaming(_rooms(gateways))
+    counts = Counter(gateway.forwarding_address for gateway in needing)
+    # Without an address the connections of a gateway can't be told apart from
+    # those of others.
+    counts[""] = 1
     return {
         gateway.number: naming.name_peers(
-            PeerDemand(gateway.number, gateway.zone, gateway.excess)
+            PeerDemand(
+                gateway.number,
+                gateway.zone,
+                gateway.excess / counts[gateway.forwarding_address],
+            )
         )
         for gateway in needing
     }
 
 
+def _rooms(gateways: Collection[GatewayConnection]) -> list[PeerRoom]:
+    """Returns the gateways that accept forwarded requests, each once."""
+    by_address: defaultdict[str, list[GatewayConnection]] = defaultdict(list)
+    for gateway in gateways:
+        by_address[gateway.forwarding_address].append(gateway)
+    return [
+        PeerRoom(
+            address,
+            connections[0].zone,
+            connections[0].cores,
+            sum(len(connection.services) for connection in connections),
+        )
+        for address, connections in by_address.items()
+        if _accept_forwarded(connections)
+    ]
+
+
+def _accept_forwarded(connections: Collection[GatewayConnection]) -> bool:
+    """Whether the gateway with these connections accepts requests."""
+    return any(
+        connection.accepts_forwarded for connection in connections
+    ) and not any(connection.is_refusing for connection in connections)
+
+
 def gateways_to_probe(
     gateways: Collection[GatewayConnection],
 ) -> set[int]:
--- a/packages/fleet/tests/gateway/test_peer_naming.py
+++ b/packages/fleet/tests/gateway/test_peer_naming.py
@@ -111,6 +111,76 @@
         assert {p.address for p in peers} == {"127.0.0.1:4", "127.0.0.1:5"}
 
 
+def connection(number, address, requests=0, **states):
+    """Returns one of the connections of the gateway at an address."""
+    instance = gateway(number)
+    instance.forwarding_address = address
+    instance.services = dict.fromkeys(range(requests), "llm")
+    for name, value in states.items():
+        setattr(instance, name, value)
+    return instance
+
+
+@pytest.mark.parametrize(
+    "states",
+    [
+        {"needs_peers": True},
+        {"is_leaving": True},
+        {"is_lagging": True, "requests": 1},
+    ],
+)
+def test_no_connection_hides_that_a_gateway_has_no_room(states):
+    """Guards against a gateway that is named because one of its connections,
+    for another service, is idle.
+    """
+    fleet = [
+        connection(1, "p", **states),
+        connection(2, "p"),
+        connection(3, "q"),
+        connection(4, "r", needs_peers=True),
+    ]
+    assert names(name_all_peers(fleet)[4]) == ["q"]
+
+
+def test_a_gateway_is_never_named_to_itself():
+    fleet = [connection(1, "p", needs_peers=True), connection(2, "p")]
+    assert name_all_peers(fleet) == {1: []}
+
+
+def test_a_gateway_with_several_connections_is_named_once():
+    """Guards against a gateway that looks idle, and gets the load of several,
+    through a connection for another service.
+    """
+    fleet = [
+        connection(1, "p", requests=2),
+        connection(2, "p", requests=1),
+        connection(3, "q", requests=2),
+        connection(4, "r", needs_peers=True),
+    ]
+    peers = name_all_peers(fleet)[4]
+    assert names(peers) == ["q", "p"]
+    assert [peer.requests for peer in peers] == [2, 3]
+
+
+def test_the_excess_of_a_gateway_counts_once(monkeypatch):
+    """Guards against an excess that each connection reports again."""
+    demands = []
+    monkeypatch.setattr(
+        PeerNaming, "name_peers", lambda _, demand: demands.append(demand) or []
+    )
+    needing = {"needs_peers": True, "excess": 30.0}
+    name_all_peers(
+        [
+            connection(1, "p", **needing),
+            connection(2, "p", **needing),
+            connection(3, "p"),
+            connection(4, "q", **needing),
+        ]
+    )
+    excess = {demand.number: demand.excess for demand in demands}
+    assert excess == {1: 15.0, 2: 15.0, 4: 30.0}
+
+
 def test_idle_gateways_are_asked_for_a_heartbeat_before_they_expire(gateways):
     """Guards against idle gateways that are taken for lost: they send nothing
     by themselves.
