Count one core of a gateway at the most

Cause: the event loop of a gateway runs on one thread. With several cores it took itself for nearly idle when its core was fully used, and was named and sent prompts for all of its cores. With processor_cores 0 a prompt raised ZeroDivisionError.

Change: processor_share, the naming and the choice of peers and the probes count one core at the most; processor_share counts 0.01 at the least.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/demand.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/demand.py
@@ -15,6 +15,7 @@
     LATE_SECONDS,
     ConcurrencyLimit,
 )
+from marjoramyard.fleet.gateway.peer_naming import MAX_CORES
 from marjoramyard.fleet.util.rates import RateMeter
 
 OVERLOADED_SECONDS = 2.0
@@ -22,6 +23,8 @@
 gets no requests of others itself."""
 PROCESSOR_SECONDS = 0.3
 """Time over which the use of the processor is averaged."""
+MIN_OWN_CORES = 0.01
+"""Lower bound of what counts as the gateway's own processor."""
 EXCESS_SECONDS = 1.0
 """Time over which the rate of forwarded and refused prompts is averaged."""
 
@@ -73,8 +76,9 @@
 
     @property
     def processor_share(self) -> float:
-        """The used share of the processor."""
-        return self.processor.rate / self.cores
+        """The used share of the processor that the event loop can use."""
+        usable = min(max(self.cores, MIN_OWN_CORES), MAX_CORES)
+        return self.processor.rate / usable
 
     def on_wake_up(self, late_seconds: float) -> None:
         """Adapts all limits to the latency of the event loop.
--- a/packages/fleet/src/marjoramyard/fleet/gateway/gateway_connection.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/gateway_connection.py
@@ -12,10 +12,10 @@
     BrokerMessage,
 )
 from marjoramyard.fleet.gateway.peer_naming import (
-    MIN_CORES,
     PeerDemand,
     PeerNaming,
     PeerRoom,
+    usable_cores,
 )
 from marjoramyard.fleet.util.liveness import LivenessTimer
 
@@ -103,7 +103,7 @@
     @property
     def requests_per_core(self) -> float:
         """Requests in progress relative to the processor of the gateway."""
-        return len(self.services) / max(self.cores, MIN_CORES)
+        return len(self.services) / usable_cores(self.cores)
 
     @property
     def router(self) -> str:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/peer_forwarding.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/peer_forwarding.py
@@ -16,7 +16,7 @@
 from marjoramyard.fleet.gateway.early_refusal import RequestHead
 from marjoramyard.fleet.gateway.forwarded_response import ForwardedResponse
 from marjoramyard.fleet.gateway.peer_connections import PeerConnections
-from marjoramyard.fleet.gateway.peer_naming import MIN_CORES
+from marjoramyard.fleet.gateway.peer_naming import usable_cores
 from marjoramyard.kernel.logs import get_logger
 from marjoramyard.kernel.util.addresses import parse_address
 
@@ -107,9 +107,7 @@
         usable = [p for p in peers if self.avoided_until.get(p, 0.0) <= now]
 
         def load(peer: str) -> float:
-            return (self.active[peer] + 1) / max(
-                cores.get(peer, 1.0), MIN_CORES
-            )
+            return (self.active[peer] + 1) / usable_cores(cores.get(peer, 1.0))
 
         return min(usable, key=load, default="")
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/peer_naming.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/peer_naming.py
@@ -16,6 +16,14 @@
 have than one in another zone and still be preferred."""
 MIN_CORES = 0.05
 """Lower bound of what counts as a gateway's processor."""
+MAX_CORES = 1.0
+"""What a gateway uses of its processor at the most: its event loop runs on one
+thread."""
+
+
+def usable_cores(cores: float) -> float:
+    """Returns the processor cores that a gateway can use."""
+    return min(max(cores, MIN_CORES), MAX_CORES)
 
 
 class PeerRoom(msgspec.Struct, frozen=True):
@@ -73,7 +81,7 @@
             if len(chosen) >= MIN_PEERS and rate >= demand.excess:
                 break
             chosen.append(room)
-            rate += _cores(room) * PROMPTS_PER_CORE
+            rate += usable_cores(room.cores) * PROMPTS_PER_CORE
         self._assign(chosen, demand.excess)
         return chosen
 
@@ -81,14 +89,10 @@
         """Returns the requests per core with one more request."""
         requests = room.requests + self.assigned[room.address] + 1
         remote = room.zone != demand.zone
-        return requests / _cores(room) + REMOTE_ZONE_COST * remote
+        return requests / usable_cores(room.cores) + REMOTE_ZONE_COST * remote
 
     def _assign(self, chosen: list[PeerRoom], excess: float) -> None:
-        total = sum(_cores(room) for room in chosen)
+        total = sum(usable_cores(room.cores) for room in chosen)
         for room in chosen:
-            expected = max(excess, 1.0) * _cores(room) / total
+            expected = max(excess, 1.0) * usable_cores(room.cores) / total
             self.assigned[room.address] += expected
-
-
-def _cores(room: PeerRoom) -> float:
-    return max(room.cores, MIN_CORES)
--- a/packages/fleet/tests/gateway/test_balancing.py
+++ b/packages/fleet/tests/gateway/test_balancing.py
@@ -135,6 +135,24 @@
     assert demand.forwarding_limit.limit < 400
 
 
+@pytest.mark.parametrize(
+    ("cores", "share"), [(0.5, 1.6), (1.0, 0.8), (4.0, 0.8)]
+)
+def test_an_event_loop_uses_one_core_at_the_most(demand, cores, share):
+    """Guards against a large gateway that takes itself for nearly idle."""
+    demand.cores = cores
+    demand.processor.rate = 0.8
+    assert demand.processor_share == share
+
+
+def test_a_gateway_without_processor_cores_has_a_processor_share(demand):
+    """Guards against requests that fail because of the settings."""
+    demand.cores = 0.0
+    demand.processor.rate = 0.5
+    assert demand.processor_share > 1.0
+    assert demand.decide("large", has_peers=True) is Decision.SERVE
+
+
 def test_forwarded_and_served_prompts_share_the_connections(demand):
     """Guards against running out of file descriptors: a served prompt needs a
     connection to an endpoint, a forwarded one to a peer.
--- a/packages/fleet/tests/gateway/test_peer_forwarding.py
+++ b/packages/fleet/tests/gateway/test_peer_forwarding.py
@@ -265,3 +265,12 @@
     for _ in range(50):
         selector.on_started(selector.choose(cores, 0.0, cores))
     assert 9 <= selector.active["small"] <= 11
+
+
+def test_peers_with_many_cores_get_what_one_core_serves():
+    """Guards against a flood at a gateway whose event loop uses one core."""
+    selector = PeerSelector()
+    cores = {"one": 1.0, "large": 4.0}
+    for _ in range(50):
+        selector.on_started(selector.choose(cores, 0.0, cores))
+    assert selector.active == {"one": 25, "large": 25}
--- a/packages/fleet/tests/gateway/test_peer_naming.py
+++ b/packages/fleet/tests/gateway/test_peer_naming.py
@@ -53,6 +53,19 @@
     assert names(peers) == ["large", "small"]
 
 
+def test_an_event_loop_serves_with_one_core_at_the_most():
+    """Guards against a gateway with many cores that gets what several serve."""
+    rooms = [room("one", 1.0, 2), room("large", 4.0, 3)]
+    peers = PeerNaming(rooms).name_peers(PeerDemand(1, "a", 10.0))
+    assert names(peers) == ["one", "large"]
+    rooms = [room(str(n), cores=4.0) for n in range(20)]
+    excess = 9 * PROMPTS_PER_CORE
+    peers = PeerNaming(rooms).name_peers(PeerDemand(1, "a", excess))
+    assert len(peers) == 9
+    assert gateway(1, cores=4.0).requests_per_core == 0.0
+    assert connection(1, "p", requests=3, cores=4.0).requests_per_core == 3.0
+
+
 def test_a_large_excess_is_spread_over_as_many_as_can_serve_it():
     """Guards against a flood of one workspace that overloads its peers."""
     rooms = [room(str(n)) for n in range(40)]
