Bound callers, forwarded callers and outgoing connections together

Cause: is_full counted only the connections on which requests are handled, so callers whose request is forwarded came on top of the limit; and prompts were forwarded without regard to the callers. With 1,024 descriptors 1,253 could be in use.

Change: is_full counts both; a prompt is forwarded only while callers' connections are free; forwarded requests take 0.8 of the outgoing connections at most, also on the smallest hosts. The test of the shares stays and lists three more small sizes; a new one checks the sum. Below 308 descriptors the lower bound of 32 callers still doesn't fit.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/connections.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/connections.py
@@ -25,6 +25,8 @@
 FORWARDED_SHARE = 0.5
 """Share of the limit for callers whose request is forwarded to another gateway,
 which takes a second connection."""
+FORWARDED_OUTGOING_SHARE = 0.8
+"""Share of the outgoing connections for forwarded requests at the most."""
 CHECK_SECONDS = 0.1
 """Some hundred connections may arrive in this time at the most."""
 
@@ -49,7 +51,12 @@
         )
         available = max(0, max_descriptors - RESERVED_DESCRIPTORS)
         self.max_outgoing = max(self.limit // 2, available - self.limit)
-        self.max_forwarded = int(self.limit * FORWARDED_SHARE)
+        self.max_forwarded = int(
+            min(
+                self.limit * FORWARDED_SHARE,
+                self.max_outgoing * FORWARDED_OUTGOING_SHARE,
+            )
+        )
         self.forwarded_count: Callable[[], int] = lambda: 0
         self.listener: Listener | None = None
         self.busy: set[web.RequestHandler] = set()
@@ -69,7 +76,12 @@
     @property
     def is_full(self) -> bool:
         """Whether new requests are refused."""
-        return len(self.busy) > self.limit
+        return self.free_count < 0
+
+    @property
+    def free_count(self) -> int:
+        """How many more requests can be handled or forwarded."""
+        return self.limit - len(self.busy) - self.forwarded_count()
 
     def close_idle(self) -> None:
         """Closes all idle connections."""
--- a/packages/fleet/src/marjoramyard/fleet/gateway/demand.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/demand.py
@@ -2,6 +2,7 @@
 
 import time
 from collections import Counter
+from collections.abc import Callable
 
 from marjoramyard.fleet.gateway.balancing import (
     MIN_OWN_LIMIT,
@@ -38,6 +39,7 @@
         forwarding_limit: The limit on prompts being forwarded.
         max_forwarded: The most prompts to forward at the same time.
         max_outgoing: The most connections to endpoints and to peers.
+        free_callers: Returns how many more callers' connections may be used.
         policy: Decides on prompts.
         processor: The processor time used in a second.
         excess: The prompts a second that are forwarded or refused.
@@ -55,6 +57,7 @@
         self.forwarding_limit = ConcurrencyLimit(FORWARDING)
         self.max_forwarded = 0
         self.max_outgoing = 0
+        self.free_callers: Callable[[], float] = lambda: float("inf")
         self.policy = BalancingPolicy()
         self.processor = RateMeter(time.process_time, PROCESSOR_SECONDS)
         self.expected: Counter[str] = Counter()
@@ -115,6 +118,7 @@
                 self.forwarding_limit.limit,
                 self.max_forwarded,
                 self.max_outgoing - active,
+                self.forwarding_limit.total + self.free_callers(),
             ),
             processor_share=self.processor_share,
             has_peers=has_peers,
--- a/packages/fleet/src/marjoramyard/fleet/gateway/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/role.py
@@ -228,6 +228,7 @@
         demand.cores = settings.processor_cores
         demand.max_forwarded = role.connections.max_forwarded
         demand.max_outgoing = role.connections.max_outgoing
+        demand.free_callers = lambda: role.connections.free_count
         fetcher = ConfigFetcher(app.client, view, settings.zone)
         app.tasks.spawn(fetcher.run())
         app.tasks.spawn(ControlSync(app, view, fetcher).run())
--- a/packages/fleet/tests/gateway/test_balancing.py
+++ b/packages/fleet/tests/gateway/test_balancing.py
@@ -165,6 +165,18 @@
     assert not demand.load(True).can_forward
 
 
+def test_forwarded_prompts_leave_callers_their_connections(demand):
+    """Guards against running out of file descriptors: a forwarded prompt keeps
+    its caller's connection, which is not free for another caller.
+    """
+    free = 2
+    demand.free_callers = lambda: free - demand.forwarding_limit.total
+    demand.on_forwarded("large", "p")
+    assert demand.load(True).can_forward
+    demand.on_forwarded("large", "p")
+    assert not demand.load(True).can_forward
+
+
 def test_a_workspace_is_dominant_by_its_forwarded_prompts_too(demand):
     """Guards against a flood that no longer counts as one once it is
     forwarded.
--- a/packages/fleet/tests/gateway/test_connections.py
+++ b/packages/fleet/tests/gateway/test_connections.py
@@ -27,7 +27,41 @@
     assert connections.is_crowded
 
 
-@pytest.mark.parametrize("max_descriptors", [400, 1024, 1500, 65536])
+def test_forwarded_requests_count_towards_the_limit(connections):
+    """Guards against running out of descriptors: their connections are not
+    among those on which requests are handled.
+    """
+    forwarded = connections.max_forwarded
+    connections.forwarded_count = lambda: forwarded
+    connections.busy = set(range(connections.limit - forwarded))
+    assert not connections.is_full
+    assert connections.free_count == 0
+    connections.busy = set(range(connections.limit - forwarded + 1))
+    assert connections.is_full
+    assert connections.free_count < 0
+
+
+MAX_DESCRIPTORS = [310, 330, 350, 400, 1024, 1500, 65536]
+
+
+@pytest.mark.parametrize("max_descriptors", MAX_DESCRIPTORS)
+@pytest.mark.parametrize("forwarded_share", [0.0, 0.5, 1.0])
+def test_all_connections_fit_the_descriptors(max_descriptors, forwarded_share):
+    """Guards against running out of descriptors: callers whose request is
+    handled, callers whose request is forwarded, and connections to endpoints
+    and peers are open at the same time.
+    """
+    connections = CallerConnections(max_descriptors)
+    forwarded = int(connections.max_forwarded * forwarded_share)
+    connections.forwarded_count = lambda: forwarded
+    while not connections.is_full:
+        connections.busy.add(len(connections.busy))
+    callers = len(connections.busy) - 1
+    total = callers + forwarded + connections.max_outgoing
+    assert total + RESERVED_DESCRIPTORS <= max_descriptors
+
+
+@pytest.mark.parametrize("max_descriptors", MAX_DESCRIPTORS)
 def test_forwarded_requests_leave_connections_for_others(max_descriptors):
     """Guards against running out of descriptors: a forwarded request takes two
     of them, one of the callers' and one of those to endpoints and peers.
