Ignore the need of gateways that have expired

Cause: a gateway that was suspended in an overload went on to count as one that needs peers, and the broker asked idle gateways for heartbeats for it.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/gateway_connection.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/gateway_connection.py
@@ -94,6 +94,11 @@
             and not self.liveness.has_expired
         )
 
+    @property
+    def gets_peers(self) -> bool:
+        """Whether it is told where it may forward requests."""
+        return self.needs_peers and not self.liveness.has_expired
+
     @property
     def is_refusing(self) -> bool:
         """Whether the gateway has reported that it has no room for others."""
@@ -148,7 +153,7 @@
     By the number of the connection. A gateway has one connection for each
     service with engines.
     """
-    needing = [gateway for gateway in gateways if gateway.needs_peers]
+    needing = [gateway for gateway in gateways if gateway.gets_peers]
     if not needing:
         return {}
     naming = PeerNaming(_rooms(gateways))
@@ -199,7 +204,7 @@
 
     While one gateway needs peers, the idle ones must show that they are alive.
     """
-    if not any(gateway.needs_peers for gateway in gateways):
+    if not any(gateway.gets_peers for gateway in gateways):
         return set()
     silent = [
         gateway
