Follow the need for peers in the lists of brokers

Cause: the peers stayed known for 5 s after the need had ended. A need counted as reported when the heartbeat was queued, so empty lists that were on their way voided the known peers. What a lost broker had named was merged with the lists of live ones.

Change: the peers are cleared when the need has ended, and lists that come after it are ignored; empty lists are ignored for two heartbeat intervals after the first report; lists of lost brokers count only if no connected one has named any.

Tests: the end of test_a_new_broker_does_not_void_the_known_peers_at_once asserted what is wrong (an empty list right after the report voids the peers); it now waits until the broker's own empty lists do.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_client.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_client.py
@@ -59,6 +59,9 @@
 PEERS_KEPT_SECONDS = 5.0
 """How long the last known peers are used without a broker that has been told
 that they are needed. Within this time another broker is selected."""
+NEED_KNOWN_TICKS = 2
+"""Heartbeat intervals after the first report of a need within which a broker
+may still name no peers because it doesn't know of the need."""
 
 
 class ForwardingInfo(msgspec.Struct, frozen=True):
@@ -108,8 +111,10 @@
         excess: Returns the prompts a second that it forwards or refuses.
         is_leaving: Whether this gateway is shutting down.
         has_reported_leaving: Whether the broker was told so.
-        has_reported_need: Whether the broker was last told that this gateway
-            needs peers.
+        need_reports: The heartbeats in a row, up to the last one, that told the
+            broker that this gateway needs peers.
+        had_need: Whether this gateway needed peers at the last tick.
+        is_need_over: Whether it needed peers earlier, but not at the last tick.
         last_number: The number of the last request.
         pending: Placement requests without a reply, by number.
         running: Requests at endpoints, by number.
@@ -133,7 +138,9 @@
         self.peers_until = float("-inf")
         self.needs_peers: Callable[[], bool] = lambda: False
         self.excess: Callable[[], float] = lambda: 0.0
-        self.has_reported_need = False
+        self.need_reports = 0
+        self.had_need = False
+        self.is_need_over = False
         self.is_leaving: Callable[[], bool] = lambda: False
         self.has_reported_leaving = False
         self.avoided_until: dict[str, float] = {}
@@ -159,6 +166,11 @@
         """Whether there is a connection and the broker is responsive."""
         return self.socket is not None and not self.liveness.has_expired
 
+    @property
+    def has_reported_need(self) -> bool:
+        """Whether the broker was last told that this gateway needs peers."""
+        return self.need_reports > 0
+
     def _broker_of(self, service: str) -> str:
         """Returns the first broker that is not avoided; "" if there is none.
 
@@ -214,7 +226,7 @@
             return
         logger.info("broker_connected", service=service, broker=address)
         self.socket = socket
-        self.has_reported_need = False
+        self.need_reports = 0
         self.has_reported_leaving = False
         self.liveness.reset()
         self.held.start_connection()
@@ -319,8 +331,11 @@
     def _on_heartbeat(self, heartbeat: Heartbeat) -> None:
         if heartbeat.is_probe:
             self._send_heartbeat()
-        if not heartbeat.peers and not self.has_reported_need:
-            # A new broker names none until it knows that they are needed.
+        if self.is_need_over:
+            # It was sent before the broker was told.
+            return
+        if not heartbeat.peers and self.need_reports <= NEED_KNOWN_TICKS:
+            # A broker names none until it knows that they are needed.
             return
         # A broker of an earlier release doesn't tell the cores.
         missing = len(heartbeat.peers) - len(heartbeat.peer_cores)
@@ -418,8 +433,22 @@
         """
         while True:
             await asyncio.sleep(HEARTBEAT_INTERVAL_SECONDS)
-            if self._must_send_heartbeat():
-                self._send_heartbeat()
+            self.tick()
+
+    def tick(self) -> None:
+        """Sends a heartbeat if one is due."""
+        self._note_need(self.needs_peers())
+        if self._must_send_heartbeat():
+            self._send_heartbeat()
+
+    def _note_need(self, needs_peers: bool) -> None:
+        """Forgets the peers once they are no longer needed."""
+        if needs_peers:
+            self.is_need_over = False
+        elif self.had_need:
+            self.is_need_over = True
+            self.peers = {}
+        self.had_need = needs_peers
 
     def _must_send_heartbeat(self) -> bool:
         is_waiting = bool(self.pending) or any(
@@ -433,7 +462,8 @@
         needs_peers = self.needs_peers()
         excess = round(self.excess(), 1) if needs_peers else 0.0
         is_leaving = self.is_leaving()
-        self.has_reported_need = needs_peers and self.socket is not None
+        is_reported = needs_peers and self.socket is not None
+        self.need_reports = self.need_reports + 1 if is_reported else 0
         self.has_reported_leaving = is_leaving and self.socket is not None
         self._send(
             Heartbeat(
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_clients.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_clients.py
@@ -1,6 +1,6 @@
 """The broker clients of all services with engines."""
 
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import asynccontextmanager
 
 import aiohttp
@@ -79,11 +79,19 @@
             client.on_leaving(endpoint)
 
     def peers(self) -> dict[str, float]:
-        """Returns the gateways that have room: their cores by address."""
-        peers: dict[str, float] = {}
-        for client in self.clients.values():
-            peers |= client.known_peers()
-        return peers
+        """Returns the gateways that have room: their cores by address.
+
+        What lost brokers have named counts only if no other has named any.
+        """
+        connected = [c for c in self.clients.values() if c.is_connected]
+        return _known_peers(connected) or _known_peers(self.clients.values())
+
+
+def _known_peers(clients: Iterable[BrokerClient]) -> dict[str, float]:
+    peers: dict[str, float] = {}
+    for client in clients:
+        peers |= client.known_peers()
+    return peers
 
 
 @asynccontextmanager
--- a/packages/fleet/tests/gateway/test_named_peers.py
+++ b/packages/fleet/tests/gateway/test_named_peers.py
@@ -16,11 +16,17 @@
 )
 from marjoramyard.coordination.routing.table import RouteTable
 from marjoramyard.fleet.gateway.broker_client import (
+    NEED_KNOWN_TICKS,
     PEERS_KEPT_SECONDS,
     BrokerClient,
     ForwardingInfo,
 )
-from marjoramyard.fleet.gateway.broker_protocol import BROKER_PATH, Heartbeat
+from marjoramyard.fleet.gateway.broker_clients import BrokerClients
+from marjoramyard.fleet.gateway.broker_protocol import (
+    BROKER_PATH,
+    HEARTBEAT_INTERVAL_SECONDS,
+    Heartbeat,
+)
 from marjoramyard.fleet.gateway.broker_server import BrokerServer
 from marjoramyard.fleet.gateway.cold_starts import ColdStarts
 from marjoramyard.fleet.gateway.dialect import GATEWAY_DIALECTS
@@ -28,10 +34,12 @@
     GATEWAY_TIMEOUT_SECONDS,
 )
 from marjoramyard.fleet.gateway.view import FleetView
+from marjoramyard.kernel.metrics import Metrics
 
 TIMEOUT_SECONDS = 10.0
 IDLE_ADDRESS = "127.0.0.1:2"
 HEARTBEATS = 10
+TIMEOUT_TICKS = round(GATEWAY_TIMEOUT_SECONDS / HEARTBEAT_INTERVAL_SECONDS)
 
 
 class RunningBroker:
@@ -149,9 +157,10 @@
         overloaded = await broker.connect("127.0.0.1:1", needs_peers=True)
         await until(overloaded.known_peers)
         idle._send_heartbeat = lambda: None
-        stopped_at = time.monotonic()
+        named = peers_in_heartbeats(overloaded)
         await until(lambda: not overloaded.known_peers())
-        assert time.monotonic() - stopped_at < 10 * GATEWAY_TIMEOUT_SECONDS
+        assert named[-1] == []
+        assert len(named) <= 3 * TIMEOUT_TICKS
 
 
 async def test_a_gateway_tells_when_it_no_longer_needs_peers(broker):
@@ -168,17 +177,26 @@
         await until(lambda: gateway.accepts_forwarded)
 
 
-async def test_the_last_known_peers_are_used_when_the_broker_is_lost(broker):
+async def test_the_last_known_peers_are_used_when_the_broker_is_lost(
+    broker, monkeypatch
+):
     """Guards against a flood that is refused while there is no broker."""
     async with broker.running():
         await broker.connect(IDLE_ADDRESS)
+        connected_at = time.monotonic()
         overloaded = await broker.connect("127.0.0.1:1", needs_peers=True)
         await until(overloaded.known_peers)
     await until(lambda: not overloaded.is_connected)
-    assert list(overloaded.known_peers()) == [IDLE_ADDRESS]
-    assert overloaded.peers_until < time.monotonic() + PEERS_KEPT_SECONDS
-    overloaded.peers_until = time.monotonic()
-    assert not overloaded.known_peers()
+    lost_at = time.monotonic()
+
+    def known_at(now):
+        with monkeypatch.context() as patch:
+            patch.setattr(time, "monotonic", lambda: now)
+            return list(overloaded.known_peers())
+
+    assert known_at(lost_at) == [IDLE_ADDRESS]
+    assert known_at(connected_at + PEERS_KEPT_SECONDS) == [IDLE_ADDRESS]
+    assert not known_at(lost_at + PEERS_KEPT_SECONDS)
 
 
 async def test_a_new_broker_does_not_void_the_known_peers_at_once(broker):
@@ -190,8 +208,83 @@
         assert client.known_peers() == {"p": 0.5}
         client.needs_peers = lambda: True
         await until(lambda: client.has_reported_need)
+        assert client.known_peers() == {"p": 0.5}
+        await until(lambda: not client.known_peers())
+        assert time.monotonic() < client.peers_until
+
+
+@pytest.fixture
+async def client():
+    """A client that counts as connected; the test sends its heartbeats."""
+    view = FleetView(GATEWAY_DIALECTS.get("native"), 5.0)
+    lag = SimpleNamespace(is_lagging=False)
+    instance = BrokerClient(view, None, lag)
+    instance.socket = SimpleNamespace(protocol="", closed=True)
+    return instance
+
+
+def connect(client):
+    client.socket = SimpleNamespace(protocol="", closed=True)
+    client.liveness.reset()
+
+
+async def test_lists_that_do_not_know_of_the_need_void_nothing(client):
+    """Guards against refusals because of heartbeats that a broker sent before
+    it was told that peers are needed.
+    """
+    client._on_message(Heartbeat(peers=["p"], peer_cores=[0.5]))
+    client.needs_peers = lambda: True
+    for _ in range(NEED_KNOWN_TICKS):
+        client.tick()
         client._on_message(Heartbeat())
-        assert not client.known_peers()
+        assert client.known_peers() == {"p": 0.5}
+    client.tick()
+    client._on_message(Heartbeat())
+    assert not client.known_peers()
+
+
+async def test_a_list_that_names_peers_is_used_at_once(client):
+    client.needs_peers = lambda: True
+    client.tick()
+    client._on_message(Heartbeat(peers=["p"], peer_cores=[0.5]))
+    assert client.known_peers() == {"p": 0.5}
+
+
+async def test_peers_are_forgotten_when_the_need_has_ended(client):
+    """Guards against prompts that go to gateways that had room earlier."""
+    client.needs_peers = lambda: True
+    client.tick()
+    client._on_message(Heartbeat(peers=["p"], peer_cores=[0.5]))
+    client.tick()
+    assert client.known_peers() == {"p": 0.5}
+    client.needs_peers = lambda: False
+    client.tick()
+    assert not client.known_peers()
+    client._on_message(Heartbeat(peers=["p"], peer_cores=[0.5]))
+    assert not client.known_peers()
+    client.needs_peers = lambda: True
+    client.tick()
+    client._on_message(Heartbeat(peers=["q"], peer_cores=[0.5]))
+    assert client.known_peers() == {"q": 0.5}
+
+
+async def test_the_lists_of_connected_brokers_are_preferred():
+    """Guards against prompts that go to gateways that only a lost broker
+    named.
+    """
+    tasks = SimpleNamespace(spawn=lambda coroutine: coroutine.close())
+    view = FleetView(GATEWAY_DIALECTS.get("native"), 5.0)
+    metrics = Metrics("gateway", "g0")
+    clients = BrokerClients(tasks, view, None, metrics)
+    lost, first, second = map(clients.client_for, ("lost", "one", "two"))
+    connect(first)
+    connect(second)
+    lost._on_message(Heartbeat(peers=["old"], peer_cores=[1.0]))
+    assert clients.peers() == {"old": 1.0}
+    first._on_message(Heartbeat(peers=["p"], peer_cores=[0.5]))
+    second._on_message(Heartbeat(peers=["q"], peer_cores=[0.5]))
+    assert clients.peers() == {"p": 0.5, "q": 0.5}
+    metrics.close()
 
 
 async def test_brokers_of_earlier_releases_name_peers_without_cores(broker):
