Tell interim responses from the final one on forwarded connections

Cause: a head with a status of 1xx was taken for that of the final response. The caller was told of the close in it, and the end of the response was not found.

Change: such heads are passed on unchanged, the final response is followed to its end, and the connection is not used again. MAX_BUFFERED_BYTES of peer_forwarding.py, which nothing used, is removed.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/forwarded_response.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/forwarded_response.py
@@ -10,6 +10,7 @@
 _ENCODING = b"\r\ntransfer-encoding:"
 _LENGTH = b"\r\ncontent-length:"
 _CONNECTION = b"\r\nconnection:"
+_SWITCHING_PROTOCOLS = b"101"
 _WITHOUT_BODY = ([b"204"], [b"304"])
 
 
@@ -36,6 +37,7 @@
         self.is_reusable = False
         self._head = b""
         self._has_body_begun = False
+        self._has_interim = False
 
     def feed(self, data: bytes) -> bytes:
         """Notes received bytes; returns those to be passed on."""
@@ -69,23 +71,42 @@
             self.chunks.feed(data)
 
     def _feed_head(self, data: bytes) -> bytes:
-        """Returns the head with what follows it; empty until it is complete."""
+        """Returns the heads with what follows them; empty until complete."""
         self._head += data
-        head, end, body = self._head.partition(_HEAD_END)
-        if not end:
-            if len(self._head) < MAX_HEAD_BYTES:
-                return b""
-            # Passed on as it is; it ends with the connection.
-            self._has_body_begun = True
-            head, self._head = self._head, b""
-            return head
+        passed: list[bytes] = []
+        while not self._has_body_begun:
+            head, end, body = self._head.partition(_HEAD_END)
+            if not end:
+                passed.append(self._unlimited_head())
+                break
+            if _is_interim(head):
+                self._has_interim = True
+                self._head = body
+                passed.append(head + end)
+            else:
+                passed.append(self._final_head(head, body))
+        return b"".join(passed)
+
+    def _unlimited_head(self) -> bytes:
+        """Returns an incomplete head that is too long; else nothing.
+
+        It is passed on as it is and ends with the connection.
+        """
+        if len(self._head) < MAX_HEAD_BYTES:
+            return b""
+        self._has_body_begun = True
+        head, self._head = self._head, b""
+        return head
+
+    def _final_head(self, head: bytes, body: bytes) -> bytes:
+        """Returns the head, which is complete, with the begin of the body."""
         self._has_body_begun = True
         self._head = b""
         lowered = head.lower()
         self._read_framing(lowered)
         self._feed_body(body)
         close = b"" if _CONNECTION in lowered else _CLOSE
-        return head + close + end + body
+        return head + close + _HEAD_END + body
 
     def _read_framing(self, lowered: bytes) -> None:
         if _CHUNKED in lowered:
@@ -98,8 +119,15 @@
             self.length = 0
             return
         self.is_reusable = (
-            lowered.startswith(_VERSION)
+            not self._has_interim
+            and lowered.startswith(_VERSION)
             and _CONNECTION not in lowered
             and lowered.count(_LENGTH) + lowered.count(_ENCODING) == 1
             and (self.chunks is not None or self.length >= 0)
         )
+
+
+def _is_interim(head: bytes) -> bool:
+    """Whether another head follows, that of the final response."""
+    status = head.partition(b" ")[2][:3]
+    return status.startswith(b"1") and status != _SWITCHING_PROTOCOLS
--- a/packages/fleet/src/marjoramyard/fleet/gateway/peer_forwarding.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/peer_forwarding.py
@@ -29,8 +29,6 @@
 DEADLINE_MARGIN_SECONDS = 0.25
 """How long after its deadline a forwarded request is given up. The other
 gateway responds at the deadline if it is able to."""
-MAX_BUFFERED_BYTES = 1 << 17
-"""Response bytes buffered for a caller before reading from the peer pauses."""
 AVOID_SECONDS = 1.0
 """How long a gateway that could not be reached gets no requests."""
 
--- a/packages/fleet/tests/gateway/test_kept_connections.py
+++ b/packages/fleet/tests/gateway/test_kept_connections.py
@@ -168,7 +168,13 @@
     assert gateway.outcomes == ["forwarded"] * 3
 
 
+INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
 IRREGULAR = {
+    "interim": INTERIM + PLAIN,
+    "interim with chunks": INTERIM + CHUNKED,
+    "interim that has a length": b"HTTP/1.1 103 Early Hints\r\n"
+    b"Content-Length: 0\r\n\r\n" + PLAIN,
+    "several interim": INTERIM * 2000 + PLAIN,
     "closing": closed(PLAIN),
     "old": PLAIN.replace(b"HTTP/1.1", b"HTTP/1.0"),
     "two lengths": PLAIN.replace(b"\r\n\r\n", b"\r\nContent-Length: 5\r\n\r\n"),
@@ -195,6 +201,18 @@
     assert [len(requests) for requests in peer.requests] == [1, 1]
 
 
+@pytest.mark.parametrize("final", [PLAIN, CHUNKED])
+async def test_an_interim_response_is_passed_on_with_the_final_one(final):
+    """Guards against a caller that waits, or gets a part of the response."""
+    peer = Peer(INTERIM + final, PLAIN)
+    async with forwarding(peer) as (gateway, port):
+        assert await send(port) == INTERIM + closed(final)
+        assert not gateway.kept
+        assert await send(port) == closed(PLAIN)
+    assert gateway.outcomes == ["forwarded"] * 2
+    assert len(peer.requests) == 2
+
+
 async def test_a_connection_of_a_caller_who_left_is_not_used_again():
     """Guards against the rest of a response that reaches another caller."""
     peer = Peer(PLAIN[:-2], PLAIN)
