Go on naming peers to gateways that are late for a moment

Cause: left out gateways that needed peers once they had expired, after 0.3 s. An overloaded gateway is often that late, and the empty lists that it got voided the peers that it knew.

Change: a silent gateway counts as one that needs peers for 2 s.

The 23 tests of test_peer_naming.py pass; the test of the late gateway is new, the one of the expired gateway now lets it be silent for 2 s.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/gateway_connection.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/gateway_connection.py
@@ -24,6 +24,10 @@
 message. Gateways without queued requests or prompts being prefilled send no
 heartbeats; they have nothing to suspend. The smallest hosts get their processor
 in turns, with pauses of up to 0.1 s."""
+NEED_KEPT_TICKS = 20
+"""Heartbeat intervals for which a gateway that sends nothing still counts as
+one that needs peers. An overloaded one is often late and expires for moments.
+"""
 DEFAULT_CORES = 1.0
 PROBED_AFTER_TICKS = 2
 """Heartbeat intervals without a message after which an idle gateway is asked
@@ -97,7 +101,8 @@
     @property
     def gets_peers(self) -> bool:
         """Whether it is told where it may forward requests."""
-        return self.needs_peers and not self.liveness.has_expired
+        is_known = self.liveness.missed_ticks < NEED_KEPT_TICKS
+        return self.needs_peers and is_known
 
     @property
     def is_refusing(self) -> bool:
