--- a/packages/fleet/src/marjoramyard/fleet/gateway/demand.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/demand.py
@@ -2,6 +2,7 @@
 
 import time
 from collections import Counter
+from collections.abc import Callable
 
 from marjoramyard.fleet.gateway.balancing import (
     MIN_OWN_LIMIT,
@@ -15,6 +16,7 @@
     LATE_SECONDS,
     ConcurrencyLimit,
 )
+from marjoramyard.fleet.gateway.peer_naming import MAX_CORES
 from marjoramyard.fleet.util.rates import RateMeter
 
 OVERLOADED_SECONDS = 2.0
@@ -22,6 +24,8 @@
 gets no requests of others itself."""
 PROCESSOR_SECONDS = 0.3
 """Time over which the use of the processor is averaged."""
+MIN_OWN_CORES = 0.01
+"""Lower bound of what counts as the gateway's own processor."""
 EXCESS_SECONDS = 1.0
 """Time over which the rate of forwarded and refused prompts is averaged."""
 
@@ -35,6 +39,7 @@
         forwarding_limit: The limit on prompts being forwarded.
         max_forwarded: The most prompts to forward at the same time.
         max_outgoing: The most connections to endpoints and to peers.
+        free_callers: Returns how many more callers' connections may be used.
         policy: Decides on prompts.
         processor: The processor time used in a second.
         excess: The prompts a second that are forwarded or refused.
@@ -52,6 +57,7 @@
         self.forwarding_limit = ConcurrencyLimit(FORWARDING)
         self.max_forwarded = 0
         self.max_outgoing = 0
+        self.free_callers: Callable[[], float] = lambda: float("inf")
         self.policy = BalancingPolicy()
         self.processor = RateMeter(time.process_time, PROCESSOR_SECONDS)
         self.expected: Counter[str] = Counter()
@@ -73,8 +79,9 @@
 
     @property
     def processor_share(self) -> float:
-        """The used share of the processor."""
-        return self.processor.rate / self.cores
+        """The used share of the processor that the event loop can use."""
+        usable = min(max(self.cores, MIN_OWN_CORES), MAX_CORES)
+        return self.processor.rate / usable
 
     def on_wake_up(self, late_seconds: float) -> None:
         """Adapts all limits to the latency of the event loop.
@@ -87,7 +94,10 @@
         self.processor.measure()
         self.excess.measure()
         is_late = late_seconds > LATE_SECONDS
-        can_serve_fewer = self.limit.total > MIN_OWN_LIMIT
+        can_serve_fewer = (
+            self.limit.total > MIN_OWN_LIMIT
+            and self.policy.own_limit > MIN_OWN_LIMIT
+        )
         if not (is_late and can_serve_fewer):
             self.forwarding_limit.on_wake_up(late_seconds)
         self.limit.on_wake_up(late_seconds)
@@ -108,6 +118,7 @@
                 self.forwarding_limit.limit,
                 self.max_forwarded,
                 self.max_outgoing - active,
+                self.forwarding_limit.total + self.free_callers(),
             ),
             processor_share=self.processor_share,
             has_peers=has_peers,
--- a/packages/fleet/src/marjoramyard/fleet/gateway/gateway_connection.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/gateway_connection.py
@@ -2,6 +2,7 @@
 
 import heapq
 import math
+from collections import Counter, defaultdict
 from collections.abc import Collection
 
 from aiohttp import web
@@ -11,10 +12,10 @@
     BrokerMessage,
 )
 from marjoramyard.fleet.gateway.peer_naming import (
-    MIN_CORES,
     PeerDemand,
     PeerNaming,
     PeerRoom,
+    usable_cores,
 )
 from marjoramyard.fleet.util.liveness import LivenessTimer
 
@@ -23,6 +24,10 @@
 message. Gateways without queued requests or prompts being prefilled send no
 heartbeats; they have nothing to suspend. The smallest hosts get their processor
 in turns, with pauses of up to 0.1 s."""
+NEED_KEPT_TICKS = 20
+"""Heartbeat intervals for which a gateway that sends nothing still counts as
+one that needs peers. An overloaded one is often late and expires for moments.
+"""
 DEFAULT_CORES = 1.0
 PROBED_AFTER_TICKS = 2
 """Heartbeat intervals without a message after which an idle gateway is asked
@@ -34,7 +39,8 @@
 class GatewayConnection:
     """The connection of one gateway.
 
-    To the brokers, each connection is a router.
+    To the brokers, each connection is a router. A gateway has one for each
+    service with engines.
 
     Attributes:
         number: Identifies the connection on this host.
@@ -88,16 +94,26 @@
         """Whether other gateways may forward requests to this one."""
         return (
             bool(self.forwarding_address)
-            and not self.needs_peers
-            and not self.is_leaving
-            and not (self.is_lagging and self.services)
+            and not self.is_refusing
             and not self.liveness.has_expired
         )
 
+    @property
+    def gets_peers(self) -> bool:
+        """Whether it is told where it may forward requests."""
+        is_known = self.liveness.missed_ticks < NEED_KEPT_TICKS
+        return self.needs_peers and is_known
+
+    @property
+    def is_refusing(self) -> bool:
+        """Whether the gateway has reported that it has no room for others."""
+        is_slow = self.is_lagging and bool(self.services)
+        return self.needs_peers or self.is_leaving or is_slow
+
     @property
     def requests_per_core(self) -> float:
         """Requests in progress relative to the processor of the gateway."""
-        return len(self.services) / max(self.cores, MIN_CORES)
+        return len(self.services) / usable_cores(self.cores)
 
     @property
     def router(self) -> str:
@@ -139,29 +155,53 @@
 ) -> dict[int, list[PeerRoom]]:
     """Returns where each gateway that needs peers may forward prompts.
 
-    By the number of the gateway.
+    By the number of the connection. A gateway has one connection for each
+    service with engines.
     """
-    needing = [gateway for gateway in gateways if gateway.needs_peers]
+    needing = [gateway for gateway in gateways if gateway.gets_peers]
     if not needing:
         return {}
-    naming = PeerNaming(
-        PeerRoom(
-            gateway.forwarding_address,
-            gateway.zone,
-            gateway.cores,
-            len(gateway.services),
-        )
-        for gateway in gateways
-        if gateway.accepts_forwarded
-    )
+    naming = PeerNaming(_rooms(gateways))
+    counts = Counter(gateway.forwarding_address for gateway in needing)
+    # Without an address the connections of a gateway can't be told apart from
+    # those of others.
+    counts[""] = 1
     return {
         gateway.number: naming.name_peers(
-            PeerDemand(gateway.number, gateway.zone, gateway.excess)
+            PeerDemand(
+                gateway.number,
+                gateway.zone,
+                gateway.excess / counts[gateway.forwarding_address],
+            )
         )
         for gateway in needing
     }
 
 
+def _rooms(gateways: Collection[GatewayConnection]) -> list[PeerRoom]:
+    """Returns the gateways that accept forwarded requests, each once."""
+    by_address: defaultdict[str, list[GatewayConnection]] = defaultdict(list)
+    for gateway in gateways:
+        by_address[gateway.forwarding_address].append(gateway)
+    return [
+        PeerRoom(
+            address,
+            connections[0].zone,
+            connections[0].cores,
+            sum(len(connection.services) for connection in connections),
+        )
+        for address, connections in by_address.items()
+        if _accept_forwarded(connections)
+    ]
+
+
+def _accept_forwarded(connections: Collection[GatewayConnection]) -> bool:
+    """Whether the gateway with these connections accepts requests."""
+    return any(
+        connection.accepts_forwarded for connection in connections
+    ) and not any(connection.is_refusing for connection in connections)
+
+
 def gateways_to_probe(
     gateways: Collection[GatewayConnection],
 ) -> set[int]:
@@ -169,7 +209,7 @@
 
     While one gateway needs peers, the idle ones must show that they are alive.
     """
-    if not any(gateway.needs_peers for gateway in gateways):
+    if not any(gateway.gets_peers for gateway in gateways):
         return set()
     silent = [
         gateway
--- a/packages/fleet/src/marjoramyard/fleet/gateway/peer_forwarding.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/peer_forwarding.py
@@ -16,7 +16,7 @@
 from marjoramyard.fleet.gateway.early_refusal import RequestHead
 from marjoramyard.fleet.gateway.forwarded_response import ForwardedResponse
 from marjoramyard.fleet.gateway.peer_connections import PeerConnections
-from marjoramyard.fleet.gateway.peer_naming import MIN_CORES
+from marjoramyard.fleet.gateway.peer_naming import usable_cores
 from marjoramyard.kernel.logs import get_logger
 from marjoramyard.kernel.util.addresses import parse_address
 
@@ -29,8 +29,6 @@
 DEADLINE_MARGIN_SECONDS = 0.25
 """How long after its deadline a forwarded request is given up. The other
 gateway responds at the deadline if it is able to."""
-MAX_BUFFERED_BYTES = 1 << 17
-"""Response bytes buffered for a caller before reading from the peer pauses."""
 AVOID_SECONDS = 1.0
 """How long a gateway that could not be reached gets no requests."""
 
@@ -107,9 +105,7 @@
         usable = [p for p in peers if self.avoided_until.get(p, 0.0) <= now]
 
         def load(peer: str) -> float:
-            return (self.active[peer] + 1) / max(
-                cores.get(peer, 1.0), MIN_CORES
-            )
+            return (self.active[peer] + 1) / usable_cores(cores.get(peer, 1.0))
 
         return min(usable, key=load, default="")
 
@@ -315,7 +311,10 @@
 
     def _keep_connection(self) -> None:
         """Keeps the connection if nothing is left of request and response."""
-        is_sent = self.sent_size == self.plan.request_size
+        is_sent = (
+            self.sent_size == self.plan.request_size
+            and not self.peer.get_write_buffer_size()
+        )
         if is_sent and self.response.is_reusable and not self.is_paused:
             self.connections.keep(self.plan.peer, self.peer)
             self.is_kept = True
--- a/packages/fleet/tests/gateway/test_balancing.py
+++ b/packages/fleet/tests/gateway/test_balancing.py
@@ -120,6 +120,39 @@
     assert demand.forwarding_limit.limit < 200
 
 
+def test_prompts_of_others_do_not_keep_a_late_gateway_forwarding(demand):
+    """Guards against long prompts of other workspaces that keep the limit on
+    forwarded prompts from being decreased.
+    """
+    for _ in range(2 * int(MIN_OWN_LIMIT)):
+        demand.limit.enter("other")
+    for _ in range(400):
+        demand.on_forwarded("large", "p")
+    while demand.policy.own_limit > MIN_OWN_LIMIT:
+        demand.on_wake_up(LATE)
+    assert demand.forwarding_limit.limit == float("inf")
+    demand.on_wake_up(LATE)
+    assert demand.forwarding_limit.limit < 400
+
+
+@pytest.mark.parametrize(
+    ("cores", "share"), [(0.5, 1.6), (1.0, 0.8), (4.0, 0.8)]
+)
+def test_an_event_loop_uses_one_core_at_the_most(demand, cores, share):
+    """Guards against a large gateway that takes itself for nearly idle."""
+    demand.cores = cores
+    demand.processor.rate = 0.8
+    assert demand.processor_share == share
+
+
+def test_a_gateway_without_processor_cores_has_a_processor_share(demand):
+    """Guards against requests that fail because of the settings."""
+    demand.cores = 0.0
+    demand.processor.rate = 0.5
+    assert demand.processor_share > 1.0
+    assert demand.decide("large", has_peers=True) is Decision.SERVE
+
+
 def test_forwarded_and_served_prompts_share_the_connections(demand):
     """Guards against running out of file descriptors: a served prompt needs a
     connection to an endpoint, a forwarded one to a peer.
@@ -132,6 +165,18 @@
     assert not demand.load(True).can_forward
 
 
+def test_forwarded_prompts_leave_callers_their_connections(demand):
+    """Guards against running out of file descriptors: a forwarded prompt keeps
+    its caller's connection, which is not free for another caller.
+    """
+    free = 2
+    demand.free_callers = lambda: free - demand.forwarding_limit.total
+    demand.on_forwarded("large", "p")
+    assert demand.load(True).can_forward
+    demand.on_forwarded("large", "p")
+    assert not demand.load(True).can_forward
+
+
 def test_a_workspace_is_dominant_by_its_forwarded_prompts_too(demand):
     """Guards against a flood that no longer counts as one once it is
     forwarded.
--- a/packages/fleet/tests/gateway/test_peer_naming.py
+++ b/packages/fleet/tests/gateway/test_peer_naming.py
@@ -10,6 +10,7 @@
 from marjoramyard.fleet.gateway.gateway_connection import (
     GATEWAY_TIMEOUT_SECONDS,
     MAX_PROBED,
+    NEED_KEPT_TICKS,
     GatewayConnection,
     gateways_to_probe,
     name_all_peers,
@@ -53,6 +54,19 @@
     assert names(peers) == ["large", "small"]
 
 
+def test_an_event_loop_serves_with_one_core_at_the_most():
+    """Guards against a gateway with many cores that gets what several serve."""
+    rooms = [room("one", 1.0, 2), room("large", 4.0, 3)]
+    peers = PeerNaming(rooms).name_peers(PeerDemand(1, "a", 10.0))
+    assert names(peers) == ["one", "large"]
+    rooms = [room(str(n), cores=4.0) for n in range(20)]
+    excess = 9 * PROMPTS_PER_CORE
+    peers = PeerNaming(rooms).name_peers(PeerDemand(1, "a", excess))
+    assert len(peers) == 9
+    assert gateway(1, cores=4.0).requests_per_core == 0.0
+    assert connection(1, "p", requests=3, cores=4.0).requests_per_core == 3.0
+
+
 def test_a_large_excess_is_spread_over_as_many_as_can_serve_it():
     """Guards against a flood of one workspace that overloads its peers."""
     rooms = [room(str(n)) for n in range(40)]
@@ -111,6 +125,76 @@
         assert {p.address for p in peers} == {"127.0.0.1:4", "127.0.0.1:5"}
 
 
+def connection(number, address, requests=0, **states):
+    """Returns one of the connections of the gateway at an address."""
+    instance = gateway(number)
+    instance.forwarding_address = address
+    instance.services = dict.fromkeys(range(requests), "llm")
+    for name, value in states.items():
+        setattr(instance, name, value)
+    return instance
+
+
+@pytest.mark.parametrize(
+    "states",
+    [
+        {"needs_peers": True},
+        {"is_leaving": True},
+        {"is_lagging": True, "requests": 1},
+    ],
+)
+def test_no_connection_hides_that_a_gateway_has_no_room(states):
+    """Guards against a gateway that is named because one of its connections,
+    for another service, is idle.
+    """
+    fleet = [
+        connection(1, "p", **states),
+        connection(2, "p"),
+        connection(3, "q"),
+        connection(4, "r", needs_peers=True),
+    ]
+    assert names(name_all_peers(fleet)[4]) == ["q"]
+
+
+def test_a_gateway_is_never_named_to_itself():
+    fleet = [connection(1, "p", needs_peers=True), connection(2, "p")]
+    assert name_all_peers(fleet) == {1: []}
+
+
+def test_a_gateway_with_several_connections_is_named_once():
+    """Guards against a gateway that looks idle, and gets the load of several,
+    through a connection for another service.
+    """
+    fleet = [
+        connection(1, "p", requests=2),
+        connection(2, "p", requests=1),
+        connection(3, "q", requests=2),
+        connection(4, "r", needs_peers=True),
+    ]
+    peers = name_all_peers(fleet)[4]
+    assert names(peers) == ["q", "p"]
+    assert [peer.requests for peer in peers] == [2, 3]
+
+
+def test_the_excess_of_a_gateway_counts_once(monkeypatch):
+    """Guards against an excess that each connection reports again."""
+    demands = []
+    monkeypatch.setattr(
+        PeerNaming, "name_peers", lambda _, demand: demands.append(demand) or []
+    )
+    needing = {"needs_peers": True, "excess": 30.0}
+    name_all_peers(
+        [
+            connection(1, "p", **needing),
+            connection(2, "p", **needing),
+            connection(3, "p"),
+            connection(4, "q", **needing),
+        ]
+    )
+    excess = {demand.number: demand.excess for demand in demands}
+    assert excess == {1: 15.0, 2: 15.0, 4: 30.0}
+
+
 def test_idle_gateways_are_asked_for_a_heartbeat_before_they_expire(gateways):
     """Guards against idle gateways that are taken for lost: they send nothing
     by themselves.
@@ -123,11 +207,36 @@
     assert not gateways_to_probe(gateways)
 
 
+def test_a_late_gateway_goes_on_to_need_peers(gateways):
+    """Guards against empty lists for an overloaded gateway whose event loop is
+    late: they void the peers that it knows.
+    """
+    for _ in range(NEED_KEPT_TICKS - 1):
+        gateways[0].liveness.tick()
+    assert gateways[0].liveness.has_expired
+    named = {peer.address for peer in name_all_peers(gateways)[1]}
+    assert named == {one.forwarding_address for one in gateways[1:]}
+    gateways[3].liveness.tick()
+    gateways[3].liveness.tick()
+    assert 4 in gateways_to_probe(gateways)
+
+
+def test_a_gateway_that_is_silent_for_long_does_not_need_peers(gateways):
+    """Guards against heartbeats of the whole fleet because of a gateway that
+    is suspended in an overload.
+    """
+    for one in (gateways[0], gateways[3]):
+        for _ in range(NEED_KEPT_TICKS):
+            one.liveness.tick()
+    assert not gateways_to_probe(gateways)
+    assert not name_all_peers(gateways)
+
+
 def test_the_gateways_with_the_most_room_are_asked():
     """Guards against a load of heartbeats that grows with the fleet."""
     fleet = [gateway(1, needs_peers=True)]
     fleet += [gateway(number) for number in range(2, 2 * MAX_PROBED + 2)]
-    for one in fleet:
+    for one in fleet[1:]:
         one.services = dict.fromkeys(range(one.number % 2), "llm")
         for _ in range(TIMEOUT_TICKS):
             one.liveness.tick()
