--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -102,6 +102,7 @@
             listen=listen,
             ready_listen=free_address(),
             grace_seconds=GRACE_SECONDS,
+            startup_wait_seconds=1.0,
         )
 
     def _child(self, name: str) -> ChildProcess:
