--- a/bench/forwarding.py
+++ b/bench/forwarding.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import signal
-import sys
 import tempfile
 import time
 from pathlib import Path
@@ -19,16 +18,16 @@
     EVENT_COUNTS,
     EngineConnection,
     EngineRegistration,
+    put_chat_config,
+    start_measured_gateway,
     user_seconds,
 )
 
-from marjoramyard.standin.processes import ChildProcess, free_address
+from marjoramyard.standin.processes import free_address
 
 from gateway_fleet import (  # isort: skip
     API_KEY,
     GatewayFleet,
-    config,
-    route,
     wait_until,
 )
 
@@ -117,21 +116,8 @@
     peer_settings(fleet)
     for name in ("control-0", "control-1", "control-2", "peer"):
         await fleet.start(name)
-    command = [sys.executable, "-m", "marjoramyard.fleet", "run"]
-    if profile:
-        command[1:1] = ["-m", "cProfile", "-o", profile]
-    command.append(str(folder / "gateway.yaml"))
-    child = ChildProcess("gateway", command, folder / "gateway.log")
-    fleet.children["gateway"] = child
-    await child.start()
-    chat = route("chat", "/chat/", "non_idempotent", service="chat")
-    chat |= {"open_access": False, "timeout_ms": 60000, "objective_ms": 9000}
-    document = config(1, chat)
-    engine = {"slots": 400, "memory_tokens": 10_000_000}
-    document["services"].append({"name": "chat", "engine": engine})
-    document["limits"] = {"tokens_per_s": 1_000_000}
-    await fleet.put_config(document)
-    await wait_until(fleet.is_ready)
+    await start_measured_gateway(fleet, profile)
+    await put_chat_config(fleet, slots=400, timeout_ms=60000)
     return fleet
 
 
--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -154,22 +154,36 @@
     )
     for name in ("control-0", "control-1", "control-2", "broker"):
         await fleet.start(name)
+    await start_measured_gateway(fleet, profile)
+    await put_chat_config(fleet, slots=200, timeout_ms=20000)
+    return fleet
+
+
+async def start_measured_gateway(fleet, profile):
+    """Starts the measured gateway; profiles it if `profile` names a file."""
     command = [sys.executable, "-m", "marjoramyard.fleet", "run"]
     if profile:
         command[1:1] = ["-m", "cProfile", "-o", profile]
-    command.append(str(folder / "gateway.yaml"))
-    child = ChildProcess("gateway", command, folder / "gateway.log")
+    command.append(str(fleet.folder / "gateway.yaml"))
+    child = ChildProcess("gateway", command, fleet.folder / "gateway.log")
     fleet.children["gateway"] = child
     await child.start()
+
+
+async def put_chat_config(fleet, slots, timeout_ms):
+    """Configures the service of the prompts; waits for the gateway."""
     chat = route("chat", "/chat/", "non_idempotent", service="chat")
-    chat |= {"open_access": False, "timeout_ms": 20000, "objective_ms": 9000}
+    chat |= {
+        "open_access": False,
+        "timeout_ms": timeout_ms,
+        "objective_ms": 9000,
+    }
     document = config(1, chat)
-    profile_of_engines = {"slots": 200, "memory_tokens": 10_000_000}
-    document["services"].append({"name": "chat", "engine": profile_of_engines})
+    engine = {"slots": slots, "memory_tokens": 10_000_000}
+    document["services"].append({"name": "chat", "engine": engine})
     document["limits"] = {"tokens_per_s": 1_000_000}
     await fleet.put_config(document)
     await wait_until(fleet.is_ready)
-    return fleet
 
 
 async def measure(profile):
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -72,6 +72,33 @@
     return [line for line in found if line["event"] == event]
 
 
+async def hold_prompts(fleet, endpoint):
+    """Makes the event loop of the gateway late while it holds prompts.
+
+    Returns:
+        The tasks of these prompts.
+    """
+
+    async def engine_is_known():
+        return (await send_prompt(fleet, "/chat/x"))[0] == 200
+
+    await wait_until(engine_is_known)
+    held = [
+        asyncio.create_task(send_prompt(fleet, "/chat/hold"))
+        for _ in range(HELD_PROMPTS)
+    ]
+
+    async def all_are_held():
+        return len(endpoint.requests) > HELD_PROMPTS
+
+    await wait_until(all_are_held)
+    gateway = fleet.children["gateway"]
+    gateway.suspend()
+    await asyncio.sleep(SUSPENDED_SECONDS)
+    gateway.signal(signal.SIGCONT)
+    return held
+
+
 async def test_prompts_beyond_the_limit_are_served_by_another_gateway(fleet):
     """Guards against callers that are refused by one overloaded gateway while
     another one is idle.
@@ -80,24 +107,7 @@
     in service, which limits the gateway to fewer.
     """
     async with engine_that_holds_prompts(fleet) as endpoint:
-
-        async def engine_is_known():
-            return (await send_prompt(fleet, "/chat/x"))[0] == 200
-
-        await wait_until(engine_is_known)
-        held = [
-            asyncio.create_task(send_prompt(fleet, "/chat/hold"))
-            for _ in range(HELD_PROMPTS)
-        ]
-
-        async def all_are_held():
-            return len(endpoint.requests) > HELD_PROMPTS
-
-        await wait_until(all_are_held)
-        gateway = fleet.children["gateway"]
-        gateway.suspend()
-        await asyncio.sleep(SUSPENDED_SECONDS)
-        gateway.signal(signal.SIGCONT)
+        held = await hold_prompts(fleet, endpoint)
 
         async def one_is_forwarded():
             status, text = await send_prompt(fleet, "/chat/x")
@@ -122,24 +132,7 @@
 
     From then on it forwards all prompts to the peer.
     """
-
-    async def engine_is_known():
-        return (await send_prompt(fleet, "/chat/x"))[0] == 200
-
-    await wait_until(engine_is_known)
-    held = [
-        asyncio.create_task(send_prompt(fleet, "/chat/hold"))
-        for _ in range(HELD_PROMPTS)
-    ]
-
-    async def all_are_held():
-        return len(endpoint.requests) > HELD_PROMPTS
-
-    await wait_until(all_are_held)
-    gateway = fleet.children["gateway"]
-    gateway.suspend()
-    await asyncio.sleep(SUSPENDED_SECONDS)
-    gateway.signal(signal.SIGCONT)
+    held = await hold_prompts(fleet, endpoint)
 
     async def peer_serves():
         """The peer may learn of the engine later than the gateway."""
