Send entries again once after a loss, not for each rejected append

Cause: each append that was on its way when messages were lost is rejected, and each rejection sent all entries that the member lacks once more.

Change: the same rejection causes no other retry for two ticks (0.2 s). If the retry is lost as well, the next heartbeat's rejection causes another one.

--- a/packages/coordination/src/marjoramyard/coordination/consensus/replica.py
+++ b/packages/coordination/src/marjoramyard/coordination/consensus/replica.py
@@ -58,12 +58,16 @@
         next: The next index to send.
         last_reply_tick: The tick of the member's last reply.
         round: The latest heartbeat round that the member has acknowledged.
+        retried_from: The first index of the last retry; 0 if there was none.
+        retried_tick: The tick of the last retry.
     """
 
     match: int = 0
     next: int = 1
     last_reply_tick: int = 0
     round: int = 0
+    retried_from: int = 0
+    retried_tick: int = 0
 
 
 class ReplicaState:
--- a/packages/coordination/src/marjoramyard/coordination/consensus/replication.py
+++ b/packages/coordination/src/marjoramyard/coordination/consensus/replication.py
@@ -11,6 +11,9 @@
 from marjoramyard.coordination.consensus.replica import ReplicaState, Role
 from marjoramyard.kernel.ids import ReplicaId
 
+RETRY_TICKS = 2
+"""How long after a retry the same rejection causes no other one."""
+
 
 class Replication(ReplicaState):
     """The leader's and the follower's side of log replication."""
@@ -142,10 +145,29 @@
             if progress.next <= self.log.last_index:
                 self._send_append(sender)
         else:
-            progress.next = max(progress.match, reply.match) + 1
-            self._send_append(sender)
+            self._retry(sender, max(progress.match, reply.match) + 1)
         self._start_round_if_idle()
 
+    def _retry(self, replica: ReplicaId, first: int) -> None:
+        """Sends entries again after an append was rejected.
+
+        Appends that are on their way to the member are rejected as well.
+        If each of these caused a retry, the same entries would be sent many
+        times.
+
+        Args:
+            replica: The member.
+            first: The index of the first entry that it lacks.
+        """
+        progress = self.progress[replica]
+        is_recent = self.ticks - progress.retried_tick < RETRY_TICKS
+        if progress.retried_from == first and is_recent:
+            return
+        progress.retried_from = first
+        progress.retried_tick = self.ticks
+        progress.next = first
+        self._send_append(replica)
+
     def _advance_commit(self) -> None:
         matches = sorted(
             self.synced_index
--- a/packages/coordination/tests/consensus/test_consensus_safeguards.py
+++ b/packages/coordination/tests/consensus/test_consensus_safeguards.py
@@ -9,6 +9,7 @@
 
 from marjoramyard.coordination.consensus.core import RaftCore  # noqa: E402
 from marjoramyard.coordination.consensus.messages import (  # noqa: E402
+    Append,
     AppendReply,
     EntryKind,
     Envelope,
@@ -21,6 +22,9 @@
     VoteReply,
 )
 from marjoramyard.coordination.consensus.replica import Role  # noqa: E402
+from marjoramyard.coordination.consensus.replication import (  # noqa: E402
+    RETRY_TICKS,
+)
 
 NAMES = ("a", "b", "c")
 BASE = Snapshot(1, 1, Membership(NAMES, (), {n: n for n in NAMES}), "")
@@ -198,3 +202,56 @@
         net.settle()
         assert net.leader().name == leader.name
         assert net.leader().core.term == term
+
+
+def test_entries_are_sent_again_once_after_a_loss_and_not_for_each_rejection():
+    """Guards against: a host that returns from a cut is sent the same entries
+    once for each append that was on its way, and its leader's memory is full.
+    """
+    core = make_core()
+    elect(core)
+    for number in range(12):
+        core.propose(str(number))
+        core.flush()
+    core.take_ready()
+    rejection = AppendReply(core.term, False, 1)
+    for _ in range(12):
+        core.receive(Envelope("b", "a", rejection))
+    assert len(appended_entries(core, "b")) == TIMINGS.max_batch_entries
+
+
+def test_entries_are_sent_again_if_the_first_retry_is_lost():
+    """Guards against: a host that stays behind for good."""
+    core = make_core()
+    elect(core)
+    core.propose("x")
+    core.flush()
+    rejection = AppendReply(core.term, False, 1)
+    for _ in range(3):
+        core.take_ready()
+        core.receive(Envelope("b", "a", rejection))
+        assert appended_entries(core, "b")
+        for _ in range(RETRY_TICKS):
+            core.tick()
+
+
+def test_a_host_that_lacks_more_than_was_thought_gets_it_at_once():
+    """Guards against: a wait after each step back to the common entry."""
+    core = make_core([entry(n, 1) for n in range(2, 7)])
+    elect(core)
+    core.take_ready()
+    for last in (5, 4, 3):
+        core.receive(Envelope("b", "a", AppendReply(core.term, False, last)))
+        assert appended_entries(core, "b")[0] == last + 1
+        core.take_ready()
+
+
+def appended_entries(core, receiver):
+    """Returns the indices of the entries that are being sent."""
+    return [
+        sent.index
+        for envelope in core.outbox
+        if envelope.receiver == receiver
+        and isinstance(envelope.message, Append)
+        for sent in envelope.message.entries
+    ]
