Log the software versions that served a stream, and what it resumes

The incident's hypotheses can't be told apart by the logs: a registration drops the version that heartbeats tell, and a request's line names neither the stream that it takes up again nor the versions that its events came from. Registrations hold the version now, and log lines tell it; the request's line has last_event, resumes and versions. No decision uses any of it yet.

--- a/packages/coordination/src/marjoramyard/coordination/membership/registrations.py
+++ b/packages/coordination/src/marjoramyard/coordination/membership/registrations.py
@@ -39,6 +39,8 @@
         born: Start of the lifetime, in milliseconds since the Unix epoch;
             0 if unknown.
         cold_left_ms: How long the endpoint stays cold after this heartbeat.
+        software_version: Version of its software, not of a model's weights;
+            "" if unknown.
     """
 
     endpoint: str
@@ -50,6 +52,7 @@
     sequence: int = 0
     born: int = 0
     cold_left_ms: float = 0.0
+    software_version: str = ""
 
     @property
     def precedence(self) -> tuple[int, int, int]:
--- a/packages/fleet/src/marjoramyard/fleet/control/endpoint_feed.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/endpoint_feed.py
@@ -140,6 +140,7 @@
             address=registration.address,
             state=registration.state.value,
             sequence=registration.sequence,
+            software_version=registration.software_version,
         )
         self.on_change()
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/admission.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/admission.py
@@ -47,6 +47,8 @@
         parts: The prompt parts.
         output_tokens: The maximum number of output tokens.
         last_event: The ID of the last event that the caller has; "" for none.
+        resumes: The caller's ID of the attempt that brought the first event
+            of the stream; "" if it doesn't say.
         waited_ms: How long the caller has probably waited in earlier attempts.
         known_fingerprint: The fingerprint, once it has been computed.
     """
@@ -64,6 +66,7 @@
     parts: tuple[PromptPart, ...] = ()
     output_tokens: int = 0
     last_event: str = ""
+    resumes: str = ""
     waited_ms: float = 0.0
     known_fingerprint: Fingerprint | None = None
 
@@ -190,6 +193,7 @@
         parts=parse_prompt_parts(request.headers.get(names.prompt_parts, "")),
         output_tokens=_output_tokens(request, names),
         last_event=request.headers.get(names.last_event, ""),
+        resumes=request.headers.get(names.resumes, ""),
     )
 
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/dialect.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/dialect.py
@@ -26,6 +26,8 @@
         token_counts: The number of prompt tokens and the maximum of output
             tokens.
         last_event: The ID of the last event that the caller has.
+        resumes: The caller's ID of the attempt that brought the first event
+            of a stream that it takes up again.
         fetch_from: The endpoint to fetch cached prompt parts from.
         fleet_only: Other headers, in lower case, that callers must not set.
     """
@@ -41,6 +43,7 @@
     prompt_parts: str = "Prompt-Parts"
     token_counts: str = "Token-Counts"
     last_event: str = "Last-Event-Id"
+    resumes: str = "Resumes"
     fetch_from: str = "Fetch-From"
     fleet_only: frozenset[str] = frozenset()
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/engine_load.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/engine_load.py
@@ -57,12 +57,14 @@
     Attributes:
         tokens: Prompt tokens that are still to be prefilled.
         on_prefilled: Called once when the first token arrives.
+        has_data: Whether data of its response has arrived.
     """
 
     def __init__(self, engine: EngineView, tokens: float):
         self.engine = engine
         self.tokens = tokens
         self.on_prefilled: Callable[[], None] | None = None
+        self.has_data = False
         engine.running += 1
         engine.prefill_tokens += tokens
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
@@ -237,6 +237,9 @@
             prompt_tokens=sum(p.tokens for p in caller.parts) if caller else 0,
             read_tokens=round(trace.prefill_tokens),
             missed=_missed_objective(caller, delivery, started_at),
+            last_event=caller.last_event if caller else "",
+            resumes=caller.resumes if caller else "",
+            versions=trace.versions,
         )
 
     async def _serve(
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Iterator
 from contextlib import contextmanager
+from functools import partial
 
 from aiohttp import web
 
@@ -209,13 +210,21 @@
                         SendOutcome.BROKEN, f"status {upstream.status}"
                     )
                 response = await self.delivery.relay(
-                    upstream, tracked.finish_prefill
+                    upstream, partial(self._on_data, plan, tracked)
                 )
             if self.delivery.last_end is ResponseEnd.UNKNOWN:
                 await self._check_survival(plan.endpoint)
         self.view.health_of(endpoint).record_success(time.monotonic())
         return response
 
+    def _on_data(self, plan: SendPlan, tracked: LocalRequest) -> None:
+        """Notes that data of a send has arrived; may be called repeatedly."""
+        if tracked.has_data:
+            return
+        tracked.has_data = True
+        tracked.finish_prefill()
+        self.trace.versions.append(plan.endpoint.software_version)
+
     async def _check_survival(self, endpoint: Registration) -> None:
         """Checks that an endpoint has not ended together with its response.
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_trace.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_trace.py
@@ -39,6 +39,7 @@
         predicted_ms: The broker's prediction for a refused request.
         unplaceable: Why no endpoint could be chosen, if so.
         has_broken: Whether the response of an endpoint broke off.
+        versions: The software version of each endpoint that data came from.
     """
 
     sends: list[str] = []
@@ -48,3 +49,4 @@
     predicted_ms: int | None = None
     unplaceable: Unplaceable | None = None
     has_broken: bool = False
+    versions: list[str] = []
--- a/packages/fleet/src/marjoramyard/fleet/gateway/view.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/view.py
@@ -242,6 +242,7 @@
             service=registration.service,
             state=registration.state.value,
             address=registration.address,
+            software_version=registration.software_version,
         )
 
     def max_gateway_count(self, now: float) -> int:
--- a/tests/platform/test_control_api.py
+++ b/tests/platform/test_control_api.py
@@ -129,6 +129,7 @@
     assert read.availability_zone == "zone-a"
     assert (read.sequence, read.born) == (4, 1790000000123)
     assert read.state is EndpointState.READY
+    assert read.software_version == "v1"
 
 
 @pytest.mark.parametrize(
