Resume streams only at the software version that began them

What callers saw: streams with events of two software versions, each whole and with status 200. Cause: nothing that chooses endpoints knew versions, and what had begun a stream was known to nobody: Resumes was not read. All three places that resume were wrong, a caller's resume by broker and by gateway alone, and the resume within a response. Class: state that a decision needs lives with the process that may have died.

A gateway records the version of a resumable stream before its caller has the first event, and tells the broker of the service, which passes it on to two gateways; each tells a new broker what it knows. A resume is placed at that version only. If nobody knows it, the stream goes on only if one version has been registered for as long as any stream can be resumed; otherwise it is refused at once, 503 and not run. While a broker is being replaced the resume waits for up to 1.5 s. A stream whose version has no endpoint left is refused with the truth, and within a response breaks off visibly. Services without engines use the first broker for this.

Messages of brokers of an earlier release are as before (broker-5 is selected by both sides or not used).

Faked views of three test files got the field that views have now; the test of earlier releases' brokers checks the new message too.

--- a/packages/coordination/src/marjoramyard/coordination/membership/registrations.py
+++ b/packages/coordination/src/marjoramyard/coordination/membership/registrations.py
@@ -77,9 +77,12 @@
         received_at: When that registration was received.
         by_address: Endpoint id by address.
         change_count: The number of changes to `by_endpoint` so far.
+        former_versions: When an endpoint of a service last ceased to have a
+            software version, by service and version.
     """
 
     def __init__(self):
+        self.former_versions: dict[tuple[str, str], float] = {}
         self.by_endpoint: dict[str, Registration] = {}
         self.received_at: dict[str, float] = {}
         self.by_address: dict[str, str] = {}
@@ -98,10 +101,13 @@
         known = self.by_endpoint.get(registration.endpoint)
         if known is not None and registration.precedence <= known.precedence:
             return False
-        if not self._claim_address(registration):
+        if not self._claim_address(registration, now):
             return False
         self.change_count += 1
         self.received_at[registration.endpoint] = now
+        if known is not None and _has_left_version(known, registration):
+            version = (known.service, known.software_version)
+            self.former_versions[version] = now
         self.by_endpoint[registration.endpoint] = registration
         return known is None or _differs(known, registration)
 
@@ -135,7 +141,7 @@
             )
         return True
 
-    def _claim_address(self, registration: Registration) -> bool:
+    def _claim_address(self, registration: Registration, now: float) -> bool:
         """Assigns an address to the endpoint that started there last.
 
         An address may be reused after an endpoint has crashed. Otherwise a
@@ -155,6 +161,7 @@
                 self.by_endpoint[current.endpoint] = msgspec.structs.replace(
                     current, state=EndpointState.DEPARTED
                 )
+                self.received_at[current.endpoint] = now
         if registration.state is not EndpointState.DEPARTED:
             self.by_address[registration.address] = registration.endpoint
         return True
@@ -193,8 +200,37 @@
         """Returns the registrations of all known endpoints."""
         return self.by_endpoint.values()
 
+    def versions(self, service: str, since: float) -> set[str]:
+        """Returns the software versions that a service has had.
+
+        Args:
+            service: The service.
+            since: The time from which on they count; not longer ago than
+                `DEPARTED_RETENTION_SECONDS`.
+        """
+        found = {
+            registration.software_version
+            for endpoint, registration in self.by_endpoint.items()
+            if registration.service == service
+            and (
+                registration.state is not EndpointState.DEPARTED
+                or self.received_at[endpoint] >= since
+            )
+        }
+        found.update(
+            version
+            for (name, version), left_at in self.former_versions.items()
+            if name == service and left_at >= since
+        )
+        return found
+
     def expire_departed(self, now: float) -> None:
         """Removes endpoints that departed before the retention period."""
+        self.former_versions = {
+            version: left_at
+            for version, left_at in self.former_versions.items()
+            if now - left_at <= DEPARTED_RETENTION_SECONDS
+        }
         for endpoint, registration in list(self.by_endpoint.items()):
             if registration.state is not EndpointState.DEPARTED:
                 continue
@@ -209,6 +245,14 @@
                     del self.by_address[registration.address]
 
 
+def _has_left_version(known: Registration, registration: Registration) -> bool:
+    """Returns whether an endpoint has no longer the version that it had."""
+    return (known.service, known.software_version) != (
+        registration.service,
+        registration.software_version,
+    )
+
+
 def _differs(known: Registration, registration: Registration) -> bool:
     """Returns whether more than the sequence number differs."""
     same = msgspec.structs.replace(known, sequence=registration.sequence)
--- a/packages/coordination/src/marjoramyard/coordination/routing/config.py
+++ b/packages/coordination/src/marjoramyard/coordination/routing/config.py
@@ -72,10 +72,16 @@
     @property
     def may_repeat(self) -> bool:
         """Whether a request that may already have run may be sent again."""
-        return self.request_kind is RequestKind.IDEMPOTENT or (
-            self.request_kind is RequestKind.STREAM and self.resumable
+        return (
+            self.request_kind is RequestKind.IDEMPOTENT
+            or self.is_resumable_stream
         )
 
+    @property
+    def is_resumable_stream(self) -> bool:
+        """Whether responses are streams that may be resumed."""
+        return self.request_kind is RequestKind.STREAM and self.resumable
+
 
 class EngineProfile(msgspec.Struct, frozen=True):
     """Properties of the model engines of a service.
--- a/packages/coordination/src/marjoramyard/coordination/routing/table.py
+++ b/packages/coordination/src/marjoramyard/coordination/routing/table.py
@@ -22,6 +22,20 @@
         for route in config.routes:
             host = self.routes.setdefault(route.hostname.lower(), {})
             host[route.path_prefix] = route
+        self.resumable_services = {
+            destination.service
+            for route in config.routes
+            if route.is_resumable_stream
+            for destination in route.weighted_destinations
+        }
+        self.longest_stream_seconds = max(
+            (
+                r.timeout_ms / 1000
+                for r in config.routes
+                if r.is_resumable_stream
+            ),
+            default=0.0,
+        )
         self.workspaces_by_key: dict[str, Workspace] = {
             key: workspace
             for workspace in config.workspaces or ()
--- a/packages/fleet/src/marjoramyard/fleet/control/service.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/service.py
@@ -21,7 +21,10 @@
 from marjoramyard.fleet import paths
 from marjoramyard.fleet.config_transfer import ConfigHistory, FetchConfig
 from marjoramyard.fleet.control.change_signal import ChangeSignal
-from marjoramyard.fleet.control.endpoint_feed import EndpointFeed
+from marjoramyard.fleet.control.endpoint_feed import (
+    MAX_REGISTRATIONS,
+    EndpointFeed,
+)
 from marjoramyard.fleet.control.leader_calls import (
     COMMIT_TIMEOUT_SECONDS,
     CONFIRM_TIMEOUT_SECONDS,
@@ -295,8 +298,17 @@
             self._is_settled() and self.role.cluster_manager.is_isolated(),
         )
         self._add_suspects(request, reply)
+        is_complete = len(changed) < MAX_REGISTRATIONS
+        if is_complete and not request.urgent_only:
+            reply.observed_seconds = self._observed_seconds()
         return reply
 
+    def _observed_seconds(self) -> float:
+        """Returns for how long this host has heard of all endpoints."""
+        if not self._is_settled() or self.role.cluster_manager.is_isolated():
+            return 0.0
+        return time.monotonic() - self.started_at
+
     def _is_settled(self) -> bool:
         """Returns whether all endpoints have been heard of since the start."""
         settling_seconds = (
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_client.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_client.py
@@ -22,6 +22,7 @@
     NOTICE_PROTOCOL,
     PREFIX_PROTOCOL,
     SERVICE_PARAMETER,
+    STREAM_PROTOCOL,
     ZONE_PARAMETER,
     BrokerMessage,
     CachedPrefix,
@@ -36,10 +37,13 @@
     PlaceRequest,
     RunningRequest,
     SnapshotAnnouncement,
+    StreamReply,
+    StreamsBegun,
     Withdraw,
     broker_message_decoder,
     includes,
 )
+from marjoramyard.fleet.gateway.broker_streams import BrokerStreams
 from marjoramyard.fleet.gateway.held_snapshot import HeldSnapshot
 from marjoramyard.fleet.gateway.prefix_history import PrefixHistory
 from marjoramyard.fleet.gateway.refusal_cache import RefusalCache
@@ -122,6 +126,7 @@
         outbox: Messages to be sent in the next frame.
         history: The shared prompt parts that were recently sent to engines.
         held: What the broker has announced for its successor.
+        streams: The exchange of the software versions of streams.
     """
 
     def __init__(
@@ -160,6 +165,14 @@
         self.history = PrefixHistory()
         self.held = HeldSnapshot()
         self.flush_scheduled = False
+        self.streams = BrokerStreams(view.streams, self._send)
+
+    @property
+    def knows_streams(self) -> bool:
+        """Whether there is a responsive broker that keeps streams."""
+        return self.is_connected and includes(
+            self.socket.protocol, STREAM_PROTOCOL
+        )
 
     @property
     def is_connected(self) -> bool:
@@ -255,6 +268,8 @@
         messages: list[GatewayMessage] = []
         if includes(protocol, HANDOVER_PROTOCOL):
             messages += self.held.handover(service)
+        if includes(protocol, STREAM_PROTOCOL):
+            messages += self.streams.known_streams(service)
         if includes(protocol, NOTICE_PROTOCOL):
             messages += self._notices(service)
         if includes(protocol, PREFIX_PROTOCOL):
@@ -317,6 +332,12 @@
         if isinstance(message, SnapshotAnnouncement):
             self.held.record(message)
             return
+        if isinstance(message, StreamsBegun):
+            self.streams.on_begun(message)
+            return
+        if isinstance(message, StreamReply):
+            self.streams.on_reply(message)
+            return
         if isinstance(message, EndpointLeaving):
             if self.view.record_leaving(message.endpoint, message.born):
                 self._release_unplaceable()
@@ -352,6 +373,7 @@
 
     def _release_pending(self) -> None:
         """Lets pending requests proceed without a broker."""
+        self.streams.release()
         pending, self.pending = self.pending, {}
         for placement in pending.values():
             if not placement.future.done():
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_clients.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_clients.py
@@ -1,4 +1,4 @@
-"""The broker clients of all services with engines."""
+"""The broker clients of all services that have a broker."""
 
 from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import asynccontextmanager
@@ -11,14 +11,23 @@
     BrokerClient,
     ForwardingInfo,
 )
+from marjoramyard.fleet.gateway.broker_protocol import (
+    BegunStream,
+    StreamReply,
+    StreamsBegun,
+)
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.fleet.util.lag import LoopLag
 from marjoramyard.fleet.util.tasks import TaskGroup
+from marjoramyard.kernel.ids import StreamKey
 from marjoramyard.kernel.metrics import Metrics
 
 
 class BrokerClients:
-    """The broker clients of all services with engines."""
+    """The broker clients of all services that have a broker.
+
+    These are services with engines, and others whose streams may be resumed.
+    """
 
     def __init__(
         self,
@@ -44,7 +53,8 @@
 
     def _on_config(self) -> None:
         for name, service in self.view.table.services.items():
-            if service.engine is not None:
+            is_resumable = name in self.view.table.resumable_services
+            if service.engine is not None or is_resumable:
                 self.client_for(name)
 
     def client_for(self, service: str) -> BrokerClient:
@@ -78,6 +88,21 @@
         if client is not None:
             client.on_leaving(endpoint)
 
+    def report_stream(self, service: str, stream: BegunStream) -> None:
+        """Tells a broker what has begun a stream."""
+        client = self.clients.get(service)
+        if client is not None and client.knows_streams:
+            client.streams.send(StreamsBegun(service, [stream]))
+
+    async def query_stream(
+        self, service: str, key: StreamKey
+    ) -> StreamReply | None:
+        """Asks a broker for a stream; returns None if it can't be asked."""
+        client = self.clients.get(service)
+        if client is None or not client.knows_streams:
+            return None
+        return await client.streams.query(service, key)
+
     def peers(self) -> dict[str, float]:
         """Returns the gateways that have room: their cores by address.
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_protocol.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_protocol.py
@@ -7,6 +7,7 @@
 
 from marjoramyard.coordination.placement.snapshots import BrokerSnapshot
 from marjoramyard.coordination.routing.table import PromptPart
+from marjoramyard.kernel.ids import StreamKey
 
 BROKER_PATH = "/fleet/v1/broker"
 ZONE_PARAMETER = "zone"
@@ -27,7 +28,15 @@
 HANDOVER_PROTOCOL = "broker-4"
 """The same for those that know `SnapshotAnnouncement`, `SnapshotHandover` and
 the age of a `RunningRequest` too."""
-BROKER_PROTOCOLS = (HANDOVER_PROTOCOL, NOTICE_PROTOCOL, PREFIX_PROTOCOL)
+STREAM_PROTOCOL = "broker-5"
+"""The same for those that know `StreamsBegun`, `StreamQuery` and `StreamReply`
+too."""
+BROKER_PROTOCOLS = (
+    STREAM_PROTOCOL,
+    HANDOVER_PROTOCOL,
+    NOTICE_PROTOCOL,
+    PREFIX_PROTOCOL,
+)
 """The latest one first."""
 HEARTBEAT_INTERVAL_SECONDS = 0.1
 BROKER_TIMEOUT_SECONDS = 0.4
@@ -212,6 +221,61 @@
     age_ms: float
 
 
+class BegunStream(msgspec.Struct, frozen=True, array_like=True):
+    """What began a stream.
+
+    Attributes:
+        key: The stream.
+        version: The software version of the endpoint that began it.
+        left_ms: For how many milliseconds it is remembered.
+        is_ambiguous: Whether streams of several versions have this key.
+    """
+
+    key: StreamKey
+    version: str
+    left_ms: int
+    is_ambiguous: bool = False
+
+
+class StreamsBegun(msgspec.Struct, tag="streams"):
+    """Streams that endpoints of a service have begun.
+
+    A gateway tells its broker before the caller has the first event, and tells
+    a new broker all that it knows. The broker tells a few other gateways.
+    """
+
+    service: str
+    streams: list[BegunStream]
+
+
+class StreamQuery(msgspec.Struct, tag="stream?"):
+    """A gateway asks which software version began a stream.
+
+    Attributes:
+        number: Identifies the query on this connection.
+    """
+
+    number: int
+    service: str
+    key: StreamKey
+
+
+class StreamReply(msgspec.Struct, tag="stream", omit_defaults=True):
+    """The broker's reply to a query.
+
+    Attributes:
+        version: The software version; None if the stream is not known.
+        is_ambiguous: Whether streams of several versions have this key.
+        is_final: Whether gateways have had the time to tell this broker of
+            their streams.
+    """
+
+    number: int
+    version: str | None = None
+    is_ambiguous: bool = False
+    is_final: bool = False
+
+
 class PlaceGrant(msgspec.Struct, tag="grant", omit_defaults=True):
     """The request may be sent to this endpoint now.
 
@@ -280,6 +344,8 @@
     | EndpointPause
     | EndpointLeaving
     | SnapshotHandover
+    | StreamsBegun
+    | StreamQuery
     | Heartbeat
 )
 BrokerMessage = (
@@ -287,6 +353,8 @@
     | PlaceRefusal
     | EndpointLeaving
     | SnapshotAnnouncement
+    | StreamsBegun
+    | StreamReply
     | Heartbeat
 )
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
@@ -43,6 +43,8 @@
     PlaceRequest,
     RunningRequest,
     SnapshotHandover,
+    StreamQuery,
+    StreamsBegun,
     Withdraw,
     gateway_message_decoder,
     includes,
@@ -57,6 +59,7 @@
     name_all_peers,
     read_cores,
 )
+from marjoramyard.fleet.gateway.stream_keeper import StreamKeeper
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.kernel.logs import get_logger
 from marjoramyard.kernel.metrics import Labels
@@ -76,7 +79,9 @@
         brokers: The brokers, by service.
         gateways: The open connections, by number.
         handovers: What the brokers take over, and announce for successors.
+        streams: Keeps the software versions of streams.
         last_gateway_number: Number of the newest connection.
+        other_count: The connections of gateways for services without engines.
         usable: The last list of usable endpoints of each service.
         ready_counts: The most ready engines that each service had.
         dispatch_scheduled: Whether a dispatch is scheduled on the event loop.
@@ -98,7 +103,9 @@
         self.brokers: dict[str, Broker] = {}
         self.gateways: dict[int, GatewayConnection] = {}
         self.handovers = BrokerHandovers(self.brokers, self.gateways)
+        self.streams = StreamKeeper(view.streams, self.gateways)
         self.last_gateway_number = 0
+        self.other_count = 0
         self.usable: dict[str, list[Registration]] = {}
         self.ready_counts: dict[str, int] = {}
         self.dispatch_scheduled = False
@@ -123,6 +130,7 @@
             read_cores(request.query.get(CORES_PARAMETER, "")),
         )
         self.gateways[gateway.number] = gateway
+        self._on_connections_changed()
         self.handovers.refresh(_now_ms())
         self._announce_leaving(gateway, self._known_leaving())
         try:
@@ -138,9 +146,26 @@
             )
         finally:
             del self.gateways[gateway.number]
+            self._on_connections_changed()
             self._end_requests(gateway)
         return socket
 
+    def _on_connections_changed(self) -> None:
+        self.streams.refresh()
+        services = self.view.table.services if self.view.table else {}
+        without_engines = {
+            name for name, service in services.items() if service.engine is None
+        }
+        self.other_count = sum(
+            gateway.service in without_engines
+            for gateway in self.gateways.values()
+        )
+
+    @property
+    def router_count(self) -> int:
+        """The connections of gateways for services with engines."""
+        return len(self.gateways) - self.other_count
+
     def _resume_and_reset_timer(self, gateway: GatewayConnection) -> None:
         if gateway.liveness.has_expired:
             for broker in self.brokers.values():
@@ -198,7 +223,7 @@
             self._update_cold_grants(broker)
             self.handovers.add(service, broker, _now_ms())
             logger.info("brokering", service=service, rate=round(rate, 1))
-        broker.set_router_count(len(self.gateways))
+        broker.set_router_count(self.router_count)
         usable = self.view.usable(service, set())
         if usable is not self.usable.get(service):
             self.usable[service] = usable
@@ -243,7 +268,7 @@
         too much to a cold engine.
         """
         total = self.view.max_gateway_count(time.monotonic())
-        serves_majority = 2 * len(self.gateways) > total
+        serves_majority = 2 * self.router_count > total
         if serves_majority != self.serves_majority:
             self.serves_majority = serves_majority
             for broker in self.brokers.values():
@@ -294,6 +319,12 @@
             self._refresh_broker(message.service)
             self.handovers.adopt(message, _now_ms())
             return
+        if isinstance(message, StreamsBegun):
+            self.streams.on_begun(gateway, message)
+            return
+        if isinstance(message, StreamQuery):
+            self.streams.on_query(gateway, message)
+            return
         service = gateway.services.get(message.number)
         if service is None:
             return
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
@@ -9,8 +9,10 @@
 import aiohttp
 from aiohttp import web
 
+from marjoramyard.coordination.routing.config import RequestKind
 from marjoramyard.coordination.routing.table import pick_destination
 from marjoramyard.coordination.serving.retries import RetryBudget
+from marjoramyard.coordination.serving.stream_versions import StreamOrigin
 from marjoramyard.fleet.application import Application
 from marjoramyard.fleet.gateway.admission import (
     AdmittedRequest,
@@ -42,6 +44,7 @@
 )
 from marjoramyard.fleet.gateway.send_planning import RequestRunContext
 from marjoramyard.fleet.gateway.startup_wait import StartupWait
+from marjoramyard.fleet.gateway.stream_origins import StreamOrigins
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.fleet.util.jitter import jitter
 from marjoramyard.kernel.errors import (
@@ -106,6 +109,7 @@
             crashes,
             self.names,
             app.metrics,
+            StreamOrigins(view, brokers, app.metrics),
         )
         self.guard = OverloadGuard(view, brokers, app.metrics)
         self.guard.on_started = self._on_started
@@ -248,13 +252,19 @@
         delivery: ResponseDelivery,
         trace: RequestTrace,
     ) -> web.StreamResponse:
-        destination = pick_destination(
-            caller.route.weighted_destinations, random.random()
+        origin = await self._find_origin(caller)
+        destinations = caller.route.weighted_destinations
+        name = (
+            origin.service
+            if origin is not None
+            else pick_destination(destinations, random.random()).service
         )
-        budget = self._budget(destination.service)
+        budget = self._budget(name)
         budget.on_request()
-        service = self.view.table.services[destination.service]
+        service = self.view.table.services[name]
         run = RequestRun(self.context, caller, delivery, trace, service, budget)
+        if origin is not None:
+            run.progress.version = origin.version
         try:
             async with asyncio.timeout_at(caller.deadline_at):
                 return await run.run_to_completion()
@@ -263,6 +273,18 @@
                 deadline_failure(run.progress.may_have_run)
             ) from None
 
+    async def _find_origin(self, caller: CallerRequest) -> StreamOrigin | None:
+        """Returns what began a stream that is resumed; None for others.
+
+        Raises:
+            FleetError: The stream must not be resumed.
+        """
+        is_stream = caller.route.request_kind is RequestKind.STREAM
+        if not is_stream or not caller.last_event:
+            return None
+        services = [d.service for d in caller.route.weighted_destinations]
+        return await self.context.origins.find(caller, services)
+
     def _budget(self, service: str) -> RetryBudget:
         share = (
             self.settings.retry_slack
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
@@ -177,6 +177,7 @@
             self.permit.check()
         self._recheck_caller()
         self._recheck_key()
+        self._check_version(endpoint, SendOutcome.WITHDRAWN)
         if not self.view.may_send_to(endpoint):
             raise SendFailedError(SendOutcome.WITHDRAWN, "no longer usable")
         self.progress.may_have_run = True
@@ -218,12 +219,38 @@
         return response
 
     def _on_data(self, plan: SendPlan, tracked: LocalRequest) -> None:
-        """Notes that data of a send has arrived; may be called repeatedly."""
+        """Notes that data of a send has arrived; may be called repeatedly.
+
+        Raises:
+            SendFailedError: The data may be of another software version.
+        """
         if tracked.has_data:
             return
         tracked.has_data = True
         tracked.finish_prefill()
-        self.trace.versions.append(plan.endpoint.software_version)
+        version = plan.endpoint.software_version
+        if self.caller.route.is_resumable_stream:
+            self._check_version(plan.endpoint, SendOutcome.BROKEN)
+            self.progress.version = version
+            self.context.origins.record(self.caller, self.service.name, version)
+        self.trace.versions.append(version)
+
+    def _check_version(
+        self, endpoint: Registration, outcome: SendOutcome
+    ) -> None:
+        """Checks that an endpoint has not been started at another version.
+
+        Args:
+            endpoint: The endpoint, as registered when it was chosen.
+            outcome: What is known about the request if it has.
+
+        Raises:
+            SendFailedError: It has.
+        """
+        known = self.view.registrations.by_endpoint.get(endpoint.endpoint)
+        version = endpoint.software_version
+        if known is not None and known.software_version != version:
+            raise SendFailedError(outcome, "other software version now")
 
     async def _check_survival(self, endpoint: Registration) -> None:
         """Checks that an endpoint has not ended together with its response.
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_trace.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_trace.py
@@ -24,6 +24,8 @@
     """All ready endpoints have asked this gateway for a pause."""
     COLD = "all-cold"
     """All usable endpoints have just started, and no broker grants them."""
+    VERSION_GONE = "version-gone"
+    """No endpoint of the version that began the stream accepts requests."""
     OVER_PACE = "over-pace-without-broker"
     """No broker responds, and the broker's last pace is used up."""
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/run_failures.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/run_failures.py
@@ -51,6 +51,10 @@
     Unplaceable.NONE_READY: "no endpoint accepts requests now; retry shortly",
     Unplaceable.EVACUATED: "the zones of all endpoints are evacuated",
     Unplaceable.PAUSED: "all endpoints have asked for a pause; retry after it",
+    Unplaceable.VERSION_GONE: (
+        "no endpoint of the software version that began this stream accepts "
+        "requests; begin it again without its last event"
+    ),
     Unplaceable.COLD: "all endpoints have just started; retry shortly",
 }
 
@@ -74,6 +78,10 @@
             "available; check the result before sending it again",
             Outcome.UNKNOWN,
         )
+    if why is Unplaceable.VERSION_GONE:
+        return failure(
+            FailureKind.STREAM_VERSION_GONE, _UNPLACEABLE_MESSAGES[why]
+        )
     return failure(
         FailureKind.NO_ENDPOINT,
         _UNPLACEABLE_MESSAGES[why],
@@ -81,6 +89,26 @@
     )
 
 
+def unknown_stream_failure(is_final: bool) -> Failure:
+    """Returns the failure of a resumed stream whose origin is not known.
+
+    Args:
+        is_final: Whether nobody knows its origin, so that a retry won't help.
+    """
+    if is_final:
+        return failure(
+            FailureKind.STREAM_UNKNOWN,
+            "the software version that began this stream is not known; begin "
+            "it again without its last event",
+        )
+    return failure(
+        FailureKind.STREAM_UNKNOWN,
+        "the broker that knows the software version of this stream was lost; "
+        "retry shortly",
+        retry_after=jitter(NO_BROKER_RETRY_SECONDS),
+    )
+
+
 def attempts_failure(
     error: SendFailedError, may_have_run: bool, pause_seconds: float
 ) -> Failure:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/send_planning.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/send_planning.py
@@ -35,6 +35,7 @@
     no_endpoint_failure,
     pace_failure,
 )
+from marjoramyard.fleet.gateway.stream_origins import StreamOrigins
 from marjoramyard.fleet.gateway.suspects import GatewaySuspects
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.kernel.errors import FleetError
@@ -60,6 +61,7 @@
         names: The header names of the dialect.
         metrics: The metrics of the process.
         paces: What brokers have recently granted this gateway.
+        origins: What began the streams that callers resume.
     """
 
     view: FleetView
@@ -72,6 +74,7 @@
     crashes: CrashDetector
     names: HeaderNames
     metrics: Metrics
+    origins: StreamOrigins
     paces: GrantPaces = msgspec.field(default_factory=GrantPaces)
 
 
@@ -90,6 +93,8 @@
             seconds.
         lost_with: The lifetimes of the endpoints to which connections were
             lost.
+        version: The software version that has begun the stream; None if none
+            has.
     """
 
     tried: set[str] = set()
@@ -99,6 +104,7 @@
     may_have_run_before: bool = False
     sent_at: float = 0.0
     lost_with: tuple[str, ...] = ()
+    version: str | None = None
 
 
 class SendPlanner:
@@ -127,9 +133,11 @@
         Raises:
             FleetError: There is none.
         """
-        candidates = self.view.sendable(self.service.name, self.progress.tried)
+        candidates = self.view.sendable(self.service.name, self.excluded())
         if not candidates:
-            candidates = self.view.sendable(self.service.name, set())
+            candidates = self.view.sendable(
+                self.service.name, self.other_versions()
+            )
             if (
                 not candidates
                 or self.progress.sends
@@ -138,8 +146,41 @@
                 raise self.no_endpoint()
         return candidates
 
+    def other_versions(self) -> set[str]:
+        """Returns the endpoints that must not get the rest of the stream."""
+        version = self.progress.version
+        if version is None:
+            return set()
+        return {
+            registration.endpoint
+            for registration in self.view.registrations.usable(
+                self.service.name
+            )
+            if registration.software_version != version
+        }
+
+    def excluded(self) -> set[str]:
+        """Returns the endpoints that must not get the request."""
+        return self.progress.tried | self.other_versions()
+
+    def _has_version(self, registration: Registration) -> bool:
+        version = self.progress.version
+        return version is None or registration.software_version == version
+
+    def _is_version_gone(self) -> bool:
+        """Whether no endpoint of the stream's version accepts requests."""
+        return not any(
+            self._has_version(registration)
+            and not self.view.is_leaving(registration)
+            for registration in self.view.registrations.usable(
+                self.service.name
+            )
+        )
+
     def _why_unplaceable(self) -> Unplaceable:
         service = self.service.name
+        if self.progress.version is not None and self._is_version_gone():
+            return Unplaceable.VERSION_GONE
         if self.view.is_evacuated(service):
             return Unplaceable.EVACUATED
         if self.view.pause_seconds(service):
@@ -169,7 +210,7 @@
         client = self.context.brokers.client_for(self.service.name)
         started_at = time.monotonic()
         broker_number, reply = await client.place(
-            self.caller, self.service, self.progress.tried
+            self.caller, self.service, self.excluded()
         )
         age = time.monotonic() - started_at
         self.trace.wait_ms += age * 1000
@@ -242,6 +283,7 @@
         if (
             registration is None
             or has_expired
+            or not self._has_version(registration)
             or not self.view.may_send_to(registration)
         ):
             # The broker may not know yet that the endpoint is draining or
--- a/packages/fleet/src/marjoramyard/fleet/gateway/view.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/view.py
@@ -16,8 +16,10 @@
     Registrations,
 )
 from marjoramyard.coordination.routing.table import RouteTable
+from marjoramyard.coordination.serving.stream_versions import StreamVersions
 from marjoramyard.fleet.gateway.dialect import GatewayDialect
 from marjoramyard.fleet.gateway.known_suspects import KnownSuspects
+from marjoramyard.fleet.gateway.observed_versions import ObservedVersions
 from marjoramyard.fleet.gateway.zones import EvacuatedZones
 from marjoramyard.fleet.sync_messages import SyncReply
 from marjoramyard.kernel.logs import get_logger
@@ -78,6 +80,8 @@
     Attributes:
         lease: The lease within which API keys may be accepted.
         table: The routes of the configuration in force; None before the first.
+        versions: The software versions of the endpoints.
+        streams: The software versions that began streams.
         zones: The evacuated zones.
         suspects: The requests that may crash endpoints.
         pending_renewals: By version, when the last confirmation of it was
@@ -100,6 +104,8 @@
         self.lease = BundleLease(lease_seconds)
         self.table: RouteTable | None = None
         self.registrations = Registrations()
+        self.versions = ObservedVersions(self.registrations)
+        self.streams = StreamVersions()
         self.zones = EvacuatedZones()
         self.suspects = KnownSuspects()
         self.health: dict[str, EndpointHealth] = {}
@@ -124,6 +130,8 @@
         """Returns the addresses of a service's broker and of its successors.
 
         The services with engines are distributed over the candidates in turn.
+        Other services whose streams may be resumed have the first one, which
+        keeps the software versions of their streams.
         """
         if self.table is None or not self.broker_addresses:
             return []
@@ -132,12 +140,27 @@
             for name, config in self.table.services.items()
             if config.engine
         )
+        if service in self.table.resumable_services and service not in names:
+            return self.broker_addresses
         if service not in names:
             return []
         position = names.index(service) % len(self.broker_addresses)
         addresses = self.broker_addresses
         return addresses[position:] + addresses[:position]
 
+    def sole_version(self, service: str) -> str | None:
+        """Returns the only software version that can have begun a stream.
+
+        None if there is more than one, or this gateway can't know. Without a
+        lease, an endpoint of another version may have been registered where
+        this gateway does not hear of it.
+        """
+        if not self.has_valid_lease():
+            return None
+        return self.versions.sole(
+            service, time.monotonic(), self.table.longest_stream_seconds
+        )
+
     def has_valid_lease(self) -> bool:
         """Whether API keys may be accepted."""
         return self.lease.is_valid(seconds_since_boot())
@@ -164,6 +187,7 @@
             self.suspects.watch(reply.watched_revision, reply.watched)
         for registration in reply.words:
             self._merge(registration, now)
+        self.versions.record(source, reply.observed_seconds, now)
         self._record_unresponsive(source, reply, now)
         self.control_addresses = set(reply.addresses)
         self.gateway_count = max(1, reply.gateways)
--- a/packages/fleet/src/marjoramyard/fleet/sync_messages.py
+++ b/packages/fleet/src/marjoramyard/fleet/sync_messages.py
@@ -143,6 +143,8 @@
             start.
         is_isolated: Whether it has not heard of most other control hosts
             lately, so that it does not know of new endpoints.
+        observed_seconds: For how long it has heard of all endpoints; 0.0 if it
+            does not, or the reply does not hold all changes.
         suspects_revision: The revision of `suspects`; a lower one than the
             gateway's is outdated.
         suspects: The requests that gateways must hold or refuse, as
@@ -172,6 +174,7 @@
     suspects: dict[str, float] | None = None
     watched_revision: int = 0
     watched: list[str] | None = None
+    observed_seconds: float = 0.0
 
 
 class PutConfig(msgspec.Struct, frozen=True):
--- a/packages/fleet/tests/gateway/request_runs.py
+++ b/packages/fleet/tests/gateway/request_runs.py
@@ -24,6 +24,7 @@
 from marjoramyard.fleet.gateway.request_run import RequestRun
 from marjoramyard.fleet.gateway.request_trace import RequestTrace
 from marjoramyard.fleet.gateway.send_planning import RequestRunContext
+from marjoramyard.fleet.gateway.stream_origins import StreamOrigins
 from marjoramyard.fleet.gateway.suspects import GatewaySuspects
 from marjoramyard.fleet.gateway.view import FleetView
 
@@ -105,6 +106,7 @@
         CrashDetector(view, suspects, None),
         HeaderNames(),
         metrics,
+        StreamOrigins(view, brokers, metrics),
     )
     delivery = DeliveryStub(caller_left)
     budget = RetryBudget(0.2, 10)
--- a/packages/fleet/tests/gateway/test_broker_client.py
+++ b/packages/fleet/tests/gateway/test_broker_client.py
@@ -21,6 +21,7 @@
     Service,
 )
 from marjoramyard.coordination.routing.table import PromptPart
+from marjoramyard.coordination.serving.stream_versions import StreamVersions
 from marjoramyard.fleet.gateway.admission import CallerRequest
 from marjoramyard.fleet.gateway.broker_client import (
     AVOID_SECONDS,
@@ -59,6 +60,7 @@
 
     def __init__(self, addresses):
         self.addresses = addresses
+        self.streams = StreamVersions()
 
     def brokers_of(self, _service):
         return self.addresses
--- a/packages/fleet/tests/gateway/test_broker_handover.py
+++ b/packages/fleet/tests/gateway/test_broker_handover.py
@@ -27,6 +27,10 @@
     Service,
 )
 from marjoramyard.coordination.routing.table import PromptPart, RouteTable
+from marjoramyard.coordination.serving.stream_versions import (
+    StreamOrigin,
+    StreamVersions,
+)
 from marjoramyard.fleet.gateway import held_snapshot
 from marjoramyard.fleet.gateway.admission import CallerRequest
 from marjoramyard.fleet.gateway.broker_client import BrokerClient
@@ -42,6 +46,7 @@
     HANDOVER_PROTOCOL,
     NOTICE_PROTOCOL,
     PREFIX_PROTOCOL,
+    STREAM_PROTOCOL,
     PlaceGrant,
     PlaceRefusal,
     RunningRequest,
@@ -62,6 +67,7 @@
 )
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.fleet.util.lag import LoopLag
+from marjoramyard.kernel.ids import StreamKey
 from marjoramyard.kernel.metrics import Metrics
 
 NO_CACHE_LISTS = SimpleNamespace(request=lambda *_: None)
@@ -99,6 +105,7 @@
         brokers_of=lambda _: [broker.address for broker in brokers],
         pauses_of=lambda _: {},
         leaving_of=lambda _: [],
+        streams=StreamVersions(),
     )
 
 
@@ -556,9 +563,9 @@
     """Guards against a broker that closes the connection at an unknown
     message while a release is rolled out.
     """
-    view = SimpleNamespace(
-        pauses_of=lambda _: {}, leaving_of=lambda _: [], brokers_of=None
-    )
+    view = view_of_brokers()
+    key, origin = StreamKey("5c1e07a2"), StreamOrigin("llm", "v1")
+    view.streams.record(key, origin, time.monotonic(), 30.0)
     client = BrokerClient(view, None, None)
     client.held.record(announcement(20.0))
     running = RunningRequest(1, "llm", "e0", 400.0, 400.0)
@@ -568,11 +575,15 @@
     assert first.snapshot == client.held.snapshot
     assert second == msgspec.structs.replace(running, age_ms=second.age_ms)
     assert second.age_ms > 0
+    _, told, _ = client._first_messages("llm", STREAM_PROTOCOL)
+    assert [(told.service, told.streams[0].key)] == [("llm", key)]
 
 
 def test_a_gateway_forgets_when_ended_requests_were_sent():
     """Guards against memory that grows with the requests."""
-    client = BrokerClient(None, None, SimpleNamespace(is_lagging=False))
+    client = BrokerClient(
+        view_of_brokers(), None, SimpleNamespace(is_lagging=False)
+    )
     running = RunningRequest(1, "llm", "e0", 400.0, 400.0)
     client.on_started(running, (), is_granted=True)
     assert list(client.sent_at) == [1]
--- a/packages/fleet/tests/gateway/test_send_planning.py
+++ b/packages/fleet/tests/gateway/test_send_planning.py
@@ -132,7 +132,7 @@
     """Lets the only broker be lost that granted 10 tokens in each 50 ms."""
     run.caller.parts = (PromptPart("own", 10),)
     run.planner.service = Service("api", engine=EngineProfile(slots=1))
-    client = BrokerClient(None, None, None)
+    client = BrokerClient(run.view, None, None)
     run.context.brokers.client_for = lambda _: client
     lost_at = time.monotonic()
     replies = round(2 * MIN_SPAN_SECONDS / 0.05)
--- a/packages/kernel/src/marjoramyard/kernel/errors.py
+++ b/packages/kernel/src/marjoramyard/kernel/errors.py
@@ -38,6 +38,8 @@
     BUSY = ("busy", 503)
     OVERLOADED = ("overloaded", 503)
     NO_ENDPOINT = ("no_endpoint", 503)
+    STREAM_UNKNOWN = ("stream_unknown", 503)
+    STREAM_VERSION_GONE = ("stream_version_gone", 503)
     LEDGER_FULL = ("ledger_full", 503)
     NO_QUORUM = ("no_quorum", 503)
     NOT_LEADER = ("not_leader", 421)
--- a/packages/kernel/src/marjoramyard/kernel/ids.py
+++ b/packages/kernel/src/marjoramyard/kernel/ids.py
@@ -15,6 +15,8 @@
 ChangeId = NewType("ChangeId", str)
 Fingerprint = NewType("Fingerprint", str)
 """A digest of a request's workspace, route and body."""
+StreamKey = NewType("StreamKey", str)
+"""A digest of a workspace and its ID of the attempt that began a stream."""
 
 _SUFFIX_BYTES = 4
 
