Don't resume an agent's stream at another software version

Callers of an entry saw the same as callers of gateways: a stream that breaks off is resumed by the agent at its own endpoint, which may have been started again with another version in between. The new test, with an engine that keeps its streams across a restart, failed before: three events of v1 and three of v2, marked complete.

Announcements tell the software version. An agent goes on at the lifetime that it sent the request to, or at one that announces the same version; otherwise the stream breaks off visibly. Left open: an endpoint that is started again and has not announced itself yet.

--- a/packages/fleet/src/marjoramyard/fleet/agent/attempts.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/attempts.py
@@ -77,6 +77,7 @@
         resumes: How often the engine's stream was resumed.
         held_suspect: The request is a suspect, and the agent has been
             granted a hold for it.
+        sent_to: What the endpoint had announced when the request was sent.
         sent_at: When it was sent to the endpoint; monotonic time, in seconds.
         is_delivered: The last frame was written to an entry.
     """
@@ -92,6 +93,7 @@
         self.run_request = run
         self.body = body
         self.endpoint = endpoint
+        self.sent_to = endpoint.announced
         self.scheduler = scheduler
         self.meter = METERS.get(kind)()
         self.replay_buffer = ReplayBuffer()
@@ -157,8 +159,9 @@
 
     async def _exchange(self, session: aiohttp.ClientSession) -> Failure | None:
         run = self.run_request
-        incarnation = self.endpoint.announced.incarnation
-        url = f"http://{self.endpoint.announced.address}{run.path}"
+        self.sent_to = self.endpoint.announced
+        incarnation = self.sent_to.incarnation
+        url = f"http://{self.sent_to.address}{run.path}"
         timeout = aiohttp.ClientTimeout(
             total=None,
             sock_connect=_CONNECT_TIMEOUT_SECONDS,
@@ -290,6 +293,13 @@
     def _can_resume(self) -> bool:
         if self.endpoint.pause_seconds:
             return False
+        if not self.endpoint.continues(self.sent_to):
+            logger.info(
+                "stream_not_resumed",
+                attempt=self.run_request.attempt,
+                why="the endpoint was started again, maybe at another version",
+            )
+            return False
         return bool(self.events and self.events.last_id and self.resume_path)
 
     async def _resume(
--- a/packages/fleet/src/marjoramyard/fleet/agent/endpoint.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/endpoint.py
@@ -107,6 +107,16 @@
             or announced.incarnation == self.leaving_incarnation
         )
 
+    def continues(self, earlier: EndpointAnnouncement) -> bool:
+        """Whether it can go on with the streams of an earlier announcement.
+
+        Events of two software versions don't fit together.
+        """
+        announced = self.announced
+        if announced.incarnation == earlier.incarnation:
+            return True
+        return bool(earlier.version) and announced.version == earlier.version
+
     @property
     def pause_seconds(self) -> float:
         """The time until its pause ends; 0.0 if it does not pause."""
--- a/packages/fleet/src/marjoramyard/fleet/messages.py
+++ b/packages/fleet/src/marjoramyard/fleet/messages.py
@@ -153,6 +153,7 @@
         checks_fencing: Whether it refuses old fencing numbers itself.
         event_number: The number of the newest cache event.
         evicted: Prefix digests that were evicted with that event.
+        version: The version of its software; "" if unknown.
     """
 
     name: str
@@ -164,6 +165,7 @@
     checks_fencing: bool = False
     event_number: int = -1
     evicted: list[str] = []
+    version: str = ""
 
 
 class RenewRequest(msgspec.Struct, omit_defaults=True):
--- a/packages/standin/src/marjoramyard/standin/announced_endpoint.py
+++ b/packages/standin/src/marjoramyard/standin/announced_endpoint.py
@@ -20,6 +20,7 @@
 
     Attributes:
         checks_fencing: Whether orders with a stale fencing number are refused.
+        version: The version of its software; "" if it tells none.
     """
 
     def __init__(
@@ -30,6 +31,7 @@
         agent: str,
         slots: int,
         checks_fencing: bool = False,
+        version: str = "",
     ):
         self.name = name
         self.service = service
@@ -37,6 +39,7 @@
         self.agent = agent
         self.slots = slots
         self.checks_fencing = checks_fencing
+        self.version = version
         self.incarnation = new_incarnation(name)
         self.state = "ready"
         self.newest_order = 0
@@ -103,6 +106,7 @@
             self.slots,
             self.state,
             self.checks_fencing,
+            version=self.version,
         )
         try:
             async with session.post(
