--- a/packages/fleet/src/marjoramyard/fleet/gateway/run_failures.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/run_failures.py
@@ -20,6 +20,9 @@
 NO_BROKER_RETRY_SECONDS = 1.5
 """`Retry-After` beyond the pace without a broker, before jitter. A successor
 responds within this time."""
+RESTART_RETRY_SECONDS = 1.0
+"""`Retry-After` when no endpoint of a stream's version accepts requests, before
+jitter. One that has crashed starts again within some seconds."""
 MIN_RETRY_SECONDS = 0.15
 """Lower bound of the `Retry-After` of a late request, before jitter."""
 
@@ -80,7 +83,9 @@
         )
     if why is Unplaceable.VERSION_GONE:
         return failure(
-            FailureKind.STREAM_VERSION_GONE, _UNPLACEABLE_MESSAGES[why]
+            FailureKind.STREAM_VERSION_GONE,
+            _UNPLACEABLE_MESSAGES[why],
+            retry_after=jitter(RESTART_RETRY_SECONDS),
         )
     return failure(
         FailureKind.NO_ENDPOINT,
@@ -93,18 +98,18 @@
     """Returns the failure of a resumed stream whose origin is not known.
 
     Args:
-        is_final: Whether nobody knows its origin, so that a retry won't help.
+        is_final: Whether nobody knows its origin.
     """
-    if is_final:
-        return failure(
-            FailureKind.STREAM_UNKNOWN,
-            "the software version that began this stream is not known; begin "
-            "it again without its last event",
-        )
+    message = (
+        "the software version that began this stream is not known; begin it "
+        "again without its last event"
+        if is_final
+        else "the broker that knows the software version of this stream was "
+        "lost; retry shortly"
+    )
     return failure(
         FailureKind.STREAM_UNKNOWN,
-        "the broker that knows the software version of this stream was lost; "
-        "retry shortly",
+        message,
         retry_after=jitter(NO_BROKER_RETRY_SECONDS),
     )
 
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -16,6 +16,8 @@
     Record,
     RouteKind,
     Shutdown,
+    event_count,
+    event_text,
     expected_body,
 )
 
@@ -95,6 +97,26 @@
     record.attempts[0].whole_at = 100.05
 
 
+def stream_of_two_versions(record):
+    stream = next(c for c in record.calls if c.kind is RouteKind.STREAM)
+    events = stream.body.split("\n\n")
+    events[0] = events[0].replace("\n", "\nevent: v1\n")
+    events[1] = events[1].replace("\n", "\nevent: v2\n")
+    stream.body = "\n\n".join(events)
+
+
+def stream_resumed_at_another_version(record):
+    first = call(60, RouteKind.RESUMABLE_STREAM, left=True, is_complete=False)
+    first.body = event_text(first.id, 1, "v1")
+    resumed = call(61, RouteKind.RESUMABLE_STREAM, resumes=first.id)
+    resumed.after_event = 1
+    resumed.body = "".join(
+        event_text(first.id, number, "v2")
+        for number in range(2, event_count(first.id) + 1)
+    )
+    record.calls += [first, resumed]
+
+
 def non_idempotent_request_run_twice(record):
     record.attempts.append(
         attempt([*RouteKind].index(RouteKind.NON_IDEMPOTENT), 103.0, "i-1-1")
@@ -214,6 +236,8 @@
     truncated_stream_reported_complete: "complete_responses",
     incomplete_stream_of_another_request: "complete_responses",
     whole_response_reported_incomplete: "whole_responses_are_delivered",
+    stream_of_two_versions: "streams_hold_one_version",
+    stream_resumed_at_another_version: "streams_hold_one_version",
     non_idempotent_request_run_twice: "at_most_once",
     three_attempts: "attempts_are_bounded",
     not_run_status_although_it_ran: "not_run_means_not_executed",
