--- a/packages/coordination/src/marjoramyard/coordination/serving/stream_versions.py
+++ b/packages/coordination/src/marjoramyard/coordination/serving/stream_versions.py
@@ -16,7 +16,7 @@
 """How long a stream is remembered after the time limit of its response. Callers
 take streams up again within their deadlines."""
 MAX_STREAMS = 50_000
-"""The streams that a router remembers; some 12 MB."""
+"""The streams that a router remembers; some 15 MB."""
 _KEY_DIGITS = 16
 
 
--- a/packages/standin/src/marjoramyard/standin/cmd/endpoint.py
+++ b/packages/standin/src/marjoramyard/standin/cmd/endpoint.py
@@ -35,6 +35,7 @@
 @click.option("--slowdown", default=0.0, show_default=True)
 @click.option("--call-seconds", default=0.005, show_default=True)
 @click.option("--journal", default="")
+@click.option("--version", default="", help="The version of its software.")
 def main(
     kind: str,
     name: str,
@@ -47,6 +48,7 @@
     slowdown: float,
     call_seconds: float,
     journal: str,
+    version: str,
 ) -> None:
     """Serves a test endpoint until SIGTERM or SIGINT."""
     common = {
@@ -56,6 +58,7 @@
         "agent": agent,
         "slots": slots,
         "checks_fencing": checks_fencing,
+        "version": version,
     }
     if kind == "engine":
         endpoint: AnnouncedEndpoint = ChatEngine(
--- a/packages/standin/src/marjoramyard/standin/engine.py
+++ b/packages/standin/src/marjoramyard/standin/engine.py
@@ -209,6 +209,8 @@
                     yield b"data: {"
                 await self._break_off(chat)
             delta = {"choices": [{"index": 0, "delta": {"content": word}}]}
+            if self.version:
+                delta["system_fingerprint"] = self.version
             event = b"data: " + msgspec.json.encode(delta) + b"\n\n"
             if chat.resumable:
                 event = b"id: %d\n" % index + event
--- a/packages/standin/src/marjoramyard/standin/experiment/deployments.py
+++ b/packages/standin/src/marjoramyard/standin/experiment/deployments.py
@@ -123,6 +123,9 @@
         speeds: Parameters of each engine.
         step_factors: How much longer than `speeds` say a step of an engine
             takes; engines use the factors in turn.
+        versions: Software versions; engines have them in turn. A stream whose
+            engine is lost goes on at another engine of its version. 0 if
+            streams may not be resumed.
         zones: Availability zones; engines and gateways are spread over them.
         gateways: Number of gateways.
         hop_ms: One-way latency within a zone.
@@ -138,6 +141,7 @@
     engines: int = 6
     speeds: EngineParameters = EngineParameters()
     step_factors: tuple[float, ...] = (1.0,)
+    versions: int = 0
     zones: int = 3
     gateways: int = 9
     hop_ms: float = 0.7
--- a/packages/standin/src/marjoramyard/standin/experiment/simulation.py
+++ b/packages/standin/src/marjoramyard/standin/experiment/simulation.py
@@ -5,6 +5,7 @@
 """
 
 import random
+from collections.abc import Callable
 
 from marjoramyard.coordination.placement.requests import (
     PlacementGrant,
@@ -65,6 +66,7 @@
         down: Engines that have crashed.
         shedding: Engines that turn requests away, and gateways' pauses.
         crashing: Requests that crash engines, and what is refused for it.
+        on_sent: Called with each attempt whose engine has been chosen.
     """
 
     def __init__(self, deployment: Deployment, policy: str, seed: int):
@@ -100,6 +102,7 @@
         self.usage = ResourceUsage()
         self.crashing = CrashingRequests(self)
         self.policy = self.new_policy()
+        self.on_sent: Callable[[Attempt], None] = lambda _: None
 
     def new_policy(self) -> Policy:
         """Returns a policy without state beyond the usable engines."""
@@ -243,8 +246,11 @@
         request = attempt.record.request
         engine = self.engines[grant.endpoint]
         attempt.engine = engine
+        self.on_sent(attempt)
         engine_request = SimulatedRequest(
-            attempt.key, request.parts, request.output_tokens
+            attempt.key,
+            request.parts,
+            max(1, request.output_tokens - attempt.tokens_made),
         )
         attempt.engine_request = engine_request
         self.by_engine_request[id(engine_request)] = attempt
@@ -368,10 +374,42 @@
             attempt = self.by_engine_request.pop(id(request), None)
             if attempt is not None:
                 attempts.append(attempt)
-                self.finish(attempt, Outcome.FAILED)
+                self._end_interrupted(attempt, name)
         self.loop.after(DETECTION_MS, self._update_engines)
         return attempts
 
+    def _end_interrupted(self, attempt: Attempt, lost: str) -> None:
+        """Resumes a stream whose engine was lost, at its version only."""
+        is_resumable = (
+            self.deployment.versions > 0
+            and attempt.event_count > 0
+            and not attempt.record.request.crashes
+        )
+        if not is_resumable:
+            self.finish(attempt, Outcome.FAILED)
+            return
+        others = self._engines_of_other_versions(lost)
+        if not self.engines.keys() - others - self.down:
+            self.usage.broken_streams += 1
+            self.finish(attempt, Outcome.FAILED)
+            return
+        self.usage.resumed_streams += 1
+        attempt.tokens_made += attempt.engine_request.generated_tokens
+        attempt.excluded |= others
+        self._undo_grant(attempt)
+        self._submit_again(attempt, lost)
+
+    def _engines_of_other_versions(self, name: str) -> frozenset[str]:
+        versions = {
+            engine: number % self.deployment.versions
+            for number, engine in enumerate(self.engines)
+        }
+        return frozenset(
+            engine
+            for engine, version in versions.items()
+            if version != versions[name]
+        )
+
     def restore_engine(self, name: str) -> None:
         """Starts an engine that has crashed."""
         self.down.discard(name)
--- a/packages/standin/src/marjoramyard/standin/experiment/simulation_run.py
+++ b/packages/standin/src/marjoramyard/standin/experiment/simulation_run.py
@@ -24,6 +24,8 @@
         returned_grants: Grants for engines that had asked for a pause.
         quarantined: Attempts that were refused because of crashes.
         engine_deaths: Engines that ended under requests that crash them.
+        resumed_streams: Streams that went on at another engine.
+        broken_streams: Streams of whose version no other engine was left.
     """
 
     fetched_gb: float = 0.0
@@ -37,6 +39,8 @@
     returned_grants: int = 0
     quarantined: int = 0
     engine_deaths: int = 0
+    resumed_streams: int = 0
+    broken_streams: int = 0
 
 
 class SimulationRun(msgspec.Struct):
@@ -56,6 +60,7 @@
         excluded: Engines that it must not be sent to.
         sends: How often engines have turned it away.
         event_count: Events of its response so far.
+        tokens_made: Tokens that engines which were lost have generated.
     """
 
     def __init__(self, number: int, record: RequestRecord, started_at: float):
@@ -68,6 +73,7 @@
         self.engine_request: SimulatedRequest | None = None
         self.last_event_at = 0.0
         self.event_count = 0
+        self.tokens_made = 0
         self.is_over = False
 
     def renumber(self, number: int) -> None:
--- a/packages/standin/tests/experiment/test_experiment.py
+++ b/packages/standin/tests/experiment/test_experiment.py
@@ -123,3 +123,35 @@
     assert kept.usage.engine_deaths <= 5
     assert ignored.usage.engine_deaths >= 15
     assert kept.scores.goal > ignored.scores.goal
+
+
+@pytest.mark.parametrize(("versions", "engines"), [(1, 6), (2, 6), (6, 6)])
+def test_interrupted_streams_go_on_at_their_version(versions, engines):
+    """Guards against a model that resumes streams at any version, or lets them
+    end without an outcome.
+    """
+    crash = Disturbance(kind=DisturbanceKind.CRASH, at=4.0, lasts=3.0, count=2)
+    deployment = msgspec.structs.replace(
+        read_deployment(NORMAL),
+        seconds=8.0,
+        engines=engines,
+        versions=versions,
+        disturbances=(crash,),
+    )
+    simulation = Simulation(deployment, "broker", 2)
+    engines_of = {}
+    simulation.on_sent = lambda attempt: engines_of.setdefault(
+        attempt.record.request.number, []
+    ).append((attempt.event_count, attempt.engine.name))
+    run = simulation.run()
+    assert simulation.attempts == {}
+    for sent in engines_of.values():
+        resumed = [name for count, name in sent if count]
+        numbers = {int(name[1:]) % versions for name in resumed}
+        if resumed:
+            first = next(n for n in range(len(sent)) if sent[n][0])
+            numbers.add(int(sent[first - 1][1][1:]) % versions)
+        assert len(numbers) <= 1
+    has_others = versions < engines
+    assert bool(run.usage.resumed_streams) == has_others
+    assert bool(run.usage.broken_streams) != has_others
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -227,3 +227,20 @@
         )
         await resume_streams(fleet, service, streams, 1)
         check_all_went_on(streams)
+
+
+async def test_a_gateway_that_is_cut_off_resumes_no_stream_at_another_version(
+    tmp_path, service
+):
+    """Guards against a gateway without control hosts and broker that resumes
+    what it doesn't know, or holds it until its deadline.
+    """
+    async with versioned_fleet(tmp_path, service, ("v1", "v2")) as (fleet, _):
+        streams = await begin_streams(fleet, service)
+        unknown = Stream("never-begun")
+        unknown.numbers.append(2)
+        for name in ("control-0", "control-1", "control-2", "gateway"):
+            await fleet.fleet.children[name].kill()
+        await resume_streams(fleet, service, [*streams, unknown], 1)
+        assert not any(stream.is_mixed for stream in streams)
+        assert unknown.statuses == [503]
