--- a/packages/fleet/tests/gateway/test_stream_origins.py
+++ b/packages/fleet/tests/gateway/test_stream_origins.py
@@ -1,11 +1,12 @@
 """What a gateway finds out about a stream that a caller resumes."""
 
+import sys
 import time
+from pathlib import Path
 from types import SimpleNamespace
 
 import msgspec
 import pytest
-from request_runs import ROUTE, make_run, make_view
 
 from marjoramyard.coordination.membership.registrations import Registration
 from marjoramyard.coordination.routing.config import RequestKind, Workspace
@@ -18,6 +19,9 @@
 from marjoramyard.kernel.errors import FailureKind, FleetError
 from marjoramyard.kernel.metrics import Metrics
 
+sys.path.insert(0, str(Path(__file__).parent))
+from request_runs import ROUTE, make_run, make_view  # noqa: E402
+
 STREAM_ROUTE = msgspec.structs.replace(
     ROUTE, request_kind=RequestKind.STREAM, resumable=True
 )
