Log what ran on an endpoint when it died, with the parts of its prompt

The hypotheses on crashing parts can't be told apart by the logs: a death names fingerprints, neither the parts of these prompts nor whether the endpoint had begun to answer. runs_lost says both. No decision uses it.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/admission.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/admission.py
@@ -87,6 +87,11 @@
             )
         return self.known_fingerprint
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """All prompt parts but the last, which is the request's own."""
+        return self.parts[:-1]
+
     @property
     def unshared_memory_tokens(self) -> float:
         """Tokens of engine memory needed beside shared prompt parts."""
--- a/packages/fleet/src/marjoramyard/fleet/gateway/crash_detection.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/crash_detection.py
@@ -14,8 +14,11 @@
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.fleet.util.tasks import TaskGroup
 from marjoramyard.kernel.ids import Fingerprint
+from marjoramyard.kernel.logs import get_logger
 from marjoramyard.kernel.util.addresses import parse_address
 
+logger = get_logger(__name__)
+
 GATHER_SECONDS = 0.01
 """The requests of a dead endpoint break off within this time."""
 PROBE_TIMEOUT_SECONDS = 0.5
@@ -23,6 +26,8 @@
 """How long to watch for a new lifetime of an endpoint that accepts
 connections: one that is restarted at once may never be seen to refuse any."""
 _LOOK_SECONDS = 0.1
+MAX_LOGGED_RUNS = 20
+MAX_LOGGED_PARTS = 8
 
 
 def lifetime_of(endpoint: Registration) -> str:
@@ -39,6 +44,9 @@
         broken_at: On the same clock.
         earlier: The lifetimes of the endpoints that earlier sends of the
             request were lost with.
+        parts: The digests of the shared parts of its prompt.
+        answer_at: When the first data of the response arrived; None if none
+            has.
         is_survived: Whether the endpoint accepted a connection afterwards.
     """
 
@@ -46,8 +54,17 @@
     sent_at: float
     broken_at: float
     earlier: tuple[str, ...] = ()
+    parts: tuple[str, ...] = ()
+    answer_at: float | None = None
     is_survived: bool = False
 
+    @property
+    def answer_ms(self) -> int | None:
+        """How long its endpoint had sent the response; None if it had not."""
+        if self.answer_at is None:
+            return None
+        return round((self.broken_at - self.answer_at) * 1000)
+
 
 class Observation(msgspec.Struct):
     """An endpoint that is watched because connections to it were lost.
@@ -149,6 +166,19 @@
         if not runs:
             return
         died_at = min(run.broken_at for run in runs)
+        logger.warning(
+            "runs_lost",
+            death=lifetime,
+            runs=[
+                {
+                    "fingerprint": run.fingerprint,
+                    "answer_ms": run.answer_ms,
+                    "parts": list(run.parts[:MAX_LOGGED_PARTS]),
+                }
+                for run in runs[:MAX_LOGGED_RUNS]
+            ],
+            run_count=len(runs),
+        )
         self._forget_old_deaths(died_at)
         self.suspects.report_death(
             lifetime, [self._ended_run(run) for run in runs], died_at
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
@@ -182,6 +182,7 @@
             raise SendFailedError(SendOutcome.WITHDRAWN, "no longer usable")
         self.progress.may_have_run = True
         self.progress.sent_at = time.monotonic()
+        self.progress.answer_at = None
 
     def _workspace_name(self) -> str:
         workspace = self.caller.workspace
@@ -227,6 +228,7 @@
         if tracked.has_data:
             return
         tracked.has_data = True
+        self.progress.answer_at = time.monotonic()
         tracked.finish_prefill()
         version = plan.endpoint.software_version
         if self.caller.route.is_resumable_stream:
@@ -379,6 +381,8 @@
                 progress.sent_at,
                 now,
                 progress.lost_with,
+                tuple(part.digest for part in self.caller.shared_parts),
+                progress.answer_at,
             ),
         )
         progress.lost_with += (lifetime_of(endpoint),)
--- a/packages/fleet/src/marjoramyard/fleet/gateway/send_planning.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/send_planning.py
@@ -91,6 +91,8 @@
             send.
         sent_at: When the current send began, on the monotonic clock in
             seconds.
+        answer_at: When data of its response arrived first, on the same clock;
+            None if none has.
         lost_with: The lifetimes of the endpoints to which connections were
             lost.
         version: The software version that has begun the stream; None if none
@@ -103,6 +105,7 @@
     may_have_run: bool = False
     may_have_run_before: bool = False
     sent_at: float = 0.0
+    answer_at: float | None = None
     lost_with: tuple[str, ...] = ()
     version: str | None = None
 
