Suspect the prompt parts of requests that run when endpoints die

What callers saw: engine after engine ended under requests that share one prompt part, and sound requests beside them failed. Cause: a suspect was a workspace with a method, path and body, and no two of these requests are alike, so no suspicion ever had a second death. Class: evidence kept under an identity that doesn't hold the cause.

A request is suspected under its own fingerprint and under that of each shared part of its prompt at its service; the last part is the request's own. The same decision serves both: deaths one after the other, cleared by any answer, refused from the second death on for 5 s, then four times as long, one run at a time in between. For parts deaths count only under different requests; parts of answers that had gone on for a second are left out; and while a known suspect ran, a death says nothing of others.

--- a/packages/coordination/src/marjoramyard/coordination/governance/recent_answers.py
+++ b/packages/coordination/src/marjoramyard/coordination/governance/recent_answers.py
@@ -1,8 +1,8 @@
-"""Remembers which requests endpoints have answered lately."""
+"""Remembers which requests, and prompt parts, were answered lately."""
 
 ANSWERED_SECONDS = 10.0
 """A request that was answered so recently does not crash endpoints."""
-MAX_ANSWERED = 4096
+MAX_ANSWERED = 16384
 
 
 class RecentAnswers:
--- a/packages/coordination/src/marjoramyard/coordination/governance/suspects.py
+++ b/packages/coordination/src/marjoramyard/coordination/governance/suspects.py
@@ -1,5 +1,8 @@
 """Identifies and quarantines requests that crash endpoints.
 
+A request is suspected under each identity that may hold the cause: its own
+fingerprint, and that of each prompt part that it shares with others.
+
 Control hosts decide by what agents and gateways report. A gateway decides the
 same way by its own reports, for as long as no control host has accepted them.
 """
@@ -36,12 +39,15 @@
             same attempt.
         is_isolated: Whether it ran with a hold, and was the only suspect on
             its endpoint.
+        request: If `fingerprint` is that of a prompt part, the fingerprint of
+            the request that has it; else "".
     """
 
     fingerprint: str
     seconds: float = 0.0
     earlier_deaths: int = 0
     is_isolated: bool = False
+    request: str = ""
 
 
 class Suspect(msgspec.Struct):
@@ -55,6 +61,8 @@
             any.
         held_until: When that right expires.
         convicted_until: The end of its quarantine, in which it is refused.
+        request: For a prompt part, the request under which the last death
+            happened.
     """
 
     deaths: int
@@ -62,6 +70,7 @@
     held_by: str = ""
     held_until: float = 0.0
     convicted_until: float = 0.0
+    request: str = ""
 
 
 class Standing(Enum):
@@ -78,7 +87,9 @@
     A request that crashes each endpoint never completes, so a response from
     any endpoint clears a suspect. Deaths count as evidence only one after the
     other: when several endpoints die at once for another reason, a popular
-    request may be running on all of them.
+    request may be running on all of them. Deaths under one request, sent again
+    and again, count once for its parts: the cause may be the rest of it. While
+    a known suspect was running, a death says nothing about others.
 
     Attributes:
         records: The suspects, by fingerprint.
@@ -175,7 +186,8 @@
         self._correct_clock(at)
         self._remove_expired(at)
         convicted = []
-        for run in runs:
+        known = [run for run in runs if self.must_hold(run.fingerprint)]
+        for run in known or runs:
             if not self._is_new_report(f"{death_id} {run.fingerprint}"):
                 continue
             suspect = self.records.setdefault(run.fingerprint, Suspect(0, at))
@@ -183,6 +195,7 @@
                 continue
             suspect.deaths = max(suspect.deaths, run.earlier_deaths) + 1
             suspect.last_at = max(suspect.last_at, at)
+            suspect.request = run.request
             suspect.held_by = ""
             self._on_changed(suspect)
             if suspect.deaths >= DEATHS_TO_CONVICT:
@@ -282,6 +295,8 @@
 
 def _is_evidence(suspect: Suspect, run: EndedRun, at: float) -> bool:
     """Returns whether a death adds to what is known of a suspect."""
+    if run.request and run.request == suspect.request:
+        return False
     if run.is_isolated or run.earlier_deaths >= suspect.deaths:
         return True
     return at - run.seconds >= suspect.last_at
--- a/packages/coordination/src/marjoramyard/coordination/serving/fingerprints.py
+++ b/packages/coordination/src/marjoramyard/coordination/serving/fingerprints.py
@@ -1,10 +1,12 @@
-"""Identifies a request of a workspace, also when it is sent again."""
+"""Identifies requests, also when they are sent again, and their parts."""
 
 import hashlib
 
 from marjoramyard.kernel.ids import Fingerprint
 
 _FINGERPRINT_DIGITS = 32
+MAX_DIGEST_LENGTH = 32
+"""Longer digests of prompt parts, which callers choose, are hashed."""
 
 
 def body_digest(method: str, target: str, path: str, body: bytes) -> str:
@@ -33,3 +35,17 @@
     text = f"{workspace}\0{digest}"
     state = hashlib.sha256(text.encode())
     return Fingerprint(state.hexdigest()[:_FINGERPRINT_DIGITS])
+
+
+def part_fingerprint(service: str, digest: str) -> Fingerprint:
+    """Returns the fingerprint of a prompt part at the engines of a service.
+
+    Args:
+        service: The service.
+        digest: The digest of the part, in hexadecimal digits of any case.
+    """
+    digest = digest.lower()
+    if len(digest) > MAX_DIGEST_LENGTH:
+        digest = hashlib.sha256(digest.encode()).hexdigest()
+        digest = digest[:MAX_DIGEST_LENGTH]
+    return Fingerprint(f"part:{service}:{digest}")
--- a/packages/coordination/tests/governance/test_suspects.py
+++ b/packages/coordination/tests/governance/test_suspects.py
@@ -233,3 +233,76 @@
             suspects.clear("a")
             suspects.clear("b")
         assert suspects.standing(name, at) is not Standing.CONVICTED
+
+
+def parts(request, *names, seconds=0.05):
+    return [EndedRun(name, seconds, request=request) for name in names]
+
+
+def test_a_part_is_convicted_by_the_deaths_of_two_requests():
+    """Guards against requests that are never alike and crash one endpoint
+    after the other by a part that they share.
+    """
+    suspects = Suspects({}, [])
+    suspects.report_death("e1", runs("r1") + parts("r1", "dead", "a"), 0.0, 60)
+    suspects.report_death("e2", runs("r2") + parts("r2", "dead", "b"), 1.0, 60)
+    assert suspects.standing("dead", 2.0) is Standing.CONVICTED
+    for name in ("a", "b", "r1", "r2"):
+        assert not suspects.must_hold(name)
+
+
+def test_a_request_that_is_sent_again_does_not_convict_its_parts():
+    """Guards against refusing all requests with a part because one of them
+    crashes endpoints by something else.
+    """
+    suspects = Suspects({}, [])
+    for number in range(2):
+        ended = runs("r1", earlier_deaths=number) + parts("r1", "shared")
+        suspects.report_death(f"e{number}", ended, float(number), 60)
+    assert suspects.standing("r1", 2.0) is Standing.CONVICTED
+    assert not suspects.must_hold("shared")
+
+
+def test_endpoints_that_die_at_once_do_not_convict_the_parts_of_all():
+    """Guards against refusing a popular part after a zone was lost."""
+    suspects = Suspects({}, [])
+    for number in range(9):
+        ended = parts(f"r{number}", "popular", seconds=0.9)
+        suspects.report_death(f"e{number}", ended, 10.0 + number / 100, 60)
+    assert not suspects.must_hold("popular")
+
+
+def test_a_death_under_a_known_suspect_says_nothing_of_others():
+    """Guards against suspecting what runs beside a part that is tried again
+    after its quarantine.
+    """
+    suspects = Suspects({}, [])
+    for number in range(2):
+        ended = parts(f"r{number}", "dead")
+        suspects.report_death(f"e{number}", ended, float(number), 60)
+    for number in range(2, 4):
+        beside = runs("x") + parts(f"r{number}", "dead", "beside")
+        suspects.report_death(f"e{number}", beside, 30.0 * number, 60)
+    assert suspects.records.keys() == {"dead"}
+    assert suspects.records["dead"].deaths == 4
+
+
+def test_a_part_that_was_answered_is_not_convicted_by_the_next_death():
+    """Guards against adding up deaths of a part that runs well in between."""
+    suspects = Suspects({}, [])
+    suspects.report_death("e1", parts("r1", "sound"), 0.0, 60)
+    suspects.clear("sound")
+    suspects.report_death("e2", parts("r2", "sound"), 1.0, 60)
+    assert not suspects.must_hold("sound")
+
+
+def test_a_flood_of_new_parts_does_not_push_out_a_known_one():
+    """Guards against lifting a quarantine by requests with many parts."""
+    suspects = Suspects({}, [])
+    for number in range(2):
+        ended = parts(f"r{number}", "dead")
+        suspects.report_death(f"e{number}", ended, float(number), 60)
+    names = [f"new-{number}" for number in range(MAX_RECORDS + 500)]
+    suspects.report_death("e3", parts("flood", *names), 3.0, 60)
+    assert len(suspects.records) == MAX_RECORDS
+    assert suspects.standing("dead", 4.0) is Standing.CONVICTED
--- a/packages/coordination/tests/serving/test_fingerprints.py
+++ b/packages/coordination/tests/serving/test_fingerprints.py
@@ -4,6 +4,7 @@
 
 from marjoramyard.coordination.serving.fingerprints import (
     body_digest,
+    part_fingerprint,
     request_fingerprint,
 )
 
@@ -25,3 +26,16 @@
     other = list(REQUEST)
     other[position] = b"other" if position == 4 else "other"
     assert fingerprint(*other) != fingerprint(*REQUEST)
+
+
+def test_a_part_is_the_same_however_its_digest_is_written():
+    """Guards against callers that evade a quarantine by the case of a digit,
+    and against identities that grow with what callers send.
+    """
+    assert part_fingerprint("llm", "DEAD01") == part_fingerprint(
+        "llm", "dead01"
+    )
+    assert part_fingerprint("llm", "a") != part_fingerprint("other", "a")
+    long = [part_fingerprint("llm", "a" * size) for size in (5000, 5001)]
+    assert len(set(long)) == 2
+    assert len(long[0]) < 50
--- a/packages/fleet/src/marjoramyard/fleet/gateway/crash_detection.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/crash_detection.py
@@ -10,6 +10,7 @@
     EndpointState,
     Registration,
 )
+from marjoramyard.coordination.serving.fingerprints import part_fingerprint
 from marjoramyard.fleet.gateway.suspects import GatewaySuspects
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.fleet.util.tasks import TaskGroup
@@ -26,6 +27,10 @@
 """How long to watch for a new lifetime of an endpoint that accepts
 connections: one that is restarted at once may never be seen to refuse any."""
 _LOOK_SECONDS = 0.1
+PART_SECONDS = 1.0
+"""A prompt part ends its endpoint within this time after the answer begins."""
+MAX_PARTS_PER_RUN = 256
+MAX_PARTS_PER_DEATH = 1000
 MAX_LOGGED_RUNS = 20
 MAX_LOGGED_PARTS = 8
 
@@ -58,6 +63,14 @@
     answer_at: float | None = None
     is_survived: bool = False
 
+    @property
+    def has_outlasted_parts(self) -> bool:
+        """Whether its endpoint answered for so long that no part ended it."""
+        return (
+            self.answer_at is not None
+            and self.broken_at - self.answer_at >= PART_SECONDS
+        )
+
     @property
     def answer_ms(self) -> int | None:
         """How long its endpoint had sent the response; None if it had not."""
@@ -181,7 +194,9 @@
         )
         self._forget_old_deaths(died_at)
         self.suspects.report_death(
-            lifetime, [self._ended_run(run) for run in runs], died_at
+            lifetime,
+            self._ended_runs(observation.endpoint.service, runs),
+            died_at,
         )
 
     def _running_at_death(self, observation: Observation) -> list[BrokenRun]:
@@ -199,12 +214,19 @@
         died_at = min((run.broken_at for run in lost), default=0.0)
         return [run for run in lost if run.sent_at <= died_at]
 
-    def _ended_run(self, run: BrokenRun) -> EndedRun:
-        return EndedRun(
-            run.fingerprint,
-            run.broken_at - run.sent_at,
-            sum(lifetime in self.died for lifetime in run.earlier),
-        )
+    def _ended_runs(
+        self, service: str, runs: list[BrokenRun]
+    ) -> list[EndedRun]:
+        """Returns the identities under which requests may be the cause."""
+        requests = [
+            EndedRun(
+                run.fingerprint,
+                run.broken_at - run.sent_at,
+                sum(lifetime in self.died for lifetime in run.earlier),
+            )
+            for run in runs
+        ]
+        return requests + _ended_parts(service, runs)
 
     def _forget_old_deaths(self, now: float) -> None:
         for lifetime, died_at in list(self.died.items()):
@@ -212,6 +234,28 @@
                 del self.died[lifetime]
 
 
+def _ended_parts(service: str, runs: list[BrokenRun]) -> list[EndedRun]:
+    """Returns the shared prompt parts that may be the cause, likely ones first.
+
+    A part acts when its endpoint begins to answer, so the newest answers come
+    first, and those that had gone on for longer are left out.
+    """
+    candidates = [run for run in runs if not run.has_outlasted_parts]
+    candidates.sort(key=lambda run: run.answer_at or 0.0, reverse=True)
+    found: dict[Fingerprint, EndedRun] = {}
+    for run in candidates:
+        began_at = run.answer_at or run.sent_at
+        for digest in run.parts[:MAX_PARTS_PER_RUN]:
+            if len(found) >= MAX_PARTS_PER_DEATH:
+                return list(found.values())
+            part = part_fingerprint(service, digest)
+            ended = EndedRun(
+                part, run.broken_at - began_at, request=run.fingerprint
+            )
+            found.setdefault(part, ended)
+    return list(found.values())
+
+
 async def refuses_connections(address: str) -> bool:
     """Returns whether nothing listens at an address.
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
@@ -75,7 +75,7 @@
         self.service = service
         self.budget = budget
         self.progress = SendProgress()
-        self.permit = RunPermit(context.suspects, caller)
+        self.permit = RunPermit(context.suspects, caller, service.name)
         self.planner = SendPlanner(
             context, caller, delivery, trace, service, self.progress
         )
--- a/packages/fleet/src/marjoramyard/fleet/gateway/suspects.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/suspects.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 from marjoramyard.coordination.governance.recent_answers import RecentAnswers
 from marjoramyard.coordination.governance.suspects import (
@@ -38,7 +38,7 @@
     Attributes:
         known: The suspects that the control hosts have announced.
         own: The decisions by reports that no control host has accepted yet.
-        answered: The requests that endpoints have answered lately.
+        answered: The requests and parts that were answered lately.
     """
 
     def __init__(
@@ -61,8 +61,14 @@
         """Whether there is no suspect, as most of the time."""
         return self.known.is_empty and not self.own.records
 
+    def with_standing(
+        self, identities: Iterable[Fingerprint], standing: Standing
+    ) -> list[Fingerprint]:
+        """Returns the identities of a request that have a status."""
+        return [one for one in identities if self.standing(one) is standing]
+
     def standing(self, fingerprint: Fingerprint) -> Standing:
-        """Returns the status of a request."""
+        """Returns the status of an identity of a request."""
         now = time.monotonic()
         found = {self.known.standing(fingerprint, now)}
         if self.own.must_hold(fingerprint):
@@ -72,22 +78,31 @@
                 return standing
         return Standing.CLEAR
 
-    def refusal(self, fingerprint: Fingerprint) -> Failure:
-        """Returns the failure of a request in quarantine."""
+    def refusal(self, convicted: Sequence[Fingerprint]) -> Failure:
+        """Returns the failure of a request in quarantine.
+
+        Args:
+            convicted: Its identities that are in quarantine.
+        """
         self.metrics.count("quarantined_requests")
         now = time.monotonic()
         return quarantined(
             max(
-                self.known.seconds_left(fingerprint, now),
-                self.own.quarantine_seconds(fingerprint, now),
+                max(
+                    self.known.seconds_left(fingerprint, now),
+                    self.own.quarantine_seconds(fingerprint, now),
+                )
+                for fingerprint in convicted
             )
         )
 
-    def on_answered(self, fingerprint: Fingerprint) -> None:
+    def on_answered(self, identities: Iterable[Fingerprint]) -> None:
         """Notes that an endpoint has answered a request, and clears it."""
-        self.answered.record(fingerprint, time.monotonic())
-        if not self.is_empty:
-            self._clear(fingerprint)
+        now = time.monotonic()
+        for fingerprint in identities:
+            self.answered.record(fingerprint, now)
+            if not self.is_empty:
+                self._clear(fingerprint)
 
     def _clear_answered(self) -> None:
         """Clears announced suspects that this gateway knows to be harmless."""
--- a/packages/fleet/src/marjoramyard/fleet/refusals.py
+++ b/packages/fleet/src/marjoramyard/fleet/refusals.py
@@ -13,8 +13,8 @@
     """
     return failure(
         FailureKind.QUARANTINED,
-        "endpoints died each time this request ran; change it, or wait for "
-        "the quarantine to end",
+        "endpoints died each time this request, or one with the same prompt "
+        "part, ran; change it, or wait for the quarantine to end",
         retry_after=seconds,
     )
 
--- a/packages/fleet/tests/gateway/gateway_suspects.py
+++ b/packages/fleet/tests/gateway/gateway_suspects.py
@@ -18,7 +18,7 @@
 from marjoramyard.fleet.util.tasks import task_group
 from marjoramyard.kernel.metrics import Metrics
 
-CALLER = SimpleNamespace(fingerprint="f")
+CALLER = SimpleNamespace(fingerprint="f", shared_parts=())
 
 
 class Control:
--- a/packages/fleet/tests/gateway/test_crash_detection.py
+++ b/packages/fleet/tests/gateway/test_crash_detection.py
@@ -203,3 +203,58 @@
     other = register(detector, "e2", free_address(), 1)
     detector.view.record_leaving("e2", 1)
     assert not await detector.has_ended(other)
+
+
+def run_with(fingerprint, *parts, answered_for=None):
+    now = time.monotonic()
+    answer_at = None if answered_for is None else now - answered_for
+    return BrokenRun(fingerprint, now - 3.0, now, (), parts, answer_at)
+
+
+async def reported_parts(detector, *runs):
+    endpoint = register(detector, "e1", free_address(), 1)
+    for run in runs:
+        detector.on_broken(endpoint, run)
+    await asyncio.sleep(WAIT_SECONDS)
+    [(_, found)] = detector.suspects.deaths
+    return [run for run in found if run.request]
+
+
+async def test_parts_of_the_newest_answers_are_reported_first(detector):
+    """Guards against missing the part that ends an engine when it begins to
+    answer, and against counting how long it was queued.
+    """
+    found = await reported_parts(
+        detector,
+        run_with("queued", "a"),
+        run_with("new", "b", "c", answered_for=0.05),
+        run_with("older", "d", "b", answered_for=0.5),
+    )
+    assert [run.fingerprint for run in found] == [
+        f"part:api:{name}" for name in "bcda"
+    ]
+    assert found[0].request == "new"
+    assert found[0].seconds == pytest.approx(0.05, abs=0.01)
+
+
+async def test_parts_that_an_engine_has_answered_for_long_are_left_out(
+    detector,
+):
+    """Guards against suspecting the parts of all streams of a dead engine."""
+    found = await reported_parts(
+        detector,
+        run_with("old", "a", answered_for=module.PART_SECONDS + 0.1),
+        run_with("new", "b", answered_for=0.1),
+    )
+    assert [run.fingerprint for run in found] == ["part:api:b"]
+
+
+async def test_a_report_of_many_parts_is_bounded(detector):
+    """Guards against reports that grow with the prompts of callers."""
+    names = [f"p{number}" for number in range(module.MAX_PARTS_PER_RUN + 9)]
+    runs = [
+        run_with(f"r{number}", *(f"{number}{name}" for name in names))
+        for number in range(6)
+    ]
+    found = await reported_parts(detector, *runs)
+    assert len(found) == module.MAX_PARTS_PER_DEATH
--- a/packages/fleet/tests/gateway/test_request_run.py
+++ b/packages/fleet/tests/gateway/test_request_run.py
@@ -215,7 +215,7 @@
     run = make_run(view, metrics, False)
     route = msgspec.structs.replace(run.caller.route, max_attempts=3)
     run.caller.route = route
-    run.permit.is_held = True
+    run.permit.held = {"f"}
     run.trace.sends.append("e0")
     run.progress.may_have_run = True
     lost = SendFailedError(SendOutcome.BROKEN, "lost", is_connection_lost=True)
--- a/packages/fleet/tests/gateway/test_suspects.py
+++ b/packages/fleet/tests/gateway/test_suspects.py
@@ -34,11 +34,11 @@
     async with gateway.reports.sending:
         report_deaths(gateway, 1)
         await asyncio.sleep(0.05)
-        await RunPermit(gateway, CALLER).acquire()
+        await RunPermit(gateway, CALLER, "api").acquire()
         report_deaths(gateway, 2)
         await asyncio.sleep(0.05)
         with pytest.raises(FleetError):
-            await RunPermit(gateway, CALLER).acquire()
+            await RunPermit(gateway, CALLER, "api").acquire()
 
 
 async def test_the_control_hosts_decide_once_they_have_the_report(
@@ -60,7 +60,7 @@
 async def test_an_answered_suspect_is_cleared_for_the_fleet(gateway):
     """Guards against a suspicion that outlives a response."""
     announce(gateway, f=5.0)
-    RunPermit(gateway, CALLER).on_answered()
+    RunPermit(gateway, CALLER, "api").on_answered()
     assert gateway.standing("f") is Standing.CLEAR
     await asyncio.sleep(0.05)
     assert gateway.reports.control.commands == [ClearSuspects(["f"], "g~1")]
@@ -70,16 +70,16 @@
     """Guards against refusing a popular request that another gateway has seen
     run on endpoints that died.
     """
-    RunPermit(gateway, CALLER).on_answered()
+    RunPermit(gateway, CALLER, "api").on_answered()
     announce(gateway, f=5.0)
-    await RunPermit(gateway, CALLER).acquire()
+    await RunPermit(gateway, CALLER, "api").acquire()
     await asyncio.sleep(0.05)
     assert gateway.reports.control.commands == [ClearSuspects(["f"], "g~1")]
 
 
 async def test_a_request_that_was_answered_lately_is_not_reported(gateway):
     """Guards against suspecting a popular request in which an endpoint died."""
-    RunPermit(gateway, CALLER).on_answered()
+    RunPermit(gateway, CALLER, "api").on_answered()
     report_deaths(gateway, 2)
     await asyncio.sleep(0.05)
     assert gateway.reports.control.commands == []
@@ -88,8 +88,8 @@
 async def test_responses_to_other_requests_are_not_told(gateway):
     """Guards against a message to the control hosts for each response."""
     announce(gateway, f=5.0)
-    other = SimpleNamespace(fingerprint="other")
-    RunPermit(gateway, other).on_answered()
+    other = SimpleNamespace(fingerprint="other", shared_parts=())
+    RunPermit(gateway, other, "api").on_answered()
     await asyncio.sleep(0.05)
     assert gateway.reports.control.commands == []
 
@@ -103,7 +103,7 @@
     async with gateway.reports.sending:
         report_deaths(gateway, 1)
         await asyncio.sleep(0)
-        RunPermit(gateway, CALLER).on_answered()
+        RunPermit(gateway, CALLER, "api").on_answered()
     await asyncio.sleep(0.05)
     [reported] = gateway.reports.control.commands
     assert reported.runs == []
