Refuse a new suspect once other gateways could clear it

Trace: the second death convicted it, and the gateway that had answered it cleared it with its next message; in between, some 0.1 s, all others refused it. For a part that all prompts share that is every request.

A gateway enforces a newly announced suspicion 0.15 s after it has heard of it; what it knows from its first report on holds at once. The new test failed before: refused at once.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/known_suspects.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/known_suspects.py
@@ -8,6 +8,10 @@
 
 logger = get_logger(__name__)
 
+OBJECTION_SECONDS = 0.15
+"""How long gateways that have answered a suspect take to clear it at all
+others."""
+
 
 class KnownSuspects:
     """The newest report on suspects that a gateway has.
@@ -17,6 +21,8 @@
         quarantined_until: The end of the quarantine on the monotonic clock, in
             seconds, by fingerprint; 0.0 for a suspect that may run with a
             hold.
+        enforced_from: When suspects that have just been announced are refused,
+            on the same clock. Gateways that have answered one clear it first.
         watched_revision: The revision of the report on watched suspects.
         watched: Suspects that run as other requests do. A response to one must
             be told.
@@ -26,6 +32,7 @@
     def __init__(self):
         self.revision = 0
         self.quarantined_until: dict[str, float] = {}
+        self.enforced_from: dict[str, float] = {}
         self.watched_revision = 0
         self.watched: set[str] = set()
         self.on_update: Callable[[], None] = lambda: None
@@ -50,8 +57,16 @@
         """
         if revision <= self.revision:
             return
-        self.revision = revision
         before = self.quarantined_until
+        if self.revision:
+            for fingerprint in suspects.keys() - before.keys():
+                self.enforced_from[fingerprint] = now + OBJECTION_SECONDS
+        self.revision = revision
+        self.enforced_from = {
+            fingerprint: at
+            for fingerprint, at in self.enforced_from.items()
+            if fingerprint in suspects
+        }
         self.quarantined_until = {
             fingerprint: now + seconds if seconds else 0.0
             for fingerprint, seconds in suspects.items()
@@ -83,7 +98,7 @@
     def standing(self, fingerprint: Fingerprint, now: float) -> Standing:
         """Returns the status of a request."""
         until = self.quarantined_until.get(fingerprint)
-        if until is None:
+        if until is None or now < self.enforced_from.get(fingerprint, now):
             return Standing.CLEAR
         return Standing.CONVICTED if until > now else Standing.SUSPECT
 
--- a/packages/fleet/tests/gateway/test_suspects.py
+++ b/packages/fleet/tests/gateway/test_suspects.py
@@ -12,6 +12,7 @@
     ReportDeath,
 )
 from marjoramyard.coordination.governance.suspects import Standing
+from marjoramyard.fleet.gateway import known_suspects
 from marjoramyard.fleet.gateway import suspects as module
 from marjoramyard.fleet.gateway.run_permit import RunPermit
 from marjoramyard.kernel.errors import FleetError
@@ -107,3 +108,25 @@
     await asyncio.sleep(0.05)
     [reported] = gateway.reports.control.commands
     assert reported.runs == []
+
+
+async def test_a_new_suspect_is_refused_once_others_could_clear_it(gateway):
+    """Guards against refusing a popular request, or a part of all prompts, in
+    the moment until a gateway that has answered it is heard.
+    """
+    announce(gateway, other=5.0)
+    announce(gateway, f=5.0)
+    await RunPermit(gateway, CALLER, "api").acquire()
+    await asyncio.sleep(known_suspects.OBJECTION_SECONDS)
+    with pytest.raises(FleetError):
+        await RunPermit(gateway, CALLER, "api").acquire()
+    announce(gateway, f=4.0)
+    with pytest.raises(FleetError):
+        await RunPermit(gateway, CALLER, "api").acquire()
+
+
+async def test_a_gateway_that_starts_refuses_all_suspects_at_once(gateway):
+    """Guards against a restarted gateway that lets known suspects through."""
+    announce(gateway, f=5.0)
+    with pytest.raises(FleetError):
+        await RunPermit(gateway, CALLER, "api").acquire()
