Have the soak's callers send prompt parts that crash endpoints

All requests share a prompt part; in half of the spells of crashing requests no two are alike and one part does it, beside the shared one.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -5,11 +5,13 @@
 import itertools
 import random
 import time
+from collections.abc import Sequence
 
 import aiohttp
 
 from soak.record import (
     REPEATABLE_KINDS,
+    SHARED_PART,
     STREAM_KINDS,
     Call,
     Record,
@@ -141,14 +143,41 @@
                 await self._send(call, body.encode())
             await asyncio.sleep(CRASHING_PAUSE_SECONDS)
 
+    async def send_crashing_parts(self, part: str, seconds: float) -> None:
+        """Sends requests that are never alike, with a part that crashes.
+
+        Their responses are not recorded: nobody misses them.
+        """
+        until = time.monotonic() + seconds
+        while time.monotonic() < until and not self.stopped:
+            call = Call(
+                id=f"{self.seed}-{next(self.call_numbers)}",
+                kind=RouteKind.RESUMABLE_STREAM,
+                gateway=self.rng.randrange(len(self.addresses)),
+                sent_at=time.monotonic(),
+                deadline_seconds=DEADLINE_SECONDS,
+            )
+            parts = [SHARED_PART, part]
+            self.rng.shuffle(parts)
+            with contextlib.suppress(
+                aiohttp.ClientError, OSError, TimeoutError
+            ):
+                await self._send(call, call.id.encode(), parts=parts)
+            await asyncio.sleep(CRASHING_PAUSE_SECONDS)
+
     async def _send(
-        self, call: Call, data: bytes = b"?", leave_after: int = 0
+        self,
+        call: Call,
+        data: bytes = b"?",
+        leave_after: int = 0,
+        parts: Sequence[str] = (SHARED_PART,),
     ) -> None:
         """Sends a call.
 
         Args:
             call: The call, which gets the response.
             data: The body.
+            parts: The shared parts of its prompt.
             leave_after: The events of a stream after which its caller closes
                 the connection; 0 for never.
         """
@@ -156,6 +185,7 @@
             "Host": "shop.example",
             "Request-Id": call.id,
             "Request-Deadline-Ms": str(int(call.deadline_seconds * 1000)),
+            "Prompt-Parts": ",".join(f"{p}:9" for p in (*parts, call.id)),
         }
         if call.key:
             headers["Api-Key"] = call.key
--- a/tests/soak/checks/crashing_requests.py
+++ b/tests/soak/checks/crashing_requests.py
@@ -9,9 +9,10 @@
     disturbed,
     faulted_targets,
 )
-from soak.record import Record
+from soak.record import CRASHING_PART, Record
 
 CRASHES_TO_NOTICE = 3
+CRASHES_TO_NOTICE_A_PART = 5
 MAX_LATER_CRASHING_REQUESTS = 3
 CRASH_NOTICE_SECONDS = 3.0
 """When a request has crashed that many endpoints, only so many may get it
@@ -32,9 +33,10 @@
     for crash in record.crashes:
         crashes[crash.body].append(crash.at)
     for body, times in crashes.items():
-        if len(times) < CRASHES_TO_NOTICE:
+        needed = _crashes_to_notice(body)
+        if len(times) < needed:
             continue
-        noticed_at = times[CRASHES_TO_NOTICE - 1] + CRASH_NOTICE_SECONDS
+        noticed_at = times[needed - 1] + CRASH_NOTICE_SECONDS
         later = [
             attempt
             for attempt in record.attempts
@@ -48,7 +50,14 @@
             )
         ]
         if len(later) > MAX_LATER_CRASHING_REQUESTS:
-            yield f"{body!r} was sent {len(later)} times after three crashes"
+            yield f"{body!r} was sent {len(later)} times after {needed} crashes"
+
+
+def _crashes_to_notice(cause: str) -> int:
+    """Returns after how many crashes a request, or a part, must be known."""
+    if cause.startswith(CRASHING_PART):
+        return CRASHES_TO_NOTICE_A_PART
+    return CRASHES_TO_NOTICE
 
 
 @check
@@ -61,10 +70,10 @@
         span.target in ("control", "gateway") for span in record.fault_spans
     )
     gateways = len({call.gateway for call in record.calls})
-    allowed = CRASHES_TO_NOTICE + 2 * (gateways + disturbances)
+    allowed = 2 * (gateways + disturbances)
     crashes = Counter(crash.body for crash in record.crashes)
     for body, count in crashes.items():
-        if count > allowed:
+        if count > _crashes_to_notice(body) + allowed:
             yield f"{body!r} crashed {count} endpoints"
 
 
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -20,6 +20,7 @@
     end_connection,
 )
 from soak.record import (
+    CRASHING_PART,
     CRASHING_PREFIX,
     STREAM_KINDS,
     Attempt,
@@ -77,6 +78,13 @@
 ]
 
 
+def _crashing_part(request: web.Request) -> str:
+    """Returns the shared prompt part that crashes endpoints; "" for none."""
+    parts = request.headers.get("Prompt-Parts", "").split(",")
+    digests = [part.partition(":")[0] for part in parts[:-1]]
+    return next((d for d in digests if d.startswith(CRASHING_PART)), "")
+
+
 def is_possible(ending: Ending, kind: RouteKind) -> bool:
     """Whether responses of a kind end so, and the fleet can tell how."""
     is_stream = kind in STREAM_KINDS
@@ -182,6 +190,7 @@
         body = (await request.read()).decode()
         if body.startswith(CRASHING_PREFIX):
             attempt.crashing = body
+        attempt.crashing = attempt.crashing or _crashing_part(request)
         self.record.attempts.append(attempt)
         headers = {"Request-Id": call_id}
         if attempt.said_leaving:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -12,7 +12,7 @@
 from soak.fleet import Node, SoakFleet
 from soak.host_faults import HostFaults
 from soak.plan import Fault, FaultKind, Target
-from soak.record import CRASHING_PREFIX
+from soak.record import CRASHING_PART, CRASHING_PREFIX
 
 LINK_DELAY_SECONDS = 0.15
 DISK_DELAY_SECONDS = 0.2
@@ -47,6 +47,10 @@
         if fault.target is Target.OPERATOR:
             await OPERATOR_ACTIONS[fault.kind](self)
             return
+        if fault.kind is FaultKind.SEND_CRASHING_PARTS:
+            part = f"{CRASHING_PART}{int(fault.at * 1000):x}"
+            await self.callers.send_crashing_parts(part, fault.seconds)
+            return
         if fault.kind is FaultKind.SEND_CRASHING_REQUESTS:
             body = f"{CRASHING_PREFIX} {fault.at:.3f}"
             await self.callers.send_crashing_requests(body, fault.seconds)
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -52,6 +52,7 @@
     REVOKE_KEY = "revoke"
     ISOLATE_CONTROL_HOSTS = "split"
     SEND_CRASHING_REQUESTS = "crashing-requests"
+    SEND_CRASHING_PARTS = "crashing-parts"
 
 
 LINK_FAULTS = (
@@ -80,7 +81,10 @@
         FaultKind.LEAVE,
         FaultKind.SHED,
     ),
-    Target.CALLER: (FaultKind.SEND_CRASHING_REQUESTS,),
+    Target.CALLER: (
+        FaultKind.SEND_CRASHING_REQUESTS,
+        FaultKind.SEND_CRASHING_PARTS,
+    ),
     Target.OPERATOR: (
         FaultKind.CONFIG,
         FaultKind.CONFIG_BURST,
@@ -151,7 +155,8 @@
             faults.append(Fault(at, target, kind, number, duration))
             at += rng.choice((0.05, 0.3))
         at += rng.expovariate(1 / MEAN_FAULT_INTERVAL_SECONDS)
-    faults += _shedding(seed, seconds, size) + _crashing(seed, seconds)
+    faults += _shedding(seed, seconds, size)
+    faults += _crashing(seed, seconds)
     return sorted(faults, key=lambda fault: fault.at)
 
 
@@ -177,13 +182,14 @@
 def _crashing(seed: int, seconds: float) -> list[Fault]:
     """Draws when callers begin to send requests that crash endpoints.
 
-    Like `_shedding`, with a generator of its own.
+    Like `_shedding`, with generators of its own.
     """
     rng = random.Random(f"crashing-{seed}")
+    kinds = random.Random(f"crashing-kinds-{seed}")
     faults = []
     at = WARMUP_SECONDS + rng.expovariate(1 / MEAN_CRASHING_INTERVAL_SECONDS)
     while at < seconds:
-        kind = FaultKind.SEND_CRASHING_REQUESTS
+        kind = kinds.choice(FAULTS_BY_TARGET[Target.CALLER])
         faults.append(Fault(at, Target.CALLER, kind, 0, CRASHING_SECONDS))
         at += rng.expovariate(1 / MEAN_CRASHING_INTERVAL_SECONDS)
     return faults
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -79,7 +79,8 @@
         pause_seconds: The pause that the endpoint asked for when it turned the
             request away; 0.0 if it took it.
         said_leaving: Whether the response said that the endpoint is leaving.
-        crashing: The body of a request that crashes the endpoint, or "".
+        crashing: The body or the prompt part of a request that crashes the
+            endpoint, or "".
         broke_off: Whether the endpoint broke its response off.
         whole_at: When it had sent all of its response; 0.0 if it has not.
     """
@@ -106,7 +107,7 @@
     """An endpoint that has ended under a request.
 
     Attributes:
-        body: The body of the request.
+        body: The body of the request, or its prompt part, that did it.
     """
 
     body: str
@@ -189,6 +190,10 @@
 
 CRASHING_PREFIX = "crash"
 """The bodies of requests that crash endpoints begin so."""
+CRASHING_PART = "dead"
+"""The prompt parts that crash endpoints begin so."""
+SHARED_PART = "aa01"
+"""A prompt part that all requests have."""
 MAX_EVENTS = 12
 
 
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -213,14 +213,20 @@
         record.attempts.append(attempt(50, sent_at, crashing="crash a"))
 
 
+def crashing_part_sent_on(record):
+    add_crashes(record, 5, "dead1")
+    for number in range(4):
+        sent_at = 110.0 + number
+        record.attempts.append(attempt(50, sent_at, crashing="dead1"))
+
+
 def request_that_crashes_many_endpoints(record):
     add_crashes(record, 6)
 
 
-def add_crashes(record, count):
+def add_crashes(record, count, cause="crash a"):
     record.crashes += [
-        EndpointCrash(body="crash a", at=100.0 + number)
-        for number in range(count)
+        EndpointCrash(body=cause, at=100.0 + number) for number in range(count)
     ]
 
 
@@ -251,6 +257,7 @@
         "leaving_endpoints_get_no_new_requests"
     ),
     crashing_request_sent_on: "crashing_requests_are_stopped",
+    crashing_part_sent_on: "crashing_requests_are_stopped",
     request_that_crashes_many_endpoints: "crashes_by_one_request_are_few",
     harmless_request_in_quarantine: "harmless_requests_are_not_quarantined",
     older_config_read: "config_never_reverts",
