--- a/packages/standin/src/marjoramyard/standin/cmd/endpoint.py
+++ b/packages/standin/src/marjoramyard/standin/cmd/endpoint.py
@@ -35,6 +35,11 @@
 @click.option("--slowdown", default=0.0, show_default=True)
 @click.option("--call-seconds", default=0.005, show_default=True)
 @click.option("--journal", default="")
+@click.option(
+    "--crashing-message",
+    default="",
+    help="Ends when it answers a chat with this message before the last one.",
+)
 @click.option("--version", default="", help="The version of its software.")
 def main(
     kind: str,
@@ -48,6 +53,7 @@
     slowdown: float,
     call_seconds: float,
     journal: str,
+    crashing_message: str,
     version: str,
 ) -> None:
     """Serves a test endpoint until SIGTERM or SIGINT."""
@@ -62,7 +68,7 @@
     }
     if kind == "engine":
         endpoint: AnnouncedEndpoint = ChatEngine(
-            token_seconds, slowdown, **common
+            token_seconds, slowdown, crashing_message, **common
         )
     else:
         endpoint = BookingService(call_seconds, journal, **common)
--- a/packages/standin/src/marjoramyard/standin/engine.py
+++ b/packages/standin/src/marjoramyard/standin/engine.py
@@ -73,10 +73,19 @@
     Attributes:
         token_seconds: Seconds per token of a request that runs alone.
         slowdown: Share by which each further request lengthens a token.
+        crashing_message: Kills the process when it begins to answer a chat
+            with this message before the last one; "" for none.
     """
 
-    def __init__(self, token_seconds: float, slowdown: float, **kwargs):
+    def __init__(
+        self,
+        token_seconds: float,
+        slowdown: float,
+        crashing_message: str = "",
+        **kwargs,
+    ):
         super().__init__(**kwargs)
+        self.crashing_message = crashing_message
         self.token_seconds = token_seconds
         self.slowdown = slowdown
         self.running = 0
@@ -128,6 +137,15 @@
             load = 1.0 + self.slowdown * max(0, self.running - 1)
             await asyncio.sleep(self.token_seconds * load)
             yield _RESPONSE_WORDS[index % len(_RESPONSE_WORDS)]
+            if self._crashes_on(chat):
+                await asyncio.sleep(ARRIVAL_SECONDS)
+                await self.crash()
+
+    def _crashes_on(self, chat: ChatRequest) -> bool:
+        return bool(self.crashing_message) and any(
+            message.content == self.crashing_message
+            for message in chat.messages[:-1]
+        )
 
     @staticmethod
     def _usage(chat: ChatRequest, request_bytes: int) -> dict:
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -101,3 +101,25 @@
     await wait_until(refused, "the request to be quarantined")
     crashed = [n for n in ENGINES[:3] if not fleet.children[n].is_running]
     assert len(crashed) == 2
+
+
+async def test_a_message_that_crashes_engines_is_not_sent_on_and_on(
+    fleet, bundle
+):
+    """Guards against chats that are never alike and crash one engine after the
+    other by a message that they share.
+    """
+    await start_small_fleet(fleet, bundle, control=1)
+    for name in ENGINES:
+        await fleet.add_endpoint(
+            name, "engine", "chat", "--crashing-message", "You are an assistant"
+        )
+    await fleet.wait_until_serving(*ENGINES)
+    for number in range(2 * len(ENGINES)):
+        messages = [
+            {"role": "system", "content": "You are an assistant"},
+            {"role": "user", "content": f"question {number}"},
+        ]
+        await chat(fleet, messages=messages)
+    crashed = [n for n in ENGINES if not fleet.children[n].is_running]
+    assert len(crashed) <= 3
