--- a/packages/standin/src/marjoramyard/standin/experiment/deployments.py
+++ b/packages/standin/src/marjoramyard/standin/experiment/deployments.py
@@ -89,6 +89,9 @@
     CRASHING_REQUEST = "crashing_request"
     """Requests, `count` of them, crash each engine that runs them, and come
     again every `factor` seconds."""
+    CRASHING_PART = "crashing_part"
+    """Requests that are never alike, each `factor` seconds, hold one of `count`
+    prompt parts that crash each engine that runs them."""
     BROKER_LOST = "broker_lost"
     """The broker is replaced by one that has no state."""
 
--- a/packages/standin/src/marjoramyard/standin/experiment/disturbances.py
+++ b/packages/standin/src/marjoramyard/standin/experiment/disturbances.py
@@ -21,7 +21,10 @@
     if disturbance.kind is DisturbanceKind.BROKER_LOST:
         loop.at(at, functools.partial(_replace_broker, simulation))
         return
-    if disturbance.kind is DisturbanceKind.CRASHING_REQUEST:
+    if disturbance.kind in (
+        DisturbanceKind.CRASHING_REQUEST,
+        DisturbanceKind.CRASHING_PART,
+    ):
         loop.at(at, lambda: simulation.crashing.start(disturbance))
         return
     if disturbance.kind not in (
--- a/packages/standin/src/marjoramyard/standin/experiment/workloads.py
+++ b/packages/standin/src/marjoramyard/standin/experiment/workloads.py
@@ -32,7 +32,9 @@
         max_output_tokens: The caller's limit of generated tokens.
         hint_tokens: The caller's estimate of generated tokens.
         is_impatient: Whether the caller retries at once after a refusal.
-        crashes: The name of a request that crashes engines; "" for others.
+        crashes: The name of a request that crashes engines, or of the part of
+            its prompt that does; "" for others.
+        is_unique: Whether no other request is alike, though it crashes engines.
     """
 
     number: int
@@ -46,11 +48,14 @@
     hint_tokens: int
     is_impatient: bool = False
     crashes: str = ""
+    is_unique: bool = False
 
     @property
     def fingerprint(self) -> str:
         """Identifies the request, also when it is sent again."""
-        return self.crashes or f"r{self.number}"
+        if self.crashes and not self.is_unique:
+            return self.crashes
+        return f"r{self.number}"
 
     @property
     def prompt_tokens(self) -> int:
--- a/packages/standin/tests/experiment/test_experiment.py
+++ b/packages/standin/tests/experiment/test_experiment.py
@@ -20,6 +20,7 @@
 
 EXAMPLES = Path(__file__).parents[4] / "examples" / "experiments"
 NORMAL = EXAMPLES / "long-histories.yaml"
+CRASHING = EXAMPLES / "crashing-requests.yaml"
 OVERLOAD = EXAMPLES / "long-histories-rush.yaml"
 
 
@@ -155,3 +156,21 @@
     has_others = versions < engines
     assert bool(run.usage.resumed_streams) == has_others
     assert bool(run.usage.broken_streams) != has_others
+
+
+@pytest.mark.parametrize(
+    "kind", [DisturbanceKind.CRASHING_REQUEST, DisturbanceKind.CRASHING_PART]
+)
+def test_crashing_requests_and_parts_end_few_engines_of_the_model(kind):
+    """Guards against a model whose engines end on and on, or whose other
+    requests are refused for it.
+    """
+    crashes = Disturbance(kind=kind, at=2.0, lasts=8.0, count=1, factor=0.3)
+    deployment = msgspec.structs.replace(
+        read_deployment(CRASHING), seconds=10.0, disturbances=(crashes,)
+    )
+    broker = simulate(deployment, "broker", 1)
+    ignored = simulate(deployment, "crashes-ignored", 1)
+    assert 2 <= broker.usage.engine_deaths <= 6
+    assert ignored.usage.engine_deaths > 2 * broker.usage.engine_deaths
+    assert broker.scores.goal > ignored.scores.goal
