Know one software version for as long as the control hosts do

A gateway concludes that a stream can have begun at one version only if a control host has heard of all endpoints for as long as a stream can be resumed.

At the first start of a fleet no endpoint has served before; a host that starts learns from the others which endpoints departed, so it knows for as long as they do, once they have exchanged their tables; one that was cut off knows nothing until then.

--- a/packages/fleet/src/marjoramyard/fleet/control/cluster_manager.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/cluster_manager.py
@@ -97,6 +97,7 @@
             cluster,
             self.settings.first_start,
             entries,
+            role.service.observed_seconds(),
         )
 
     # Announcing.
@@ -161,6 +162,9 @@
         self.hosts[host.address] = host
         self.last_received_at[host.address] = time.monotonic()
         self.addresses.add(host.address)
+        self.role.service.observation.on_heard(
+            host.address, host.observed_seconds
+        )
 
     def recent_addresses(self) -> list[str]:
         """Returns the addresses of this host and of recently seen hosts."""
@@ -188,6 +192,7 @@
                 del self.last_received_at[address]
                 del self.hosts[address]
                 self.addresses.discard(address)
+                self.role.service.observation.on_lost(address)
 
     # Bootstrap.
 
--- a/packages/fleet/src/marjoramyard/fleet/control/service.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/service.py
@@ -32,6 +32,7 @@
 )
 from marjoramyard.fleet.control.leadership_checks import LeadershipChecks
 from marjoramyard.fleet.control.node import no_quorum
+from marjoramyard.fleet.control.observation import Observation
 from marjoramyard.fleet.control.zone_service import ZoneService
 from marjoramyard.fleet.messages import Empty
 from marjoramyard.fleet.sync_messages import (
@@ -81,6 +82,7 @@
         zones: The operators' orders on availability zones.
         leadership_checks: The checks of leadership for gateways' polls.
         config_history: Recent configurations, to send differences.
+        observation: Says for how long this host knows of all endpoints.
     """
 
     def __init__(self, role):
@@ -95,6 +97,9 @@
         self.changes = ChangeSignal(self._on_publish)
         self.published_cursors = self._last_changes()
         self.started_at = time.monotonic()
+        self.observation = Observation(
+            self.settings.first_start, self._settling_seconds()
+        )
         self.published_revision = 1
         self.gateways: dict[str, tuple[float, SyncRequest]] = {}
         self.broker_selector = BrokerSelector()
@@ -300,21 +305,20 @@
         self._add_suspects(request, reply)
         is_complete = len(changed) < MAX_REGISTRATIONS
         if is_complete and not request.urgent_only:
-            reply.observed_seconds = self._observed_seconds()
+            reply.observed_seconds = self.observed_seconds()
         return reply
 
-    def _observed_seconds(self) -> float:
-        """Returns for how long this host has heard of all endpoints."""
-        if not self._is_settled() or self.role.cluster_manager.is_isolated():
-            return 0.0
-        return time.monotonic() - self.started_at
+    def observed_seconds(self) -> float:
+        """Returns for how long this host knows of all endpoints."""
+        is_isolated = self.role.cluster_manager.is_isolated()
+        return round(self.observation.seconds(is_isolated), 1)
 
     def _is_settled(self) -> bool:
         """Returns whether all endpoints have been heard of since the start."""
-        settling_seconds = (
-            SETTLING_HEARTBEATS * self.settings.heartbeat_ms / 1000
-        )
-        return time.monotonic() - self.started_at > settling_seconds
+        return time.monotonic() - self.started_at > self._settling_seconds()
+
+    def _settling_seconds(self) -> float:
+        return SETTLING_HEARTBEATS * self.settings.heartbeat_ms / 1000
 
     def _unresponsive_for(self, request: SyncRequest) -> list[str] | None:
         """Returns the unresponsive endpoints, or None if they are known."""
--- a/packages/fleet/src/marjoramyard/fleet/gateway/observed_versions.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/observed_versions.py
@@ -17,8 +17,8 @@
 
     Attributes:
         registrations: The registrations that this gateway has.
-        reports: By control host, when it last reported and for how long it had
-            heard of all endpoints.
+        reports: By control host, when it last reported and for how long it
+            knew of all endpoints.
     """
 
     def __init__(self, registrations: Registrations):
@@ -30,8 +30,8 @@
 
         Args:
             source: The control host.
-            seconds: For how long it has heard of all endpoints; 0.0 if it
-                hasn't, or hasn't told this gateway of all of them.
+            seconds: For how long it knows of all endpoints; 0.0 if it doesn't,
+                or hasn't told this gateway of all of them.
             now: The current time.
         """
         if seconds > 0:
--- a/packages/fleet/src/marjoramyard/fleet/sync_messages.py
+++ b/packages/fleet/src/marjoramyard/fleet/sync_messages.py
@@ -20,6 +20,8 @@
         cluster: The cluster that its replica belongs to; "" for none.
         first_start: Whether the complete fleet starts for the first time.
         entries: The last index of its log.
+        observed_seconds: For how long it knows of all endpoints; 0.0 if it
+            doesn't.
     """
 
     name: str
@@ -30,6 +32,7 @@
     cluster: str = ""
     first_start: bool = False
     entries: int = 0
+    observed_seconds: float = 0.0
 
 
 class SignOfLife(msgspec.Struct, frozen=True, array_like=True):
@@ -143,8 +146,8 @@
             start.
         is_isolated: Whether it has not heard of most other control hosts
             lately, so that it does not know of new endpoints.
-        observed_seconds: For how long it has heard of all endpoints; 0.0 if it
-            does not, or the reply does not hold all changes.
+        observed_seconds: For how long it knows of all endpoints; 0.0 if it
+            doesn't, or the reply does not hold all changes.
         suspects_revision: The revision of `suspects`; a lower one than the
             gateway's is outdated.
         suspects: The requests that gateways must hold or refuse, as
--- a/packages/fleet/tests/control/test_service_polls.py
+++ b/packages/fleet/tests/control/test_service_polls.py
@@ -26,6 +26,7 @@
         self.settings = SimpleNamespace(
             name="control",
             heartbeat_ms=10,
+            first_start=False,
             availability_zones=[],
             zone="zone-a",
             advertised_address="10.0.0.1:80",
