Choose the holders of streams once for many connections that come or go

Read again for the size to design for: each connection of a gateway made a broker choose holders among all of them for each service, some 70 s of processor when 700 gateways connect anew for six services (worked out, not measured); now once per heartbeat. And while there are suspects, each identity of a request was compared in full, hundreds for some prompts; only known ones are now.

404 unit tests of gateways and the 24 cases of tests/test_stream_versions.py pass.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
@@ -81,7 +81,7 @@
         handovers: What the brokers take over, and announce for successors.
         streams: Keeps the software versions of streams.
         last_gateway_number: Number of the newest connection.
-        other_count: The connections of gateways for services without engines.
+        without_engines: The connections for services without engines.
         usable: The last list of usable endpoints of each service.
         ready_counts: The most ready engines that each service had.
         dispatch_scheduled: Whether a dispatch is scheduled on the event loop.
@@ -105,7 +105,7 @@
         self.handovers = BrokerHandovers(self.brokers, self.gateways)
         self.streams = StreamKeeper(view.streams, self.gateways)
         self.last_gateway_number = 0
-        self.other_count = 0
+        self.without_engines: set[int] = set()
         self.usable: dict[str, list[Registration]] = {}
         self.ready_counts: dict[str, int] = {}
         self.dispatch_scheduled = False
@@ -129,8 +129,7 @@
             is_on_this_host(request),
             read_cores(request.query.get(CORES_PARAMETER, "")),
         )
-        self.gateways[gateway.number] = gateway
-        self._on_connections_changed()
+        self._add_connection(gateway)
         self.handovers.refresh(_now_ms())
         self._announce_leaving(gateway, self._known_leaving())
         try:
@@ -145,26 +144,27 @@
                 "broker_gateway_lost", gateway=gateway.number, why=repr(error)
             )
         finally:
-            del self.gateways[gateway.number]
-            self._on_connections_changed()
+            self._remove_connection(gateway)
             self._end_requests(gateway)
         return socket
 
-    def _on_connections_changed(self) -> None:
-        self.streams.refresh()
+    def _add_connection(self, gateway: GatewayConnection) -> None:
+        self.gateways[gateway.number] = gateway
+        self.streams.has_changed = True
         services = self.view.table.services if self.view.table else {}
-        without_engines = {
-            name for name, service in services.items() if service.engine is None
-        }
-        self.other_count = sum(
-            gateway.service in without_engines
-            for gateway in self.gateways.values()
-        )
+        service = services.get(gateway.service)
+        if service is not None and service.engine is None:
+            self.without_engines.add(gateway.number)
+
+    def _remove_connection(self, gateway: GatewayConnection) -> None:
+        del self.gateways[gateway.number]
+        self.streams.has_changed = True
+        self.without_engines.discard(gateway.number)
 
     @property
     def router_count(self) -> int:
         """The connections of gateways for services with engines."""
-        return len(self.gateways) - self.other_count
+        return len(self.gateways) - len(self.without_engines)
 
     def _resume_and_reset_timer(self, gateway: GatewayConnection) -> None:
         if gateway.liveness.has_expired:
@@ -568,6 +568,7 @@
             await asyncio.sleep(HEARTBEAT_INTERVAL_SECONDS)
             self._check_majority()
             self.handovers.refresh(_now_ms())
+            self.streams.refresh()
             for gateway in self.gateways.values():
                 self._suspend_if_expired(gateway)
             self._queue_heartbeats()
--- a/packages/fleet/src/marjoramyard/fleet/gateway/stream_keeper.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/stream_keeper.py
@@ -37,6 +37,7 @@
         holders: The gateways that streams are passed on to, by service.
         served_since: When the first of the connected gateways of a service
             connected, by service.
+        has_changed: Whether connections have come or gone since `refresh`.
     """
 
     def __init__(
@@ -48,9 +49,16 @@
         self.gateways = gateways
         self.holders: dict[str, list[GatewayConnection]] = {}
         self.served_since: dict[str, float] = {}
+        self.has_changed = False
 
     def refresh(self) -> None:
-        """Updates the holders after connections have come or gone."""
+        """Updates the holders, if connections have come or gone.
+
+        Hundreds of gateways may connect at the same time.
+        """
+        if not self.has_changed:
+            return
+        self.has_changed = False
         by_service: dict[str, list[GatewayConnection]] = {}
         for gateway in self.gateways.values():
             if includes(gateway.socket.ws_protocol, STREAM_PROTOCOL):
--- a/packages/fleet/src/marjoramyard/fleet/gateway/suspects.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/suspects.py
@@ -64,8 +64,19 @@
     def with_standing(
         self, identities: Iterable[Fingerprint], standing: Standing
     ) -> list[Fingerprint]:
-        """Returns the identities of a request that have a status."""
-        return [one for one in identities if self.standing(one) is standing]
+        """Returns the identities of a request that have a status.
+
+        Args:
+            identities: All identities of a request; most are no suspects.
+            standing: The status, other than clear.
+        """
+        suspects = self.known.quarantined_until
+        return [
+            one
+            for one in identities
+            if (one in suspects or one in self.own.records)
+            and self.standing(one) is standing
+        ]
 
     def standing(self, fingerprint: Fingerprint) -> Standing:
         """Returns the status of an identity of a request."""
--- a/packages/fleet/tests/gateway/test_stream_keeper.py
+++ b/packages/fleet/tests/gateway/test_stream_keeper.py
@@ -31,13 +31,18 @@
     )
 
 
+def refresh(keeper):
+    keeper.has_changed = True
+    keeper.refresh()
+
+
 @pytest.fixture
 def keeper():
     connections = {number: connection(number) for number in range(6)}
     connections[6] = connection(6, HANDOVER_PROTOCOL)
     connections[7] = connection(7, service="other")
     keeper = StreamKeeper(StreamVersions(), connections)
-    keeper.refresh()
+    refresh(keeper)
     return keeper
 
 
@@ -84,7 +89,7 @@
     keeper.served_since["llm"] = time.monotonic() - SETTLED_SECONDS
     connections = dict(keeper.gateways)
     keeper.gateways.clear()
-    keeper.refresh()
+    refresh(keeper)
     keeper.gateways.update(connections)
-    keeper.refresh()
+    refresh(keeper)
     assert not reply(keeper, key="5d").is_final
