Refuse a resumed stream whose service leaves during the look-up

Found by reading the diff: the configuration may change while a gateway asks for a stream's version, and the service be removed; the caller got a server error then (the new test failed before, KeyError).

--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
@@ -41,6 +41,7 @@
 from marjoramyard.fleet.gateway.run_failures import (
     BUSY_RETRY_SECONDS,
     deadline_failure,
+    unknown_stream_failure,
 )
 from marjoramyard.fleet.gateway.send_planning import RequestRunContext
 from marjoramyard.fleet.gateway.startup_wait import StartupWait
@@ -259,9 +260,12 @@
             if origin is not None
             else pick_destination(destinations, random.random()).service
         )
+        service = self.view.table.services.get(name)
+        if service is None:
+            # The configuration changed while the origin was looked up.
+            raise FleetError(unknown_stream_failure(True))
         budget = self._budget(name)
         budget.on_request()
-        service = self.view.table.services[name]
         run = RequestRun(self.context, caller, delivery, trace, service, budget)
         if origin is not None:
             run.progress.version = origin.version
--- a/packages/fleet/tests/gateway/test_request_handler.py
+++ b/packages/fleet/tests/gateway/test_request_handler.py
@@ -14,6 +14,7 @@
     Workspace,
 )
 from marjoramyard.coordination.routing.table import RouteTable
+from marjoramyard.coordination.serving.stream_versions import StreamOrigin
 from marjoramyard.fleet.gateway import overload_guard
 from marjoramyard.fleet.gateway.cold_starts import ColdStarts
 from marjoramyard.fleet.gateway.dialect import GATEWAY_DIALECTS
@@ -21,6 +22,7 @@
 from marjoramyard.fleet.gateway.endpoint_notices import EndpointNotices
 from marjoramyard.fleet.gateway.request_handler import RequestHandler
 from marjoramyard.fleet.gateway.view import FleetView
+from marjoramyard.kernel.errors import FailureKind, FleetError
 from marjoramyard.kernel.metrics import Metrics
 from marjoramyard.kernel.util.clocks import seconds_since_boot
 
@@ -110,3 +112,21 @@
     assert not task.done()
     assert not handler.guard.limit.refused
     task.cancel()
+
+
+async def test_a_service_that_is_removed_during_the_look_up_is_no_failure(
+    handler,
+):
+    """Guards against a server error for a resumed stream whose service leaves
+    the configuration while its version is looked up.
+    """
+
+    async def find(_caller, _services):
+        handler.view.table = RouteTable(FleetConfig(2))
+        return StreamOrigin("llm", "v1")
+
+    handler.context.origins.find = find
+    caller = SimpleNamespace(route=CONFIG.routes[0], last_event="2")
+    with pytest.raises(FleetError) as raised:
+        await handler._serve(caller, None, None)
+    assert raised.value.failure.kind is FailureKind.STREAM_UNKNOWN
