Name the limit of suspected parts once

It stood in the report of a death and in the permission to run, and both must agree: a part that is reported but not looked at would never be refused.

--- a/packages/coordination/src/marjoramyard/coordination/serving/fingerprints.py
+++ b/packages/coordination/src/marjoramyard/coordination/serving/fingerprints.py
@@ -5,6 +5,8 @@
 from marjoramyard.kernel.ids import Fingerprint
 
 _FINGERPRINT_DIGITS = 32
+MAX_SUSPECTED_PARTS = 256
+"""Shared prompt parts of a request under which it may be suspected."""
 MAX_DIGEST_LENGTH = 32
 """Longer digests of prompt parts, which callers choose, are hashed."""
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/crash_detection.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/crash_detection.py
@@ -10,7 +10,10 @@
     EndpointState,
     Registration,
 )
-from marjoramyard.coordination.serving.fingerprints import part_fingerprint
+from marjoramyard.coordination.serving.fingerprints import (
+    MAX_SUSPECTED_PARTS,
+    part_fingerprint,
+)
 from marjoramyard.fleet.gateway.suspects import GatewaySuspects
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.fleet.util.tasks import TaskGroup
@@ -29,7 +32,6 @@
 _LOOK_SECONDS = 0.1
 PART_SECONDS = 1.0
 """A prompt part ends its endpoint within this time after the answer begins."""
-MAX_PARTS_PER_RUN = 256
 MAX_PARTS_PER_DEATH = 1000
 MAX_LOGGED_RUNS = 20
 MAX_LOGGED_PARTS = 8
@@ -245,7 +247,7 @@
     found: dict[Fingerprint, EndedRun] = {}
     for run in candidates:
         began_at = run.answer_at or run.sent_at
-        for digest in run.parts[:MAX_PARTS_PER_RUN]:
+        for digest in run.parts[:MAX_SUSPECTED_PARTS]:
             if len(found) >= MAX_PARTS_PER_DEATH:
                 return list(found.values())
             part = part_fingerprint(service, digest)
--- a/packages/fleet/src/marjoramyard/fleet/gateway/run_permit.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/run_permit.py
@@ -5,7 +5,10 @@
 from functools import cached_property
 
 from marjoramyard.coordination.governance.suspects import Standing
-from marjoramyard.coordination.serving.fingerprints import part_fingerprint
+from marjoramyard.coordination.serving.fingerprints import (
+    MAX_SUSPECTED_PARTS,
+    part_fingerprint,
+)
 from marjoramyard.fleet.gateway.admission import CallerRequest
 from marjoramyard.fleet.gateway.suspects import GatewaySuspects
 from marjoramyard.fleet.refusals import suspect_held
@@ -15,8 +18,6 @@
 HOLD_WAIT_SECONDS = 1.0
 """How long a suspect waits for its hold. Most are cleared in that time."""
 HOLD_RETRY_SECONDS = 0.05
-MAX_PARTS = 256
-"""Shared prompt parts of a request that may be suspected."""
 
 
 class RunPermit:
@@ -39,7 +40,7 @@
     @cached_property
     def identities(self) -> list[Fingerprint]:
         """All fingerprints of the request, its own first."""
-        parts = self.caller.shared_parts[:MAX_PARTS]
+        parts = self.caller.shared_parts[:MAX_SUSPECTED_PARTS]
         return [
             self.caller.fingerprint,
             *(part_fingerprint(self.service, part.digest) for part in parts),
--- a/packages/fleet/tests/gateway/test_crash_detection.py
+++ b/packages/fleet/tests/gateway/test_crash_detection.py
@@ -11,6 +11,7 @@
     EndpointState,
     Registration,
 )
+from marjoramyard.coordination.serving.fingerprints import MAX_SUSPECTED_PARTS
 from marjoramyard.fleet.gateway import crash_detection as module
 from marjoramyard.fleet.gateway.crash_detection import (
     BrokenRun,
@@ -251,7 +252,7 @@
 
 async def test_a_report_of_many_parts_is_bounded(detector):
     """Guards against reports that grow with the prompts of callers."""
-    names = [f"p{number}" for number in range(module.MAX_PARTS_PER_RUN + 9)]
+    names = [f"p{number}" for number in range(MAX_SUSPECTED_PARTS + 9)]
     runs = [
         run_with(f"r{number}", *(f"{number}{name}" for name in names))
         for number in range(6)
