Suspect the messages of chats behind agents

Callers of entries saw what callers of gateways had seen: chats that share a message and are otherwise never alike ended one engine after the other, and the agents' only identity was the whole request.

The messages of a chat, but the last, are its shared parts, by the same decision as prompt parts. Agents report those of answers that had just begun, refuse them in quarantine as entries do, isolate one only after its quarantine (others share it), and tell the leader when their endpoint has answered one that is suspected. Renewals say which need a hold.

The unit tests of the fleet package and of two parts of coordination pass.

--- a/packages/coordination/src/marjoramyard/coordination/governance/suspects.py
+++ b/packages/coordination/src/marjoramyard/coordination/governance/suspects.py
@@ -14,6 +14,8 @@
 
 HOLD_SECONDS = 120.0
 DEATHS_TO_CONVICT = 2
+PART_SECONDS = 1.0
+"""A prompt part ends its endpoint within this time after the answer begins."""
 QUARANTINE_SECONDS = 600.0
 FIRST_QUARANTINE_SECONDS = 5.0
 """The first quarantine of a request that did not run in isolation. It may have
@@ -120,6 +122,14 @@
             return Standing.CONVICTED
         return Standing.SUSPECT
 
+    def held_parts(self) -> list[str]:
+        """Returns the prompt parts that must be refused or held."""
+        return [
+            fingerprint
+            for fingerprint, suspect in self.records.items()
+            if suspect.request and self.must_hold(fingerprint)
+        ]
+
     def must_hold(self, fingerprint: str) -> bool:
         """Returns whether gateways must refuse a request or hold it."""
         suspect = self.records.get(fingerprint)
--- a/packages/coordination/src/marjoramyard/coordination/serving/fingerprints.py
+++ b/packages/coordination/src/marjoramyard/coordination/serving/fingerprints.py
@@ -2,6 +2,8 @@
 
 import hashlib
 
+import msgspec
+
 from marjoramyard.kernel.ids import Fingerprint
 
 _FINGERPRINT_DIGITS = 32
@@ -51,3 +53,41 @@
         digest = hashlib.sha256(digest.encode()).hexdigest()
         digest = digest[:MAX_DIGEST_LENGTH]
     return Fingerprint(f"part:{service}:{digest}")
+
+
+class _Chat(msgspec.Struct):
+    """The part of a chat request that is looked at."""
+
+    messages: list[msgspec.Raw] = []
+
+
+_CHAT_DECODER = msgspec.json.Decoder(_Chat)
+
+
+def message_fingerprints(service: str, body: bytes) -> list[Fingerprint]:
+    """Returns the fingerprints of the messages of a chat, without the last one.
+
+    They are the shared parts of its prompt. Other bodies have none.
+
+    Args:
+        service: The service.
+        body: The body of the request.
+    """
+    if b'"messages"' not in body:
+        return []
+    try:
+        messages = _CHAT_DECODER.decode(body).messages
+        return [
+            part_fingerprint(service, _message_digest(message))
+            for message in messages[:-1][:MAX_SUSPECTED_PARTS]
+        ]
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return []
+
+
+def _message_digest(message: msgspec.Raw) -> str:
+    """Returns a digest that doesn't depend on spaces or the order of fields."""
+    plain = msgspec.json.encode(
+        msgspec.json.decode(message), order="deterministic"
+    )
+    return hashlib.sha256(plain).hexdigest()[:MAX_DIGEST_LENGTH]
--- a/packages/fleet/src/marjoramyard/fleet/agent/attempt_service.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/attempt_service.py
@@ -8,7 +8,13 @@
 from aiohttp import web
 
 from marjoramyard.coordination.governance.recent_answers import RecentAnswers
-from marjoramyard.coordination.governance.suspects import EndedRun
+from marjoramyard.coordination.governance.suspects import (
+    PART_SECONDS,
+    EndedRun,
+)
+from marjoramyard.coordination.serving.fingerprints import (
+    message_fingerprints,
+)
 from marjoramyard.coordination.serving.frames import KEEPALIVE, ReplayLostError
 from marjoramyard.fleet.agent.attempts import Attempt, AttemptState
 from marjoramyard.fleet.agent.calls import finish_call, start_call
@@ -137,21 +143,23 @@
                 f"the agent's endpoint does not serve {run.service}",
             )
         fingerprint = Fingerprint(run.fingerprint)
-        seconds = self.membership.quarantine_seconds_left(fingerprint)
+        parts = message_fingerprints(run.service, body)
+        seconds = self.membership.quarantine_seconds_left(fingerprint, *parts)
         if seconds is not None:
             raise FleetError(quarantined(seconds))
-        held = False
-        if self.suspect_guard.is_suspect(fingerprint, run.suspect):
-            refusal = await self.suspect_guard.hold(fingerprint)
+        held = self.suspect_guard.suspected_identity(
+            fingerprint, parts, run.suspect
+        )
+        if held is not None:
+            refusal = await self.suspect_guard.hold(held)
             if refusal is not None:
                 raise FleetError(refusal)
-            held = True
         try:
             self._recheck_endpoint()
             await self._start_call(run)
         except BaseException:
-            if held:
-                self.suspect_guard.release(fingerprint, clear=False)
+            if held is not None:
+                self.suspect_guard.release(held, clear=False)
             raise
         attempt = Attempt(
             run,
@@ -160,7 +168,8 @@
             self.slot_allocator.scheduler,
             service.kind,
         )
-        attempt.held_suspect = held
+        attempt.parts = parts
+        attempt.held_identity = held
         self.attempts[AttemptId(run.attempt)] = attempt
         return attempt
 
@@ -216,10 +225,13 @@
         run = attempt.run_request
         if reason is None:
             self.endpoint.prefixes.record_run(run.prefix)
-            self.answered.record(run.fingerprint, time.monotonic())
-        if attempt.held_suspect:
-            fingerprint = Fingerprint(run.fingerprint)
-            self.suspect_guard.release(fingerprint, clear=reason is None)
+            for identity in (run.fingerprint, *attempt.parts):
+                self.answered.record(identity, time.monotonic())
+            self.suspect_guard.clear_parts(attempt.parts)
+        if attempt.held_identity is not None:
+            self.suspect_guard.release(
+                attempt.held_identity, clear=reason is None
+            )
 
     async def _check_endpoint(self) -> None:
         """Checks whether the endpoint died, and if so reports it.
@@ -228,14 +240,11 @@
         """
         now = time.monotonic()
         running = [
-            EndedRun(
-                attempt.run_request.fingerprint,
-                now - attempt.sent_at,
-                is_isolated=attempt.held_suspect,
-            )
+            run
             for attempt in self.attempts.values()
             if attempt.state is AttemptState.SENT
-            and not self.answered.contains(attempt.run_request.fingerprint, now)
+            for run in ended_runs(attempt, now)
+            if not self.answered.contains(run.fingerprint, now)
         ]
         announced = self.endpoint.announced
         if announced.incarnation == self.endpoint.dead_incarnation:
@@ -354,6 +363,28 @@
         await self.http_session.close()
 
 
+def ended_runs(attempt: Attempt, now: float) -> list[EndedRun]:
+    """Returns the identities under which a request may end its endpoint."""
+    fingerprint = attempt.run_request.fingerprint
+    held = attempt.held_identity
+    own = EndedRun(
+        fingerprint, now - attempt.sent_at, is_isolated=held == fingerprint
+    )
+    began_at = attempt.answer_at or attempt.sent_at
+    if attempt.answer_at is not None and now - began_at >= PART_SECONDS:
+        return [own]
+    parts = [
+        EndedRun(
+            part,
+            now - began_at,
+            is_isolated=held == part,
+            request=fingerprint,
+        )
+        for part in attempt.parts
+    ]
+    return [own, *parts]
+
+
 def _interrupted() -> Failure:
     return failure(
         FailureKind.INTERNAL,
--- a/packages/fleet/src/marjoramyard/fleet/agent/attempts.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/attempts.py
@@ -17,7 +17,7 @@
 from marjoramyard.fleet.util.headers import end_to_end, is_stream
 from marjoramyard.fleet.util.response_body import BrokenOffError, ResponseBody
 from marjoramyard.kernel.errors import Failure, FailureKind, Outcome, failure
-from marjoramyard.kernel.ids import WorkspaceId
+from marjoramyard.kernel.ids import Fingerprint, WorkspaceId
 from marjoramyard.kernel.logs import get_logger
 
 logger = get_logger(__name__)
@@ -75,8 +75,11 @@
         response_body: The body of a call's response, to be stored.
         resume_path: Where the engine's stream can be resumed, or "".
         resumes: How often the engine's stream was resumed.
-        held_suspect: The request is a suspect, and the agent has been
-            granted a hold for it.
+        parts: The fingerprints of the shared parts of its prompt.
+        held_identity: The fingerprint for which the agent has been granted a
+            hold, if the request is a suspect.
+        answer_at: When data of its response arrived first; monotonic time, in
+            seconds. None if none has.
         sent_to: What the endpoint had announced when the request was sent.
         sent_at: When it was sent to the endpoint; monotonic time, in seconds.
         is_delivered: The last frame was written to an entry.
@@ -113,7 +116,9 @@
         self.resume_path = ""
         self.resumes = 0
         self.task: asyncio.Task | None = None
-        self.held_suspect = False
+        self.parts: list[Fingerprint] = []
+        self.held_identity: Fingerprint | None = None
+        self.answer_at: float | None = None
         self.sent_at = 0.0
         self.is_delivered = False
 
@@ -283,6 +288,8 @@
         )
 
     async def _add_chunk(self, chunk: bytes) -> None:
+        if self.answer_at is None:
+            self.answer_at = time.monotonic()
         self._observe(chunk)
         self.replay_buffer.add_data(chunk)
         self.progress.set()
--- a/packages/fleet/src/marjoramyard/fleet/agent/suspects.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/suspects.py
@@ -5,6 +5,7 @@
 from result import Err
 
 from marjoramyard.coordination.governance.commands import (
+    ClearSuspects,
     HoldSuspect,
     ReleaseSuspect,
     ReportDeath,
@@ -39,14 +40,28 @@
         self.control = control
         self.held: Fingerprint | None = None
 
-    def is_suspect(self, fingerprint: Fingerprint, marked: bool) -> bool:
-        """Returns whether a request must be isolated.
+    def suspected_identity(
+        self,
+        fingerprint: Fingerprint,
+        parts: Sequence[Fingerprint],
+        marked: bool,
+    ) -> Fingerprint | None:
+        """Returns for what a request must be isolated; None if it needn't be.
+
+        A request is isolated after the first death under it, a part of its
+        prompt only after its quarantine: others share it.
 
         Args:
             fingerprint: The request's fingerprint.
+            parts: The fingerprints of the shared parts of its prompt.
             marked: Whether the entry marked it as a suspect.
         """
-        return marked or fingerprint in self.membership.suspects
+        for part in parts:
+            if part in self.membership.held_parts:
+                return part
+        if marked or fingerprint in self.membership.suspects:
+            return fingerprint
+        return None
 
     async def hold(self, fingerprint: Fingerprint) -> Failure | None:
         """Requests a hold, which permits a suspect to run at this endpoint.
@@ -82,6 +97,17 @@
             self.control.command(command, _REPORT_TIMEOUT_SECONDS)
         )
 
+    def clear_parts(self, parts: Sequence[Fingerprint]) -> None:
+        """Tells that the endpoint has answered a request with these parts."""
+        suspects = self.membership.suspects.intersection(parts)
+        if not suspects:
+            return
+        self.membership.suspects -= suspects
+        command = ClearSuspects(sorted(suspects), self.app.incarnation)
+        self.app.tasks.spawn(
+            self.control.command(command, _REPORT_TIMEOUT_SECONDS)
+        )
+
     async def report(self, death_id: str, runs: Sequence[EndedRun]) -> None:
         """Reports an endpoint's death and its requests to the control hosts.
 
--- a/packages/fleet/src/marjoramyard/fleet/control/renewal_server.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/renewal_server.py
@@ -218,6 +218,7 @@
                 for fingerprint, suspect in records.items()
                 if suspect.convicted_until > state.now
             }
+            reply.held_parts = state.suspects.held_parts()
         order = state.orders.get(request.row.endpoint)
         if request.row.role == "agent" and order is not None:
             reply.order = order
--- a/packages/fleet/src/marjoramyard/fleet/entry/request_handler.py
+++ b/packages/fleet/src/marjoramyard/fleet/entry/request_handler.py
@@ -120,7 +120,10 @@
         Raises:
             FleetError: The request ended without a response.
         """
-        seconds = self.membership.quarantine_seconds_left(request.fingerprint)
+        identities = [request.fingerprint]
+        if self.membership.held_parts:
+            identities += request.message_fingerprints
+        seconds = self.membership.quarantine_seconds_left(*identities)
         if seconds is not None:
             raise FleetError(quarantined(seconds))
         if request.call is not None:
--- a/packages/fleet/src/marjoramyard/fleet/entry/requests.py
+++ b/packages/fleet/src/marjoramyard/fleet/entry/requests.py
@@ -12,6 +12,7 @@
 )
 from marjoramyard.coordination.serving.fingerprints import (
     body_digest,
+    message_fingerprints,
     request_fingerprint,
 )
 from marjoramyard.coordination.serving.prefixes import prefix_digest
@@ -82,6 +83,11 @@
         """Identifies the workspace's request, also when it is resent."""
         return request_fingerprint(self.workspace_id, self.body_digest)
 
+    @property
+    def message_fingerprints(self) -> list[Fingerprint]:
+        """Identifies the messages of a chat that others may share."""
+        return message_fingerprints(self.service_id, self.body)
+
     def seconds_left(self) -> float:
         """Returns the seconds until the deadline."""
         return self.deadline_at - time.monotonic()
--- a/packages/fleet/src/marjoramyard/fleet/gateway/crash_detection.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/crash_detection.py
@@ -5,7 +5,10 @@
 
 import msgspec
 
-from marjoramyard.coordination.governance.suspects import EndedRun
+from marjoramyard.coordination.governance.suspects import (
+    PART_SECONDS,
+    EndedRun,
+)
 from marjoramyard.coordination.membership.registrations import (
     EndpointState,
     Registration,
@@ -30,8 +33,6 @@
 """How long to watch for a new lifetime of an endpoint that accepts
 connections: one that is restarted at once may never be seen to refuse any."""
 _LOOK_SECONDS = 0.1
-PART_SECONDS = 1.0
-"""A prompt part ends its endpoint within this time after the answer begins."""
 MAX_PARTS_PER_DEATH = 1000
 MAX_LOGGED_RUNS = 20
 MAX_LOGGED_PARTS = 8
--- a/packages/fleet/src/marjoramyard/fleet/membership.py
+++ b/packages/fleet/src/marjoramyard/fleet/membership.py
@@ -43,6 +43,7 @@
             complete.
         suspects: Fingerprints of requests that may crash endpoints.
         quarantined_until: When each quarantine ends (monotonic).
+        held_parts: Prompt parts that are refused, or need a hold to run.
         evacuated_zones: Zones whose endpoints must not get new requests.
         zone_revision: The revision of `evacuated_zones`.
         order: The newest order to the agent's endpoint, if any.
@@ -73,6 +74,7 @@
         self.unconfirmed_agents: set[str] | None = None
         self.suspects: set[Fingerprint] = set()
         self.quarantined_until: dict[Fingerprint, float] = {}
+        self.held_parts: set[Fingerprint] = set()
         self.suspects_revision = "-"
         self.evacuated_zones: frozenset[str] = frozenset()
         self.zone_revision = 0
@@ -103,9 +105,15 @@
             retry_after=random.uniform(1.0, 3.0),
         )
 
-    def quarantine_seconds_left(self, fingerprint: Fingerprint) -> float | None:
-        """Returns the rest of a request's quarantine in seconds, if any."""
-        quarantined_until = self.quarantined_until.get(fingerprint, 0.0)
+    def quarantine_seconds_left(self, *identities: Fingerprint) -> float | None:
+        """Returns the rest of a request's quarantine in seconds, if any.
+
+        Args:
+            identities: The fingerprints under which it may be suspected.
+        """
+        quarantined_until = max(
+            self.quarantined_until.get(identity, 0.0) for identity in identities
+        )
         remaining = quarantined_until - time.monotonic()
         return remaining if remaining > 0 else None
 
@@ -256,6 +264,7 @@
             Fingerprint(name): now + remaining
             for name, remaining in (reply.convicted or {}).items()
         }
+        self.held_parts = {Fingerprint(name) for name in reply.held_parts}
 
     def _apply_order(self, reply: RenewReply) -> None:
         is_newer = reply.newest_order > self.newest_order
--- a/packages/fleet/src/marjoramyard/fleet/messages.py
+++ b/packages/fleet/src/marjoramyard/fleet/messages.py
@@ -207,6 +207,7 @@
         directory: Changes of the directory, for entries.
         suspects: All suspects, if they changed.
         convicted: The rest of each quarantine in seconds, by fingerprint.
+        held_parts: Prompt parts that need a hold after their quarantine.
         order: The newest order to the agent's endpoint.
         newest_order: The endpoint's newest fencing number.
         zone_revision: The revision of `evacuated_zones`.
@@ -222,6 +223,7 @@
     suspects_revision: str = ""
     suspects: list[str] | None = None
     convicted: dict[str, float] | None = None
+    held_parts: list[str] = []
     order: Order | None = None
     newest_order: int = 0
     zone_revision: int = 0
