--- a/bench/crashing_parts.py
+++ b/bench/crashing_parts.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 
 import click
-from test_crashing_parts import (
+from crashing_engines import (
     CONTACT_SECONDS,
     NOTICED_ENDS,
     PLACES,
