--- a/packages/fleet/src/marjoramyard/fleet/control/cluster_manager.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/cluster_manager.py
@@ -20,6 +20,10 @@
 from marjoramyard.coordination.consensus.messages import Membership
 from marjoramyard.coordination.consensus.replica import Role
 from marjoramyard.fleet import paths
+from marjoramyard.fleet.control.member_states import (
+    MemberReport,
+    member_states,
+)
 from marjoramyard.fleet.messages import Empty, InitCluster
 from marjoramyard.fleet.sync_messages import (
     ControlHost,
@@ -63,6 +67,7 @@
         not_leader_at: When this host was last seen not to lead (monotonic).
         leader_address: The leader named by other hosts; "" if unknown.
         pending_announcements: Addresses with an unfinished announcement.
+        member_report: The states of the members, on the leader.
     """
 
     def __init__(self, role):
@@ -76,6 +81,7 @@
         self.started_at = time.monotonic()
         self.leader_address = ""
         self.pending_announcements: set[str] = set()
+        self.member_report = MemberReport()
 
     def describe(self) -> ControlHost:
         """Returns the description of this host in announcements."""
@@ -204,6 +210,7 @@
                 await self._repair_membership()
             else:
                 self.not_leader_at = time.monotonic()
+                self.member_report.clear()
 
     def _is_bootstrap_host(self) -> bool:
         """Whether this host is the one that bootstraps the cluster.
@@ -266,11 +273,15 @@
     async def _repair_membership(self) -> None:
         now = time.monotonic()
         core = self.role.running_node.core
+        lost = self._lost_members(now)
+        self.member_report.update(
+            core.membership, member_states(core.membership, lost, self.hosts)
+        )
         step = next_step(
             core.membership,
             self.settings.voter_count,
             self._available_hosts(now),
-            self._lost_members(now),
+            lost,
             {r for r in core.membership.learners if core.is_caught_up(r)},
         )
         if step is None:
--- a/packages/fleet/src/marjoramyard/fleet/control/node.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/node.py
@@ -124,6 +124,7 @@
             await asyncio.sleep(max(0.0, due - loop.time()))
             behind = loop.time() - due
             if behind > MAX_CATCH_UP_TICKS * TICK_SECONDS:
+                logger.info("event_loop_late", seconds=round(behind, 3))
                 due = loop.time()
             self.core.tick()
             self.schedule_processing()
--- a/packages/fleet/src/marjoramyard/fleet/control/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/role.py
@@ -232,6 +232,9 @@
             ]
 
         self.app.metrics.gauge("replicated_log", log_values)
+        self.app.metrics.gauge(
+            "cluster_voters", self.cluster_manager.member_report.counts
+        )
 
     # Request handlers.
 
--- a/packages/fleet/src/marjoramyard/fleet/util/lag.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/lag.py
@@ -4,8 +4,11 @@
 import time
 from collections.abc import Callable
 
+from marjoramyard.kernel.logs import get_logger
 from marjoramyard.kernel.metrics import Metrics
 
+logger = get_logger(__name__)
+
 INTERVAL_SECONDS = 0.05
 LATE_SECONDS = 0.05
 """A wake-up counts as late above this. Must exceed the scheduling pauses of a
@@ -13,6 +16,8 @@
 of up to 20 ms."""
 LATE_HOLD_SECONDS = 0.5
 """How long a late wake-up counts."""
+LOGGED_SECONDS = 0.2
+"""A wake-up that is later is logged."""
 
 
 class LoopLag:
@@ -43,5 +48,7 @@
             self.metrics.observe("loop_late_seconds", late_seconds)
             if late_seconds > LATE_SECONDS:
                 self.late_at = now
+            if late_seconds > LOGGED_SECONDS:
+                logger.info("event_loop_late", seconds=round(late_seconds, 3))
             for listener in self.on_wake_up:
                 listener(late_seconds)
--- a/packages/kernel/src/marjoramyard/kernel/metrics.py
+++ b/packages/kernel/src/marjoramyard/kernel/metrics.py
@@ -2,8 +2,13 @@
 
 import asyncio
 import importlib
+import time
 from collections.abc import Callable, Iterable
 
+from marjoramyard.kernel.logs import get_logger
+
+logger = get_logger(__name__)
+
 WORKSPACE_LABEL_CAP = 50
 """Number of workspaces with a label value of their own."""
 OTHER_WORKSPACES = "(other)"
@@ -85,8 +90,17 @@
 
     async def load_exporter_in_background(self) -> None:
         """Loads the exporter without blocking the event loop for long."""
+        if self.exporter is not None:
+            return
+        started_at = time.monotonic()
         await asyncio.to_thread(importlib.import_module, _EXPORTER_MODULE)
+        values = len(self.pending)
         self.load_exporter()
+        logger.info(
+            "metrics_exporter_loaded",
+            seconds=round(time.monotonic() - started_at, 3),
+            kept_values=values,
+        )
 
     def load_exporter(self) -> None:
         """Loads the exporter, unless that has been done."""
