--- a/packages/standin/src/marjoramyard/standin/relay.py
+++ b/packages/standin/src/marjoramyard/standin/relay.py
@@ -20,6 +20,9 @@
         delay_seconds: Added latency of each chunk.
         stalled_writers: Writers whose bytes are dropped.
         connection_count: Connections accepted so far.
+        resets_on: A connection that carries these bytes to the target is
+            reset before they arrive; empty for none.
+        resets_left: How many connections are still to be reset so.
     """
 
     def __init__(self, target: str):
@@ -32,6 +35,8 @@
         self.replies_allowed.set()
         self.writers: set[asyncio.StreamWriter] = set()
         self.connection_count = 0
+        self.resets_on = b""
+        self.resets_left = 0
         self.tasks: set[asyncio.Task] = set()
 
     def partition(self) -> None:
@@ -97,6 +102,8 @@
             while data := await reader.read(_CHUNK_BYTES):
                 if allowed is not None:
                     await allowed.wait()
+                elif self._resets(data):
+                    raise ConnectionResetError
                 if self.delay_seconds:
                     await asyncio.sleep(self.delay_seconds)
                 if self._is_forwarding(writer):
@@ -111,6 +118,12 @@
             self.writers.discard(writer)
             self.stalled_writers.discard(writer)
 
+    def _resets(self, data: bytes) -> bool:
+        if not self.resets_left or self.resets_on not in data:
+            return False
+        self.resets_left -= 1
+        return True
+
     def _is_forwarding(self, writer: asyncio.StreamWriter) -> bool:
         return not self.is_partitioned and writer not in self.stalled_writers
 
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -124,17 +124,17 @@
             **gateway_settings,
         )
 
-    def write_control_settings(self, number, host, first_start):
-        self.write_settings(
-            f"control-{number}",
-            role="control",
-            internal=f"{host}:{self.peer_port}",
-            operator_listen=self.operator_addresses[number],
-            data_folder=str(self.folder / f"data-{number}"),
-            self_forming=True,
-            first_start=first_start,
-            losses=1,
-        )
+    def write_control_settings(self, number, host, first_start, **changes):
+        settings = {
+            "role": "control",
+            "internal": f"{host}:{self.peer_port}",
+            "operator_listen": self.operator_addresses[number],
+            "data_folder": str(self.folder / f"data-{number}"),
+            "self_forming": True,
+            "first_start": first_start,
+            "losses": 1,
+        }
+        self.write_settings(f"control-{number}", **(settings | changes))
 
     def write_settings(self, name, **settings):
         settings = {
