Keep a replica's identity while its disk refuses writes

Found while the replacement of lost disks was traced. A host whose disk refused a write stopped its replica and announced an empty folder, and, unless it had created the replica in the same process, another id. So the leader told it to create a new replica: the folder's identity was overwritten beside the log of the old one as soon as the disk took bytes again. A voter is missing meanwhile.

Change: the host announces the stored identity and that its replica is stopped; a folder with an identity is never initialised; a stopped voter is replaced after the time of an unresponsive one.

test_a_host_whose_disk_is_full_stays_the_same_replica failed before: the cluster that the host announced was empty.

--- a/packages/fleet/src/marjoramyard/fleet/control/cluster_manager.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/cluster_manager.py
@@ -63,6 +63,8 @@
     Attributes:
         hosts: The last announcement of each other host, by internal address.
         last_received_at: When it was received (monotonic), by address.
+        last_active_at: When the host last announced that its replica is not
+            stopped (monotonic), by address.
         addresses: Internal addresses to announce this host to.
         not_leader_at: When this host was last seen not to lead (monotonic).
         leader_address: The leader named by other hosts; "" if unknown.
@@ -76,6 +78,7 @@
         self.client = role.app.client
         self.hosts: dict[str, ControlHost] = {}
         self.last_received_at: dict[str, float] = {}
+        self.last_active_at: dict[str, float] = {}
         self.addresses: set[str] = set()
         self.not_leader_at = time.monotonic()
         self.started_at = time.monotonic()
@@ -88,11 +91,12 @@
         role = self.role
         replica = cluster = ""
         entries = 0
-        if role.storage is not None:
+        identity = role.storage.identity if role.storage is not None else None
+        if identity is not None:
+            replica, cluster = str(identity.replica), identity.cluster
+        elif role.storage is not None:
             replica = str(role.unassigned_replica_id)
         if role.running_node is not None:
-            replica = str(role.running_node.core.replica_id)
-            cluster = role.storage.identity.cluster
             entries = role.running_node.core.log.last_index
         return ControlHost(
             self.settings.name,
@@ -104,6 +108,7 @@
             self.settings.first_start,
             entries,
             role.service.observed_seconds(),
+            is_stopped=identity is not None and role.running_node is None,
         )
 
     # Announcing.
@@ -167,6 +172,8 @@
             logger.info("control_host_discovered", peer=host.name)
         self.hosts[host.address] = host
         self.last_received_at[host.address] = time.monotonic()
+        if not host.is_stopped:
+            self.last_active_at[host.address] = time.monotonic()
         self.addresses.add(host.address)
         self.role.service.observation.on_heard(
             host.address, host.observed_seconds
@@ -196,6 +203,7 @@
         for address, at in list(self.last_received_at.items()):
             if now - at > HOST_TIMEOUT_SECONDS:
                 del self.last_received_at[address]
+                self.last_active_at.pop(address, None)
                 del self.hosts[address]
                 self.addresses.discard(address)
                 self.role.service.observation.on_lost(address)
@@ -307,7 +315,7 @@
                 now - self.last_received_at[address]
                 < MAX_ANNOUNCEMENT_AGE_SECONDS
             )
-            if host.replica and is_recent:
+            if host.replica and not host.is_stopped and is_recent:
                 found.append(
                     AvailableHost(ReplicaId(host.replica), address, host.zone)
                 )
@@ -317,8 +325,8 @@
         """Returns the members to replace.
 
         A member whose address announces another replica has lost its disk
-        and is replaced at once. An unresponsive member is replaced after
-        `VOTER_TIMEOUT_SECONDS`.
+        and is replaced at once. One that is unresponsive, or whose replica is
+        stopped, is replaced after `VOTER_TIMEOUT_SECONDS`.
         """
         lost = set()
         core = self.role.running_node.core
@@ -326,9 +334,7 @@
             if replica == core.replica_id:
                 continue
             host = self.hosts.get(address)
-            at = max(
-                self.last_received_at.get(address, 0.0), self.not_leader_at
-            )
+            at = max(self.last_active_at.get(address, 0.0), self.not_leader_at)
             if host is not None and host.replica not in ("", replica):
                 lost.add(replica)
             elif now - at > VOTER_TIMEOUT_SECONDS:
--- a/packages/fleet/src/marjoramyard/fleet/control/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/role.py
@@ -376,7 +376,7 @@
                 and entries must be kept, or this host has no disk.
         """
         message = await read_message(request, InitCluster)
-        if self.running_node is not None or self.storage is None:
+        if self.storage is None or self.storage.identity is not None:
             raise_failure(
                 FailureKind.CONFLICT,
                 "this control host holds a replica already; nothing was "
--- a/packages/fleet/src/marjoramyard/fleet/sync_messages.py
+++ b/packages/fleet/src/marjoramyard/fleet/sync_messages.py
@@ -22,6 +22,7 @@
         entries: The last index of its log.
         observed_seconds: For how long it knows of all endpoints; 0.0 if it
             doesn't.
+        is_stopped: Whether its replica is stopped, because its disk fails.
     """
 
     name: str
@@ -33,6 +34,7 @@
     first_start: bool = False
     entries: int = 0
     observed_seconds: float = 0.0
+    is_stopped: bool = False
 
 
 class SignOfLife(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/fleet/tests/control/test_storage_failure.py
+++ b/packages/fleet/tests/control/test_storage_failure.py
@@ -3,6 +3,7 @@
 import errno
 from types import SimpleNamespace
 
+import msgspec
 import pytest
 from result import Err, Ok
 
@@ -10,8 +11,10 @@
 from marjoramyard.coordination.governance.commands import ConfigDocument
 from marjoramyard.fleet.control import role as control_role
 from marjoramyard.fleet.control.storage import StorageError, open_storage
+from marjoramyard.fleet.messages import InitCluster
 from marjoramyard.fleet.settings import ControlSettings
 from marjoramyard.fleet.util.tasks import task_group
+from marjoramyard.kernel.errors import FleetError
 from marjoramyard.kernel.ids import ReplicaId
 from marjoramyard.kernel.metrics import Metrics
 from marjoramyard.standin.local_fleet import wait_until
@@ -119,3 +122,25 @@
         return host.is_leader()
 
     return leads
+
+
+async def test_a_host_whose_disk_is_full_stays_the_same_replica(
+    host, monkeypatch
+):
+    """Guards against a replica that is overwritten while its disk is full."""
+    held = host.cluster_manager.describe()
+    order = msgspec.json.encode(InitCluster("cluster", Membership()))
+
+    async def read():
+        return order
+
+    with monkeypatch.context() as patched:
+        refuse_writes(host.storage, patched)
+        await host.service.put_config(ConfigDocument(1, b"one"))
+        stopped = host.cluster_manager.describe()
+        assert (stopped.replica, stopped.cluster) == (held.replica, "cluster")
+        assert stopped.is_stopped and not held.is_stopped
+        with pytest.raises(FleetError):
+            await host.on_init(SimpleNamespace(read=read))
+    await wait_until(host_leads(host), "the replica to restart")
+    assert host.cluster_manager.describe().replica == held.replica
