Initialise empty control hosts until they hold a replica

Cause: a host that comes back with an empty disk is told to create a replica by one call. If that call was lost, the leader added the host all the same, and it initialises only hosts that it adds: the host stayed a learner without a replica, and the lost voter was never replaced. The next lost disk, any time later, left one of three voters. The call is lost easily: the host has lost power, so connections to it that the leader keeps from before are reset at their next use. They are many after changes that were forwarded to it while it led.

Change: the leader initialises every host that announces an empty disk, with each announcement until the host says that it holds a replica, member or not. Only hosts that hold a replica are added. So it doesn't matter which call is lost.

--- a/packages/fleet/src/marjoramyard/fleet/control/cluster_manager.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/cluster_manager.py
@@ -8,12 +8,11 @@
 import asyncio
 import time
 
+import msgspec
 from result import Err, Ok
 
 from marjoramyard.coordination.consensus.membership_plan import (
     AvailableHost,
-    Step,
-    StepKind,
     apply_step,
     next_step,
 )
@@ -69,6 +68,7 @@
         not_leader_at: When this host was last seen not to lead (monotonic).
         leader_address: The leader named by other hosts; "" if unknown.
         pending_announcements: Addresses with an unfinished announcement.
+        pending_initialisations: Addresses with an unfinished initialisation.
         member_report: The states of the members, on the leader.
     """
 
@@ -84,6 +84,7 @@
         self.started_at = time.monotonic()
         self.leader_address = ""
         self.pending_announcements: set[str] = set()
+        self.pending_initialisations: set[str] = set()
         self.member_report = MemberReport()
 
     def describe(self) -> ControlHost:
@@ -178,6 +179,8 @@
         self.role.service.observation.on_heard(
             host.address, host.observed_seconds
         )
+        if self._must_initialise(host):
+            self.role.app.tasks.spawn(self._initialise_empty_host(host))
 
     def recent_addresses(self) -> list[str]:
         """Returns the addresses of this host and of recently seen hosts."""
@@ -213,12 +216,15 @@
     async def _maintain_cluster(self) -> None:
         if self._may_bootstrap():
             await self._bootstrap()
+        elif self._leads():
+            await self._repair_membership()
         elif self.role.running_node is not None:
-            if self.role.running_node.core.role is Role.LEADER:
-                await self._repair_membership()
-            else:
-                self.not_leader_at = time.monotonic()
-                self.member_report.clear()
+            self.not_leader_at = time.monotonic()
+            self.member_report.clear()
+
+    def _leads(self) -> bool:
+        node = self.role.running_node
+        return node is not None and node.core.role is Role.LEADER
 
     def _is_bootstrap_host(self) -> bool:
         """Whether this host is the one that bootstraps the cluster.
@@ -260,10 +266,11 @@
 
     async def _initialise_host(
         self, address: str, cluster: str, membership: Membership
-    ) -> None:
+    ) -> bool:
+        """Initialises a host; returns whether it has confirmed that."""
         if address == self.settings.advertised_address:
             self.role.initialise(cluster, membership)
-            return
+            return True
         reply = await self.client.call(
             address,
             paths.INIT_PATH,
@@ -275,6 +282,35 @@
             logger.warning(
                 "host_initialise_failed", peer=address, why=str(reply)
             )
+        return isinstance(reply, Ok)
+
+    def _must_initialise(self, host: ControlHost) -> bool:
+        """Whether this host leads and the other one's disk is empty."""
+        return (
+            bool(host.replica)
+            and not host.cluster
+            and host.address not in self.pending_initialisations
+            and self._leads()
+        )
+
+    async def _initialise_empty_host(self, host: ControlHost) -> None:
+        """Lets a host with an empty disk create a replica of this cluster.
+
+        This is repeated with each announcement of the host until it announces
+        that it holds one, whether or not it is a member.
+        """
+        self.pending_initialisations.add(host.address)
+        try:
+            cluster = self.role.storage.identity.cluster
+            done = await self._initialise_host(
+                host.address, cluster, Membership()
+            )
+        finally:
+            self.pending_initialisations.discard(host.address)
+        if done and self.hosts.get(host.address) is host:
+            self.hosts[host.address] = msgspec.structs.replace(
+                host, cluster=cluster
+            )
 
     # Replacement of failed voters.
 
@@ -294,8 +330,6 @@
         )
         if step is None:
             return
-        if step.kind is StepKind.ADD:
-            await self._prepare_host(step)
         membership = apply_step(core.membership, step)
         result = await self.role.running_node.change_membership(
             membership, MEMBERSHIP_STEP_TIMEOUT_SECONDS
@@ -308,14 +342,19 @@
         )
 
     def _available_hosts(self, now: float) -> list[AvailableHost]:
-        """Returns recently announced hosts that have a disk."""
+        """Returns recently announced hosts that hold a replica.
+
+        One that holds none yet would stay a member that can't take part.
+        """
+        cluster = self.role.storage.identity.cluster
         found = []
         for address, host in self.hosts.items():
             is_recent = (
                 now - self.last_received_at[address]
                 < MAX_ANNOUNCEMENT_AGE_SECONDS
             )
-            if host.replica and not host.is_stopped and is_recent:
+            holds_replica = host.cluster == cluster and not host.is_stopped
+            if holds_replica and is_recent:
                 found.append(
                     AvailableHost(ReplicaId(host.replica), address, host.zone)
                 )
@@ -341,12 +380,6 @@
                 lost.add(replica)
         return lost
 
-    async def _prepare_host(self, step: Step) -> None:
-        host = self.hosts.get(step.address)
-        if host is not None and not host.cluster:
-            cluster = self.role.storage.identity.cluster
-            await self._initialise_host(step.address, cluster, Membership())
-
 
 def choose_across_zones(
     hosts: list[ControlHost], wanted: int
