Serve by a configuration only once a leader has confirmed it

Callers saw: 404 on routes that had been added, and requests that ran by an older version, at gateways that had started while there was no quorum.

Class: what a process recovers from its disk is taken for what the fleet has agreed on.

Change: a gateway decides nothing until it has had its first lease, which it gets only with the version that a leader has confirmed. It says that a route or a key is unknown only with a valid lease. Before, a cut-off gateway refused with 404 and 401 what a newer version might have added.

--- a/packages/coordination/src/marjoramyard/coordination/governance/lease.py
+++ b/packages/coordination/src/marjoramyard/coordination/governance/lease.py
@@ -27,6 +27,11 @@
             self.valid_until, sent_at + min(seconds, self.seconds)
         )
 
+    @property
+    def was_granted(self) -> bool:
+        """Whether the lease has ever been granted."""
+        return self.valid_until > float("-inf")
+
     def is_valid(self, now: float) -> bool:
         """Returns whether new requests may be accepted."""
         return now < self.valid_until
--- a/packages/fleet/src/marjoramyard/fleet/gateway/admission.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/admission.py
@@ -151,27 +151,39 @@
         FleetError: The request can't be served; it has not run.
     """
     table = view.table
-    if table is None:
+    if table is None or not view.is_confirmed:
         raise_failure(
             FailureKind.NO_LEASE,
-            "this gateway has no configuration yet; retry shortly",
+            "this gateway has no confirmed configuration yet; retry shortly",
             retry_after=NO_CONFIG_RETRY_SECONDS,
         )
     route = table.route(request.host, request.path)
     if route is None:
+        _check_lease(view)
         raise_failure(
             FailureKind.UNKNOWN_ROUTE,
             "no route matches this host and path; check the configuration",
         )
-    key, workspace = _workspace(request, route, table, names)
-    if workspace is not None and not view.has_valid_lease():
+    if route.open_access or not table.needs_keys:
+        return AdmittedRequest(route, None, "", arrived_at)
+    _check_lease(view)
+    key, workspace = _workspace(request, table, names)
+    return AdmittedRequest(route, workspace, key, arrived_at)
+
+
+def _check_lease(view: FleetView) -> None:
+    """Refuses a request unless the configuration in force is the newest.
+
+    Without a lease, a newer one may have removed the caller's key, or have
+    added the route or the key that this gateway doesn't know.
+    """
+    if not view.has_valid_lease():
         raise_failure(
             FailureKind.NO_LEASE,
-            "the gateway can't reach the control hosts to verify keys; retry "
-            "shortly",
+            "the gateway can't reach the control hosts to verify routes and "
+            "keys; retry shortly",
             retry_after=NO_LEASE_RETRY_SECONDS,
         )
-    return AdmittedRequest(route, workspace, key, arrived_at)
 
 
 def read_caller_request(
@@ -203,10 +215,8 @@
 
 
 def _workspace(
-    request: web.Request, route: Route, table: RouteTable, names: HeaderNames
-) -> tuple[str, Workspace | None]:
-    if route.open_access or not table.needs_keys:
-        return "", None
+    request: web.Request, table: RouteTable, names: HeaderNames
+) -> tuple[str, Workspace]:
     key = request.headers.get(names.api_key, "")
     workspace = table.workspace_of_key(key)
     if workspace is None:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/view.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/view.py
@@ -161,6 +161,16 @@
             service, time.monotonic(), self.table.longest_stream_seconds
         )
 
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether the configuration is as new as a quorum has confirmed.
+
+        A control host that has just started knows only what is in its
+        snapshot. In the lifetime of this process no version is older than the
+        one that was confirmed first.
+        """
+        return self.lease.was_granted
+
     def has_valid_lease(self) -> bool:
         """Whether API keys may be accepted."""
         return self.lease.is_valid(seconds_since_boot())
