Refuse operators' calls at a leader that lost its disk without an exception

Callers saw: status 500 for some 0.7 s at a control host that came back empty. Cause: the others still named its address as the leader's, it took that for itself and called a replica that it doesn't have. Change: what others announce never makes a host the leader; the call waits for another leader and ends with 503.

--- a/packages/fleet/src/marjoramyard/fleet/control/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/role.py
@@ -123,7 +123,8 @@
         """Returns the internal address of the leader; "" if unknown.
 
         A host without a replica, or whose replica knows no leader yet, uses
-        the leader that other hosts announce.
+        the leader that other hosts announce. They may still announce this
+        host after it has lost its disk.
         """
         if self.running_node is not None:
             core = self.running_node.core
@@ -132,7 +133,10 @@
             address = core.membership.addresses.get(core.leader)
             if address:
                 return address
-        return self.cluster_manager.leader_address
+        announced = self.cluster_manager.leader_address
+        return (
+            announced if announced != self.settings.advertised_address else ""
+        )
 
     async def drain(self) -> None:
         """Transfers leadership, so that followers need no election timeout."""
