--- a/packages/coordination/src/marjoramyard/coordination/routing/config.py
+++ b/packages/coordination/src/marjoramyard/coordination/routing/config.py
@@ -64,6 +64,14 @@
     keeps_prefix: bool = False
     resumable: bool = False
 
+    @property
+    def match(self) -> tuple[str, str]:
+        """What requests are matched by: hostname and path prefix.
+
+        Hostnames have no upper or lower case.
+        """
+        return self.hostname.lower(), self.path_prefix
+
     @property
     def weighted_destinations(self) -> tuple[Destination, ...]:
         """The destinations with their weights; at least one."""
@@ -164,12 +172,15 @@
         problems = []
         for route in self.routes:
             label = f"route {route.name!r}"
-            for destination in route.weighted_destinations:
-                if destination.service not in services:
-                    problems.append(
-                        f"{label} names the unknown service "
-                        f"{destination.service!r}; add it or correct the name"
-                    )
+            named = [d.service for d in route.weighted_destinations]
+            if route.service and route.service not in named:
+                named.append(route.service)
+            problems += [
+                f"{label} names the unknown service {service!r}; add it or "
+                "correct the name"
+                for service in named
+                if service not in services
+            ]
             weights = [d.weight for d in route.weighted_destinations]
             if sum(weights) <= 0 or min(weights) < 0:
                 problems.append(
@@ -181,26 +192,25 @@
 
     def _duplicate_route_problems(self) -> list[str]:
         problems = []
-        route_names: dict[tuple[str, str], str] = {}
+        first_routes: dict[tuple[str, str], Route] = {}
         for route in self.routes:
-            match = (route.hostname, route.path_prefix)
-            first = route_names.setdefault(match, route.name)
-            if first is not route.name:
+            first = first_routes.setdefault(route.match, route)
+            if first is not route:
                 problems.append(
-                    f"routes {first!r} and {route.name!r} share hostname and "
-                    "path prefix; change one"
+                    f"routes {first.name!r} and {route.name!r} share hostname "
+                    "and path prefix; change one"
                 )
         return problems
 
     def _key_problems(self) -> list[str]:
         problems = []
-        owners: dict[str, str] = {}
+        owners: dict[str, Workspace] = {}
         for workspace in self.workspaces or ():
             for key in workspace.api_keys:
-                owner = owners.setdefault(key, workspace.name)
-                if owner != workspace.name:
+                owner = owners.setdefault(key, workspace)
+                if owner is not workspace:
                     problems.append(
-                        f"workspaces {owner!r} and {workspace.name!r} share "
-                        "a key; give one of them another"
+                        f"workspaces {owner.name!r} and {workspace.name!r} "
+                        "share a key; give one of them another"
                     )
         return problems
--- a/packages/coordination/src/marjoramyard/coordination/routing/table.py
+++ b/packages/coordination/src/marjoramyard/coordination/routing/table.py
@@ -20,8 +20,8 @@
         self.services: dict[str, Service] = {s.name: s for s in config.services}
         self.routes: dict[str, dict[str, Route]] = {}
         for route in config.routes:
-            host = self.routes.setdefault(route.hostname.lower(), {})
-            host[route.path_prefix] = route
+            hostname, prefix = route.match
+            self.routes.setdefault(hostname, {})[prefix] = route
         self.resumable_services = {
             destination.service
             for route in config.routes
--- a/packages/coordination/tests/routing/test_config.py
+++ b/packages/coordination/tests/routing/test_config.py
@@ -54,6 +54,25 @@
             ),
             "share a key",
         ),
+        (
+            make_config(
+                make_route("a"), make_route("b", hostname="Shop.Example")
+            ),
+            "share host",
+        ),
+        (make_config(make_route(""), make_route("")), "share host"),
+        (
+            make_config(
+                make_route(service="gone", destinations=(Destination("api"),))
+            ),
+            "unknown service",
+        ),
+        (
+            make_config(
+                workspaces=(Workspace("a", ("k",)), Workspace("a", ("k",)))
+            ),
+            "share a key",
+        ),
     ],
 )
 def test_an_invalid_configuration_has_one_problem(config, part):
@@ -71,6 +90,29 @@
     assert config.problems() == []
 
 
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["a.example", "A.example", "a.EXAMPLE", "b"]),
+            st.sampled_from(["/", "/x/", "/X/", "/x/y/"]),
+            st.sampled_from(["", "r", "s"]),
+        ),
+        max_size=5,
+    )
+)
+def test_each_route_of_a_valid_configuration_can_be_reached(drawn):
+    """Guards against a route that is accepted and that another one hides."""
+    routes = [
+        make_route(name, prefix, hostname=hostname)
+        for hostname, prefix, name in drawn
+    ]
+    config = make_config(*routes)
+    table = RouteTable(config)
+    found = [table.route(r.hostname, r.path_prefix + "z") for r in routes]
+    is_valid = all(f is r for f, r in zip(found, routes, strict=True))
+    assert (config.problems() == []) is is_valid
+
+
 def test_the_longest_prefix_wins():
     table = RouteTable(
         make_config(
