Remove a lost voter right after its replacement is promoted

Cause: membership steps were 0.3 s apart. Between promotion and removal there are four voters of which one is lost, so all others are needed: two lost disks in this time end the cluster, one and a slow host stop it. Change: the leader makes the next step at once while one is due.

--- a/packages/fleet/src/marjoramyard/fleet/control/cluster_manager.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/cluster_manager.py
@@ -217,7 +217,10 @@
         if self._may_bootstrap():
             await self._bootstrap()
         elif self._leads():
-            await self._repair_membership()
+            # Between the promotion of a voter and the removal of the lost one
+            # a quorum needs one more voter.
+            while await self._repair_membership():
+                continue
         elif self.role.running_node is not None:
             self.not_leader_at = time.monotonic()
             self.member_report.clear()
@@ -314,7 +317,8 @@
 
     # Replacement of failed voters.
 
-    async def _repair_membership(self) -> None:
+    async def _repair_membership(self) -> bool:
+        """Makes the next change; returns whether another one may follow."""
         now = time.monotonic()
         core = self.role.running_node.core
         lost = self._lost_members(now)
@@ -329,7 +333,7 @@
             {r for r in core.membership.learners if core.is_caught_up(r)},
         )
         if step is None:
-            return
+            return False
         membership = apply_step(core.membership, step)
         result = await self.role.running_node.change_membership(
             membership, MEMBERSHIP_STEP_TIMEOUT_SECONDS
@@ -340,6 +344,7 @@
             replica=step.replica,
             done=isinstance(result, Ok),
         )
+        return isinstance(result, Ok) and self._leads()
 
     def _available_hosts(self, now: float) -> list[AvailableHost]:
         """Returns recently announced hosts that hold a replica.
