Have the soak lose all power, replace lost disks and use added routes

The soak never ended all processes of all roles at once, judged the recovery once, over all kinds of calls together, and skipped a disk loss without a word while not all hosts were voters: so it passed over a lost disk that was not replaced.

--- a/packages/fleet/src/marjoramyard/fleet/control/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/role.py
@@ -134,9 +134,9 @@
             if address:
                 return address
         announced = self.cluster_manager.leader_address
-        return (
-            announced if announced != self.settings.advertised_address else ""
-        )
+        if announced == self.settings.advertised_address:
+            return ""
+        return announced
 
     async def drain(self) -> None:
         """Transfers leadership, so that followers need no election timeout."""
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -16,6 +16,7 @@
     Call,
     Record,
     RouteKind,
+    added_hostname,
     event_count,
     last_event,
 )
@@ -26,6 +27,8 @@
 MEAN_PAUSE_SECONDS = 0.03
 CRASHING_PAUSE_SECONDS = 0.3
 KEY_COUNT = 6
+ADDED_ROUTE_SHARE = 0.5
+"""Share of the plain calls that use the newest route that was added."""
 MAX_RESUMES = 2
 LEAVE_AFTER = 1
 """Events after which a caller leaves a stream that it takes up again."""
@@ -46,6 +49,7 @@
         self.record = record
         self.addresses = addresses
         self.rng = random.Random(seed + 1)
+        self.version_rng = random.Random(f"versions-{seed}")
         self.seed = seed
         self.call_numbers = itertools.count(1)
         self.stopped = False
@@ -87,6 +91,11 @@
         )
         if kind is RouteKind.KEYED:
             call.key = api_key(self.rng.randrange(KEY_COUNT))
+        if kind is RouteKind.PLAIN and self.record.config_changes:
+            # Its own generator leaves the other calls of a seed as they were.
+            if self.version_rng.random() < ADDED_ROUTE_SHARE:
+                changes = self.record.config_changes
+                call.version = max(change.version for change in changes)
         leaves = kind is RouteKind.RESUMABLE_STREAM and self.rng.random() < 0.5
         await self._send_recorded(call, LEAVE_AFTER if leaves else 0)
         if kind is RouteKind.RESUMABLE_STREAM:
@@ -182,7 +191,9 @@
                 the connection; 0 for never.
         """
         headers = {
-            "Host": "shop.example",
+            "Host": added_hostname(call.version)
+            if call.version
+            else "shop.example",
             "Request-Id": call.id,
             "Request-Deadline-Ms": str(int(call.deadline_seconds * 1000)),
             "Prompt-Parts": ",".join(f"{p}:9" for p in (*parts, call.id)),
--- a/tests/soak/checks/configurations.py
+++ b/tests/soak/checks/configurations.py
@@ -2,7 +2,12 @@
 
 from collections.abc import Iterator
 
-from soak.checks.registry import check
+from soak.checks.registry import (
+    UNDISTURBED_SECONDS,
+    check,
+    disturbed,
+    faulted_targets,
+)
 from soak.record import Record
 
 REVOCATION_SECONDS = 5.0
@@ -57,3 +62,36 @@
             f"version {record.final_version} at the end, "
             f"{newest} was acknowledged"
         )
+
+
+@check
+def lost_disks_are_replaced(record: Record) -> Iterator[str]:
+    """All control hosts hold a replica again some seconds after a fault."""
+    if record.is_unreplaced:
+        yield "not all control hosts were voters with the same log"
+
+
+@check
+def added_routes_are_known(record: Record) -> Iterator[str]:
+    """A route is known two seconds after its version was acknowledged.
+
+    Calls during a fault of their gateway or of a control host are ignored.
+    """
+    acknowledged_at = {
+        change.version: change.acknowledged_at
+        for change in record.config_changes
+    }
+    controls = faulted_targets(record, "control")
+    for call in record.calls:
+        if not call.version or call.status != 404:
+            continue
+        due = acknowledged_at[call.version] + CONFIG_PROPAGATION_SECONDS
+        targets = [("gateway", call.gateway), ("soak", 0), *controls]
+        since = call.sent_at - UNDISTURBED_SECONDS
+        if call.sent_at > due and not disturbed(
+            record, since, call.ended_at, *targets
+        ):
+            yield (
+                f"{call.id} got 404 at gateway {call.gateway} for the route of "
+                f"version {call.version}"
+            )
--- a/tests/soak/checks/responses.py
+++ b/tests/soak/checks/responses.py
@@ -12,6 +12,7 @@
 from soak.record import (
     REPEATABLE_KINDS,
     STREAM_KINDS,
+    Call,
     Record,
     versions_of,
     without_versions,
@@ -23,6 +24,10 @@
 """How long after its deadline a response may still end."""
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 MIN_SERVED_SHARE = 0.9
+MIN_WINDOW_SHARE = 0.25
+"""The least share of the calls of one second that are served."""
+MIN_WINDOW_CALLS = 8
+"""Windows with fewer calls of a kind say nothing."""
 
 
 @check
@@ -136,7 +141,8 @@
 def no_unexpected_client_errors(record: Record) -> Iterator[str]:
     """Valid requests get no 4xx status but the "not run" ones.
 
-    Status 401 is expected for a key that was revoked.
+    Status 401 is expected for a key that was revoked. Calls on routes that a
+    version has added: `added_routes_are_known`.
     """
     revoked = {
         key for change in record.config_changes for key in change.revoked_keys
@@ -145,6 +151,8 @@
         is_unexpected = (
             400 <= call.status < 500 and call.status not in NOT_RUN_STATUSES
         )
+        if call.version and call.status == 404:
+            continue
         if is_unexpected and not (call.status == 401 and call.key in revoked):
             yield f"{call.id} ({call.kind.value}) got {call.status}"
 
@@ -167,18 +175,47 @@
 
 
 @check
-def service_recovers(record: Record) -> Iterator[str]:
-    """Callers are served again after the last fault."""
+def every_second_is_served_after_the_recovery(
+    record: Record,
+) -> Iterator[str]:
+    """Calls of each kind are served in each second after the recovery time."""
     due = record.faults_ended_at + RECOVERY_SECONDS
+    windows = defaultdict(list)
+    for call in _calls_after(record, due):
+        windows[int(call.sent_at - due), call.kind].append(call)
+    for (second, kind), calls in sorted(windows.items(), key=str):
+        served = sum(_is_served(call) for call in calls)
+        if len(calls) < MIN_WINDOW_CALLS:
+            continue
+        if served < MIN_WINDOW_SHARE * len(calls):
+            yield (
+                f"{served} of {len(calls)} calls ({kind.value}) served from "
+                f"{second} s after the recovery time on"
+            )
+
+
+def _calls_after(record: Record, due: float) -> list[Call]:
+    """Returns the calls after a time that should be served."""
     revoked = {
         key for change in record.config_changes for key in change.revoked_keys
     }
-    calls = [
+    return [
         call
         for call in record.calls
         if call.sent_at > due and call.key not in revoked and not call.left
     ]
-    served = [call for call in calls if call.is_complete and call.status == 200]
+
+
+def _is_served(call: Call) -> bool:
+    return call.is_complete and call.status == 200
+
+
+@check
+def service_recovers(record: Record) -> Iterator[str]:
+    """Callers are served again after the last fault."""
+    due = record.faults_ended_at + RECOVERY_SECONDS
+    calls = _calls_after(record, due)
+    served = [call for call in calls if _is_served(call)]
     if not calls:
         yield "no request was sent after the recovery"
     elif len(served) < MIN_SERVED_SHARE * len(calls):
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -4,6 +4,8 @@
 import time
 from collections.abc import Awaitable, Callable
 
+import msgspec
+
 from marjoramyard.fleet import paths
 from marjoramyard.fleet.messages import Empty, HostStatus
 from marjoramyard.fleet.util.rpc import InternalClient
@@ -11,7 +13,7 @@
 from soak.callers import Callers
 from soak.fleet import Node, SoakFleet
 from soak.host_faults import HostFaults
-from soak.plan import Fault, FaultKind, Target
+from soak.plan import Fault, FaultKind, PowerLoss, Target
 from soak.record import CRASHING_PART, CRASHING_PREFIX
 
 LINK_DELAY_SECONDS = 0.15
@@ -20,6 +22,10 @@
 BURST_CHANGES = 6
 BURST_INTERVAL_SECONDS = 0.08
 STATUS_TIMEOUT_SECONDS = 0.5
+SYNC_CHECK_INTERVAL_SECONDS = 0.2
+REPLACEMENT_SECONDS = 7.0
+"""Within this time after the last fault all lost disks are replaced: 3 s until
+the fleet counts as undisturbed, and 4 s for the replacement."""
 
 
 class FaultInjector:
@@ -132,6 +138,18 @@
         for span in spans:
             span.ended_at = time.monotonic()
 
+    async def lose_all_power(self, loss: PowerLoss) -> None:
+        """Ends all processes at once, once lost disks have been replaced."""
+        record = self.fleet.record
+        started_at = time.monotonic()
+        while not await self._replicas_are_in_sync():
+            if time.monotonic() - started_at > REPLACEMENT_SECONDS:
+                record.is_unreplaced = True
+                loss = msgspec.structs.replace(loss, lost_disk=None)
+                break
+            await asyncio.sleep(SYNC_CHECK_INTERVAL_SECONDS)
+        await self.fleet.lose_power(loss)
+
     async def _replicas_are_in_sync(self) -> bool:
         """Whether all replicas are voters and have the same, committed log.
 
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -14,7 +14,7 @@
 from marjoramyard.standin.processes import ChildProcess, free_address
 from marjoramyard.standin.relay import Relay, relay_to
 from soak import host_faults
-from soak.plan import FleetSize
+from soak.plan import FleetSize, PowerLoss
 from soak.record import FaultSpan, Record, Shutdown
 
 TESTS = Path(__file__).parents[1]
@@ -194,6 +194,22 @@
         await asyncio.sleep(seconds)
         await node.child.start()
 
+    async def lose_power(self, loss: PowerLoss) -> None:
+        """Ends all processes at once, and starts them again."""
+        nodes = [*self.controls, *self.gateways]
+        spans = [
+            self.begin_fault(node.target, "power", node.number)
+            for node in nodes
+        ]
+        await asyncio.gather(*(node.child.kill() for node in nodes))
+        if loss.lost_disk is not None:
+            folder = self.controls[loss.lost_disk].data_folder
+            shutil.rmtree(folder, ignore_errors=True)
+        await asyncio.sleep(loss.seconds)
+        await asyncio.gather(*(node.child.start() for node in nodes))
+        for span in spans:
+            span.ended_at = time.monotonic()
+
     def set_host_faults(
         self, node: Node, faults: host_faults.HostFaults
     ) -> None:
--- a/tests/soak/operator.py
+++ b/tests/soak/operator.py
@@ -7,11 +7,19 @@
 import aiohttp
 
 from soak.callers import KEY_COUNT, api_key
-from soak.record import ConfigChange, ConfigRead, Record, RouteKind
+from soak.record import (
+    ConfigChange,
+    ConfigRead,
+    Record,
+    RouteKind,
+    added_hostname,
+)
 
 PUT_TIMEOUT_SECONDS = 3.0
 READ_TIMEOUT_SECONDS = 1.2
 READ_INTERVAL_SECONDS = 0.4
+KEPT_VERSIONS = 40
+"""How many versions the route that a version adds is kept."""
 RETRY_INTERVAL_SECONDS = 0.2
 
 REQUEST_KINDS = {
@@ -31,6 +39,7 @@
         self.hosts = hosts
         self.rng = random.Random(seed + 2)
         self.version = 0
+        self.added: list[int] = []
         self.revoked: list[str] = []
         self.stopped = False
         timeout = aiohttp.ClientTimeout(total=PUT_TIMEOUT_SECONDS)
@@ -53,6 +62,10 @@
             }
             for kind in RouteKind
         ]
+        routes += [
+            routes[0] | {"name": f"v{added}", "hostname": added_hostname(added)}
+            for added in self.added[-KEPT_VERSIONS:]
+        ]
         keys = [
             api_key(n)
             for n in range(KEY_COUNT)
@@ -68,6 +81,7 @@
     async def change(self, revoked_key: str = "") -> None:
         """Sends a new version until it is acknowledged or the run ends."""
         self.version += self.rng.choice((1, 1, 3))
+        self.added.append(self.version)
         revoked = [revoked_key] if revoked_key else []
         self.revoked += revoked
         config = self.config()
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -14,6 +14,7 @@
 MEAN_CRASHING_INTERVAL_SECONDS = 6.0
 """Mean interval between requests that crash endpoints, each sent repeatedly."""
 CRASHING_SECONDS = 5.0
+SHARE_WITHOUT_POWER_LOSS = 0.3
 DISK_LOSS_INTERVAL_SECONDS = 9.0
 """Minimum interval between two disk losses, which covers an election and the
 restoring of the lost replica."""
@@ -124,6 +125,28 @@
     seconds: float
 
 
+class PowerLoss(msgspec.Struct, frozen=True):
+    """A loss of power of all processes at once, after all other faults.
+
+    Attributes:
+        seconds: How long they are down.
+        lost_disk: The control host that loses its disk in it; None for none.
+    """
+
+    seconds: float
+    lost_disk: int | None = None
+
+
+def draw_power_loss(seed: int, size: FleetSize) -> PowerLoss | None:
+    """Returns the loss of power that ends the faults of a run, if any."""
+    rng = random.Random(f"power-{seed}")
+    if rng.random() < SHARE_WITHOUT_POWER_LOSS:
+        return None
+    seconds = rng.choice((0.1, 0.7, 1.6))
+    lost_disk = rng.choice((None, rng.randrange(size.controls)))
+    return PowerLoss(seconds, lost_disk)
+
+
 def make_plan(seed: int, seconds: float, size: FleetSize) -> list[Fault]:
     """Returns the faults of a run in the order of their start.
 
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -38,6 +38,8 @@
         resumes: The id of the call that began the stream; "" if this one does.
         after_event: The last event of the stream that the caller has.
         left: Whether the caller closed the connection before the end.
+        version: The configuration that added the route; 0 for a route of all
+            versions.
     """
 
     id: str
@@ -56,6 +58,7 @@
     resumes: str = ""
     after_event: int = 0
     left: bool = False
+    version: int = 0
 
     @property
     def stream_id(self) -> str:
@@ -172,6 +175,7 @@
         faults_ended_at: When the last fault of the plan was over.
         ended_at: The end of the run.
         final_version: The version in force at the end; 0 if not readable.
+        is_unreplaced: Whether a lost disk was not replaced in time.
     """
 
     calls: list[Call] = []
@@ -186,6 +190,7 @@
     faults_ended_at: float = 0.0
     ended_at: float = 0.0
     final_version: int = 0
+    is_unreplaced: bool = False
 
 
 CRASHING_PREFIX = "crash"
@@ -197,6 +202,11 @@
 MAX_EVENTS = 12
 
 
+def added_hostname(version: int) -> str:
+    """Returns the hostname of the route that a version adds."""
+    return f"v{version}.example"
+
+
 def event_count(call_id: str) -> int:
     """Returns the number of events in the stream of a request."""
     return 2 + sum(call_id.encode()) % (MAX_EVENTS - 1)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -17,7 +17,7 @@
 from soak.faults import FaultInjector
 from soak.fleet import SoakFleet, soak_fleet
 from soak.operator import Operator
-from soak.plan import Fault, FleetSize, make_plan
+from soak.plan import Fault, FleetSize, draw_power_loss, make_plan
 from soak.record import FaultSpan, Record
 
 START_TIMEOUT_SECONDS = 40.0
@@ -77,6 +77,8 @@
             calling = tasks.create_task(callers.run(size.callers))
             plan = make_plan(seed, seconds, size)
             await _run_plan(plan, injector)
+            if loss := draw_power_loss(seed, size):
+                await injector.lose_all_power(loss)
             record.faults_ended_at = time.monotonic()
             await asyncio.sleep(RECOVERY_SECONDS + OBSERVATION_SECONDS)
             record.final_version = await _read_final_version(operator)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -237,6 +237,24 @@
     record.calls[0].body = '{"error": {"code": "request_quarantined"}}'
 
 
+def added_route_unknown(record):
+    unknown = call(91, sent_at=108.0, version=3, status=404, body="")
+    record.calls.insert(0, unknown)
+
+
+def lost_disk_not_replaced(record):
+    record.is_unreplaced = True
+
+
+def no_keyed_service_in_one_second(record):
+    for number in range(200, 300):
+        record.calls.append(call(number, sent_at=125.0))
+    for number in range(300, 308):
+        refused = call(number, RouteKind.KEYED, 125.0, key="key-0")
+        refused.status, refused.retry_after, refused.body = 503, "1", ""
+        record.calls.append(refused)
+
+
 VIOLATIONS = {
     response_of_another_request: "complete_responses",
     truncated_stream_reported_complete: "complete_responses",
@@ -266,6 +284,9 @@
     stream_truncated_by_shutdown: "shutdown_truncates_nothing",
     shutdown_with_error_code: "shutdown_truncates_nothing",
     no_service_after_faults: "service_recovers",
+    no_keyed_service_in_one_second: "every_second_is_served_after_the_recovery",
+    added_route_unknown: "added_routes_are_known",
+    lost_disk_not_replaced: "lost_disks_are_replaced",
 }
 
 
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -8,6 +8,7 @@
     FAULTS_BY_TARGET,
     FaultKind,
     FleetSize,
+    draw_power_loss,
     make_plan,
 )
 
@@ -46,3 +47,10 @@
         f.kind for seed in range(40) for f in make_plan(seed, 30.0, FleetSize())
     }
     assert seen == set(FaultKind)
+
+
+def test_power_is_lost_with_and_without_a_disk():
+    found = [draw_power_loss(seed, FleetSize()) for seed in range(60)]
+    lost_disks = {loss.lost_disk for loss in found if loss is not None}
+    assert None in found
+    assert lost_disks == {None, 0, 1, 2}
