Send reports of suspects to the leader that polls have confirmed

Change: a gateway calls the control host that last confirmed to it that it leads, unless that one has just failed, and gives an attempt 0.5 s.

test_the_leader_that_is_known_from_polls_is_called failed before (no such source).

--- a/packages/fleet/src/marjoramyard/fleet/gateway/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/role.py
@@ -28,7 +28,10 @@
 from marjoramyard.fleet.gateway.early_refusal import EarlyRefusal
 from marjoramyard.fleet.gateway.endpoint_notices import EndpointNotices
 from marjoramyard.fleet.gateway.request_handler import RequestHandler
-from marjoramyard.fleet.gateway.suspect_reports import SuspectReports
+from marjoramyard.fleet.gateway.suspect_reports import (
+    ATTEMPT_SECONDS,
+    SuspectReports,
+)
 from marjoramyard.fleet.gateway.suspects import GatewaySuspects
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.fleet.util.control_client import ControlClient
@@ -196,8 +199,12 @@
             view, settings.cold_overrun, settings.cold_slack
         )
         notices = EndpointNotices(view, brokers, dialect.headers.leaving)
+        to_leader = ControlClient(
+            app.client, settings.seed_addresses(), ATTEMPT_SECONDS
+        )
+        to_leader.known_leader = lambda: view.leader_address
         reports = SuspectReports(
-            ControlClient(app.client, settings.seed_addresses()),
+            to_leader,
             app.tasks,
             str(app.incarnation),
             lambda: view.control_addresses,
--- a/packages/fleet/src/marjoramyard/fleet/gateway/suspect_reports.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/suspect_reports.py
@@ -24,6 +24,9 @@
 
 logger = get_logger(__name__)
 
+ATTEMPT_SECONDS = 0.5
+"""Timeout of one attempt. Longer ones to a leader that was cut off would hold
+up the responses that clear harmless requests."""
 HOLD_TIMEOUT_SECONDS = 1.0
 REPORT_SECONDS = 20.0
 """How long a report is sent while no control host leads."""
--- a/packages/fleet/src/marjoramyard/fleet/gateway/view.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/view.py
@@ -95,6 +95,8 @@
         gateway_count: The number of gateways in the fleet.
         gateway_counts: By control host, when it last reported and that number.
         usable_by_service: Cached results for `usable`.
+        leader_address: The control host that last confirmed that it leads; ""
+            before the first.
         on_config: Called after a new configuration has come into force.
         on_lease: Called after the lease has been renewed.
     """
@@ -116,6 +118,7 @@
         self.gateway_counts: dict[str, tuple[float, int]] = {}
         self.control_addresses: set[str] = set()
         self.broker_addresses: list[str] = []
+        self.leader_address = ""
         self.usable_by_service: dict[str, UsableEndpoints] = {}
         self.pending_renewals: dict[int, float] = {}
         self.on_config: list[Callable[[], None]] = []
@@ -186,8 +189,8 @@
         if reply.config is not None:
             self.install(reply.config)
         if reply.confirmed:
+            self.leader_address = source
             self.broker_addresses = reply.brokers
-        if reply.confirmed:
             self._renew_lease(reply.version, sent_at)
         now = time.monotonic()
         self.zones.update(reply.zone_revision, reply.evacuated_zones, now)
--- a/packages/fleet/src/marjoramyard/fleet/util/control_client.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/control_client.py
@@ -39,12 +39,21 @@
     Attributes:
         hosts: The internal addresses of the control hosts.
         leader: The address that the next request is sent to.
+        attempt_seconds: The timeout of one attempt.
+        known_leader: Returns the leader as known from elsewhere; "" if unknown.
     """
 
-    def __init__(self, client: InternalClient, hosts: list[str]):
+    def __init__(
+        self,
+        client: InternalClient,
+        hosts: list[str],
+        attempt_seconds: float = ATTEMPT_SECONDS,
+    ):
         self.client = client
         self.hosts = list(hosts)
         self.leader = random.choice(self.hosts)
+        self.attempt_seconds = attempt_seconds
+        self.known_leader: Callable[[], str] = lambda: ""
 
     def select_another_host(self, failed: str) -> None:
         """Selects another host than the one that failed."""
@@ -57,7 +66,6 @@
         build: Callable[[], Any],
         reply: type[T],
         timeout: float,
-        attempt_seconds: float = ATTEMPT_SECONDS,
     ) -> Result[T, Failure]:
         """Sends a message to the leader until it replies or the time is up.
 
@@ -66,25 +74,28 @@
             build: Returns the message, for each attempt anew.
             reply: The type of the reply.
             timeout: The total time in seconds.
-            attempt_seconds: The time for each attempt in seconds.
 
         Returns:
             The reply, or the failure of the last attempt.
         """
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout
+        failed = ""
         while True:
             seconds_left = deadline - loop.time()
+            if (known := self.known_leader()) not in ("", failed):
+                self.leader = known
             address = self.leader
             result = await self.client.call(
                 address,
                 path,
                 build(),
                 reply,
-                min(attempt_seconds, max(seconds_left, 0.1)),
+                min(self.attempt_seconds, max(seconds_left, 0.1)),
             )
             if isinstance(result, Ok):
                 return result
+            failed = address
             reason = result.err_value
             if reason.kind not in _TRANSIENT:
                 return result
--- a/packages/fleet/tests/util/test_control_client.py
+++ b/packages/fleet/tests/util/test_control_client.py
@@ -1,5 +1,6 @@
 """Tests of the client that finds the control leader."""
 
+import asyncio
 import itertools
 
 from result import Err, Ok
@@ -34,3 +35,46 @@
     )
     assert reply.is_ok()
     assert [message.seconds_ago for message in client.messages] == [0, 1, 2]
+
+
+class ClientOfManyHosts:
+    """Internal calls: the old leader is cut off, one of many others leads."""
+
+    def __init__(self, leader):
+        self.leader = leader
+        self.addresses = []
+
+    async def call(self, address, _path, _message, _reply, timeout):
+        self.addresses.append(address)
+        if address == "old":
+            await asyncio.sleep(timeout)
+            return Err(failure(FailureKind.NO_ENDPOINT, "no reply"))
+        if address != self.leader:
+            return Err(failure(FailureKind.NOT_LEADER, "not the leader"))
+        return Ok(Reply())
+
+
+async def test_the_leader_that_is_known_from_polls_is_called():
+    """Guards against harmless requests that stay refused during a cut."""
+    client = ClientOfManyHosts("h9")
+    hosts = ["old", *(f"h{number}" for number in range(10))]
+    control = ControlClient(client, hosts, attempt_seconds=0.01)
+    control.leader = "old"
+    known = ["old"]
+    control.known_leader = lambda: known[-1]
+    sending = asyncio.create_task(
+        control.command_built_by(lambda: ReportDeath("e1"), 5.0)
+    )
+    await asyncio.sleep(0)
+    known.append("h9")
+    assert (await sending).is_ok()
+    assert client.addresses == ["old", "h9"]
+
+
+async def test_a_known_leader_that_fails_is_not_called_at_once_again():
+    client = ClientOfManyHosts("h0")
+    control = ControlClient(client, ["old", "h0"], attempt_seconds=0.01)
+    control.known_leader = lambda: "old"
+    reply = await control.command_built_by(lambda: ReportDeath("e1"), 5.0)
+    assert reply.is_ok()
+    assert client.addresses == ["old", "h0"]
