Count an initialisation as unfinished from its announcement on

Two announcements in one turn of the event loop caused two calls, of which the second was refused and logged as a failure. Found by reading.

--- a/packages/fleet/src/marjoramyard/fleet/control/cluster_manager.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/cluster_manager.py
@@ -180,6 +180,7 @@
             host.address, host.observed_seconds
         )
         if self._must_initialise(host):
+            self.pending_initialisations.add(host.address)
             self.role.app.tasks.spawn(self._initialise_empty_host(host))
 
     def recent_addresses(self) -> list[str]:
@@ -302,7 +303,6 @@
         This is repeated with each announcement of the host until it announces
         that it holds one, whether or not it is a member.
         """
-        self.pending_initialisations.add(host.address)
         try:
             cluster = self.role.storage.identity.cluster
             done = await self._initialise_host(
--- a/packages/fleet/src/marjoramyard/fleet/control/member_states.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/member_states.py
@@ -35,8 +35,8 @@
         hosts: The last announcement of each other host, by address.
     """
     states = {}
-    for replica, address in membership.addresses.items():
-        host = hosts.get(address)
+    for replica in membership.members:
+        host = hosts.get(membership.addresses.get(replica, ""))
         states[replica] = MemberState.ACTIVE
         if replica in lost:
             states[replica] = MemberState.LOST
