Start a replica that was created while its disk was failing

Found by reading the repair of lost disks: a host remembered an identity that it could not store, and then refused to be initialised again; a replica whose first start failed was never started. Both need a disk that fails just after it was emptied. Two tests failed before.

--- a/packages/fleet/src/marjoramyard/fleet/control/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/role.py
@@ -390,13 +390,22 @@
         return json_response(Empty())
 
     def initialise(self, cluster: str, membership: Membership) -> None:
-        """Creates a replica in the empty data folder and starts it."""
+        """Creates a replica in the empty data folder and starts it.
+
+        Raises:
+            OSError: The folder is still empty.
+        """
         replica = ReplicaId(self.unassigned_replica_id)
         self.storage.create_identity(cluster, replica)
-        if replica in membership.voters:
-            first = Snapshot(1, 1, membership, "")
-            self.storage.save_snapshot(first, HardState(1), [])
-        self.start_node()
+        try:
+            if replica in membership.voters:
+                first = Snapshot(1, 1, membership, "")
+                self.storage.save_snapshot(first, HardState(1), [])
+            self.start_node()
+        except OSError as error:
+            # The replica exists, so no other one may be created here.
+            logger.error("storage_failed", error=str(error))
+            self.app.tasks.spawn(self._restart_when_writable())
 
     async def on_member(self, request: web.Request) -> web.Response:
         """Adds, promotes or removes one member."""
--- a/packages/fleet/src/marjoramyard/fleet/control/storage.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/storage.py
@@ -196,11 +196,16 @@
         return identity
 
     def create_identity(self, cluster: str, replica: ReplicaId) -> None:
-        """Stores the identity of a new replica in an empty folder."""
-        self.identity = Identity(FORMAT_VERSION, cluster, replica)
+        """Stores the identity of a new replica in an empty folder.
+
+        Raises:
+            OSError: The folder is still empty.
+        """
+        identity = Identity(FORMAT_VERSION, cluster, replica)
         replace_file(
-            self.folder / "identity.json", msgspec.json.encode(self.identity)
+            self.folder / "identity.json", msgspec.json.encode(identity)
         )
+        self.identity = identity
 
     # Reading.
 
--- a/packages/fleet/tests/control/test_storage_failure.py
+++ b/packages/fleet/tests/control/test_storage_failure.py
@@ -10,6 +10,7 @@
 from marjoramyard.coordination.consensus.messages import Membership
 from marjoramyard.coordination.governance.commands import ConfigDocument
 from marjoramyard.fleet.control import role as control_role
+from marjoramyard.fleet.control import storage as storage_module
 from marjoramyard.fleet.control.storage import StorageError, open_storage
 from marjoramyard.fleet.messages import InitCluster
 from marjoramyard.fleet.settings import ControlSettings
@@ -21,7 +22,7 @@
 
 
 @pytest.fixture
-async def host(tmp_path, monkeypatch):
+async def empty_host(tmp_path, monkeypatch):
     monkeypatch.setattr(control_role, "_STORAGE_RETRY_SECONDS", 0.01)
     settings = ControlSettings(
         role="control",
@@ -42,22 +43,23 @@
                     tasks=tasks,
                     client=None,
                 )
-                role = control_role.ControlRole(app, storage)
-                replica = ReplicaId(role.unassigned_replica_id)
-                role.initialise(
-                    "cluster",
-                    Membership((replica,), (), {replica: "127.0.0.1:9"}),
-                )
-
-                async def leads():
-                    return role.is_leader()
-
-                await wait_until(leads, "a leader")
-                yield role
+                yield control_role.ControlRole(app, storage)
     finally:
         metrics.close()
 
 
+def first_membership(role):
+    replica = ReplicaId(role.unassigned_replica_id)
+    return Membership((replica,), (), {replica: "127.0.0.1:9"})
+
+
+@pytest.fixture
+async def host(empty_host):
+    empty_host.initialise("cluster", first_membership(empty_host))
+    await wait_until(host_leads(empty_host), "a leader")
+    return empty_host
+
+
 def refuse_writes(storage, monkeypatch):
     def full(*_):
         raise OSError(errno.ENOSPC, "no space left")
@@ -144,3 +146,41 @@
             await host.on_init(SimpleNamespace(read=read))
     await wait_until(host_leads(host), "the replica to restart")
     assert host.cluster_manager.describe().replica == held.replica
+
+
+def fail_once(function):
+    """Returns a function that fails at its first call."""
+    failures = [OSError(errno.ENOSPC, "no space left")]
+
+    def failing(*arguments):
+        if failures:
+            raise failures.pop()
+        return function(*arguments)
+
+    return failing
+
+
+async def test_a_host_is_still_empty_if_its_identity_was_not_stored(
+    empty_host, monkeypatch
+):
+    """Guards against a host that refuses to be initialised for good."""
+    monkeypatch.setattr(
+        storage_module, "replace_file", fail_once(storage_module.replace_file)
+    )
+    membership = first_membership(empty_host)
+    with pytest.raises(OSError, match="no space"):
+        empty_host.initialise("cluster", membership)
+    assert empty_host.cluster_manager.describe().cluster == ""
+    empty_host.initialise("cluster", membership)
+    await wait_until(host_leads(empty_host), "a leader")
+
+
+async def test_a_new_replica_starts_once_its_disk_takes_writes(
+    empty_host, monkeypatch
+):
+    """Guards against a host that holds a replica and never starts it."""
+    storage = empty_host.storage
+    monkeypatch.setattr(storage, "load", fail_once(storage.load))
+    empty_host.initialise("cluster", first_membership(empty_host))
+    assert empty_host.cluster_manager.describe().is_stopped
+    await wait_until(host_leads(empty_host), "a leader")
