Tell requests on routes of different versions apart in a check of the soak

harmless_requests_are_not_quarantined counts answers of all requests of a kind, since they were the same. Requests on routes that a version adds differ by their host. It is as strict as before for each request.

--- a/tests/soak/checks/crashing_requests.py
+++ b/tests/soak/checks/crashing_requests.py
@@ -81,16 +81,20 @@
 def harmless_requests_are_not_quarantined(record: Record) -> Iterator[str]:
     """Requests that endpoints answer are not refused for crashing them.
 
-    All requests of a kind are the same. While none of them has been answered
-    for long, and endpoints end one after the other, they may be the cause.
+    All requests of a kind and a host are the same. While none of them has been
+    answered for long, and endpoints end one after the other, they may be the
+    cause.
     """
     answered = defaultdict(list)
     for call in record.calls:
         if call.status == 200 and call.is_complete:
-            answered[call.kind].append(call.ended_at)
+            answered[call.kind, call.version].append(call.ended_at)
     for call in record.calls:
         if call.status != 503 or "request_quarantined" not in call.body:
             continue
         since = call.sent_at - ANSWERED_SECONDS
-        if any(since < at < call.sent_at for at in answered[call.kind]):
+        if any(
+            since < at < call.sent_at
+            for at in answered[call.kind, call.version]
+        ):
             yield f"{call.id} was refused as one that crashes endpoints"
