--- /dev/null
+++ b/packages/fleet/tests/util/test_lag.py
@@ -0,0 +1,32 @@
+"""Measuring how late the event loop wakes up."""
+
+import asyncio
+
+from structlog.testing import capture_logs
+
+from marjoramyard.fleet.util.lag import INTERVAL_SECONDS, LoopLag
+from marjoramyard.kernel.metrics import Metrics
+
+
+def block_event_loop(seconds):
+    """Keeps the event loop from running."""
+    loop = asyncio.get_running_loop()
+    end = loop.time() + seconds
+    while loop.time() < end:
+        continue
+
+
+async def test_a_late_wake_up_is_logged():
+    metrics = Metrics("gateway", "g")
+    lag = LoopLag(metrics)
+    with capture_logs() as lines:
+        watching = asyncio.create_task(lag.watch())
+        await asyncio.sleep(0)
+        block_event_loop(INTERVAL_SECONDS + 0.3)
+        await asyncio.sleep(0.01)
+        watching.cancel()
+    metrics.close()
+    late = [line for line in lines if line["event"] == "event_loop_late"]
+    assert len(late) == 1
+    assert late[0]["seconds"] >= 0.3
+    assert lag.is_lagging
--- a/packages/kernel/tests/test_metrics.py
+++ b/packages/kernel/tests/test_metrics.py
@@ -3,6 +3,8 @@
 import subprocess
 import sys
 
+from structlog.testing import capture_logs
+
 from marjoramyard.kernel.metrics import OTHER_WORKSPACES, LabelCap, Metrics
 
 
@@ -58,3 +60,14 @@
     )
     done = subprocess.run([sys.executable, "-c", code], check=False)
     assert done.returncode == 0
+
+
+async def test_the_exporter_is_loaded_once_in_the_background():
+    metrics = Metrics("entry", "entry-1")
+    metrics.observe("wait_seconds", 0.3)
+    with capture_logs() as lines:
+        await metrics.load_exporter_in_background()
+        await metrics.load_exporter_in_background()
+    metrics.close()
+    assert [line["event"] for line in lines] == ["metrics_exporter_loaded"]
+    assert lines[0]["kept_values"] == 1
