Let one call of the control client have another time for its attempts

Cause: moved the time of an attempt to the client and took the argument away that two operators' commands pass: TypeError in `cluster replace` and `cluster init`.

Change: the argument is back, with the client's time as its default. The new test failed before with the same TypeError.

--- a/packages/fleet/src/marjoramyard/fleet/util/control_client.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/control_client.py
@@ -66,6 +66,7 @@
         build: Callable[[], Any],
         reply: type[T],
         timeout: float,
+        attempt_seconds: float | None = None,
     ) -> Result[T, Failure]:
         """Sends a message to the leader until it replies or the time is up.
 
@@ -74,12 +75,15 @@
             build: Returns the message, for each attempt anew.
             reply: The type of the reply.
             timeout: The total time in seconds.
+            attempt_seconds: The time for each attempt in seconds; None for
+                that of this client.
 
         Returns:
             The reply, or the failure of the last attempt.
         """
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout
+        attempt_seconds = attempt_seconds or self.attempt_seconds
         failed = ""
         while True:
             seconds_left = deadline - loop.time()
@@ -91,7 +95,7 @@
                 path,
                 build(),
                 reply,
-                min(self.attempt_seconds, max(seconds_left, 0.1)),
+                min(attempt_seconds, max(seconds_left, 0.1)),
             )
             if isinstance(result, Ok):
                 return result
--- a/packages/fleet/tests/util/test_control_client.py
+++ b/packages/fleet/tests/util/test_control_client.py
@@ -78,3 +78,16 @@
     reply = await control.command_built_by(lambda: ReportDeath("e1"), 5.0)
     assert reply.is_ok()
     assert client.addresses == ["old", "h0"]
+
+
+async def test_one_call_may_have_another_time_for_its_attempts():
+    """Guards against operators' commands that change the membership."""
+    client = ClientOfManyHosts("h0")
+    control = ControlClient(client, ["old", "h0"])
+    control.leader = "old"
+    started_at = asyncio.get_running_loop().time()
+    reply = await control.call_leader(
+        "/path", lambda: None, Reply, 5.0, attempt_seconds=0.01
+    )
+    assert reply.is_ok()
+    assert asyncio.get_running_loop().time() - started_at < 1.0
