Show that an acknowledged departure of an engine is lost with its host

Cause: a control program acknowledges an engine's DELETE from its own memory; if it is killed at once, no other host knows of the departure.

--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -130,6 +130,7 @@
         self.born = int(time.time() * 1000)
         self.numbers = itertools.count(1)
         self.state = "ready"
+        self.is_leaving = False
         self.runs: list[tuple[str, float, dict]] = []
         self.respond = None
         self.stopped = threading.Event()
@@ -173,6 +174,21 @@
             self.beat()
             self.stopped.wait(HEARTBEAT_SECONDS)
 
+    def leave(self, machine: Machine) -> int:
+        """Says that the engine leaves, without `draining` before.
+
+        It sends no more pings and goes on serving.
+
+        Returns:
+            The status of the answer.
+        """
+        self.is_leaving = True
+        self.stopped.set()
+        status, _, _ = call(
+            self.fleet.control(machine), "DELETE", f"/v1/endpoints/{self.name}"
+        )
+        return status
+
     def stop(self) -> None:
         """Ends the engine's pings and its server."""
         self.stopped.set()
@@ -205,7 +221,9 @@
         size = int(self.headers.get("Content-Length") or 0)
         body = self.rfile.read(size)
         if self.path == "/healthz":
-            self.answer(200, b"", {"X-Marjoramyard-Instance-Id": engine.name})
+            status = 503 if engine.is_leaving else 200
+            headers = {"X-Marjoramyard-Instance-Id": engine.name}
+            self.answer(status, b"", headers)
             return
         if self.path.startswith("/v1/"):
             self.answer(404, b"", {})
@@ -238,6 +256,8 @@
         for name, value in headers.items():
             self.send_header(name, value)
         self.send_header("Content-Length", str(len(body)))
+        if self.server.engine.is_leaving:
+            self.send_header("Connection", "close")
         self.end_headers()
         self.wfile.write(body)
 
@@ -245,8 +265,15 @@
 class Client(threading.Thread):
     """Sends a request with a key to each gateway in turn, several a second."""
 
-    def __init__(self, fleet: Fleet, gateways: list[Machine], path: str):
+    def __init__(
+        self,
+        fleet: Fleet,
+        gateways: list[Machine],
+        path: str,
+        pause_seconds: float = 0.1,
+    ):
         super().__init__(daemon=True)
+        self.pause_seconds = pause_seconds
         self.fleet = fleet
         self.gateways = gateways
         self.path = path
@@ -256,7 +283,7 @@
     def run(self) -> None:
         """Sends requests until it is stopped."""
         for number in itertools.count(1):
-            if self.stopped.wait(0.1):
+            if self.stopped.wait(self.pause_seconds):
                 return
             gateway = self.gateways[number % len(self.gateways)]
             sent_at = time.monotonic()
@@ -265,7 +292,7 @@
                 "GET",
                 self.path,
                 None,
-                client_headers(f"client-{number}", 1500),
+                client_headers(f"{gateway.name}-{number}", 1500),
                 2.0,
             )
             self.answers.append((sent_at, gateway.name, status))
