--- a/review/harness.py
+++ b/review/harness.py
@@ -213,7 +213,11 @@
             "limits": {"cpu_share": 0.968, "cores": 2, "max_fds": 4100},
             "data_dir": self.data_dir or None,
             "heartbeat_ms": 1200,
-            "fault_tolerance": {"machines": 1, "zones": 0, "regions": 0},
+            "fault_tolerance": {
+                "machines": fleet.losses,
+                "zones": 0,
+                "regions": 0,
+            },
             "bounds": fleet.bounds,
         }
 
@@ -267,6 +271,7 @@
         self.folder = folder
         self.ports = free_ports(hosts, 8)
         self.bounds = BOUNDS | bounds
+        self.losses = 1
         self.machines: list[Machine] = []
         self.seeds: list[str] = []
 
