--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,15 +1,12 @@
-"""All core processes are killed at once while the log holds large configs."""
+"""A machine loses power right after it has acknowledged an engine's leaving."""
 
-import re
-import signal
 import sys
-import threading
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from harness import CaseError, Fleet, Machine, Record, run_case
+from harness import BOUNDS, CaseError, Fleet, Record, run_case
 from stand_ins import (
     Client,
     Engine,
@@ -19,172 +16,124 @@
     wait_until_served,
 )
 
-HOSTS = [f"127.0.0.{number}" for number in range(51, 57)]
-ENGINE_HOST = "127.0.0.57"
+HOSTS = ["127.0.0.21", "127.0.0.22", "127.0.0.23"]
+ENGINE_HOSTS = ["127.0.0.24", "127.0.0.25"]
 ZONE_NAMES = ["zone-a", "zone-b", "zone-c"]
 PATH = "/read/"
-ADDED_ROUTES = 1400
-CHANGES = 98
-MEMORY_MB = 128
-RESTART_SECONDS = 1.0
-READ_SECONDS = 8.0
-BOUNDS = {"contact_ms": 4000, "catch_up_s": 6, "recovery_s": 15}
-"""Those of the site tpl-dakar-now-grown that the case uses."""
-
-
-class Platform(threading.Thread):
-    """Ends processes over their memory, and starts ended ones again."""
-
-    def __init__(self, machines: list[Machine], record: Record):
-        super().__init__(daemon=True)
-        self.machines = machines
-        self.record = record
-        self.most = {machine.name: 0.0 for machine in machines}
-        self.over_limit = {machine.name: 0 for machine in machines}
-        self.ended_at: dict[str, float] = {}
-        self.stopped = threading.Event()
-
-    def run(self) -> None:
-        """Watches the processes until it is stopped."""
-        while not self.stopped.wait(0.01):
-            for machine in self.machines:
-                self._watch(machine)
-
-    def _watch(self, machine: Machine) -> None:
-        now = time.monotonic()
-        if machine.process.poll() is not None:
-            ended_at = self.ended_at.setdefault(machine.name, now)
-            if now - ended_at >= RESTART_SECONDS:
-                del self.ended_at[machine.name]
-                machine.start(bootstrap=False)
-            return
-        used_mb = _own_memory_mb(machine.process.pid)
-        self.most[machine.name] = max(self.most[machine.name], used_mb)
-        if used_mb > MEMORY_MB:
-            machine.send(signal.SIGKILL)
-            machine.process.wait()
-            self.over_limit[machine.name] += 1
-            self.record.write(
-                f"platform: {machine.name} uses {used_mb:.0f} MB, more than "
-                f"memory_mb ({MEMORY_MB}), and is killed"
-            )
-
-
-def _own_memory_mb(process: int) -> float:
-    """Returns the anonymous memory of a process, without its libraries."""
-    try:
-        text = Path(f"/proc/{process}/status").read_text()
-    except OSError:
-        return 0.0
-    found = re.search(r"RssAnon:\s+(\d+) kB", text)
-    return int(found[1]) / 1024 if found else 0.0
+DOWN_SECONDS = 1.0
+LINGER_SECONDS = 14.0
+"""How long the engine serves after its departure was acknowledged: `drain_ms`
+and "at times many seconds"."""
 
 
 def main(record: Record, folder: Path, has_trouble: bool) -> bool:
     """Runs the case; returns whether the rule was broken."""
-    fleet = Fleet(folder, [*HOSTS, ENGINE_HOST], **BOUNDS)
-    fleet.losses = 2
-    fleet.seeds = [f"{host}:{fleet.ports[2]}" for host in HOSTS[:3]]
-    platform = None
+    fleet = Fleet(folder, [*HOSTS, *ENGINE_HOSTS])
+    fleet.seeds = [f"{host}:{fleet.ports[2]}" for host in HOSTS]
     try:
-        controls = [
-            fleet.add("control", host, ZONE_NAMES[n % 3])
-            for n, host in enumerate(HOSTS)
-        ]
-        gateways = [
-            fleet.add("gateway", host, ZONE_NAMES[n % 3])
-            for n, host in enumerate(HOSTS[:3])
-        ]
-        for machine in controls + gateways:
-            machine.start(bootstrap=True)
-        platform = Platform(controls, record)
-        platform.start()
-        return _run(fleet, controls, gateways, platform, record, has_trouble)
+        return _run(fleet, record, has_trouble)
     finally:
-        if platform is not None:
-            platform.stopped.set()
-            platform.join(5.0)
         fleet.end()
 
 
-def _document(version: int) -> dict:
-    """Returns a config with many routes; each version changes one of them."""
-    routes = [route("read", "orders", "idempotent")]
-    routes += [
-        route(
-            f"r-{number:07d}",
-            "orders",
-            "idempotent",
-            hostname=f"host{number % 40}.example",
-            gap_objective_ms=300,
-            keeps_prefix=True,
-            resumable=False,
-        )
-        for number in range(ADDED_ROUTES)
+def _run(fleet: Fleet, record: Record, has_trouble: bool) -> bool:
+    controls = [
+        fleet.add("control", host, zone)
+        for host, zone in zip(HOSTS, ZONE_NAMES, strict=True)
     ]
-    routes[1 + version]["timeout_ms"] = 3000 + version
-    document = config(version, routes, ["orders"])
-    document["workspaces"] += [
-        {"name": f"tenant-{n}", "api_keys": [f"key-{n:016d}"], "priority": 1}
-        for n in range(29)
+    gateways = [
+        fleet.add("gateway", host, zone)
+        for host, zone in zip(HOSTS, ZONE_NAMES, strict=True)
     ]
-    return document
-
-
-def _run(fleet, controls, gateways, platform, record, has_trouble) -> bool:
+    for machine in controls + gateways:
+        machine.start(bootstrap=True)
     operator = Operator(fleet, controls, record)
-    if not operator.put(_document(1), 20.0):
+    routes = [route("read", "orders", "idempotent", max_attempts=2)]
+    if not operator.put(config(1, routes, ["orders"]), 20.0):
         raise CaseError("the first config was not acknowledged")
-    engine = Engine(
-        fleet, controls, "i-00000001", "orders", (ENGINE_HOST, fleet.ports[0])
-    )
+    engines = [
+        Engine(
+            fleet,
+            controls,
+            f"i-0000000{number}",
+            "orders",
+            (host, fleet.ports[0]),
+            zone,
+        )
+        for number, host, zone in zip(
+            (1, 2), ENGINE_HOSTS, ZONE_NAMES, strict=False
+        )
+    ]
     wait_until_served(fleet, gateways, PATH)
-    client = Client(fleet, gateways, PATH)
+    client = Client(fleet, gateways, PATH, 0.03)
     client.start()
-    for version in range(2, CHANGES + 1):
-        if not operator.put(_document(version), 6.0):
-            raise CaseError(f"config {version} was not acknowledged")
-    before_at = time.monotonic()
-    time.sleep(2.0)
-    record.write(f"most memory so far, MB: {_rounded(platform.most)}")
+    time.sleep(BOUNDS["contact_ms"] / 1000 + 2.0)
+
+    leaving, acknowledging = engines[0], 1
+    record.write(f"engine {leaving.name}: {len(leaving.runs)} requests run")
+    status = leaving.leave(controls[acknowledging])
+    acknowledged_at = time.monotonic()
+    if has_trouble:
+        controls[acknowledging].process.kill()
+        gateways[acknowledging].process.kill()
+    record.write(
+        f"engine {leaving.name}: DELETE answered {status} by "
+        f"{controls[acknowledging].name}"
+    )
+    if status != 200:
+        raise CaseError("the departure was not acknowledged")
+    started_at = acknowledged_at
     if has_trouble:
-        for machine in controls:
-            machine.send(signal.SIGKILL)
-        record.write("all core processes are killed; they start again")
-    time.sleep(RESTART_SECONDS + 1.0)
-    back_at = time.monotonic()
-    time.sleep(BOUNDS["recovery_s"])
-    versions = _read_at_the_end(operator, record)
-    end_at = time.monotonic()
+        record.write(f"{HOSTS[acknowledging]} loses power")
+        time.sleep(DOWN_SECONDS)
+        for machine in (controls[acknowledging], gateways[acknowledging]):
+            machine.process.wait()
+            machine.start(bootstrap=False)
+        started_at = time.monotonic()
+        record.write(f"{HOSTS[acknowledging]} is back, with its disk")
+    until = acknowledged_at + LINGER_SECONDS
+    time.sleep(max(0.0, until - time.monotonic()))
     client.stopped.set()
-    before = client.counts(before_at, before_at + 2.0)
-    after = client.counts(back_at + BOUNDS["recovery_s"], end_at)
-    record.write(f"most memory, MB: {_rounded(platform.most)}")
-    record.write(f"ended over the limit: {platform.over_limit}")
-    record.write(f"client: statuses before the disruption {before}")
-    record.write(f"client: statuses after the recovery {after}")
-    engine.stop()
-    is_missing = CHANGES not in versions
-    is_unserved = 4 * after.get(200, 0) < sum(after.values())
-    return is_missing or is_unserved
-
-
-def _rounded(values: dict[str, float]) -> list[int]:
-    return [round(value) for value in values.values()]
-
-
-def _read_at_the_end(operator: Operator, record: Record) -> set[int]:
-    """Reads the config at all control programs; returns the versions read."""
-    versions = set()
-    until = time.monotonic() + READ_SECONDS
-    while time.monotonic() < until:
-        for machine in operator.machines:
-            status, version = operator.read(machine)
-            if status == 200:
-                versions.add(version)
-        time.sleep(0.2)
-    record.write(f"operator: versions read: {sorted(versions) or 'none'}")
-    return versions
+    time.sleep(1.0)
+    return _check(leaving, client, acknowledged_at, started_at, record)
+
+
+def _check(
+    leaving: Engine,
+    client: Client,
+    acknowledged_at: float,
+    started_at: float,
+    record: Record,
+) -> bool:
+    """Returns whether the engine got requests too late from calm machines."""
+    in_touch_at = started_at + BOUNDS["contact_ms"] / 1000 + 0.5
+    late_at = acknowledged_at + BOUNDS["drain_ms"] / 1000
+    counted_from = max(in_touch_at, late_at)
+    record.write(
+        f"requests count from {counted_from - acknowledged_at:.1f} s after "
+        "the acknowledgement: later than drain_ms, and all machines in touch"
+    )
+    late = [
+        (number, at - acknowledged_at)
+        for number, at, _ in leaving.runs
+        if at > late_at
+    ]
+    counted = [
+        (number, seconds)
+        for number, seconds in late
+        if seconds > counted_from - acknowledged_at
+    ]
+    record.write(
+        f"engine {leaving.name}: {len(late)} requests later than drain_ms, "
+        f"{len(counted)} of them count"
+    )
+    for number, seconds in counted[:5] + counted[-2:]:
+        record.write(f"  {number}, {seconds:.2f} s after the acknowledgement")
+    end_at = acknowledged_at + LINGER_SECONDS
+    record.write(
+        f"client: statuses {client.counts(counted_from, end_at)} in that time"
+    )
+    return bool(counted)
 
 
 if __name__ == "__main__":
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# All core processes are killed at once while the log holds large configs.
+# A machine loses power right after it has acknowledged that an engine is gone.
 folder=$(cd "$(dirname "$0")" && pwd)
 exec sh "$folder/../run-case.sh" "$folder"
--- a/review/harness.py
+++ b/review/harness.py
@@ -332,6 +332,8 @@
         folder: The folder of the case.
     """
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    # An exit by an exception lets the processes be ended.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     record = Record(folder / "record.txt")
     if not (ROOT / "target" / "deps" / "marjoramyard").is_dir():
         record.write("not run: target/deps is missing; run deploy/build.sh")
