Log connections that a process ends though it owes them a response

Change: each accepted connection is tracked in front of aiohttp's protocol (fleet/listener.py, with Listener and its site moved out of application.py). It knows whether a part of a request has been read. A connection that the process ends while it owes a response writes `connection_unanswered` and is counted. No connection is closed earlier or later than before.

--- a/packages/fleet/src/marjoramyard/fleet/application.py
+++ b/packages/fleet/src/marjoramyard/fleet/application.py
@@ -4,7 +4,8 @@
 import importlib
 import os
 import signal
-from collections.abc import AsyncIterator, Awaitable, Callable, Collection
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import (
     AbstractAsyncContextManager,
     asynccontextmanager,
@@ -16,6 +17,11 @@
 from aiohttp import web
 from result import Err
 
+from marjoramyard.fleet.listener import (
+    Listener,
+    ListenerSite,
+    ProtocolWrapper,
+)
 from marjoramyard.fleet.util import rpc
 from marjoramyard.fleet.util.tasks import TaskGroup, task_group
 from marjoramyard.kernel.ids import new_incarnation
@@ -68,84 +74,6 @@
 RoleFactory = Callable[["Application"], AbstractAsyncContextManager[Role]]
 
 
-def _is_idle(connection: web.RequestHandler) -> bool:
-    """Whether a connection is idle.
-
-    A connection is not idle once a request has been read, even though its
-    handler starts later, nor while the response is still being written.
-    aiohttp exposes this state in a private attribute only.
-    """
-    waiter = connection._waiter
-    return waiter is not None and not waiter.done()
-
-
-ProtocolWrapper = Callable[
-    [asyncio.Protocol, Callable[[], bool]], asyncio.Protocol
-]
-"""Wraps aiohttp's protocol of a connection. The arguments are that protocol and
-a function that returns whether the connection is idle."""
-
-
-class WrappedSite(web.TCPSite):
-    """A TCP site that wraps the protocol of each connection."""
-
-    def __init__(self, *args, wrapper: ProtocolWrapper, **options):
-        super().__init__(*args, **options)
-        self.wrapper = wrapper
-
-    async def start(self) -> None:
-        """Starts to listen."""
-        await web.BaseSite.start(self)
-        self._server = await asyncio.get_running_loop().create_server(
-            self._connect,
-            self._host,
-            self._port,
-            backlog=self._backlog,
-            reuse_address=self._reuse_address,
-        )
-
-    def _connect(self) -> asyncio.Protocol:
-        protocol = self._runner.server()
-        return self.wrapper(protocol, lambda: _is_idle(protocol))
-
-
-class Listener:
-    """A served address and its connections."""
-
-    def __init__(self, runner: web.AppRunner, site: web.TCPSite):
-        self.runner = runner
-        self.site = site
-
-    @property
-    def open_connections(self) -> int:
-        """The number of open connections."""
-        return len(self.runner.server.connections)
-
-    def close_idle(
-        self, in_use: Collection[web.RequestHandler], limit: int | None = None
-    ) -> int:
-        """Closes idle connections; new ones are still accepted.
-
-        aiohttp's `pre_shutdown` is not used: it stops reading but leaves
-        connections open, so later requests would never get a response.
-
-        Args:
-            in_use: Connections to leave open.
-            limit: The most connections to close, oldest first; None for all.
-
-        Returns:
-            The number of closed connections.
-        """
-        idle = [
-            connection
-            for connection in self.runner.server.connections
-            if connection not in in_use and _is_idle(connection)
-        ]
-        for connection in idle[:limit]:
-            connection.force_close()
-        return len(idle[:limit])
-
-
 class Application:
     """One daemon process.
 
@@ -157,6 +85,8 @@
         secret: The fleet's shared secret; "" if internal calls are not
             authenticated.
         stopping: Set when the process is to stop.
+        stopped_at: When it was told to, on the monotonic clock in seconds;
+            None before.
         role: The running role; None before it has started.
         tasks: Background tasks; they are cancelled at the end.
         client: The client for calls to other processes.
@@ -175,10 +105,23 @@
         if settings.secret_file:
             self.secret = rpc.read_secret(settings.secret_file)
         self.stopping = asyncio.Event()
+        self.stopped_at: float | None = None
         self.role: Role | None = None
         self.tasks: TaskGroup
         self.client: rpc.InternalClient
 
+    def stop(self) -> None:
+        """Makes the process stop; called again, it has no effect."""
+        if self.stopped_at is None:
+            self.stopped_at = time.monotonic()
+        self.stopping.set()
+
+    def stopping_seconds(self) -> float | None:
+        """Returns the seconds since the process was told to stop, if it was."""
+        if self.stopped_at is None:
+            return None
+        return time.monotonic() - self.stopped_at
+
     def load_extension(self, module: str) -> None:
         """Imports an extension module and calls its `setup`."""
         importlib.import_module(module).setup(self)
@@ -211,7 +154,8 @@
             keepalive: Seconds after which an idle connection is closed.
             wrapper: Wraps the protocol of each connection.
         """
-        middlewares = [rpc.render_failures]
+        listener = Listener(address, self.metrics, self.stopping_seconds)
+        middlewares = [listener.log_cut_requests, rpc.render_failures]
         if internal and self.secret:
             middlewares.append(rpc.authentication(self.secret))
         site_app = web.Application(
@@ -235,14 +179,18 @@
         )
         await runner.setup()
         host, port = parse_address(address)
-        options = {"reuse_address": True, "backlog": _BACKLOG}
-        if wrapper is None:
-            site = web.TCPSite(runner, host, port, **options)
-        else:
-            site = WrappedSite(runner, host, port, wrapper=wrapper, **options)
+        site = ListenerSite(
+            runner,
+            listener,
+            host,
+            port,
+            wrapper,
+            reuse_address=True,
+            backlog=_BACKLOG,
+        )
         await site.start()
         try:
-            yield Listener(runner, site)
+            yield listener
         finally:
             await runner.cleanup()
 
@@ -320,7 +268,7 @@
         """Runs the role until SIGTERM or SIGINT, then drains it."""
         loop = asyncio.get_running_loop()
         for signal_number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(signal_number, self.stopping.set)
+            loop.add_signal_handler(signal_number, self.stop)
         loop.add_signal_handler(signal.SIGHUP, self.reload_settings)
         self.load_extension(ROLE_MODULES[self.settings.role])
         for module in self.settings.extensions:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/connections.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/connections.py
@@ -9,7 +9,7 @@
 
 from aiohttp import web
 
-from marjoramyard.fleet.application import Listener
+from marjoramyard.fleet.listener import Listener
 from marjoramyard.kernel.logs import get_logger
 
 logger = get_logger(__name__)
--- a/packages/fleet/src/marjoramyard/fleet/gateway/early_refusal.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/early_refusal.py
@@ -128,7 +128,8 @@
     examined. All other bytes are forwarded unchanged.
 
     Attributes:
-        inner: The HTTP protocol of the connection.
+        inner: The HTTP protocol of the connection. It is detached when a
+            request is forwarded.
         is_idle: Tells whether the HTTP protocol is waiting for a request.
         is_needed: Tells whether requests are to be checked.
         check: Returns the response to a request that is rejected.
@@ -227,8 +228,7 @@
             self.response = self.check(head)
             return
         # The HTTP library must not close the connection as an idle one.
-        self.inner.transport = None
-        self.inner.connection_lost(None)
+        self.inner.detach()
 
     def _forward(self, data: bytes) -> None:
         """Forwards the rest of the request; discards what follows it."""
--- a/packages/fleet/tests/gateway/test_early_refusal.py
+++ b/packages/fleet/tests/gateway/test_early_refusal.py
@@ -8,12 +8,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from marjoramyard.fleet.application import WrappedSite
 from marjoramyard.fleet.gateway.early_refusal import (
     EarlyRefusal,
     parse_head,
     response_bytes,
 )
+from marjoramyard.fleet.listener import Listener, ListenerSite
+from marjoramyard.kernel.metrics import Metrics
 
 REFUSED = response_bytes(web.Response(status=503, text="refused"))
 
@@ -145,7 +146,9 @@
     app.add_routes([web.post("/{path:.*}", echo)])
     runner = web.AppRunner(app)
     await runner.setup()
-    site = WrappedSite(runner, "127.0.0.1", 0, wrapper=wrap)
+    site = ListenerSite(
+        runner, Listener("", Metrics("gateway", "g")), "127.0.0.1", 0, wrap
+    )
     await site.start()
     port = site._server.sockets[0].getsockname()[1]
     connector = aiohttp.TCPConnector(limit=1)
--- a/packages/fleet/tests/gateway/test_kept_connections.py
+++ b/packages/fleet/tests/gateway/test_kept_connections.py
@@ -8,7 +8,6 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from marjoramyard.fleet.application import WrappedSite
 from marjoramyard.fleet.gateway.chunked_body import ChunkedBody
 from marjoramyard.fleet.gateway.early_refusal import EarlyRefusal
 from marjoramyard.fleet.gateway.peer_connections import (
@@ -22,6 +21,8 @@
     ForwardingPlan,
     keeping_request,
 )
+from marjoramyard.fleet.listener import Listener, ListenerSite
+from marjoramyard.kernel.metrics import Metrics
 
 from aiohttp import web  # isort: skip
 
@@ -131,7 +132,13 @@
     gateway = Forwarding(address)
     runner = web.AppRunner(web.Application())
     await runner.setup()
-    site = WrappedSite(runner, "127.0.0.1", 0, wrapper=gateway.wrap)
+    site = ListenerSite(
+        runner,
+        Listener("", Metrics("gateway", "g")),
+        "127.0.0.1",
+        0,
+        gateway.wrap,
+    )
     await site.start()
     async with asyncio.timeout(TIMEOUT_SECONDS):
         yield gateway, site._server.sockets[0].getsockname()[1]
--- a/packages/fleet/tests/gateway/test_peer_forwarding.py
+++ b/packages/fleet/tests/gateway/test_peer_forwarding.py
@@ -5,7 +5,6 @@
 
 import pytest
 
-from marjoramyard.fleet.application import WrappedSite
 from marjoramyard.fleet.gateway.early_refusal import EarlyRefusal, parse_head
 from marjoramyard.fleet.gateway.peer_forwarding import (
     DEADLINE_MARGIN_SECONDS,
@@ -16,6 +15,8 @@
     can_forward,
     closing_request,
 )
+from marjoramyard.fleet.listener import Listener, ListenerSite
+from marjoramyard.kernel.metrics import Metrics
 
 from aiohttp import web  # isort: skip
 
@@ -92,7 +93,13 @@
     gateway = ForwardingGateway(peer_address, **options)
     runner = web.AppRunner(web.Application())
     await runner.setup()
-    site = WrappedSite(runner, "127.0.0.1", 0, wrapper=gateway.wrap)
+    site = ListenerSite(
+        runner,
+        Listener("", Metrics("gateway", "g")),
+        "127.0.0.1",
+        0,
+        gateway.wrap,
+    )
     await site.start()
     port = site._server.sockets[0].getsockname()[1]
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
--- a/packages/fleet/tests/test_listener.py
+++ b/packages/fleet/tests/test_listener.py
@@ -4,8 +4,14 @@
 
 import pytest
 from aiohttp import web
-
-from marjoramyard.fleet.application import Listener
+from structlog.testing import capture_logs
+
+from marjoramyard.fleet.listener import (
+    ConnectionState,
+    Listener,
+    ListenerSite,
+)
+from marjoramyard.kernel.metrics import Metrics
 from marjoramyard.standin.local_fleet import wait_until
 from marjoramyard.standin.processes import free_address
 
@@ -23,9 +29,10 @@
     runner = web.AppRunner(app)
     await runner.setup()
     host, _, port = free_address().rpartition(":")
-    site = web.TCPSite(runner, host, int(port))
+    served = Listener(f"{host}:{port}", Metrics("gateway", "g"))
+    site = ListenerSite(runner, served, host, int(port))
     await site.start()
-    yield Listener(runner, site), host, int(port)
+    yield served, host, int(port)
     await runner.cleanup()
 
 
@@ -34,8 +41,8 @@
     reader, writer = await asyncio.open_connection(host, port)
 
     async def is_idle():
-        (connection,) = listener.runner.server.connections
-        return connection if connection._waiter is not None else None
+        (connection,) = listener.connections.values()
+        return connection if connection.is_waiting else None
 
     return await wait_until(is_idle, "the server's end"), reader, writer
 
@@ -64,3 +71,55 @@
     assert served.close_idle(set()) == 1
     assert await reader.read() == b""
     writer.close()
+
+
+@pytest.fixture
+def lines():
+    with capture_logs() as captured:
+        yield captured
+
+
+async def unanswered(lines):
+    async def is_logged():
+        return [
+            line["state"]
+            for line in lines
+            if line["event"] == "connection_unanswered"
+        ]
+
+    return await wait_until(is_logged, "a line in the log")
+
+
+async def test_a_request_that_is_read_in_part_and_given_up_is_logged(
+    listener, lines
+):
+    """Guards against losing a request without a trace in the log."""
+    served, host, port = listener
+    connection, _, writer = await connect(served, host, port)
+    writer.write(REQUEST[:-4])
+
+    async def is_read():
+        return connection.state is ConnectionState.READING
+
+    await wait_until(is_read, "a part of the request")
+    connection.http.force_close()
+    assert await unanswered(lines) == ["reading"]
+    writer.close()
+
+
+async def test_closing_an_answered_connection_is_not_logged(listener, lines):
+    """Guards against lines that don't show a lost request."""
+    served, host, port = listener
+    connection, reader, writer = await connect(served, host, port)
+    for _ in range(2):
+        writer.write(REQUEST)
+        await reader.readuntil(b"whole")
+    connection.http.force_close()
+    assert await reader.read() == b""
+    writer.close()
+
+    async def is_forgotten():
+        return not served.connections
+
+    await wait_until(is_forgotten, "the end of the connection")
+    assert lines == []
