Show that a listener that closes reads requests that it never answers

The tests serve an address in the test's process and close it as a process that stops does, at each of the first turns of the event loop, while clients send on new and on kept connections. A request that got neither a response nor a reset was read and dropped.

--- /dev/null
+++ b/packages/fleet/tests/test_closing_listeners.py
@@ -0,0 +1,216 @@
+"""Closing a served address while clients press on."""
+
+import asyncio
+import contextlib
+import socket
+
+import pytest
+from aiohttp import web
+
+import marjoramyard.fleet.settings  # noqa: F401  (registers the roles)
+from marjoramyard.fleet.application import Application
+from marjoramyard.kernel.settings import ROLE_SETTINGS
+from marjoramyard.standin.local_fleet import wait_until
+from marjoramyard.standin.processes import free_address
+
+CLIENTS = 12
+TURNS = range(10)
+"""Turns of the event loop after which the listener is closed."""
+TIMEOUT_SECONDS = 10.0
+
+
+def request(path, body=b"?"):
+    head = f"POST {path} HTTP/1.1\r\nHost: h\r\nContent-Length: {len(body)}"
+    return head.encode() + b"\r\n\r\n" + body
+
+
+class Server:
+    """A served address with a fast and a slow route."""
+
+    def __init__(self):
+        self.address = free_address()
+        self.app = Application(
+            ROLE_SETTINGS.get("entry")(
+                role="entry",
+                name="entry-1",
+                zone="a",
+                internal=free_address(),
+                listen=self.address,
+                drain_seconds=8.0,
+            )
+        )
+        self.is_released = asyncio.Event()
+        self.slow_count = 0
+        self.stack = contextlib.AsyncExitStack()
+
+    async def fast(self, received):
+        return web.Response(body=b"whole " + await received.read())
+
+    async def slow(self, received):
+        self.slow_count += 1
+        await self.is_released.wait()
+        return await self.fast(received)
+
+    async def start(self):
+        routes = [web.post("/fast", self.fast), web.post("/slow", self.slow)]
+        serving = self.app.serve(self.address, routes, internal=False)
+        await self.stack.enter_async_context(serving)
+
+    def close(self):
+        """Starts to close the address as a process that stops does."""
+        self.app.stop()
+        return asyncio.create_task(self.stack.aclose())
+
+    def connect(self):
+        """Connects without a turn of the event loop."""
+        host, _, port = self.address.rpartition(":")
+        client = socket.create_connection((host, int(port)))
+        client.setblocking(False)
+        return client
+
+
+@pytest.fixture
+async def server():
+    instance = Server()
+    await instance.start()
+    yield instance
+    instance.is_released.set()
+    await instance.stack.aclose()
+
+
+async def receive(client):
+    """Returns what is received until the end, and whether it was reset."""
+    loop = asyncio.get_running_loop()
+    received = b""
+    async with asyncio.timeout(TIMEOUT_SECONDS):
+        try:
+            while data := await loop.sock_recv(client, 65536):
+                received += data
+        except ConnectionError:
+            return received, True
+    # A request that crossed the close is answered by a reset.
+    await asyncio.sleep(0)
+    return received, client.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) != 0
+
+
+def is_whole(received):
+    return received.startswith(b"HTTP/1.1 ") and received.endswith(b"whole ?")
+
+
+async def start_slow_request(server):
+    client = server.connect()
+    client.sendall(request("/slow"))
+
+    async def is_running():
+        return server.slow_count
+
+    await wait_until(is_running, "a slow request")
+    return client
+
+
+@pytest.mark.parametrize("turns", TURNS)
+async def test_a_request_on_a_new_connection_is_answered_or_not_read(
+    server, turns
+):
+    """Guards against reading and dropping what arrives on a connection that
+    is accepted while its listener closes.
+    """
+    slow = await start_slow_request(server)
+    clients = [server.connect() for _ in range(CLIENTS)]
+    for _ in range(turns):
+        await asyncio.sleep(0)
+    closing = server.close()
+    for client in clients:
+        with contextlib.suppress(ConnectionError):
+            client.sendall(request("/fast"))
+    ends = await asyncio.gather(*map(receive, clients))
+    server.is_released.set()
+    assert [end for end in ends if not end[1] and not end[0]] == []
+    assert is_whole((await receive(slow))[0])
+    await closing
+
+
+@pytest.mark.parametrize("turns", TURNS)
+async def test_a_request_on_a_kept_connection_is_answered_or_not_read(
+    server, turns
+):
+    """Guards against reading and dropping what arrives on a connection that
+    was idle when its listener began to close.
+    """
+    slow = await start_slow_request(server)
+    clients = [server.connect() for _ in range(CLIENTS)]
+    loop = asyncio.get_running_loop()
+    for client in clients:
+        client.sendall(request("/fast"))
+        assert is_whole(await loop.sock_recv(client, 65536))
+    closing = server.close()
+    for _ in range(turns):
+        await asyncio.sleep(0)
+    for client in clients:
+        with contextlib.suppress(ConnectionError):
+            client.sendall(request("/fast"))
+    ends = await asyncio.gather(*map(receive, clients))
+    server.is_released.set()
+    assert [end for end in ends if not end[1] and not end[0]] == []
+    assert is_whole((await receive(slow))[0])
+    await closing
+
+
+async def test_a_slow_request_is_completed_while_the_listener_closes(server):
+    """Guards against cutting a request in progress after a fixed time though
+    the process has time left.
+    """
+    slow = await start_slow_request(server)
+    closing = server.close()
+
+    async def is_refused():
+        try:
+            server.connect().close()
+        except ConnectionRefusedError:
+            return True
+        return False
+
+    await wait_until(is_refused, "the address to be closed")
+    asyncio.get_running_loop().call_later(1.0, server.is_released.set)
+    received, _ = await receive(slow)
+    assert is_whole(received)
+    assert b"connection: close" in received.lower()
+    await closing
+
+
+async def test_a_request_read_in_part_is_answered(server):
+    """Guards against dropping what was read of a request whose rest arrives
+    while the listener closes.
+    """
+    client = server.connect()
+    data = request("/fast", b"x" * 40_000)
+    client.sendall(data[:30])
+    loop = asyncio.get_running_loop()
+    for _ in TURNS:
+        await asyncio.sleep(0)
+    closing = server.close()
+    for _ in TURNS:
+        await asyncio.sleep(0)
+    await loop.sock_sendall(client, data[30:])
+    received, _ = await receive(client)
+    assert received.startswith(b"HTTP/1.1 200")
+    assert received.endswith(b"whole " + b"x" * 40_000)
+    await closing
+
+
+async def test_requests_that_do_not_end_are_answered_in_time(server):
+    """Guards against a process that is killed, or that closes connections
+    without a response, since a request does not end.
+    """
+    server.app.settings.drain_seconds = 1.0
+    slow = await start_slow_request(server)
+    partial = server.connect()
+    partial.sendall(request("/fast")[:30])
+    for _ in TURNS:
+        await asyncio.sleep(0)
+    await server.close()
+    assert server.app.stopping_seconds() < 1.0
+    for client in (slow, partial):
+        received, _ = await receive(client)
+        assert received.startswith(b"HTTP/1.1 503")
+        assert b"connection: close" in received.lower()
