Close connections only while nothing of a request has been read

Cause: a listener was closed by aiohttp's clean-up, which stops reading connections before it closes them. What arrives in between is read and dropped. Idle connections are closed some turns of the event loop later; one that was accepted just before has no handler task that the clean-up can end, and is closed after its full wait. A connection that is being accepted when `asyncio.Server.close` runs stays open, unread, until the process ends. Besides, a request in progress was cancelled after 0.3 s however much time was left, the rest of one read in part was dropped, and a rejected request whose body was still being read counted as an idle connection.

Change: Listener.close is the one way in which all addresses of all roles close. It stops accepting without breaking connections that are being set up, lets each response close its connection, and closes a connection at once when nothing of a request has been read and nothing can be read. Requests in progress and those read in part may take until the time to stop; then they are ended with a response: 503 if the request was not read, 502 with an unknown outcome if it was. A connection that is set up after that is closed unread. A new connection does not count as idle for 0.25 s, as its first request is on its way. All steps count from the signal (Application.ends_at), also a drain.

--- a/packages/fleet/src/marjoramyard/fleet/application.py
+++ b/packages/fleet/src/marjoramyard/fleet/application.py
@@ -42,8 +42,15 @@
 """The module of each role. Only the one in use is imported, to save memory."""
 
 
-_SHUTDOWN_SECONDS = 0.3
-"""How long cancelled handlers may take to end."""
+_SHUTDOWN_SECONDS = 0.1
+"""aiohttp's limit for handlers. None is left when it applies."""
+_DRAIN_SLACK_SECONDS = 0.1
+"""For roles that end draining in time by themselves."""
+_INTERNAL_SECONDS = 0.3
+"""How long internal calls in progress may take to end."""
+EXIT_MARGIN_SECONDS = 0.8
+"""Part of the time to stop that is kept for ending what is left and for the
+exit of the process."""
 _KEEPALIVE_SECONDS = 75.0
 """Longer than most load balancers keep idle connections."""
 _BACKLOG = 512
@@ -116,6 +123,12 @@
             self.stopped_at = time.monotonic()
         self.stopping.set()
 
+    @property
+    def ends_at(self) -> float:
+        """When requests in progress are ended, on the monotonic clock."""
+        seconds = self.settings.stop_seconds - EXIT_MARGIN_SECONDS
+        return self.stopped_at + max(0.0, seconds)
+
     def stopping_seconds(self) -> float | None:
         """Returns the seconds since the process was told to stop, if it was."""
         if self.stopped_at is None:
@@ -155,7 +168,7 @@
             wrapper: Wraps the protocol of each connection.
         """
         listener = Listener(address, self.metrics, self.stopping_seconds)
-        middlewares = [listener.log_cut_requests, rpc.render_failures]
+        middlewares = [listener.track_request, rpc.render_failures]
         if internal and self.secret:
             middlewares.append(rpc.authentication(self.secret))
         site_app = web.Application(
@@ -171,6 +184,7 @@
         if health:
             site_app.add_routes(self._health_routes())
         site_app.add_routes(routes)
+        site_app.on_response_prepare.append(listener.prepare_response)
         runner = web.AppRunner(
             site_app,
             access_log=None,
@@ -192,8 +206,22 @@
         try:
             yield listener
         finally:
+            await listener.close(site, self._close_until(internal))
             await runner.cleanup()
 
+    def _close_until(self, internal: bool) -> float:
+        """Returns until when requests in progress are waited for.
+
+        Internal calls are mostly polls that wait for a change; their clients
+        repeat them at another process.
+        """
+        now = time.monotonic()
+        if self.stopped_at is None:
+            return now
+        if internal:
+            return min(self.ends_at, now + _INTERNAL_SECONDS)
+        return self.ends_at
+
     def _health_routes(self) -> list[web.RouteDef]:
         return [
             web.get("/healthz", self._healthz),
@@ -291,8 +319,9 @@
         logger.info("stopped")
 
     async def _drain(self, work: Awaitable[None]) -> None:
+        seconds = max(0.0, self.ends_at - time.monotonic())
         try:
-            async with asyncio.timeout(self.settings.drain_seconds):
+            async with asyncio.timeout(seconds + _DRAIN_SLACK_SECONDS):
                 await work
         except TimeoutError:
             logger.warning("drain_timed_out")
--- a/packages/fleet/src/marjoramyard/fleet/gateway/connections.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/connections.py
@@ -85,7 +85,7 @@
 
     def close_idle(self) -> None:
         """Closes all idle connections."""
-        self.listener.close_idle(self.busy)
+        self.listener.close_idle()
 
     async def keep_within_limit(self) -> None:
         """Closes the oldest idle connections above the limit."""
@@ -93,7 +93,7 @@
             await asyncio.sleep(CHECK_SECONDS)
             over = self.open_count - self.limit
             if over > 0:
-                closed = self.listener.close_idle(self.busy, over)
+                closed = self.listener.close_idle(over)
                 logger.info(
                     "idle_connections_closed",
                     closed=closed,
--- a/packages/fleet/src/marjoramyard/fleet/gateway/early_refusal.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/early_refusal.py
@@ -9,7 +9,6 @@
 from typing import Protocol
 
 import msgspec
-from aiohttp import web
 
 HEAD_END = b"\r\n\r\n"
 _LENGTH = b"\r\ncontent-length:"
@@ -83,14 +82,6 @@
     return int(text) if text.isdigit() else None
 
 
-def response_bytes(response: web.Response) -> bytes:
-    """Returns the serialized form of a response."""
-    lines = [f"HTTP/1.1 {response.status} {response.reason}"]
-    lines += [f"{name}: {value}" for name, value in response.headers.items()]
-    lines.append(f"Content-Length: {len(response.body)}")
-    return "\r\n".join(lines).encode("latin-1") + HEAD_END + response.body
-
-
 RefusalCheck = Callable[[RequestHead], bytes | None]
 """Returns the complete response to a rejected request, or None."""
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/overload_guard.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/overload_guard.py
@@ -14,10 +14,7 @@
 from marjoramyard.fleet.gateway.broker_clients import BrokerClients
 from marjoramyard.fleet.gateway.demand import GatewayDemand
 from marjoramyard.fleet.gateway.dialect import GatewayDialect
-from marjoramyard.fleet.gateway.early_refusal import (
-    RequestHead,
-    response_bytes,
-)
+from marjoramyard.fleet.gateway.early_refusal import RequestHead
 from marjoramyard.fleet.gateway.peer_connections import PeerConnections
 from marjoramyard.fleet.gateway.peer_forwarding import (
     ForwardedRequest,
@@ -30,6 +27,7 @@
     keeping_request,
 )
 from marjoramyard.fleet.gateway.view import FleetView
+from marjoramyard.fleet.util.raw_responses import response_bytes
 from marjoramyard.fleet.util.rpc import failure_response
 from marjoramyard.kernel.errors import (
     Failure,
--- a/packages/fleet/src/marjoramyard/fleet/gateway/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/role.py
@@ -46,8 +46,6 @@
 BALANCER_NOTICE_SECONDS = 2.6
 """Time for the load balancer, which checks once a second, to miss two readiness
 checks."""
-EXIT_MARGIN_SECONDS = 0.8
-"""Part of the grace period that is kept for closing connections."""
 IDLE_SECONDS = 16.0
 """Keep-alive timeout. Longer than callers keep idle connections (12 s), so that
 the gateway does not close one on which a request is being sent."""
@@ -149,10 +147,10 @@
         they would bring requests until the process is killed.
         """
         loop = asyncio.get_running_loop()
-        started_at = loop.time()
-        end = started_at + self.settings.grace_seconds - EXIT_MARGIN_SECONDS
+        end = self.app.ends_at
         self.handler.stops_at = end
-        await asyncio.sleep(BALANCER_NOTICE_SECONDS)
+        notice_end = self.app.stopped_at + BALANCER_NOTICE_SECONDS
+        await asyncio.sleep(min(notice_end, end) - loop.time())
         self.handler.is_refusing = True
         quiet_polls = 0
         while quiet_polls < QUIET_POLLS and loop.time() < end:
@@ -168,8 +166,8 @@
                 quiet_polls += 1
         logger.info(
             "drained",
-            cut=self.handler.active_count,
-            seconds=round(loop.time() - started_at, 2),
+            in_progress=self.handler.active_count,
+            seconds=round(self.app.stopping_seconds(), 2),
         )
 
 
--- a/packages/fleet/src/marjoramyard/fleet/listener.py
+++ b/packages/fleet/src/marjoramyard/fleet/listener.py
@@ -1,134 +1,41 @@
-"""Served addresses and the state of their connections."""
+"""Served addresses, and how they close.
+
+A process that stops, on whichever of its addresses, keeps one promise: what it
+has read of a request is answered. So a connection is closed only while nothing
+of a request has been read, and never stays open without being read.
+"""
 
 import asyncio
 import time
-from collections.abc import Callable, Collection
-from enum import Enum
-from typing import Protocol
+from collections.abc import Callable
 
 from aiohttp import web
 
+from marjoramyard.fleet.served_connection import (
+    ConnectionState,
+    ServedConnection,
+)
 from marjoramyard.fleet.util.connections import has_input
+from marjoramyard.fleet.util.raw_responses import response_bytes
+from marjoramyard.fleet.util.rpc import failure_response
+from marjoramyard.kernel.errors import FailureKind, Outcome, failure
 from marjoramyard.kernel.logs import get_logger
 from marjoramyard.kernel.metrics import Metrics
 
 logger = get_logger(__name__)
 
-
-class ConnectionState(Enum):
-    """What a connection owes its client."""
-
-    IDLE = "idle"
-    """Nothing of a request has been read."""
-    READING = "reading"
-    """A part of a request has been read."""
-    IN_PROGRESS = "in-progress"
-    """A request has been read, and its response is not complete."""
-
-
-class ConnectionFilter(Protocol):
-    """A protocol in front of the HTTP protocol that may answer by itself.
-
-    Attributes:
-        response: The response that is sent once the rest of the request has
-            been read; None if no request is being answered by the filter.
-    """
-
-    response: bytes | None
-
-
-class ServedConnection(asyncio.Protocol):
-    """An accepted connection, in front of its HTTP protocol.
-
-    aiohttp exposes what a connection waits for in private attributes only.
-
-    Attributes:
-        http: aiohttp's protocol.
-        listener: The listener that accepted the connection.
-        filter: The protocol in front of this one, if any.
-        transport: The connection; None before it is established.
-        payload: The body of the last request whose head was read.
-        request_count: The number of requests when bytes were last read.
-        has_partial_head: Whether a part of the next head has been read.
-        is_closed_by_peer: Whether the client has closed the connection.
-        read_at: When bytes were last read, on the monotonic clock in seconds.
-    """
-
-    def __init__(self, http: web.RequestHandler, listener: "Listener"):
-        self.http = http
-        self.listener = listener
-        self.filter: ConnectionFilter | None = None
-        self.transport: asyncio.Transport | None = None
-        self.payload = None
-        self.request_count = 0
-        self.has_partial_head = False
-        self.is_closed_by_peer = False
-        self.read_at = 0.0
-
-    @property
-    def is_waiting(self) -> bool:
-        """Whether the HTTP protocol is waiting for a request.
-
-        It is not once a request has been read, even though its handler starts
-        later, nor while the response is still being written.
-        """
-        waiter = self.http._waiter
-        return waiter is not None and not waiter.done()
-
-    @property
-    def state(self) -> ConnectionState:
-        """What the connection owes its client."""
-        if self.filter is not None and self.filter.response is not None:
-            return ConnectionState.READING
-        if not self.is_waiting:
-            return ConnectionState.IN_PROGRESS
-        is_known = self.request_count == self.http._request_count
-        if self.has_partial_head and is_known:
-            return ConnectionState.READING
-        return ConnectionState.IDLE
-
-    def detach(self) -> None:
-        """Ends the HTTP protocol without closing the connection."""
-        self.http.transport = None
-        self.http.connection_lost(None)
-        self.listener.connections.pop(self.http, None)
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Called when the connection is established."""
-        self.transport = transport
-        self.listener.connections[self.http] = self
-        self.http.connection_made(transport)
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """Called when the connection is closed."""
-        self.listener.on_connection_lost(self, exc)
-        self.http.connection_lost(exc)
-
-    def data_received(self, data: bytes) -> None:
-        """Called when data is received."""
-        http = self.http
-        starts_head = self.payload is None or self.payload.is_eof()
-        http.data_received(data)
-        self.read_at = time.monotonic()
-        if http._request_count != self.request_count:
-            self.request_count = http._request_count
-            self.payload = http._messages[-1][1] if http._messages else None
-            starts_head = False
-        self.has_partial_head = starts_head
-
-    def eof_received(self) -> bool | None:
-        """Called when the client has closed its sending side."""
-        self.is_closed_by_peer = True
-        return self.http.eof_received()
-
-    def pause_writing(self) -> None:
-        """Called when the transport's buffer is full."""
-        self.http.pause_writing()
-
-    def resume_writing(self) -> None:
-        """Called when the transport's buffer has drained."""
-        self.http.resume_writing()
-
+FIRST_REQUEST_SECONDS = 0.25
+"""How long a new connection without a request does not count as idle: its
+client is about to send one."""
+_TICK_SECONDS = 0.02
+_READ_TICKS = 3
+"""Ticks in which requests that have arrived are read, even without time."""
+_END_TICKS = 10
+"""Ticks in which responses to ended requests are sent. Ticks are counted, as a
+process that gets its processor in turns may sleep through a time."""
+_RETRY_SECONDS = 0.05
+_SET_UP_TURNS = 3
+"""Turns of the event loop after which accepted connections are set up."""
 
 ProtocolWrapper = Callable[
     [asyncio.Protocol, Callable[[], bool]], asyncio.Protocol
@@ -145,6 +52,8 @@
         connections: The connections that the HTTP protocol serves.
         stopping_seconds: Returns the seconds since the process was told to
             stop; None before.
+        is_closing: Whether each response closes its connection.
+        is_closed: Whether new connections are no longer served.
     """
 
     def __init__(
@@ -157,48 +66,130 @@
         self.metrics = metrics
         self.stopping_seconds = stopping_seconds
         self.connections: dict[web.RequestHandler, ServedConnection] = {}
+        self.is_closing = False
+        self.is_closed = False
 
     @property
     def open_connections(self) -> int:
         """The number of open connections that the HTTP protocol serves."""
         return len(self.connections)
 
-    def close_idle(
-        self, in_use: Collection[web.RequestHandler], limit: int | None = None
-    ) -> int:
+    def close_idle(self, limit: int | None = None) -> int:
         """Closes idle connections; new ones are still accepted.
 
-        aiohttp's `pre_shutdown` is not used: it stops reading but leaves
-        connections open, so later requests would never get a response.
+        A connection of which something can be read is left open: the request
+        gets a response.
 
         Args:
-            in_use: Connections to leave open.
             limit: The most connections to close, oldest first; None for all.
 
         Returns:
             The number of closed connections.
         """
-        idle = [
-            connection
-            for connection in self.connections.values()
-            if connection.http not in in_use and connection.is_waiting
-        ]
-        for connection in idle[:limit]:
-            connection.http.force_close()
-        return len(idle[:limit])
+        first_request_since = time.monotonic() - FIRST_REQUEST_SECONDS
+        closed = 0
+        for connection in list(self.connections.values()):
+            if closed == limit:
+                break
+            is_new = not connection.request_count
+            if is_new and connection.made_at > first_request_since:
+                continue
+            closed += self._close_if_idle(connection)
+        return closed
+
+    def _close_if_idle(self, connection: ServedConnection) -> bool:
+        if connection.state is not ConnectionState.IDLE:
+            return False
+        if has_input(connection.transport):
+            return False
+        connection.close()
+        return True
+
+    async def close(self, site: "ListenerSite", until: float) -> None:
+        """Stops accepting connections, and closes them once they owe nothing.
+
+        Requests in progress may take until the given time; those left then are
+        ended with a response. aiohttp's own shutdown is not used: it stops
+        reading connections before it closes them.
+
+        Args:
+            site: Accepts the connections.
+            until: A time on the monotonic clock in seconds.
+        """
+        await site.stop()
+        self.is_closing = True
+        ticks = 0
+        while ticks < _READ_TICKS or time.monotonic() < until:
+            self._close_upgraded()
+            self.close_idle()
+            if not self.connections and not site.http_connections:
+                break
+            await asyncio.sleep(_TICK_SECONDS)
+            ticks += 1
+        self.is_closed = True
+        await self._end_requests(site)
+
+    def _close_upgraded(self) -> None:
+        """Closes WebSockets, on which no request is waiting for a response."""
+        for connection in list(self.connections.values()):
+            if connection.is_upgraded:
+                connection.close()
+
+    async def _end_requests(self, site: "ListenerSite") -> None:
+        """Ends all requests, and closes their connections."""
+        refusal = response_bytes(_closing(failure_response(_NOT_READ)))
+        for _ in range(_END_TICKS):
+            for connection in list(self.connections.values()):
+                if not connection.transport.is_closing():
+                    connection.end_request(refusal)
+            if not self.connections and not site.http_connections:
+                return
+            await asyncio.sleep(_TICK_SECONDS)
+        for connection in list(self.connections.values()):
+            connection.transport.abort()
+        await asyncio.sleep(0)
 
     @web.middleware
-    async def log_cut_requests(
+    async def track_request(
         self, request: web.Request, handler
     ) -> web.StreamResponse:
-        """Logs requests whose handler this process cancels."""
+        """Responds to requests that this process ends."""
+        connection = self.connections.get(request.protocol)
+        if connection is None:
+            return await handler(request)
+        connection.handler_task = asyncio.current_task()
+        connection.has_responded = False
         try:
             return await handler(request)
         except asyncio.CancelledError:
-            connection = self.connections.get(request.protocol)
-            if connection is not None and not connection.is_closed_by_peer:
+            if connection.is_ended and not connection.has_responded:
+                return failure_response(_ENDED)
+            if not connection.is_closed_by_peer:
                 self._log_unanswered(connection, ConnectionState.IN_PROGRESS)
             raise
+        finally:
+            connection.handler_task = None
+
+    async def prepare_response(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        """Called before the head of each response is sent."""
+        connection = self.connections.get(request.protocol)
+        if connection is not None:
+            connection.has_responded = True
+        if self.is_closing:
+            _closing(response)
+
+    def on_connection_made(self, connection: ServedConnection) -> bool:
+        """Adds a connection, unless the listener is closed."""
+        if self.is_closed:
+            return False
+        self.connections[connection.http] = connection
+        return True
+
+    def on_connection_detached(self, connection: ServedConnection) -> None:
+        """Forgets a connection that the HTTP protocol no longer serves."""
+        self.connections.pop(connection.http, None)
 
     def on_connection_lost(
         self, connection: ServedConnection, exc: Exception | None
@@ -207,12 +198,10 @@
         self.connections.pop(connection.http, None)
         if connection.is_closed_by_peer or exc is not None:
             return
-        has_queued = bool(connection.http._messages)
-        if connection.has_partial_head or has_queued:
-            state = ConnectionState.READING
-            if has_queued:
-                state = ConnectionState.IN_PROGRESS
-            self._log_unanswered(connection, state)
+        if connection.has_queued_requests:
+            self._log_unanswered(connection, ConnectionState.IN_PROGRESS)
+        elif connection.has_partial_head:
+            self._log_unanswered(connection, ConnectionState.READING)
 
     def _log_unanswered(
         self, connection: ServedConnection, state: ConnectionState
@@ -233,6 +222,27 @@
         )
 
 
+_NOT_READ = failure(
+    FailureKind.LEAVING,
+    "this process is shutting down and has not read the whole request; send "
+    "it again",
+    retry_after=_RETRY_SECONDS,
+)
+_ENDED = failure(
+    FailureKind.STOPPED,
+    "the process was stopped while it handled the request; check the result "
+    "before sending it again",
+    Outcome.UNKNOWN,
+)
+
+
+def _closing(response: web.StreamResponse) -> web.StreamResponse:
+    """Makes a response close its connection, and say so."""
+    response.headers["Connection"] = "close"
+    response.force_close()
+    return response
+
+
 class ListenerSite(web.TCPSite):
     """A TCP site that tracks its connections and may wrap their protocols."""
 
@@ -260,6 +270,24 @@
             reuse_address=self._reuse_address,
         )
 
+    @property
+    def http_connections(self) -> list[web.RequestHandler]:
+        """Aiohttp's connections; they last until their handlers have ended."""
+        return self._runner.server.connections
+
+    async def stop(self) -> None:
+        """Stops accepting connections.
+
+        `asyncio.Server.close` would break those that are being set up: they
+        would stay open without being read.
+        """
+        loop = asyncio.get_running_loop()
+        for listening in self._server.sockets:
+            loop.remove_reader(listening.fileno())
+        for _ in range(_SET_UP_TURNS):
+            await asyncio.sleep(0)
+        await super().stop()
+
     def _connect(self) -> asyncio.Protocol:
         connection = ServedConnection(self._runner.server(), self.listener)
         if self.wrapper is None:
--- a/packages/fleet/src/marjoramyard/fleet/settings.py
+++ b/packages/fleet/src/marjoramyard/fleet/settings.py
@@ -127,6 +127,11 @@
     cold_slack: float = 5.0
     startup_wait_seconds: float = 0.0
 
+    @property
+    def stop_seconds(self) -> float:
+        """The seconds from the signal to stop to the end of the process."""
+        return min(self.drain_seconds, self.grace_seconds)
+
     def forwarding_address(self) -> str:
         """Returns the address for forwarded requests; "" if there is none."""
         if not self.forwarding_port_offset:
--- a/packages/kernel/src/marjoramyard/kernel/errors.py
+++ b/packages/kernel/src/marjoramyard/kernel/errors.py
@@ -48,6 +48,7 @@
     RETRY_BUDGET_EXHAUSTED = ("retry_budget_spent", 503)
     ENDPOINT_LOST = ("endpoint_lost", 502)
     ENDPOINT_STALLED = ("endpoint_stalled", 504)
+    STOPPED = ("stopped", 502)
     RESPONSE_TRUNCATED = ("answer_cut", 502)
     CANCELLED = ("cancelled", 409)
     UNAUTHENTICATED = ("unauthenticated", 401)
--- a/packages/kernel/src/marjoramyard/kernel/settings.py
+++ b/packages/kernel/src/marjoramyard/kernel/settings.py
@@ -62,6 +62,11 @@
     changeable: ClassVar[tuple[str, ...]] = ()
     """The keys that can change without a restart."""
 
+    @property
+    def stop_seconds(self) -> float:
+        """The seconds from the signal to stop to the end of the process."""
+        return self.drain_seconds
+
     @property
     def advertised_address(self) -> str:
         """The address at which other processes reach this one."""
