Count the time to stop from the signal when the event loop was late

Cause: each step of the shutdown counted from when the event loop first ran after the signal. After a pause, or a long turn of the loop, that is later.

Change: a gateway measures how late its loop is anyway. The signal counts as come when the loop was last on time. A second signal changes nothing.

Result: tests/util/test_lag.py and test_closing_listeners.py have a test each that failed before, as there was no such time.

--- a/packages/fleet/src/marjoramyard/fleet/application.py
+++ b/packages/fleet/src/marjoramyard/fleet/application.py
@@ -94,6 +94,8 @@
         stopping: Set when the process is to stop.
         stopped_at: When it was told to, on the monotonic clock in seconds;
             None before.
+        signalled_before: Returns the earliest time at which a signal that is
+            handled now may have come: the loop may have been late since then.
         role: The running role; None before it has started.
         tasks: Background tasks; they are cancelled at the end.
         client: The client for calls to other processes.
@@ -113,6 +115,7 @@
             self.secret = rpc.read_secret(settings.secret_file)
         self.stopping = asyncio.Event()
         self.stopped_at: float | None = None
+        self.signalled_before: Callable[[], float] = time.monotonic
         self.role: Role | None = None
         self.tasks: TaskGroup
         self.client: rpc.InternalClient
@@ -120,7 +123,7 @@
     def stop(self) -> None:
         """Makes the process stop; called again, it has no effect."""
         if self.stopped_at is None:
-            self.stopped_at = time.monotonic()
+            self.stopped_at = min(time.monotonic(), self.signalled_before())
         self.stopping.set()
 
     @property
--- a/packages/fleet/src/marjoramyard/fleet/gateway/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/role.py
@@ -71,6 +71,7 @@
         handler.closes_connections = self.sheds_connections
         self.connections.forwarded_count = handler.guard.forwarded_count
         handler.is_full = lambda: self.connections.is_full
+        app.signalled_before = handler.context.brokers.lag.up_to_date_until
 
     def is_ready(self) -> bool:
         """Whether there is a configuration and the lease is valid."""
--- a/packages/fleet/src/marjoramyard/fleet/util/lag.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/lag.py
@@ -25,12 +25,14 @@
 
     Attributes:
         late_at: The last late wake-up, on the monotonic clock in seconds.
+        woken_at: The last wake-up, on the monotonic clock in seconds.
         on_wake_up: Called at each wake-up with its lateness in seconds.
     """
 
     def __init__(self, metrics: Metrics):
         self.metrics = metrics
         self.late_at = float("-inf")
+        self.woken_at = time.monotonic()
         self.on_wake_up: list[Callable[[float], None]] = []
 
     @property
@@ -38,12 +40,19 @@
         """Whether the loop was late recently, so that events may be too."""
         return time.monotonic() - self.late_at < LATE_HOLD_SECONDS
 
+    def up_to_date_until(self) -> float:
+        """Returns the time up to which the loop has surely handled events.
+
+        It is the current time, unless the loop is late.
+        """
+        return min(time.monotonic(), self.woken_at + INTERVAL_SECONDS)
+
     async def watch(self) -> None:
         """Measures until cancelled."""
         while True:
             started_at = time.monotonic()
             await asyncio.sleep(INTERVAL_SECONDS)
-            now = time.monotonic()
+            now = self.woken_at = time.monotonic()
             late_seconds = now - started_at - INTERVAL_SECONDS
             self.metrics.observe("loop_late_seconds", late_seconds)
             if late_seconds > LATE_SECONDS:
--- a/packages/fleet/tests/test_closing_listeners.py
+++ b/packages/fleet/tests/test_closing_listeners.py
@@ -227,6 +227,23 @@
         assert b"connection: close" in received.lower()
 
 
+async def test_the_time_to_stop_counts_from_the_signal(server):
+    """Guards against a process that is killed, since its event loop was late
+    when the signal came and each step counts from then.
+    """
+    signalled_at = time.monotonic() - 100.0
+    server.app.signalled_before = lambda: signalled_at
+    server.app.stop()
+    assert server.app.stopped_at == signalled_at
+    server.app.signalled_before = time.monotonic
+    server.app.stop()
+    assert server.app.stopped_at == signalled_at
+    slow = await start_slow_request(server)
+    await server.stack.aclose()
+    received, _ = await receive(slow)
+    assert received.startswith(b"HTTP/1.1 502")
+
+
 async def test_a_rejected_request_is_answered_though_its_connection_waits():
     """Guards against closing a connection as an idle one while the rest of a
     request that is rejected early is still being read.
--- a/packages/fleet/tests/util/test_lag.py
+++ b/packages/fleet/tests/util/test_lag.py
@@ -1,6 +1,7 @@
 """Measuring how late the event loop wakes up."""
 
 import asyncio
+import time
 
 from structlog.testing import capture_logs
 
@@ -30,3 +31,19 @@
     assert len(late) == 1
     assert late[0]["seconds"] >= 0.3
     assert lag.is_lagging
+
+
+async def test_a_late_loop_is_up_to_date_only_until_its_last_wake_up():
+    """Guards against counting the time to stop from when a late event loop
+    handles the signal instead of from the signal.
+    """
+    metrics = Metrics("gateway", "g")
+    lag = LoopLag(metrics)
+    watching = asyncio.create_task(lag.watch())
+    await asyncio.sleep(0)
+    started_at = time.monotonic()
+    assert lag.up_to_date_until() >= started_at
+    block_event_loop(INTERVAL_SECONDS + 0.3)
+    assert lag.up_to_date_until() <= started_at + INTERVAL_SECONDS
+    watching.cancel()
+    metrics.close()
