End a gateway's last requests with a response when its time is over

Cause: what was in hand when the drain ended by its time was cancelled, and so looked like a caller that had left, also in the log. Prompts forwarded to another gateway were not even cancelled: their connections are not among the listener's, and closed with the process.

Change: a request that the listener ends gets 503 `leaving` if it was not sent to an endpoint, and 502 `stopped` with an unknown outcome if it was; the log says so. A stream that has begun is broken off visibly, as before. Forwarded prompts are ended with the responses that they have for a lost gateway.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/overload_guard.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/overload_guard.py
@@ -61,6 +61,7 @@
         peer_count: How many gateways had room for the last prompt that was
             checked.
         forwarding_failures: Responses to forwarded prompts that got none.
+        forwarded: The prompts that are being forwarded.
         on_started: Called when a prompt starts to be forwarded.
         on_ended: Called when a forwarded prompt has ended.
     """
@@ -80,6 +81,7 @@
         self.refused: RequestHead | None = None
         self.peer_count = 0
         self.forwarding_failures = _forwarding_failures(view.dialect)
+        self.forwarded: set[ForwardedRequest] = set()
         self.on_started: Callable[[], None] = lambda: None
         self.on_ended: Callable[[], None] = lambda: None
         brokers.needs_peers = lambda: self.demand.is_checked
@@ -170,6 +172,7 @@
             return None
         plan = self._forwarding_plan(head, route, workspace, peer)
         forwarded = self._send(plan, head, data, caller)
+        self.forwarded.add(forwarded)
         self.peers.on_started(peer)
         self.demand.on_forwarded(workspace, peer)
         self.on_started()
@@ -218,8 +221,14 @@
             workspace,
         )
 
+    def end_forwarded(self) -> None:
+        """Ends all forwarded prompts with a response, as the gateway stops."""
+        for request in list(self.forwarded):
+            request.stop()
+
     def _on_forwarded(self, request: ForwardedRequest, outcome: str) -> None:
         now = asyncio.get_running_loop().time()
+        self.forwarded.discard(request)
         self.peers.on_ended(request.plan.peer)
         if not request.is_sent and outcome == "not-sent":
             self.peers.avoid(request.plan.peer, now)
--- a/packages/fleet/src/marjoramyard/fleet/gateway/peer_forwarding.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/peer_forwarding.py
@@ -256,6 +256,12 @@
         is_complete = self.response.is_complete
         self._end("forwarded" if is_complete else "caller-left", b"")
 
+    def stop(self) -> None:
+        """Ends the request because this gateway stops."""
+        not_sent = self.plan.failures.not_sent
+        response = self.plan.failures.lost if self.is_sent else not_sent
+        self._end("stopped", b"" if self.has_responded else response)
+
     async def _connect(self) -> None:
         """Connects to the peer.
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
@@ -40,13 +40,16 @@
 from marjoramyard.fleet.gateway.request_trace import RequestTrace
 from marjoramyard.fleet.gateway.run_failures import (
     BUSY_RETRY_SECONDS,
+    LEAVING_RETRY_SECONDS,
     deadline_failure,
+    stopped_failure,
     unknown_stream_failure,
 )
 from marjoramyard.fleet.gateway.send_planning import RequestRunContext
 from marjoramyard.fleet.gateway.startup_wait import StartupWait
 from marjoramyard.fleet.gateway.stream_origins import StreamOrigins
 from marjoramyard.fleet.gateway.view import FleetView
+from marjoramyard.fleet.util.connections import has_peer_closed
 from marjoramyard.fleet.util.jitter import jitter
 from marjoramyard.kernel.errors import (
     FailureKind,
@@ -60,8 +63,6 @@
 RETRY_SLACK_SHARE = 0.8
 """Share of the fleet's retry slack that is distributed. The rest covers
 restarted gateways, which get their part twice within a window."""
-LEAVING_RETRY_SECONDS = 0.05
-"""`Retry-After` while draining; the next connection reaches another gateway."""
 
 
 class RequestHandler:
@@ -153,6 +154,15 @@
         except CallerGoneError:
             delivery.abort()
             return delivery.response
+        except asyncio.CancelledError:
+            if has_peer_closed(request.transport):
+                raise
+            outcome = FailureKind.STOPPED.code
+            if delivery.has_started:
+                raise
+            reason = stopped_failure(may_have_run=bool(trace.sends))
+            status, outcome = reason.kind.status, reason.code
+            return render_failure(reason, self.view.dialect)
         finally:
             self._on_ended()
             self._log_request(
--- a/packages/fleet/src/marjoramyard/fleet/gateway/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/role.py
@@ -170,6 +170,7 @@
             in_progress=self.handler.active_count,
             seconds=round(self.app.stopping_seconds(), 2),
         )
+        self.handler.guard.end_forwarded()
 
 
 @asynccontextmanager
--- a/packages/fleet/src/marjoramyard/fleet/gateway/run_failures.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/run_failures.py
@@ -23,6 +23,8 @@
 RESTART_RETRY_SECONDS = 1.0
 """`Retry-After` when no endpoint of a stream's version accepts requests, before
 jitter. One that has crashed starts again within some seconds."""
+LEAVING_RETRY_SECONDS = 0.05
+"""`Retry-After` while draining; the next connection reaches another gateway."""
 MIN_RETRY_SECONDS = 0.15
 """Lower bound of the `Retry-After` of a late request, before jitter."""
 
@@ -153,3 +155,19 @@
         "the deadline passed before the request was sent; it has not run",
         retry_after=jitter(BUSY_RETRY_SECONDS),
     )
+
+
+def stopped_failure(may_have_run: bool) -> Failure:
+    """Returns the failure of a request that the gateway's shutdown ends."""
+    if may_have_run:
+        return failure(
+            FailureKind.STOPPED,
+            "the gateway was stopped while the request ran; check the result "
+            "before sending it again",
+            Outcome.UNKNOWN,
+        )
+    return failure(
+        FailureKind.LEAVING,
+        "this gateway is shutting down; use another one",
+        retry_after=LEAVING_RETRY_SECONDS,
+    )
--- a/packages/fleet/tests/gateway/test_peer_forwarding.py
+++ b/packages/fleet/tests/gateway/test_peer_forwarding.py
@@ -17,6 +17,7 @@
 )
 from marjoramyard.fleet.listener import Listener, ListenerSite
 from marjoramyard.kernel.metrics import Metrics
+from marjoramyard.standin.local_fleet import wait_until
 
 from aiohttp import web  # isort: skip
 
@@ -72,6 +73,7 @@
         plan = ForwardingPlan(self.peer, "id", self.seconds_left, FAILURES)
         forwarded = ForwardedRequest(plan, caller, self.on_end)
         forwarded.send(closing_request(head, data))
+        self.forwarded = forwarded
         return forwarded
 
     def on_end(self, _request, outcome):
@@ -223,6 +225,28 @@
     return parse_head(request_bytes(b"", *headers))
 
 
+async def test_a_forwarded_request_gets_a_response_when_the_gateway_stops():
+    """Guards against closing a caller's connection without a response, as
+    connections of forwarded requests are not among the listener's.
+    """
+    never = asyncio.Event()
+
+    async def respond(_reader, _writer):
+        await never.wait()
+
+    async with forwarding(respond) as (peer, gateway, reader, writer):
+        writer.write(request_bytes(b"x" * 10))
+
+        async def is_sent():
+            return peer.received.endswith(b"x" * 10)
+
+        await wait_until(is_sent, "the request")
+        gateway.forwarded.stop()
+        assert (await reader.read()).startswith(b"HTTP/1.1 502 lost")
+        assert gateway.outcomes == ["stopped"]
+        never.set()
+
+
 def test_requests_with_further_hop_by_hop_headers_are_not_forwarded():
     """Guards against passing on a header that was meant for this hop only."""
     assert can_forward(head_of())
