Exit without taking the interpreter down

Cause: after the last line of the log the interpreter frees its modules and memory. Measured on a gateway with nothing to do, 0.17 of 0.89 s of processor time between start and exit; on a host with half a core that is twice as long, in the time that is kept for closing connections.

Change: once the application has ended, the process exits.

--- a/packages/fleet/src/marjoramyard/fleet/cmd/daemon.py
+++ b/packages/fleet/src/marjoramyard/fleet/cmd/daemon.py
@@ -1,6 +1,7 @@
 """The `marjoramyard` command, which runs a role or checks its settings."""
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
@@ -48,6 +49,9 @@
     loaded = _load_or_exit(settings)
     configure_logs(loaded.log, role=loaded.role, name=loaded.name)
     asyncio.run(_run(loaded, settings))
+    # Everything is closed. Taking the interpreter down as well would cost a
+    # small host part of the time in which it must have stopped.
+    os._exit(0)
 
 
 async def _run(settings: RoleSettings, path: Path) -> None:
