End a drain when nothing is served any more, whoever comes back

Cause: each request started the count of quiet polls again, also those that the drain refuses at once.

Change: only requests that are served prolong a drain.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
@@ -79,7 +79,7 @@
         patience: Tells new callers from those that were refused before.
         startup: Holds requests while the gateway can't serve yet.
         active_count: Requests in progress.
-        started_count: All requests so far.
+        started_count: All requests so far that draining did not refuse.
     """
 
     def __init__(
@@ -171,7 +171,8 @@
 
     def _on_started(self) -> None:
         self.active_count += 1
-        self.started_count += 1
+        if not self.is_refusing:
+            self.started_count += 1
 
     def _on_ended(self) -> None:
         self.active_count -= 1
--- a/packages/fleet/src/marjoramyard/fleet/gateway/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/role.py
@@ -50,8 +50,10 @@
 """Keep-alive timeout. Longer than callers keep idle connections (12 s), so that
 the gateway does not close one on which a request is being sent."""
 QUIET_POLLS = 6
-"""Consecutive polls without a request after which draining ends. Polls are
-counted because a late event loop may have unread requests."""
+"""Consecutive polls without a request that is served after which draining ends.
+Polls are counted because the event loop may be late. Requests that are refused
+don't prolong it: callers that come back at once would make it last until its
+time is over."""
 _DRAIN_POLL_SECONDS = 0.05
 
 
--- a/packages/fleet/tests/gateway/test_request_handler.py
+++ b/packages/fleet/tests/gateway/test_request_handler.py
@@ -4,6 +4,7 @@
 from types import SimpleNamespace
 
 import pytest
+from aiohttp.test_utils import make_mocked_request
 
 from marjoramyard.coordination.routing.config import (
     EngineProfile,
@@ -130,3 +131,17 @@
     with pytest.raises(FleetError) as raised:
         await handler._serve(caller, None, None)
     assert raised.value.failure.kind is FailureKind.STREAM_UNKNOWN
+
+
+@pytest.mark.parametrize("is_refusing", [False, True])
+async def test_requests_that_draining_refuses_do_not_prolong_it(
+    handler, is_refusing
+):
+    """Guards against a drain that callers who come back at once keep from
+    ending before its time is over.
+    """
+    handler.is_refusing = is_refusing
+    response = await handler.handle(make_mocked_request("GET", "/unknown"))
+    assert response.status == (503 if is_refusing else 404)
+    assert handler.started_count == (0 if is_refusing else 1)
+    assert handler.active_count == 0
