Show that a stopping control host reads calls that it never answers

What callers saw: polls of gateways that wait are cut by FIN after 0.6 s, the 0.3 s that the clean-up gives handlers twice. An operator's change that waits for a quorum is cut after 0.7 s, though it may still be applied. The rest of a change whose first part was read before SIGTERM is read and dropped. Heartbeats and departures on connections that are accepted while the address closes are read and dropped, with a FIN at once or after 0.3 s.

Cause, from the code: drain() of the control role only hands leadership over. The clean-up of each address marks its connections as closing, from when the library drops what it reads, and cancels what takes longer than 0.3 s.

No logic is changed. The tests count a request as lost when it was sent in full and its connection ended by FIN with no byte of a response, or by RST more than 0.2 s later.

--- /dev/null
+++ b/tests/test_stopping_control_hosts.py
@@ -0,0 +1,265 @@
+"""A control host that stops answers all that it has read."""
+
+import asyncio
+import contextlib
+import itertools
+import json
+import signal
+
+import pytest
+from gateway_fleet import GatewayFleet, config, wait_until
+from raw_clients import (
+    RawClient,
+    describe,
+    http_request,
+    stop_under,
+    stop_when_late,
+    wait_until_draining,
+)
+
+from marjoramyard.fleet import paths
+
+DRAIN_SECONDS = 4.0
+CONTROL = ("control-0", "control-1", "control-2")
+
+
+class ControlHosts(GatewayFleet):
+    """The control hosts of a fleet."""
+
+    def internal_address(self, number):
+        return f"{self.hosts[number]}:{self.peer_port}"
+
+
+@contextlib.asynccontextmanager
+async def control_hosts(folder):
+    """Starts three control hosts, and yields when each has a configuration."""
+    fleet = ControlHosts(folder)
+    for number, host in enumerate(fleet.hosts):
+        fleet.write_control_settings(
+            number, host, first_start=True, drain_seconds=DRAIN_SECONDS
+        )
+    try:
+        for name in CONTROL:
+            await fleet.start(name)
+        await fleet.put_config(config(1))
+        await wait_until(fleet.control_hosts_are_ready)
+        yield fleet
+    except BaseException:
+        fleet.print_log_ends()
+        raise
+    finally:
+        await fleet.close()
+
+
+async def role_of(fleet, number):
+    url = f"http://{fleet.internal_address(number)}{paths.STATUS_PATH}"
+    async with fleet.session.post(url, data=b"{}") as response:
+        return (await response.json())["role"]
+
+
+async def find_host(fleet, role):
+    """Returns the number of a control host with a role."""
+
+    async def found():
+        roles = [await role_of(fleet, number) for number in range(3)]
+        return [str(n) for n, r in enumerate(roles) if r == role][:1]
+
+    return int((await wait_until(found))[0])
+
+
+def put(path, value, method="PUT", **headers):
+    return http_request(method, path, json.dumps(value).encode(), **headers)
+
+
+def config_changes(versions):
+    return lambda _: put("/fleet-config", config(next(versions)))
+
+
+def zone_orders(zone):
+    methods = itertools.cycle(["PUT", "DELETE"])
+    return lambda _: http_request(next(methods), f"/evacuations/{zone}")
+
+
+def heartbeats(name, **headers):
+    numbers = itertools.count(1)
+
+    def next_request(_):
+        registration = {
+            "endpoint": name,
+            "service": "api",
+            "address": "127.0.0.1:9",
+            "availability_zone": "zone-a",
+            "state": "ready",
+            "sequence": next(numbers),
+            "born": 1,
+        }
+        return put(f"/registrations/{name}", registration, **headers)
+
+    return next_request
+
+
+def heartbeats_and_departures(name):
+    requests = itertools.cycle(
+        [
+            heartbeats(name),
+            lambda _: http_request("DELETE", f"/registrations/{name}"),
+        ]
+    )
+    return lambda last: next(requests)(last)
+
+
+def reads(path):
+    return lambda _: http_request("GET", path)
+
+
+def reads_status():
+    """Reads a host's status, each time on a connection of its own."""
+    return lambda _: put(paths.STATUS_PATH, {}, "POST", Connection="close")
+
+
+def sync_polls(name):
+    """Polls as a gateway does, from the state of the last reply."""
+    state = {"gateway": name, "wait_seconds": 2.0, "fetches_config": True}
+
+    def next_request(last):
+        if last is not None and last.status == 200:
+            reply = json.loads(last.body)
+            for key in ("epoch", "cursor", "version", "zone_revision"):
+                state[key] = reply.get(key, state.get(key, 0))
+            state["unresponsive_revision"] = reply.get(
+                "unresponsive_revision", 0
+            )
+        return put(paths.SYNC_PATH, state, "POST")
+
+    return next_request
+
+
+def endpoint_clients(address):
+    """Returns endpoints, some with a connection for each of their calls."""
+    requests = {
+        **{f"e-{n}": heartbeats(f"e-{n}") for n in range(8)},
+        **{
+            f"c-{n}": heartbeats(f"c-{n}", Connection="close") for n in range(8)
+        },
+        **{f"d-{n}": heartbeats_and_departures(f"d-{n}") for n in range(4)},
+    }
+    return [RawClient(name, address, r) for name, r in requests.items()]
+
+
+def operator_clients(address):
+    """Returns clients of the operators' address, of each kind of call."""
+    requests = {
+        "change": config_changes(itertools.count(2)),
+        "zone-order": zone_orders("zone-x"),
+        "read": reads("/fleet-config"),
+        "read-zones": reads("/evacuations"),
+    }
+    operators = [RawClient(name, address, r) for name, r in requests.items()]
+    return operators + endpoint_clients(address)
+
+
+def internal_clients(address):
+    """Returns clients of the internal address."""
+    requests = {
+        **{f"poll-{n}": sync_polls(f"g-{n}") for n in range(8)},
+        "read-config": lambda _: put(paths.READ_CONFIG_PATH, {}, "POST"),
+        "alive": reads("/healthz"),
+        **{f"status-{n}": reads_status() for n in range(8)},
+        "metrics": reads("/metrics"),
+    }
+    return [RawClient(name, address, r) for name, r in requests.items()]
+
+
+@pytest.mark.parametrize("role", ["leader", "follower"])
+async def test_operators_calls_are_not_read_and_dropped(tmp_path, role):
+    """Operators and endpoints send on while their control host stops."""
+    async with control_hosts(tmp_path) as fleet:
+        number = await find_host(fleet, role)
+        clients = operator_clients(fleet.operator_addresses[number])
+        child = fleet.children[CONTROL[number]]
+        code, lost = await stop_under(child, clients, DRAIN_SECONDS)
+    assert code == 0
+    assert lost == []
+
+
+@pytest.mark.parametrize("role", ["leader", "follower"])
+async def test_internal_calls_are_not_read_and_dropped(tmp_path, role):
+    """Gateways poll on while their control host stops."""
+    async with control_hosts(tmp_path) as fleet:
+        number = await find_host(fleet, role)
+        clients = internal_clients(fleet.internal_address(number))
+        child = fleet.children[CONTROL[number]]
+        code, lost = await stop_under(child, clients, DRAIN_SECONDS)
+    assert code == 0
+    assert lost == []
+
+
+async def wait_until_read(fleet, number):
+    """Waits until a host has read what was sent to it before."""
+
+    async def answers():
+        url = f"http://{fleet.internal_address(number)}/healthz"
+        async with fleet.session.get(url) as response:
+            return response.status == 200
+
+    await wait_until(answers)
+
+
+@pytest.mark.parametrize("role", ["leader", "follower"])
+async def test_a_change_without_a_quorum_is_answered(tmp_path, role):
+    """A control host stops while a change waits for suspended ones.
+
+    Heartbeats arrive until its end.
+    """
+    async with control_hosts(tmp_path) as fleet:
+        number = await find_host(fleet, role)
+        others = [fleet.children[CONTROL[n]] for n in range(3) if n != number]
+        address = fleet.operator_addresses[number]
+        child = fleet.children[CONTROL[number]]
+        operator = RawClient("change", address, config_changes(iter([2])))
+        for other in others:
+            other.suspend()
+        await operator.send()
+        await wait_until_read(fleet, number)
+        receiving = asyncio.create_task(operator.receive())
+        clients = endpoint_clients(address)
+        code, lost = await stop_under(child, clients, DRAIN_SECONDS)
+        await receiving
+        operator.disconnect()
+    assert code == 0
+    assert describe([operator], operator.sent_at) + lost == []
+
+
+@pytest.mark.parametrize("kind", ["operators", "internal"])
+async def test_calls_are_answered_when_a_stopping_host_is_late(tmp_path, kind):
+    """Connections and SIGTERM wait for a control host that was suspended."""
+    async with control_hosts(tmp_path) as fleet:
+        number = await find_host(fleet, "follower")
+        child = fleet.children[CONTROL[number]]
+        if kind == "operators":
+            clients = endpoint_clients(fleet.operator_addresses[number])
+        else:
+            clients = internal_clients(fleet.internal_address(number))
+        code, lost = await stop_when_late(child, clients, DRAIN_SECONDS)
+    assert code == 0
+    assert lost == []
+
+
+async def test_a_change_that_is_being_sent_is_answered(tmp_path):
+    """The rest of a change arrives while its control host stops."""
+    async with control_hosts(tmp_path) as fleet:
+        number = await find_host(fleet, "follower")
+        child = fleet.children[CONTROL[number]]
+        address = fleet.operator_addresses[number]
+        operator = RawClient("change", address, config_changes(iter([2])))
+        await operator.send_part()
+        await wait_until_read(fleet, number)
+        child.signal(signal.SIGTERM)
+        await wait_until_draining(child)
+        await operator.send_rest()
+        async with asyncio.timeout(DRAIN_SECONDS):
+            await operator.receive()
+            code = await child.process.wait()
+        operator.disconnect()
+    assert code == 0
+    assert describe([operator], operator.sent_at) == []
