Show that a stopping entry or agent reads calls that it never answers

What callers saw: requests on connections that are accepted while the callers' address closes are read and dropped, with a FIN at once or after 0.3 s. With a process that was suspended when SIGTERM came, these are all that wait.

Cause: as for control hosts, the clean-up of an address. The drain waits for admitted requests, so that those in progress are answered; a request of which a part was read before SIGTERM is, too.

--- /dev/null
+++ b/tests/test_stopping_entries.py
@@ -0,0 +1,205 @@
+"""Entries and agents that stop answer all that they have read."""
+
+import asyncio
+import json
+import signal
+
+import msgspec
+from callers import open_stream, read_to_end
+from raw_clients import (
+    RawClient,
+    describe,
+    http_request,
+    stop_under,
+    stop_when_late,
+    wait_until_draining,
+)
+
+from marjoramyard.fleet import paths
+from marjoramyard.fleet.messages import (
+    EndpointAnnouncement,
+    FreeSlotsMessage,
+    GrantMessage,
+    OfferMessage,
+)
+from marjoramyard.standin.local_fleet import api_key, start_small_fleet
+
+DRAIN_SECONDS = 10.0
+STREAM_TOKENS = 100
+
+
+async def start_fleet(fleet, bundle):
+    """Starts an entry and an agent with its endpoint, which may stop."""
+    await start_small_fleet(fleet, bundle, control=1, entries=0)
+    await fleet.start_entry("entry-1", drain_seconds=DRAIN_SECONDS)
+    await fleet.start_agent("chat-1", drain_seconds=DRAIN_SECONDS)
+    await fleet.start_endpoint("chat-1", "engine", "chat")
+    await fleet.wait_until_serving("chat-1")
+
+
+def chat_request(**headers):
+    message = {"role": "user", "content": "Which boots?"}
+    body = {"model": "chat", "messages": [message], "max_tokens": 1}
+    return http_request(
+        "POST",
+        "/v1/chat/completions",
+        json.dumps(body).encode(),
+        Authorization=f"Bearer {api_key('counter')}",
+        **headers,
+    )
+
+
+def internal_request(fleet, path, message, **headers):
+    secret = fleet.secret_file.read_text(encoding="utf-8").strip()
+    body = msgspec.json.encode(message)
+    return http_request(
+        "POST", path, body, Authorization=f"Bearer {secret}", **headers
+    )
+
+
+def repeating(name, address, request):
+    return RawClient(name, address, lambda _: request)
+
+
+def callers(fleet, count=8):
+    """Returns callers, half with a connection for each request."""
+    address = fleet.entries["entry-1"]
+    closing = chat_request(Connection="close")
+    return [
+        repeating(f"caller-{n}", address, closing if n % 2 else chat_request())
+        for n in range(count)
+    ]
+
+
+def entry_peers(fleet, count=3):
+    """Returns clients of an entry's internal address."""
+    address = fleet.internal_addresses["entry-1"]
+    grant = GrantMessage("agent-x", "127.0.0.1:9", "chat", "counter", "g")
+    free = FreeSlotsMessage("agent-x", "chat", 0)
+    requests = {
+        "grant": internal_request(fleet, paths.GRANT_PATH, grant),
+        "free": internal_request(
+            fleet, paths.FREE_PATH, free, Connection="close"
+        ),
+        "alive": http_request("GET", "/healthz"),
+        "metrics": http_request("GET", "/metrics", Connection="close"),
+    }
+    return [
+        repeating(f"{name}-{n}", address, request)
+        for name, request in requests.items()
+        for n in range(count)
+    ]
+
+
+def agent_peers(fleet, count=3):
+    """Returns clients of an agent's internal address."""
+    address = fleet.internal_addresses["agent-chat-1"]
+    offer = OfferMessage("entry-x", "127.0.0.1:9", "zone-a", "chat", 1, [])
+    requests = {
+        "offer": internal_request(fleet, paths.OFFER_PATH, offer),
+        "cancel": internal_request(
+            fleet, f"{paths.RUN_PATH}/a-1/cancel", {}, Connection="close"
+        ),
+    }
+    return [
+        repeating(f"{name}-{n}", address, request)
+        for name, request in requests.items()
+        for n in range(count)
+    ]
+
+
+async def announcing_endpoints(fleet, count=6):
+    """Returns clients that announce the agent's endpoint as it does."""
+    address = fleet.announce_addresses["chat-1"]
+    announcement = EndpointAnnouncement(
+        "chat-1", "chat-1~x", fleet.endpoint_addresses["chat-1"], "chat", 4
+    )
+    body = msgspec.json.encode(announcement)
+    requests = [
+        http_request("POST", "/announce", body),
+        http_request("POST", "/announce", body, Connection="close"),
+    ]
+    return [
+        repeating(f"announce-{n}", address, requests[n % 2])
+        for n in range(count)
+    ]
+
+
+async def test_callers_are_answered_while_their_entry_stops(fleet, bundle):
+    """Callers and agents send on while an entry stops."""
+    await start_fleet(fleet, bundle)
+    clients = callers(fleet) + entry_peers(fleet)
+    child = fleet.children["entry-1"]
+    code, lost = await stop_under(child, clients, DRAIN_SECONDS)
+    assert code == 0
+    assert lost == []
+
+
+async def test_callers_are_answered_until_the_last_stream_ends(fleet, bundle):
+    """Callers send on while an entry delivers a stream and then stops."""
+    await start_fleet(fleet, bundle)
+    clients = callers(fleet) + entry_peers(fleet)
+    child = fleet.children["entry-1"]
+    async with open_stream(fleet, max_tokens=STREAM_TOKENS) as response:
+        reading = asyncio.create_task(read_to_end(response))
+        code, lost = await stop_under(child, clients, DRAIN_SECONDS)
+        _, is_truncated = await reading
+    assert code == 0
+    assert lost == []
+    assert not is_truncated
+
+
+async def test_callers_are_answered_when_a_stopping_entry_is_late(
+    fleet, bundle
+):
+    """Connections and SIGTERM wait for an entry that was suspended."""
+    await start_fleet(fleet, bundle)
+    clients = callers(fleet) + entry_peers(fleet)
+    child = fleet.children["entry-1"]
+    code, lost = await stop_when_late(child, clients, DRAIN_SECONDS)
+    assert code == 0
+    assert lost == []
+
+
+async def test_a_request_that_is_being_sent_to_an_entry_is_answered(
+    fleet, bundle
+):
+    """The rest of a request arrives while its entry stops."""
+    await start_fleet(fleet, bundle)
+    caller = callers(fleet, 1)[0]
+    child = fleet.children["entry-1"]
+    await caller.send_part()
+    await fleet.wait_until_healthy(fleet.internal_addresses["entry-1"])
+    child.signal(signal.SIGTERM)
+    await wait_until_draining(child)
+    await caller.send_rest()
+    async with asyncio.timeout(DRAIN_SECONDS):
+        await caller.receive()
+        code = await child.process.wait()
+    caller.disconnect()
+    assert code == 0
+    assert describe([caller], caller.sent_at) == []
+
+
+async def test_an_agents_callers_are_answered_while_it_stops(fleet, bundle):
+    """An endpoint and entries send on while an agent stops after a stream."""
+    await start_fleet(fleet, bundle)
+    clients = await announcing_endpoints(fleet) + agent_peers(fleet)
+    child = fleet.children["agent-chat-1"]
+    async with open_stream(fleet, max_tokens=STREAM_TOKENS) as response:
+        reading = asyncio.create_task(read_to_end(response))
+        code, lost = await stop_under(child, clients, DRAIN_SECONDS)
+        _, is_truncated = await reading
+    assert code == 0
+    assert lost == []
+    assert not is_truncated
+
+
+async def test_an_agents_callers_are_answered_when_it_is_late(fleet, bundle):
+    """Connections and SIGTERM wait for an agent that was suspended."""
+    await start_fleet(fleet, bundle)
+    clients = await announcing_endpoints(fleet) + agent_peers(fleet)
+    child = fleet.children["agent-chat-1"]
+    code, lost = await stop_when_late(child, clients, DRAIN_SECONDS)
+    assert code == 0
+    assert lost == []
