Renew leases too while control hosts stop in the tests

A renewal waits up to 3 s at the leader. By the code the handover of the leader answers all that wait; the test now has four agents that renew.

--- a/tests/test_stopping_control_hosts.py
+++ b/tests/test_stopping_control_hosts.py
@@ -6,6 +6,7 @@
 import json
 import signal
 
+import msgspec
 import pytest
 from gateway_fleet import GatewayFleet, config, wait_until
 from raw_clients import (
@@ -17,7 +18,9 @@
     wait_until_draining,
 )
 
+from marjoramyard.coordination.governance.directory import DirectoryRow
 from marjoramyard.fleet import paths
+from marjoramyard.fleet.messages import RenewReply, RenewRequest
 
 DRAIN_SECONDS = 4.0
 CONTROL = ("control-0", "control-1", "control-2")
@@ -134,6 +137,23 @@
     return next_request
 
 
+def renewals(name):
+    """Renews a lease as an agent does, from the state of the last reply."""
+    row = DirectoryRow(name, "agent", "zone-a", "127.0.0.1:9")
+    state = RenewRequest(row, 0, "", wait_seconds=3.0, order_seen=0)
+
+    def next_request(last):
+        if last is not None and last.status == 200:
+            reply = msgspec.json.decode(last.body, type=RenewReply)
+            state.version, state.chain = reply.version, reply.chain
+            state.suspects_revision = reply.suspects_revision
+        return http_request(
+            "POST", paths.RENEW_PATH, msgspec.json.encode(state)
+        )
+
+    return next_request
+
+
 def endpoint_clients(address):
     """Returns endpoints, some with a connection for each of their calls."""
     requests = {
@@ -162,6 +182,7 @@
     """Returns clients of the internal address."""
     requests = {
         **{f"poll-{n}": sync_polls(f"g-{n}") for n in range(8)},
+        **{f"renew-{n}": renewals(f"a-{n}") for n in range(4)},
         "read-config": lambda _: put(paths.READ_CONFIG_PATH, {}, "POST"),
         "alive": reads("/healthz"),
         **{f"status-{n}": reads_status() for n in range(8)},
@@ -184,7 +205,7 @@
 
 @pytest.mark.parametrize("role", ["leader", "follower"])
 async def test_internal_calls_are_not_read_and_dropped(tmp_path, role):
-    """Gateways poll on while their control host stops."""
+    """Gateways, agents and others call on while a control host stops."""
     async with control_hosts(tmp_path) as fleet:
         number = await find_host(fleet, role)
         clients = internal_clients(fleet.internal_address(number))
