--- /dev/null
+++ b/packages/fleet/src/marjoramyard/fleet/listener.py
@@ -0,0 +1,297 @@
+"""Served addresses, and how they close.
+
+A process that stops, on whichever of its addresses, keeps one promise: what it
+has read of a request is answered. So a connection is closed only while nothing
+of a request has been read, and never stays open without being read.
+"""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from aiohttp import web
+
+from marjoramyard.fleet.served_connection import (
+    ConnectionState,
+    ServedConnection,
+)
+from marjoramyard.fleet.util.connections import has_input
+from marjoramyard.fleet.util.raw_responses import response_bytes
+from marjoramyard.fleet.util.rpc import failure_response
+from marjoramyard.kernel.errors import FailureKind, Outcome, failure
+from marjoramyard.kernel.logs import get_logger
+from marjoramyard.kernel.metrics import Metrics
+
+logger = get_logger(__name__)
+
+FIRST_REQUEST_SECONDS = 0.25
+"""How long a new connection without a request does not count as idle: its
+client is about to send one."""
+_TICK_SECONDS = 0.02
+_READ_TICKS = 3
+"""Ticks in which requests that have arrived are read, even without time."""
+_END_TICKS = 10
+"""Ticks in which responses to ended requests are sent. Ticks are counted, as a
+process that gets its processor in turns may sleep through a time."""
+_RETRY_SECONDS = 0.05
+_SET_UP_TURNS = 3
+"""Turns of the event loop after which accepted connections are set up."""
+
+ProtocolWrapper = Callable[
+    [asyncio.Protocol, Callable[[], bool]], asyncio.Protocol
+]
+"""Wraps the protocol of a connection in a filter. The arguments are that
+protocol and a function that returns whether the connection is idle."""
+
+
+class Listener:
+    """A served address and its connections.
+
+    Attributes:
+        address: IP:PORT, for logs.
+        connections: The connections that the HTTP protocol serves.
+        stopping_seconds: Returns the seconds since the process was told to
+            stop; None before.
+        is_closing: Whether each response closes its connection.
+        is_closed: Whether new connections are no longer served.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        metrics: Metrics,
+        stopping_seconds: Callable[[], float | None] = lambda: None,
+    ):
+        self.address = address
+        self.metrics = metrics
+        self.stopping_seconds = stopping_seconds
+        self.connections: dict[web.RequestHandler, ServedConnection] = {}
+        self.is_closing = False
+        self.is_closed = False
+
+    @property
+    def open_connections(self) -> int:
+        """The number of open connections that the HTTP protocol serves."""
+        return len(self.connections)
+
+    def close_idle(self, limit: int | None = None) -> int:
+        """Closes idle connections; new ones are still accepted.
+
+        A connection of which something can be read is left open: the request
+        gets a response.
+
+        Args:
+            limit: The most connections to close, oldest first; None for all.
+
+        Returns:
+            The number of closed connections.
+        """
+        first_request_since = time.monotonic() - FIRST_REQUEST_SECONDS
+        closed = 0
+        for connection in list(self.connections.values()):
+            if closed == limit:
+                break
+            is_new = not connection.request_count
+            if is_new and connection.made_at > first_request_since:
+                continue
+            closed += self._close_if_idle(connection)
+        return closed
+
+    def _close_if_idle(self, connection: ServedConnection) -> bool:
+        if connection.state is not ConnectionState.IDLE:
+            return False
+        if has_input(connection.transport):
+            return False
+        connection.close()
+        return True
+
+    async def close(self, site: "ListenerSite", until: float) -> None:
+        """Stops accepting connections, and closes them once they owe nothing.
+
+        Requests in progress may take until the given time; those left then are
+        ended with a response. aiohttp's own shutdown is not used: it stops
+        reading connections before it closes them.
+
+        Args:
+            site: Accepts the connections.
+            until: A time on the monotonic clock in seconds.
+        """
+        await site.stop()
+        self.is_closing = True
+        ticks = 0
+        while ticks < _READ_TICKS or time.monotonic() < until:
+            self._close_upgraded()
+            self.close_idle()
+            if not self.connections and not site.http_connections:
+                break
+            await asyncio.sleep(_TICK_SECONDS)
+            ticks += 1
+        self.is_closed = True
+        await self._end_requests(site)
+
+    def _close_upgraded(self) -> None:
+        """Closes WebSockets, on which no request is waiting for a response."""
+        for connection in list(self.connections.values()):
+            if connection.is_upgraded:
+                connection.close()
+
+    async def _end_requests(self, site: "ListenerSite") -> None:
+        """Ends all requests, and closes their connections."""
+        refusal = response_bytes(_closing(failure_response(_NOT_READ)))
+        for _ in range(_END_TICKS):
+            for connection in list(self.connections.values()):
+                if not connection.transport.is_closing():
+                    connection.end_request(refusal)
+            if not self.connections and not site.http_connections:
+                return
+            await asyncio.sleep(_TICK_SECONDS)
+        for connection in list(self.connections.values()):
+            connection.transport.abort()
+        await asyncio.sleep(0)
+
+    @web.middleware
+    async def track_request(
+        self, request: web.Request, handler
+    ) -> web.StreamResponse:
+        """Responds to requests that this process ends."""
+        connection = self.connections.get(request.protocol)
+        if connection is None:
+            return await handler(request)
+        connection.handler_task = asyncio.current_task()
+        connection.has_responded = False
+        try:
+            return await handler(request)
+        except asyncio.CancelledError:
+            if connection.is_ended and not connection.has_responded:
+                return failure_response(_ENDED)
+            if not connection.is_closed_by_peer:
+                self._log_unanswered(connection, ConnectionState.IN_PROGRESS)
+            raise
+        finally:
+            connection.handler_task = None
+
+    async def prepare_response(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        """Called before the head of each response is sent."""
+        connection = self.connections.get(request.protocol)
+        if connection is not None:
+            connection.has_responded = True
+        if self.is_closing:
+            _closing(response)
+
+    def on_connection_made(self, connection: ServedConnection) -> bool:
+        """Adds a connection, unless the listener is closed."""
+        if self.is_closed:
+            return False
+        self.connections[connection.http] = connection
+        return True
+
+    def on_connection_detached(self, connection: ServedConnection) -> None:
+        """Forgets a connection that the HTTP protocol no longer serves."""
+        self.connections.pop(connection.http, None)
+
+    def on_connection_lost(
+        self, connection: ServedConnection, exc: Exception | None
+    ) -> None:
+        """Forgets a connection; logs it if it was closed with bytes read."""
+        self.connections.pop(connection.http, None)
+        if connection.is_closed_by_peer or exc is not None:
+            return
+        if connection.has_queued_requests:
+            self._log_unanswered(connection, ConnectionState.IN_PROGRESS)
+        elif connection.has_partial_head:
+            self._log_unanswered(connection, ConnectionState.READING)
+
+    def _log_unanswered(
+        self, connection: ServedConnection, state: ConnectionState
+    ) -> None:
+        """Logs that this process ends a connection that it owes a response."""
+        transport = connection.transport
+        has_unread = not transport.is_closing() and has_input(transport)
+        self.metrics.count("unanswered_connections", state=state.value)
+        stopping = self.stopping_seconds()
+        logger.warning(
+            "connection_unanswered",
+            listener=self.address,
+            state=state.value,
+            requests=connection.http._request_count,
+            has_unread=has_unread,
+            read_seconds_ago=round(time.monotonic() - connection.read_at, 3),
+            stopping_seconds=None if stopping is None else round(stopping, 3),
+        )
+
+
+_NOT_READ = failure(
+    FailureKind.LEAVING,
+    "this process is shutting down and has not read the whole request; send "
+    "it again",
+    retry_after=_RETRY_SECONDS,
+)
+_ENDED = failure(
+    FailureKind.STOPPED,
+    "the process was stopped while it handled the request; check the result "
+    "before sending it again",
+    Outcome.UNKNOWN,
+)
+
+
+def _closing(response: web.StreamResponse) -> web.StreamResponse:
+    """Makes a response close its connection, and say so."""
+    response.headers["Connection"] = "close"
+    response.force_close()
+    return response
+
+
+class ListenerSite(web.TCPSite):
+    """A TCP site that tracks its connections and may wrap their protocols."""
+
+    def __init__(
+        self,
+        runner: web.AppRunner,
+        listener: Listener,
+        host: str,
+        port: int,
+        wrapper: ProtocolWrapper | None = None,
+        **options,
+    ):
+        super().__init__(runner, host, port, **options)
+        self.listener = listener
+        self.wrapper = wrapper
+
+    async def start(self) -> None:
+        """Starts to listen."""
+        await web.BaseSite.start(self)
+        self._server = await asyncio.get_running_loop().create_server(
+            self._connect,
+            self._host,
+            self._port,
+            backlog=self._backlog,
+            reuse_address=self._reuse_address,
+        )
+
+    @property
+    def http_connections(self) -> list[web.RequestHandler]:
+        """Aiohttp's connections; they last until their handlers have ended."""
+        return self._runner.server.connections
+
+    async def stop(self) -> None:
+        """Stops accepting connections.
+
+        `asyncio.Server.close` would break those that are being set up: they
+        would stay open without being read.
+        """
+        loop = asyncio.get_running_loop()
+        for listening in self._server.sockets:
+            loop.remove_reader(listening.fileno())
+        for _ in range(_SET_UP_TURNS):
+            await asyncio.sleep(0)
+        await super().stop()
+
+    def _connect(self) -> asyncio.Protocol:
+        connection = ServedConnection(self._runner.server(), self.listener)
+        if self.wrapper is None:
+            return connection
+        outer = self.wrapper(connection, lambda: connection.is_waiting)
+        connection.filter = outer
+        return outer
