Answer requests read in part when their connection's time is over

Cause: aiohttp's keep-alive timer closes a connection whose handler waits for a request, also with a part of a head read, and also while the rest of a request that was rejected early is still being read. When the timer fires late, it also closes one on which a request has arrived.

Change: the timer of our HTTP protocol asks the connection what it owes. A request read in part gets five seconds for each further part, then 408 (it has not run), or the response of the filter.

Result: one of the two new tests of test_closing_listeners.py fails without the override; the one for a late timer passes without it too, as the loop reads before it runs timers.

--- a/packages/fleet/src/marjoramyard/fleet/listener.py
+++ b/packages/fleet/src/marjoramyard/fleet/listener.py
@@ -14,10 +14,11 @@
 
 from marjoramyard.fleet.served_connection import (
     ConnectionState,
+    HttpProtocol,
     ServedConnection,
 )
 from marjoramyard.fleet.util.connections import has_input
-from marjoramyard.fleet.util.raw_responses import response_bytes
+from marjoramyard.fleet.util.raw_responses import closing, response_bytes
 from marjoramyard.fleet.util.rpc import failure_response
 from marjoramyard.kernel.errors import FailureKind, Outcome, failure
 from marjoramyard.kernel.logs import get_logger
@@ -139,7 +140,7 @@
 
     async def _end_requests(self, site: "ListenerSite") -> None:
         """Ends all requests, and closes their connections."""
-        refusal = response_bytes(_closing(failure_response(_NOT_READ)))
+        refusal = response_bytes(closing(failure_response(_NOT_READ)))
         for round_number in range(_END_ROUNDS):
             for connection in list(self.connections.values()):
                 if not connection.transport.is_closing():
@@ -180,7 +181,7 @@
         if connection is not None:
             connection.has_responded = True
         if self.is_closing:
-            _closing(response)
+            closing(response)
 
     def on_connection_made(self, connection: ServedConnection) -> bool:
         """Adds a connection, unless the listener is closed."""
@@ -243,13 +244,6 @@
     await asyncio.sleep(0 if round_number < _TURNS else _TICK_SECONDS)
 
 
-def _closing(response: web.StreamResponse) -> web.StreamResponse:
-    """Makes a response close its connection, and say so."""
-    response.headers["Connection"] = "close"
-    response.force_close()
-    return response
-
-
 class ListenerSite(web.TCPSite):
     """A TCP site that tracks its connections and may wrap their protocols."""
 
@@ -296,7 +290,8 @@
         await super().stop()
 
     def _connect(self) -> asyncio.Protocol:
-        connection = ServedConnection(self._runner.server(), self.listener)
+        http = HttpProtocol(self._runner.server)
+        connection = ServedConnection(http, self.listener)
         if self.wrapper is None:
             return connection
         outer = self.wrapper(connection, lambda: connection.is_waiting)
--- a/packages/fleet/src/marjoramyard/fleet/served_connection.py
+++ b/packages/fleet/src/marjoramyard/fleet/served_connection.py
@@ -7,6 +7,27 @@
 
 from aiohttp import web
 
+from marjoramyard.fleet.util.connections import has_input
+from marjoramyard.fleet.util.raw_responses import closing, response_bytes
+from marjoramyard.fleet.util.rpc import failure_response
+from marjoramyard.kernel.errors import FailureKind, failure
+
+REST_SECONDS = 5.0
+"""How long the next part of a request may take once the connection has been
+open for its keep-alive time."""
+_UNREAD_SECONDS = 0.02
+"""How soon something that has arrived is read, unless the loop is late."""
+TIMED_OUT = response_bytes(
+    closing(
+        failure_response(
+            failure(
+                FailureKind.REQUEST_TIMEOUT,
+                "the rest of the request did not arrive in time; send it again",
+            )
+        )
+    )
+)
+
 
 class ConnectionState(Enum):
     """What a connection owes its client."""
@@ -45,6 +66,40 @@
         """Called when the connection is closed."""
 
 
+class HttpProtocol(web.RequestHandler):
+    """aiohttp's protocol, which does not time out with a request read in part.
+
+    Attributes:
+        connection: The connection; None before it is set up.
+    """
+
+    __slots__ = ("connection",)
+
+    def __init__(self, server: web.Server):
+        super().__init__(
+            server, loop=asyncio.get_running_loop(), **server._kwargs
+        )
+        self.connection: ServedConnection | None = None
+
+    def _process_keepalive(self) -> None:
+        """Closes the connection when it has been idle for its time.
+
+        Overrides the timer's callback of aiohttp, which looks only at what the
+        handler waits for.
+        """
+        self._keepalive_handle = None
+        seconds = self.connection.seconds_to_idle()
+        if seconds > 0.0:
+            self._next_keepalive_close_time = self._loop.time() + seconds
+            self._keepalive_handle = self._loop.call_later(
+                seconds, self._process_keepalive
+            )
+        elif self.connection.state is ConnectionState.READING:
+            self.connection.end_request(TIMED_OUT)
+        else:
+            super()._process_keepalive()
+
+
 class ServedConnection(asyncio.Protocol):
     """An accepted connection, in front of its HTTP protocol.
 
@@ -67,8 +122,9 @@
         is_ended: Whether the current request was ended before its response.
     """
 
-    def __init__(self, http: web.RequestHandler, owner: ConnectionOwner):
+    def __init__(self, http: HttpProtocol, owner: ConnectionOwner):
         self.http = http
+        http.connection = self
         self.owner = owner
         self.filter: ConnectionFilter | None = None
         self.transport: asyncio.Transport | None = None
@@ -114,6 +170,14 @@
         """Whether a request was read whose handler has not started."""
         return bool(self.http._messages)
 
+    def seconds_to_idle(self) -> float:
+        """Returns how long the connection is not closed as an idle one."""
+        if self.state is ConnectionState.READING:
+            return self.read_at + REST_SECONDS - time.monotonic()
+        if self.state is ConnectionState.IDLE and has_input(self.transport):
+            return _UNREAD_SECONDS
+        return 0.0
+
     def detach(self) -> None:
         """Ends the HTTP protocol without closing the connection."""
         self.http.transport = None
--- a/packages/fleet/src/marjoramyard/fleet/util/raw_responses.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/raw_responses.py
@@ -9,3 +9,10 @@
     lines += [f"{name}: {value}" for name, value in response.headers.items()]
     lines.append(f"Content-Length: {len(response.body)}")
     return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + response.body
+
+
+def closing(response: web.StreamResponse) -> web.StreamResponse:
+    """Makes a response close its connection, and say so."""
+    response.headers["Connection"] = "close"
+    response.force_close()
+    return response
--- a/packages/fleet/tests/test_closing_listeners.py
+++ b/packages/fleet/tests/test_closing_listeners.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 import marjoramyard.fleet.settings  # noqa: F401  (registers the roles)
+from marjoramyard.fleet import served_connection
 from marjoramyard.fleet.application import Application
 from marjoramyard.fleet.gateway.early_refusal import EarlyRefusal
 from marjoramyard.fleet.listener import (
@@ -61,9 +62,11 @@
         await self.is_released.wait()
         return await self.fast(received)
 
-    async def start(self):
+    async def start(self, **options):
         routes = [web.post("/fast", self.fast), web.post("/slow", self.slow)]
-        serving = self.app.serve(self.address, routes, internal=False)
+        serving = self.app.serve(
+            self.address, routes, internal=False, **options
+        )
         await self.stack.enter_async_context(serving)
 
     def close(self):
@@ -285,3 +288,37 @@
     for client in clients:
         assert is_whole((await receive(client))[0])
     await runner.cleanup()
+
+
+async def test_a_request_read_in_part_is_answered_when_its_time_is_over(
+    monkeypatch,
+):
+    """Guards against closing a connection as an idle one, without a response,
+    when a part of a request has been read.
+    """
+    monkeypatch.setattr(served_connection, "REST_SECONDS", 0.1)
+    server = Server()
+    await server.start(keepalive=0.1)
+    silent, partial = server.connect(), server.connect()
+    partial.sendall(request("/fast")[:-10])
+    assert (await receive(silent))[0] == b""
+    received, is_reset = await receive(partial)
+    assert received.startswith(b"HTTP/1.1 408")
+    assert not is_reset
+    await server.stack.aclose()
+
+
+async def test_a_request_that_comes_at_the_keep_alive_time_is_answered(server):
+    """Guards against a reset of a request that has arrived, unread, when the
+    timer of the connection fires late.
+    """
+    await server.stack.aclose()
+    await server.start(keepalive=0.2)
+    client = server.connect()
+    client.sendall(request("/fast"))
+    assert is_whole(await asyncio.get_running_loop().sock_recv(client, 65536))
+    end = time.monotonic() + 0.3
+    client.sendall(request("/fast"))
+    while time.monotonic() < end:
+        continue
+    assert is_whole(await asyncio.get_running_loop().sock_recv(client, 65536))
--- a/packages/kernel/src/marjoramyard/kernel/errors.py
+++ b/packages/kernel/src/marjoramyard/kernel/errors.py
@@ -26,6 +26,7 @@
     UNKNOWN_SERVICE = ("unknown_service", 404)
     UNKNOWN_ROUTE = ("unknown_route", 404)
     BAD_REQUEST = ("bad_request", 400)
+    REQUEST_TIMEOUT = ("request_timeout", 408)
     TOO_LARGE = ("request_too_large", 413)
     IDEMPOTENCY_KEY_REQUIRED = ("idempotency_key_required", 400)
     IDEMPOTENCY_KEY_REUSED = ("idempotency_key_reused", 422)
