Acknowledge a departure once a second control host has it

Cause: departures and `draining` were kept in one host's memory and told to the others with the next announcement, up to 0.3 s later. A host that had just started even dropped the departure of an engine that it didn't know yet, and acknowledged it. Class: something acknowledged that is lost with its only holder.

Change: before such a call is answered, the two control hosts last heard of are told, then the others; one reply is enough, and no quorum is needed. Without one the answer is 503, so that the engine asks the next host. A host that doesn't know all engines yet answers 503 for one that it doesn't know. A fleet of one control host acknowledges as before. A departure that is shared is not shared again.

The test double of the platform's API has the new calls and the middleware that the application adds.

--- a/packages/fleet/src/marjoramyard/fleet/control/dialects.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/dialects.py
@@ -55,11 +55,12 @@
         )
 
     async def register(request: web.Request) -> web.Response:
-        service.endpoints.register(await read_message(request, Registration))
+        registration = await read_message(request, Registration)
+        await service.register(registration)
         return json_response(Empty())
 
     async def deregister(request: web.Request) -> web.Response:
-        service.endpoints.mark_departed(request.match_info["endpoint"])
+        await service.deregister(request.match_info["endpoint"])
         return json_response(Empty())
 
     async def change_zone(request: web.Request) -> web.Response:
--- a/packages/fleet/src/marjoramyard/fleet/control/service.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/service.py
@@ -14,6 +14,7 @@
     ConfigDocument,
 )
 from marjoramyard.coordination.governance.suspects import Suspects
+from marjoramyard.coordination.membership.registrations import Registration
 from marjoramyard.coordination.placement.broker_selection import (
     BrokerCandidate,
     BrokerSelector,
@@ -21,6 +22,7 @@
 from marjoramyard.fleet import paths
 from marjoramyard.fleet.config_transfer import ConfigHistory, FetchConfig
 from marjoramyard.fleet.control.change_signal import ChangeSignal
+from marjoramyard.fleet.control.departures import Departures
 from marjoramyard.fleet.control.endpoint_feed import (
     MAX_REGISTRATIONS,
     EndpointFeed,
@@ -73,6 +75,7 @@
 
     Attributes:
         endpoints: The registered endpoints.
+        departures: Tells other hosts of leaving endpoints.
         changes: Wakes waiting polls.
         published_cursors: The last change of `endpoints` when changes were
             last published, by whether only urgent ones count.
@@ -94,6 +97,7 @@
         self.endpoints = EndpointFeed(
             self.settings.name, self._on_endpoints_changed
         )
+        self.departures = Departures(role)
         self.changes = ChangeSignal(self._on_publish)
         self.published_cursors = self._last_changes()
         self.started_at = time.monotonic()
@@ -132,6 +136,27 @@
         self.published_cursors = self._last_changes()
         self.published_revision = self.endpoints.unresponsive_revision
 
+    # Endpoints.
+
+    async def register(self, registration: Registration) -> None:
+        """Applies a heartbeat; returns once it may be acknowledged.
+
+        Raises:
+            FleetError: It says that the endpoint is leaving, and must be sent
+                again.
+        """
+        self.endpoints.register(registration)
+        await self.departures.on_heartbeat(registration.endpoint)
+
+    async def deregister(self, endpoint: str) -> None:
+        """Applies a departure; returns once it may be acknowledged.
+
+        Raises:
+            FleetError: It must be sent again.
+        """
+        self.endpoints.mark_departed(endpoint)
+        await self.departures.on_departure(endpoint)
+
     # Configuration.
 
     def on_applied(self) -> None:
--- a/tests/platform/test_control_api.py
+++ b/tests/platform/test_control_api.py
@@ -12,7 +12,8 @@
 from marjoramyard.coordination.membership.registrations import EndpointState
 from marjoramyard.coordination.routing.config import RequestKind
 from marjoramyard.fleet.sync_messages import StoredConfig
-from marjoramyard.kernel.errors import FailureKind, failure
+from marjoramyard.fleet.util import rpc
+from marjoramyard.kernel.errors import FailureKind, failure, raise_failure
 from marjoramyard.platform.configurations import (
     check_configuration,
     read_configuration,
@@ -81,10 +82,12 @@
         self.zone_orders = []
         self.zone_failure = None
 
-    def register(self, registration):
+    async def register(self, registration):
         self.registrations.append(registration)
 
-    def mark_departed(self, endpoint):
+    async def deregister(self, endpoint):
+        if not self.quorum:
+            raise_failure(FailureKind.NO_QUORUM, "not yet")
         self.departed.append(endpoint)
 
     async def put_config(self, document):
@@ -97,10 +100,6 @@
     def zones(self):
         return self
 
-    @property
-    def endpoints(self):
-        return self
-
     async def change(self, zone, is_evacuated, _, is_awaited):
         if self.zone_failure is not None:
             return Err(self.zone_failure)
@@ -117,7 +116,7 @@
 @pytest.fixture
 async def platform():
     service = FakeService()
-    app = web.Application()
+    app = web.Application(middlewares=[rpc.render_failures])
     app.add_routes(platform_routes(service))
     async with TestClient(TestServer(app)) as client:
         yield SimpleNamespace(service=service, client=client)
@@ -216,6 +215,10 @@
     assert truncated.status == 400
     await platform.client.delete("/v1/endpoints/i-1")
     assert platform.service.departed == ["i-1"]
+    platform.service.quorum = False
+    refused = await platform.client.delete("/v1/endpoints/i-2")
+    assert refused.status == 503
+    assert platform.service.departed == ["i-1"]
 
 
 def test_headers_that_control_an_engine_s_cache_are_not_forwarded():
--- /dev/null
+++ b/tests/test_lost_departures.py
@@ -0,0 +1,102 @@
+"""Control hosts that are lost after they have acknowledged a departure."""
+
+import pytest
+from gateway_fleet import FakeEndpoint, gateway_fleet, wait_until
+
+from marjoramyard.fleet import paths
+
+CONTROL = ("control-0", "control-1", "control-2")
+
+
+@pytest.fixture
+async def fleet(tmp_path):
+    async with gateway_fleet(tmp_path) as running:
+        yield running
+
+
+async def state_of(fleet, host, endpoint):
+    """Returns an endpoint's state as a control host tells gateways."""
+    url = f"http://{fleet.hosts[host]}:{fleet.peer_port}{paths.SYNC_PATH}"
+    async with fleet.session.post(url, json={"gateway": "g-x"}) as response:
+        reply = await response.json()
+    states = {w["endpoint"]: w["state"] for w in reply.get("words", [])}
+    return states.get(endpoint)
+
+
+async def known_by_all(fleet, endpoint):
+    async def is_known():
+        return all([await state_of(fleet, host, endpoint) for host in range(3)])
+
+    await wait_until(is_known)
+
+
+async def depart(fleet, endpoint, host=0):
+    url = f"http://{fleet.operator_addresses[host]}/registrations/{endpoint}"
+    async with fleet.session.delete(url) as response:
+        return response.status
+
+
+async def drain(fleet, endpoint, host=0):
+    address = fleet.operator_addresses[host]
+    url = f"http://{address}/registrations/{endpoint.name}"
+    body = endpoint.registration("draining")
+    async with fleet.session.put(url, json=body) as response:
+        return response.status
+
+
+@pytest.mark.parametrize("way", ["departed", "draining"])
+async def test_an_acknowledged_departure_outlives_its_control_host(fleet, way):
+    """Guards against new requests to an endpoint whose departure was known
+    only to a control host that was lost with it.
+    """
+    endpoint = FakeEndpoint("i-1")
+    await fleet.send_heartbeat(endpoint)
+    await known_by_all(fleet, "i-1")
+
+    async def leave():
+        if way == "departed":
+            return await depart(fleet, "i-1")
+        return await drain(fleet, endpoint)
+
+    others = [fleet.children[name] for name in CONTROL[1:]]
+    for other in others:
+        other.suspend()
+    assert await leave() == 503
+    for other in others:
+        other.resume()
+
+    async def is_acknowledged():
+        return await leave() == 200
+
+    await wait_until(is_acknowledged)
+    await fleet.children[CONTROL[0]].kill()
+    states = {await state_of(fleet, host, "i-1") for host in (1, 2)}
+    assert way in states
+    await fleet.start(CONTROL[0])
+
+    async def is_known_again():
+        return [await state_of(fleet, host, "i-1") for host in range(3)] == (
+            [way] * 3
+        )
+
+    await wait_until(is_known_again)
+
+
+async def test_the_departure_of_an_unknown_endpoint_is_not_acknowledged(fleet):
+    """Guards against a departure that a control host drops since it has just
+    started and doesn't know the endpoint.
+    """
+    endpoint = FakeEndpoint("i-1")
+    await fleet.send_heartbeat(endpoint, host=1)
+    await known_by_all(fleet, "i-1")
+    for name in CONTROL[1:]:
+        fleet.children[name].suspend()
+    await fleet.children[CONTROL[0]].kill()
+    await fleet.start(CONTROL[0])
+
+    async def answers():
+        return await depart(fleet, "i-1")
+
+    assert await wait_until(answers) == 503
+    for name in CONTROL[1:]:
+        fleet.children[name].resume()
