Announce what the other control hosts lack before one stops

What callers saw: requests go to an endpoint that has left, until its heartbeats are missed. The endpoint's departure was acknowledged by a control host that was told to stop.

Cause: registrations are in memory, and go to the other control hosts every 0.3 s. A host that stops closed its addresses and ended, whatever it had not announced. A heartbeat is repeated at another host, a departure isn't.

Change: after the operators' address has closed, so that nothing more is acknowledged, a host announces once more, and waits up to 0.3 s for the replies.

--- a/packages/fleet/src/marjoramyard/fleet/control/cluster_manager.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/cluster_manager.py
@@ -38,6 +38,9 @@
 """A host that comes back with an empty disk must be a voter again within some
 six announcements, an election included: until then another loss is one too
 many."""
+LAST_ANNOUNCEMENT_SECONDS = 0.3
+"""How long a host that stops waits for the replies to its last announcements.
+"""
 CALL_TIMEOUT_SECONDS = 0.7
 """A host that is cut off must not hold up the next announcement for long."""
 MAX_ANNOUNCEMENT_AGE_SECONDS = 1.5
@@ -132,6 +135,15 @@
             known |= set(membership.addresses.values())
         return sorted(known - {self.settings.advertised_address})
 
+    async def announce_last(self) -> None:
+        """Announces what the other hosts lack, before this one stops."""
+        announcements = [
+            self.role.app.tasks.spawn(self._announce_to(address))
+            for address in self.peer_addresses()
+        ]
+        if announcements:
+            await asyncio.wait(announcements, timeout=LAST_ANNOUNCEMENT_SECONDS)
+
     async def _announce_to(self, address: str) -> None:
         self.pending_announcements.add(address)
         try:
--- a/packages/fleet/src/marjoramyard/fleet/control/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/role.py
@@ -465,6 +465,8 @@
             listening = app.serve(app.settings.internal, role.routes())
             await stack.enter_async_context(listening)
             if app.settings.self_forming:
+                # Runs when the operators' address has closed.
+                stack.push_async_callback(role.cluster_manager.announce_last)
                 await stack.enter_async_context(_serve_operators(app, role))
                 app.tasks.spawn(role.cluster_manager.run())
                 app.tasks.spawn(role.service.watch_endpoints())
--- a/tests/test_stopping_control_hosts.py
+++ b/tests/test_stopping_control_hosts.py
@@ -284,3 +284,35 @@
         operator.disconnect()
     assert code == 0
     assert describe([operator], operator.sent_at) == []
+
+
+async def test_a_departure_is_announced_before_the_host_stops(tmp_path):
+    """A control host stops right after it has acknowledged a departure."""
+    async with control_hosts(tmp_path) as fleet:
+        number = await find_host(fleet, "follower")
+        other = await find_host(fleet, "leader")
+        child = fleet.children[CONTROL[number]]
+        address = fleet.operator_addresses[number]
+        await RawClient("e-1", address, heartbeats("e-1")).call()
+
+        async def is_known():
+            return await state_of(fleet, other, "e-1") == "ready"
+
+        await wait_until(is_known)
+        departing = RawClient(
+            "e-1", address, lambda _: put("/registrations/e-1", {}, "DELETE")
+        )
+        acknowledged = await departing.call()
+        code = await child.terminate(DRAIN_SECONDS)
+        state = await state_of(fleet, other, "e-1")
+    assert (acknowledged.status, code) == (200, 0)
+    assert state == "departed"
+
+
+async def state_of(fleet, number, endpoint):
+    """Returns an endpoint's state as a control host tells gateways."""
+    url = f"http://{fleet.internal_address(number)}{paths.SYNC_PATH}"
+    async with fleet.session.post(url, json={"gateway": "g-x"}) as response:
+        reply = await response.json()
+    states = {w["endpoint"]: w["state"] for w in reply.get("words", [])}
+    return states.get(endpoint)
