Show that a refused request is closed while its body is being sent

Cause: not changed here. The bytes of a request that is refused early don't reach the served connection, so the time of its last part is not known.

--- a/packages/fleet/tests/test_closing_listeners_review.py
+++ b/packages/fleet/tests/test_closing_listeners_review.py
@@ -33,6 +33,9 @@
 KEEPALIVE_SECONDS = 0.2
 BYTES_SENT = 40
 """Sent in several times the time for a request."""
+HEAD_OF_MANY = (
+    f"POST /echo HTTP/1.1\r\nHost: h\r\nContent-Length: {BYTES_SENT}\r\n\r\n"
+).encode()
 LATE_SECONDS = 0.3
 TIMEOUT_SECONDS = 10.0
 REQUEST = b"POST /echo HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\n?"
@@ -216,6 +219,29 @@
     assert received.startswith(b"HTTP/1.1 ")
 
 
+async def test_a_refused_request_has_time_for_its_rest():
+    """Guards against a reset while a client is still sending its request, as
+    the rest of a request that is refused early does not count as read.
+    """
+    refused = response_bytes(web.Response(status=503, text="refused"))
+
+    def wrap(inner, is_idle):
+        return EarlyRefusal(inner, is_idle, lambda: True, lambda _: refused)
+
+    async with serving(keepalive=KEEPALIVE_SECONDS, wrapper=wrap) as server:
+        reader, writer = await server.connect()
+        writer.write(HEAD_OF_MANY)
+        received = asyncio.create_task(reader.read(1))
+        sent = 0
+        while sent < BYTES_SENT and not received.done():
+            writer.write(b"x")
+            sent += 1
+            await asyncio.wait({received}, timeout=KEEPALIVE_SECONDS / 8)
+        assert await received + await reader.read(len(refused)) == refused
+        writer.close()
+    assert sent == BYTES_SENT
+
+
 async def test_a_head_that_is_sent_without_end_is_given_up(monkeypatch):
     """Guards against clients that hold connections for ever by sending a
     request byte by byte, which can't be closed as idle ones either.
