Keep measuring the loop's lag when a listener of it fails

What callers saw: nothing; found by reading in the review of the repair. An exception in a callback ended the measurement, and a signal that came much later would have counted as come then, so that a gateway cut everything at once.

Change: the exception is logged and the measurement goes on.

Result: tests/util pass; the failure itself has no test.

--- a/packages/fleet/src/marjoramyard/fleet/util/lag.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/lag.py
@@ -60,4 +60,7 @@
             if late_seconds > LOGGED_SECONDS:
                 logger.info("event_loop_late", seconds=round(late_seconds, 3))
             for listener in self.on_wake_up:
-                listener(late_seconds)
+                try:
+                    listener(late_seconds)
+                except Exception:
+                    logger.exception("wake_up_listener_failed")
