Know of each connection what it owes, also before and after HTTP

- A stream without a length that a stop ends closed by FIN, like a whole one: it is broken off as streams of endpoints are, for HTTP/1.0 by a reset.
- A head that is sent byte by byte held its connection: its time counts from its first byte, and above the limit of connections requests read in part are ended, oldest first.
- Forwarded responses could be unsent when the listener had closed: their connections stay known to it until they are closed.
- The rest of a rejected body did not renew its time, and rejected requests did not renew the keep-alive time.
- A part of a head read with the request before it counted as nothing, an empty line after a body as a part of a request.
- `has_unread` was never true, and a WebSocket that a stop closes was logged as unanswered.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/connections.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/connections.py
@@ -88,12 +88,17 @@
         self.listener.close_idle()
 
     async def keep_within_limit(self) -> None:
-        """Closes the oldest idle connections above the limit."""
+        """Closes the oldest connections above the limit.
+
+        Idle ones go first, then those on which only a part of a request has
+        arrived.
+        """
         while True:
             await asyncio.sleep(CHECK_SECONDS)
             over = self.open_count - self.limit
             if over > 0:
                 closed = self.listener.close_idle(over)
+                closed += self.listener.end_partial(over - closed)
                 logger.info(
                     "idle_connections_closed",
                     closed=closed,
--- a/packages/fleet/src/marjoramyard/fleet/gateway/early_refusal.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/early_refusal.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import time
 from collections.abc import Callable
 from typing import Protocol
 
@@ -128,6 +129,10 @@
         missing_bytes: Bytes of the current request still to be received; None
             if unknown, which disables the filter for this connection.
         response: The response to the current request if it is rejected.
+        answered_at: When a request was last rejected, on the monotonic clock
+            in seconds.
+        read_at: When a part of a request that is rejected was last read, on
+            that clock.
         start_forwarding: Forwards a request instead of rejecting it.
         forwarding: The forwarded request. It is the last one of the connection.
     """
@@ -151,6 +156,8 @@
         self.transport: asyncio.Transport | None = None
         self.missing_bytes: int | None = 0
         self.response: bytes | None = None
+        self.answered_at = 0.0
+        self.read_at = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Called when the connection is established."""
@@ -161,7 +168,6 @@
         """Called when the connection is closed."""
         if self.forwarding is not None:
             self.forwarding.cancel()
-            return
         self.inner.connection_lost(exc)
 
     def pause_writing(self) -> None:
@@ -217,6 +223,7 @@
         self.forwarding = self.start_forwarding(head, data, self.transport)
         if self.forwarding is None:
             self.response = self.check(head)
+            self.read_at = time.monotonic()
             return
         # The HTTP library must not close the connection as an idle one.
         self.inner.detach()
@@ -230,6 +237,7 @@
 
     def _discard(self, data: bytes) -> None:
         """Discards the rest of a rejected request; processes what follows."""
+        self.read_at = time.monotonic()
         rest = data[self.missing_bytes :]
         self.missing_bytes = max(0, self.missing_bytes - len(data))
         if self.missing_bytes == 0:
@@ -239,6 +247,7 @@
 
     def _respond(self) -> None:
         response, self.response = self.response, None
+        self.answered_at = time.monotonic()
         self.transport.write(response)
         if self.closes():
             self.transport.close()
--- a/packages/fleet/src/marjoramyard/fleet/listener.py
+++ b/packages/fleet/src/marjoramyard/fleet/listener.py
@@ -13,12 +13,16 @@
 from aiohttp import web
 
 from marjoramyard.fleet.served_connection import (
+    TIMED_OUT,
     ConnectionState,
     HttpProtocol,
     ServedConnection,
 )
-from marjoramyard.fleet.util.connections import has_input
-from marjoramyard.fleet.util.raw_responses import closing, response_bytes
+from marjoramyard.fleet.util.connections import (
+    break_off_response,
+    has_input,
+)
+from marjoramyard.fleet.util.raw_responses import mark_closing, response_bytes
 from marjoramyard.fleet.util.rpc import failure_response
 from marjoramyard.kernel.errors import FailureKind, Outcome, failure
 from marjoramyard.kernel.logs import get_logger
@@ -36,7 +40,6 @@
 _END_ROUNDS = _TURNS + 10
 """Rounds in which responses to ended requests are sent. They are counted, as a
 process that gets its processor in turns may sleep through a time."""
-_RETRY_SECONDS = 0.05
 _SET_UP_TURNS = 3
 """Turns of the event loop after which accepted connections are set up."""
 
@@ -52,7 +55,7 @@
 
     Attributes:
         address: IP:PORT, for logs.
-        connections: The connections that the HTTP protocol serves.
+        connections: The open connections.
         stopping_seconds: Returns the seconds since the process was told to
             stop; None before.
         is_closing: Whether each response closes its connection.
@@ -75,7 +78,7 @@
     @property
     def open_connections(self) -> int:
         """The number of open connections that the HTTP protocol serves."""
-        return len(self.connections)
+        return sum(not each.is_detached for each in self.connections.values())
 
     def close_idle(self, limit: int | None = None) -> int:
         """Closes idle connections; new ones are still accepted.
@@ -100,6 +103,24 @@
             closed += self._close_if_idle(connection)
         return closed
 
+    def end_partial(self, limit: int) -> int:
+        """Ends requests that were read in part only, oldest connection first.
+
+        Args:
+            limit: The most requests to end.
+
+        Returns:
+            The number of ended requests.
+        """
+        partial = [
+            connection
+            for connection in self.connections.values()
+            if connection.state is ConnectionState.READING
+        ]
+        for connection in partial[:limit]:
+            connection.end_request(TIMED_OUT)
+        return len(partial[:limit])
+
     def _close_if_idle(self, connection: ServedConnection) -> bool:
         if connection.state is not ConnectionState.IDLE:
             return False
@@ -140,7 +161,7 @@
 
     async def _end_requests(self, site: "ListenerSite") -> None:
         """Ends all requests, and closes their connections."""
-        refusal = response_bytes(closing(failure_response(_NOT_READ)))
+        refusal = response_bytes(mark_closing(failure_response(_NOT_READ)))
         for round_number in range(_END_ROUNDS):
             for connection in list(self.connections.values()):
                 if not connection.transport.is_closing():
@@ -167,7 +188,10 @@
         except asyncio.CancelledError:
             if connection.is_ended and not connection.has_responded:
                 return failure_response(_ENDED)
-            if not connection.is_closed_by_peer:
+            if connection.is_ended:
+                break_off_response(request)
+            is_owed = not connection.is_upgraded
+            if is_owed and not connection.is_closed_by_peer:
                 self._log_unanswered(connection, ConnectionState.IN_PROGRESS)
             raise
         finally:
@@ -181,7 +205,7 @@
         if connection is not None:
             connection.has_responded = True
         if self.is_closing:
-            closing(response)
+            mark_closing(response)
 
     def on_connection_made(self, connection: ServedConnection) -> bool:
         """Adds a connection, unless the listener is closed."""
@@ -190,10 +214,6 @@
         self.connections[connection.http] = connection
         return True
 
-    def on_connection_detached(self, connection: ServedConnection) -> None:
-        """Forgets a connection that the HTTP protocol no longer serves."""
-        self.connections.pop(connection.http, None)
-
     def on_connection_lost(
         self, connection: ServedConnection, exc: Exception | None
     ) -> None:
@@ -201,6 +221,8 @@
         self.connections.pop(connection.http, None)
         if connection.is_closed_by_peer or exc is not None:
             return
+        if connection.is_upgraded or connection.is_detached:
+            return
         if connection.has_queued_requests:
             self._log_unanswered(connection, ConnectionState.IN_PROGRESS)
         elif connection.has_partial_head:
@@ -210,16 +232,14 @@
         self, connection: ServedConnection, state: ConnectionState
     ) -> None:
         """Logs that this process ends a connection that it owes a response."""
-        transport = connection.transport
-        has_unread = not transport.is_closing() and has_input(transport)
         self.metrics.count("unanswered_connections", state=state.value)
         stopping = self.stopping_seconds()
         logger.warning(
             "connection_unanswered",
             listener=self.address,
             state=state.value,
-            requests=connection.http._request_count,
-            has_unread=has_unread,
+            requests=connection.request_count,
+            has_unread=connection.had_unread,
             read_seconds_ago=round(time.monotonic() - connection.read_at, 3),
             stopping_seconds=None if stopping is None else round(stopping, 3),
         )
@@ -229,7 +249,6 @@
     FailureKind.LEAVING,
     "this process is shutting down and has not read the whole request; send "
     "it again",
-    retry_after=_RETRY_SECONDS,
 )
 _ENDED = failure(
     FailureKind.STOPPED,
--- a/packages/fleet/src/marjoramyard/fleet/served_connection.py
+++ b/packages/fleet/src/marjoramyard/fleet/served_connection.py
@@ -5,20 +5,20 @@
 from enum import Enum
 from typing import Protocol
 
-from aiohttp import web
+from aiohttp import hdrs, web
 
 from marjoramyard.fleet.util.connections import has_input
-from marjoramyard.fleet.util.raw_responses import closing, response_bytes
+from marjoramyard.fleet.util.raw_responses import mark_closing, response_bytes
 from marjoramyard.fleet.util.rpc import failure_response
 from marjoramyard.kernel.errors import FailureKind, failure
 
-REST_SECONDS = 5.0
-"""How long the next part of a request may take once the connection has been
-open for its keep-alive time."""
+PART_SECONDS = 5.0
+"""How long a head may take to arrive, and each part of a rejected request, once
+the connection has been open for its keep-alive time."""
 _UNREAD_SECONDS = 0.02
 """How soon something that has arrived is read, unless the loop is late."""
 TIMED_OUT = response_bytes(
-    closing(
+    mark_closing(
         failure_response(
             failure(
                 FailureKind.REQUEST_TIMEOUT,
@@ -29,6 +29,10 @@
 )
 
 
+HEAD_END = b"\r\n\r\n"
+_LINE_END = b"\r\n"
+
+
 class ConnectionState(Enum):
     """What a connection owes its client."""
 
@@ -46,9 +50,30 @@
     Attributes:
         response: The response that is sent once the rest of the request has
             been read; None if no request is being answered by the filter.
+        answered_at: When it last answered, on the monotonic clock in seconds.
+        read_at: When it last read a part of a request that it answers, on that
+            clock.
     """
 
     response: bytes | None
+    answered_at: float
+    read_at: float
+
+
+def _rest_after(data: bytes, messages: list) -> bytes:
+    """Returns what follows the last of the requests whose heads end in data.
+
+    It is empty if that can't be told: in the midst of a body, and after a body
+    without a length.
+    """
+    position = 0
+    for message, payload in messages:
+        end = data.find(HEAD_END, position)
+        if end < 0 or not payload.is_eof() or message.chunked:
+            return b""
+        length = message.headers.get(hdrs.CONTENT_LENGTH, "0")
+        position = end + len(HEAD_END) + int(length)
+    return data[position:]
 
 
 class ConnectionOwner(Protocol):
@@ -57,9 +82,6 @@
     def on_connection_made(self, connection: "ServedConnection") -> bool:
         """Returns whether the connection is to be served."""
 
-    def on_connection_detached(self, connection: "ServedConnection") -> None:
-        """Called when the HTTP protocol no longer serves the connection."""
-
     def on_connection_lost(
         self, connection: "ServedConnection", exc: Exception | None
     ) -> None:
@@ -90,7 +112,6 @@
         self._keepalive_handle = None
         seconds = self.connection.seconds_to_idle()
         if seconds > 0.0:
-            self._next_keepalive_close_time = self._loop.time() + seconds
             self._keepalive_handle = self._loop.call_later(
                 seconds, self._process_keepalive
             )
@@ -113,6 +134,10 @@
         payload: The body of the last request whose head was read.
         request_count: The number of requests when bytes were last read.
         has_partial_head: Whether a part of the next head has been read.
+        partial_since: When its first part was read, on the monotonic clock in
+            seconds.
+        is_detached: Whether the filter serves the connection to its end.
+        had_unread: Whether something was unread when this process closed it.
         is_closed_by_peer: Whether the client has closed the connection.
         read_at: When bytes were last read, on the monotonic clock in seconds.
         made_at: When it was established, on the monotonic clock in seconds.
@@ -131,6 +156,9 @@
         self.payload = None
         self.request_count = 0
         self.has_partial_head = False
+        self.partial_since = 0.0
+        self.is_detached = False
+        self.had_unread = False
         self.is_closed_by_peer = False
         self.read_at = 0.0
         self.made_at = 0.0
@@ -151,6 +179,8 @@
     @property
     def state(self) -> ConnectionState:
         """What the connection owes its client."""
+        if self.is_detached:
+            return ConnectionState.IN_PROGRESS
         if self.filter is not None and self.filter.response is not None:
             return ConnectionState.READING
         if not self.is_waiting:
@@ -163,7 +193,7 @@
     @property
     def is_upgraded(self) -> bool:
         """Whether the connection is no longer used for HTTP requests."""
-        return self.http._payload_parser is not None
+        return self.http._upgraded and self.has_responded
 
     @property
     def has_queued_requests(self) -> bool:
@@ -172,17 +202,24 @@
 
     def seconds_to_idle(self) -> float:
         """Returns how long the connection is not closed as an idle one."""
+        now = time.monotonic()
         if self.state is ConnectionState.READING:
-            return self.read_at + REST_SECONDS - time.monotonic()
+            is_rejected = not self.has_partial_head
+            began_at = (
+                self.filter.read_at if is_rejected else self.partial_since
+            )
+            return began_at + PART_SECONDS - now
         if self.state is ConnectionState.IDLE and has_input(self.transport):
             return _UNREAD_SECONDS
+        if self.filter is not None:
+            return self.filter.answered_at + self.http.keepalive_timeout - now
         return 0.0
 
     def detach(self) -> None:
         """Ends the HTTP protocol without closing the connection."""
         self.http.transport = None
         self.http.connection_lost(None)
-        self.owner.on_connection_detached(self)
+        self.is_detached = True
 
     def close(self) -> None:
         """Closes the connection; what is read from now on is not lost.
@@ -190,6 +227,7 @@
         Nothing is read once the transport closes. If something is left unread
         then, the connection is reset.
         """
+        self.had_unread = has_input(self.transport)
         self.http.force_close()
 
     def end_request(self, refusal: bytes) -> None:
@@ -225,7 +263,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Called when the connection is closed."""
         self.owner.on_connection_lost(self, exc)
-        self.http.connection_lost(exc)
+        if not self.is_detached:
+            self.http.connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
         """Called when data is received."""
@@ -233,11 +272,21 @@
         starts_head = self.payload is None or self.payload.is_eof()
         http.data_received(data)
         self.read_at = time.monotonic()
-        if http._request_count != self.request_count:
+        new_requests = http._request_count - self.request_count
+        if new_requests:
             self.request_count = http._request_count
             self.payload = http._messages[-1][1] if http._messages else None
-            starts_head = False
-        self.has_partial_head = starts_head
+            rest = _rest_after(data, list(http._messages)[-new_requests:])
+            self._set_partial_head(bool(rest.strip(_LINE_END)))
+        else:
+            # Empty lines before a request are no part of it.
+            is_empty = not self.has_partial_head and not data.strip(_LINE_END)
+            self._set_partial_head(starts_head and not is_empty)
+
+    def _set_partial_head(self, has_partial_head: bool) -> None:
+        if has_partial_head and not self.has_partial_head:
+            self.partial_since = self.read_at
+        self.has_partial_head = has_partial_head
 
     def eof_received(self) -> bool | None:
         """Called when the client has closed its sending side."""
--- a/packages/fleet/src/marjoramyard/fleet/util/raw_responses.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/raw_responses.py
@@ -1,4 +1,4 @@
-"""Responses that are written without the HTTP library."""
+"""Responses in their serialized form, and those that end a connection."""
 
 from aiohttp import web
 
@@ -11,7 +11,7 @@
     return "\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + response.body
 
 
-def closing(response: web.StreamResponse) -> web.StreamResponse:
+def mark_closing(response: web.StreamResponse) -> web.StreamResponse:
     """Makes a response close its connection, and say so."""
     response.headers["Connection"] = "close"
     response.force_close()
--- a/packages/fleet/tests/test_closing_listeners.py
+++ b/packages/fleet/tests/test_closing_listeners.py
@@ -296,7 +296,7 @@
     """Guards against closing a connection as an idle one, without a response,
     when a part of a request has been read.
     """
-    monkeypatch.setattr(served_connection, "REST_SECONDS", 0.1)
+    monkeypatch.setattr(served_connection, "PART_SECONDS", 0.1)
     server = Server()
     await server.start(keepalive=0.1)
     silent, partial = server.connect(), server.connect()
