Record how the connections of soak callers end

Callers of the incident lost requests whose connection was closed without a response. The soak could not see that: its callers are behind relays, and the HTTP client hides how a connection has ended.

--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -71,6 +71,44 @@
         return expected_body(self.stream_id, self.kind, self.after_event)
 
 
+class ConnectionOutcome(Enum):
+    """How a connection has ended, as its client saw it."""
+
+    OPEN = "open"
+    FIN = "fin"
+    """The process had read all that was sent to it."""
+    RST = "rst"
+    """Something that was sent was not read."""
+
+
+class Exchange(msgspec.Struct, kw_only=True):
+    """A request on a connection that leads to a process without a relay.
+
+    Attributes:
+        target: The kind of the process, "gateway" or "control".
+        number: The number of the process.
+        connection: The number of the connection.
+        carried: The requests that the connection carried before.
+        sent_at: When all of the request was sent; 0.0 if it was not.
+        has_response: Whether any byte of a response came.
+        status: The status of the response; 0 if none came whole.
+        outcome: The end of the connection, if it ended before the response.
+        ended_at: When the connection ended, or the client had the response or
+            gave up.
+    """
+
+    id: str
+    target: str
+    number: int
+    connection: int
+    carried: int
+    sent_at: float = 0.0
+    has_response: bool = False
+    status: int = 0
+    outcome: ConnectionOutcome = ConnectionOutcome.OPEN
+    ended_at: float = 0.0
+
+
 class Attempt(msgspec.Struct, kw_only=True):
     """An attempt of a request at an endpoint.
 
@@ -151,6 +189,13 @@
     ended_at: float = float("inf")
 
 
+class Stall(msgspec.Struct, kw_only=True):
+    """A time in which the soak process itself did not run its event loop."""
+
+    started_at: float
+    ended_at: float
+
+
 class Shutdown(msgspec.Struct, kw_only=True):
     """A process that got SIGTERM, and how it exited.
 
@@ -179,6 +224,7 @@
     """
 
     calls: list[Call] = []
+    exchanges: list[Exchange] = []
     attempts: list[Attempt] = []
     config_changes: list[ConfigChange] = []
     unacknowledged: list[int] = []
@@ -186,6 +232,7 @@
     departures: list[Departure] = []
     crashes: list[EndpointCrash] = []
     fault_spans: list[FaultSpan] = []
+    stalls: list[Stall] = []
     shutdowns: list[Shutdown] = []
     faults_ended_at: float = 0.0
     ended_at: float = 0.0
