Stop processes in series while clients press on

A process that stops loses requests only where callers use its connections to the end; the soak's callers paused and chose another gateway, and stops came singly.

Some callers now send the next request within 50 ms on the same connection, or on a new one once it was closed, until the process is gone. The same goes for heartbeats and the acknowledged configuration at control hosts; the operator's changes, heartbeats and departures use open connections too, and an endpoint that has left says so.

Each plan gets series of stops of gateways and control hosts, which overlap: also two SIGTERMs close together, one right after a start, and processes that get their processor in turns. The check of exit codes takes the new kinds as it took "stop". A stop waits until the process has logged its start, or else most stops that follow each other would end an interpreter that is not yet set up; one more that waits for the same process is left out. `--stops-only` leaves the other faults out, which excuse most of a stop otherwise.

Stalls of the soak's own event loop are recorded from 20 ms on, as the times of connections depend on them.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -30,6 +30,10 @@
 @click.option("--gateways", default=3, help="Number of gateways.")
 @click.option("--endpoints", default=4, help="Number of endpoints.")
 @click.option("--callers", default=6, help="Number of concurrent callers.")
+@click.option("--pressing", default=12, help="Number of callers that press on.")
+@click.option(
+    "--stops-only", is_flag=True, help="Stop processes; no other faults."
+)
 @click.option(
     "--keep",
     type=click.Path(path_type=Path),
@@ -40,6 +44,7 @@
     first: int | None,
     seconds: float,
     jobs: int,
+    stops_only: bool,
     keep: Path | None,
     **sizes: int,
 ) -> None:
@@ -48,7 +53,7 @@
         first = random.randrange(SEED_BOUND)
     keep = keep or Path(tempfile.gettempdir()) / "marjoramyard-soak"
     seed_range = range(first, first + seeds)
-    runner = Runner(seconds, FleetSize(**sizes), keep)
+    runner = Runner(seconds, FleetSize(**sizes), stops_only, keep)
     failed = asyncio.run(runner.run_all(seed_range, jobs))
     click.echo(f"{seeds - len(failed)} passed, {len(failed)} failed")
     if failed:
@@ -59,9 +64,12 @@
 class Runner:
     """Runs seeds concurrently, up to a limit."""
 
-    def __init__(self, seconds: float, size: FleetSize, keep: Path):
+    def __init__(
+        self, seconds: float, size: FleetSize, stops_only: bool, keep: Path
+    ):
         self.seconds = seconds
         self.size = size
+        self.stops_only = stops_only
         self.keep = keep
 
     async def run_all(self, seeds: range, jobs: int) -> list[int]:
@@ -84,7 +92,9 @@
         shutil.rmtree(folder, ignore_errors=True)
         started_at = time.monotonic()
         try:
-            record = await run_seed(seed, self.seconds, folder, self.size)
+            record = await run_seed(
+                seed, self.seconds, folder, self.size, self.stops_only
+            )
         except Exception as error:  # noqa: BLE001 other seeds must still run
             click.echo(f"seed {seed}: run aborted: {error!r}")
             return False
@@ -106,9 +116,11 @@
     complete = sum(c.is_complete and c.status == 200 for c in record.calls)
     return (
         f"{len(record.calls)} calls, {complete} complete, "
+        f"{len(record.exchanges)} raw exchanges, "
         f"{len(record.attempts)} attempts, "
         f"{len(record.config_changes)} config changes, "
-        f"{len(record.fault_spans)} faults"
+        f"{len(record.fault_spans)} faults, "
+        f"{len(record.shutdowns)} stops"
     )
 
 
--- a/tests/soak/checks/registry.py
+++ b/tests/soak/checks/registry.py
@@ -2,11 +2,15 @@
 
 from collections.abc import Callable, Iterator
 
+from soak.plan import STOPS
 from soak.record import Record
 
 Check = Callable[[Record], Iterator[str]]
 CHECKS: dict[str, Check] = {}
 
+STOP_KINDS = tuple(kind.value for kind in STOPS)
+"""The faults in which a process gets SIGTERM."""
+
 UNDISTURBED_SECONDS = 3.0
 """A guarantee with a time bound holds for a process only if no fault affected
 it for this long beforehand."""
--- a/tests/soak/checks/shutdowns.py
+++ b/tests/soak/checks/shutdowns.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 
 from soak.checks.registry import (
+    STOP_KINDS,
     UNDISTURBED_SECONDS,
     check,
     disturbed,
@@ -31,7 +32,7 @@
             span
             for span in record.fault_spans
             if (span.target, span.number) == gateway
-            and span.kind != "stop"
+            and span.kind not in STOP_KINDS
             and span.started_at <= shutdown.ended_at
             and span.ended_at >= shutdown.signalled_at - UNDISTURBED_SECONDS
         ]
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -6,7 +6,6 @@
 import random
 import time
 
-import aiohttp
 import msgspec
 from aiohttp import web
 
@@ -19,6 +18,7 @@
     RawResponse,
     end_connection,
 )
+from soak.raw_connections import RawConnections, http_request
 from soak.record import (
     CRASHING_PART,
     CRASHING_PREFIX,
@@ -34,6 +34,7 @@
 )
 
 HEARTBEAT_SECONDS = 0.4
+CONTROL_TIMEOUT_SECONDS = 1.0
 MEAN_WORK_SECONDS = 0.04
 """Mean time to a plain response, and between the events of a stream."""
 SHED_SHARE = 0.7
@@ -109,7 +110,7 @@
     def __init__(self, number: int, record, operator_addresses: list[str], rng):
         self.number = number
         self.record = record
-        self.operator_addresses = operator_addresses
+        self.connections = RawConnections(record, "control", operator_addresses)
         self.rng: random.Random = rng
         self.version_rng = random.Random(f"version-{number}")
         self.incarnations = itertools.count(1)
@@ -128,6 +129,11 @@
     def _draw_version(self) -> str:
         return self.version_rng.choice(VERSIONS)
 
+    @property
+    def is_running(self) -> bool:
+        """Whether an incarnation is running."""
+        return self.runner is not None
+
     async def start(self) -> None:
         """Starts a new incarnation, unless one is running."""
         async with self.changing:
@@ -324,19 +330,15 @@
 
     # Registration.
 
-    async def send_heartbeats(self, session: aiohttp.ClientSession) -> None:
+    async def send_heartbeats(self) -> None:
         """Sends heartbeats while the endpoint runs, until cancelled."""
         while True:
             await asyncio.sleep(HEARTBEAT_SECONDS)
-            if self.runner is not None:
-                await self.send_registration(session)
-
-    async def send_registration(self, session: aiohttp.ClientSession) -> bool:
-        """Sends a heartbeat to a random control host.
+            if self.is_running:
+                await self.send_registration()
 
-        Returns:
-            Whether the control host accepted it.
-        """
+    def registration_request(self) -> tuple[bytes, bytes]:
+        """Returns the head and the body of the next heartbeat."""
         registration = {
             "endpoint": self.name,
             "service": "api",
@@ -346,27 +348,48 @@
             "born": self.started_at_ms,
             "software_version": self.version,
         }
-        url = (
-            f"http://{self.rng.choice(self.operator_addresses)}/registrations/"
+        headers = {"Host": "control", "Content-Type": "application/json"}
+        body = msgspec.json.encode(registration)
+        return http_request("PUT", f"/registrations/{self.name}", headers, body)
+
+    async def send_registration(self) -> bool:
+        """Sends a heartbeat to a random control host.
+
+        Returns:
+            Whether the control host accepted it.
+        """
+        name = f"registration {self.name}"
+        return await self._send_to_control(name, self.registration_request())
+
+    async def send_departure(self, name: str) -> bool:
+        """Says that an incarnation has ended to a random control host."""
+        headers = {"Host": "control"}
+        path = f"/registrations/{name}"
+        request = http_request("DELETE", path, headers, b"")
+        return await self._send_to_control(f"departure {name}", request)
+
+    async def _send_to_control(
+        self, name: str, request: tuple[bytes, bytes]
+    ) -> bool:
+        response = await self.connections.send(
+            self.rng.randrange(len(self.connections.addresses)),
+            name,
+            [b"".join(request)],
+            CONTROL_TIMEOUT_SECONDS,
         )
-        try:
-            async with session.put(
-                url + self.name, json=registration
-            ) as response:
-                return response.status == 200
-        except (aiohttp.ClientError, OSError, TimeoutError):
-            return False
-
-    async def leave(self, session: aiohttp.ClientSession) -> None:
+        return response is not None and response.status == 200
+
+    async def leave(self) -> None:
         """Announces draining, keeps serving for a while, then restarts."""
         name = self.name
         self.state = "draining"
-        while not await self.send_registration(session):
+        while not await self.send_registration():
             await asyncio.sleep(HEARTBEAT_SECONDS)
         self.record.departures.append(
             Departure(endpoint=name, acknowledged_at=time.monotonic())
         )
         await asyncio.sleep(DRAIN_SECONDS)
         await self.stop()
+        await self.send_departure(name)
         self.version = self._draw_version()
         await self.start()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -11,10 +11,13 @@
 from marjoramyard.fleet.util.rpc import InternalClient
 from marjoramyard.standin.relay import Relay
 from soak.callers import Callers
+from soak.endpoints import Endpoint
 from soak.fleet import Node, SoakFleet
 from soak.host_faults import HostFaults
+from soak.operator import Operator
 from soak.plan import Fault, FaultKind, PowerLoss, Target
 from soak.record import CRASHING_PART, CRASHING_PREFIX
+from soak.stops import STOP_ACTIONS, run_in_turns, wait_until_started
 
 LINK_DELAY_SECONDS = 0.15
 DISK_DELAY_SECONDS = 0.2
@@ -32,13 +35,12 @@
     """Injects faults into control hosts, gateways, endpoints and links."""
 
     def __init__(
-        self, fleet: SoakFleet, endpoints, operator, heartbeat_session
+        self, fleet: SoakFleet, endpoints: list[Endpoint], operator: Operator
     ):
         self.fleet = fleet
         self.endpoints = endpoints
         self.endpoint_relays: list[Relay] = []
         self.operator = operator
-        self.heartbeat_session = heartbeat_session
         self.client: InternalClient | None = None
         self.callers: Callers | None = None
         self.skipped: list[Fault] = []
@@ -91,6 +93,12 @@
                 node, HOST_FAULTS[fault.kind], fault.seconds
             )
             return
+        if fault.kind is FaultKind.TURNS:
+            await run_in_turns(node, fault.seconds)
+            return
+        if fault.kind in STOP_ACTIONS:
+            await self._stop(node, fault)
+            return
         async with node.lock:
             if (
                 fault.kind is FaultKind.LOSE_DISK
@@ -100,6 +108,17 @@
                 return
             await PROCESS_ACTIONS[fault.kind](self.fleet, node, fault.seconds)
 
+    async def _stop(self, node: Node, fault: Fault) -> None:
+        """Stops a process, unless another stop waits for it already."""
+        if node.has_waiting_stop:
+            self.skipped.append(fault)
+            return
+        node.has_waiting_stop = True
+        async with node.lock:
+            node.has_waiting_stop = False
+            await wait_until_started(node)
+            await STOP_ACTIONS[fault.kind](self.fleet, node, fault)
+
     def _links(self, node: Node) -> list[Relay]:
         links = [node.relay]
         if node.target == "gateway":
@@ -114,7 +133,7 @@
         endpoint = self.endpoints[fault.number]
         async with self.endpoint_locks[fault.number]:
             if fault.kind is FaultKind.LEAVE:
-                await endpoint.leave(self.heartbeat_session)
+                await endpoint.leave()
                 return
             await endpoint.stop()
             await asyncio.sleep(fault.seconds)
@@ -231,7 +250,6 @@
 PROCESS_ACTIONS = {
     FaultKind.KILL: SoakFleet.kill,
     FaultKind.SUSPEND: SoakFleet.suspend,
-    FaultKind.TERMINATE: SoakFleet.terminate,
     FaultKind.LOSE_DISK: SoakFleet.lose_disk,
 }
 HOST_FAULTS = {
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -23,7 +23,14 @@
 
 
 class Node:
-    """A process of the fleet and the relay to its internal address."""
+    """A process of the fleet and the relay to its internal address.
+
+    Attributes:
+        lock: Held by a fault that ends or restarts the process.
+        turns: Held while the process gets its processor in turns.
+        has_waiting_stop: Whether a stop waits for the lock.
+        is_suspended: Whether a fault suspends the process now.
+    """
 
     def __init__(
         self, target: str, number: int, child: ChildProcess, relay: Relay
@@ -33,6 +40,9 @@
         self.child = child
         self.relay = relay
         self.lock = asyncio.Lock()
+        self.turns = asyncio.Lock()
+        self.has_waiting_stop = False
+        self.is_suspended = False
         self.data_folder: Path | None = None
 
 
@@ -50,6 +60,7 @@
         hosts = [f"127.0.0.{2 + n}" for n in range(size.controls)]
         self.operator_addresses = [f"{host}:{operator_port}" for host in hosts]
         self.caller_relays: list[Relay] = []
+        self.gateway_addresses: list[str] = []
 
     def nodes(self, target: str) -> list[Node]:
         """Returns the nodes of a role, "control" or "gateway"."""
@@ -91,6 +102,7 @@
         relay = await stack.enter_async_context(relay_to(internal))
         callers = await stack.enter_async_context(relay_to(listen))
         self.caller_relays.append(callers)
+        self.gateway_addresses.append(listen)
         name = f"gateway-{number}"
         node = Node("gateway", number, self._child(name), relay)
         self.gateways.append(node)
@@ -155,8 +167,10 @@
 
     async def suspend(self, node: Node, seconds: float) -> None:
         """Suspends a process for `seconds`."""
+        node.is_suspended = True
         node.child.suspend()
         await asyncio.sleep(seconds)
+        node.is_suspended = False
         node.child.resume()
 
     async def terminate(self, node: Node, seconds: float) -> None:
@@ -181,7 +195,7 @@
                 signalled_at=signalled_at,
                 ended_at=time.monotonic(),
                 exit_code=code,
-                had_started=_logged_its_start(node, pid),
+                had_started=has_logged_its_start(node, pid),
             )
         )
         await asyncio.sleep(seconds)
@@ -225,7 +239,7 @@
         return span
 
 
-def _logged_its_start(node: Node, pid: int) -> bool:
+def has_logged_its_start(node: Node, pid: int) -> bool:
     """Whether a process was ready to handle signals when it was started."""
     with node.child.log.open(encoding="utf-8") as lines:
         return any(
--- a/tests/soak/operator.py
+++ b/tests/soak/operator.py
@@ -5,8 +5,10 @@
 import time
 
 import aiohttp
+import msgspec
 
 from soak.callers import KEY_COUNT, api_key
+from soak.raw_connections import RawConnections, http_request
 from soak.record import (
     ConfigChange,
     ConfigRead,
@@ -31,8 +33,20 @@
 }
 
 
+def put_config_request(config: dict) -> tuple[bytes, bytes]:
+    """Returns the head and the body of a request that sends a configuration."""
+    headers = {"Host": "control", "Content-Type": "application/json"}
+    body = msgspec.json.encode(config)
+    return http_request("PUT", "/fleet-config", headers, body)
+
+
 class Operator:
-    """Sends configurations with increasing versions."""
+    """Sends configurations with increasing versions.
+
+    Attributes:
+        acknowledged: The newest configuration that was acknowledged.
+        connections: Open connections for changes.
+    """
 
     def __init__(self, record: Record, hosts: list[str], seed: int):
         self.record = record
@@ -41,8 +55,10 @@
         self.version = 0
         self.added: list[int] = []
         self.revoked: list[str] = []
+        self.acknowledged: dict | None = None
+        self.connections = RawConnections(record, "control", hosts)
         self.stopped = False
-        timeout = aiohttp.ClientTimeout(total=PUT_TIMEOUT_SECONDS)
+        timeout = aiohttp.ClientTimeout(total=READ_TIMEOUT_SECONDS)
         self.session = aiohttp.ClientSession(timeout=timeout)
 
     def config(self) -> dict:
@@ -99,6 +115,8 @@
             await asyncio.sleep(RETRY_INTERVAL_SECONDS)
         change.acknowledged_at = time.monotonic()
         self.record.config_changes.append(change)
+        if self.acknowledged is None or self.acknowledged["version"] < version:
+            self.acknowledged = config
 
     async def revoke(self) -> None:
         """Revokes an API key unless only two are left."""
@@ -111,12 +129,18 @@
             await self.change(left[0])
 
     async def _put(self, config: dict) -> bool:
-        url = f"http://{self.rng.choice(self.hosts)}/fleet-config"
-        try:
-            async with self.session.put(url, json=config) as response:
-                return response.status == 200
-        except (aiohttp.ClientError, OSError, TimeoutError):
-            return False
+        response = await self.connections.send(
+            self.rng.randrange(len(self.hosts)),
+            f"config {config['version']}",
+            [b"".join(put_config_request(config))],
+            PUT_TIMEOUT_SECONDS,
+        )
+        return response is not None and response.status == 200
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        self.connections.close()
+        await self.session.close()
 
     async def read(self, host: int) -> int | None:
         """Reads the version in force from a control host.
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -14,6 +14,14 @@
 MEAN_CRASHING_INTERVAL_SECONDS = 6.0
 """Mean interval between requests that crash endpoints, each sent repeatedly."""
 CRASHING_SECONDS = 5.0
+MEAN_STOP_INTERVAL_SECONDS = 6.0
+"""Mean interval between series of stops."""
+TURNS_SHARE = 0.4
+"""Share of the stops of processes that get their processor in turns."""
+TURNS_SECONDS = 10.0
+"""Longer than a stop may last."""
+LEAVE_SHARE = 0.5
+"""Share of the stops of control hosts beside which an endpoint leaves."""
 SHARE_WITHOUT_POWER_LOSS = 0.3
 DISK_LOSS_INTERVAL_SECONDS = 9.0
 """Minimum interval between two disk losses, which covers an election and the
@@ -36,6 +44,9 @@
     KILL = "kill"
     SUSPEND = "pause"
     TERMINATE = "stop"
+    TERMINATE_TWICE = "stop-twice"
+    TERMINATE_AFTER_START = "stop-after-start"
+    TURNS = "turns"
     LOSE_DISK = "wipe"
     DELAY = "delay"
     RESET = "reset"
@@ -63,6 +74,24 @@
     FaultKind.HOLD_REPLIES,
     FaultKind.STALL_CONNECTIONS,
 )
+STOPS = (
+    FaultKind.TERMINATE,
+    FaultKind.TERMINATE_TWICE,
+    FaultKind.TERMINATE_AFTER_START,
+)
+GAP_SECONDS = {
+    FaultKind.TERMINATE: (0.0,),
+    FaultKind.TERMINATE_TWICE: (0.0, 0.02, 0.3, 1.0),
+    FaultKind.TERMINATE_AFTER_START: (0.5, 0.7, 1.0, 1.5),
+}
+"""From the first SIGTERM, or from the start of the process, to the second."""
+SEPARATE_FAULTS = (
+    FaultKind.SHED,
+    FaultKind.TERMINATE_TWICE,
+    FaultKind.TERMINATE_AFTER_START,
+    FaultKind.TURNS,
+)
+"""Drawn with generators of their own."""
 PROCESS_FAULTS = (FaultKind.KILL, FaultKind.SUSPEND, FaultKind.TERMINATE)
 CONTROL_FAULTS = (
     *PROCESS_FAULTS,
@@ -72,10 +101,17 @@
     FaultKind.FULL_DISK,
     FaultKind.CLOCK_STEP,
     FaultKind.ISOLATE_CONTROL_HOSTS,
+    *STOPS[1:],
+    FaultKind.TURNS,
 )
 FAULTS_BY_TARGET: dict[Target, tuple[FaultKind, ...]] = {
     Target.CONTROL: CONTROL_FAULTS,
-    Target.GATEWAY: (*PROCESS_FAULTS, *LINK_FAULTS),
+    Target.GATEWAY: (
+        *PROCESS_FAULTS,
+        *LINK_FAULTS,
+        *STOPS[1:],
+        FaultKind.TURNS,
+    ),
     Target.ENDPOINT: (
         *LINK_FAULTS,
         FaultKind.CRASH,
@@ -101,12 +137,18 @@
 
 
 class FleetSize(msgspec.Struct, frozen=True):
-    """Number of processes and callers of each role."""
+    """Number of processes and callers of each role.
+
+    Attributes:
+        pressing: Number of callers that use open connections to gateways
+            without a relay until their process is gone.
+    """
 
     controls: int = 3
     gateways: int = 3
     endpoints: int = 4
     callers: int = 6
+    pressing: int = 12
 
 
 class Fault(msgspec.Struct, frozen=True):
@@ -116,6 +158,7 @@
         at: Start, in seconds after the start of the plan.
         number: Index of the target, from 0.
         seconds: Duration.
+        gap_seconds: The time before a second SIGTERM.
     """
 
     at: float
@@ -123,6 +166,7 @@
     kind: FaultKind
     number: int
     seconds: float
+    gap_seconds: float = 0.0
 
 
 class PowerLoss(msgspec.Struct, frozen=True):
@@ -147,11 +191,75 @@
     return PowerLoss(seconds, lost_disk)
 
 
-def make_plan(seed: int, seconds: float, size: FleetSize) -> list[Fault]:
+def make_plan(
+    seed: int, seconds: float, size: FleetSize, stops_only: bool = False
+) -> list[Fault]:
     """Returns the faults of a run in the order of their start.
 
     Equal arguments give equal plans.
+
+    Args:
+        seed: Determines the plan.
+        seconds: Until when faults begin.
+        size: The number of targets.
+        stops_only: Whether to draw no other faults than `draw_stops` does.
     """
+    faults = draw_stops(seed, seconds, size)
+    if not stops_only:
+        faults += _draw_faults(seed, seconds, size)
+        faults += _shedding(seed, seconds, size)
+        faults += _crashing(seed, seconds)
+    return sorted(faults, key=lambda fault: fault.at)
+
+
+def draw_stops(seed: int, seconds: float, size: FleetSize) -> list[Fault]:
+    """Draws series of stops that overlap, with what goes on beside them.
+
+    Like `_shedding`, with a generator of its own.
+    """
+    rng = random.Random(f"stops-{seed}")
+    counts = {Target.GATEWAY: size.gateways, Target.CONTROL: size.controls}
+    faults: list[Fault] = []
+    at = WARMUP_SECONDS
+    while at < seconds:
+        target = rng.choice((Target.GATEWAY, Target.GATEWAY, Target.CONTROL))
+        length = min(rng.choice((1, 2, 3)), counts[target])
+        for number in rng.sample(range(counts[target]), length):
+            kind = rng.choice(STOPS)
+            stop = Fault(
+                at,
+                target,
+                kind,
+                number,
+                seconds=rng.choice((0.1, 0.3, 0.8)),
+                gap_seconds=rng.choice(GAP_SECONDS[kind]),
+            )
+            faults.append(stop)
+            if rng.random() < TURNS_SHARE:
+                turns = Fault(
+                    at, target, FaultKind.TURNS, number, TURNS_SECONDS
+                )
+                faults.append(turns)
+            if target is Target.CONTROL:
+                faults += _changes_beside(stop, rng, size)
+            at += rng.choice((0.05, 0.3, 1.0))
+        at += rng.expovariate(1 / MEAN_STOP_INTERVAL_SECONDS)
+    return faults
+
+
+def _changes_beside(
+    stop: Fault, rng: random.Random, size: FleetSize
+) -> list[Fault]:
+    """Draws what control hosts are told while one of them stops."""
+    at = stop.at + rng.choice((0.0, 0.05, 0.2))
+    changes = [Fault(at, Target.OPERATOR, FaultKind.CONFIG, 0, 0.0)]
+    if rng.random() < LEAVE_SHARE:
+        number = rng.randrange(size.endpoints)
+        changes.append(Fault(at, Target.ENDPOINT, FaultKind.LEAVE, number, 0.0))
+    return changes
+
+
+def _draw_faults(seed: int, seconds: float, size: FleetSize) -> list[Fault]:
     rng = random.Random(seed)
     counts = {
         Target.CONTROL: size.controls,
@@ -165,7 +273,7 @@
     while at < seconds:
         target = rng.choices([*TARGET_WEIGHTS], [*TARGET_WEIGHTS.values()])[0]
         kind = rng.choice(
-            [k for k in FAULTS_BY_TARGET[target] if k is not FaultKind.SHED]
+            [k for k in FAULTS_BY_TARGET[target] if k not in SEPARATE_FAULTS]
         )
         duration = rng.choice((0.3, 1.0, 2.0, 4.0))
         # A series repeats the same kind of fault in quick succession.
@@ -178,9 +286,7 @@
             faults.append(Fault(at, target, kind, number, duration))
             at += rng.choice((0.05, 0.3))
         at += rng.expovariate(1 / MEAN_FAULT_INTERVAL_SECONDS)
-    faults += _shedding(seed, seconds, size)
-    faults += _crashing(seed, seconds)
-    return sorted(faults, key=lambda fault: fault.at)
+    return faults
 
 
 def _shedding(seed: int, seconds: float, size: FleetSize) -> list[Fault]:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -18,7 +18,8 @@
 from soak.fleet import SoakFleet, soak_fleet
 from soak.operator import Operator
 from soak.plan import Fault, FleetSize, draw_power_loss, make_plan
-from soak.record import FaultSpan, Record
+from soak.pressing import PressingClients
+from soak.record import FaultSpan, Record, Stall
 
 START_TIMEOUT_SECONDS = 40.0
 RECOVERY_SECONDS = 12.0
@@ -26,15 +27,28 @@
 """How long callers go on after the recovery time, for `service_recovers`."""
 FINAL_READ_TIMEOUT_SECONDS = 12.0
 LAG_CHECK_INTERVAL_SECONDS = 0.05
+MIN_STALL_SECONDS = 0.02
 LAG_THRESHOLD_SECONDS = 0.3
 """A longer stall of this process's event loop is recorded as a fault, for
 times measured during it are unreliable."""
 
 
 async def run_seed(
-    seed: int, seconds: float, folder: Path, size: FleetSize | None = None
+    seed: int,
+    seconds: float,
+    folder: Path,
+    size: FleetSize | None = None,
+    stops_only: bool = False,
 ) -> Record:
-    """Runs the plan of a seed and returns the record."""
+    """Runs the plan of a seed and returns the record.
+
+    Args:
+        seed: Determines the plan.
+        seconds: Until when faults begin.
+        folder: For the settings, logs and data of the processes.
+        size: The number of processes and callers.
+        stops_only: Whether processes are stopped and no other fault occurs.
+    """
     size = size or FleetSize()
     record = Record()
     async with AsyncExitStack() as stack:
@@ -42,16 +56,16 @@
             soak_fleet(folder, size, record)
         )
         operator = Operator(record, fleet.operator_addresses, seed)
-        stack.push_async_callback(operator.session.close)
+        stack.push_async_callback(operator.close)
         timeout = aiohttp.ClientTimeout(total=1.0)
-        heartbeat_session = aiohttp.ClientSession(timeout=timeout)
-        stack.push_async_callback(heartbeat_session.close)
+        probe_session = aiohttp.ClientSession(timeout=timeout)
+        stack.push_async_callback(probe_session.close)
         rng = random.Random(seed + 3)
         endpoints = [
             Endpoint(number, record, fleet.operator_addresses, rng)
             for number in range(size.endpoints)
         ]
-        injector = FaultInjector(fleet, endpoints, operator, heartbeat_session)
+        injector = FaultInjector(fleet, endpoints, operator)
         metrics = Metrics("soak", "soak")
         stack.callback(metrics.close)
         injector.client = InternalClient("", metrics)
@@ -61,28 +75,34 @@
             endpoint.address = link.address
             injector.endpoint_relays.append(link)
             await endpoint.start()
+            stack.callback(endpoint.connections.close)
             stack.push_async_callback(endpoint.stop)
         async with asyncio.TaskGroup() as tasks:
             background = [
-                tasks.create_task(endpoint.send_heartbeats(heartbeat_session))
+                tasks.create_task(endpoint.send_heartbeats())
                 for endpoint in endpoints
             ]
             background.append(tasks.create_task(_record_loop_lag(record)))
-            await _bootstrap(fleet, operator, heartbeat_session)
+            await _bootstrap(fleet, operator, probe_session)
             background.append(tasks.create_task(operator.read_repeatedly()))
             callers = Callers(
                 record, [link.address for link in fleet.caller_relays], seed
             )
             injector.callers = callers
             calling = tasks.create_task(callers.run(size.callers))
-            plan = make_plan(seed, seconds, size)
+            pressing = PressingClients(
+                record, fleet.gateway_addresses, operator, endpoints, seed
+            )
+            tasks.create_task(pressing.run(size.pressing, size.controls))
+            plan = make_plan(seed, seconds, size, stops_only)
             await _run_plan(plan, injector)
-            if loss := draw_power_loss(seed, size):
+            loss = draw_power_loss(seed, size)
+            if loss and not stops_only:
                 await injector.lose_all_power(loss)
             record.faults_ended_at = time.monotonic()
             await asyncio.sleep(RECOVERY_SECONDS + OBSERVATION_SECONDS)
             record.final_version = await _read_final_version(operator)
-            callers.stopped = operator.stopped = True
+            callers.stopped = operator.stopped = pressing.stopped = True
             await calling
             for task in background:
                 task.cancel()
@@ -141,6 +161,9 @@
         before = time.monotonic()
         await asyncio.sleep(LAG_CHECK_INTERVAL_SECONDS)
         now = time.monotonic()
+        due = before + LAG_CHECK_INTERVAL_SECONDS
+        if now - due > MIN_STALL_SECONDS:
+            record.stalls.append(Stall(started_at=due, ended_at=now))
         if now - before > LAG_THRESHOLD_SECONDS:
             record.fault_spans.append(
                 FaultSpan(
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -1,14 +1,20 @@
 """Fault plans are reproducible and keep to their rules."""
 
+import hashlib
+
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from soak.plan import (
     DISK_LOSS_INTERVAL_SECONDS,
     FAULTS_BY_TARGET,
+    STOPS,
     FaultKind,
     FleetSize,
+    Target,
     draw_power_loss,
+    draw_stops,
     make_plan,
 )
 
@@ -54,3 +60,53 @@
     lost_disks = {loss.lost_disk for loss in found if loss is not None}
     assert None in found
     assert lost_disks == {None, 0, 1, 2}
+
+
+OTHER_FAULTS = {
+    (7, 8.0): (11, "4fd7e6c8c433389c"),
+    (100, 20.0): (33, "010fe74e838301bf"),
+    (105, 20.0): (33, "bc8a77012e6ae77d"),
+    (945, 20.0): (47, "5e0b6fdcfc01a9ad"),
+    (3008, 20.0): (37, "03834b061848022a"),
+    (4004, 20.0): (45, "26fffa76f276838a"),
+}
+"""Number and digest of the faults without `draw_stops`, by seed and seconds."""
+
+
+@pytest.mark.parametrize(("seed", "seconds"), OTHER_FAULTS)
+def test_stops_leave_the_other_faults_as_they_were(seed, seconds):
+    """Guards against seeds that no longer give the faults they are kept for."""
+    plan = make_plan(seed, seconds, FleetSize())
+    for stop in draw_stops(seed, seconds, FleetSize()):
+        plan.remove(stop)
+    fields = [
+        (f.at, f.target.value, f.kind.value, f.number, f.seconds) for f in plan
+    ]
+    digest = hashlib.sha256(repr(fields).encode()).hexdigest()[:16]
+    assert (len(plan), digest) == OTHER_FAULTS[seed, seconds]
+
+
+@given(st.integers(0, 10_000))
+def test_a_plan_of_stops_holds_no_other_fault(seed):
+    size = FleetSize()
+    plan = make_plan(seed, 20.0, size, stops_only=True)
+    assert sorted(draw_stops(seed, 20.0, size), key=str) == sorted(
+        plan, key=str
+    )
+
+
+def test_stops_overlap_and_meet_control_hosts_and_slow_processes():
+    """Guards against stops that only follow each other."""
+    plans = [draw_stops(seed, 20.0, FleetSize()) for seed in range(40)]
+    kinds = {(f.target, f.kind) for plan in plans for f in plan}
+    for target in (Target.GATEWAY, Target.CONTROL):
+        assert {(target, kind) for kind in (*STOPS, FaultKind.TURNS)} <= kinds
+    assert any(
+        first.kind in STOPS
+        and second.kind in STOPS
+        and first.target is second.target
+        and first.number != second.number
+        and second.at - first.at < 1.0
+        for plan in plans
+        for first, second in zip(plan, plan[1:], strict=False)
+    )
