Check that whole requests are answered

No check said that a request whose connection was closed without a response is lost. `whole_requests_are_answered` does, for gateways and control hosts: all of it was sent, no byte of a response came, and the connection ended by FIN, or after an endpoint ran the request, or over 200 ms after its last byte. A reset within 200 ms of a request that was not run crossed the close. A gateway that leaves a request open for 6 s has lost it too. The longest stall of the soak itself is taken off these 200 ms. Faults of the process in the 3 s before excuse it, except stops and turns of its processor; a stall of the relays' connections excuses for 3 s only, as these connections have no relay.

The sample record of the tests of checks moves to a module of its own, as is.

--- a/tests/soak/checks/__init__.py
+++ b/tests/soak/checks/__init__.py
@@ -5,6 +5,7 @@
 
 from soak.checks import (
     configurations,
+    connections,
     crashing_requests,
     endpoints,
     responses,
@@ -15,4 +16,11 @@
 __all__ = ["CHECKS", "violations"]
 
 # Importing a module registers its checks.
-MODULES = (configurations, crashing_requests, endpoints, responses, shutdowns)
+MODULES = (
+    configurations,
+    connections,
+    crashing_requests,
+    endpoints,
+    responses,
+    shutdowns,
+)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -6,71 +6,25 @@
 
 from soak.checks import CHECKS, violations
 from soak.record import (
-    Attempt,
-    Call,
     ConfigChange,
     ConfigRead,
-    Departure,
     EndpointCrash,
     FaultSpan,
-    Record,
     RouteKind,
-    Shutdown,
     event_count,
     event_text,
     expected_body,
 )
-
-
-def call(number, kind=RouteKind.PLAIN, sent_at=100.0, **changes):
-    name = f"1-{number}"
-    fields = {
-        "id": name,
-        "kind": kind,
-        "gateway": 0,
-        "sent_at": sent_at,
-        "deadline_seconds": 2.5,
-        "status": 200,
-        "is_complete": True,
-        "body": expected_body(name, kind),
-        "ended_at": sent_at + 0.1,
-    }
-    return Call(**{**fields, **changes})
-
-
-def attempt(number, started_at=100.0, endpoint="i-0-1", **changes):
-    return Attempt(
-        id=f"1-{number}", endpoint=endpoint, started_at=started_at, **changes
-    )
-
-
-def valid_record():
-    """Returns a record without violations."""
-    calls = [call(n, kind, 100.0 + n) for n, kind in enumerate(RouteKind)]
-    calls.append(call(90, sent_at=130.0))
-    attempts = [attempt(n, 100.0 + n) for n in range(len(RouteKind))]
-    attempts.append(attempt(90, 130.0))
-    return Record(
-        calls=calls,
-        attempts=attempts,
-        config_changes=[
-            ConfigChange(version=3, sent_at=99.0, acknowledged_at=99.5)
-        ],
-        config_reads=[ConfigRead(host=0, version=3, sent_at=120.0)],
-        departures=[Departure(endpoint="i-9-1", acknowledged_at=101.0)],
-        shutdowns=[
-            Shutdown(
-                target="gateway",
-                number=1,
-                signalled_at=105.0,
-                ended_at=108.0,
-                exit_code=0,
-            )
-        ],
-        faults_ended_at=110.0,
-        ended_at=140.0,
-        final_version=3,
-    )
+from soak.sample_records import (
+    attempt,
+    call,
+    change_read_and_not_answered,
+    read_request_closed_by_fin,
+    request_left_open,
+    request_reset_after_it_ran,
+    request_reset_late,
+    valid_record,
+)
 
 
 def test_a_sound_record_passes():
@@ -287,6 +241,11 @@
     no_keyed_service_in_one_second: "every_second_is_served_after_the_recovery",
     added_route_unknown: "added_routes_are_known",
     lost_disk_not_replaced: "lost_disks_are_replaced",
+    read_request_closed_by_fin: "whole_requests_are_answered",
+    request_reset_after_it_ran: "whole_requests_are_answered",
+    request_reset_late: "whole_requests_are_answered",
+    request_left_open: "whole_requests_are_answered",
+    change_read_and_not_answered: "whole_requests_are_answered",
 }
 
 
