Send configurations again only while a control host stops

Each configuration that is sent again is an entry of the replicated log.

The clients now send them only while a control host stops, which is what they are for.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -29,6 +29,7 @@
         lock: Held by a fault that ends or restarts the process.
         turns: Held while the process gets its processor in turns.
         has_waiting_stop: Whether a stop waits for the lock.
+        is_stopping: Whether the process has got SIGTERM.
         is_suspended: Whether a fault suspends the process now.
     """
 
@@ -42,6 +43,7 @@
         self.lock = asyncio.Lock()
         self.turns = asyncio.Lock()
         self.has_waiting_stop = False
+        self.is_stopping = False
         self.is_suspended = False
         self.data_folder: Path | None = None
 
@@ -182,12 +184,15 @@
             return
         signalled_at = time.monotonic()
         pid = node.child.pid
+        node.is_stopping = True
         try:
             limit = GRACE_SECONDS + KILL_MARGIN_SECONDS
             code = await node.child.terminate(limit)
         except TimeoutError:
             await node.child.kill()
             code = -signal.SIGKILL
+        finally:
+            node.is_stopping = False
         self.record.shutdowns.append(
             Shutdown(
                 target=node.target,
