--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -74,23 +74,16 @@
     FaultKind.HOLD_REPLIES,
     FaultKind.STALL_CONNECTIONS,
 )
-STOPS = (
-    FaultKind.TERMINATE,
-    FaultKind.TERMINATE_TWICE,
-    FaultKind.TERMINATE_AFTER_START,
-)
+REPEATED_STOPS = (FaultKind.TERMINATE_TWICE, FaultKind.TERMINATE_AFTER_START)
+STOPS = (FaultKind.TERMINATE, *REPEATED_STOPS)
 GAP_SECONDS = {
     FaultKind.TERMINATE: (0.0,),
     FaultKind.TERMINATE_TWICE: (0.0, 0.02, 0.3, 1.0),
     FaultKind.TERMINATE_AFTER_START: (0.5, 0.7, 1.0, 1.5),
 }
 """From the first SIGTERM, or from the start of the process, to the second."""
-SEPARATE_FAULTS = (
-    FaultKind.SHED,
-    FaultKind.TERMINATE_TWICE,
-    FaultKind.TERMINATE_AFTER_START,
-    FaultKind.TURNS,
-)
+SEPARATE_PROCESS_FAULTS = (*REPEATED_STOPS, FaultKind.TURNS)
+SEPARATE_FAULTS = (FaultKind.SHED, *SEPARATE_PROCESS_FAULTS)
 """Drawn with generators of their own."""
 PROCESS_FAULTS = (FaultKind.KILL, FaultKind.SUSPEND, FaultKind.TERMINATE)
 CONTROL_FAULTS = (
@@ -101,16 +94,14 @@
     FaultKind.FULL_DISK,
     FaultKind.CLOCK_STEP,
     FaultKind.ISOLATE_CONTROL_HOSTS,
-    *STOPS[1:],
-    FaultKind.TURNS,
+    *SEPARATE_PROCESS_FAULTS,
 )
 FAULTS_BY_TARGET: dict[Target, tuple[FaultKind, ...]] = {
     Target.CONTROL: CONTROL_FAULTS,
     Target.GATEWAY: (
         *PROCESS_FAULTS,
         *LINK_FAULTS,
-        *STOPS[1:],
-        FaultKind.TURNS,
+        *SEPARATE_PROCESS_FAULTS,
     ),
     Target.ENDPOINT: (
         *LINK_FAULTS,
@@ -260,6 +251,7 @@
 
 
 def _draw_faults(seed: int, seconds: float, size: FleetSize) -> list[Fault]:
+    """Draws faults of all targets, singly and in series of one kind."""
     rng = random.Random(seed)
     counts = {
         Target.CONTROL: size.controls,
