Answer malformed requests again

Cause: the parser replaces such a request by an error, which has no headers; the exception of reading them closed the connection.

--- a/packages/fleet/src/marjoramyard/fleet/served_connection.py
+++ b/packages/fleet/src/marjoramyard/fleet/served_connection.py
@@ -12,6 +12,8 @@
 from marjoramyard.fleet.util.rpc import failure_response
 from marjoramyard.kernel.errors import FailureKind, failure
 
+HEAD_END = b"\r\n\r\n"
+_LINE_END = b"\r\n"
 PART_SECONDS = 5.0
 """How long a head may take to arrive, and each part of a rejected request, once
 the connection has been open for its keep-alive time."""
@@ -29,10 +31,6 @@
 )
 
 
-HEAD_END = b"\r\n\r\n"
-_LINE_END = b"\r\n"
-
-
 class ConnectionState(Enum):
     """What a connection owes its client."""
 
@@ -63,13 +61,15 @@
 def _rest_after(data: bytes, messages: list) -> bytes:
     """Returns what follows the last of the requests whose heads end in data.
 
-    It is empty if that can't be told: in the midst of a body, and after a body
-    without a length.
+    It is empty if that can't be told: in the midst of a body, after a body
+    without a length, and after a malformed request, which the parser replaces
+    by an error.
     """
     position = 0
     for message, payload in messages:
         end = data.find(HEAD_END, position)
-        if end < 0 or not payload.is_eof() or message.chunked:
+        has_length = not getattr(message, "chunked", True)
+        if end < 0 or not payload.is_eof() or not has_length:
             return b""
         length = message.headers.get(hdrs.CONTENT_LENGTH, "0")
         position = end + len(HEAD_END) + int(length)
--- a/packages/fleet/tests/test_closing_listeners.py
+++ b/packages/fleet/tests/test_closing_listeners.py
@@ -322,3 +322,19 @@
     while time.monotonic() < end:
         continue
     assert is_whole(await asyncio.get_running_loop().sock_recv(client, 65536))
+
+
+@pytest.mark.parametrize(
+    "data",
+    [b"nonsense\r\n\r\n", b"GET / HTTP/1.1\r\nContent-Length: x\r\n\r\n"],
+)
+async def test_a_malformed_request_is_answered(server, data):
+    """Guards against closing a connection without a response to a request
+    that the HTTP parser rejects.
+    """
+    client = server.connect()
+    client.sendall(data)
+    received, _ = await receive(client)
+    assert received.startswith(b"HTTP/1.1 400") or received.startswith(
+        b"HTTP/1.0 400"
+    )
