--- a/tests/test_stopping_control_hosts.py
+++ b/tests/test_stopping_control_hosts.py
@@ -1,14 +1,14 @@
 """A control host that stops answers all that it has read."""
 
 import asyncio
-import contextlib
 import itertools
 import json
 import signal
 
 import msgspec
 import pytest
-from gateway_fleet import GatewayFleet, config, wait_until
+from control_hosts import DRAIN_SECONDS, control_hosts, find_host, put
+from gateway_fleet import config, wait_until
 from raw_clients import (
     RawClient,
     describe,
@@ -22,57 +22,6 @@
 from marjoramyard.fleet import paths
 from marjoramyard.fleet.messages import RenewReply, RenewRequest
 
-DRAIN_SECONDS = 4.0
-CONTROL = ("control-0", "control-1", "control-2")
-
-
-class ControlHosts(GatewayFleet):
-    """The control hosts of a fleet."""
-
-    def internal_address(self, number):
-        return f"{self.hosts[number]}:{self.peer_port}"
-
-
-@contextlib.asynccontextmanager
-async def control_hosts(folder):
-    """Starts three control hosts, and yields when each has a configuration."""
-    fleet = ControlHosts(folder)
-    for number, host in enumerate(fleet.hosts):
-        fleet.write_control_settings(
-            number, host, first_start=True, drain_seconds=DRAIN_SECONDS
-        )
-    try:
-        for name in CONTROL:
-            await fleet.start(name)
-        await fleet.put_config(config(1))
-        await wait_until(fleet.control_hosts_are_ready)
-        yield fleet
-    except BaseException:
-        fleet.print_log_ends()
-        raise
-    finally:
-        await fleet.close()
-
-
-async def role_of(fleet, number):
-    url = f"http://{fleet.internal_address(number)}{paths.STATUS_PATH}"
-    async with fleet.session.post(url, data=b"{}") as response:
-        return (await response.json())["role"]
-
-
-async def find_host(fleet, role):
-    """Returns the number of a control host with a role."""
-
-    async def found():
-        roles = [await role_of(fleet, number) for number in range(3)]
-        return [str(n) for n, r in enumerate(roles) if r == role][:1]
-
-    return int((await wait_until(found))[0])
-
-
-def put(path, value, method="PUT", **headers):
-    return http_request(method, path, json.dumps(value).encode(), **headers)
-
 
 def config_changes(versions):
     return lambda _: put("/fleet-config", config(next(versions)))
@@ -197,7 +146,7 @@
     async with control_hosts(tmp_path) as fleet:
         number = await find_host(fleet, role)
         clients = operator_clients(fleet.operator_addresses[number])
-        child = fleet.children[CONTROL[number]]
+        child = fleet.child(number)
         code, lost = await stop_under(child, clients, DRAIN_SECONDS)
     assert code == 0
     assert lost == []
@@ -209,7 +158,7 @@
     async with control_hosts(tmp_path) as fleet:
         number = await find_host(fleet, role)
         clients = internal_clients(fleet.internal_address(number))
-        child = fleet.children[CONTROL[number]]
+        child = fleet.child(number)
         code, lost = await stop_under(child, clients, DRAIN_SECONDS)
     assert code == 0
     assert lost == []
@@ -234,9 +183,9 @@
     """
     async with control_hosts(tmp_path) as fleet:
         number = await find_host(fleet, role)
-        others = [fleet.children[CONTROL[n]] for n in range(3) if n != number]
+        others = [fleet.child(n) for n in range(3) if n != number]
         address = fleet.operator_addresses[number]
-        child = fleet.children[CONTROL[number]]
+        child = fleet.child(number)
         operator = RawClient("change", address, config_changes(iter([2])))
         for other in others:
             other.suspend()
@@ -256,7 +205,7 @@
     """Connections and SIGTERM wait for a control host that was suspended."""
     async with control_hosts(tmp_path) as fleet:
         number = await find_host(fleet, "follower")
-        child = fleet.children[CONTROL[number]]
+        child = fleet.child(number)
         if kind == "operators":
             clients = endpoint_clients(fleet.operator_addresses[number])
         else:
@@ -270,7 +219,7 @@
     """The rest of a change arrives while its control host stops."""
     async with control_hosts(tmp_path) as fleet:
         number = await find_host(fleet, "follower")
-        child = fleet.children[CONTROL[number]]
+        child = fleet.child(number)
         address = fleet.operator_addresses[number]
         operator = RawClient("change", address, config_changes(iter([2])))
         await operator.send_part()
@@ -291,7 +240,7 @@
     async with control_hosts(tmp_path) as fleet:
         number = await find_host(fleet, "follower")
         other = await find_host(fleet, "leader")
-        child = fleet.children[CONTROL[number]]
+        child = fleet.child(number)
         address = fleet.operator_addresses[number]
         await RawClient("e-1", address, heartbeats("e-1")).call()
 
