Declare the disk and the memory of a control host

What callers saw: nothing yet; the settings aren't used before the log is bounded by its bytes. Cause: a control host didn't know how large its disk and its memory are, so it couldn't keep its log within them. Change: disk_mb and memory_mb in the settings of control hosts, filled in by the deploy file; not limited by default.

--- a/packages/fleet/src/marjoramyard/fleet/settings.py
+++ b/packages/fleet/src/marjoramyard/fleet/settings.py
@@ -52,6 +52,8 @@
         metrics_listen: An additional address for the metrics page, or "".
         availability_zones: The zones that operators may evacuate; empty for
             any.
+        disk_mb: The size of the data folder's disk; None if not limited.
+        memory_mb: The memory of the process; None if not limited.
     """
 
     data_folder: str = ""
@@ -64,6 +66,8 @@
     heartbeat_ms: float = 1200.0
     metrics_listen: str = ""
     availability_zones: list[str] = []
+    disk_mb: float | None = None
+    memory_mb: float | None = None
 
     @property
     def voter_count(self) -> int:
@@ -79,6 +83,10 @@
             found.append("operator_listen: required with self_forming")
         if self.losses < 0:
             found.append("losses: must not be negative")
+        for name in ("disk_mb", "memory_mb"):
+            limit = getattr(self, name)
+            if limit is not None and limit <= 0:
+                found.append(f"{name}: must be positive")
         return found
 
 
