Bound what a leader sends to a member by its size

What callers saw: nothing alone; on a host that returned, one message held up to 256 complete configurations, 180 MB at 700 kB each. Cause: appends were bounded by their number of entries only, and a leader went on sending to a member that didn't reply. Change: the log knows the size of its entries; an append holds at most max_batch_size, or a single larger entry, and nothing more is sent while as much is unconfirmed. A rejection or a reply ends the wait as before.

--- a/packages/coordination/src/marjoramyard/coordination/consensus/replica.py
+++ b/packages/coordination/src/marjoramyard/coordination/consensus/replica.py
@@ -39,6 +39,9 @@
             at random between this value and twice this value.
         heartbeat_ticks: The interval between a leader's heartbeats.
         max_batch_entries: The maximum number of entries in one append.
+        max_batch_size: The maximum size of the entries in one append, unless
+            a single one is larger. Once as much has been sent to a member
+            without a reply, no more entries are.
         first_election_ticks: The minimum election timeout of a replica that
             has started recently and has not had contact with a leader; 0 to
             use `election_ticks`.
@@ -47,6 +50,7 @@
     election_ticks: int = 10
     heartbeat_ticks: int = 2
     max_batch_entries: int = 256
+    max_batch_size: int = 64 << 20
     first_election_ticks: int = 0
 
 
@@ -60,6 +64,8 @@
         round: The latest heartbeat round that the member has acknowledged.
         retried_from: The first index of the last retry; 0 if there was none.
         retried_tick: The tick of the last retry.
+        unconfirmed_size: The size of the entries that were sent and not
+            acknowledged yet.
     """
 
     match: int = 0
@@ -68,6 +74,7 @@
     round: int = 0
     retried_from: int = 0
     retried_tick: int = 0
+    unconfirmed_size: int = 0
 
 
 class ReplicaState:
--- a/packages/coordination/src/marjoramyard/coordination/consensus/replication.py
+++ b/packages/coordination/src/marjoramyard/coordination/consensus/replication.py
@@ -28,9 +28,7 @@
         if self.role is Role.LEADER:
             for replica in self.membership.members:
                 if replica != self.replica_id:
-                    progress = self.progress[replica]
-                    if progress.next <= self.log.last_index:
-                        self._send_append(replica)
+                    self._send_unsent(replica)
 
     def _append_as_leader(self, kind: EntryKind, data: str) -> int | None:
         if self.role is not Role.LEADER:
@@ -44,6 +42,22 @@
             if replica != self.replica_id:
                 self._send_append(replica)
 
+    def _send_unsent(self, replica: ReplicaId) -> None:
+        if self._last_to_send(replica) >= self.progress[replica].next:
+            self._send_append(replica)
+
+    def _last_to_send(self, replica: ReplicaId) -> int:
+        """Returns the last entry of the next append to a member."""
+        progress = self.progress[replica]
+        after = progress.next - 1
+        limit = self.timings.max_batch_size
+        if progress.unconfirmed_size >= limit:
+            return after
+        last = min(self.log.last_index, after + self.timings.max_batch_entries)
+        while last > after + 1 and self.log.size_between(after, last) > limit:
+            last -= 1
+        return last
+
     def _send_append(self, replica: ReplicaId) -> None:
         progress = self.progress[replica]
         previous = progress.next - 1
@@ -55,9 +69,7 @@
             )
             progress.next = snapshot.index + 1
             return
-        last = min(
-            self.log.last_index, previous + self.timings.max_batch_entries
-        )
+        last = self._last_to_send(replica)
         entries = self.log.between(previous, last)
         self._send(
             replica,
@@ -72,6 +84,7 @@
         )
         # Pipelining: assume delivery; a rejection resets `next`.
         progress.next = last + 1
+        progress.unconfirmed_size += self.log.size_between(previous, last)
 
     def _follow_leader(self, leader: ReplicaId) -> None:
         self.role = Role.FOLLOWER
@@ -141,9 +154,11 @@
         if reply.success:
             progress.match = max(progress.match, reply.match)
             progress.next = max(progress.next, reply.match + 1)
+            progress.unconfirmed_size = self.log.size_between(
+                progress.match, progress.next - 1
+            )
             self._advance_commit()
-            if progress.next <= self.log.last_index:
-                self._send_append(sender)
+            self._send_unsent(sender)
         else:
             self._retry(sender, max(progress.match, reply.match) + 1)
         self._start_round_if_idle()
@@ -166,6 +181,7 @@
         progress.retried_from = first
         progress.retried_tick = self.ticks
         progress.next = first
+        progress.unconfirmed_size = 0
         self._send_append(replica)
 
     def _advance_commit(self) -> None:
--- a/packages/coordination/tests/consensus/test_consensus_safeguards.py
+++ b/packages/coordination/tests/consensus/test_consensus_safeguards.py
@@ -4,6 +4,8 @@
 import sys
 from pathlib import Path
 
+import msgspec
+
 sys.path.insert(0, str(Path(__file__).parent))
 from replica_network import TIMINGS, Network  # noqa: E402
 
@@ -246,6 +248,38 @@
         core.take_ready()
 
 
+def test_an_append_and_what_is_on_its_way_are_bounded_by_their_size():
+    """Guards against: large entries whose copies fill the memory of a leader,
+    and of a host that returns.
+    """
+    core = make_core()
+    core.timings = msgspec.structs.replace(TIMINGS, max_batch_size=100)
+    elect(core)
+    core.take_ready()
+    for _ in range(6):
+        core.propose("x" * 40)
+    core.flush()
+    core.flush()
+    core.flush()
+    sent = appended_entries(core, "b")
+    assert len(sent) == 4
+    core.take_ready()
+    core.receive(Envelope("b", "a", AppendReply(core.term, True, sent[-1])))
+    assert appended_entries(core, "b") == [sent[-1] + 1, sent[-1] + 2]
+
+
+def test_an_entry_larger_than_a_whole_append_is_sent_alone():
+    """Guards against: a large entry that is never sent."""
+    core = make_core()
+    core.timings = msgspec.structs.replace(TIMINGS, max_batch_size=100)
+    elect(core)
+    core.take_ready()
+    first = core.propose("x" * 400)
+    core.propose("y")
+    core.flush()
+    assert appended_entries(core, "b") == [first]
+
+
 def appended_entries(core, receiver):
     """Returns the indices of the entries that are being sent."""
     return [
