Compact the replicated log by its bytes

What callers saw: no change acknowledged, and the newest acknowledged configuration not read back, once the log had filled the disks of all control hosts. The count is kept as it was, also by a host that starts on a longer log.

--- a/packages/fleet/src/marjoramyard/fleet/control/node.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/node.py
@@ -20,6 +20,7 @@
 from marjoramyard.coordination.consensus.replica import RaftTimings, Role
 from marjoramyard.coordination.governance.commands import Command, Reply
 from marjoramyard.coordination.governance.state import ControlState
+from marjoramyard.fleet.control.log_limits import LogLimits
 from marjoramyard.fleet.control.raft_transport import RaftTransport
 from marjoramyard.fleet.control.storage import Storage
 from marjoramyard.kernel.errors import Failure, FailureKind, Outcome, failure
@@ -74,14 +75,17 @@
         stored: StoredState,
         transport: RaftTransport,
         metrics: Metrics,
-        snapshot_every: int,
+        limits: LogLimits,
     ):
         self.storage = storage
         self.transport = transport
         self.metrics = metrics
-        self.snapshot_every = snapshot_every
+        self.limits = limits
+        timings = msgspec.structs.replace(
+            TIMINGS, max_batch_size=limits.log_bytes
+        )
         self.core = RaftCore(
-            storage.identity.replica, stored, TIMINGS, random.Random()
+            storage.identity.replica, stored, timings, random.Random()
         )
         self.state = ControlState.restore(stored.snapshot.data)
         self.pending_proposals: dict[int, PendingProposal] = {}
@@ -290,7 +294,11 @@
             self._snapshot_if_due()
 
     def _snapshot_if_due(self) -> None:
-        if self.applied_since_snapshot < self.snapshot_every:
+        is_due = (
+            self.applied_since_snapshot >= self.limits.entries
+            or self.storage.appended_bytes > self.limits.log_bytes
+        )
+        if not is_due or self.core.applied_index <= self.storage.base_index:
             return
         self.applied_since_snapshot = 0
         snapshot: Snapshot = self.core.compact(
--- a/packages/fleet/src/marjoramyard/fleet/control/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/role.py
@@ -28,6 +28,7 @@
 from marjoramyard.fleet.control.cluster_manager import ClusterManager
 from marjoramyard.fleet.control.dialects import OPERATOR_DIALECTS
 from marjoramyard.fleet.control.fleet_routes import fleet_routes
+from marjoramyard.fleet.control.log_limits import LogLimits
 from marjoramyard.fleet.control.node import ControlNode
 from marjoramyard.fleet.control.queries import QUERIES
 from marjoramyard.fleet.control.raft_transport import RaftTransport
@@ -165,7 +166,7 @@
                 self.settings.advertised_address,
             ),
             self.app.metrics,
-            self.settings.snapshot_every,
+            LogLimits.from_settings(self.settings),
         )
         self.renewal_server = RenewalServer(self.running_node)
         self.running_node.on_applied.append(self.service.on_applied)
--- a/packages/fleet/src/marjoramyard/fleet/control/storage.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/storage.py
@@ -155,6 +155,9 @@
 
     Attributes:
         wal: The open log file (write-ahead log), if any.
+        base_index: The index of the snapshot that precedes the log file.
+        appended_bytes: The length of the log file without what was kept of
+            the log before.
         bytes_written: Bytes appended since the start of the process.
         sync_count: Appends, each with a sync, since the start of the process.
     """
@@ -164,6 +167,8 @@
         self.identity: Identity | None = None
         self.wal = None
         self.wal_path: Path | None = None
+        self.base_index = 0
+        self.appended_bytes = 0
         self.bytes_written = 0
         self.sync_count = 0
 
@@ -225,6 +230,8 @@
         data = path.read_bytes()
         records, valid_size = read_records(data, path.name)
         stored = self._replay(snapshot, records)
+        self.base_index = self._base_of(records)
+        self.appended_bytes = valid_size
         self.wal = path.open("r+b")
         self.wal.truncate(valid_size)
         self.wal.seek(valid_size)
@@ -244,6 +251,11 @@
             )
         return msgspec.json.decode(found[0], type=Snapshot)
 
+    @staticmethod
+    def _base_of(records: list[WalRecord]) -> int:
+        base = records[0].base if records else None
+        return base[0] if base is not None else 0
+
     @staticmethod
     def _replay(snapshot: Snapshot, records: list[WalRecord]) -> StoredState:
         hard = HardState()
@@ -273,6 +285,7 @@
         self.wal.flush()
         os.fsync(self.wal.fileno())
         self.bytes_written += len(data)
+        self.appended_bytes += len(data)
         self.sync_count += 1
 
     def save_snapshot(
@@ -306,6 +319,8 @@
         self.wal = path.open("r+b")
         self.wal.seek(0, os.SEEK_END)
         self.wal_path = path
+        self.base_index = stored.snapshot.index
+        self.appended_bytes = 0
         for old in sorted(self.folder.glob("wal-*.log"))[:-1]:
             old.unlink()
 
