Refuse a change that the log has no room for

What callers saw: a leader without a quorum went on taking changes, each a whole configuration, until it stepped down; one configuration of any size was taken. Cause: nothing bounded an entry, nor what a leader holds uncommitted. Measured: the two tests of test_waiting_changes.py failed before (an unknown outcome after 60 s; a configuration of 200 kB taken on a disk of 1 MB). `pytest packages/fleet/tests/control tests/platform` passes.

--- a/packages/fleet/src/marjoramyard/fleet/control/node.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/node.py
@@ -149,11 +149,35 @@
             command: The command for the state machine.
             timeout: In seconds; after it, the outcome is unknown.
         """
-        index = self.core.propose(msgspec.json.encode(command).decode())
+        data = msgspec.json.encode(command).decode()
+        refusal = self._refusal_of(len(data))
+        if refusal is not None:
+            return Err(refusal)
+        index = self.core.propose(data)
         if index is None:
             return Err(self.not_leader())
         return await self._await_applied(index, timeout)
 
+    def _refusal_of(self, size: int) -> Failure | None:
+        """Returns why the log has no room for a command; None if it has."""
+        limit = self.limits.log_bytes
+        if size > limit:
+            return failure(
+                FailureKind.TOO_LARGE,
+                f"the change takes {size} bytes of the log, and {limit} are "
+                "allowed by disk_mb and memory_mb; send a smaller one",
+            )
+        log = self.core.log
+        waiting = log.size_between(self.core.commit_index, log.last_index)
+        if waiting + size > limit:
+            return failure(
+                FailureKind.NO_QUORUM,
+                f"changes of {waiting} bytes wait for a quorum already; look "
+                "at `marjoramctl status`, then send it again",
+                retry_after=MAX_ELECTION_SECONDS,
+            )
+        return None
+
     async def change_membership(
         self, membership: Membership, timeout: float
     ) -> Result[Reply, Failure]:
