--- a/packages/fleet/src/marjoramyard/fleet/control/storage.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/storage.py
@@ -144,13 +144,20 @@
     """Replaces a file atomically and syncs it.
 
     After a crash, the file has either its old or its new content.
+
+    Raises:
+        OSError: No temporary copy is left.
     """
     temporary = path.with_suffix(".tmp")
-    with temporary.open("wb") as file:
-        file.write(data)
-        file.flush()
-        os.fsync(file.fileno())
-    temporary.rename(path)
+    try:
+        with temporary.open("wb") as file:
+            file.write(data)
+            file.flush()
+            os.fsync(file.fileno())
+        temporary.rename(path)
+    except OSError:
+        temporary.unlink(missing_ok=True)
+        raise
     sync_directory(path.parent)
 
 
@@ -226,6 +233,7 @@
         Raises:
             StorageError: The snapshot or the log is damaged.
         """
+        self._remove_unused()
         snapshot = self._load_snapshot()
         paths = sorted(self.folder.glob("wal-*.log"))
         if not paths:
@@ -245,6 +253,19 @@
         self.wal_path = path
         return stored
 
+    def _remove_unused(self) -> None:
+        """Removes temporary copies, and files that newer ones replace."""
+        unused = list(self.folder.glob("*.tmp"))
+        for pattern in ("snapshot-*.json", "wal-*.log"):
+            unused += sorted(self.folder.glob(pattern))[:-1]
+        try:
+            # A newer file may have been renamed without a sync of the folder.
+            sync_directory(self.folder)
+            for path in unused:
+                path.unlink()
+        except OSError as error:
+            logger.warning("unused_files_kept", error=str(error))
+
     def _load_snapshot(self) -> Snapshot:
         paths = sorted(self.folder.glob("snapshot-*.json"))
         if not paths:
--- a/packages/fleet/tests/control/test_storage.py
+++ b/packages/fleet/tests/control/test_storage.py
@@ -1,5 +1,7 @@
 """The data folder: torn writes, damage, locking and snapshots."""
 
+import errno
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -10,6 +12,7 @@
     LogEntry,
     Snapshot,
 )
+from marjoramyard.fleet.control import storage as storage_module
 from marjoramyard.fleet.control.storage import (
     StorageError,
     WalRecord,
@@ -161,3 +164,44 @@
         path.write_text(path.read_text().replace('"format":1', '"format":9'))
         with pytest.raises(StorageError, match="format 9"):
             storage.load_identity()
+
+
+def names_in(folder):
+    return {path.name.partition("-")[0] for path in folder.glob("*")}
+
+
+def test_a_failed_write_leaves_no_temporary_copy(tmp_path, monkeypatch):
+    """Guards against a full disk that stays full by a copy nobody reads."""
+    fill(tmp_path, 2)
+
+    def full(_):
+        raise OSError(errno.ENOSPC, "no space left")
+
+    with open_storage(tmp_path) as storage:
+        stored = storage.load()
+        with monkeypatch.context() as patched:
+            patched.setattr(storage_module.os, "fsync", full)
+            with pytest.raises(OSError, match="no space"):
+                storage.save_snapshot(Snapshot(2, 1), stored.hard, [])
+    assert names_in(tmp_path) == {"lock", "wal"}
+    assert len(reload(tmp_path).entries) == 2
+
+
+def test_a_start_removes_what_an_interrupted_write_has_left(tmp_path):
+    """Guards against copies that add up with each kill during a compaction."""
+    path = fill(tmp_path, 5)
+    with open_storage(tmp_path) as storage:
+        stored = storage.load()
+        for index in (3, 4):
+            snapshot = Snapshot(index, 1, data="state")
+            storage.save_snapshot(snapshot, stored.hard, stored.entries[index:])
+            (tmp_path / f"snapshot-{index + 5:016d}.tmp").write_bytes(b"part")
+    path.write_bytes(b"")
+    (tmp_path / "snapshot-0000000000000003.json").write_bytes(b"older")
+    stored = reload(tmp_path)
+    assert (stored.snapshot.index, len(stored.entries)) == (4, 1)
+    assert sorted(name.name for name in tmp_path.glob("*")) == [
+        "lock",
+        "snapshot-0000000000000004.json",
+        "wal-0000000000000003.log",
+    ]
