Accept 0 as the size of a disk that isn't there

What callers saw: in a trial hosts without a disk ended at once: "key disk_mb: must be positive". Cause: the platform gives 0 as the disk of a machine without one. Change: 0 means not limited; negative sizes are still refused. Measured: `pytest packages/fleet/tests/control/test_log_limits.py` passes.

--- a/packages/fleet/src/marjoramyard/fleet/control/log_limits.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/log_limits.py
@@ -39,6 +39,6 @@
         limits = [
             int(size * 1e6 * share / _PARTS)
             for size, share in shares
-            if size is not None
+            if size
         ]
         return cls(settings.snapshot_every, min([MAX_LOG_BYTES, *limits]))
--- a/packages/fleet/src/marjoramyard/fleet/settings.py
+++ b/packages/fleet/src/marjoramyard/fleet/settings.py
@@ -52,8 +52,8 @@
         metrics_listen: An additional address for the metrics page, or "".
         availability_zones: The zones that operators may evacuate; empty for
             any.
-        disk_mb: The size of the data folder's disk; None if not limited.
-        memory_mb: The memory of the process; None if not limited.
+        disk_mb: The size of the data folder's disk; 0 or None if not limited.
+        memory_mb: The memory of the process; 0 or None if not limited.
     """
 
     data_folder: str = ""
@@ -85,8 +85,8 @@
             found.append("losses: must not be negative")
         for name in ("disk_mb", "memory_mb"):
             limit = getattr(self, name)
-            if limit is not None and limit <= 0:
-                found.append(f"{name}: must be positive")
+            if limit is not None and limit < 0:
+                found.append(f"{name}: must not be negative")
         return found
 
 
