Serve reads and refuse changes at once while the disk is full

What callers saw: with full disks no host had a replica, so the configuration in force was not confirmed, could not be read, and each change waited for its time. Cause: after a failed write the replica was stopped until its folder was writable, as it was unknown how much was on disk. Change: a batch that is refused is cut off the log file again. A leader takes back the proposals in it, which it hasn't sent, refuses changes as storage_full (503, not run), hands leadership over if it can and goes on serving reads. If more than proposals was refused, the replica starts again from disk read-only: it confirms its leader and applies what it has stored, doesn't vote and doesn't stand for election. Either tries the disk each half second and goes on by itself.

A start on a folder that can't be opened is tried again.

--- a/packages/coordination/src/marjoramyard/coordination/consensus/replication.py
+++ b/packages/coordination/src/marjoramyard/coordination/consensus/replication.py
@@ -37,6 +37,15 @@
         self._append_to_log([LogEntry(index, self.term, kind, data)])
         return index
 
+    def withdraw_unsynced(self) -> None:
+        """Removes a leader's proposals that were neither stored nor sent."""
+        self.log.truncate(self.synced_index)
+        self.first_unwritten = self.log.last_index + 1
+        self.membership = self._latest_membership()
+        for progress in self.progress.values():
+            progress.next = min(progress.next, self.log.last_index + 1)
+            progress.unconfirmed_size = 0
+
     def _broadcast(self) -> None:
         for replica in self.membership.members:
             if replica != self.replica_id:
--- a/packages/ctl/src/marjoramyard/ctl/session.py
+++ b/packages/ctl/src/marjoramyard/ctl/session.py
@@ -123,6 +123,7 @@
         return EXIT_CONFLICT
     if reason.kind in (
         FailureKind.NO_QUORUM,
+        FailureKind.STORAGE_FULL,
         FailureKind.NO_ENDPOINT,
         FailureKind.NOT_LEADER,
     ):
--- a/packages/fleet/src/marjoramyard/fleet/control/log_limits.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/log_limits.py
@@ -2,7 +2,9 @@
 
 import msgspec
 
+from marjoramyard.coordination.consensus.core import RaftCore
 from marjoramyard.fleet.settings import ControlSettings
+from marjoramyard.kernel.errors import Failure, FailureKind, failure
 
 SHARE_OF_DISK = 0.5
 """The part of the disk for the log, the snapshot and their copies."""
@@ -37,8 +39,36 @@
             (settings.memory_mb, SHARE_OF_MEMORY),
         )
         limits = [
-            int(size * 1e6 * share / _PARTS)
-            for size, share in shares
-            if size
+            int(size * 1e6 * share / _PARTS) for size, share in shares if size
         ]
         return cls(settings.snapshot_every, min([MAX_LOG_BYTES, *limits]))
+
+    def refusal(
+        self, core: RaftCore, size: int, retry_after: float
+    ) -> Failure | None:
+        """Returns why the log has no room for a command.
+
+        Args:
+            core: The replica that leads.
+            size: The size of the command.
+            retry_after: When to try again if changes wait, in seconds.
+
+        Returns:
+            The failure; None if there is room.
+        """
+        if size > self.log_bytes:
+            return failure(
+                FailureKind.TOO_LARGE,
+                f"the change takes {size} bytes of the log, and "
+                f"{self.log_bytes} are allowed by disk_mb and memory_mb; "
+                "send a smaller one",
+            )
+        waiting = core.log.size_between(core.commit_index, core.log.last_index)
+        if waiting + size > self.log_bytes:
+            return failure(
+                FailureKind.NO_QUORUM,
+                f"changes of {waiting} bytes wait for a quorum already; look "
+                "at `marjoramctl status`, then send it again",
+                retry_after=retry_after,
+            )
+        return None
--- a/packages/fleet/src/marjoramyard/fleet/control/node.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/node.py
@@ -22,7 +22,8 @@
 from marjoramyard.coordination.governance.state import ControlState
 from marjoramyard.fleet.control.log_limits import LogLimits
 from marjoramyard.fleet.control.raft_transport import RaftTransport
-from marjoramyard.fleet.control.storage import Storage
+from marjoramyard.fleet.control.read_only import storage_full, without_writes
+from marjoramyard.fleet.control.storage import BatchRefusedError, Storage
 from marjoramyard.kernel.errors import Failure, FailureKind, Outcome, failure
 from marjoramyard.kernel.logs import get_logger
 from marjoramyard.kernel.metrics import Metrics
@@ -38,6 +39,8 @@
 MAX_ELECTION_SECONDS = 2 * TIMINGS.election_ticks * TICK_SECONDS
 """The longest election timeout; also the retry delay given to callers."""
 MAX_CATCH_UP_TICKS = 3
+PROBE_TICKS = 5
+"""How often a disk that refuses writes is tried."""
 
 
 class PendingProposal(msgspec.Struct):
@@ -67,7 +70,11 @@
 
 
 class ControlNode:
-    """The Raft replica of a control host and its state machine."""
+    """The Raft replica of a control host and its state machine.
+
+    Attributes:
+        is_read_only: Whether the disk refuses writes; tested now and then.
+    """
 
     def __init__(
         self,
@@ -76,6 +83,7 @@
         transport: RaftTransport,
         metrics: Metrics,
         limits: LogLimits,
+        is_read_only: bool = False,
     ):
         self.storage = storage
         self.transport = transport
@@ -97,6 +105,8 @@
         self.on_leadership: list[Callable[[bool], None]] = []
         self.on_storage_failed: Callable[[OSError], None] | None = None
         self.stopped = False
+        self.is_read_only = is_read_only
+        self.ticks = 0
 
     def stop(self) -> None:
         """Stops the replica.
@@ -130,12 +140,31 @@
             if behind > MAX_CATCH_UP_TICKS * TICK_SECONDS:
                 logger.info("event_loop_late", seconds=round(behind, 3))
                 due = loop.time()
-            self.core.tick()
+            self._tick()
             self.schedule_processing()
 
+    def _tick(self) -> None:
+        self.ticks += 1
+        if self.is_read_only and self.ticks % PROBE_TICKS == 0:
+            self._leave_read_only_if_writable()
+        # A replica that can't store its vote does not stand for election.
+        if not self.is_read_only or self.core.role is Role.LEADER:
+            self.core.tick()
+
+    def _leave_read_only_if_writable(self) -> None:
+        try:
+            self.storage.check_writable()
+        except OSError as error:
+            logger.warning("storage_still_failing", error=str(error))
+            return
+        self.is_read_only = False
+        logger.info("storage_writable")
+
     def receive(self, envelopes: list[Envelope]) -> None:
         """Passes messages of other replicas to the core."""
         self.transport.record_reply_addresses(envelopes)
+        if self.is_read_only:
+            envelopes = without_writes(self.core, envelopes)
         for envelope in envelopes:
             self.core.receive(envelope)
         self.schedule_processing()
@@ -160,23 +189,9 @@
 
     def _refusal_of(self, size: int) -> Failure | None:
         """Returns why the log has no room for a command; None if it has."""
-        limit = self.limits.log_bytes
-        if size > limit:
-            return failure(
-                FailureKind.TOO_LARGE,
-                f"the change takes {size} bytes of the log, and {limit} are "
-                "allowed by disk_mb and memory_mb; send a smaller one",
-            )
-        log = self.core.log
-        waiting = log.size_between(self.core.commit_index, log.last_index)
-        if waiting + size > limit:
-            return failure(
-                FailureKind.NO_QUORUM,
-                f"changes of {waiting} bytes wait for a quorum already; look "
-                "at `marjoramctl status`, then send it again",
-                retry_after=MAX_ELECTION_SECONDS,
-            )
-        return None
+        if self.is_read_only and self.core.role is Role.LEADER:
+            return storage_full(MAX_ELECTION_SECONDS)
+        return self.limits.refusal(self.core, size, MAX_ELECTION_SECONDS)
 
     async def change_membership(
         self, membership: Membership, timeout: float
@@ -190,6 +205,9 @@
             membership: The new membership; at most one voter differs.
             timeout: In seconds; after it, the outcome is unknown.
         """
+        refusal = self._refusal_of(0)
+        if refusal is not None:
+            return Err(refusal)
         index = self.core.change_membership(membership)
         if index is None:
             if self.core.role is not Role.LEADER:
@@ -281,11 +299,15 @@
     def _process_output(self) -> None:
         self.core.flush()
         while not (ready := self.core.take_ready()).is_empty:
-            self._store(ready)
-            self.core.mark_synced()
-            self.transport.enqueue(
-                ready.messages, self.core.membership.addresses
-            )
+            try:
+                self._store(ready)
+            except BatchRefusedError as error:
+                self._withdraw_proposals(ready, error)
+            else:
+                self.core.mark_synced()
+                self.transport.enqueue(
+                    ready.messages, self.core.membership.addresses
+                )
             self._apply(ready)
         self._resolve_reads()
         self._report_role_change()
@@ -299,6 +321,34 @@
         if ready.hard_state is not None or ready.entries:
             self.storage.append(ready.hard_state, ready.entries)
 
+    def _withdraw_proposals(
+        self, ready: Ready, error: BatchRefusedError
+    ) -> None:
+        """Takes back what this leader has proposed and could not store.
+
+        Nothing of it was sent, so it leads on, and serves reads.
+
+        Raises:
+            BatchRefusedError: The output holds more than proposals of a leader.
+        """
+        if (
+            not self.core.can_serve_reads
+            or ready.hard_state is not None
+            or ready.snapshot is not None
+        ):
+            raise error
+        logger.error("changes_refused", error=str(error))
+        self.metrics.count("storage_failures")
+        self.is_read_only = True
+        self.core.withdraw_unsynced()
+        for index, pending in self.pending_proposals.items():
+            is_withdrawn = index > self.core.log.last_index
+            if is_withdrawn and not pending.future.done():
+                pending.future.set_result(
+                    Err(storage_full(MAX_ELECTION_SECONDS))
+                )
+        self.core.transfer_leadership()
+
     def _apply(self, ready: Ready) -> None:
         for entry in ready.committed:
             reply = Reply()
@@ -322,14 +372,23 @@
             self.applied_since_snapshot >= self.limits.entries
             or self.storage.appended_bytes > self.limits.log_bytes
         )
-        if not is_due or self.core.applied_index <= self.storage.base_index:
-            return
-        self.applied_since_snapshot = 0
+        has_applied = self.core.applied_index > self.storage.base_index
+        if is_due and has_applied and not self.is_read_only:
+            self._compact()
+
+    def _compact(self) -> None:
         snapshot: Snapshot = self.core.compact(
             self.core.applied_index, self.state.snapshot()
         )
+        try:
+            self.storage.write_snapshot(snapshot)
+        except OSError as error:
+            # The log goes on, and the next change tries again.
+            logger.warning("compaction_failed", error=str(error))
+            return
         hard = HardState(self.core.term, self.core.vote)
-        self.storage.save_snapshot(snapshot, hard, self.core.log.entries)
+        self.storage.start_log(hard, snapshot, self.core.log.entries)
+        self.applied_since_snapshot = 0
         self.metrics.count("snapshots_taken")
 
     def _resolve_reads(self) -> None:
--- a/packages/fleet/src/marjoramyard/fleet/control/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/role.py
@@ -154,8 +154,12 @@
 
     # Replica lifecycle.
 
-    def start_node(self) -> None:
-        """Starts the replica that is stored in the data folder."""
+    def start_node(self, is_read_only: bool = False) -> None:
+        """Starts the replica that is stored in the data folder.
+
+        Args:
+            is_read_only: Whether the disk has refused a write.
+        """
         stored = self.storage.load()
         self.running_node = ControlNode(
             self.storage,
@@ -167,6 +171,7 @@
             ),
             self.app.metrics,
             LogLimits.from_settings(self.settings),
+            is_read_only,
         )
         self.renewal_server = RenewalServer(self.running_node)
         self.running_node.on_applied.append(self.service.on_applied)
@@ -185,22 +190,21 @@
 
         After a failed write, it is unknown how much of it is on disk, so the
         replica must not acknowledge anything from memory. It is restarted
-        once the data folder is writable and readable.
+        once the data folder is readable, and is read-only until it is writable.
         """
         logger.error("storage_failed", error=str(error))
         self.app.metrics.count("storage_failures")
         self.node_task.cancel()
         self.running_node.stop()
         self.running_node = None
-        self.app.tasks.spawn(self._restart_when_writable())
+        self.app.tasks.spawn(self._restart_when_readable())
 
-    async def _restart_when_writable(self) -> None:
+    async def _restart_when_readable(self) -> None:
         while self.running_node is None:
             await asyncio.sleep(_STORAGE_RETRY_SECONDS)
             try:
                 self.storage.close()
-                self.storage.check_writable()
-                self.start_node()
+                self.start_node(is_read_only=True)
             except (OSError, StorageError) as error:
                 logger.warning("storage_still_failing", error=str(error))
 
@@ -402,11 +406,22 @@
             if replica in membership.voters:
                 first = Snapshot(1, 1, membership, "")
                 self.storage.save_snapshot(first, HardState(1), [])
-            self.start_node()
         except OSError as error:
             # The replica exists, so no other one may be created here.
-            logger.error("storage_failed", error=str(error))
-            self.app.tasks.spawn(self._restart_when_writable())
+            self._retry_start(error)
+            return
+        self.start_stored_node()
+
+    def start_stored_node(self) -> None:
+        """Starts the stored replica, later if the disk fails now."""
+        try:
+            self.start_node()
+        except OSError as error:
+            self._retry_start(error)
+
+    def _retry_start(self, error: OSError) -> None:
+        logger.error("storage_failed", error=str(error))
+        self.app.tasks.spawn(self._restart_when_readable())
 
     async def on_member(self, request: web.Request) -> web.Response:
         """Adds, promotes or removes one member."""
@@ -461,7 +476,7 @@
     with _storage_of(app.settings.data_folder) as storage:
         role = ControlRole(app, storage)
         if storage is not None and storage.load_identity() is not None:
-            role.start_node()
+            role.start_stored_node()
         async with AsyncExitStack() as stack:
             listening = app.serve(app.settings.internal, role.routes())
             await stack.enter_async_context(listening)
--- a/packages/fleet/src/marjoramyard/fleet/control/storage.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/storage.py
@@ -1,6 +1,7 @@
 """The data folder of a replica: write-ahead log, snapshots and identity."""
 
 import fcntl
+import io
 import os
 import secrets
 import struct
@@ -33,6 +34,10 @@
     """The data folder can't be used; the message names the remedy."""
 
 
+class BatchRefusedError(OSError):
+    """A batch could not be stored, and nothing of it is in the log."""
+
+
 class Identity(msgspec.Struct):
     """The replica that a data folder belongs to.
 
@@ -140,6 +145,17 @@
         os.close(descriptor)
 
 
+def write_all(file: io.RawIOBase, data: bytes) -> None:
+    """Writes to an unbuffered file and syncs it.
+
+    A buffer would keep what a full disk has refused, and write it later.
+    """
+    view = memoryview(data)
+    while view:
+        view = view[file.write(view) :]
+    os.fsync(file.fileno())
+
+
 def replace_file(path: Path, data: bytes) -> None:
     """Replaces a file atomically and syncs it.
 
@@ -150,10 +166,8 @@
     """
     temporary = path.with_suffix(".tmp")
     try:
-        with temporary.open("wb") as file:
-            file.write(data)
-            file.flush()
-            os.fsync(file.fileno())
+        with temporary.open("wb", buffering=0) as file:
+            write_all(file, data)
         temporary.rename(path)
     except OSError:
         temporary.unlink(missing_ok=True)
@@ -246,10 +260,8 @@
         stored = self._replay(snapshot, records)
         self.base_index = self._base_of(records)
         self.appended_bytes = valid_size
-        self.wal = path.open("r+b")
-        self.wal.truncate(valid_size)
-        self.wal.seek(valid_size)
-        os.fsync(self.wal.fileno())
+        self.wal = path.open("r+b", buffering=0)
+        self._truncate(valid_size)
         self.wal_path = path
         return stored
 
@@ -305,16 +317,25 @@
         """Appends one batch to the log and syncs it.
 
         Raises:
+            BatchRefusedError: Nothing of the batch is in the log.
             OSError: How much of the batch is on disk is unknown.
         """
         data = encode_record(WalRecord(hard, entries))
-        self.wal.write(data)
-        self.wal.flush()
-        os.fsync(self.wal.fileno())
+        end = self.wal.tell()
+        try:
+            write_all(self.wal, data)
+        except OSError as error:
+            self._truncate(end)
+            raise BatchRefusedError(*error.args) from error
         self.bytes_written += len(data)
         self.appended_bytes += len(data)
         self.sync_count += 1
 
+    def _truncate(self, size: int) -> None:
+        self.wal.truncate(size)
+        self.wal.seek(size)
+        os.fsync(self.wal.fileno())
+
     def save_snapshot(
         self, snapshot: Snapshot, hard: HardState, entries: list[LogEntry]
     ) -> None:
@@ -325,14 +346,28 @@
             hard: The current hard state.
             entries: The log entries after the snapshot.
         """
+        self.write_snapshot(snapshot)
+        self.start_log(hard, snapshot, entries)
+
+    def write_snapshot(self, snapshot: Snapshot) -> None:
+        """Stores a snapshot, which covers a part of the log from now on.
+
+        Raises:
+            OSError: The log and an earlier snapshot are as before.
+        """
         payload = msgspec.json.encode(snapshot)
         header = _HEADER.pack(len(payload), zlib.crc32(payload))
         path = self.folder / f"snapshot-{snapshot.index:016d}.json"
         replace_file(path, header + payload)
-        self._start_wal(StoredState(hard, snapshot, entries))
         for old in sorted(self.folder.glob("snapshot-*.json"))[:-1]:
             old.unlink()
 
+    def start_log(
+        self, hard: HardState, snapshot: Snapshot, entries: list[LogEntry]
+    ) -> None:
+        """Replaces the log file by one that begins after a stored snapshot."""
+        self._start_wal(StoredState(hard, snapshot, entries))
+
     def _start_wal(self, stored: StoredState) -> None:
         number = 1
         if self.wal_path is not None:
@@ -343,7 +378,7 @@
         replace_file(path, encode_record(record))
         if self.wal is not None:
             self.wal.close()
-        self.wal = path.open("r+b")
+        self.wal = path.open("r+b", buffering=0)
         self.wal.seek(0, os.SEEK_END)
         self.wal_path = path
         self.base_index = stored.snapshot.index
--- a/packages/fleet/src/marjoramyard/fleet/util/control_client.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/control_client.py
@@ -23,6 +23,7 @@
     {
         FailureKind.NOT_LEADER,
         FailureKind.NO_QUORUM,
+        FailureKind.STORAGE_FULL,
         FailureKind.NO_ENDPOINT,
         FailureKind.UNINITIALISED,
     }
--- a/packages/kernel/src/marjoramyard/kernel/errors.py
+++ b/packages/kernel/src/marjoramyard/kernel/errors.py
@@ -42,6 +42,7 @@
     STREAM_VERSION_GONE = ("stream_version_gone", 503)
     LEDGER_FULL = ("ledger_full", 503)
     NO_QUORUM = ("no_quorum", 503)
+    STORAGE_FULL = ("storage_full", 503)
     NOT_LEADER = ("not_leader", 421)
     QUARANTINED = ("request_quarantined", 503)
     SUSPECT_HELD = ("suspect_held_apart", 503)
--- a/tests/control_host.py
+++ b/tests/control_host.py
@@ -46,7 +46,7 @@
 
 def start(role):
     if role.storage.load_identity() is not None:
-        role.start_node()
+        role.start_stored_node()
         return
     replica = ReplicaId(role.unassigned_replica_id)
     role.initialise(
