--- a/packages/coordination/src/marjoramyard/coordination/governance/commands.py
+++ b/packages/coordination/src/marjoramyard/coordination/governance/commands.py
@@ -1,5 +1,7 @@
 """The commands carried by the replicated log, and their reply."""
 
+import zlib
+
 import msgspec
 
 from marjoramyard.coordination.governance.ledger import (
@@ -14,6 +16,8 @@
 from marjoramyard.coordination.governance.suspects import EndedRun
 from marjoramyard.kernel.errors import Failure
 
+_COMPRESSION_LEVEL = 1
+
 
 class Propose(msgspec.Struct, tag="propose", frozen=True):
     """Proposes a signed change to the bundle."""
@@ -140,11 +144,43 @@
     text: bytes
 
 
+class PackedConfig(msgspec.Struct, frozen=True):
+    """A configuration in the log and in snapshots.
+
+    Attributes:
+        version: See `ConfigDocument`.
+        packed: The compressed document.
+    """
+
+    version: int
+    packed: bytes
+
+    @classmethod
+    def of(cls, document: ConfigDocument) -> "PackedConfig":
+        """Returns the stored form of a configuration."""
+        packed = zlib.compress(document.text, _COMPRESSION_LEVEL)
+        return cls(document.version, packed)
+
+    def document(self) -> ConfigDocument:
+        """Returns the configuration as it was sent."""
+        return ConfigDocument(self.version, zlib.decompress(self.packed))
+
+
 class AcceptConfig(msgspec.Struct, tag="accept-config", frozen=True):
-    """Submits a complete configuration that has been validated."""
+    """Submits a complete configuration that has been validated.
 
-    document: ConfigDocument
+    Attributes:
+        document: The configuration in logs of earlier releases.
+        config: The configuration.
+    """
+
+    document: ConfigDocument | None = None
     at: float = 0.0
+    config: PackedConfig | None = None
+
+    def packed_config(self) -> PackedConfig:
+        """Returns the configuration of a command of any release."""
+        return self.config or PackedConfig.of(self.document)
 
 
 class ChangeZone(msgspec.Struct, tag="change-zone", frozen=True):
--- a/packages/coordination/src/marjoramyard/coordination/governance/state.py
+++ b/packages/coordination/src/marjoramyard/coordination/governance/state.py
@@ -17,6 +17,7 @@
     FinishCall,
     HoldSuspect,
     IssueOrder,
+    PackedConfig,
     Propose,
     ReleaseSuspect,
     Reply,
@@ -49,7 +50,12 @@
 
 
 class ControlSnapshot(msgspec.Struct):
-    """The complete state in its stored form."""
+    """The complete state in its stored form.
+
+    Attributes:
+        config: The configuration in snapshots of earlier releases.
+        packed_config: The configuration.
+    """
 
     now: float = 0.0
     lifecycle: LifecycleState = msgspec.field(default_factory=LifecycleState)
@@ -64,6 +70,7 @@
     evacuations: EvacuationState = msgspec.field(
         default_factory=EvacuationState
     )
+    packed_config: PackedConfig | None = None
 
 
 _COMMAND_DECODER = msgspec.json.Decoder(Command)
@@ -85,7 +92,12 @@
         )
         self.orders = stored.orders
         self.last_order = stored.last_order
-        self.config = stored.config
+        self.config: ConfigDocument | None = None
+        self.packed_config: PackedConfig | None = None
+        if stored.packed_config is not None:
+            self.set_config(stored.packed_config)
+        elif stored.config is not None:
+            self.set_config(PackedConfig.of(stored.config))
         self.evacuations = Evacuations(stored.evacuations)
 
     @classmethod
@@ -107,11 +119,16 @@
             self.suspects.watched_revision,
             self.orders,
             self.last_order,
-            self.config,
-            self.evacuations.stored,
+            evacuations=self.evacuations.stored,
+            packed_config=self.packed_config,
         )
         return msgspec.json.encode(stored).decode()
 
+    def set_config(self, packed: PackedConfig) -> None:
+        """Puts a configuration in force."""
+        self.packed_config = packed
+        self.config = packed.document()
+
     def apply_encoded(self, data: str) -> Reply:
         """Applies a JSON-encoded command from the log."""
         return self.apply(_COMMAND_DECODER.decode(data))
@@ -253,8 +270,9 @@
     first one in the log wins, so the content of a version never changes.
     """
     held = state.config
-    if held is None or command.document.version > held.version:
-        state.config = command.document
+    submitted = command.packed_config()
+    if held is None or submitted.version > held.version:
+        state.set_config(submitted)
     return Reply(granted=True)
 
 
--- a/packages/fleet/src/marjoramyard/fleet/control/node.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/node.py
@@ -179,7 +179,7 @@
             timeout: In seconds; after it, the outcome is unknown.
         """
         data = msgspec.json.encode(command).decode()
-        refusal = self._refusal_of(len(data))
+        refusal = self.refusal_of(len(data))
         if refusal is not None:
             return Err(refusal)
         index = self.core.propose(data)
@@ -187,9 +187,11 @@
             return Err(self.not_leader())
         return await self._await_applied(index, timeout)
 
-    def _refusal_of(self, size: int) -> Failure | None:
+    def refusal_of(self, size: int) -> Failure | None:
         """Returns why the log has no room for a command; None if it has."""
-        if self.is_read_only and self.core.role is Role.LEADER:
+        if self.core.role is not Role.LEADER:
+            return self.not_leader()
+        if self.is_read_only:
             return storage_full(MAX_ELECTION_SECONDS)
         return self.limits.refusal(self.core, size, MAX_ELECTION_SECONDS)
 
@@ -205,7 +207,7 @@
             membership: The new membership; at most one voter differs.
             timeout: In seconds; after it, the outcome is unknown.
         """
-        refusal = self._refusal_of(0)
+        refusal = self.refusal_of(0)
         if refusal is not None:
             return Err(refusal)
         index = self.core.change_membership(membership)
--- a/packages/fleet/src/marjoramyard/fleet/control/service.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/service.py
@@ -12,6 +12,7 @@
 from marjoramyard.coordination.governance.commands import (
     AcceptConfig,
     ConfigDocument,
+    PackedConfig,
 )
 from marjoramyard.coordination.governance.suspects import Suspects
 from marjoramyard.coordination.placement.broker_selection import (
@@ -173,8 +174,12 @@
         self, message: PutConfig
     ) -> Result[Empty, Failure]:
         node = self.role.running_node
+        refusal = node.refusal_of(len(message.document.text))
+        if refusal is not None:
+            return Err(refusal)
+        config = PackedConfig.of(message.document)
         result = await node.execute(
-            AcceptConfig(message.document, time.time()), COMMIT_TIMEOUT_SECONDS
+            AcceptConfig(at=time.time(), config=config), COMMIT_TIMEOUT_SECONDS
         )
         return result if isinstance(result, Err) else Ok(Empty())
 
