Bound appends by their size in the simulated network

What callers saw: nothing; the properties of consensus were tested with appends bounded by their number alone. Change: the network of the tests has max_batch_size 6, so memberships are sent alone, and a member that doesn't reply gets little.

--- a/packages/coordination/tests/consensus/replica_network.py
+++ b/packages/coordination/tests/consensus/replica_network.py
@@ -20,6 +20,7 @@
     election_ticks=6,
     heartbeat_ticks=2,
     max_batch_entries=3,
+    max_batch_size=6,
     first_election_ticks=2,
 )
 
