--- a/packages/fleet/src/marjoramyard/fleet/control/storage.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/storage.py
@@ -1,6 +1,7 @@
 """The data folder of a replica: write-ahead log, snapshots and identity."""
 
 import fcntl
+import io
 import os
 import secrets
 import struct
@@ -26,12 +27,17 @@
 FORMAT_VERSION = 1
 _HEADER = struct.Struct("<II")
 _MAX_RECORD_BYTES = 1 << 30
+_OBJECT_START, _OBJECT_END = b"{}"
 
 
 class StorageError(RuntimeError):
     """The data folder can't be used; the message names the remedy."""
 
 
+class BatchRefusedError(OSError):
+    """A batch could not be stored, and nothing of it is in the log."""
+
+
 class Identity(msgspec.Struct):
     """The replica that a data folder belongs to.
 
@@ -75,12 +81,17 @@
         return None
     size, checksum = _HEADER.unpack_from(data, offset)
     start = offset + _HEADER.size
-    payload = data[start : start + size]
-    if size == 0 or size > _MAX_RECORD_BYTES or len(payload) < size:
+    end = start + size
+    if size == 0 or size > _MAX_RECORD_BYTES or end > len(data):
         return None
+    # Nothing is copied or summed unless it may be a JSON object: a torn end is
+    # searched for records at each of its bytes.
+    if data[start] != _OBJECT_START or data[end - 1] != _OBJECT_END:
+        return None
+    payload = data[start:end]
     if zlib.crc32(payload) != checksum:
         return None
-    return payload, start + size
+    return payload, end
 
 
 def _has_record_after(data: bytes, offset: int) -> bool:
@@ -134,17 +145,33 @@
         os.close(descriptor)
 
 
+def write_all(file: io.RawIOBase, data: bytes) -> None:
+    """Writes to an unbuffered file and syncs it.
+
+    A buffer would keep what a full disk has refused, and write it later.
+    """
+    view = memoryview(data)
+    while view:
+        view = view[file.write(view) :]
+    os.fsync(file.fileno())
+
+
 def replace_file(path: Path, data: bytes) -> None:
     """Replaces a file atomically and syncs it.
 
     After a crash, the file has either its old or its new content.
+
+    Raises:
+        OSError: No temporary copy is left.
     """
     temporary = path.with_suffix(".tmp")
-    with temporary.open("wb") as file:
-        file.write(data)
-        file.flush()
-        os.fsync(file.fileno())
-    temporary.rename(path)
+    try:
+        with temporary.open("wb", buffering=0) as file:
+            write_all(file, data)
+        temporary.rename(path)
+    except OSError:
+        temporary.unlink(missing_ok=True)
+        raise
     sync_directory(path.parent)
 
 
@@ -155,6 +182,9 @@
 
     Attributes:
         wal: The open log file (write-ahead log), if any.
+        base_index: The index of the snapshot that precedes the log file.
+        appended_bytes: The length of the log file without what was kept of
+            the log before.
         bytes_written: Bytes appended since the start of the process.
         sync_count: Appends, each with a sync, since the start of the process.
     """
@@ -164,6 +194,8 @@
         self.identity: Identity | None = None
         self.wal = None
         self.wal_path: Path | None = None
+        self.base_index = 0
+        self.appended_bytes = 0
         self.bytes_written = 0
         self.sync_count = 0
 
@@ -215,6 +247,7 @@
         Raises:
             StorageError: The snapshot or the log is damaged.
         """
+        self._remove_unused()
         snapshot = self._load_snapshot()
         paths = sorted(self.folder.glob("wal-*.log"))
         if not paths:
@@ -225,13 +258,26 @@
         data = path.read_bytes()
         records, valid_size = read_records(data, path.name)
         stored = self._replay(snapshot, records)
-        self.wal = path.open("r+b")
-        self.wal.truncate(valid_size)
-        self.wal.seek(valid_size)
-        os.fsync(self.wal.fileno())
+        self.base_index = self._base_of(records)
+        self.appended_bytes = valid_size
+        self.wal = path.open("r+b", buffering=0)
+        self._truncate(valid_size)
         self.wal_path = path
         return stored
 
+    def _remove_unused(self) -> None:
+        """Removes temporary copies, and files that newer ones replace."""
+        unused = list(self.folder.glob("*.tmp"))
+        for pattern in ("snapshot-*.json", "wal-*.log"):
+            unused += sorted(self.folder.glob(pattern))[:-1]
+        try:
+            # A newer file may have been renamed without a sync of the folder.
+            sync_directory(self.folder)
+            for path in unused:
+                path.unlink()
+        except OSError as error:
+            logger.warning("unused_files_kept", error=str(error))
+
     def _load_snapshot(self) -> Snapshot:
         paths = sorted(self.folder.glob("snapshot-*.json"))
         if not paths:
@@ -244,6 +290,11 @@
             )
         return msgspec.json.decode(found[0], type=Snapshot)
 
+    @staticmethod
+    def _base_of(records: list[WalRecord]) -> int:
+        base = records[0].base if records else None
+        return base[0] if base is not None else 0
+
     @staticmethod
     def _replay(snapshot: Snapshot, records: list[WalRecord]) -> StoredState:
         hard = HardState()
@@ -266,15 +317,25 @@
         """Appends one batch to the log and syncs it.
 
         Raises:
+            BatchRefusedError: Nothing of the batch is in the log.
             OSError: How much of the batch is on disk is unknown.
         """
         data = encode_record(WalRecord(hard, entries))
-        self.wal.write(data)
-        self.wal.flush()
-        os.fsync(self.wal.fileno())
+        end = self.wal.tell()
+        try:
+            write_all(self.wal, data)
+        except OSError as error:
+            self._truncate(end)
+            raise BatchRefusedError(*error.args) from error
         self.bytes_written += len(data)
+        self.appended_bytes += len(data)
         self.sync_count += 1
 
+    def _truncate(self, size: int) -> None:
+        self.wal.truncate(size)
+        self.wal.seek(size)
+        os.fsync(self.wal.fileno())
+
     def save_snapshot(
         self, snapshot: Snapshot, hard: HardState, entries: list[LogEntry]
     ) -> None:
@@ -285,14 +346,28 @@
             hard: The current hard state.
             entries: The log entries after the snapshot.
         """
+        self.write_snapshot(snapshot)
+        self.start_log(hard, snapshot, entries)
+
+    def write_snapshot(self, snapshot: Snapshot) -> None:
+        """Stores a snapshot, which covers a part of the log from now on.
+
+        Raises:
+            OSError: The log and an earlier snapshot are as before.
+        """
         payload = msgspec.json.encode(snapshot)
         header = _HEADER.pack(len(payload), zlib.crc32(payload))
         path = self.folder / f"snapshot-{snapshot.index:016d}.json"
         replace_file(path, header + payload)
-        self._start_wal(StoredState(hard, snapshot, entries))
         for old in sorted(self.folder.glob("snapshot-*.json"))[:-1]:
             old.unlink()
 
+    def start_log(
+        self, hard: HardState, snapshot: Snapshot, entries: list[LogEntry]
+    ) -> None:
+        """Replaces the log file by one that begins after a stored snapshot."""
+        self._start_wal(StoredState(hard, snapshot, entries))
+
     def _start_wal(self, stored: StoredState) -> None:
         number = 1
         if self.wal_path is not None:
@@ -303,9 +378,11 @@
         replace_file(path, encode_record(record))
         if self.wal is not None:
             self.wal.close()
-        self.wal = path.open("r+b")
+        self.wal = path.open("r+b", buffering=0)
         self.wal.seek(0, os.SEEK_END)
         self.wal_path = path
+        self.base_index = stored.snapshot.index
+        self.appended_bytes = 0
         for old in sorted(self.folder.glob("wal-*.log"))[:-1]:
             old.unlink()
 
