Blame no client's reset on this process in the log

What was seen: `connection_unanswered` for a client that resets its connection while its request is handled (found in agents' logs of other tests).

Cause: only an end of the client's sending side counted as its close.

--- a/packages/fleet/src/marjoramyard/fleet/listener.py
+++ b/packages/fleet/src/marjoramyard/fleet/listener.py
@@ -214,12 +214,10 @@
         self.connections[connection.http] = connection
         return True
 
-    def on_connection_lost(
-        self, connection: ServedConnection, exc: Exception | None
-    ) -> None:
+    def on_connection_lost(self, connection: ServedConnection) -> None:
         """Forgets a connection; logs it if it was closed with bytes read."""
         self.connections.pop(connection.http, None)
-        if connection.is_closed_by_peer or exc is not None:
+        if connection.is_closed_by_peer:
             return
         if connection.is_upgraded or connection.is_detached:
             return
--- a/packages/fleet/src/marjoramyard/fleet/served_connection.py
+++ b/packages/fleet/src/marjoramyard/fleet/served_connection.py
@@ -82,9 +82,7 @@
     def on_connection_made(self, connection: "ServedConnection") -> bool:
         """Returns whether the connection is to be served."""
 
-    def on_connection_lost(
-        self, connection: "ServedConnection", exc: Exception | None
-    ) -> None:
+    def on_connection_lost(self, connection: "ServedConnection") -> None:
         """Called when the connection is closed."""
 
 
@@ -262,7 +260,9 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Called when the connection is closed."""
-        self.owner.on_connection_lost(self, exc)
+        if exc is not None:
+            self.is_closed_by_peer = True
+        self.owner.on_connection_lost(self)
         if not self.is_detached:
             self.http.connection_lost(exc)
 
--- a/packages/fleet/tests/test_closing_listeners.py
+++ b/packages/fleet/tests/test_closing_listeners.py
@@ -3,10 +3,12 @@
 import asyncio
 import contextlib
 import socket
+import struct
 import time
 
 import pytest
 from aiohttp import web
+from structlog.testing import capture_logs
 
 import marjoramyard.fleet.settings  # noqa: F401  (registers the roles)
 from marjoramyard.fleet import served_connection
@@ -67,7 +69,7 @@
         serving = self.app.serve(
             self.address, routes, internal=False, **options
         )
-        await self.stack.enter_async_context(serving)
+        self.listener = await self.stack.enter_async_context(serving)
 
     def close(self):
         """Starts to close the address as a process that stops does."""
@@ -338,3 +340,22 @@
     assert received.startswith(b"HTTP/1.1 400") or received.startswith(
         b"HTTP/1.0 400"
     )
+
+
+async def test_a_request_that_its_client_resets_is_not_logged_as_unanswered(
+    server,
+):
+    """Guards against lines that blame this process for a client's reset."""
+    slow = await start_slow_request(server)
+    with capture_logs() as lines:
+        linger = struct.pack("ii", 1, 0)
+        slow.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        slow.close()
+
+        async def is_lost():
+            return not server.listener.connections
+
+        await wait_until(is_lost, "the end of the connection")
+        for _ in TURNS:
+            await asyncio.sleep(0)
+    assert lines == []
