Hold the drain to its time in the test of a late event loop

Cause: the test suspends the gateway at the end of its drain. Since drains end when nothing is served any more, the gateway had gone before.

--- a/tests/test_stopping_gateways.py
+++ b/tests/test_stopping_gateways.py
@@ -20,7 +20,7 @@
 from pressing_callers import PressingCallers, Stop, describe
 from raw_connections import End
 
-from marjoramyard.fleet.gateway.role import EXIT_MARGIN_SECONDS
+from marjoramyard.fleet.application import EXIT_MARGIN_SECONDS
 
 GRACE_SECONDS = 8.0
 DRAIN_SECONDS = GRACE_SECONDS - EXIT_MARGIN_SECONDS
@@ -243,7 +243,18 @@
     rng = random.Random(SEED)
     callers = PressingCallers(fleet.listen_address, SEED)
     gateway = fleet.children["gateway"]
+    # A request that outlasts the drain makes it end by its time.
+    lasting = PressingCallers(
+        fleet.listen_address, SEED, "/long/9.0", LONG_TIMEOUT_MS
+    )
     async with callers.running((callers.press, 2)):
+        in_hand = asyncio.create_task(lasting.send_once("lasting"))
+
+        async def is_running():
+            run = [each for one in endpoints for each, _, _ in one.requests]
+            return "lasting" in run
+
+        await wait_until(is_running)
         stopping = asyncio.create_task(stop_gateway(fleet))
         await asyncio.sleep(DRAIN_SECONDS - rng.uniform(0.15, 0.25))
         with process_handle(gateway.pid) as handle:
@@ -254,7 +265,7 @@
             ]
             await asyncio.sleep(rng.uniform(0.3, 0.4))
             signal.pidfd_send_signal(handle, signal.SIGCONT)
-        await asyncio.gather(*waiting)
+        await asyncio.gather(*waiting, in_hand)
         stop = await stopping
     assert stop.exit_code == 0
     lost = failures(callers, endpoints, [stop])
