--- a/packages/fleet/src/marjoramyard/fleet/gateway/overload_guard.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/overload_guard.py
@@ -14,10 +14,7 @@
 from marjoramyard.fleet.gateway.broker_clients import BrokerClients
 from marjoramyard.fleet.gateway.demand import GatewayDemand
 from marjoramyard.fleet.gateway.dialect import GatewayDialect
-from marjoramyard.fleet.gateway.early_refusal import (
-    RequestHead,
-    response_bytes,
-)
+from marjoramyard.fleet.gateway.early_refusal import RequestHead
 from marjoramyard.fleet.gateway.peer_connections import PeerConnections
 from marjoramyard.fleet.gateway.peer_forwarding import (
     ForwardedRequest,
@@ -30,6 +27,7 @@
     keeping_request,
 )
 from marjoramyard.fleet.gateway.view import FleetView
+from marjoramyard.fleet.util.raw_responses import response_bytes
 from marjoramyard.fleet.util.rpc import failure_response
 from marjoramyard.kernel.errors import (
     Failure,
@@ -63,6 +61,7 @@
         peer_count: How many gateways had room for the last prompt that was
             checked.
         forwarding_failures: Responses to forwarded prompts that got none.
+        forwarded: The prompts that are being forwarded.
         on_started: Called when a prompt starts to be forwarded.
         on_ended: Called when a forwarded prompt has ended.
     """
@@ -82,6 +81,7 @@
         self.refused: RequestHead | None = None
         self.peer_count = 0
         self.forwarding_failures = _forwarding_failures(view.dialect)
+        self.forwarded: set[ForwardedRequest] = set()
         self.on_started: Callable[[], None] = lambda: None
         self.on_ended: Callable[[], None] = lambda: None
         brokers.needs_peers = lambda: self.demand.is_checked
@@ -172,6 +172,7 @@
             return None
         plan = self._forwarding_plan(head, route, workspace, peer)
         forwarded = self._send(plan, head, data, caller)
+        self.forwarded.add(forwarded)
         self.peers.on_started(peer)
         self.demand.on_forwarded(workspace, peer)
         self.on_started()
@@ -220,8 +221,14 @@
             workspace,
         )
 
+    def end_forwarded(self) -> None:
+        """Ends all forwarded prompts with a response, as the gateway stops."""
+        for request in list(self.forwarded):
+            request.stop()
+
     def _on_forwarded(self, request: ForwardedRequest, outcome: str) -> None:
         now = asyncio.get_running_loop().time()
+        self.forwarded.discard(request)
         self.peers.on_ended(request.plan.peer)
         if not request.is_sent and outcome == "not-sent":
             self.peers.avoid(request.plan.peer, now)
