--- a/tests/test_stopping_gateways.py
+++ b/tests/test_stopping_gateways.py
@@ -226,7 +226,7 @@
         await asyncio.sleep(rng.uniform(0.1, 0.3))
         stopping = asyncio.create_task(stop_gateway(fleet))
         answered = await asyncio.gather(*in_hand)
-        async with callers.running((callers.open_until_refused, 8)):
+        async with callers.running((callers.open_until_refused, 16)):
             pass
         stops.append(await stopping)
         assert [one.status for one in answered] == [200] * 3
