--- a/packages/fleet/src/marjoramyard/fleet/listener.py
+++ b/packages/fleet/src/marjoramyard/fleet/listener.py
@@ -56,6 +56,7 @@
     Attributes:
         address: IP:PORT, for logs.
         connections: The open connections.
+        detached_count: How many of them the HTTP protocol no longer serves.
         stopping_seconds: Returns the seconds since the process was told to
             stop; None before.
         is_closing: Whether each response closes its connection.
@@ -72,13 +73,14 @@
         self.metrics = metrics
         self.stopping_seconds = stopping_seconds
         self.connections: dict[web.RequestHandler, ServedConnection] = {}
+        self.detached_count = 0
         self.is_closing = False
         self.is_closed = False
 
     @property
     def open_connections(self) -> int:
         """The number of open connections that the HTTP protocol serves."""
-        return sum(not each.is_detached for each in self.connections.values())
+        return len(self.connections) - self.detached_count
 
     def close_idle(self, limit: int | None = None) -> int:
         """Closes idle connections; new ones are still accepted.
@@ -214,9 +216,14 @@
         self.connections[connection.http] = connection
         return True
 
+    def on_connection_detached(self) -> None:
+        """Counts a connection that the HTTP protocol no longer serves."""
+        self.detached_count += 1
+
     def on_connection_lost(self, connection: ServedConnection) -> None:
         """Forgets a connection; logs it if it was closed with bytes read."""
         self.connections.pop(connection.http, None)
+        self.detached_count -= connection.is_detached
         if connection.is_closed_by_peer:
             return
         if connection.is_upgraded or connection.is_detached:
--- a/packages/fleet/src/marjoramyard/fleet/served_connection.py
+++ b/packages/fleet/src/marjoramyard/fleet/served_connection.py
@@ -82,6 +82,9 @@
     def on_connection_made(self, connection: "ServedConnection") -> bool:
         """Returns whether the connection is to be served."""
 
+    def on_connection_detached(self) -> None:
+        """Called when the HTTP protocol no longer serves a connection."""
+
     def on_connection_lost(self, connection: "ServedConnection") -> None:
         """Called when the connection is closed."""
 
@@ -218,6 +221,7 @@
         self.http.transport = None
         self.http.connection_lost(None)
         self.is_detached = True
+        self.owner.on_connection_detached()
 
     def close(self) -> None:
         """Closes the connection; what is read from now on is not lost.
--- a/packages/fleet/tests/test_closing_listeners_review.py
+++ b/packages/fleet/tests/test_closing_listeners_review.py
@@ -420,6 +420,8 @@
         await loop.sock_connect(client, (host, int(port)))
         await loop.sock_sendall(client, REQUEST)
         await wait_until(has_ended, "the end of the forwarded request")
+        assert server.listener.open_connections == 0
+        assert len(server.listener.connections) == 1
         reading = []
         loop.call_later(
             0.3, lambda: reading.append(loop.create_task(receive(client)))
@@ -433,6 +435,7 @@
     peer.close()
     assert outcomes == ["forwarded"]
     assert unsent == 0
+    assert server.listener.open_connections == 0
 
 
 def small_buffer(connection, option):
