Pass departures on to control hosts that were not told

With five control hosts, two are told before a departure is acknowledged. If the acknowledging host then loses power, the other two never hear of it, so it is lost with the two that were told, such as when these restart.

Cause: a host announces what it was told by endpoints, but not what it was told by other hosts. Class: what is acknowledged is lost with its only holders.

Change: a host that learns from an announcement that an endpoint is leaving announces it too. What is known already isn't announced again.

--- a/packages/fleet/src/marjoramyard/fleet/control/endpoint_feed.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/endpoint_feed.py
@@ -81,20 +81,28 @@
         departed = self.registrations.mark_departed(endpoint, time.monotonic())
         if departed is not None:
             self._record_change(departed, None)
-            for updates in self.pending.values():
-                updates.full.add(endpoint)
+            self._announce_to_all(endpoint)
+
+    def _announce_to_all(self, endpoint: str) -> None:
+        for updates in self.pending.values():
+            updates.full.add(endpoint)
 
     def merge_updates(
         self, updates: Iterable[Registration], alive: dict[str, SignOfLife]
     ) -> list[str]:
         """Merges what another control host announced.
 
+        News of leaving endpoints is passed on: the announcing host may be lost
+        before it has told the others, and the endpoint may not repeat it.
+
         Returns:
             The endpoints whose signs of life do not match the table, so that
             they must be announced in full.
         """
         for registration in updates:
-            self._merge(registration)
+            changed = self._merge(registration)
+            if changed and registration.state is not EndpointState.READY:
+                self._announce_to_all(registration.endpoint)
         now = time.monotonic()
         unmatched = []
         for endpoint, sign in alive.items():
--- a/packages/fleet/tests/control/test_endpoint_feed.py
+++ b/packages/fleet/tests/control/test_endpoint_feed.py
@@ -165,6 +165,26 @@
     assert not feed.unresponsive
 
 
+@pytest.mark.parametrize(
+    "state", [EndpointState.DRAINING, EndpointState.DEPARTED]
+)
+def test_a_leaving_endpoint_is_announced_by_hosts_that_were_told(state):
+    """Guards against a departure that is known to one host, after the one that
+    announced it has been lost.
+    """
+    first, second, third = (make_feed(name) for name in "abc")
+    first.register(make_registration())
+    for receiver in (second, third):
+        announce(first, receiver)
+        announce(first, receiver)
+        announce(second, receiver)
+    leaving = make_registration(sequence=2, state=state)
+    second.merge_updates([leaving], {})
+    assert second.take_updates(third.epoch) == ([leaving], {})
+    second.merge_updates([leaving], {})
+    assert second.take_updates(third.epoch) == ([], {})
+
+
 def random_heartbeats(draw, count):
     """Returns heartbeats of a few endpoints, some late, twice or restarted."""
     sequence, born, beats = 0, 100, []
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -96,14 +96,22 @@
 
 
 class GatewayFleet:
-    """Three control hosts on separate loopback addresses, and one gateway."""
-
-    def __init__(self, folder, forwarding_port_offset=0, **gateway_settings):
+    """Control hosts on separate loopback addresses, and one gateway."""
+
+    def __init__(
+        self,
+        folder,
+        forwarding_port_offset=0,
+        control_count=3,
+        **gateway_settings,
+    ):
         self.folder = folder
         self.session = aiohttp.ClientSession()
         peer_port = free_address().split(":")[1]
         operator_port = free_address().split(":")[1]
-        self.hosts = [f"127.0.0.{number}" for number in (2, 3, 4)]
+        self.hosts = [
+            f"127.0.0.{2 + number}" for number in range(control_count)
+        ]
         self.operator_addresses = [
             f"{host}:{operator_port}" for host in self.hosts
         ]
@@ -172,7 +180,9 @@
 
     async def control_hosts_are_ready(self):
         """Whether every control host returns the configuration."""
-        found = [await self.read_config(host) for host in range(3)]
+        found = [
+            await self.read_config(host) for host in range(len(self.hosts))
+        ]
         return all(status == 200 for status, _ in found)
 
     async def change_zone(self, method, zone, host=0):
@@ -260,8 +270,9 @@
     """Starts a fleet and yields it once all processes are ready."""
     fleet = GatewayFleet(folder, **gateway_settings)
     try:
-        for name in ("control-0", "control-1", "control-2", "gateway"):
-            await fleet.start(name)
+        for number in range(len(fleet.hosts)):
+            await fleet.start(f"control-{number}")
+        await fleet.start("gateway")
         await fleet.put_config(config(1))
         await wait_until(fleet.is_ready)
         await wait_until(fleet.control_hosts_are_ready)
--- a/tests/test_lost_departures.py
+++ b/tests/test_lost_departures.py
@@ -6,6 +6,8 @@
 from marjoramyard.fleet import paths
 
 CONTROL = ("control-0", "control-1", "control-2")
+TOLD_SECONDS = 2.0
+"""Within this time all running control hosts know of a departure."""
 
 
 @pytest.fixture
@@ -25,11 +27,22 @@
 
 async def known_by_all(fleet, endpoint):
     async def is_known():
-        return all([await state_of(fleet, host, endpoint) for host in range(3)])
+        hosts = range(len(fleet.hosts))
+        return all([await state_of(fleet, host, endpoint) for host in hosts])
 
     await wait_until(is_known)
 
 
+async def wait_until_departed(fleet, endpoint, hosts):
+    """Waits until all of some control hosts say that an endpoint departed."""
+
+    async def is_departed():
+        states = {await state_of(fleet, host, endpoint) for host in hosts}
+        return states == {"departed"}
+
+    await wait_until(is_departed, TOLD_SECONDS)
+
+
 async def depart(fleet, endpoint, host=0):
     url = f"http://{fleet.operator_addresses[host]}/registrations/{endpoint}"
     async with fleet.session.delete(url) as response:
@@ -100,3 +113,17 @@
     assert await wait_until(answers) == 503
     for name in CONTROL[1:]:
         fleet.children[name].resume()
+
+
+async def test_a_departure_reaches_hosts_that_only_the_lost_one_would_have_told(
+    tmp_path,
+):
+    """Guards against a departure that is known to the hosts that were told
+    before it was acknowledged, and that they tell nobody.
+    """
+    async with gateway_fleet(tmp_path, control_count=5) as fleet:
+        await fleet.send_heartbeat(FakeEndpoint("i-1"))
+        await known_by_all(fleet, "i-1")
+        assert await depart(fleet, "i-1") == 200
+        await fleet.children[CONTROL[0]].kill()
+        await wait_until_departed(fleet, "i-1", range(1, 5))
