Tell a control host that has restarted of departures

A control host that restarts while the others are suspended, or between two announcements of theirs, is told of no departure, for as long as it runs. The departure is then lost with the others.

Cause: all endpoints were announced again only after an announcement had failed. None fails if the host is back before the next one; later ones hold what has changed since, and departed endpoints send no signs of life. Class: what is acknowledged is lost with its only holders.

Change: control hosts say which table of endpoints they have. If it is a new one, all endpoints are announced again. The reply to an announcement no longer fails if the receiver's restart was heard of meanwhile.

The two tests of the table call what is new.

--- a/packages/fleet/src/marjoramyard/fleet/control/cluster_manager.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/cluster_manager.py
@@ -113,6 +113,7 @@
             entries,
             role.service.observed_seconds(),
             is_stopped=identity is not None and role.running_node is None,
+            epoch=role.service.endpoints.epoch,
         )
 
     # Announcing.
@@ -188,6 +189,7 @@
         if not host.is_stopped:
             self.last_active_at[host.address] = time.monotonic()
         self.addresses.add(host.address)
+        self.role.service.endpoints.on_heard(host.address, host.epoch)
         self.role.service.observation.on_heard(
             host.address, host.observed_seconds
         )
--- a/packages/fleet/src/marjoramyard/fleet/control/endpoint_feed.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/endpoint_feed.py
@@ -32,10 +32,13 @@
         full: Endpoints to announce in full.
         alive: Endpoints of which a sign of life is enough, unless the receiver
             lacks them.
+        receiver_epoch: The receiver's table, to which all others have been
+            announced; "" until it has been heard of.
     """
 
     full: set[str]
     alive: set[str]
+    receiver_epoch: str = ""
 
 
 class EndpointFeed:
@@ -224,7 +227,9 @@
             pending = PendingUpdates(set(), set(table))
         full = sorted(pending.full & table.keys())
         later = set(full[MAX_REGISTRATIONS:])
-        self.pending[peer] = PendingUpdates(later, set())
+        self.pending[peer] = PendingUpdates(
+            later, set(), pending.receiver_epoch
+        )
         signs = {
             endpoint: SignOfLife(
                 table[endpoint].sequence, self.registrations.digest_of(endpoint)
@@ -236,7 +241,9 @@
 
     def announce_in_full(self, peer: str, endpoints: Iterable[str]) -> None:
         """Includes endpoints in the next announcement to a control host."""
-        self.pending[peer].full.update(endpoints)
+        pending = self.pending.get(peer)
+        if pending is not None:
+            pending.full.update(endpoints)
 
     def announce_all(self, peer: str) -> None:
         """Includes all endpoints in the next announcement to a control host.
@@ -245,6 +252,23 @@
         """
         self.pending.pop(peer, None)
 
+    def on_heard(self, peer: str, epoch: str) -> None:
+        """Announces all endpoints again to a control host that has restarted.
+
+        No announcement has failed if it was back before the next one.
+
+        Args:
+            peer: The control host.
+            epoch: The epoch of its table; "" if it did not say.
+        """
+        pending = self.pending.get(peer)
+        if pending is None or not epoch:
+            return
+        if pending.receiver_epoch not in ("", epoch):
+            logger.info("control_host_restarted", peer=peer)
+            self.announce_all(peer)
+        pending.receiver_epoch = epoch
+
 
 def _is_urgent(registration: Registration, before: Registration | None) -> bool:
     """Returns whether an endpoint must get fewer or no requests at once."""
--- a/packages/fleet/src/marjoramyard/fleet/sync_messages.py
+++ b/packages/fleet/src/marjoramyard/fleet/sync_messages.py
@@ -23,6 +23,8 @@
         observed_seconds: For how long it knows of all endpoints; 0.0 if it
             doesn't.
         is_stopped: Whether its replica is stopped, because its disk fails.
+        epoch: Names its table of endpoints, which a restart empties; "" from a
+            host that does not say so.
     """
 
     name: str
@@ -35,6 +37,7 @@
     entries: int = 0
     observed_seconds: float = 0.0
     is_stopped: bool = False
+    epoch: str = ""
 
 
 class SignOfLife(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/fleet/tests/control/test_cluster_manager.py
+++ b/packages/fleet/tests/control/test_cluster_manager.py
@@ -80,7 +80,8 @@
                 identity=SimpleNamespace(cluster="cluster")
             ),
             service=SimpleNamespace(
-                observation=SimpleNamespace(on_heard=lambda *_: None)
+                observation=SimpleNamespace(on_heard=lambda *_: None),
+                endpoints=SimpleNamespace(on_heard=lambda *_: None),
             ),
         )
     )
--- a/packages/fleet/tests/control/test_endpoint_feed.py
+++ b/packages/fleet/tests/control/test_endpoint_feed.py
@@ -165,6 +165,41 @@
     assert not feed.unresponsive
 
 
+def test_a_host_that_restarted_between_two_announcements_is_told_all():
+    """Guards against departures that a restarted host is never told, as no
+    announcement to it has failed.
+    """
+    sender, receiver = make_feed("a"), make_feed("b")
+    sender.register(make_registration())
+    for _ in range(2):
+        announce(sender, receiver)
+        sender.on_heard(receiver.epoch, "first")
+    sender.mark_departed("engine-1")
+    announce(sender, receiver)
+    restarted = make_feed("b")
+    restarted.epoch = receiver.epoch
+    sender.on_heard(receiver.epoch, "second")
+    for _ in range(2):
+        announce(sender, restarted)
+        sender.on_heard(receiver.epoch, "second")
+    held = restarted.registrations.by_endpoint["engine-1"]
+    assert held.state is EndpointState.DEPARTED
+    assert sender.take_updates(receiver.epoch) == ([], {})
+
+
+def test_a_restart_during_an_announcement_is_no_error():
+    """Guards against a host that fails on the reply to an announcement, as the
+    receiver was heard of again meanwhile.
+    """
+    sender = make_feed("a")
+    sender.register(make_registration())
+    sender.take_updates("b")
+    sender.on_heard("b", "first")
+    sender.on_heard("b", "second")
+    sender.announce_in_full("b", ["engine-1"])
+    assert list(sender.take_updates("b")[1]) == ["engine-1"]
+
+
 @pytest.mark.parametrize(
     "state", [EndpointState.DRAINING, EndpointState.DEPARTED]
 )
--- a/tests/test_lost_departures.py
+++ b/tests/test_lost_departures.py
@@ -1,5 +1,7 @@
 """Control hosts that are lost after they have acknowledged a departure."""
 
+import asyncio
+
 import pytest
 from gateway_fleet import FakeEndpoint, gateway_fleet, wait_until
 
@@ -8,6 +10,8 @@
 CONTROL = ("control-0", "control-1", "control-2")
 TOLD_SECONDS = 2.0
 """Within this time all running control hosts know of a departure."""
+ANNOUNCED_SECONDS = 1.0
+"""Within this time a change has been announced to all control hosts."""
 
 
 @pytest.fixture
@@ -127,3 +131,26 @@
         assert await depart(fleet, "i-1") == 200
         await fleet.children[CONTROL[0]].kill()
         await wait_until_departed(fleet, "i-1", range(1, 5))
+
+
+async def test_a_host_that_restarts_while_others_are_suspended_is_told(fleet):
+    """Guards against a restarted control host that is told of no departure, as
+    no announcement to it has failed.
+    """
+    await fleet.send_heartbeat(FakeEndpoint("i-1"))
+    await known_by_all(fleet, "i-1")
+    assert await depart(fleet, "i-1") == 200
+    await wait_until_departed(fleet, "i-1", range(3))
+    await asyncio.sleep(ANNOUNCED_SECONDS)
+    for name in CONTROL[:2]:
+        fleet.children[name].suspend()
+    await fleet.children[CONTROL[2]].kill()
+    await fleet.start(CONTROL[2])
+
+    async def has_started():
+        return await state_of(fleet, 2, "i-1") is None
+
+    await wait_until(has_started)
+    for name in CONTROL[:2]:
+        fleet.children[name].resume()
+    await wait_until_departed(fleet, "i-1", [2])
