Apply departures of endpoints that only another control host knows

The departure of an endpoint that had registered with another control host less than 0.3 s before was answered 200 and dropped, so that the endpoint went on getting requests.

Cause: heartbeats that say `ready` are announced some tenths of a second after they are acknowledged, and a host that knew all older endpoints took one that it didn't know for one that was gone already. Class: what is acknowledged is lost.

Change: for an endpoint that it doesn't know a host asks the others that were heard of lately. One that knows it tells its registration, which is then marked as departed and shared as before. If one of them doesn't reply and none knows it, the answer is 503, so that the endpoint asks the next host.

--- a/packages/fleet/src/marjoramyard/fleet/control/cluster_manager.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/cluster_manager.py
@@ -208,12 +208,16 @@
 
     def is_isolated(self) -> bool:
         """Whether most of the other known hosts have not announced lately."""
+        return 2 * len(self.recent_peers()) < len(self.peer_addresses())
+
+    def recent_peers(self) -> list[str]:
+        """Returns the other control hosts that have announced lately."""
         now = time.monotonic()
-        recent = sum(
-            now - at < MAX_ANNOUNCEMENT_AGE_SECONDS
-            for at in self.last_received_at.values()
-        )
-        return 2 * recent < len(self.peer_addresses())
+        return [
+            address
+            for address, at in self.last_received_at.items()
+            if now - at < MAX_ANNOUNCEMENT_AGE_SECONDS
+        ]
 
     def _expire_hosts(self) -> None:
         """Drops hosts without an announcement within the timeout."""
--- a/packages/fleet/src/marjoramyard/fleet/control/departures.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/departures.py
@@ -7,7 +7,7 @@
 import asyncio
 import time
 
-from result import Ok
+from result import Ok, Result
 
 from marjoramyard.coordination.membership.registrations import (
     EndpointState,
@@ -15,10 +15,12 @@
 )
 from marjoramyard.fleet import paths
 from marjoramyard.fleet.sync_messages import (
+    FindEndpoint,
+    FoundEndpoint,
     HostAnnouncement,
     HostAnnouncementReply,
 )
-from marjoramyard.kernel.errors import FailureKind, raise_failure
+from marjoramyard.kernel.errors import Failure, FailureKind, raise_failure
 from marjoramyard.kernel.logs import get_logger
 
 logger = get_logger(__name__)
@@ -55,18 +57,52 @@
             await self._share(found)
 
     async def on_departure(self, endpoint: str) -> None:
-        """Returns once the departure of an endpoint may be acknowledged.
+        """Applies a departure; returns once it may be acknowledged.
 
         Raises:
             FleetError: No other host has heard of it, or this one may not know
                 the endpoint yet.
         """
+        if self._registration(endpoint) is None:
+            await self._find(endpoint)
+        self.role.service.endpoints.mark_departed(endpoint)
         found = self._registration(endpoint)
         if found is not None:
             await self._share(found)
         elif not self.role.service.observed_seconds():
             _refuse("this control host has just started")
 
+    async def _find(self, endpoint: str) -> None:
+        """Learns of an endpoint that has registered with another host.
+
+        Raises:
+            FleetError: A host that was heard of lately did not reply.
+        """
+        asked = self.role.cluster_manager.recent_peers()
+        replies = await asyncio.gather(
+            *(self._ask(endpoint, peer) for peer in asked)
+        )
+        found = [
+            reply.ok_value.registration
+            for reply in replies
+            if isinstance(reply, Ok)
+        ]
+        known = [registration for registration in found if registration]
+        self.role.service.endpoints.merge_updates(known, {})
+        if not known and len(found) < len(asked):
+            _refuse("another control host may know the endpoint")
+
+    async def _ask(
+        self, endpoint: str, peer: str
+    ) -> Result[FoundEndpoint, Failure]:
+        return await self.role.cluster_manager.client.call(
+            peer,
+            paths.FIND_ENDPOINT_PATH,
+            FindEndpoint(endpoint),
+            FoundEndpoint,
+            REPLY_SECONDS,
+        )
+
     def _registration(self, endpoint: str) -> Registration | None:
         table = self.role.service.endpoints.registrations.by_endpoint
         return table.get(endpoint)
--- a/packages/fleet/src/marjoramyard/fleet/control/endpoint_feed.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/endpoint_feed.py
@@ -14,7 +14,11 @@
     Registration,
     Registrations,
 )
-from marjoramyard.fleet.sync_messages import SignOfLife
+from marjoramyard.fleet.sync_messages import (
+    FindEndpoint,
+    FoundEndpoint,
+    SignOfLife,
+)
 from marjoramyard.kernel.ids import new_incarnation
 from marjoramyard.kernel.logs import get_logger
 
@@ -252,6 +256,12 @@
         """
         self.pending.pop(peer, None)
 
+    def on_find(self, message: FindEndpoint) -> FoundEndpoint:
+        """Returns the registration in force of an endpoint."""
+        return FoundEndpoint(
+            self.registrations.by_endpoint.get(message.endpoint)
+        )
+
     def on_heard(self, peer: str, epoch: str) -> None:
         """Announces all endpoints again to a control host that has restarted.
 
--- a/packages/fleet/src/marjoramyard/fleet/control/fleet_routes.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/fleet_routes.py
@@ -10,6 +10,7 @@
 from marjoramyard.fleet.control.service import FleetService
 from marjoramyard.fleet.messages import Empty
 from marjoramyard.fleet.sync_messages import (
+    FindEndpoint,
     HostAnnouncement,
     PutConfig,
     SyncRequest,
@@ -27,6 +28,10 @@
         message = await read_message(request, HostAnnouncement)
         return json_response(cluster_manager.on_announce(message))
 
+    async def find_endpoint(request: web.Request) -> web.Response:
+        message = await read_message(request, FindEndpoint)
+        return json_response(service.endpoints.on_find(message))
+
     async def sync(request: web.Request) -> web.Response:
         message = await read_message(request, SyncRequest)
         return json_response(await service.sync(message))
@@ -54,6 +59,7 @@
 
     return [
         web.post(paths.ANNOUNCE_PATH, announce),
+        web.post(paths.FIND_ENDPOINT_PATH, find_endpoint),
         web.post(paths.SYNC_PATH, sync),
         web.post(paths.PUT_CONFIG_PATH, put_config),
         web.post(paths.READ_CONFIG_PATH, read_config),
--- a/packages/fleet/src/marjoramyard/fleet/control/service.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/service.py
@@ -155,7 +155,6 @@
         Raises:
             FleetError: It must be sent again.
         """
-        self.endpoints.mark_departed(endpoint)
         await self.departures.on_departure(endpoint)
 
     # Configuration.
--- a/packages/fleet/src/marjoramyard/fleet/paths.py
+++ b/packages/fleet/src/marjoramyard/fleet/paths.py
@@ -17,6 +17,7 @@
 RUN_PATH = "/run/v1/attempts"
 
 ANNOUNCE_PATH = "/fleet/v1/announce"
+FIND_ENDPOINT_PATH = "/fleet/v1/endpoints/find"
 SYNC_PATH = "/fleet/v1/sync"
 PUT_CONFIG_PATH = "/fleet/v1/config/put"
 READ_CONFIG_PATH = "/fleet/v1/config/read"
--- a/packages/fleet/src/marjoramyard/fleet/sync_messages.py
+++ b/packages/fleet/src/marjoramyard/fleet/sync_messages.py
@@ -83,6 +83,26 @@
     unmatched: list[str] = []
 
 
+class FindEndpoint(msgspec.Struct, frozen=True):
+    """A control host asks another one for an endpoint that it doesn't know.
+
+    Attributes:
+        endpoint: Id of the endpoint.
+    """
+
+    endpoint: str
+
+
+class FoundEndpoint(msgspec.Struct, frozen=True, omit_defaults=True):
+    """The reply to `FindEndpoint`.
+
+    Attributes:
+        registration: The registration in force; None if it is unknown.
+    """
+
+    registration: Registration | None = None
+
+
 class SyncRequest(msgspec.Struct, frozen=True, omit_defaults=True):
     """A gateway requests changes from a control host.
 
--- a/tests/test_lost_departures.py
+++ b/tests/test_lost_departures.py
@@ -12,6 +12,7 @@
 """Within this time all running control hosts know of a departure."""
 ANNOUNCED_SECONDS = 1.0
 """Within this time a change has been announced to all control hosts."""
+QUICK_DEPARTURES = 20
 
 
 @pytest.fixture
@@ -37,6 +38,15 @@
     await wait_until(is_known)
 
 
+async def wait_until_settled(fleet):
+    """Waits until a departure of an unknown endpoint is acknowledged."""
+
+    async def is_acknowledged():
+        return await depart(fleet, "i-unknown") == 200
+
+    await wait_until(is_acknowledged)
+
+
 async def wait_until_departed(fleet, endpoint, hosts):
     """Waits until all of some control hosts say that an endpoint departed."""
 
@@ -154,3 +164,16 @@
     for name in CONTROL[:2]:
         fleet.children[name].resume()
     await wait_until_departed(fleet, "i-1", [2])
+
+
+async def test_a_departure_right_after_a_registration_elsewhere_counts(fleet):
+    """Guards against dropping the departure of an endpoint that only another
+    control host knows yet.
+    """
+    await wait_until_settled(fleet)
+    names = [f"i-{number}" for number in range(QUICK_DEPARTURES)]
+    for name in names:
+        await fleet.send_heartbeat(FakeEndpoint(name), host=1)
+        assert await depart(fleet, name) == 200
+    for name in names:
+        await wait_until_departed(fleet, name, range(3))
