Tell restarted processes which versions endpoints had before

Endpoints of a service start again under their names with another software version. Then the gateways restart. A stream of the former version that is taken up goes on at the new one, where it has to be refused (ORDER).

Cause: that a service had another version lately was known only to processes that had seen both registrations of an endpoint. What a restarted gateway or control host is told holds the registrations in force, and for how long the teller knows of all endpoints; so it concluded that one version alone had served. Class: what a decision relies on is lost with its only holders.

Change: control hosts tell each other, and gateways, the former versions that they know, as long as these count. Delays of messages don't prolong that.

Without the bound on delays, the test that former versions are forgotten fails.

--- a/packages/coordination/src/marjoramyard/coordination/membership/registrations.py
+++ b/packages/coordination/src/marjoramyard/coordination/membership/registrations.py
@@ -17,6 +17,10 @@
 the most, and a record takes some 200 bytes."""
 
 
+MAX_DELAY_SECONDS = 1.0
+"""How late a message about former versions may usually arrive."""
+
+
 class EndpointState(Enum):
     """State of an endpoint, as last reported."""
 
@@ -67,6 +71,20 @@
         return (self.born, rank, self.sequence)
 
 
+class FormerVersion(msgspec.Struct, frozen=True, array_like=True):
+    """A software version that an endpoint of a service had until lately.
+
+    Attributes:
+        service: The service.
+        version: The software version.
+        seconds_ago: When an endpoint last ceased to have it.
+    """
+
+    service: str
+    version: str
+    seconds_ago: float
+
+
 class Registrations:
     """The endpoints known to one node.
 
@@ -224,6 +242,26 @@
         )
         return found
 
+    def list_former_versions(self, now: float) -> list[FormerVersion]:
+        """Returns what `versions` knows beyond the registrations in force."""
+        return [
+            FormerVersion(service, version, round(now - left_at, 1))
+            for (service, version), left_at in self.former_versions.items()
+        ]
+
+    def merge_former_versions(
+        self, former: Iterable[FormerVersion], now: float
+    ) -> None:
+        """Merges what another node knows of former versions."""
+        for each in former:
+            version = (each.service, each.version)
+            left_at = now - each.seconds_ago
+            known_at = self.former_versions.get(version)
+            # Nodes that tell each other would otherwise add up the delays of
+            # their messages.
+            if known_at is None or left_at > known_at + MAX_DELAY_SECONDS:
+                self.former_versions[version] = left_at
+
     def expire_departed(self, now: float) -> None:
         """Removes endpoints that departed before the retention period."""
         self.former_versions = {
--- a/packages/coordination/tests/membership/test_registrations.py
+++ b/packages/coordination/tests/membership/test_registrations.py
@@ -79,6 +79,37 @@
     assert table.seconds_since_received("i-1", now=4.0) == 1.0
 
 
+def test_a_node_that_starts_is_told_of_former_versions():
+    """Guards against a node that takes the version in force for the only one
+    that a service has had lately.
+    """
+    known, told = Registrations(), Registrations()
+    known.merge(make_registration(software_version="v1"), now=0.0)
+    restarted = make_registration(software_version="v2", born=200)
+    known.merge(restarted, now=10.0)
+    told.merge(restarted, now=20.0)
+    assert told.versions("llm", since=10.0) == {"v2"}
+    told.merge_former_versions(known.list_former_versions(20.0), now=20.0)
+    assert told.versions("llm", since=10.0) == {"v1", "v2"}
+    assert told.versions("llm", since=10.1) == {"v2"}
+
+
+def test_former_versions_are_forgotten_by_nodes_that_tell_each_other():
+    """Guards against delays of messages that add up, so that a former version
+    is remembered forever.
+    """
+    tables = [Registrations(), Registrations()]
+    tables[0].former_versions["llm", "v1"] = 0.0
+    now = 0.0
+    while now < DEPARTED_RETENTION_SECONDS + 2.0:
+        for sender, receiver in (tables, reversed(tables)):
+            now += 0.3
+            told = sender.list_former_versions(now)
+            receiver.merge_former_versions(told, now + 0.2)
+            receiver.expire_departed(now + 0.2)
+    assert [table.former_versions for table in tables] == [{}, {}]
+
+
 def test_departed_endpoints_expire():
     table = Registrations()
     table.merge(make_registration(), now=0.0)
--- a/packages/fleet/src/marjoramyard/fleet/control/cluster_manager.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/cluster_manager.py
@@ -153,7 +153,12 @@
             reply = await self.client.call(
                 address,
                 paths.ANNOUNCE_PATH,
-                HostAnnouncement(self.describe(), updates, alive),
+                HostAnnouncement(
+                    self.describe(),
+                    updates,
+                    alive,
+                    endpoints.list_former_versions(),
+                ),
                 HostAnnouncementReply,
                 CALL_TIMEOUT_SECONDS,
             )
@@ -171,9 +176,9 @@
     def on_announce(self, message: HostAnnouncement) -> HostAnnouncementReply:
         """Applies another host's announcement."""
         self._record_host(message.host)
-        unmatched = self.role.service.endpoints.merge_updates(
-            message.words, message.alive
-        )
+        endpoints = self.role.service.endpoints
+        endpoints.merge_former_versions(message.former_versions)
+        unmatched = endpoints.merge_updates(message.words, message.alive)
         return HostAnnouncementReply(
             self.describe(),
             [*self.recent_addresses()],
--- a/packages/fleet/src/marjoramyard/fleet/control/endpoint_feed.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/endpoint_feed.py
@@ -11,6 +11,7 @@
 
 from marjoramyard.coordination.membership.registrations import (
     EndpointState,
+    FormerVersion,
     Registration,
     Registrations,
 )
@@ -256,6 +257,14 @@
         """
         self.pending.pop(peer, None)
 
+    def list_former_versions(self) -> list[FormerVersion]:
+        """Returns the versions that endpoints had before they restarted."""
+        return self.registrations.list_former_versions(time.monotonic())
+
+    def merge_former_versions(self, former: Iterable[FormerVersion]) -> None:
+        """Merges the former versions that another control host knows."""
+        self.registrations.merge_former_versions(former, time.monotonic())
+
     def on_find(self, message: FindEndpoint) -> FoundEndpoint:
         """Returns the registration in force of an endpoint."""
         return FoundEndpoint(
--- a/packages/fleet/src/marjoramyard/fleet/control/service.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/service.py
@@ -335,6 +335,7 @@
         is_complete = len(changed) < MAX_REGISTRATIONS
         if is_complete and not request.urgent_only:
             reply.observed_seconds = self.observed_seconds()
+            reply.former_versions = self.endpoints.list_former_versions()
         return reply
 
     def observed_seconds(self) -> float:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/view.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/view.py
@@ -200,6 +200,7 @@
             self.suspects.watch(reply.watched_revision, reply.watched)
         for registration in reply.words:
             self._merge(registration, now)
+        self.registrations.merge_former_versions(reply.former_versions, now)
         self.versions.record(source, reply.observed_seconds, now)
         self._record_unresponsive(source, reply, now)
         self.control_addresses = set(reply.addresses)
--- a/packages/fleet/src/marjoramyard/fleet/sync_messages.py
+++ b/packages/fleet/src/marjoramyard/fleet/sync_messages.py
@@ -4,7 +4,10 @@
 
 from marjoramyard.coordination.governance.commands import ConfigDocument
 from marjoramyard.coordination.governance.evacuations import ZoneState
-from marjoramyard.coordination.membership.registrations import Registration
+from marjoramyard.coordination.membership.registrations import (
+    FormerVersion,
+    Registration,
+)
 
 
 class ControlHost(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -59,11 +62,14 @@
         words: Registrations that changed since the last announcement to the
             receiver.
         alive: Other endpoints with a heartbeat since then, by endpoint.
+        former_versions: The versions that endpoints had before they started
+            again under their names.
     """
 
     host: ControlHost
     words: list[Registration] = []
     alive: dict[str, SignOfLife] = {}
+    former_versions: list[FormerVersion] = []
 
 
 class HostAnnouncementReply(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -173,6 +179,8 @@
             lately, so that it does not know of new endpoints.
         observed_seconds: For how long it knows of all endpoints; 0.0 if it
             doesn't, or the reply does not hold all changes.
+        former_versions: The versions that endpoints had before they started
+            again under their names; sent with `observed_seconds`.
         suspects_revision: The revision of `suspects`; a lower one than the
             gateway's is outdated.
         suspects: The requests that gateways must hold or refuse, as
@@ -203,6 +211,7 @@
     watched_revision: int = 0
     watched: list[str] | None = None
     observed_seconds: float = 0.0
+    former_versions: list[FormerVersion] = []
 
 
 class PutConfig(msgspec.Struct, frozen=True):
--- a/tests/test_lost_departures.py
+++ b/tests/test_lost_departures.py
@@ -4,6 +4,7 @@
 
 import pytest
 from gateway_fleet import FakeEndpoint, gateway_fleet, wait_until
+from versioned_endpoints import VersionedEndpoint
 
 from marjoramyard.fleet import paths
 
@@ -21,11 +22,16 @@
         yield running
 
 
-async def state_of(fleet, host, endpoint):
-    """Returns an endpoint's state as a control host tells gateways."""
+async def sync_reply(fleet, host):
+    """Returns what a control host tells a gateway that has just started."""
     url = f"http://{fleet.hosts[host]}:{fleet.peer_port}{paths.SYNC_PATH}"
     async with fleet.session.post(url, json={"gateway": "g-x"}) as response:
-        reply = await response.json()
+        return await response.json()
+
+
+async def state_of(fleet, host, endpoint):
+    """Returns an endpoint's state as a control host tells gateways."""
+    reply = await sync_reply(fleet, host)
     states = {w["endpoint"]: w["state"] for w in reply.get("words", [])}
     return states.get(endpoint)
 
@@ -177,3 +183,28 @@
         assert await depart(fleet, name) == 200
     for name in names:
         await wait_until_departed(fleet, name, range(3))
+
+
+async def test_a_restarted_host_is_told_of_versions_that_endpoints_had(fleet):
+    """Guards against a control host that takes the version in force for the
+    only one that a service has had lately.
+    """
+    endpoint = VersionedEndpoint("i-1", "v1")
+    await fleet.send_heartbeat(endpoint)
+    await known_by_all(fleet, "i-1")
+    endpoint.version, endpoint.born = "v2", 2
+    await fleet.send_heartbeat(endpoint)
+    for name in CONTROL[1:]:
+        await fleet.children[name].kill()
+        await fleet.start(name)
+
+    async def all_tell():
+        replies = [await sync_reply(fleet, host) for host in range(3)]
+        return all(
+            reply.get("observed_seconds")
+            and [each[:2] for each in reply.get("former_versions", [])]
+            == [["chat", "v1"]]
+            for reply in replies
+        )
+
+    await wait_until(all_tell)
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -244,3 +244,28 @@
         await resume_streams(fleet, service, [*streams, unknown], 1)
         assert not any(stream.is_mixed for stream in streams)
         assert unknown.statuses == [503]
+
+
+async def test_gateways_that_restart_after_a_release_under_the_same_names(
+    tmp_path, service
+):
+    """Guards against resuming streams of a version that endpoints had before
+    they started again under their names, which only lost gateways knew.
+    """
+    async with versioned_fleet(tmp_path, service, ("v1",)) as (
+        fleet,
+        endpoints,
+    ):
+        streams = await asyncio.gather(
+            *(fleet.begin(PATHS[service]) for _ in range(STREAMS))
+        )
+        for endpoint in endpoints:
+            endpoint.version, endpoint.born = "v2", 2
+        await fleet.wait_until_all_serve(endpoints, PATHS[service])
+        for name in ("gateway", SECOND_GATEWAY):
+            await fleet.fleet.children[name].kill()
+        for name in ("gateway", SECOND_GATEWAY):
+            await fleet.fleet.start(name)
+        await fleet.wait_until_all_serve(endpoints, PATHS[service])
+        await resume_streams(fleet, service, streams, 1)
+        assert [stream for stream in streams if stream.is_mixed] == []
