--- a/tests/test_endpoint_pauses.py
+++ b/tests/test_endpoint_pauses.py
@@ -17,6 +17,7 @@
 LEAVING_NOTICE_SECONDS = 2.0
 """How long after it said that it leaves an endpoint may still get requests."""
 CALLERS = 8
+HEARTBEAT_SECONDS = 0.5
 
 
 class ObservedEndpoint(FakeEndpoint):
@@ -188,6 +189,67 @@
         assert max(other.arrivals) > known_at
 
 
+@contextlib.asynccontextmanager
+async def heartbeats_of(fleet, *endpoints):
+    """Sends the heartbeats of endpoints."""
+
+    async def send_heartbeats():
+        while True:
+            for endpoint in endpoints:
+                await fleet.send_heartbeat(endpoint)
+            await asyncio.sleep(HEARTBEAT_SECONDS)
+
+    task = asyncio.create_task(send_heartbeats())
+    try:
+        yield
+    finally:
+        task.cancel()
+
+
+async def restart_gateway(fleet, path, endpoint):
+    """Kills the gateway and starts it; returns once it serves.
+
+    The endpoint forgets what the process before has sent.
+    """
+    await fleet.children["gateway"].kill()
+    endpoint.forget()
+    await fleet.start("gateway")
+
+    async def is_serving():
+        return (await send(fleet, path)).status == 200
+
+    await wait_until(is_serving)
+
+
+@pytest.mark.parametrize("service", ["api", "chat"])
+async def test_a_gateway_that_restarts_learns_of_pauses_and_leaving_again(
+    tmp_path, service
+):
+    """Guards against a gateway that sends requests on and on to an endpoint
+    whose pause, or leaving, only the lost process had heard of.
+    """
+    path = f"/{service}/x"
+    async with (
+        fleet_that_places(tmp_path, "broker") as fleet,
+        two_endpoints(fleet, service) as (first, second),
+        heartbeats_of(fleet, first, second),
+    ):
+        first.pauses = True
+        await send_for(fleet, path, PAUSE_SECONDS / 2)
+        assert first.responses
+        await restart_gateway(fleet, path, first)
+        await send_for(fleet, path, 2.5 * PAUSE_SECONDS)
+        assert first.responses, "no request was turned away"
+        assert first.requests_during_pauses() <= MAX_PAUSED_REQUESTS
+        first.pauses, first.leaves = False, True
+        await send_for(fleet, path, PAUSE_SECONDS + LEAVING_NOTICE_SECONDS)
+        await restart_gateway(fleet, path, first)
+        await send_for(fleet, path, 2 * LEAVING_NOTICE_SECONDS)
+        told_at = min(first.responses)
+        assert max(first.arrivals) <= (told_at + LEAVING_NOTICE_SECONDS)
+        assert second.arrivals
+
+
 @pytest.mark.parametrize("service", ["api", "chat"])
 async def test_requests_are_refused_at_once_while_all_endpoints_pause(
     tmp_path, service
