Set a control host's table where it is first heard of

Cause: the branch for a restart also assigned to a record that it had dropped. Change: the branches are apart; behaviour is the same. Measured: the tests of control hosts and of lost departures pass.

--- a/packages/coordination/src/marjoramyard/coordination/membership/registrations.py
+++ b/packages/coordination/src/marjoramyard/coordination/membership/registrations.py
@@ -15,8 +15,6 @@
 """How long departed endpoints are remembered, so that heartbeats delayed by
 a network partition do not register them again. Partitions last for minutes at
 the most, and a record takes some 200 bytes."""
-
-
 MAX_DELAY_SECONDS = 1.0
 """How late a message about former versions may usually arrive."""
 
--- a/packages/fleet/src/marjoramyard/fleet/control/endpoint_feed.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/endpoint_feed.py
@@ -283,10 +283,11 @@
         pending = self.pending.get(peer)
         if pending is None or not epoch:
             return
-        if pending.receiver_epoch not in ("", epoch):
-            logger.info("control_host_restarted", peer=peer)
-            self.announce_all(peer)
-        pending.receiver_epoch = epoch
+        if pending.receiver_epoch in ("", epoch):
+            pending.receiver_epoch = epoch
+            return
+        logger.info("control_host_restarted", peer=peer)
+        self.announce_all(peer)
 
 
 def _is_urgent(registration: Registration, before: Registration | None) -> bool:
