--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -9,6 +9,7 @@
 import yaml
 from aiohttp import web
 
+from marjoramyard.fleet import paths
 from marjoramyard.standin import local_fleet
 from marjoramyard.standin.processes import ChildProcess, free_address
 
@@ -203,6 +204,12 @@
         ) as response:
             assert response.status == 200
 
+    async def sync_reply(self, host):
+        """Returns what a control host tells a gateway that has just started."""
+        url = f"http://{self.hosts[host]}:{self.peer_port}{paths.SYNC_PATH}"
+        async with self.session.post(url, json={"gateway": "g-x"}) as response:
+            return await response.json()
+
     async def is_ready(self):
         async with self.session.get(
             f"http://{self.ready_address}/readyz"
--- a/tests/test_lost_departures.py
+++ b/tests/test_lost_departures.py
@@ -6,8 +6,6 @@
 from gateway_fleet import FakeEndpoint, gateway_fleet, wait_until
 from versioned_endpoints import VersionedEndpoint
 
-from marjoramyard.fleet import paths
-
 CONTROL = ("control-0", "control-1", "control-2")
 TOLD_SECONDS = 2.0
 """Within this time all running control hosts know of a departure."""
@@ -22,16 +20,9 @@
         yield running
 
 
-async def sync_reply(fleet, host):
-    """Returns what a control host tells a gateway that has just started."""
-    url = f"http://{fleet.hosts[host]}:{fleet.peer_port}{paths.SYNC_PATH}"
-    async with fleet.session.post(url, json={"gateway": "g-x"}) as response:
-        return await response.json()
-
-
 async def state_of(fleet, host, endpoint):
     """Returns an endpoint's state as a control host tells gateways."""
-    reply = await sync_reply(fleet, host)
+    reply = await fleet.sync_reply(host)
     states = {w["endpoint"]: w["state"] for w in reply.get("words", [])}
     return states.get(endpoint)
 
@@ -199,7 +190,7 @@
         await fleet.start(name)
 
     async def all_tell():
-        replies = [await sync_reply(fleet, host) for host in range(3)]
+        replies = [await fleet.sync_reply(host) for host in range(3)]
         return all(
             reply.get("observed_seconds")
             and [each[:2] for each in reply.get("former_versions", [])]
--- a/tests/test_unconfirmed_config.py
+++ b/tests/test_unconfirmed_config.py
@@ -20,6 +20,43 @@
     return list((fleet.folder / f"data-{number}").glob("snapshot-*.json"))
 
 
+async def fill_snapshot(fleet, version, is_new=False):
+    """Sends configurations until host 0 has a snapshot that holds one.
+
+    Args:
+        fleet: The fleet.
+        version: The first version to send.
+        is_new: Whether it must take another snapshot than it has.
+
+    Returns:
+        The next version.
+    """
+    before = await snapshots_of(fleet, 0) if is_new else []
+    while await snapshots_of(fleet, 0) == before:
+        await fleet.put_config(config(version, route("old", "/old/")))
+        version += 1
+    return version
+
+
+async def put_beyond_snapshot(fleet, version):
+    """Sends a configuration with a further route.
+
+    Returns:
+        Whether host 0 has it in its log only. It takes a snapshot of it if
+        changes of the leader, each an entry, have filled the log.
+    """
+    before = await snapshots_of(fleet, 0)
+    added = route("new", "/new/")
+    await fleet.put_config(config(version, route("old", "/old/"), added))
+    await wait_until(fleet.control_hosts_are_ready)
+
+    async def has_applied():
+        return (await fleet.sync_reply(0))["version"] == version
+
+    await wait_until(has_applied)
+    return await snapshots_of(fleet, 0) == before
+
+
 async def start_without_quorum(fleet):
     """Restarts the gateway beside a single control host.
 
@@ -33,15 +70,9 @@
         await fleet.children[f"control-{number}"].kill()
         await fleet.start(f"control-{number}")
         await wait_until(fleet.control_hosts_are_ready)
-    version = 2
-    while not await snapshots_of(fleet, 0):
-        await fleet.put_config(config(version, route("old", "/old/")))
-        version += 1
-    before = await snapshots_of(fleet, 0)
-    added = route("new", "/new/")
-    await fleet.put_config(config(version, route("old", "/old/"), added))
-    await wait_until(fleet.control_hosts_are_ready)
-    assert await snapshots_of(fleet, 0) == before
+    version = await fill_snapshot(fleet, 2)
+    while not await put_beyond_snapshot(fleet, version):
+        version = await fill_snapshot(fleet, version + 1, is_new=True)
     for name in (*CONTROL_NAMES, "gateway"):
         await fleet.children[name].kill()
     for name in ("control-0", "gateway"):
