--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import signal
+import time
 
 import pytest
 from aiohttp import web
@@ -199,3 +200,53 @@
     forwarded = events(fleet, "gateway", "request_forwarded")
     assert len(forwarded) >= FORWARDED_PROMPTS
     assert {line["outcome"] for line in forwarded} == {"forwarded"}
+
+
+DEADLINE_SECONDS = 6.0
+UNREAD_SECONDS = 1.0
+MAX_EXCESS_SECONDS = 0.5
+"""By so much an endpoint may be told of more time than is left."""
+
+
+async def test_a_prompt_that_lay_unread_has_the_time_that_is_left(fleet):
+    """Guards against prompts that reach endpoints after their callers have
+    left, as their time limit starts anew at each gateway that reads them late.
+
+    The gateway serves it or forwards it.
+    """
+    async with engine_that_holds_prompts(fleet) as endpoint:
+        held = await overload(fleet, endpoint)
+        gateway = fleet.children["gateway"]
+        gateway.suspend()
+        sent_at = time.monotonic()
+        headers = {"Prompt-Parts": "aa:100,bb:50", "Token-Counts": "150,10"}
+        prompt = asyncio.create_task(
+            read_status(
+                fleet.request(
+                    "/chat/x",
+                    id="late",
+                    deadline_ms=int(DEADLINE_SECONDS * 1000),
+                    headers=headers,
+                    data=b"{}",
+                )
+            )
+        )
+        await asyncio.sleep(UNREAD_SECONDS)
+        gateway.signal(signal.SIGCONT)
+        assert await prompt == 200
+        seconds_passed = time.monotonic() - sent_at
+        told = [
+            float(found["Request-Deadline-Ms"]) / 1000
+            for id, found, _ in endpoint.requests
+            if id == "late"
+        ]
+        endpoint.release.set()
+        await asyncio.gather(*held)
+    left = DEADLINE_SECONDS - seconds_passed
+    assert max(told) <= left + MAX_EXCESS_SECONDS
+
+
+async def read_status(response):
+    async with response as found:
+        await found.read()
+        return found.status
