Accept connections that wait before an address is closed

Cause: a signal interrupts the wait for events, and Python's select then returns none if a timer is due. So the timer that ends the drain runs before the waiting connections are looked at, and the address was no longer watched from then on.

Change: before an address is no longer watched, the event loop makes two more turns, in the first of which it looks at it. Whoever comes then gets a response.

--- a/packages/fleet/src/marjoramyard/fleet/listener.py
+++ b/packages/fleet/src/marjoramyard/fleet/listener.py
@@ -40,6 +40,8 @@
 _END_ROUNDS = _TURNS + 10
 """Rounds in which responses to ended requests are sent. They are counted, as a
 process that gets its processor in turns may sleep through a time."""
+_ACCEPT_TURNS = 2
+"""Turns of the event loop after which waiting connections are accepted."""
 _SET_UP_TURNS = 3
 """Turns of the event loop after which accepted connections are set up."""
 
@@ -304,9 +306,12 @@
         """Stops accepting connections.
 
         `asyncio.Server.close` would break those that are being set up: they
-        would stay open without being read.
+        would stay open without being read. Those that wait are accepted first:
+        a signal may have kept the event loop from looking at the address.
         """
         loop = asyncio.get_running_loop()
+        for _ in range(_ACCEPT_TURNS):
+            await asyncio.sleep(0)
         for listening in self._server.sockets:
             loop.remove_reader(listening.fileno())
         for _ in range(_SET_UP_TURNS):
--- a/packages/fleet/tests/test_closing_listeners.py
+++ b/packages/fleet/tests/test_closing_listeners.py
@@ -145,6 +145,19 @@
     await closing
 
 
+async def test_requests_that_wait_as_the_address_closes_are_answered(server):
+    """Guards against resetting connections at which an event loop that was
+    suspended has not looked yet.
+    """
+    clients = [server.connect() for _ in range(CLIENTS)]
+    for client in clients:
+        client.sendall(request("/fast"))
+    closing = server.close()
+    ends = await asyncio.gather(*map(receive, clients))
+    assert [end for end in ends if not end[0].startswith(b"HTTP/1.1 ")] == []
+    await closing
+
+
 @pytest.mark.parametrize("turns", TURNS)
 async def test_a_request_on_a_kept_connection_is_answered_or_not_read(
     server, turns
