Pass on responses whose header fields can't be written as they came

Through an entry a stream was answered by a body without a head, and a field with bytes that are no UTF-8 cost 502 after the connection to the agent had been given up, though the endpoint had answered at once.

Cause: an endpoint's fields are copied into the response. The HTTP library reads control characters and refuses to write them, after the handler has returned, where nobody answers any more. Between agents and entries frames are JSON, which has no code for bytes that are no text. The class: what is read leniently is written strictly, and a failure to write isn't answered.

Fixed where fields are passed on, in both directions: control characters become spaces, as RFC 9110 allows, and bytes that are no UTF-8 are taken for ISO 8859-1. All of test_endpoint_behaviours.py and util/ pass.

--- a/packages/fleet/src/marjoramyard/fleet/util/headers.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/headers.py
@@ -1,5 +1,7 @@
 """HTTP headers of forwarded requests and responses."""
 
+import re
+
 from aiohttp import web
 
 STREAM_TYPE = "text/event-stream"
@@ -19,17 +21,44 @@
     }
 )
 _OWN_HEADERS = frozenset({"date", "server", "content-length"})
+_CONTROL_CHARACTERS = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 
 
 def end_to_end(headers: Headers) -> Headers:
-    """Returns the headers without the hop-by-hop ones."""
+    """Returns the headers to pass on, without the hop-by-hop ones.
+
+    Their values can be written, whatever was received.
+    """
     return [
-        (str(name), value)
+        (str(name), writable_value(value))
         for name, value in headers
         if name.lower() not in _HOP_HEADERS
     ]
 
 
+def writable_value(value: str) -> str:
+    """Returns a header value that the HTTP library can write.
+
+    Args:
+        value: A value as the library has read it. Bytes that are not UTF-8 are
+            surrogate characters; they are taken for ISO 8859-1.
+
+    Returns:
+        The value, with spaces in place of control characters.
+    """
+    if value.isascii() and value.isprintable():
+        return value
+    return _CONTROL_CHARACTERS.sub(" ", _text_of(value))
+
+
+def _text_of(value: str) -> str:
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        return value.encode("utf-8", "surrogateescape").decode("latin-1")
+    return value
+
+
 def is_stream(headers: Headers) -> bool:
     """Returns whether the content type is that of server-sent events."""
     return any(
--- a/packages/standin/src/marjoramyard/standin/behaviours.py
+++ b/packages/standin/src/marjoramyard/standin/behaviours.py
@@ -132,6 +132,26 @@
     return [with_length(fields + long)]
 
 
+@behaviour("control-character-in-a-field", Expected.WHOLE)
+def _control_character(fields):
+    return [with_length(fields + b"Note: a\x01b\r\n")]
+
+
+@behaviour("delete-character-in-a-field", Expected.WHOLE)
+def _delete_character(fields):
+    return [with_length(fields + b"Content-Type: text/\x7fplain\r\n")]
+
+
+@behaviour("control-character-in-a-stream's-field", Expected.WHOLE, body=STREAM)
+def _control_character_of_a_stream(fields):
+    return stream(fields + b"Note: a\x01b\r\n", *EVENTS)
+
+
+@behaviour("bytes-that-are-no-text-in-a-field", Expected.WHOLE)
+def _no_text(fields):
+    return [with_length(fields + b"Note: caf\xe9\r\n")]
+
+
 @behaviour("upper-case-fields", Expected.WHOLE)
 def _upper_case(fields):
     more = b"CONTENT-LENGTH: %d\r\n" % len(BODY)
