Take a status of no class for a broken response

Callers saw: 101 Switching Protocols as the response to a request that asked for no other protocol, and "HTTP/1.1 99", which clients can't read.

Cause: every status that the HTTP library reads was passed on. What isn't from 200 to 599 is no final response, so it now counts as broken, at gateways and at agents: 502, or another endpoint where the request may be repeated.

Evidence: `another-protocol` and `status-below-all-classes` failed on both ways in before (4 of 4); `status-above-all-classes` was refused as unsigned for GET and passed on for streams. test_endpoint_behaviours.py, agent/, util/ and test_attempts.py: 151 passed.

--- a/packages/fleet/src/marjoramyard/fleet/agent/attempts.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/attempts.py
@@ -15,7 +15,11 @@
 from marjoramyard.fleet.agent.meters import METERS
 from marjoramyard.fleet.messages import RunRequest
 from marjoramyard.fleet.util.headers import end_to_end, is_stream
-from marjoramyard.fleet.util.response_body import BrokenOffError, ResponseBody
+from marjoramyard.fleet.util.response_body import (
+    BrokenOffError,
+    ResponseBody,
+    is_final,
+)
 from marjoramyard.kernel.errors import Failure, FailureKind, Outcome, failure
 from marjoramyard.kernel.ids import Fingerprint, WorkspaceId
 from marjoramyard.kernel.logs import get_logger
@@ -214,6 +218,15 @@
             self._release_upstream()
 
     def _begin_response(self, response: aiohttp.ClientResponse) -> None:
+        """Adds the head of a response to the replay buffer.
+
+        Raises:
+            BrokenOffError: It is not the response to the request.
+        """
+        if not is_final(response):
+            raise BrokenOffError(
+                f"no final response, {response.status}", is_connection_lost=True
+            )
         self.status = response.status
         self.headers = end_to_end(list(response.headers.items()))
         self.replay_buffer.begin(self.status, self.headers)
--- a/packages/fleet/src/marjoramyard/fleet/gateway/attempts.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/attempts.py
@@ -15,6 +15,7 @@
 from marjoramyard.fleet.util.endpoint_session import check_before_send
 from marjoramyard.fleet.util.headers import Headers
 from marjoramyard.fleet.util.pause_requests import parse_retry_after
+from marjoramyard.fleet.util.response_body import is_final
 
 
 class SendOutcome(Enum):
@@ -174,6 +175,10 @@
     echoed = response.headers.get(names.attempt, "")
     if echoed and echoed != request.attempt:
         raise SendFailedError(SendOutcome.BROKEN, "response to another request")
+    if not is_final(response):
+        raise SendFailedError(
+            SendOutcome.BROKEN, f"no final response, {response.status}"
+        )
     if names.not_run in response.headers or response.status == 421:
         retry_after = parse_retry_after(response.headers.get("Retry-After", ""))
         reason = f"status {response.status}"
--- a/packages/fleet/src/marjoramyard/fleet/util/response_body.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/response_body.py
@@ -16,6 +16,7 @@
 
 _BODILESS = (204, 304)
 """Statuses of responses that never have a body."""
+_FINAL_STATUSES = range(200, 600)
 
 
 class BrokenOffError(Exception):
@@ -109,6 +110,15 @@
         return end
 
 
+def is_final(response: aiohttp.ClientResponse) -> bool:
+    """Whether a status is that of a response to a request.
+
+    Others change the protocol, which no request asks for, or belong to no
+    class.
+    """
+    return response.status in _FINAL_STATUSES
+
+
 def is_framed(response: aiohttp.ClientResponse) -> bool:
     """Whether the end of a response's body can be told from its bytes."""
     if response.method == "HEAD" or response.status in _BODILESS:
--- a/packages/standin/src/marjoramyard/standin/behaviours.py
+++ b/packages/standin/src/marjoramyard/standin/behaviours.py
@@ -152,6 +152,24 @@
     return [with_length(fields + b"Note: caf\xe9\r\n")]
 
 
+@behaviour("another-protocol", Expected.FAILURE, closes=True)
+def _another_protocol(fields):
+    switch = b"Connection: upgrade\r\nUpgrade: other\r\n"
+    return [head(fields, switch, b"101 Switching Protocols"), BODY]
+
+
+@behaviour("status-below-all-classes", Expected.FAILURE)
+def _status_below(fields):
+    more = b"Content-Length: %d\r\n" % len(BODY)
+    return [head(fields, more, b"099 Odd") + BODY]
+
+
+@behaviour("status-above-all-classes", Expected.FAILURE)
+def _status_above(fields):
+    more = b"Content-Length: %d\r\n" % len(BODY)
+    return [head(fields, more, b"600 Odd") + BODY]
+
+
 @behaviour("upper-case-fields", Expected.WHOLE)
 def _upper_case(fields):
     more = b"CONTENT-LENGTH: %d\r\n" % len(BODY)
