Answer requests whose response can't be written

Callers saw: a kept connection that ends by FIN when their response has a head that the HTTP library refuses to write, as the library writes it after all handlers and middlewares (the class of, wherever the head comes from); a 500 without an outcome when the handler had lost a connection to another process, as its error has the type of a caller that has left; and a second head in the midst of a stream whose handler failed unexpectedly.

Cause: what a handler runs into was told by the type of the error alone, and the last step of a response was left to the library. Now heads are prepared within the outermost middleware, which answers 500, outcome unknown, in place of one that can't be (log line `response_unwritable`, metric `unwritable_responses`); errors of connections are a caller's only if its connection has ended; and a response that has begun is only broken off.

--- a/packages/fleet/src/marjoramyard/fleet/listener.py
+++ b/packages/fleet/src/marjoramyard/fleet/listener.py
@@ -188,7 +188,8 @@
         connection.handler_task = asyncio.current_task()
         connection.has_responded = False
         try:
-            return await handler(request)
+            response = await handler(request)
+            return await self._prepared(request, response, connection)
         except asyncio.CancelledError:
             if connection.is_ended and not connection.has_responded:
                 return failure_response(_ENDED)
@@ -201,6 +202,32 @@
         finally:
             connection.handler_task = None
 
+    async def _prepared(
+        self,
+        request: web.Request,
+        response: web.StreamResponse,
+        connection: ServedConnection,
+    ) -> web.StreamResponse:
+        """Returns a response whose head has been prepared.
+
+        aiohttp closes the connection without a response if that fails after
+        the handlers. A failure that follows a response that has begun only
+        breaks it off.
+        """
+        if connection.has_responded and not response.prepared:
+            break_off_response(request)
+            return response
+        try:
+            await response.prepare(request)
+        except ConnectionError:
+            raise
+        except Exception:
+            logger.exception("response_unwritable", path=request.path)
+            self.metrics.count("unwritable_responses")
+            connection.has_responded = False
+            response = failure_response(_UNWRITABLE)
+        return response
+
     async def prepare_response(
         self, request: web.Request, response: web.StreamResponse
     ) -> None:
@@ -252,6 +279,12 @@
         )
 
 
+_UNWRITABLE = failure(
+    FailureKind.INTERNAL,
+    "the response can't be written; check the result before sending the "
+    "request again",
+    Outcome.UNKNOWN,
+)
 _NOT_READ = failure(
     FailureKind.LEAVING,
     "this process is shutting down and has not read the whole request; send "
--- a/packages/fleet/src/marjoramyard/fleet/util/rpc.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/rpc.py
@@ -13,6 +13,7 @@
 from result import Err, Ok, Result
 
 from marjoramyard.fleet.messages import FailureBody
+from marjoramyard.fleet.util.connections import has_peer_closed
 from marjoramyard.kernel.errors import (
     Failure,
     FailureKind,
@@ -115,9 +116,12 @@
         return failure_response(
             failure(kind, f"{error.reason}; see docs/usage/api.md")
         )
-    except ConnectionError:
-        raise
-    except Exception:
+    except Exception as error:
+        # Errors of connections to other processes are of the same types.
+        if isinstance(error, ConnectionError) and has_peer_closed(
+            request.transport
+        ):
+            raise
         logger.exception("handler_failed", path=request.path)
         return failure_response(
             failure(
