Keep SIGHUP from ending a process that starts

SIGHUP is ignored from the first line of the program on, and a settings file that changes after it was read is read again, as its time is taken before.

The soak now sends SIGHUP to gateways and control hosts at any moment, singly and in series; it counts as no fault, so all promises hold meanwhile. Pressing callers send one request in 20 with a body of 200 kB in pieces. Both have generators of their own, so the other faults of a seed stay as they were, which test_plan.py still checks by digest.

--- a/packages/fleet/src/marjoramyard/fleet/__main__.py
+++ b/packages/fleet/src/marjoramyard/fleet/__main__.py
@@ -1,5 +1,11 @@
 """Runs the `marjoramyard` command as `python3 -m marjoramyard.fleet`."""
 
-from marjoramyard.fleet.cmd.daemon import main
+import signal
+
+# A reload that is asked for while the process starts must not end it. The
+# imports take most of that time.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+from marjoramyard.fleet.cmd.daemon import main  # noqa: E402
 
 main()
--- a/packages/fleet/src/marjoramyard/fleet/application.py
+++ b/packages/fleet/src/marjoramyard/fleet/application.py
@@ -61,7 +61,7 @@
 """The interval at which the settings file is checked for changes."""
 
 
-def _modified_ns(path: Path | None) -> int:
+def modified_ns(path: Path | None) -> int:
     """Returns a file's modification time in nanoseconds, 0 if unknown."""
     try:
         return path.stat().st_mtime_ns if path is not None else 0
@@ -108,7 +108,7 @@
     ):
         self.settings = settings
         self.settings_path = settings_path
-        self.settings_modified_ns = _modified_ns(settings_path)
+        self.settings_modified_ns = modified_ns(settings_path)
         self.incarnation = new_incarnation(settings.name)
         self.metrics = Metrics(settings.role, settings.name)
         self.roles: Registry[RoleFactory] = Registry("role")
@@ -273,7 +273,7 @@
         """
         if self.settings_path is None:
             return
-        self.settings_modified_ns = _modified_ns(self.settings_path)
+        self.settings_modified_ns = modified_ns(self.settings_path)
         loaded = load_settings(self.settings_path)
         if isinstance(loaded, Err):
             logger.error("settings_refused", why=loaded.err_value)
@@ -285,7 +285,7 @@
         """Reloads the settings when their file changes, until cancelled."""
         while True:
             await asyncio.sleep(_SETTINGS_CHECK_SECONDS)
-            if _modified_ns(self.settings_path) != self.settings_modified_ns:
+            if modified_ns(self.settings_path) != self.settings_modified_ns:
                 self.reload_settings()
 
     async def _load_metrics_exporter(self) -> None:
--- a/packages/fleet/src/marjoramyard/fleet/cmd/daemon.py
+++ b/packages/fleet/src/marjoramyard/fleet/cmd/daemon.py
@@ -9,7 +9,7 @@
 from result import Err
 
 import marjoramyard.fleet.settings  # noqa: F401  (registers the roles)
-from marjoramyard.fleet.application import Application
+from marjoramyard.fleet.application import Application, modified_ns
 from marjoramyard.kernel.logs import configure_logs
 from marjoramyard.kernel.settings import RoleSettings, load_settings
 
@@ -46,17 +46,21 @@
 )
 def run(settings: Path) -> None:
     """Runs the role that a settings file describes, until SIGTERM."""
+    settings_modified_ns = modified_ns(settings)
     loaded = _load_or_exit(settings)
     configure_logs(loaded.log, role=loaded.role, name=loaded.name)
-    asyncio.run(_run(loaded, settings))
+    asyncio.run(_run(loaded, settings, settings_modified_ns))
     # Everything is closed. Taking the interpreter down as well would cost a
     # small host part of the time in which it must have stopped.
     os._exit(0)
 
 
-async def _run(settings: RoleSettings, path: Path) -> None:
+async def _run(
+    settings: RoleSettings, path: Path, settings_modified_ns: int
+) -> None:
     try:
         application = Application(settings, path)
+        application.settings_modified_ns = settings_modified_ns
     except ValueError as error:
         click.echo(str(error), err=True)
         sys.exit(EXIT_INVALID_SETTINGS)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -17,7 +17,12 @@
 from soak.operator import Operator
 from soak.plan import Fault, FaultKind, PowerLoss, Target
 from soak.record import CRASHING_PART, CRASHING_PREFIX
-from soak.stops import STOP_ACTIONS, run_in_turns, wait_until_started
+from soak.stops import (
+    STOP_ACTIONS,
+    reload_repeatedly,
+    run_in_turns,
+    wait_until_started,
+)
 
 LINK_DELAY_SECONDS = 0.15
 DISK_DELAY_SECONDS = 0.2
@@ -70,6 +75,11 @@
             # No fault of the endpoint: the promises hold meanwhile.
             await self.endpoints[fault.number].shed(fault.seconds)
             return
+        if fault.kind is FaultKind.RELOAD:
+            # No fault either.
+            node = self.fleet.nodes(fault.target.value)[fault.number]
+            await reload_repeatedly(node, fault.seconds)
+            return
         span = self.fleet.begin_fault(
             fault.target.value, fault.kind.value, fault.number
         )
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -16,6 +16,8 @@
 CRASHING_SECONDS = 5.0
 MEAN_STOP_INTERVAL_SECONDS = 6.0
 """Mean interval between series of stops."""
+MEAN_RELOAD_INTERVAL_SECONDS = 1.5
+"""Mean interval between series of SIGHUP."""
 TURNS_SHARE = 0.4
 """Share of the stops of processes that get their processor in turns."""
 TURNS_SECONDS = 10.0
@@ -47,6 +49,7 @@
     TERMINATE_TWICE = "stop-twice"
     TERMINATE_AFTER_START = "stop-after-start"
     TURNS = "turns"
+    RELOAD = "reload"
     LOSE_DISK = "wipe"
     DELAY = "delay"
     RESET = "reset"
@@ -82,7 +85,7 @@
     FaultKind.TERMINATE_AFTER_START: (0.5, 0.7, 1.0, 1.5),
 }
 """From the first SIGTERM, or from the start of the process, to the second."""
-SEPARATE_PROCESS_FAULTS = (*REPEATED_STOPS, FaultKind.TURNS)
+SEPARATE_PROCESS_FAULTS = (*REPEATED_STOPS, FaultKind.TURNS, FaultKind.RELOAD)
 SEPARATE_FAULTS = (FaultKind.SHED, *SEPARATE_PROCESS_FAULTS)
 """Drawn with generators of their own."""
 PROCESS_FAULTS = (FaultKind.KILL, FaultKind.SUSPEND, FaultKind.TERMINATE)
@@ -193,9 +196,10 @@
         seed: Determines the plan.
         seconds: Until when faults begin.
         size: The number of targets.
-        stops_only: Whether to draw no other faults than `draw_stops` does.
+        stops_only: Whether to draw stops and reloads only.
     """
     faults = draw_stops(seed, seconds, size)
+    faults += draw_reloads(seed, seconds, size)
     if not stops_only:
         faults += _draw_faults(seed, seconds, size)
         faults += _shedding(seed, seconds, size)
@@ -238,6 +242,24 @@
     return faults
 
 
+def draw_reloads(seed: int, seconds: float, size: FleetSize) -> list[Fault]:
+    """Draws series of SIGHUP at any moment, also while a process starts.
+
+    Like `_shedding`, with a generator of its own.
+    """
+    rng = random.Random(f"reloads-{seed}")
+    counts = {Target.GATEWAY: size.gateways, Target.CONTROL: size.controls}
+    faults = []
+    at = WARMUP_SECONDS
+    while at < seconds:
+        target = rng.choice([*counts])
+        number = rng.randrange(counts[target])
+        duration = rng.choice((0.0, 0.1, 0.5))
+        faults.append(Fault(at, target, FaultKind.RELOAD, number, duration))
+        at += rng.expovariate(1 / MEAN_RELOAD_INTERVAL_SECONDS)
+    return faults
+
+
 def _changes_beside(
     stop: Fault, rng: random.Random, size: FleetSize
 ) -> list[Fault]:
--- a/tests/soak/pressing.py
+++ b/tests/soak/pressing.py
@@ -23,6 +23,10 @@
 )
 SPLIT_SHARE = 0.1
 """Share of the requests whose body follows their head later."""
+LARGE_SHARE = 0.05
+"""Share of the requests with a large body, which is sent in pieces."""
+LARGE_BYTES = 200_000
+PIECES = 5
 CHANGE_SHARE = 0.2
 """Share of the requests to control hosts that send a configuration again while
 one of them stops. At other times these would keep the log from being the same
@@ -58,6 +62,7 @@
         self.endpoints = endpoints
         self.seed = seed
         self.rng = random.Random(f"pressing-{seed}")
+        self.large = random.Random(f"large-{seed}")
         self.numbers = itertools.count(1)
         self.stopped = False
 
@@ -109,9 +114,15 @@
             "Prompt-Parts": f"{SHARED_PART}:9,{request_id}:9",
         }
         path = f"/{self.rng.choice(KINDS).value}/x"
-        head, body = http_request("POST", path, headers, b"?")
+        is_large = self.large.random() < LARGE_SHARE
+        content = b"?" * (LARGE_BYTES if is_large else 1)
+        head, body = http_request("POST", path, headers, content)
         is_split = self.rng.random() < SPLIT_SHARE
         parts = (head, body) if is_split else (head + body,)
+        if is_large:
+            size = LARGE_BYTES // PIECES
+            starts = range(0, LARGE_BYTES, size)
+            parts = (head, *(body[start : start + size] for start in starts))
         return await connections.send(
             number, request_id, parts, CLIENT_TIMEOUT_SECONDS
         )
--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -14,6 +14,7 @@
 START_TIMEOUT_SECONDS = 5.0
 START_CHECK_INTERVAL_SECONDS = 0.05
 SUSPENDED_SECONDS = 0.1
+RELOAD_INTERVAL_SECONDS = 0.05
 RUNNING_SECONDS = (0.05, 0.1, 0.15)
 
 
@@ -97,3 +98,12 @@
             if asyncio.get_running_loop().time() > end:
                 return
             await asyncio.sleep(running)
+
+
+async def reload_repeatedly(node: Node, seconds: float) -> None:
+    """Sends SIGHUP to a process, once or again and again for a while."""
+    end = asyncio.get_running_loop().time() + seconds
+    send_signal(node, signal.SIGHUP)
+    while asyncio.get_running_loop().time() < end:
+        await asyncio.sleep(RELOAD_INTERVAL_SECONDS)
+        send_signal(node, signal.SIGHUP)
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -14,6 +14,7 @@
     FleetSize,
     Target,
     draw_power_loss,
+    draw_reloads,
     draw_stops,
     make_plan,
 )
@@ -70,15 +71,20 @@
     (3008, 20.0): (37, "03834b061848022a"),
     (4004, 20.0): (45, "26fffa76f276838a"),
 }
-"""Number and digest of the faults without `draw_stops`, by seed and seconds."""
+"""Number and digest of the other faults, by seed and seconds."""
+
+
+def stops_and_reloads(seed, seconds):
+    size = FleetSize()
+    return draw_stops(seed, seconds, size) + draw_reloads(seed, seconds, size)
 
 
 @pytest.mark.parametrize(("seed", "seconds"), OTHER_FAULTS)
 def test_stops_leave_the_other_faults_as_they_were(seed, seconds):
     """Guards against seeds that no longer give the faults they are kept for."""
     plan = make_plan(seed, seconds, FleetSize())
-    for stop in draw_stops(seed, seconds, FleetSize()):
-        plan.remove(stop)
+    for fault in stops_and_reloads(seed, seconds):
+        plan.remove(fault)
     fields = [
         (f.at, f.target.value, f.kind.value, f.number, f.seconds) for f in plan
     ]
@@ -88,11 +94,9 @@
 
 @given(st.integers(0, 10_000))
 def test_a_plan_of_stops_holds_no_other_fault(seed):
-    size = FleetSize()
-    plan = make_plan(seed, 20.0, size, stops_only=True)
-    assert sorted(draw_stops(seed, 20.0, size), key=str) == sorted(
-        plan, key=str
-    )
+    plan = make_plan(seed, 20.0, FleetSize(), stops_only=True)
+    expected = stops_and_reloads(seed, 20.0)
+    assert sorted(expected, key=str) == sorted(plan, key=str)
 
 
 def test_stops_overlap_and_meet_control_hosts_and_slow_processes():
