Found a cluster only with more empty disks than may be lost

Cause: a host that heard of no other for 3 s founded a cluster with the disks that it knew, even if that was its own alone. Now more than half of the voters' disks must be there and empty. So many are never lost at once, so no cluster can exist.

--- a/packages/fleet/src/marjoramyard/fleet/control/cluster_manager.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/cluster_manager.py
@@ -275,6 +275,10 @@
             h for h in [*self.hosts.values(), self.describe()] if h.replica
         ]
         wanted = self.settings.voter_count
+        if 2 * len(available) <= wanted:
+            # So many hosts may have lost their disks: there may be a cluster
+            # whose other hosts are down.
+            return
         waited = time.monotonic() - self.started_at
         if len(available) < wanted and waited < 3 * BOOTSTRAP_DELAY_SECONDS:
             return
--- a/tests/test_lost_disks.py
+++ b/tests/test_lost_disks.py
@@ -21,6 +21,8 @@
 """Within this time a lost voter is replaced once its host is back."""
 RECOVERY_SECONDS = 12.0
 """Within this time service is back after all hosts have lost power."""
+ALONE_SECONDS = 4.0
+"""Longer than a host waits for others before it founds a cluster."""
 CONTROL_NAMES = ("control-0", "control-1", "control-2")
 
 
@@ -41,7 +43,9 @@
 
 async def lose_disk(fleet, number):
     """Ends a control host and empties its disk."""
-    await fleet.children[f"control-{number}"].kill()
+    child = fleet.children[f"control-{number}"]
+    if child.is_running:
+        await child.kill()
     shutil.rmtree(fleet.folder / f"data-{number}")
 
 
@@ -126,3 +130,22 @@
         await wait_until(keyed_requests_are_served, RECOVERY_SECONDS)
         status, document = await fleet.read_config(0)
         assert (status, document["version"]) == (200, 3)
+
+
+async def test_the_first_host_founds_no_second_cluster(fleet):
+    """Guards against a configuration that is gone after all hosts have lost
+    power and one its disk, as that host is up long before the others and has
+    been told that the fleet starts for the first time.
+    """
+    await fleet.put_config(config(2))
+    for name in CONTROL_NAMES:
+        await fleet.children[name].kill()
+    await lose_disk(fleet, 0)
+    await fleet.start("control-0")
+    await asyncio.sleep(ALONE_SECONDS)
+    for name in CONTROL_NAMES[1:]:
+        await fleet.start(name)
+    await wait_until(fleet.control_hosts_are_ready, RECOVERY_SECONDS)
+    for host in range(3):
+        status, document = await fleet.read_config(host)
+        assert (status, document["version"]) == (200, 2)
