Record the software versions of services in the replicated log

Cause: which versions a service has had was known to running processes only. After all were lost a control host began to count at its start, and after the longest time limit and 15 s concluded that the version that it had seen since was the only one; a host whose settings still said that the fleet starts for the first time concluded so at once. The class: what a decision relies on is lost with its only holders.

Now the leader records each version before gateways use its endpoints for services whose streams may be resumed, and a stream that nobody knows goes on only if one version is recorded. That is known with the first confirmed poll. A version is forgotten 10 minutes after its last endpoint ("Clients retry a few times within their deadline", PROTOCOL.md). If it can't be recorded for 5 s it is used all the same. Hosts that hold a replica know that it is no first start. Beside members of an earlier release nothing is recorded.

--- a/packages/coordination/src/marjoramyard/coordination/governance/commands.py
+++ b/packages/coordination/src/marjoramyard/coordination/governance/commands.py
@@ -13,6 +13,7 @@
     ChangeRecord,
 )
 from marjoramyard.coordination.governance.orders import Order
+from marjoramyard.coordination.governance.service_versions import ServiceVersion
 from marjoramyard.coordination.governance.suspects import EndedRun
 from marjoramyard.kernel.errors import Failure
 
@@ -197,6 +198,19 @@
     at: float = 0.0
 
 
+class ChangeVersions(msgspec.Struct, tag="change-versions", frozen=True):
+    """Changes the record of the services' software versions.
+
+    Attributes:
+        added: Versions whose endpoints are about to be used.
+        removed: Versions without endpoints for long.
+    """
+
+    added: list[ServiceVersion] = []
+    removed: list[ServiceVersion] = []
+    at: float = 0.0
+
+
 Command = (
     Propose
     | Approve
@@ -211,6 +225,7 @@
     | IssueOrder
     | AcceptConfig
     | ChangeZone
+    | ChangeVersions
 )
 
 
--- a/packages/coordination/src/marjoramyard/coordination/governance/state.py
+++ b/packages/coordination/src/marjoramyard/coordination/governance/state.py
@@ -10,6 +10,7 @@
     AcceptConfig,
     Approve,
     CancelCall,
+    ChangeVersions,
     ChangeZone,
     ClearSuspects,
     Command,
@@ -36,6 +37,10 @@
     LifecycleState,
 )
 from marjoramyard.coordination.governance.orders import Order
+from marjoramyard.coordination.governance.service_versions import (
+    ServiceVersion,
+    ServiceVersions,
+)
 from marjoramyard.coordination.governance.suspects import (
     EndedRun,
     Suspect,
@@ -71,6 +76,8 @@
         default_factory=EvacuationState
     )
     packed_config: PackedConfig | None = None
+    versions: list[ServiceVersion] = []
+    versions_revision: int = 0
 
 
 _COMMAND_DECODER = msgspec.json.Decoder(Command)
@@ -99,6 +106,9 @@
         elif stored.config is not None:
             self.set_config(PackedConfig.of(stored.config))
         self.evacuations = Evacuations(stored.evacuations)
+        self.versions = ServiceVersions(
+            stored.versions, stored.versions_revision
+        )
 
     @classmethod
     def restore(cls, data: str) -> "ControlState":
@@ -121,6 +131,8 @@
             self.last_order,
             evacuations=self.evacuations.stored,
             packed_config=self.packed_config,
+            versions=self.versions.list_recorded(),
+            versions_revision=self.versions.revision,
         )
         return msgspec.json.encode(stored).decode()
 
@@ -287,3 +299,9 @@
             command.at,
         )
     )
+
+
+@HANDLERS.register("ChangeVersions")
+def _change_versions(state: ControlState, command: ChangeVersions) -> Reply:
+    state.versions.change(command.added, command.removed)
+    return Reply(granted=True)
--- a/packages/fleet/src/marjoramyard/fleet/control/cluster_manager.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/cluster_manager.py
@@ -109,11 +109,12 @@
             self.settings.zone,
             replica,
             cluster,
-            self.settings.first_start,
+            role.is_first_start,
             entries,
             role.service.observed_seconds(),
             is_stopped=identity is not None and role.running_node is None,
             epoch=role.service.endpoints.epoch,
+            records_versions=True,
         )
 
     # Announcing.
@@ -263,7 +264,7 @@
         return bool(seeds) and seeds[0] == self.settings.operator_listen
 
     def _may_bootstrap(self) -> bool:
-        if not self.settings.first_start or not self._is_bootstrap_host():
+        if not self.role.is_first_start or not self._is_bootstrap_host():
             return False
         hosts = [*self.hosts.values(), self.describe()]
         if any(host.cluster for host in hosts):
--- a/packages/fleet/src/marjoramyard/fleet/control/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/role.py
@@ -109,6 +109,17 @@
             *fleet_routes(self.cluster_manager, self.service),
         ]
 
+    @property
+    def is_first_start(self) -> bool:
+        """Whether the fleet starts for the first time.
+
+        Settings may still say so when a host that holds a replica restarts.
+        """
+        has_replica = (
+            self.storage is not None and self.storage.identity is not None
+        )
+        return self.settings.first_start and not has_replica
+
     def is_ready(self) -> bool:
         """Returns whether this host knows a leader."""
         return bool(self.leader_address())
@@ -474,8 +485,9 @@
 async def control_role(app: Application) -> AsyncIterator[ControlRole]:
     """Runs a control host."""
     with _storage_of(app.settings.data_folder) as storage:
+        identity = storage.load_identity() if storage is not None else None
         role = ControlRole(app, storage)
-        if storage is not None and storage.load_identity() is not None:
+        if identity is not None:
             role.start_stored_node()
         async with AsyncExitStack() as stack:
             listening = app.serve(app.settings.internal, role.routes())
@@ -486,6 +498,7 @@
                 await stack.enter_async_context(_serve_operators(app, role))
                 app.tasks.spawn(role.cluster_manager.run())
                 app.tasks.spawn(role.service.watch_endpoints())
+                app.tasks.spawn(role.service.version_recorder.run())
             yield role
 
 
--- a/packages/fleet/src/marjoramyard/fleet/control/service.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/service.py
@@ -36,6 +36,7 @@
 from marjoramyard.fleet.control.leadership_checks import LeadershipChecks
 from marjoramyard.fleet.control.node import no_quorum
 from marjoramyard.fleet.control.observation import Observation
+from marjoramyard.fleet.control.version_recorder import VersionRecorder
 from marjoramyard.fleet.control.zone_service import ZoneService
 from marjoramyard.fleet.messages import Empty
 from marjoramyard.fleet.sync_messages import (
@@ -84,6 +85,7 @@
         gateways: The last sync request and when it came (monotonic), by
             gateway incarnation.
         zones: The operators' orders on availability zones.
+        version_recorder: Records the software versions of endpoints.
         leadership_checks: The checks of leadership for gateways' polls.
         config_history: Recent configurations, to send differences.
         observation: Says for how long this host knows of all endpoints.
@@ -99,11 +101,12 @@
             self.settings.name, self._on_endpoints_changed
         )
         self.departures = Departures(role)
+        self.version_recorder = VersionRecorder(role)
         self.changes = ChangeSignal(self._on_publish)
         self.published_cursors = self._last_changes()
         self.started_at = time.monotonic()
         self.observation = Observation(
-            self.settings.first_start, self._settling_seconds()
+            role.is_first_start, self._settling_seconds()
         )
         self.published_revision = 1
         self.gateways: dict[str, tuple[float, SyncRequest]] = {}
@@ -268,6 +271,8 @@
             return True
         if self._has_new_suspects(request) or self._has_new_watched(request):
             return True
+        if self._has_new_versions(request):
+            return True
         return (
             request.epoch != self.endpoints.epoch
             or request.cursor < self.published_cursors[request.urgent_only]
@@ -290,6 +295,20 @@
         newest = self._suspects().watched_revision
         return not request.urgent_only and newest > request.watched_revision
 
+    def _has_new_versions(self, request: SyncRequest) -> bool:
+        node = self.role.running_node
+        known = request.versions_revision
+        if node is None or known is None:
+            return False
+        return node.state.versions.revision > known
+
+    def _add_versions(self, request: SyncRequest, reply: SyncReply) -> None:
+        """Adds the record of versions to a reply, unless the gateway has it."""
+        if self._has_new_versions(request):
+            versions = self.role.running_node.state.versions
+            reply.versions_revision = versions.revision
+            reply.versions = versions.list_recorded()
+
     def _add_suspects(self, request: SyncRequest, reply: SyncReply) -> None:
         """Adds the suspects to a reply, unless the gateway has them."""
         suspects = self._suspects()
@@ -332,9 +351,9 @@
             self._is_settled() and self.role.cluster_manager.is_isolated(),
         )
         self._add_suspects(request, reply)
+        self._add_versions(request, reply)
         is_complete = len(changed) < MAX_REGISTRATIONS
         if is_complete and not request.urgent_only:
-            reply.observed_seconds = self.observed_seconds()
             reply.former_versions = self.endpoints.list_former_versions()
         return reply
 
--- /dev/null
+++ b/packages/fleet/src/marjoramyard/fleet/control/version_recorder.py
@@ -0,0 +1,95 @@
+"""Records the software versions of endpoints, on the leader."""
+
+import asyncio
+import time
+
+from result import Err
+
+from marjoramyard.coordination.governance.commands import ChangeVersions
+from marjoramyard.coordination.governance.service_versions import (
+    MAX_VERSIONS,
+    VERSION_RETENTION_SECONDS,
+    ServiceVersion,
+    ServiceVersions,
+)
+from marjoramyard.coordination.membership.registrations import EndpointState
+from marjoramyard.fleet.control.leader_calls import COMMIT_TIMEOUT_SECONDS
+from marjoramyard.kernel.logs import get_logger
+
+logger = get_logger(__name__)
+
+CHECK_SECONDS = 0.1
+RETRY_SECONDS = 1.0
+
+
+class VersionRecorder:
+    """Keeps the replicated record of versions complete.
+
+    Attributes:
+        absent_since: Since when recorded versions have no endpoint, on the
+            monotonic clock in seconds, as far as this host has seen as the
+            leader.
+    """
+
+    def __init__(self, role):
+        self.role = role
+        self.absent_since: dict[ServiceVersion, float] = {}
+
+    async def run(self) -> None:
+        """Records versions until cancelled."""
+        while True:
+            await asyncio.sleep(CHECK_SECONDS)
+            if not self.role.is_leader():
+                self.absent_since.clear()
+                continue
+            command = self.next_change(time.monotonic())
+            if command is not None and self._members_understand():
+                await self._execute(command)
+
+    def next_change(self, now: float) -> ChangeVersions | None:
+        """Returns the change that the record needs; None for none."""
+        record: ServiceVersions = self.role.running_node.state.versions
+        registered = self._registered()
+        absent = record.recorded - registered
+        self.absent_since = {
+            version: self.absent_since.get(version, now) for version in absent
+        }
+        room = MAX_VERSIONS - len(record.recorded)
+        added = sorted(registered - record.recorded)[:room]
+        removed = {
+            version
+            for version, since in self.absent_since.items()
+            if now - since > VERSION_RETENTION_SECONDS
+        }
+        if not added and not removed:
+            return None
+        return ChangeVersions(added, sorted(removed), time.time())
+
+    def _registered(self) -> set[ServiceVersion]:
+        return {
+            ServiceVersion(registration.service, registration.software_version)
+            for registration in self.role.service.endpoints.registrations.all()
+            if registration.state is not EndpointState.DEPARTED
+        }
+
+    def _members_understand(self) -> bool:
+        """Whether no known member is of a release without the record."""
+        hosts = self.role.cluster_manager.hosts
+        members = self.role.running_node.core.membership.addresses.values()
+        return all(
+            hosts[address].records_versions
+            for address in members
+            if address in hosts
+        )
+
+    async def _execute(self, command: ChangeVersions) -> None:
+        node = self.role.running_node
+        result = await node.execute(command, COMMIT_TIMEOUT_SECONDS)
+        logger.info(
+            "versions_recorded",
+            added=command.added,
+            removed=command.removed,
+            failed=result.err_value.code if isinstance(result, Err) else None,
+        )
+        if isinstance(result, Err):
+            await asyncio.sleep(RETRY_SECONDS)
--- a/packages/fleet/src/marjoramyard/fleet/gateway/control_sync.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/control_sync.py
@@ -134,6 +134,7 @@
                 urgent_only=not is_source,
                 suspects_revision=self.view.suspects.revision,
                 watched_revision=self.view.suspects.watched_revision,
+                versions_revision=self.view.versions.revision,
             )
             result = await self._call(address, request)
             if isinstance(result, Err):
--- a/packages/fleet/src/marjoramyard/fleet/gateway/view.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/view.py
@@ -19,7 +19,7 @@
 from marjoramyard.coordination.serving.stream_versions import StreamVersions
 from marjoramyard.fleet.gateway.dialect import GatewayDialect
 from marjoramyard.fleet.gateway.known_suspects import KnownSuspects
-from marjoramyard.fleet.gateway.observed_versions import ObservedVersions
+from marjoramyard.fleet.gateway.recorded_versions import RecordedVersions
 from marjoramyard.fleet.gateway.zones import EvacuatedZones
 from marjoramyard.fleet.sync_messages import SyncReply
 from marjoramyard.kernel.logs import get_logger
@@ -49,14 +49,14 @@
     Attributes:
         ready: All endpoints that accept requests.
         healthy: Those that are neither unresponsive nor in backoff.
-        change_counts: The state of the registrations and of the zones that
-            they were computed of.
+        change_counts: The state of the registrations, of the zones and of the
+            recorded versions that they were computed of.
         valid_until: On the monotonic clock, in seconds.
     """
 
     ready: list[Registration]
     healthy: list[Registration]
-    change_counts: tuple[int, int]
+    change_counts: tuple[int, int, int]
     valid_until: float
 
     def without(self, excluded: set[str]) -> list[Registration]:
@@ -80,7 +80,7 @@
     Attributes:
         lease: The lease within which API keys may be accepted.
         table: The routes of the configuration in force; None before the first.
-        versions: The software versions of the endpoints.
+        versions: The recorded software versions of the services.
         streams: The software versions that began streams.
         zones: The evacuated zones.
         suspects: The requests that may crash endpoints.
@@ -106,7 +106,7 @@
         self.lease = BundleLease(lease_seconds)
         self.table: RouteTable | None = None
         self.registrations = Registrations()
-        self.versions = ObservedVersions(self.registrations)
+        self.versions = RecordedVersions(self.registrations)
         self.streams = StreamVersions()
         self.zones = EvacuatedZones()
         self.suspects = KnownSuspects()
@@ -201,7 +201,8 @@
         for registration in reply.words:
             self._merge(registration, now)
         self.registrations.merge_former_versions(reply.former_versions, now)
-        self.versions.record(source, reply.observed_seconds, now)
+        if reply.versions is not None:
+            self.versions.update(reply.versions_revision, reply.versions)
         self._record_unresponsive(source, reply, now)
         self.control_addresses = set(reply.addresses)
         self.gateway_count = max(1, reply.gateways)
@@ -439,8 +440,12 @@
             self.usable_by_service[service] = cached
         return cached.without(excluded)
 
-    def _change_counts(self) -> tuple[int, int]:
-        return self.registrations.change_count, self.zones.revision
+    def _change_counts(self) -> tuple[int, int, int]:
+        return (
+            self.registrations.change_count,
+            self.zones.revision,
+            self.versions.revision,
+        )
 
     def _compute_usable(
         self, service: str, now: float, before: UsableEndpoints | None
@@ -478,13 +483,26 @@
         return failing[: max(0, len(failing) - left_out)]
 
     def accepts_requests(self, registration: Registration) -> bool:
-        """Whether an endpoint is ready and its zone is not evacuated."""
+        """Whether an endpoint is ready to be used.
+
+        Its zone is not evacuated, and what streams that it begins must be
+        resumed at is recorded.
+        """
         return (
             registration.state is EndpointState.READY
             and registration.availability_zone not in self.zones.evacuated
             and not self.is_leaving(registration)
+            and self._may_begin_streams(registration)
         )
 
+    def _may_begin_streams(self, registration: Registration) -> bool:
+        if (
+            self.table is None
+            or registration.service not in self.table.resumable_services
+        ):
+            return True
+        return self.versions.may_begin_streams(registration, time.monotonic())
+
     def is_evacuated(self, service: str) -> bool:
         """Whether evacuations exclude all ready endpoints of a service."""
         ready = [
--- a/packages/fleet/src/marjoramyard/fleet/sync_messages.py
+++ b/packages/fleet/src/marjoramyard/fleet/sync_messages.py
@@ -4,6 +4,7 @@
 
 from marjoramyard.coordination.governance.commands import ConfigDocument
 from marjoramyard.coordination.governance.evacuations import ZoneState
+from marjoramyard.coordination.governance.service_versions import ServiceVersion
 from marjoramyard.coordination.membership.registrations import (
     FormerVersion,
     Registration,
@@ -28,6 +29,8 @@
         is_stopped: Whether its replica is stopped, because its disk fails.
         epoch: Names its table of endpoints, which a restart empties; "" from a
             host that does not say so.
+        records_versions: Whether it understands changes of the record of
+            software versions.
     """
 
     name: str
@@ -41,6 +44,7 @@
     observed_seconds: float = 0.0
     is_stopped: bool = False
     epoch: str = ""
+    records_versions: bool = False
 
 
 class SignOfLife(msgspec.Struct, frozen=True, array_like=True):
@@ -130,6 +134,8 @@
         urgent_only: Whether only urgent changes of endpoints are wanted.
         suspects_revision: The revision of its suspects.
         watched_revision: The revision of its watched requests.
+        versions_revision: The revision of its record of software versions; -1
+            for none. None from a gateway that doesn't use it.
     """
 
     gateway: str
@@ -146,6 +152,7 @@
     urgent_only: bool = False
     suspects_revision: int = 0
     watched_revision: int = 0
+    versions_revision: int | None = None
 
 
 class SyncReply(msgspec.Struct, omit_defaults=True):
@@ -177,10 +184,12 @@
             start.
         is_isolated: Whether it has not heard of most other control hosts
             lately, so that it does not know of new endpoints.
-        observed_seconds: For how long it knows of all endpoints; 0.0 if it
-            doesn't, or the reply does not hold all changes.
         former_versions: The versions that endpoints had before they started
-            again under their names; sent with `observed_seconds`.
+            again under their names; sent with all changes.
+        versions_revision: The revision of `versions`; a lower one than the
+            gateway's is outdated.
+        versions: The recorded software versions of all services; None if the
+            gateway has this revision.
         suspects_revision: The revision of `suspects`; a lower one than the
             gateway's is outdated.
         suspects: The requests that gateways must hold or refuse, as
@@ -210,8 +219,9 @@
     suspects: dict[str, float] | None = None
     watched_revision: int = 0
     watched: list[str] | None = None
-    observed_seconds: float = 0.0
     former_versions: list[FormerVersion] = []
+    versions_revision: int = 0
+    versions: list[ServiceVersion] | None = None
 
 
 class PutConfig(msgspec.Struct, frozen=True):
--- a/packages/fleet/tests/control/test_service_polls.py
+++ b/packages/fleet/tests/control/test_service_polls.py
@@ -26,7 +26,6 @@
         self.settings = SimpleNamespace(
             name="control",
             heartbeat_ms=10,
-            first_start=False,
             availability_zones=[],
             zone="zone-a",
             advertised_address="10.0.0.1:80",
@@ -35,6 +34,7 @@
             metrics=Metrics("control", "control"), client=None
         )
         self.running_node = None
+        self.is_first_start = False
         self.isolated = False
         self.cluster_manager = SimpleNamespace(
             recent_addresses=list, is_isolated=lambda: self.isolated
--- a/packages/fleet/tests/gateway/test_view.py
+++ b/packages/fleet/tests/gateway/test_view.py
@@ -1,10 +1,12 @@
 """The endpoints that a gateway may use."""
 
 import time
+from types import SimpleNamespace
 
 import msgspec
 import pytest
 
+from marjoramyard.coordination.governance.service_versions import ServiceVersion
 from marjoramyard.coordination.membership.registrations import (
     EndpointState,
     Registration,
@@ -169,3 +171,16 @@
     for name in ("1", "2", "3"):
         view.record_leaving(name, 0)
     assert not view.is_evacuated("api")
+
+
+def test_an_endpoint_of_an_unrecorded_version_begins_no_streams(view):
+    """Guards against streams of a version that is not recorded, so that nobody
+    knows of it once all processes were lost.
+    """
+    view.table = SimpleNamespace(resumable_services={"api"})
+    assert usable(view) == set()
+    view.versions.update(1, [ServiceVersion("api", "")])
+    assert usable(view) == {"1", "2", "3"}
+    view.table.resumable_services = set()
+    view.versions.update(2, [])
+    assert usable(view) == {"1", "2", "3"}
--- a/tests/gateway_fleet.py
+++ b/tests/gateway_fleet.py
@@ -207,7 +207,8 @@
     async def sync_reply(self, host):
         """Returns what a control host tells a gateway that has just started."""
         url = f"http://{self.hosts[host]}:{self.peer_port}{paths.SYNC_PATH}"
-        async with self.session.post(url, json={"gateway": "g-x"}) as response:
+        request = {"gateway": "g-x", "versions_revision": -1}
+        async with self.session.post(url, json=request) as response:
             return await response.json()
 
     async def is_ready(self):
--- a/tests/test_lost_departures.py
+++ b/tests/test_lost_departures.py
@@ -182,7 +182,12 @@
     """
     endpoint = VersionedEndpoint("i-1", "v1")
     await fleet.send_heartbeat(endpoint)
-    await known_by_all(fleet, "i-1")
+
+    async def is_recorded():
+        replies = [await fleet.sync_reply(host) for host in range(3)]
+        return all(reply.get("versions") for reply in replies)
+
+    await wait_until(is_recorded)
     endpoint.version, endpoint.born = "v2", 2
     await fleet.send_heartbeat(endpoint)
     for name in CONTROL[1:]:
@@ -192,7 +197,7 @@
     async def all_tell():
         replies = [await fleet.sync_reply(host) for host in range(3)]
         return all(
-            reply.get("observed_seconds")
+            reply.get("versions") == [["chat", "v1"], ["chat", "v2"]]
             and [each[:2] for each in reply.get("former_versions", [])]
             == [["chat", "v1"]]
             for reply in replies
--- a/tests/versioned_endpoints.py
+++ b/tests/versioned_endpoints.py
@@ -36,7 +36,7 @@
     Attributes:
         version: The version that its heartbeats tell.
         born: The start of its lifetime.
-        state: The state that its heartbeats tell.
+        state: The state that its heartbeats tell; "" while it sends none.
     """
 
     def __init__(self, name, version, service="chat"):
@@ -82,7 +82,7 @@
 
     async def send_heartbeats(self, fleet):
         while True:
-            for host in range(3):
+            for host in range(3 if self.state else 0):
                 with contextlib.suppress(aiohttp.ClientError, OSError):
                     await fleet.send_heartbeat(self, self.state, host)
             await asyncio.sleep(HEARTBEAT_SECONDS)
@@ -129,14 +129,14 @@
 attempt_numbers = itertools.count(1)
 
 
-def document(max_attempts=2):
+def document(max_attempts=2, timeout_ms=8000):
     """A configuration with two services of streams that may be resumed.
 
     The service `chat` has engines, `api` has none.
     """
     options = {
         "resumable": True,
-        "timeout_ms": 8000,
+        "timeout_ms": timeout_ms,
         "objective_ms": 4000,
         "max_attempts": max_attempts,
         "open_access": False,
