Show callers nothing of an endpoint but its response

Cause: the text of exceptions went into messages for callers. Calls between our own processes name the type of the error only.

--- a/packages/fleet/src/marjoramyard/fleet/agent/attempts.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/attempts.py
@@ -54,11 +54,7 @@
 def broken_off(error: BrokenOffError) -> Failure:
     """Returns the failure of a response that broke off."""
     if error.is_connection_lost:
-        return failure(
-            FailureKind.ENDPOINT_LOST,
-            f"connection to the endpoint lost: {error}",
-            Outcome.UNKNOWN,
-        )
+        return _endpoint_lost(error)
     return failure(
         FailureKind.RESPONSE_TRUNCATED,
         "the endpoint ended the stream without its last event",
@@ -66,6 +62,20 @@
     )
 
 
+def _endpoint_lost(error: Exception) -> Failure:
+    """Returns the failure of a request without a whole response.
+
+    The text of the error is for the log only: it may hold an endpoint's bytes.
+    """
+    logger.info("endpoint_lost", why=repr(error))
+    return failure(
+        FailureKind.ENDPOINT_LOST,
+        "the connection to the endpoint was lost before its response was "
+        "complete",
+        Outcome.UNKNOWN,
+    )
+
+
 class Attempt:
     """Runs one request on the endpoint and buffers the response's frames.
 
@@ -207,11 +217,7 @@
         except BrokenOffError as error:
             return broken_off(error)
         except (aiohttp.ClientError, OSError) as error:
-            return failure(
-                FailureKind.ENDPOINT_LOST,
-                f"connection to the endpoint lost: {error!r}",
-                Outcome.UNKNOWN,
-            )
+            return _endpoint_lost(error)
         finally:
             # A connection with unread data must not be reused: the data
             # would be read as the next response.
--- a/packages/fleet/src/marjoramyard/fleet/entry/attempt_client.py
+++ b/packages/fleet/src/marjoramyard/fleet/entry/attempt_client.py
@@ -22,8 +22,11 @@
     Outcome,
     failure,
 )
+from marjoramyard.kernel.logs import get_logger
 from marjoramyard.kernel.metrics import Metrics
 
+logger = get_logger(__name__)
+
 READ_TIMEOUT_SECONDS = 4.0
 """Must exceed the agent's keepalive interval."""
 ADMIT_TIMEOUT_SECONDS = 4.0
@@ -209,8 +212,9 @@
 
 
 def _lost(detail: str) -> Failure:
+    logger.info("agent_lost", why=detail)
     return failure(
         FailureKind.ENDPOINT_LOST,
-        f"connection to the agent lost while the request ran ({detail})",
+        "the connection to the agent was lost while the request ran",
         Outcome.UNKNOWN,
     )
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
@@ -347,7 +347,7 @@
         if error.is_connection_lost:
             self._on_connection_lost(plan.endpoint, now)
             if self.permit.is_held:
-                raise self._attempts_error(error)
+                raise self._attempts_error()
         health = self.view.health_of(plan.endpoint.endpoint)
         if error.outcome is not SendOutcome.BROKEN:
             self.progress.may_have_run = self.progress.may_have_run_before
@@ -366,11 +366,11 @@
                 self.trace.has_broken = True
                 health.record_failure(now)
             if not self.caller.may_repeat:
-                raise self._attempts_error(error)
+                raise self._attempts_error()
         if self.progress.sends >= self.caller.route.max_attempts:
-            raise self._attempts_error(error)
+            raise self._attempts_error()
         if not self.budget.spend():
-            raise self._attempts_error(error)
+            raise self._attempts_error()
 
     def _on_connection_lost(self, endpoint: Registration, now: float) -> None:
         progress = self.progress
@@ -387,10 +387,10 @@
         )
         progress.lost_with += (lifetime_of(endpoint),)
 
-    def _attempts_error(self, error: SendFailedError) -> FleetError:
+    def _attempts_error(self) -> FleetError:
         pause_seconds = self.view.pause_seconds(self.service.name)
         return FleetError(
-            attempts_failure(error, self.progress.may_have_run, pause_seconds)
+            attempts_failure(self.progress.may_have_run, pause_seconds)
         )
 
     def _outcome(self) -> Outcome:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/run_failures.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/run_failures.py
@@ -4,7 +4,6 @@
 promise.
 """
 
-from marjoramyard.fleet.gateway.attempts import SendFailedError
 from marjoramyard.fleet.gateway.broker_protocol import PlaceRefusal
 from marjoramyard.fleet.gateway.request_trace import Unplaceable
 from marjoramyard.fleet.util.jitter import jitter
@@ -116,13 +115,10 @@
     )
 
 
-def attempts_failure(
-    error: SendFailedError, may_have_run: bool, pause_seconds: float
-) -> Failure:
+def attempts_failure(may_have_run: bool, pause_seconds: float) -> Failure:
     """Returns the failure of a request that may not be sent again.
 
     Args:
-        error: The last failed send.
         may_have_run: Whether an endpoint may have run the request.
         pause_seconds: The time until an endpoint ends its pause; 0.0 if one
             does not pause. The pause of the last endpoint alone does not keep
@@ -131,8 +127,8 @@
     if may_have_run:
         return failure(
             FailureKind.ENDPOINT_LOST,
-            f"no complete response from the endpoint ({error.reason}); the "
-            "request may have run",
+            "no complete response from the endpoint; the request may have run: "
+            "check the result before sending it again",
             Outcome.UNKNOWN,
         )
     return failure(
--- a/packages/fleet/src/marjoramyard/fleet/util/rpc.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/rpc.py
@@ -193,14 +193,14 @@
             return Err(
                 failure(
                     FailureKind.NO_ENDPOINT,
-                    f"{address} is unreachable: {error}",
+                    f"{address} is unreachable ({error.strerror})",
                 )
             )
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return Err(
                 failure(
                     FailureKind.NO_ENDPOINT,
-                    f"{address} did not reply: {error!r}",
+                    f"{address} did not reply ({type(error).__name__})",
                     Outcome.UNKNOWN,
                 )
             )
--- a/packages/standin/src/marjoramyard/standin/behaviours.py
+++ b/packages/standin/src/marjoramyard/standin/behaviours.py
@@ -20,6 +20,16 @@
 SSE = b"Content-Type: text/event-stream\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
 LONG_VALUE_BYTES = 8_000
+SECRET = b"of-the-endpoint-alone"
+"""A value that no error may show to callers."""
+CUTS = {
+    "status-line": 0.05,
+    "first-field": 0.3,
+    "name": 0.6,
+    "value": 0.8,
+    "last-line": 0.99,
+}
+"""Where heads are cut, as shares of their length."""
 _CONTENT_LENGTH = re.compile(rb"\r\ncontent-length: *(\d+)", re.IGNORECASE)
 
 
@@ -219,6 +229,38 @@
     return [head(fields)[:-2]]
 
 
+def _add_cut_heads(framing_name: str, framing: bytes, before: bytes) -> None:
+    """Registers heads that end where they are cut, with the connection."""
+    for place, share in CUTS.items():
+
+        def pieces(fields, share=share):
+            whole = head(fields + b"Note: %b\r\n" % SECRET, framing)
+            return [before + whole[: int(share * len(whole))]]
+
+        name = f"head-cut-{framing_name}-{place}"
+        BEHAVIOURS.register(name)(
+            Behaviour(pieces, Expected.FAILURE, closes=True)
+        )
+
+
+_add_cut_heads("length", b"Content-Length: %d\r\n" % len(BODY), b"")
+_add_cut_heads("chunks", CHUNKED, b"")
+_add_cut_heads("stream", SSE + CHUNKED, b"")
+_add_cut_heads("hints", CHUNKED, b"HTTP/1.1 103 Early Hints\r\n\r\n")
+
+
+@behaviour("short-body", Expected.FAILURE, closes=True)
+def _short_body(fields):
+    more = b"Note: %b\r\nContent-Length: %d\r\n" % (SECRET, len(BODY))
+    return [head(fields, more) + BODY[:4]]
+
+
+@behaviour("chunks-without-the-last", Expected.FAILURE, closes=True)
+def _no_last_chunk(fields):
+    more = b"Note: %b\r\n" % SECRET
+    return [head(fields, more + CHUNKED), chunk(BODY)]
+
+
 @behaviour("second-response", Expected.WHOLE)
 def _second_response(fields):
     return [with_length(fields) + with_length(fields, b"of nobody")]
--- a/tests/test_endpoint_behaviours.py
+++ b/tests/test_endpoint_behaviours.py
@@ -20,6 +20,7 @@
 from marjoramyard.standin.behaviours import (
     BEHAVIOURS,
     BODY,
+    SECRET,
     BehavingEndpoint,
     Expected,
 )
@@ -28,6 +29,9 @@
 
 pytestmark = pytest.mark.asyncio(loop_scope="module")
 BEAT_SECONDS = 0.3
+SHOWN_INTERNALS = re.compile(rb"Error\(|Message\(|MultiDict|" + SECRET)
+"""What no response shows: exceptions, and an endpoint's bytes but its response.
+"""
 REQUEST_ID = re.compile(rb"\r\nrequest-id: *([^\r]*)", re.IGNORECASE)
 
 
@@ -149,6 +153,7 @@
             assert is_failure, (status, body[:200], is_complete)
         case Expected.EITHER:
             assert is_whole or is_failure, (status, body[:200], is_complete)
+    assert not SHOWN_INTERNALS.search(body), body
     for _ in range(3):
         await ask_for_own_body(ways[way], "plain")
 
