--- a/packages/fleet/tests/gateway/test_recorded_versions.py
+++ b/packages/fleet/tests/gateway/test_recorded_versions.py
@@ -84,6 +84,17 @@
     assert versions.sole("llm", NOW, LIMIT_SECONDS) is None
 
 
+def test_a_former_version_that_was_not_recorded_counts(versions):
+    """Guards against forgetting what an endpoint was before it started again
+    under its name, while versions could not be recorded.
+    """
+    versions.registrations.merge(
+        registration("e", "v2", sequence=2, born=2), NOW
+    )
+    versions.update(2, [V2])
+    assert versions.sole("llm", NOW + 1.0, LIMIT_SECONDS) is None
+
+
 def test_a_version_that_departed_unrecorded_counts(versions):
     versions.registrations.merge(registration("e2", "v2"), NOW)
     versions.registrations.merge(
