--- a/packages/fleet/src/marjoramyard/fleet/control/version_recorder.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/version_recorder.py
@@ -29,11 +29,15 @@
         absent_since: Since when recorded versions have no endpoint, on the
             monotonic clock in seconds, as far as this host has seen as the
             leader.
+        registered: The versions of the registered endpoints.
+        cursor: The last change of the endpoints that is in `registered`.
     """
 
     def __init__(self, role):
         self.role = role
         self.absent_since: dict[ServiceVersion, float] = {}
+        self.registered: set[ServiceVersion] = set()
+        self.cursor = -1
 
     async def run(self) -> None:
         """Records versions until cancelled."""
@@ -49,13 +53,13 @@
     def next_change(self, now: float) -> ChangeVersions | None:
         """Returns the change that the record needs; None for none."""
         record: ServiceVersions = self.role.running_node.state.versions
-        registered = self._registered()
-        absent = record.recorded - registered
+        self._read_endpoints()
+        absent = record.recorded - self.registered
         self.absent_since = {
             version: self.absent_since.get(version, now) for version in absent
         }
         room = MAX_VERSIONS - len(record.recorded)
-        added = sorted(registered - record.recorded)[:room]
+        added = sorted(self.registered - record.recorded)[:room]
         removed = {
             version
             for version, since in self.absent_since.items()
@@ -65,12 +69,18 @@
             return None
         return ChangeVersions(added, sorted(removed), time.time())
 
-    def _registered(self) -> set[ServiceVersion]:
-        return {
-            ServiceVersion(registration.service, registration.software_version)
-            for registration in self.role.service.endpoints.registrations.all()
+    def _read_endpoints(self) -> None:
+        """Updates the registered versions if endpoints have changed."""
+        endpoints = self.role.service.endpoints
+        if self.cursor == endpoints.cursor:
+            return
+        self.cursor = endpoints.cursor
+        found = {
+            (registration.service, registration.software_version)
+            for registration in endpoints.registrations.all()
             if registration.state is not EndpointState.DEPARTED
         }
+        self.registered = {ServiceVersion(*each) for each in found}
 
     def _members_understand(self) -> bool:
         """Whether no known member is of a release without the record."""
--- a/packages/fleet/tests/control/test_version_recorder.py
+++ b/packages/fleet/tests/control/test_version_recorder.py
@@ -27,9 +27,10 @@
 
     def __init__(self):
         self.registrations = Registrations()
-        self.service = SimpleNamespace(
-            endpoints=SimpleNamespace(registrations=self.registrations)
+        self.endpoints = SimpleNamespace(
+            registrations=self.registrations, cursor=0
         )
+        self.service = SimpleNamespace(endpoints=self.endpoints)
         membership = SimpleNamespace(addresses={"r-1": "a:1", "r-2": "b:1"})
         self.running_node = SimpleNamespace(
             state=ControlState(), core=SimpleNamespace(membership=membership)
@@ -45,6 +46,11 @@
             sequence=1,
         )
         self.registrations.merge(registration, NOW)
+        self.endpoints.cursor += 1
+
+    def leave(self, name):
+        self.registrations.mark_departed(name, NOW)
+        self.endpoints.cursor += 1
 
 
 @pytest.fixture
@@ -79,7 +85,7 @@
     """
     apply_next(role, recorder, NOW)
     role.register("e2", "v2")
-    role.registrations.mark_departed("e", NOW)
+    role.leave("e")
     assert apply_next(role, recorder, NOW) == ([V2], [])
     almost = NOW + VERSION_RETENTION_SECONDS
     assert apply_next(role, recorder, almost) is None
