--- a/packages/fleet/tests/gateway/test_request_handler.py
+++ b/packages/fleet/tests/gateway/test_request_handler.py
@@ -1,6 +1,7 @@
 """Prompts that a gateway refuses before they are parsed."""
 
 import asyncio
+import time
 from types import SimpleNamespace
 
 import pytest
@@ -58,7 +59,8 @@
         ),
         stopping=asyncio.Event(),
     )
-    brokers = SimpleNamespace(lag=SimpleNamespace(on_wake_up=[]))
+    lag = SimpleNamespace(on_wake_up=[], earliest_arrival=time.monotonic)
+    brokers = SimpleNamespace(lag=lag)
     notices = EndpointNotices(view, brokers, "Endpoint-Leaving")
     crashes = SimpleNamespace(suspects=None)
     instance = RequestHandler(
