--- a/packages/fleet/src/marjoramyard/fleet/gateway/early_refusal.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/early_refusal.py
@@ -42,18 +42,6 @@
         value = self.raw[begin:end] if end >= 0 else self.raw[begin:]
         return value.strip().decode("latin-1")
 
-    def with_header(self, name: bytes, value: str) -> bytes:
-        """Returns the bytes of the head with another value of a header.
-
-        Args:
-            name: A header that it has once, in lower case.
-            value: The value.
-        """
-        begin = self.lowered.find(b"\r\n" + name + b":") + len(name) + 3
-        end = self.raw.find(b"\r\n", begin)
-        rest = self.raw[end:] if end >= 0 else b""
-        return self.raw[:begin] + b" " + value.encode("latin-1") + rest
-
     @property
     def path(self) -> str:
         """The target of the request line; "" if the line is malformed."""
--- a/packages/fleet/src/marjoramyard/fleet/gateway/overload_guard.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/overload_guard.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import math
-import time
 from collections import Counter
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
@@ -43,8 +42,6 @@
 
 LOG_INTERVAL_SECONDS = 1.0
 LOGGED_PEERS = 4
-MIN_UNREAD_MS = 50
-"""Prompts that lay unread for less are forwarded unchanged."""
 """How many of the peers that got the most prompts are logged."""
 UNREACHABLE_RETRY_SECONDS = 0.1
 """`Retry-After` of a prompt whose peer could not be reached; the next one goes
@@ -173,7 +170,6 @@
         peer = self.peers.choose(peers, now, peers)
         if not peer:
             return None
-        head, data = self._with_time_left(head, data)
         plan = self._forwarding_plan(head, route, workspace, peer)
         forwarded = self._send(plan, head, data, caller)
         self.forwarded.add(forwarded)
@@ -182,24 +178,6 @@
         self.on_started()
         return forwarded
 
-    def _with_time_left(
-        self, head: RequestHead, data: bytes
-    ) -> tuple[RequestHead, bytes]:
-        """Returns a request that tells how long its caller still waits.
-
-        The other gateway counts the time limit from when it reads the request.
-        """
-        unread_seconds = time.monotonic() - self.brokers.lag.earliest_arrival()
-        unread_ms = int(unread_seconds * 1000)
-        name = self.names.deadline_ms.lower().encode()
-        text = head.header(name)
-        if unread_ms < MIN_UNREAD_MS or not text.isdigit():
-            return head, data
-        raw = head.with_header(name, str(max(1, int(text) - unread_ms)))
-        size = head.size + len(raw) - len(head.raw)
-        rest = data[len(head.raw) :]
-        return RequestHead(raw, raw.lower(), size), raw + rest
-
     def _expect(self, workspace: str) -> None:
         """Counts a prompt until its handler has had time to count it."""
         self.demand.expect(workspace)
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
@@ -128,13 +128,12 @@
         delivery = ResponseDelivery(request, self.closes_connections)
         trace = RequestTrace()
         started_at = time.monotonic()
-        arrived_at = self.context.brokers.lag.earliest_arrival()
         caller: CallerRequest | None = None
         status, outcome = 0, "caller-left"
         try:
             self._refuse_if_unable()
             await self.startup.hold(stated_seconds(request, self.names))
-            admitted = admit(request, self.view, self.names, arrived_at)
+            admitted = admit(request, self.view, self.names, started_at)
             with self._within_limit(admitted):
                 caller = read_caller_request(request, admitted, self.names)
                 caller.waited_ms = self.patience.waited_ms(
--- a/packages/fleet/src/marjoramyard/fleet/util/lag.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/lag.py
@@ -27,8 +27,6 @@
     Attributes:
         late_at: The last late wake-up, on the monotonic clock in seconds.
         woken_at: The last wake-up, on the monotonic clock in seconds.
-        handled_until: The time up to which all events that came had been
-            handled by then, on that clock.
         on_wake_up: Called at each wake-up with its lateness in seconds.
     """
 
@@ -36,7 +34,6 @@
         self.metrics = metrics
         self.late_at = float("-inf")
         self.woken_at = time.monotonic()
-        self.handled_until = self.woken_at
         self.on_wake_up: list[Callable[[float], None]] = []
 
     @property
@@ -51,13 +48,6 @@
         """
         return min(time.monotonic(), self.woken_at + INTERVAL_SECONDS)
 
-    def earliest_arrival(self) -> float:
-        """Returns the earliest time at which what is read now may have come.
-
-        A late loop reads what came while it was late in its next turns.
-        """
-        return min(time.monotonic(), self.handled_until + INTERVAL_SECONDS)
-
     async def watch(self) -> None:
         """Measures until cancelled."""
         with thread_clock() as clock:
@@ -67,8 +57,6 @@
                 await asyncio.sleep(INTERVAL_SECONDS)
                 now = self.woken_at = time.monotonic()
                 late_seconds = now - started_at - INTERVAL_SECONDS
-                is_late = late_seconds > LATE_SECONDS
-                self.handled_until = started_at if is_late else now
                 self._record(late_seconds, now)
                 if late_seconds > LOGGED_SECONDS:
                     log_late_wake_up(late_seconds, times_before, clock.read())
