Start processes whose standard streams are closed

What operators saw: a process that is started with its standard output closed ended with exit code 1 (OSError: Bad file descriptor) before its first log line, in each start. With standard input or error closed, the event loop's descriptor, or whatever was opened next, got number 0 or 2.

Cause: the log sink asks for the state of descriptor 1, which may be closed; the kernel gives the lowest free number to what is opened next.

Change: the null device is opened for closed standard streams before anything else is. The log sink drops lines if its descriptor is closed all the same.

The safeguard's test fails without it.

--- a/packages/fleet/src/marjoramyard/fleet/__main__.py
+++ b/packages/fleet/src/marjoramyard/fleet/__main__.py
@@ -6,6 +6,13 @@
 # imports take most of that time.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
+from marjoramyard.kernel.standard_streams import (  # noqa: E402
+    open_closed_streams,
+)
+
+open_closed_streams()
+
 from marjoramyard.fleet.cmd.daemon import main  # noqa: E402
 
-main()
+if __name__ == "__main__":
+    main()
--- a/packages/kernel/src/marjoramyard/kernel/logs.py
+++ b/packages/kernel/src/marjoramyard/kernel/logs.py
@@ -43,7 +43,11 @@
         self.limit = limit
         self.pending = bytearray()
         self.dropped = 0
-        mode = os.fstat(descriptor).st_mode
+        try:
+            mode = os.fstat(descriptor).st_mode
+        except OSError:
+            # The descriptor is closed; all lines are dropped.
+            return
         if stat.S_ISFIFO(mode) or stat.S_ISSOCK(mode):
             # Not for terminals, which share the flag with the shell, and
             # not for files, whose writes have no reader to wait for.
--- a/packages/kernel/tests/test_logs.py
+++ b/packages/kernel/tests/test_logs.py
@@ -113,3 +113,13 @@
     ):
         assert error in errors
     assert any("deprecated call" in str(line.get("message")) for line in lines)
+
+
+def test_a_closed_descriptor_raises_nothing():
+    """Guards against a process that doesn't start as its output is closed."""
+    reader, writer = os.pipe()
+    os.close(reader)
+    os.close(writer)
+    sink = LineSink(writer)
+    sink.write("line")
+    assert sink.dropped == 1
