Don't block on a terminal that nobody reads

What callers saw: a gateway whose output is a terminal that nobody reads (a detached one, or one that was halted by a key) answered 26 requests and then no more; requests that it had accepted ended without a response. It didn't react to SIGTERM and had to be killed.

Cause: writes to pipes and sockets don't block, but terminals were left out, as the flag is shared with the shell. The write of a log line then waits for whoever reads the terminal, and the event loop with it.

Change: the sink opens the terminal anew, so that the flag is its own. Where that fails (a terminal of another user), the shared flag is set.

The shell's flag stays as it was (test_logs.py).

--- a/packages/kernel/src/marjoramyard/kernel/logs.py
+++ b/packages/kernel/src/marjoramyard/kernel/logs.py
@@ -1,5 +1,6 @@
 """structlog configuration for a daemon: non-blocking and rate-limited."""
 
+import contextlib
 import logging
 import os
 import stat
@@ -31,10 +32,37 @@
 Event = MutableMapping[str, Any]
 
 
+def nonblocking(descriptor: int) -> int:
+    """Returns a descriptor of the same stream whose writes don't block.
+
+    Writes to regular files have no reader to wait for, and are left as they
+    are.
+    """
+    mode = os.fstat(descriptor).st_mode
+    if stat.S_ISCHR(mode) and os.isatty(descriptor):
+        descriptor = _reopened(descriptor)
+    elif not (stat.S_ISFIFO(mode) or stat.S_ISSOCK(mode)):
+        return descriptor
+    os.set_blocking(descriptor, False)
+    return descriptor
+
+
+def _reopened(descriptor: int) -> int:
+    """Opens a terminal anew, so that a shell doesn't share its flags."""
+    flags = os.O_WRONLY | os.O_NONBLOCK | os.O_NOCTTY
+    try:
+        return os.open(f"/proc/self/fd/{descriptor}", flags)
+    except OSError:
+        # Another user's terminal: better the shell's flags than a write that
+        # blocks while nobody reads.
+        return descriptor
+
+
 class LineSink:
     """Writes lines to a file descriptor without blocking.
 
-    A write to a full pipe would block the event loop. Lines that don't fit
+    A write to a full pipe, or to a terminal that nobody reads, would block the
+    event loop. Lines that don't fit
     the buffer are dropped and counted.
     """
 
@@ -43,15 +71,9 @@
         self.limit = limit
         self.pending = bytearray()
         self.dropped = 0
-        try:
-            mode = os.fstat(descriptor).st_mode
-        except OSError:
-            # The descriptor is closed; all lines are dropped.
-            return
-        if stat.S_ISFIFO(mode) or stat.S_ISSOCK(mode):
-            # Not for terminals, which share the flag with the shell, and
-            # not for files, whose writes have no reader to wait for.
-            os.set_blocking(descriptor, False)
+        with contextlib.suppress(OSError):
+            # A closed descriptor fails; all lines are dropped.
+            self.descriptor = nonblocking(descriptor)
 
     def write(self, text: str) -> None:
         """Writes a line, or drops it if the buffer is full."""
--- a/packages/kernel/tests/test_logs.py
+++ b/packages/kernel/tests/test_logs.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import pty
 import subprocess
 import sys
 
@@ -34,6 +35,28 @@
     os.close(writer)
 
 
+def read_terminal(reader, wanted):
+    """Returns at least as many bytes as wanted, without carriage returns."""
+    read = b""
+    while len(read) < wanted:
+        read += os.read(reader, 1 << 16).replace(b"\r", b"")
+    return read
+
+
+def test_a_terminal_that_nobody_reads_does_not_block_the_writer():
+    """Guards against an event loop that stands still in a write."""
+    reader, writer = pty.openpty()
+    sink = LineSink(writer, limit=10_000)
+    for number in range(20_000):
+        sink.write(f"line {number}")
+    assert sink.dropped > 0
+    assert os.get_blocking(writer), "the flag is shared with the shell"
+    assert read_terminal(reader, 10).startswith(b"line 0\nline 1\n")
+    os.close(sink.descriptor)
+    os.close(writer)
+    os.close(reader)
+
+
 def test_a_closed_pipe_raises_nothing():
     reader, writer = os.pipe()
     os.close(reader)
--- a/tests/platform/test_standard_streams.py
+++ b/tests/platform/test_standard_streams.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import os
+import pty
 import subprocess
 
 import pytest
@@ -12,6 +13,8 @@
 ROLES = (CONTROL, GATEWAY)
 STANDARD_DESCRIPTORS = (0, 1, 2)
 EXIT_SECONDS = 15.0
+REQUESTS = 400
+"""Each writes a log line; they are far more than a terminal buffers."""
 
 
 @pytest.fixture
@@ -68,3 +71,64 @@
         assert opened == {os.devnull}
         process.terminate()
         assert await exit_code(process) == 0
+
+
+@contextlib.contextmanager
+def unread_terminal():
+    reader, writer = pty.openpty()
+    try:
+        yield writer
+    finally:
+        os.close(reader)
+        os.close(writer)
+
+
+@contextlib.contextmanager
+def unread_pipe():
+    reader, writer = os.pipe()
+    try:
+        yield writer
+    finally:
+        os.close(reader)
+        os.close(writer)
+
+
+@contextlib.contextmanager
+def pipe_without_reader():
+    reader, writer = os.pipe()
+    os.close(reader)
+    try:
+        yield writer
+    finally:
+        os.close(writer)
+
+
+@contextlib.contextmanager
+def full_device():
+    with open("/dev/full", "wb") as file:
+        yield file.fileno()
+
+
+OUTPUTS = (unread_terminal, unread_pipe, pipe_without_reader, full_device)
+
+
+@pytest.mark.parametrize("output", OUTPUTS)
+async def test_output_that_nobody_reads_holds_up_no_request(fleet, output):
+    """Guards against a process that stands still in the write of a log line,
+    and is killed as it doesn't stop.
+    """
+    host = fleet.hosts[0]
+    url = f"http://{host.ip}:{fleet.ports.frontend}/"
+    with (
+        output() as descriptor,
+        running(
+            fleet, GATEWAY, stdout=descriptor, stderr=descriptor
+        ) as process,
+    ):
+        await wait_until_alive(fleet, GATEWAY, process)
+        async with asyncio.timeout(EXIT_SECONDS):
+            for _ in range(REQUESTS):
+                async with fleet.session.get(url) as response:
+                    assert response.status == 503
+        process.terminate()
+        assert await exit_code(process) == 0
