Refuse registrations that name no usable endpoint

Operators of a system like ours saw odd entries of another writer among those of the engines: deeply nested, with a number too large, or with a port out of range. Here no process ended, but such heartbeats were registered, and callers of sound endpoints were harmed while they stood.

Cause: a heartbeat was decoded by the types of its fields only. What can't be used was found out where a connection was opened or a message encoded, by errors that nobody expects there. Bodies nested too deeply raised a RecursionError, which is no error of decoding, and were answered with 500.

A Registration, and an endpoint's announcement to its agent, now check their values when they are created or decoded, so that there is none with an address that can't be called, a number out of bounds or a name that can't be printed (`membership/limits.py`). Bytes from outside are decoded by `decode_json`, which raises only `msgspec.DecodeError`. Both dialects answer 400, count the heartbeat in `heartbeats_refused` and log it with values cut short.

--- a/packages/coordination/src/marjoramyard/coordination/membership/registrations.py
+++ b/packages/coordination/src/marjoramyard/coordination/membership/registrations.py
@@ -11,6 +11,16 @@
 
 import msgspec
 
+from marjoramyard.coordination.membership.limits import (
+    MAX_COLD_MS,
+    MAX_INTEGER,
+    MAX_SLOTS,
+    check_address,
+    check_name,
+    check_number,
+    check_text,
+)
+
 DEPARTED_RETENTION_SECONDS = 120.0
 """How long departed endpoints are remembered, so that heartbeats delayed by
 a network partition do not register them again. Partitions last for minutes at
@@ -30,6 +40,8 @@
 class Registration(msgspec.Struct, frozen=True, kw_only=True):
     """Registration of an endpoint, as reported by its heartbeat.
 
+    There is none with a value that can't be used: to create or decode it fails.
+
     Attributes:
         endpoint: Id of the endpoint.
         service: Name of the service that it runs.
@@ -56,6 +68,22 @@
     cold_left_ms: float = 0.0
     software_version: str = ""
 
+    def __post_init__(self):
+        """Checks all values.
+
+        Raises:
+            ValueError: A value can't be used.
+        """
+        check_name("endpoint", self.endpoint)
+        check_name("service", self.service)
+        check_address("address", self.address)
+        check_text("availability_zone", self.availability_zone)
+        check_text("software_version", self.software_version)
+        check_number("slots", self.slots, MAX_SLOTS)
+        check_number("sequence", self.sequence, MAX_INTEGER)
+        check_number("born", self.born, MAX_INTEGER)
+        check_number("cold_left_ms", self.cold_left_ms, MAX_COLD_MS)
+
     @property
     def precedence(self) -> tuple[int, int, int]:
         """Sort key of an endpoint's registrations; the greatest is in force.
--- a/packages/coordination/src/marjoramyard/coordination/serving/fingerprints.py
+++ b/packages/coordination/src/marjoramyard/coordination/serving/fingerprints.py
@@ -1,10 +1,12 @@
 """Identifies requests, also when they are sent again, and their parts."""
 
 import hashlib
+from typing import Any
 
 import msgspec
 
 from marjoramyard.kernel.ids import Fingerprint
+from marjoramyard.kernel.util.decoding import decode_json
 
 _FINGERPRINT_DIGITS = 32
 MAX_SUSPECTED_PARTS = 256
@@ -61,9 +63,6 @@
     messages: list[msgspec.Raw] = []
 
 
-_CHAT_DECODER = msgspec.json.Decoder(_Chat)
-
-
 def message_fingerprints(service: str, body: bytes) -> list[Fingerprint]:
     """Returns the fingerprints of the messages of a chat, without the last one.
 
@@ -76,18 +75,18 @@
     if b'"messages"' not in body:
         return []
     try:
-        messages = _CHAT_DECODER.decode(body).messages
+        messages = decode_json(body, _Chat).messages
         return [
             part_fingerprint(service, _message_digest(message))
             for message in messages[:-1][:MAX_SUSPECTED_PARTS]
         ]
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except (msgspec.DecodeError, UnicodeEncodeError, RecursionError):
         return []
 
 
 def _message_digest(message: msgspec.Raw) -> str:
     """Returns a digest that doesn't depend on spaces or the order of fields."""
     plain = msgspec.json.encode(
-        msgspec.json.decode(message), order="deterministic"
+        decode_json(message, Any), order="deterministic"
     )
     return hashlib.sha256(plain).hexdigest()[:MAX_DIGEST_LENGTH]
--- a/packages/coordination/src/marjoramyard/coordination/serving/frames.py
+++ b/packages/coordination/src/marjoramyard/coordination/serving/frames.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from marjoramyard.kernel.errors import Failure
+from marjoramyard.kernel.util.decoding import decode_json
 
 MAX_HEADER_BYTES = 1 << 20
 REPLAY_BUFFER_BYTES = 1 << 18
@@ -189,9 +190,6 @@
         return True
 
 
-_HEADER_DECODER = msgspec.json.Decoder(FrameHeader)
-
-
 class FrameParser:
     """Splits a byte stream into frames."""
 
@@ -219,7 +217,7 @@
                     raise BrokenResponseError("frame header is too long")
                 return None
             try:
-                self.header = _HEADER_DECODER.decode(bytes(self.buffer[:end]))
+                self.header = decode_json(bytes(self.buffer[:end]), FrameHeader)
             except msgspec.DecodeError as error:
                 raise BrokenResponseError(
                     f"invalid frame header: {error}"
--- a/packages/coordination/tests/membership/test_registrations.py
+++ b/packages/coordination/tests/membership/test_registrations.py
@@ -125,7 +125,7 @@
     Registration,
     endpoint=st.sampled_from(["i-1", "i-22", "i-333"]),
     service=st.just("llm"),
-    address=st.just(""),
+    address=st.just("10.0.0.1:80"),
     state=st.sampled_from(list(EndpointState)),
     sequence=st.integers(0, 6),
     born=st.integers(1, 3),
--- a/packages/fleet/src/marjoramyard/fleet/agent/attempt_service.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/attempt_service.py
@@ -4,7 +4,6 @@
 import time
 from collections import OrderedDict
 
-import msgspec
 from aiohttp import web
 
 from marjoramyard.coordination.governance.recent_answers import RecentAnswers
@@ -39,6 +38,7 @@
 )
 from marjoramyard.kernel.ids import AttemptId, Fingerprint, WorkspaceId
 from marjoramyard.kernel.logs import get_logger
+from marjoramyard.kernel.util.decoding import decode_json
 
 logger = get_logger(__name__)
 
@@ -108,9 +108,7 @@
             FleetError: The attempt is refused; nothing was sent to the
                 endpoint.
         """
-        run = msgspec.json.decode(
-            request.headers.get(RUN_HEADER, ""), type=RunRequest
-        )
+        run = decode_json(request.headers.get(RUN_HEADER, ""), RunRequest)
         body = await request.read()
         # The entry may have cancelled while the body was read. There must
         # be no await between this check and the allocation of the slot.
--- a/packages/fleet/src/marjoramyard/fleet/agent/meters.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/meters.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from marjoramyard.kernel.registry import Registry
+from marjoramyard.kernel.util.decoding import decode_json
 
 BYTES_PER_TOKEN = 4
 """Estimates the prompt's tokens until the engine reports its own count."""
@@ -84,7 +85,7 @@
         if not reports:
             return
         try:
-            usage = msgspec.json.decode(reports[-1], type=Usage)
+            usage = decode_json(reports[-1], Usage)
         except msgspec.DecodeError:
             return
         self.total = usage.prompt_tokens + usage.completion_tokens
--- a/packages/fleet/src/marjoramyard/fleet/control/dialects.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/dialects.py
@@ -14,6 +14,7 @@
 from marjoramyard.fleet.util.rpc import json_response, read_message
 from marjoramyard.kernel.errors import FailureKind, FleetError, raise_failure
 from marjoramyard.kernel.registry import Registry
+from marjoramyard.kernel.util.decoding import decode_json
 
 OPERATOR_DIALECTS: Registry[Callable[[FleetService], list[web.RouteDef]]] = (
     Registry("dialect")
@@ -32,7 +33,7 @@
 
     async def put_config(request: web.Request) -> web.Response:
         body = await request.read()
-        config = msgspec.json.decode(body, type=FleetConfig)
+        config = decode_json(body, FleetConfig)
         problems = config.problems()
         if problems:
             raise_failure(FailureKind.INVALID_BUNDLE, "; ".join(problems))
@@ -55,7 +56,13 @@
         )
 
     async def register(request: web.Request) -> web.Response:
-        registration = await read_message(request, Registration)
+        try:
+            registration = await read_message(request, Registration)
+        except msgspec.DecodeError as error:
+            service.on_refused_heartbeat(
+                request.match_info["endpoint"], str(error)
+            )
+            raise
         await service.register(registration)
         return json_response(Empty())
 
--- a/packages/fleet/src/marjoramyard/fleet/control/service.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/service.py
@@ -47,6 +47,7 @@
 )
 from marjoramyard.kernel.errors import Failure
 from marjoramyard.kernel.logs import get_logger
+from marjoramyard.kernel.util.decoding import shorten
 
 logger = get_logger(__name__)
 
@@ -152,6 +153,13 @@
         self.endpoints.register(registration)
         await self.departures.on_heartbeat(registration.endpoint)
 
+    def on_refused_heartbeat(self, endpoint: str, why: str) -> None:
+        """Counts and logs a heartbeat that can't be used."""
+        self.metrics.count("heartbeats_refused")
+        logger.warning(
+            "heartbeat_refused", endpoint=shorten(endpoint), why=shorten(why)
+        )
+
     async def deregister(self, endpoint: str) -> None:
         """Applies a departure; returns once it may be acknowledged.
 
--- a/packages/fleet/src/marjoramyard/fleet/control/storage.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/storage.py
@@ -21,6 +21,7 @@
 )
 from marjoramyard.kernel.ids import ReplicaId
 from marjoramyard.kernel.logs import get_logger
+from marjoramyard.kernel.util.decoding import decode_json
 
 logger = get_logger(__name__)
 
@@ -132,7 +133,7 @@
             logger.warning("torn_write_discarded", file=name, offset=offset)
             break
         payload, offset = found
-        records.append(msgspec.json.decode(payload, type=WalRecord))
+        records.append(decode_json(payload, WalRecord))
     return records, offset
 
 
@@ -217,7 +218,7 @@
                     "host"
                 )
             return None
-        identity = msgspec.json.decode(path.read_bytes(), type=Identity)
+        identity = decode_json(path.read_bytes(), Identity)
         if identity.format != FORMAT_VERSION:
             raise StorageError(
                 f"{self.folder}: format {identity.format} is not supported "
@@ -288,7 +289,7 @@
                 f"{paths[-1].name}: damaged; replace the host with "
                 "`marjoramctl cluster replace`"
             )
-        return msgspec.json.decode(found[0], type=Snapshot)
+        return decode_json(found[0], Snapshot)
 
     @staticmethod
     def _base_of(records: list[WalRecord]) -> int:
--- a/packages/fleet/src/marjoramyard/fleet/entry/admission.py
+++ b/packages/fleet/src/marjoramyard/fleet/entry/admission.py
@@ -25,6 +25,7 @@
     raise_failure,
 )
 from marjoramyard.kernel.ids import ServiceId, WorkspaceId
+from marjoramyard.kernel.util.decoding import decode_json
 
 DEADLINE_HEADER = "X-Request-Deadline-Seconds"
 IDEMPOTENCY_HEADER = "Idempotency-Key"
@@ -184,7 +185,7 @@
 
     def _chat_service(self, body: bytes) -> ServiceId:
         try:
-            chat = msgspec.json.decode(body, type=ChatBody)
+            chat = decode_json(body, ChatBody)
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             raise_failure(
                 FailureKind.BAD_REQUEST,
--- a/packages/fleet/src/marjoramyard/fleet/entry/attempt_client.py
+++ b/packages/fleet/src/marjoramyard/fleet/entry/attempt_client.py
@@ -24,6 +24,7 @@
 )
 from marjoramyard.kernel.logs import get_logger
 from marjoramyard.kernel.metrics import Metrics
+from marjoramyard.kernel.util.decoding import decode_json
 
 logger = get_logger(__name__)
 
@@ -204,7 +205,7 @@
 
 def _refusal(data: bytes) -> Failure:
     try:
-        return msgspec.json.decode(data, type=FailureBody).error
+        return decode_json(data, FailureBody).error
     except msgspec.DecodeError:
         return failure(
             FailureKind.INTERNAL, "the agent's refusal can't be decoded"
--- a/packages/fleet/src/marjoramyard/fleet/gateway/dialect.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/dialect.py
@@ -8,6 +8,7 @@
 from marjoramyard.coordination.routing.config import FleetConfig
 from marjoramyard.coordination.routing.table import PromptPart
 from marjoramyard.kernel.registry import Registry
+from marjoramyard.kernel.util.decoding import decode_json
 
 
 class HeaderNames(msgspec.Struct, frozen=True, kw_only=True):
@@ -98,14 +99,14 @@
 def decode_native(text: bytes) -> Result[FleetConfig, str]:
     """Decodes a configuration in the native format."""
     try:
-        return Ok(msgspec.json.decode(text, type=FleetConfig))
+        return Ok(decode_json(text, FleetConfig))
     except msgspec.DecodeError as error:
         return Err(str(error))
 
 
 def decode_cached_parts(body: bytes) -> list[PromptPart]:
     """Decodes the cached parts of an engine in the native format."""
-    return msgspec.json.decode(body, type=list[PromptPart])
+    return decode_json(body, list[PromptPart])
 
 
 GATEWAY_DIALECTS.register("native")(
--- a/packages/fleet/src/marjoramyard/fleet/messages.py
+++ b/packages/fleet/src/marjoramyard/fleet/messages.py
@@ -13,6 +13,13 @@
 )
 from marjoramyard.coordination.governance.lifecycle import Delta
 from marjoramyard.coordination.governance.orders import Order
+from marjoramyard.coordination.membership.limits import (
+    MAX_SLOTS,
+    check_address,
+    check_name,
+    check_number,
+    check_text,
+)
 from marjoramyard.kernel.errors import Failure
 
 
@@ -167,6 +174,19 @@
     evicted: list[str] = []
     version: str = ""
 
+    def __post_init__(self):
+        """Checks what the agent and the control hosts rely on.
+
+        Raises:
+            ValueError: A value can't be used.
+        """
+        check_name("name", self.name)
+        check_name("incarnation", self.incarnation)
+        check_name("service", self.service)
+        check_address("address", self.address)
+        check_number("slots", self.slots, MAX_SLOTS)
+        check_text("version", self.version)
+
 
 class RenewRequest(msgspec.Struct, omit_defaults=True):
     """A router announces itself and requests a renewal of its lease.
--- a/packages/fleet/src/marjoramyard/fleet/util/rpc.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/rpc.py
@@ -23,6 +23,7 @@
 )
 from marjoramyard.kernel.logs import get_logger
 from marjoramyard.kernel.metrics import Metrics
+from marjoramyard.kernel.util.decoding import decode_json, shorten
 
 logger = get_logger(__name__)
 
@@ -107,7 +108,10 @@
         return failure_response(error.failure)
     except msgspec.DecodeError as error:
         return failure_response(
-            failure(FailureKind.BAD_REQUEST, f"{error}; correct the request")
+            failure(
+                FailureKind.BAD_REQUEST,
+                f"{shorten(str(error))}; correct the request",
+            )
         )
     except web.HTTPException as error:
         kind = FailureKind.UNKNOWN_ROUTE
@@ -133,8 +137,12 @@
 
 
 async def read_message(request: web.Request, kind: type[T]) -> T:
-    """Decodes a request's body."""
-    return msgspec.json.decode(await request.read(), type=kind)
+    """Decodes a request's body.
+
+    Raises:
+        msgspec.DecodeError: It is no message of this kind.
+    """
+    return decode_json(await request.read(), kind)
 
 
 class InternalClient:
@@ -219,13 +227,14 @@
     """Decodes a reply or the failure sent instead."""
     try:
         if status != web.HTTPOk.status_code:
-            return Err(msgspec.json.decode(data, type=FailureBody).error)
-        return Ok(msgspec.json.decode(data, type=reply))
+            return Err(decode_json(data, FailureBody).error)
+        return Ok(decode_json(data, reply))
     except msgspec.DecodeError as error:
         return Err(
             failure(
                 FailureKind.INTERNAL,
-                f"invalid reply: {error}; compare the releases in use",
+                f"invalid reply: {shorten(str(error))}; "
+                "compare the releases in use",
                 Outcome.UNKNOWN,
             )
         )
--- a/packages/fleet/tests/gateway/test_broker_client.py
+++ b/packages/fleet/tests/gateway/test_broker_client.py
@@ -257,7 +257,9 @@
     assert await first_messages(metrics, ()) == [RUNNING]
 
 
-LEAVING = Registration(endpoint="e2", service="llm", address="", born=5)
+LEAVING = Registration(
+    endpoint="e2", service="llm", address="10.0.0.1:1", born=5
+)
 
 
 async def test_a_new_broker_is_told_what_endpoints_have_said(metrics):
@@ -277,7 +279,8 @@
         waiting = asyncio.create_task(place(client))
         await asyncio.sleep(0)
         client.on_pause(
-            Registration(endpoint="e0", service="llm", address=""), 3.0
+            Registration(endpoint="e0", service="llm", address="10.0.0.1:1"),
+            3.0,
         )
         assert EndpointPause("llm", "e0", 3000.0) in client.outbox
         assert await waiting is None
--- a/packages/fleet/tests/gateway/test_endpoint_notices.py
+++ b/packages/fleet/tests/gateway/test_endpoint_notices.py
@@ -17,7 +17,9 @@
         record_leaving=lambda *found: recorded.append(found) or True
     )
     brokers = SimpleNamespace(on_leaving=told.append)
-    endpoint = Registration(endpoint="e0", service="api", address="", born=3)
+    endpoint = Registration(
+        endpoint="e0", service="api", address="10.0.0.1:1", born=3
+    )
     notices = EndpointNotices(view, brokers, "Endpoint-Leaving")
     notices.read(
         endpoint,
--- a/packages/kernel/src/marjoramyard/kernel/util/addresses.py
+++ b/packages/kernel/src/marjoramyard/kernel/util/addresses.py
@@ -1,9 +1,16 @@
 """IP addresses with ports, as written in settings."""
 
+import functools
 import ipaddress
+import re
 from typing import NamedTuple
 
 _MAX_PORT = 65535
+_MAX_CHARS = 64
+_CALLABLE_ADDRESS = re.compile(
+    r"(?:\[(?P<v6>[0-9A-Fa-f:.]+)\]|(?P<v4>[0-9.]+)):(?P<port>[1-9][0-9]{0,4})"
+)
+_CACHED_ADDRESSES = 4096
 
 
 class Address(NamedTuple):
@@ -34,3 +41,31 @@
     if not 0 <= number <= _MAX_PORT:
         raise ValueError(f"port {number} is out of range; use 0 to {_MAX_PORT}")
     return Address(host.strip("[]"), number)
+
+
+@functools.lru_cache(_CACHED_ADDRESSES)
+def parse_callable_address(text: str) -> Address:
+    """Parses the address of another process, `IP:PORT` or `[IPv6]:PORT`.
+
+    Unlike in settings, there is one way to write it, which can be part of a
+    URL, and a port that can be connected to.
+
+    Raises:
+        ValueError: Nothing can be called at such an address.
+    """
+    match = None
+    if len(text) <= _MAX_CHARS:
+        match = _CALLABLE_ADDRESS.fullmatch(text)
+    if match is None:
+        raise ValueError(
+            f"{text[:_MAX_CHARS]!r} is not an address; write IP:PORT or "
+            "[IPv6]:PORT"
+        )
+    if match["v6"]:
+        host = str(ipaddress.IPv6Address(match["v6"]))
+    else:
+        host = str(ipaddress.IPv4Address(match["v4"]))
+    port = int(match["port"])
+    if port > _MAX_PORT:
+        raise ValueError(f"port {port} is out of range; use 1 to {_MAX_PORT}")
+    return Address(host, port)
--- a/tests/platform/test_control_api.py
+++ b/tests/platform/test_control_api.py
@@ -6,6 +6,7 @@
 import pytest
 from aiohttp import web
 from aiohttp.test_utils import TestClient, TestServer
+from odd_registrations import encode_object, odd_values
 from result import Err, Ok
 
 from marjoramyard.coordination.governance.commands import ConfigDocument
@@ -81,6 +82,10 @@
         self.quorum = True
         self.zone_orders = []
         self.zone_failure = None
+        self.refused = []
+
+    def on_refused_heartbeat(self, endpoint, why):
+        self.refused.append(endpoint)
 
     async def register(self, registration):
         self.registrations.append(registration)
@@ -264,3 +269,34 @@
     response = await platform.client.post("/v1/evacuations/zone-a")
     assert response.status == status
     assert (await response.json())["error"]["message"] == "why"
+
+
+PLATFORM_NAMES = {
+    "sequence": "seq",
+    "availability_zone": "zone",
+    "software_version": "version",
+}
+
+
+@pytest.mark.parametrize(
+    ("field", "value"), odd_values(), ids=lambda text: text[:40]
+)
+def test_an_odd_heartbeat_is_refused(field, value):
+    """Guards against odd entries that are registered, or answered with 500."""
+    body = {name: json.dumps(each) for name, each in HEARTBEAT.items()}
+    body[PLATFORM_NAMES.get(field, field)] = value
+    assert isinstance(read_heartbeat("i-1", encode_object(body)), Err)
+
+
+@pytest.mark.parametrize("endpoint", ["", "n" * 60_000, "a\x00b", "\ud800"])
+def test_a_heartbeat_of_an_odd_name_is_refused(endpoint):
+    """Guards against names that fail the processes that read them."""
+    text = json.dumps(HEARTBEAT).encode()
+    assert isinstance(read_heartbeat(endpoint, text), Err)
+
+
+def test_a_heartbeat_with_slack_in_its_numbers_is_registered():
+    slack = {"slots": 0, "cold_left_ms": -0.5}
+    text = json.dumps({**HEARTBEAT, **slack}).encode()
+    read = read_heartbeat("i-1", text).ok_value
+    assert (read.slots, read.cold_left_ms) == (1, 0.0)
