Go past single odd entries in messages between processes

A control host of another release may pass on registrations, signs of life or addresses that this one can't use: it checks less, or knows of states that this one doesn't. The whole message was then refused. A gateway followed no control host any more, and lost its lease; control hosts no longer heard of each other. So far that took an unknown state or a field of another type; since registrations check their values, any entry that an earlier release has accepted would do.

Messages name the fields whose entries don't depend on each other (`separable`). If a message can't be decoded, these are decoded entry by entry, and those that can't be used are logged (`entry_refused`) and counted (`entries_refused`). All other messages are refused as a whole as before: a bundle without one of its changes must not come into force. Nor may a record of versions lack one, as streams would then be taken up at another version. Addresses of control hosts and brokers are checked when they are decoded, and the numbers of signs of life and the ages of former versions must be in bounds.

Messages without odd entries are decoded as before, in one go.

--- a/packages/coordination/src/marjoramyard/coordination/membership/registrations.py
+++ b/packages/coordination/src/marjoramyard/coordination/membership/registrations.py
@@ -110,6 +110,14 @@
     version: str
     seconds_ago: float
 
+    def __post_init__(self):
+        """Checks the age.
+
+        Raises:
+            ValueError: It lies in the future.
+        """
+        check_number("seconds_ago", self.seconds_ago, MAX_INTEGER)
+
 
 class Registrations:
     """The endpoints known to one node.
--- a/packages/fleet/src/marjoramyard/fleet/application.py
+++ b/packages/fleet/src/marjoramyard/fleet/application.py
@@ -23,6 +23,7 @@
     ProtocolWrapper,
 )
 from marjoramyard.fleet.util import rpc
+from marjoramyard.fleet.util.separable import refused_entries
 from marjoramyard.fleet.util.tasks import TaskGroup, task_group
 from marjoramyard.kernel.ids import new_incarnation
 from marjoramyard.kernel.logs import get_logger
@@ -111,6 +112,7 @@
         self.settings_modified_ns = modified_ns(settings_path)
         self.incarnation = new_incarnation(settings.name)
         self.metrics = Metrics(settings.role, settings.name)
+        self.metrics.gauge("entries_refused", self._count_refused_entries)
         self.roles: Registry[RoleFactory] = Registry("role")
         self.secret = ""
         if settings.secret_file:
@@ -296,6 +298,12 @@
         await asyncio.sleep(_EXPORTER_DELAY_SECONDS)
         await self.metrics.load_exporter_in_background()
 
+    def _count_refused_entries(self) -> list[tuple[float, dict[str, str]]]:
+        return [
+            (count, {"message": message})
+            for message, count in refused_entries.items()
+        ]
+
     async def run(self) -> None:
         """Runs the role until SIGTERM or SIGINT, then drains it."""
         loop = asyncio.get_running_loop()
--- a/packages/fleet/src/marjoramyard/fleet/sync_messages.py
+++ b/packages/fleet/src/marjoramyard/fleet/sync_messages.py
@@ -1,15 +1,36 @@
 """Message types between self-forming control hosts and to gateways."""
 
+from typing import Annotated, ClassVar
+
 import msgspec
 
 from marjoramyard.coordination.governance.commands import ConfigDocument
 from marjoramyard.coordination.governance.evacuations import ZoneState
 from marjoramyard.coordination.governance.service_versions import ServiceVersion
+from marjoramyard.coordination.membership.limits import (
+    MAX_INTEGER,
+    check_number,
+)
 from marjoramyard.coordination.membership.registrations import (
     FormerVersion,
     Registration,
 )
 
+_OCTET = r"(25[0-5]|2[0-4]\d|1\d\d|[1-9]?\d)"
+_PORT = (
+    r"([1-9]\d{0,3}|[1-5]\d{4}|6[0-4]\d{3}|65[0-4]\d\d|655[0-2]\d|6553[0-5])"
+)
+ProcessAddress = Annotated[
+    str,
+    msgspec.Meta(
+        pattern=(
+            rf"(?a)\A({_OCTET}(\.{_OCTET}){{3}}|\[[0-9A-Fa-f:.]{{2,45}}\])"
+            rf":{_PORT}\Z"
+        )
+    ),
+]
+"""The internal address of a process, checked when it is decoded."""
+
 
 class ControlHost(msgspec.Struct, frozen=True, omit_defaults=True):
     """The description of a control host.
@@ -34,7 +55,7 @@
     """
 
     name: str
-    address: str
+    address: ProcessAddress
     public_address: str
     zone: str = ""
     replica: str = ""
@@ -58,6 +79,14 @@
     sequence: int
     digest: int
 
+    def __post_init__(self):
+        """Checks the sequence.
+
+        Raises:
+            ValueError: No registration can have it.
+        """
+        check_number("sequence", self.sequence, MAX_INTEGER)
+
 
 class HostAnnouncement(msgspec.Struct, frozen=True, omit_defaults=True):
     """A control host announces itself and registrations to another one.
@@ -70,6 +99,12 @@
             again under their names.
     """
 
+    separable: ClassVar[tuple[str, ...]] = (
+        "words",
+        "alive",
+        "former_versions",
+    )
+
     host: ControlHost
     words: list[Registration] = []
     alive: dict[str, SignOfLife] = {}
@@ -87,8 +122,10 @@
             table; it needs them in full.
     """
 
+    separable: ClassVar[tuple[str, ...]] = ("addresses", "unmatched")
+
     host: ControlHost
-    addresses: list[str]
+    addresses: list[ProcessAddress]
     leader: str = ""
     unmatched: list[str] = []
 
@@ -199,6 +236,14 @@
             the gateway has this revision, or wants only urgent changes.
     """
 
+    separable: ClassVar[tuple[str, ...]] = (
+        "words",
+        "silent",
+        "addresses",
+        "brokers",
+        "former_versions",
+    )
+
     epoch: str
     cursor: int
     confirmed: bool = False
@@ -206,9 +251,9 @@
     config: ConfigDocument | None = None
     words: list[Registration] = []
     silent: list[str] | None = None
-    addresses: list[str] = []
+    addresses: list[ProcessAddress] = []
     gateways: int = 1
-    brokers: list[str] = []
+    brokers: list[ProcessAddress] = []
     zone_revision: int = 0
     evacuated_zones: list[str] = []
     zone: str = ""
--- a/packages/fleet/src/marjoramyard/fleet/util/rpc.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/rpc.py
@@ -14,6 +14,7 @@
 
 from marjoramyard.fleet.messages import FailureBody
 from marjoramyard.fleet.util.connections import has_peer_closed
+from marjoramyard.fleet.util.separable import decode_message
 from marjoramyard.kernel.errors import (
     Failure,
     FailureKind,
@@ -142,7 +143,7 @@
     Raises:
         msgspec.DecodeError: It is no message of this kind.
     """
-    return decode_json(await request.read(), kind)
+    return decode_message(await request.read(), kind)
 
 
 class InternalClient:
@@ -197,6 +198,14 @@
                     f"http://{address}{path}", data=body
                 ) as response:
                     data = await response.read()
+        except (aiohttp.InvalidURL, OverflowError) as error:
+            return Err(
+                failure(
+                    FailureKind.NO_ENDPOINT,
+                    f"{shorten(address)} can't be called "
+                    f"({type(error).__name__})",
+                )
+            )
         except aiohttp.ClientConnectorError as error:
             return Err(
                 failure(
@@ -228,7 +237,7 @@
     try:
         if status != web.HTTPOk.status_code:
             return Err(decode_json(data, FailureBody).error)
-        return Ok(decode_json(data, reply))
+        return Ok(decode_message(data, reply))
     except msgspec.DecodeError as error:
         return Err(
             failure(
