Refuse heartbeats that would keep an endpoint's own ones out

The latest start of an endpoint is in force, and of one lifetime the heartbeat with the greatest number. An odd entry under the name of a sound endpoint, or at its address, with a start or a number far ahead stood for good: that the endpoint drained or departed was ignored, and after three missed heartbeats it counted as unresponsive.

A control host now refuses a start that is more than 60 s ahead of its clock, a number more than 10,000 after the last one, and one that takes more than a thousand heartbeats a second since the start. Clocks jump by seconds, and a host's clock may be wrong by more.

What other control hosts tell is not compared with the clock: a start less than 60 s ahead that one host has accepted must not be refused by another.

--- /dev/null
+++ b/packages/fleet/src/marjoramyard/fleet/control/plausibility.py
@@ -0,0 +1,70 @@
+"""Refuses heartbeats that no endpoint can have sent.
+
+The latest lifetime of an endpoint is in force, and the last heartbeat of it. A
+value far ahead of all that follow would keep the endpoint's own heartbeats out
+for good.
+"""
+
+import time
+from collections.abc import Callable
+
+from marjoramyard.coordination.membership.registrations import Registration
+from marjoramyard.kernel.util.clocks import seconds_since_boot
+
+MAX_AHEAD_SECONDS = 60.0
+"""How far an endpoint's clock may be ahead of this host's. Clocks jump by
+seconds."""
+MAX_HEARTBEATS_PER_SECOND = 1000.0
+MAX_SEQUENCE_STEP = 10_000
+"""The most heartbeats between two of which this host hears, for hours in which
+it heard of none."""
+
+
+class PlausibilityCheck:
+    """Compares heartbeats with this host's clock and with earlier ones.
+
+    A host whose clock is wrong must not lock endpoints out. Lifetimes that are
+    registered, here or at another host, are not compared with the clock, and
+    the time that has passed since the start counts even if the clock is set
+    back.
+
+    Attributes:
+        wall_clock: Returns the time of day in Unix seconds.
+        steady_clock: Returns the seconds since boot.
+        started_at: The difference of both at the start.
+    """
+
+    def __init__(
+        self,
+        wall_clock: Callable[[], float] = time.time,
+        steady_clock: Callable[[], float] = seconds_since_boot,
+    ):
+        self.wall_clock = wall_clock
+        self.steady_clock = steady_clock
+        self.started_at = wall_clock() - steady_clock()
+
+    def latest_now(self) -> float:
+        """Returns the latest time that it may be, in Unix seconds."""
+        return max(self.wall_clock(), self.started_at + self.steady_clock())
+
+    def problem_of(
+        self, registration: Registration, known: Registration | None
+    ) -> str | None:
+        """Returns why a heartbeat is refused; None if it is plausible.
+
+        Args:
+            registration: What the heartbeat says.
+            known: The registration of the endpoint that is in force.
+        """
+        if known is not None and known.born == registration.born:
+            step = registration.sequence - known.sequence
+            if step > MAX_SEQUENCE_STEP:
+                return f"sequence: {step} heartbeats after the last one"
+            return None
+        age = self.latest_now() - registration.born / 1000
+        if age < -MAX_AHEAD_SECONDS:
+            return f"born: in {-age:.0f} s; set the clock of the endpoint"
+        most = MAX_SEQUENCE_STEP + max(0.0, age) * MAX_HEARTBEATS_PER_SECOND
+        if registration.sequence > most:
+            return f"sequence: more than {most:.0f} heartbeats since the start"
+        return None
--- a/packages/fleet/src/marjoramyard/fleet/control/service.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/service.py
@@ -36,6 +36,7 @@
 from marjoramyard.fleet.control.leadership_checks import LeadershipChecks
 from marjoramyard.fleet.control.node import no_quorum
 from marjoramyard.fleet.control.observation import Observation
+from marjoramyard.fleet.control.plausibility import PlausibilityCheck
 from marjoramyard.fleet.control.version_recorder import VersionRecorder
 from marjoramyard.fleet.control.zone_service import ZoneService
 from marjoramyard.fleet.messages import Empty
@@ -45,7 +46,7 @@
     SyncReply,
     SyncRequest,
 )
-from marjoramyard.kernel.errors import Failure
+from marjoramyard.kernel.errors import Failure, FailureKind, raise_failure
 from marjoramyard.kernel.logs import get_logger
 from marjoramyard.kernel.util.decoding import shorten
 
@@ -79,6 +80,7 @@
     Attributes:
         endpoints: The registered endpoints.
         departures: Tells other hosts of leaving endpoints.
+        plausibility: Says which heartbeats are refused.
         changes: Wakes waiting polls.
         published_cursors: The last change of `endpoints` when changes were
             last published, by whether only urgent ones count.
@@ -102,6 +104,7 @@
             self.settings.name, self._on_endpoints_changed
         )
         self.departures = Departures(role)
+        self.plausibility = PlausibilityCheck()
         self.version_recorder = VersionRecorder(role)
         self.changes = ChangeSignal(self._on_publish)
         self.published_cursors = self._last_changes()
@@ -147,9 +150,17 @@
         """Applies a heartbeat; returns once it may be acknowledged.
 
         Raises:
-            FleetError: It says that the endpoint is leaving, and must be sent
-                again.
+            FleetError: It is refused; or it says that the endpoint is leaving,
+                and must be sent again.
         """
+        endpoint = registration.endpoint
+        problem = self.plausibility.problem_of(
+            registration,
+            self.endpoints.registrations.by_endpoint.get(endpoint),
+        )
+        if problem is not None:
+            self.on_refused_heartbeat(endpoint, problem)
+            raise_failure(FailureKind.BAD_REQUEST, problem)
         self.endpoints.register(registration)
         await self.departures.on_heartbeat(registration.endpoint)
 
--- /dev/null
+++ b/packages/fleet/tests/control/test_plausibility.py
@@ -0,0 +1,116 @@
+"""Heartbeats that would keep an endpoint's own ones out."""
+
+import pytest
+
+from marjoramyard.coordination.membership.registrations import (
+    EndpointState,
+    Registration,
+)
+from marjoramyard.fleet.control.endpoint_feed import EndpointFeed
+from marjoramyard.fleet.control.plausibility import (
+    MAX_AHEAD_SECONDS,
+    MAX_SEQUENCE_STEP,
+    PlausibilityCheck,
+)
+
+NOW = 1_790_000_000.0
+HOUR = 3600.0
+LARGEST = (1 << 53) - 1
+
+
+class Clocks:
+    def __init__(self):
+        self.wall = NOW
+        self.steady = 100.0
+
+    def pass_time(self, seconds):
+        self.wall += seconds
+        self.steady += seconds
+
+
+@pytest.fixture
+def clocks():
+    return Clocks()
+
+
+@pytest.fixture
+def check(clocks):
+    return PlausibilityCheck(lambda: clocks.wall, lambda: clocks.steady)
+
+
+def heartbeat(born_in=-HOUR, sequence=7, **changes):
+    return Registration(
+        endpoint="i-1",
+        service="llm",
+        address="10.0.0.1:80",
+        born=int((NOW + born_in) * 1000),
+        sequence=sequence,
+        **changes,
+    )
+
+
+@pytest.mark.parametrize("known", [None, heartbeat()])
+def test_a_lifetime_in_the_future_is_refused(check, known):
+    """Guards against an odd entry that stands for good."""
+    odd = heartbeat(born_in=MAX_AHEAD_SECONDS + 1)
+    assert "born" in check.problem_of(odd, known)
+    assert (
+        check.problem_of(heartbeat(born_in=MAX_AHEAD_SECONDS - 1), known)
+        is None
+    )
+
+
+@pytest.mark.parametrize("known", [None, heartbeat(), heartbeat(born_in=-9.0)])
+def test_a_sequence_far_ahead_is_refused(check, known):
+    """Guards against an endpoint whose own heartbeats are all older."""
+    assert "sequence" in check.problem_of(heartbeat(sequence=LARGEST), known)
+    young = heartbeat(born_in=-1.0, sequence=MAX_SEQUENCE_STEP + 2000)
+    assert "sequence" in check.problem_of(young, known)
+
+
+@pytest.mark.parametrize("jump", [-10.0, 10.0, -1000 * HOUR, 1000 * HOUR])
+def test_a_jump_of_the_clock_locks_no_endpoint_out(check, clocks, jump):
+    """Guards against sound endpoints that a host with a wrong clock refuses."""
+    clocks.pass_time(HOUR)
+    clocks.wall += jump
+    assert check.problem_of(heartbeat(sequence=8), heartbeat()) is None
+    assert check.problem_of(heartbeat(born_in=HOUR - 1), heartbeat()) is None
+    assert (
+        check.problem_of(heartbeat(born_in=HOUR - 1, sequence=1), None) is None
+    )
+
+
+def test_a_host_whose_clock_is_wrong_believes_the_others(clocks):
+    """Guards against a host that refuses what the others have registered."""
+    clocks.wall -= 1000 * HOUR
+    check = PlausibilityCheck(lambda: clocks.wall, lambda: clocks.steady)
+    known = heartbeat(sequence=1_000_000)
+    assert check.problem_of(known, None)
+    assert check.problem_of(heartbeat(sequence=1_000_001), known) is None
+    clocks.wall += 1000 * HOUR
+    assert check.problem_of(known, None) is None
+
+
+def test_an_endpoint_of_days_without_a_start_is_plausible(check):
+    old = heartbeat(born_in=-NOW, sequence=1_000_000)
+    assert check.problem_of(old, None) is None
+    assert (
+        check.problem_of(heartbeat(born_in=-24 * HOUR, sequence=72_000), None)
+        is None
+    )
+
+
+def test_a_draining_endpoint_is_heard_after_an_odd_heartbeat(check):
+    """Guards against departures that an odd entry hides."""
+    feed = EndpointFeed("control", lambda: None)
+    draining = heartbeat(sequence=8, state=EndpointState.DRAINING)
+    for each in (
+        heartbeat(),
+        heartbeat(born_in=HOUR),
+        heartbeat(sequence=LARGEST),
+        draining,
+    ):
+        known = feed.registrations.by_endpoint.get("i-1")
+        if check.problem_of(each, known) is None:
+            feed.register(each)
+    assert feed.registrations.by_endpoint["i-1"] == draining
--- a/tests/odd_registrations.py
+++ b/tests/odd_registrations.py
@@ -2,6 +2,7 @@
 
 import json
 
+MAX_INTEGER = (1 << 53) - 1
 LONG_NUMBER = "9" * 400
 TOO_LONG_NUMBER = "9" * 5000
 DEEP = 900
@@ -68,7 +69,11 @@
     documents = [
         encode_object(text | {name: odd}) for name, odd in odd_values()
     ]
-    documents.append(encode_object(text | {"unknown": nested(TOO_DEEP)}))
+    documents += [
+        encode_object(text | {"born": str(MAX_INTEGER)}),
+        encode_object(text | {"sequence": str(MAX_INTEGER)}),
+        encode_object(text | {"unknown": nested(TOO_DEEP)}),
+    ]
     documents.append(encode_object(text | {"service": None}))
     documents += [b"", b"\xff", b"{", b"null", b"[]", b"7", b"{}"]
     return documents
