Register endpoints while a control host's clock is behind

A host whose clock is more than a minute behind refused the heartbeats of all endpoints as starts in the future; if all hosts are, none was registered and no request served. Found by reading the check of starts. If at least half of the known lifetimes are ahead of the clock, or none is known for 5 s, it is the clock that is wrong, and starts are not compared with it.

--- a/packages/fleet/src/marjoramyard/fleet/control/plausibility.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/plausibility.py
@@ -8,12 +8,19 @@
 import time
 from collections.abc import Callable
 
-from marjoramyard.coordination.membership.registrations import Registration
+from marjoramyard.coordination.membership.registrations import (
+    EndpointState,
+    Registration,
+    Registrations,
+)
 from marjoramyard.kernel.util.clocks import seconds_since_boot
 
 MAX_AHEAD_SECONDS = 60.0
 """How far an endpoint's clock may be ahead of this host's. Clocks jump by
 seconds."""
+MAX_ALONE_SECONDS = 5.0
+"""How long a host without registrations trusts its clock against heartbeats:
+far longer than sound endpoints take to register."""
 MAX_HEARTBEATS_PER_SECOND = 1000.0
 MAX_SEQUENCE_STEP = 10_000
 """The most heartbeats between two of which this host hears, for hours in which
@@ -26,27 +33,37 @@
     A host whose clock is wrong must not lock endpoints out. Lifetimes that are
     registered, here or at another host, are not compared with the clock, and
     the time that has passed since the start counts even if the clock is set
-    back.
+    back. If most lifetimes are in its future, the clock is behind.
 
     Attributes:
+        registrations: The known endpoints.
         wall_clock: Returns the time of day in Unix seconds.
         steady_clock: Returns the seconds since boot.
         started_at: The difference of both at the start.
+        alone_since: When, by the steady clock, a lifetime ahead of the clock
+            was first compared with no registrations; None before.
     """
 
     def __init__(
         self,
+        registrations: Registrations,
         wall_clock: Callable[[], float] = time.time,
         steady_clock: Callable[[], float] = seconds_since_boot,
     ):
+        self.registrations = registrations
         self.wall_clock = wall_clock
         self.steady_clock = steady_clock
         self.started_at = wall_clock() - steady_clock()
+        self.alone_since: float | None = None
 
     def latest_now(self) -> float:
         """Returns the latest time that it may be, in Unix seconds."""
         return max(self.wall_clock(), self.started_at + self.steady_clock())
 
+    def age_of(self, registration: Registration) -> float:
+        """Returns the seconds since an endpoint's start, by this clock."""
+        return self.latest_now() - registration.born / 1000
+
     def problem_of(
         self, registration: Registration, known: Registration | None
     ) -> str | None:
@@ -61,10 +78,30 @@
             if step > MAX_SEQUENCE_STEP:
                 return f"sequence: {step} heartbeats after the last one"
             return None
-        age = self.latest_now() - registration.born / 1000
+        age = self.age_of(registration)
         if age < -MAX_AHEAD_SECONDS:
+            if self._is_clock_behind():
+                return None
             return f"born: in {-age:.0f} s; set the clock of the endpoint"
         most = MAX_SEQUENCE_STEP + max(0.0, age) * MAX_HEARTBEATS_PER_SECOND
         if registration.sequence > most:
             return f"sequence: more than {most:.0f} heartbeats since the start"
         return None
+
+    def _is_clock_behind(self) -> bool:
+        """Whether other lifetimes show that this host's clock is wrong."""
+        ages = [
+            self.age_of(registration)
+            for registration in self.registrations.all()
+            if registration.state is not EndpointState.DEPARTED
+        ]
+        if not ages:
+            return self._has_been_alone()
+        ahead = sum(age < -MAX_AHEAD_SECONDS for age in ages)
+        return 2 * ahead >= len(ages)
+
+    def _has_been_alone(self) -> bool:
+        now = self.steady_clock()
+        if self.alone_since is None:
+            self.alone_since = now
+        return now - self.alone_since > MAX_ALONE_SECONDS
--- a/packages/fleet/src/marjoramyard/fleet/control/service.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/service.py
@@ -104,7 +104,7 @@
             self.settings.name, self._on_endpoints_changed
         )
         self.departures = Departures(role)
-        self.plausibility = PlausibilityCheck()
+        self.plausibility = PlausibilityCheck(self.endpoints.registrations)
         self.version_recorder = VersionRecorder(role)
         self.changes = ChangeSignal(self._on_publish)
         self.published_cursors = self._last_changes()
