Confirm with the leader that a service has one version

Cause: a gateway that doesn't know a stream resumed it if it had heard of one version only, within its lease. A lease outlasts the last news by seconds, and after a pause a gateway decides before it reads its first message. The class: a decision by one host's view, which may be old, where the safe answer needs a view that is younger than the request.

Change: such a gateway asks the leader, which confirms its leadership with a quorum after the call has arrived, and then reads the record of versions and the versions that it knows of registrations. A version is recorded before its endpoints begin streams, so the reply names each one that can have begun the stream.

--- a/packages/fleet/src/marjoramyard/fleet/control/fleet_routes.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/fleet_routes.py
@@ -10,6 +10,7 @@
 from marjoramyard.fleet.control.service import FleetService
 from marjoramyard.fleet.messages import Empty
 from marjoramyard.fleet.sync_messages import (
+    ConfirmVersions,
     FindEndpoint,
     HostAnnouncement,
     PutConfig,
@@ -57,6 +58,10 @@
     async def read_zones(_: web.Request) -> web.Response:
         return _result_response(await service.zones.on_read(Empty()))
 
+    async def confirm_versions(request: web.Request) -> web.Response:
+        message = await read_message(request, ConfirmVersions)
+        return _result_response(await service.versions.on_confirm(message))
+
     return [
         web.post(paths.ANNOUNCE_PATH, announce),
         web.post(paths.FIND_ENDPOINT_PATH, find_endpoint),
@@ -66,6 +71,7 @@
         web.post(paths.FETCH_CONFIG_PATH, fetch_config),
         web.post(paths.CHANGE_ZONE_PATH, change_zone),
         web.post(paths.READ_ZONES_PATH, read_zones),
+        web.post(paths.CONFIRM_VERSIONS_PATH, confirm_versions),
     ]
 
 
--- a/packages/fleet/src/marjoramyard/fleet/control/service.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/service.py
@@ -38,6 +38,7 @@
 from marjoramyard.fleet.control.observation import Observation
 from marjoramyard.fleet.control.plausibility import PlausibilityCheck
 from marjoramyard.fleet.control.version_recorder import VersionRecorder
+from marjoramyard.fleet.control.version_service import VersionService
 from marjoramyard.fleet.control.zone_service import ZoneService
 from marjoramyard.fleet.messages import Empty
 from marjoramyard.fleet.sync_messages import (
@@ -89,6 +90,7 @@
             gateway incarnation.
         zones: The operators' orders on availability zones.
         version_recorder: Records the software versions of endpoints.
+        versions: Tells gateways the versions that there are.
         leadership_checks: The checks of leadership for gateways' polls.
         config_history: Recent configurations, to send differences.
         observation: Says for how long this host knows of all endpoints.
@@ -106,6 +108,7 @@
         self.departures = Departures(role)
         self.plausibility = PlausibilityCheck(self.endpoints.registrations)
         self.version_recorder = VersionRecorder(role)
+        self.versions = VersionService(role, self.calls, self.endpoints)
         self.changes = ChangeSignal(self._on_publish)
         self.published_cursors = self._last_changes()
         self.started_at = time.monotonic()
--- a/packages/fleet/src/marjoramyard/fleet/gateway/recorded_versions.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/recorded_versions.py
@@ -59,7 +59,11 @@
         return now - since > RECORD_WAIT_SECONDS
 
     def sole(
-        self, service: str, now: float, longest_seconds: float
+        self,
+        service: str,
+        now: float,
+        longest_seconds: float,
+        registered: Iterable[ServiceVersion] = (),
     ) -> str | None:
         """Returns the only version that can have begun a stream.
 
@@ -67,6 +71,7 @@
             service: The service.
             now: The current time.
             longest_seconds: The longest time limit of a stream.
+            registered: Versions that others know from registrations.
 
         Returns:
             The version; None if there are several, or if the record doesn't
@@ -79,4 +84,5 @@
         versions = recorded | self.registrations.versions(
             service, now - DEPARTED_RETENTION_SECONDS
         )
+        versions |= {r.version for r in registered if r.service == service}
         return min(recorded) if len(versions) == len(recorded) == 1 else None
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
@@ -90,6 +90,7 @@
         cold_starts: ColdStarts,
         notices: EndpointNotices,
         crashes: CrashDetector,
+        origins: StreamOrigins,
         app: Application,
     ):
         self.view = view
@@ -111,7 +112,7 @@
             crashes,
             self.names,
             app.metrics,
-            StreamOrigins(view, brokers, app.metrics),
+            origins,
         )
         self.guard = OverloadGuard(view, brokers, app.metrics)
         self.guard.on_started = self._on_started
--- a/packages/fleet/src/marjoramyard/fleet/gateway/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/role.py
@@ -28,11 +28,15 @@
 from marjoramyard.fleet.gateway.early_refusal import EarlyRefusal
 from marjoramyard.fleet.gateway.endpoint_notices import EndpointNotices
 from marjoramyard.fleet.gateway.request_handler import RequestHandler
+from marjoramyard.fleet.gateway.stream_origins import StreamOrigins
 from marjoramyard.fleet.gateway.suspect_reports import (
     ATTEMPT_SECONDS,
     SuspectReports,
 )
 from marjoramyard.fleet.gateway.suspects import GatewaySuspects
+from marjoramyard.fleet.gateway.version_confirmations import (
+    VersionConfirmations,
+)
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.fleet.util.control_client import ControlClient
 from marjoramyard.fleet.util.endpoint_session import open_endpoint_session
@@ -225,8 +229,12 @@
         )
         suspects = GatewaySuspects(view, reports, app.tasks, app.metrics)
         crashes = CrashDetector(view, suspects, app.tasks)
+        confirmations = VersionConfirmations(
+            view, to_leader, app.tasks, app.metrics
+        )
+        origins = StreamOrigins(view, brokers, confirmations, app.metrics)
         handler = RequestHandler(
-            view, session, brokers, cold_starts, notices, crashes, app
+            view, session, brokers, cold_starts, notices, crashes, origins, app
         )
         broker_server = BrokerServer(
             view,
--- a/packages/fleet/src/marjoramyard/fleet/gateway/run_failures.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/run_failures.py
@@ -105,8 +105,8 @@
         "the software version that began this stream is not known; begin it "
         "again without its last event"
         if is_final
-        else "the broker that knows the software version of this stream was "
-        "lost; retry shortly"
+        else "the hosts that know the software version of this stream don't "
+        "reply; retry shortly"
     )
     return failure(
         FailureKind.STREAM_UNKNOWN,
--- a/packages/fleet/src/marjoramyard/fleet/gateway/stream_origins.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/stream_origins.py
@@ -15,6 +15,9 @@
 from marjoramyard.fleet.gateway.run_failures import (
     unknown_stream_failure,
 )
+from marjoramyard.fleet.gateway.version_confirmations import (
+    VersionConfirmations,
+)
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.kernel.errors import FleetError
 from marjoramyard.kernel.ids import StreamKey
@@ -30,10 +33,15 @@
     """Records what begins streams, and finds it when they are resumed."""
 
     def __init__(
-        self, view: FleetView, brokers: BrokerClients, metrics: Metrics
+        self,
+        view: FleetView,
+        brokers: BrokerClients,
+        confirmations: VersionConfirmations,
+        metrics: Metrics,
     ):
         self.view = view
         self.brokers = brokers
+        self.confirmations = confirmations
         self.metrics = metrics
 
     def record(self, caller: CallerRequest, service: str, version: str) -> None:
@@ -78,18 +86,20 @@
         self, caller: CallerRequest, services: Sequence[str]
     ) -> tuple[StreamOrigin | None, bool]:
         """Returns the origin, and whether a retry could not find another."""
-        if not caller.resumes:
-            return self._sole_origin(services), True
-        key = _key_of(caller, caller.resumes)
         wait = min(MAX_WAIT_SECONDS, caller.seconds_left(time.monotonic()) / 2)
         until = time.monotonic() + wait
+        if not caller.resumes:
+            return await self._sole_origin(services, until)
+        key = _key_of(caller, caller.resumes)
         while True:
             origin = self.view.streams.find(key, time.monotonic())
             if origin is not None:
                 return origin, True
             origin, is_final = await self._query(services, key)
-            origin = origin or self._sole_origin(services)
-            if origin is not None or is_final:
+            if origin is not None:
+                return origin, True
+            origin, is_confirmed = await self._sole_origin(services, until)
+            if origin is not None or (is_final and is_confirmed):
                 return origin, True
             if time.monotonic() >= until:
                 return None, False
@@ -110,12 +120,31 @@
                 )
         return None, all(reply and reply.is_final for reply in replies)
 
-    def _sole_origin(self, services: Sequence[str]) -> StreamOrigin | None:
-        """Returns what must have begun any stream, if there is no choice."""
-        if len(services) != 1:
-            return None
-        version = self.view.sole_version(services[0])
-        return None if version is None else StreamOrigin(services[0], version)
+    async def _sole_origin(
+        self, services: Sequence[str], until: float
+    ) -> tuple[StreamOrigin | None, bool]:
+        """Returns what must have begun any stream, if there is no choice.
+
+        Args:
+            services: The services that may get the request.
+            until: When to give up, on the monotonic clock in seconds.
+
+        Returns:
+            The origin, and whether that is confirmed.
+        """
+        if len(services) != 1 or self.view.sole_version(services[0]) is None:
+            return None, True
+        known_config = self.view.version
+        confirmed = await self.confirmations.confirm(
+            services[0], until - time.monotonic()
+        )
+        # By a newer configuration the stream may belong to another service.
+        if confirmed is None or confirmed.config_version > known_config:
+            return None, False
+        version = self.view.sole_version(services[0], confirmed.registered)
+        if version is None:
+            return None, True
+        return StreamOrigin(services[0], version), True
 
 
 def _key_of(caller: CallerRequest, attempt: str) -> StreamKey:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/view.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/view.py
@@ -1,13 +1,14 @@
 """A gateway's view of the fleet, as reported by the control hosts."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 from result import Err
 
 from marjoramyard.coordination.governance.commands import ConfigDocument
 from marjoramyard.coordination.governance.lease import BundleLease
+from marjoramyard.coordination.governance.service_versions import ServiceVersion
 from marjoramyard.coordination.membership.health import EndpointHealth
 from marjoramyard.coordination.membership.pauses import EndpointPauses
 from marjoramyard.coordination.membership.registrations import (
@@ -151,17 +152,28 @@
         addresses = self.broker_addresses
         return addresses[position:] + addresses[:position]
 
-    def sole_version(self, service: str) -> str | None:
-        """Returns the only software version that can have begun a stream.
+    def sole_version(
+        self, service: str, registered: Iterable[ServiceVersion] = ()
+    ) -> str | None:
+        """Returns the only software version that this gateway has heard of.
 
-        None if there is more than one, or this gateway can't know. Without a
-        lease, an endpoint of another version may have been registered where
-        this gateway does not hear of it.
+        Within its lease, another one may have joined where this gateway does
+        not hear of it: that must be confirmed before a stream goes on.
+
+        Args:
+            service: The service.
+            registered: Versions that others know from registrations.
+
+        Returns:
+            The version; None if there is more than one, or without a lease.
         """
         if not self.has_valid_lease():
             return None
         return self.versions.sole(
-            service, time.monotonic(), self.table.longest_stream_seconds
+            service,
+            time.monotonic(),
+            self.table.longest_stream_seconds,
+            registered,
         )
 
     @property
--- a/packages/fleet/src/marjoramyard/fleet/sync_messages.py
+++ b/packages/fleet/src/marjoramyard/fleet/sync_messages.py
@@ -269,6 +269,39 @@
     versions: list[ServiceVersion] | None = None
 
 
+class ConfirmVersions(msgspec.Struct, frozen=True):
+    """A gateway asks the leader for the software versions that there are now.
+
+    Attributes:
+        services: The services that it asks for.
+        versions_revision: The revision of its record of versions; -1 for none.
+    """
+
+    services: list[str]
+    versions_revision: int
+
+
+class ConfirmedVersions(msgspec.Struct, frozen=True, omit_defaults=True):
+    """The software versions of services, confirmed by a quorum.
+
+    They include each version that can have begun a stream before the request
+    arrived.
+
+    Attributes:
+        config_version: The version of the newest configuration; 0 for none.
+        versions_revision: The revision of the record of versions.
+        versions: The record of all services; None if the gateway has this
+            revision.
+        registered: The versions that endpoints of the requested services have,
+            or have had lately, recorded or not.
+    """
+
+    config_version: int
+    versions_revision: int
+    versions: list[ServiceVersion] | None = None
+    registered: list[ServiceVersion] = []
+
+
 class PutConfig(msgspec.Struct, frozen=True):
     """Sends a validated configuration to the leader."""
 
--- a/packages/fleet/tests/gateway/request_runs.py
+++ b/packages/fleet/tests/gateway/request_runs.py
@@ -106,7 +106,7 @@
         CrashDetector(view, suspects, None),
         HeaderNames(),
         metrics,
-        StreamOrigins(view, brokers, metrics),
+        StreamOrigins(view, brokers, None, metrics),
     )
     delivery = DeliveryStub(caller_left)
     budget = RetryBudget(0.2, 10)
--- a/packages/fleet/tests/gateway/test_request_handler.py
+++ b/packages/fleet/tests/gateway/test_request_handler.py
@@ -22,6 +22,7 @@
 from marjoramyard.fleet.gateway.early_refusal import parse_head
 from marjoramyard.fleet.gateway.endpoint_notices import EndpointNotices
 from marjoramyard.fleet.gateway.request_handler import RequestHandler
+from marjoramyard.fleet.gateway.stream_origins import StreamOrigins
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.kernel.errors import FailureKind, FleetError
 from marjoramyard.kernel.metrics import Metrics
@@ -61,8 +62,10 @@
     brokers = SimpleNamespace(lag=SimpleNamespace(on_wake_up=[]))
     notices = EndpointNotices(view, brokers, "Endpoint-Leaving")
     crashes = SimpleNamespace(suspects=None)
+    cold_starts = ColdStarts(view, 1.5, 5.0)
+    origins = StreamOrigins(view, brokers, None, metrics)
     instance = RequestHandler(
-        view, None, brokers, ColdStarts(view, 1.5, 5.0), notices, crashes, app
+        view, None, brokers, cold_starts, notices, crashes, origins, app
     )
     instance.guard.limit.limit = 1.0
     with instance.guard.limit.admit("large"):
--- a/packages/fleet/tests/gateway/test_stream_origins.py
+++ b/packages/fleet/tests/gateway/test_stream_origins.py
@@ -8,6 +8,7 @@
 import msgspec
 import pytest
 
+from marjoramyard.coordination.governance.service_versions import ServiceVersion
 from marjoramyard.coordination.membership.registrations import Registration
 from marjoramyard.coordination.routing.config import RequestKind, Workspace
 from marjoramyard.coordination.serving.stream_versions import StreamOrigin
@@ -16,12 +17,16 @@
 from marjoramyard.fleet.gateway.broker_protocol import PlaceGrant, StreamReply
 from marjoramyard.fleet.gateway.request_trace import Unplaceable
 from marjoramyard.fleet.gateway.stream_origins import StreamOrigins
+from marjoramyard.fleet.sync_messages import ConfirmedVersions
 from marjoramyard.kernel.errors import FailureKind, FleetError
 from marjoramyard.kernel.metrics import Metrics
+from marjoramyard.kernel.util.clocks import seconds_since_boot
 
 sys.path.insert(0, str(Path(__file__).parent))
 from request_runs import ROUTE, make_run, make_view  # noqa: E402
 
+V1 = ServiceVersion("api", "v1")
+V2 = ServiceVersion("api", "v2")
 STREAM_ROUTE = msgspec.structs.replace(
     ROUTE, request_kind=RequestKind.STREAM, resumable=True
 )
@@ -55,6 +60,23 @@
         return self.replies[0]
 
 
+class ConfirmationsStub:
+    """Confirms the versions of an up-to-date record, or doesn't.
+
+    Attributes:
+        confirmed: What is confirmed; None if there is no leader.
+        count: The confirmations so far.
+    """
+
+    def __init__(self):
+        self.confirmed = ConfirmedVersions(0, 0)
+        self.count = 0
+
+    async def confirm(self, _service, _seconds):
+        self.count += 1
+        return self.confirmed
+
+
 def resumed(attempt="a2", resumes="a1", workspace="shop"):
     now = time.monotonic()
     return CallerRequest(
@@ -75,7 +97,10 @@
 @pytest.fixture
 def origins(metrics):
     return StreamOrigins(
-        make_view(), BrokersStub(StreamReply(1, is_final=True)), metrics
+        make_view(),
+        BrokersStub(StreamReply(1, is_final=True)),
+        ConfirmationsStub(),
+        metrics,
     )
 
 
@@ -171,9 +196,52 @@
 ):
     """Guards against refusing streams of a service that has one version."""
     origins.brokers.replies = [None]
-    origins.view.sole_version = lambda _: "v1"
+    origins.view.sole_version = lambda *_: "v1"
     found = await origins.find(resumed(resumes=resumes), ["api"])
     assert found == StreamOrigin("api", "v1")
+    assert origins.confirmations.count == 1
+
+
+@pytest.mark.parametrize("resumes", ["a1", ""])
+async def test_what_has_joined_unnoticed_is_asked_for(origins, resumes):
+    """Guards against an unknown stream that goes on at the only version that
+    this gateway has heard of, as another one joined while it was suspended.
+    """
+    origins.view.registrations.by_endpoint.clear()
+    origins.view.versions.update(1, [V1])
+    origins.view.lease.renew(seconds_since_boot(), 60.0)
+    assert origins.view.sole_version("api") == "v1"
+    origins.confirmations.confirmed = ConfirmedVersions(0, 1, None, [V1, V2])
+    failure = await refusal(origins, resumed(resumes=resumes))
+    assert failure.kind is FailureKind.STREAM_UNKNOWN
+    assert "begin it again" in failure.message
+
+
+@pytest.mark.parametrize("resumes", ["a1", ""])
+async def test_without_a_leader_an_unknown_stream_is_refused_for_now(
+    origins, monkeypatch, resumes
+):
+    """Guards against an unknown stream that goes on, or is told to begin again,
+    while no control host can say which versions there are.
+    """
+    monkeypatch.setattr(stream_origins, "MAX_WAIT_SECONDS", 0.1)
+    origins.view.sole_version = lambda *_: "v1"
+    origins.confirmations.confirmed = None
+    failure = await refusal(origins, resumed(resumes=resumes))
+    assert failure.kind is FailureKind.STREAM_UNKNOWN
+    assert "retry shortly" in failure.message
+    assert failure.retry_after > 0
+
+
+async def test_an_unknown_stream_waits_for_a_newer_configuration(origins):
+    """Guards against a stream that goes on at the service that its route had
+    when this gateway was suspended.
+    """
+    origins.view.sole_version = lambda *_: "v1"
+    newer = ConfirmedVersions(origins.view.version + 1, 0)
+    origins.confirmations.confirmed = newer
+    failure = await refusal(origins, resumed(resumes=""))
+    assert "retry shortly" in failure.message
 
 
 def versioned_run(metrics, *versions):
