Try another endpoint when one can't be called

The 500: the URL was made where its ValueError was caught by nobody, so no other endpoint was tried. The 502: a port out of range, or none, raised a ValueError or InvalidURL while the connection was opened. Both were taken for a connection that was lost after the request had been sent, so a request that no endpoint had seen "may have run"; it was given up, or cost an attempt. The endpoint was then watched for its death, and that task failed at its address (`task_failed`).

An error of this kind before there is a connection now means that nothing has been sent: as after a refused connection, another endpoint is tried, and the caller is told "not run" if there is none. An endpoint that can't be called says nothing about whether it has died.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/attempts.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/attempts.py
@@ -16,6 +16,10 @@
 from marjoramyard.fleet.util.headers import Headers
 from marjoramyard.fleet.util.pause_requests import parse_retry_after
 from marjoramyard.fleet.util.response_body import is_final
+from marjoramyard.kernel.util.decoding import shorten
+
+_INVALID = (ValueError, OverflowError)
+"""Errors of addresses that can't be called, of URLs and of headers."""
 
 
 class SendOutcome(Enum):
@@ -102,6 +106,15 @@
     return headers
 
 
+def request_url(request: CallerRequest, plan: SendPlan) -> URL:
+    """Returns the URL of a request at the chosen endpoint.
+
+    Raises:
+        ValueError: The endpoint's address can't be part of a URL.
+    """
+    return URL(f"http://{plan.endpoint.address}{request.target}", encoded=True)
+
+
 @asynccontextmanager
 async def open_response(
     session: aiohttp.ClientSession,
@@ -128,13 +141,19 @@
     Raises:
         SendFailedError: There is no response that can be relayed.
     """
-    url = URL(f"http://{plan.endpoint.address}{request.target}", encoded=True)
+    is_connected = False
+
+    def check_connected() -> None:
+        nonlocal is_connected
+        is_connected = True
+        check()
+
     headers = outgoing_headers(request, plan, names, time.monotonic())
     try:
-        with check_before_send(check):
+        with check_before_send(check_connected):
             response = await session.request(
                 request.method,
-                url,
+                request_url(request, plan),
                 headers=headers,
                 data=request.body or None,
                 allow_redirects=False,
@@ -148,7 +167,11 @@
             repr(error),
             timed_out=isinstance(error, aiohttp.ConnectionTimeoutError),
         ) from error
-    except (aiohttp.ClientError, OSError, ValueError) as error:
+    except (aiohttp.ClientError, OSError, *_INVALID) as error:
+        if isinstance(error, _INVALID) and not is_connected:
+            raise SendFailedError(
+                SendOutcome.NOT_SENT, shorten(repr(error))
+            ) from error
         raise SendFailedError(
             SendOutcome.BROKEN, repr(error), is_connection_lost=True
         ) from error
--- a/packages/fleet/src/marjoramyard/fleet/gateway/crash_detection.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/crash_detection.py
@@ -22,7 +22,7 @@
 from marjoramyard.fleet.util.tasks import TaskGroup
 from marjoramyard.kernel.ids import Fingerprint
 from marjoramyard.kernel.logs import get_logger
-from marjoramyard.kernel.util.addresses import parse_address
+from marjoramyard.kernel.util.addresses import parse_callable_address
 
 logger = get_logger(__name__)
 
@@ -262,15 +262,16 @@
 async def refuses_connections(address: str) -> bool:
     """Returns whether nothing listens at an address.
 
-    A host that does not reply in time says nothing about its endpoint.
+    A host that does not reply in time says nothing about its endpoint. Nor does
+    an address that can't be called.
     """
-    host, port = parse_address(address)
     try:
+        host, port = parse_callable_address(address)
         async with asyncio.timeout(PROBE_TIMEOUT_SECONDS):
             _, writer = await asyncio.open_connection(host, port)
     except ConnectionRefusedError:
         return True
-    except (OSError, TimeoutError):
+    except (OSError, TimeoutError, ValueError, OverflowError):
         return False
     writer.transport.abort()
     return False
--- a/packages/fleet/tests/gateway/test_attempts.py
+++ b/packages/fleet/tests/gateway/test_attempts.py
@@ -1,5 +1,6 @@
 """What a gateway reads from the head of an endpoint's response."""
 
+import time
 from types import SimpleNamespace
 
 import pytest
@@ -7,9 +8,13 @@
 from marjoramyard.fleet.gateway.attempts import (
     SendFailedError,
     SendOutcome,
+    SendPlan,
     check_response_head,
+    open_response,
 )
+from marjoramyard.fleet.gateway.crash_detection import refuses_connections
 from marjoramyard.fleet.gateway.dialect import HeaderNames
+from marjoramyard.fleet.util.endpoint_session import open_endpoint_session
 
 NAMES = HeaderNames()
 REQUEST = SimpleNamespace(attempt="a")
@@ -35,3 +40,52 @@
     error = refusal()
     assert error.retry_after == 0.0
     assert error.reason == "status 503"
+
+
+UNCALLABLE = (
+    "",
+    "[::1",
+    "::1]:80",
+    "127.0.0.1:70000",
+    "127.0.0.1:-1",
+    "127.0.0.1:" + "9" * 5000,
+    "127.0.0.1:port",
+    "http://127.0.0.1:80",
+    "127.0.0.1:80\x00",
+)
+
+
+@pytest.mark.parametrize("address", UNCALLABLE, ids=lambda text: text[:20])
+async def test_nothing_is_sent_to_an_endpoint_that_can_t_be_called(address):
+    """Guards against callers that get 500, or 502 as if their request might
+    have run, because of an address at which nobody can be called.
+    """
+    request = SimpleNamespace(
+        method="POST",
+        target="/a/x",
+        headers=[],
+        body=b"{}",
+        workspace=None,
+        seconds_left=lambda now: 1.0,
+    )
+    endpoint = SimpleNamespace(endpoint="i-1", address=address)
+    checks = []
+    async with open_endpoint_session() as session:
+        with pytest.raises(SendFailedError) as caught:
+            async with open_response(
+                session,
+                request,
+                SendPlan(endpoint),
+                NAMES,
+                lambda: checks.append(time.monotonic()),
+                print,
+            ):
+                pass
+    assert caught.value.outcome is SendOutcome.NOT_SENT
+    assert not checks
+
+
+@pytest.mark.parametrize("address", UNCALLABLE, ids=lambda text: text[:20])
+async def test_an_endpoint_that_can_t_be_called_has_not_died(address):
+    """Guards against requests that are taken for the cause of a death."""
+    assert not await refuses_connections(address)
