Ignore signals to daemons from the first lines of a process on

What operators saw: SIGHUP that came while a process was starting ended it (exit by signal 1), the more starts and changes of settings come together the more often. SIGUSR1 and SIGUSR2, which tools for log rotation send, ended it at any time; SIGTTIN and SIGTTOU stopped it.

Cause: the default action holds until the program's first line. With -m, that comes after runpy and what it imports, and the module signal imports enum.

--- a/packages/fleet/src/marjoramyard/fleet/__main__.py
+++ b/packages/fleet/src/marjoramyard/fleet/__main__.py
@@ -1,10 +1,19 @@
-"""Runs the `marjoramyard` command as `python3 -m marjoramyard.fleet`."""
+"""Runs the `marjoramyard` command; also a script, which starts earlier."""
 
-import signal
+# The module `signal` takes longer to import than the interpreter to start.
+import _signal
 
-# A reload that is asked for while the process starts must not end it. The
-# imports take most of that time.
-signal.signal(signal.SIGHUP, signal.SIG_IGN)
+# Signals that operators and their tools send to daemons, and that would end or
+# stop the process: a reload while it is starting, requests of log rotation, and
+# the use of a terminal in the background. The imports take most of the start.
+for ignored in (
+    _signal.SIGHUP,
+    _signal.SIGUSR1,
+    _signal.SIGUSR2,
+    _signal.SIGTTIN,
+    _signal.SIGTTOU,
+):
+    _signal.signal(ignored, _signal.SIG_IGN)
 
 from marjoramyard.kernel.standard_streams import (  # noqa: E402
     open_closed_streams,
--- a/tests/platform/deployed_fleet.py
+++ b/tests/platform/deployed_fleet.py
@@ -28,6 +28,7 @@
 READY_PATH = "/v1/readyz"
 SOURCES = sorted([*ROOT.glob("packages/*/src"), ROOT / "platform/src"])
 LOG_LINES_PRINTED = 20
+BUILT = "target/deps/"
 PORT_COUNT = 4
 """Ports of a host for communication between processes."""
 BOUNDS = {
@@ -236,7 +237,7 @@
         """Returns the command of a role, with the interpreter of the tests."""
         words = self.deploy["roles"][role]["run"].split()
         assert words[0] == "python3"
-        return [sys.executable, *words[1:]]
+        return [sys.executable, *map(_source_of, words[1:])]
 
     def environment(self, host: DeployedHost, role: str) -> dict[str, str]:
         """Returns the variables of a process; those of the tests are dropped.
@@ -320,6 +321,14 @@
                 await child.kill()
 
 
+def _source_of(word: str) -> str:
+    """Returns the source of a file that the deploy file builds."""
+    if not word.startswith(BUILT):
+        return word
+    paths = [source / word.removeprefix(BUILT) for source in SOURCES]
+    return str(next(path for path in paths if path.exists()))
+
+
 def _free_port(consecutive: int = 1) -> int:
     return int(free_address(consecutive).split(":")[1])
 
