Wait for addresses that another process still holds

What operators saw: a process that is started again while the one before still drains, or one of whose ports an outgoing connection or another program holds, ended with exit code 1 ('address already in use'), also if it was only the port for metrics, which is the usual one of exporters.

Cause: each address was bound once, and a failure of any ended the start.

Change: an address that is in use, or not there yet, is bound again every 0.1 s for up to 15 s, which is more than a process may take to stop; it is logged (address_held, address_bound) and counted (bind_failures). SIGTERM ends the wait. The metrics page of metrics_listen is served in the background: a held port is tried again every second for as long as the process runs.

--- a/packages/fleet/src/marjoramyard/fleet/application.py
+++ b/packages/fleet/src/marjoramyard/fleet/application.py
@@ -2,15 +2,12 @@
 
 import asyncio
 import importlib
+import math
 import os
 import signal
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import (
-    AbstractAsyncContextManager,
-    asynccontextmanager,
-    nullcontext,
-)
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from pathlib import Path
 from typing import Protocol
 
@@ -23,6 +20,7 @@
     ProtocolWrapper,
 )
 from marjoramyard.fleet.util import rpc
+from marjoramyard.fleet.util.binding import BindRetries
 from marjoramyard.fleet.util.separable import refused_entries
 from marjoramyard.fleet.util.tasks import TaskGroup, task_group
 from marjoramyard.kernel.ids import new_incarnation
@@ -58,6 +56,8 @@
 """Longer than most load balancers keep idle connections."""
 _BACKLOG = 512
 _EXPORTER_DELAY_SECONDS = 10.0
+_METRICS_RETRY_SECONDS = 1.0
+"""The interval at which a held address for metrics is bound again."""
 _SETTINGS_CHECK_SECONDS = 2.0
 """The interval at which the settings file is checked for changes."""
 
@@ -161,6 +161,7 @@
         max_header: int = rpc.MAX_HEAD_BYTES,
         keepalive: float = _KEEPALIVE_SECONDS,
         wrapper: ProtocolWrapper | None = None,
+        retries: BindRetries | None = None,
     ) -> AsyncIterator["Listener"]:
         """Serves routes on an address.
 
@@ -173,6 +174,10 @@
             max_header: The largest header line in bytes.
             keepalive: Seconds after which an idle connection is closed.
             wrapper: Wraps the protocol of each connection.
+            retries: How an address that is held is retried.
+
+        Raises:
+            OSError: The address can't be bound.
         """
         listener = Listener(address, self.metrics, self.stopping_seconds)
         middlewares = [listener.track_request, rpc.render_failures]
@@ -206,6 +211,7 @@
             host,
             port,
             wrapper,
+            retries or BindRetries(self.metrics, self.stopping),
             reuse_address=True,
             backlog=_BACKLOG,
         )
@@ -250,12 +256,35 @@
             body=self.metrics.prometheus_text(), content_type="text/plain"
         )
 
-    def _serve_metrics(self) -> AbstractAsyncContextManager:
-        """Also serves the metrics page on `metrics_listen`, if it is set."""
+    @asynccontextmanager
+    async def _metrics_served(self) -> AsyncIterator[None]:
+        """Also serves the metrics page on `metrics_listen`, if it is set.
+
+        That it can't be bound holds nothing up.
+        """
         address = getattr(self.settings, "metrics_listen", "")
         if not address:
-            return nullcontext()
-        return self.serve(address, [], internal=False)
+            yield
+            return
+        ended = asyncio.Event()
+        task = self.tasks.spawn(self._serve_metrics(address, ended))
+        try:
+            yield
+        finally:
+            ended.set()
+            await asyncio.wait([task])
+
+    async def _serve_metrics(self, address: str, ended: asyncio.Event) -> None:
+        retries = BindRetries(
+            self.metrics, ended, math.inf, _METRICS_RETRY_SECONDS
+        )
+        try:
+            async with self.serve(address, [], internal=False, retries=retries):
+                await ended.wait()
+        except OSError as error:
+            logger.warning(
+                "metrics_not_served", address=address, error=str(error)
+            )
 
     def _register_traffic_metrics(self) -> None:
         client = self.client
@@ -321,7 +350,7 @@
             if self.settings_path is not None:
                 self.tasks.spawn(self._watch_settings())
             try:
-                async with self._serve_metrics(), factory(self) as self.role:
+                async with self._metrics_served(), factory(self) as self.role:
                     logger.info("started", pid=os.getpid())
                     await self.stopping.wait()
                     logger.info("draining")
--- a/packages/fleet/src/marjoramyard/fleet/listener.py
+++ b/packages/fleet/src/marjoramyard/fleet/listener.py
@@ -18,6 +18,7 @@
     HttpProtocol,
     ServedConnection,
 )
+from marjoramyard.fleet.util.binding import BindRetries
 from marjoramyard.fleet.util.connections import (
     break_off_response,
     has_input,
@@ -313,16 +314,30 @@
         host: str,
         port: int,
         wrapper: ProtocolWrapper | None = None,
+        retries: BindRetries | None = None,
         **options,
     ):
         super().__init__(runner, host, port, **options)
         self.listener = listener
+        self.retries = retries
         self.wrapper = wrapper
 
     async def start(self) -> None:
-        """Starts to listen."""
+        """Starts to listen.
+
+        Raises:
+            OSError: The address can't be bound.
+        """
         await web.BaseSite.start(self)
-        self._server = await asyncio.get_running_loop().create_server(
+        if self.retries is None:
+            self._server = await self._listen()
+            return
+        self._server = await self.retries.bind(
+            self.listener.address, self._listen
+        )
+
+    async def _listen(self) -> asyncio.Server:
+        return await asyncio.get_running_loop().create_server(
             self._connect,
             self._host,
             self._port,
--- /dev/null
+++ b/tests/platform/test_held_addresses.py
@@ -0,0 +1,99 @@
+"""Processes whose addresses another process holds for a time."""
+
+import asyncio
+import contextlib
+import json
+import socket
+
+import pytest
+from deployed_fleet import CONTROL, GATEWAY, deployed_fleet
+from gateway_fleet import wait_until
+
+ROLES = (CONTROL, GATEWAY)
+METRICS_PORTS = {CONTROL: 9465, GATEWAY: 9464}
+EXIT_SECONDS = 15.0
+
+
+@pytest.fixture
+async def fleet(tmp_path):
+    async with deployed_fleet(tmp_path, [1], 1) as started:
+        yield started
+
+
+@contextlib.contextmanager
+def held(ip, port):
+    with socket.socket() as holder:
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        holder.bind((ip, port))
+        holder.listen()
+        yield
+
+
+def events(child):
+    """Returns the events that a process has logged; messages are left out."""
+    lines = child.log.read_text(encoding="utf-8").splitlines()
+    return [json.loads(line)["event"] for line in lines if line[0] == "{"]
+
+
+async def wait_for_event(child, name):
+    async def is_logged():
+        assert child.is_running, child.log.read_text(encoding="utf-8")
+        return name in events(child)
+
+    await wait_until(is_logged)
+
+
+def internal_port(fleet, role):
+    return fleet.ports.first if role == CONTROL else fleet.ports.last
+
+
+@pytest.mark.parametrize("role", ROLES)
+async def test_a_process_waits_for_an_address_that_is_held(fleet, role):
+    """Guards against a process that doesn't start while the one before it, or
+    an outgoing connection, still holds one of its ports.
+    """
+    host = fleet.hosts[0]
+    with held(host.ip, internal_port(fleet, role)):
+        child = await fleet.start(host, role)
+        await wait_for_event(child, "address_held")
+    await wait_for_event(child, "started")
+    assert await fleet.is_alive(host, role)
+    assert await child.terminate() == 0
+
+
+@pytest.mark.parametrize("role", ROLES)
+async def test_a_process_that_waits_for_an_address_stops(fleet, role):
+    """Guards against a process that is killed as it waits for an address."""
+    host = fleet.hosts[0]
+    with held(host.ip, internal_port(fleet, role)):
+        child = await fleet.start(host, role)
+        await wait_for_event(child, "address_held")
+        assert await child.terminate(EXIT_SECONDS) is not None
+
+
+@pytest.mark.parametrize("role", ROLES)
+async def test_a_held_address_for_metrics_holds_up_nothing(fleet, role):
+    """Guards against a process that doesn't start as another program listens
+    at its port for metrics.
+    """
+    host = fleet.hosts[0]
+    with held(host.ip, METRICS_PORTS[role]):
+        child = await fleet.start(host, role)
+        await wait_for_event(child, "started")
+        await wait_for_event(child, "address_held")
+    await wait_for_event(child, "address_bound")
+    url = f"http://{host.ip}:{METRICS_PORTS[role]}/metrics"
+    async with fleet.session.get(url) as response:
+        assert "bind_failures" in await response.text()
+    assert await child.terminate() == 0
+
+
+@pytest.mark.parametrize("role", ROLES)
+async def test_a_process_that_stops_does_not_wait_for_its_metrics(fleet, role):
+    """Guards against a stop that waits for an address for metrics."""
+    host = fleet.hosts[0]
+    with held(host.ip, METRICS_PORTS[role]):
+        child = await fleet.start(host, role)
+        await wait_for_event(child, "started")
+        async with asyncio.timeout(EXIT_SECONDS):
+            assert await child.terminate() == 0
