Let background loops go on after an error

A loop that serves all endpoints, brokers or hosts was one task, which ended with the first error that it did not expect (`task_failed`), and was not started again. What it kept up to date stood still from then on: the announcements and the membership of control hosts, the detection of unresponsive endpoints, the record of versions, the sending of Raft messages to a host, the connection to a broker and its heartbeats, the fetching of configurations, the discovery of control hosts, the leases and offers of entries and agents.

Within a loop, `log_failure` lets the other items be handled: they would otherwise never be reached. The polls of control hosts were started again already. The ticks of a replica are left as they are: an error there says that its state can't be trusted, and no message of an endpoint reaches it.

--- a/packages/fleet/src/marjoramyard/fleet/agent/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/role.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from functools import partial
 
 from aiohttp import web
 
@@ -79,14 +80,16 @@
 
     def start(self) -> None:
         """Starts the background tasks."""
-        for coroutine in (
-            self.membership.run(),
-            self.slot_allocator.maintain(),
-            self.attempt_service.sweep(),
-            self.order_forwarder.run(self.attempt_service.http_session),
-            self._watch_endpoint(),
+        for loop in (
+            self.membership.run,
+            self.slot_allocator.maintain,
+            self.attempt_service.sweep,
+            partial(
+                self.order_forwarder.run, self.attempt_service.http_session
+            ),
+            self._watch_endpoint,
         ):
-            self.app.tasks.spawn(coroutine)
+            self.app.tasks.spawn_forever(loop)
 
     async def _watch_endpoint(self) -> None:
         """Announces the row when the endpoint's readiness changes."""
--- a/packages/fleet/src/marjoramyard/fleet/application.py
+++ b/packages/fleet/src/marjoramyard/fleet/application.py
@@ -348,7 +348,7 @@
             self._register_traffic_metrics()
             self.tasks.spawn(self._load_metrics_exporter())
             if self.settings_path is not None:
-                self.tasks.spawn(self._watch_settings())
+                self.tasks.spawn_forever(self._watch_settings)
             try:
                 async with self._metrics_served(), factory(self) as self.role:
                     logger.info("started", pid=os.getpid())
--- a/packages/fleet/src/marjoramyard/fleet/control/cluster_manager.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/cluster_manager.py
@@ -29,6 +29,7 @@
     HostAnnouncement,
     HostAnnouncementReply,
 )
+from marjoramyard.fleet.util.tasks import log_failure
 from marjoramyard.kernel.ids import ReplicaId
 from marjoramyard.kernel.logs import get_logger
 
@@ -127,7 +128,8 @@
                     self.role.app.tasks.spawn(self._announce_to(address))
             await asyncio.sleep(ANNOUNCE_INTERVAL_SECONDS)
             self._expire_hosts()
-            await self._maintain_cluster()
+            with log_failure("maintain the cluster"):
+                await self._maintain_cluster()
 
     def peer_addresses(self) -> list[str]:
         """Returns the internal addresses of the other control hosts."""
--- a/packages/fleet/src/marjoramyard/fleet/control/raft_transport.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/raft_transport.py
@@ -117,7 +117,7 @@
                     continue
                 sender = PeerSender(address, self.rpc_client)
                 self.senders[receiver] = sender
-                self.tasks.spawn(sender.run())
+                self.tasks.spawn_forever(sender.run)
             sender.enqueue(
                 msgspec.structs.replace(envelope, reply_to=self.own_address)
             )
--- a/packages/fleet/src/marjoramyard/fleet/control/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/role.py
@@ -9,6 +9,7 @@
     asynccontextmanager,
     contextmanager,
 )
+from functools import partial
 from pathlib import Path
 
 import msgspec
@@ -188,7 +189,9 @@
         self.running_node.on_applied.append(self.service.on_applied)
         self.running_node.on_storage_failed = self._on_storage_failed
         self.node_task = self.app.tasks.spawn(self.running_node.tick_forever())
-        self.app.tasks.spawn(self._expire_forever(self.renewal_server))
+        self.app.tasks.spawn_forever(
+            partial(self._expire_forever, self.renewal_server)
+        )
         logger.info(
             "replica_started",
             replica=self.running_node.core.replica_id,
@@ -496,9 +499,9 @@
                 # Runs when the operators' address has closed.
                 stack.push_async_callback(role.cluster_manager.announce_last)
                 await stack.enter_async_context(_serve_operators(app, role))
-                app.tasks.spawn(role.cluster_manager.run())
-                app.tasks.spawn(role.service.watch_endpoints())
-                app.tasks.spawn(role.service.version_recorder.run())
+                app.tasks.spawn_forever(role.cluster_manager.run)
+                app.tasks.spawn_forever(role.service.watch_endpoints)
+                app.tasks.spawn_forever(role.service.version_recorder.run)
             yield role
 
 
--- a/packages/fleet/src/marjoramyard/fleet/control/service.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/service.py
@@ -47,6 +47,7 @@
     SyncReply,
     SyncRequest,
 )
+from marjoramyard.fleet.util.tasks import log_failure
 from marjoramyard.kernel.errors import Failure, FailureKind, raise_failure
 from marjoramyard.kernel.logs import get_logger
 from marjoramyard.kernel.util.decoding import shorten
@@ -126,7 +127,8 @@
         limit = MAX_MISSED_HEARTBEATS * self.settings.heartbeat_ms / 1000
         while True:
             await asyncio.sleep(_LIVENESS_CHECK_SECONDS)
-            self.endpoints.detect_unresponsive(limit)
+            with log_failure("detect unresponsive endpoints"):
+                self.endpoints.detect_unresponsive(limit)
             now = time.monotonic()
             for gateway, (at, _) in list(self.gateways.items()):
                 if now - at > _GATEWAY_TIMEOUT_SECONDS:
--- a/packages/fleet/src/marjoramyard/fleet/entry/dispatchers.py
+++ b/packages/fleet/src/marjoramyard/fleet/entry/dispatchers.py
@@ -6,6 +6,7 @@
 from marjoramyard.coordination.governance.directory import DirectoryRow
 from marjoramyard.fleet.application import Application
 from marjoramyard.fleet.entry.service_dispatcher import ServiceDispatcher
+from marjoramyard.fleet.util.tasks import log_failure
 from marjoramyard.kernel.ids import ServiceId
 
 
@@ -83,5 +84,6 @@
         period = self.app.settings.offer_seconds
         while True:
             await asyncio.sleep(period / 4)
-            for dispatcher in self.dispatchers.values():
-                dispatcher.refresh(period)
+            for service, dispatcher in list(self.dispatchers.items()):
+                with log_failure("offer", service=service):
+                    dispatcher.refresh(period)
--- a/packages/fleet/src/marjoramyard/fleet/entry/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/entry/role.py
@@ -78,8 +78,8 @@
 
     def start(self) -> None:
         """Starts the background tasks."""
-        self.app.tasks.spawn(self.membership.run())
-        self.app.tasks.spawn(self.dispatchers.refresh_forever())
+        self.app.tasks.spawn_forever(self.membership.run)
+        self.app.tasks.spawn_forever(self.dispatchers.refresh_forever)
 
     # Routes.
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_clients.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_clients.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator, Callable, Iterable
 from contextlib import asynccontextmanager
+from functools import partial
 
 import aiohttp
 
@@ -48,7 +49,7 @@
         self.session = session
         self.clients: dict[str, BrokerClient] = {}
         self.lag = LoopLag(metrics)
-        tasks.spawn(self.lag.watch())
+        tasks.spawn_forever(self.lag.watch)
         view.on_config.append(self._on_config)
 
     def _on_config(self) -> None:
@@ -72,8 +73,8 @@
             client.excess = lambda: self.excess()
             client.is_leaving = lambda: self.is_leaving()
             self.clients[service] = client
-            self.tasks.spawn(client.run(service))
-            self.tasks.spawn(client.send_heartbeats_forever())
+            self.tasks.spawn_forever(partial(client.run, service))
+            self.tasks.spawn_forever(client.send_heartbeats_forever)
         return client
 
     def on_pause(self, endpoint: Registration, seconds: float) -> None:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_server.py
@@ -61,6 +61,7 @@
 )
 from marjoramyard.fleet.gateway.stream_keeper import StreamKeeper
 from marjoramyard.fleet.gateway.view import FleetView
+from marjoramyard.fleet.util.tasks import log_failure
 from marjoramyard.kernel.logs import get_logger
 from marjoramyard.kernel.metrics import Labels
 
@@ -569,8 +570,9 @@
             self._check_majority()
             self.handovers.refresh(_now_ms())
             self.streams.refresh()
-            for gateway in self.gateways.values():
-                self._suspend_if_expired(gateway)
+            for gateway in list(self.gateways.values()):
+                with log_failure("suspend", gateway=gateway.number):
+                    self._suspend_if_expired(gateway)
             self._queue_heartbeats()
             self.handovers.announce(_now_ms())
             self._schedule_dispatch()
--- a/packages/fleet/src/marjoramyard/fleet/gateway/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/role.py
@@ -248,9 +248,9 @@
         app.metrics.gauge(
             "broker_snapshot_holders", broker_server.handovers.holder_counts
         )
-        app.tasks.spawn(broker_server.send_heartbeats_forever())
-        app.tasks.spawn(broker_server.log_load_forever())
-        app.tasks.spawn(handler.guard.log_refusals_forever())
+        app.tasks.spawn_forever(broker_server.send_heartbeats_forever)
+        app.tasks.spawn_forever(broker_server.log_load_forever)
+        app.tasks.spawn_forever(handler.guard.log_refusals_forever)
         role = GatewayRole(app, view, handler)
         demand = handler.guard.demand
         demand.cores = settings.processor_cores
@@ -258,8 +258,8 @@
         demand.max_outgoing = role.connections.max_outgoing
         demand.free_callers = lambda: role.connections.free_count
         fetcher = ConfigFetcher(app.client, view, settings.zone)
-        app.tasks.spawn(fetcher.run())
-        app.tasks.spawn(ControlSync(app, view, fetcher).run())
+        app.tasks.spawn_forever(fetcher.run)
+        app.tasks.spawn_forever(ControlSync(app, view, fetcher).run)
         async with (
             app.serve(
                 settings.internal, [web.get(BROKER_PATH, broker_server.serve)]
@@ -281,7 +281,7 @@
             ) as listener,
         ):
             role.connections.listener = listener
-            app.tasks.spawn(role.connections.keep_within_limit())
+            app.tasks.spawn_forever(role.connections.keep_within_limit)
             yield role
             handler.guard.connections.close()
 
--- a/packages/fleet/tests/gateway/test_named_peers.py
+++ b/packages/fleet/tests/gateway/test_named_peers.py
@@ -272,7 +272,7 @@
     """Guards against prompts that go to gateways that only a lost broker
     named.
     """
-    tasks = SimpleNamespace(spawn=lambda coroutine: coroutine.close())
+    tasks = SimpleNamespace(spawn_forever=lambda loop: None)
     view = FleetView(GATEWAY_DIALECTS.get("native"), 5.0)
     metrics = Metrics("gateway", "g0")
     clients = BrokerClients(tasks, view, None, metrics)
--- a/tests/test_odd_registrations.py
+++ b/tests/test_odd_registrations.py
@@ -12,7 +12,13 @@
 HEARTBEAT_SECONDS = 0.3
 CALLERS = 4
 CALLS = 40
-FAILURES = ("task_failed", "handler_failed", "uncaught", "loop_failed")
+FAILURES = (
+    "task_failed",
+    "handler_failed",
+    "item_failed",
+    "loop_failed",
+    "uncaught",
+)
 
 
 @pytest.fixture
