Wait for a data folder that the process before still holds

What operators saw: a control host that is started again while the process before still drains ended with exit code 1 ('locked by another process').

Cause: the lock of the data folder was tried once. Any error of the lock, also that the file system has none, was reported as held by another process.

Change: the folder is opened once it is unlocked, within the time for which held addresses are retried; nothing of it is read before. Only a held lock is waited for.

The safeguard's test fails without it.

--- a/packages/fleet/src/marjoramyard/fleet/control/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/role.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import time
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator
 from contextlib import (
     AbstractAsyncContextManager,
     AsyncExitStack,
+    ExitStack,
     asynccontextmanager,
-    contextmanager,
 )
 from functools import partial
 from pathlib import Path
@@ -42,6 +42,7 @@
 from marjoramyard.fleet.control.storage import (
     Storage,
     StorageError,
+    StorageLockedError,
     new_replica_id,
     open_storage,
 )
@@ -55,6 +56,7 @@
     QueryReply,
     RenewRequest,
 )
+from marjoramyard.fleet.util.binding import BIND_SECONDS, RETRY_SECONDS
 from marjoramyard.fleet.util.rpc import json_response, read_message
 from marjoramyard.kernel.errors import (
     Failure,
@@ -487,7 +489,7 @@
 @asynccontextmanager
 async def control_role(app: Application) -> AsyncIterator[ControlRole]:
     """Runs a control host."""
-    with _storage_of(app.settings.data_folder) as storage:
+    async with _storage_of(app) as storage:
         identity = storage.load_identity() if storage is not None else None
         role = ControlRole(app, storage)
         if identity is not None:
@@ -505,14 +507,38 @@
             yield role
 
 
-@contextmanager
-def _storage_of(folder: str) -> Iterator[Storage | None]:
+@asynccontextmanager
+async def _storage_of(app: Application) -> AsyncIterator[Storage | None]:
     """Opens the data folder, if this host has a disk."""
-    if not folder:
+    if not app.settings.data_folder:
         yield None
         return
-    with open_storage(Path(folder)) as storage:
-        yield storage
+    folder = Path(app.settings.data_folder)
+    with ExitStack() as stack:
+        yield await _open_when_unlocked(stack, folder, app.stopping)
+
+
+async def _open_when_unlocked(
+    stack: ExitStack, folder: Path, stopping: asyncio.Event
+) -> Storage:
+    """Opens a data folder that a process which ends may still hold.
+
+    Raises:
+        StorageLockedError: It was not unlocked in time.
+    """
+    began_at = time.monotonic()
+    is_logged = False
+    while True:
+        try:
+            return stack.enter_context(open_storage(folder))
+        except StorageLockedError:
+            is_late = time.monotonic() - began_at >= BIND_SECONDS
+            if is_late or stopping.is_set():
+                raise
+        if not is_logged:
+            logger.warning("data_folder_locked", folder=str(folder))
+            is_logged = True
+        await asyncio.sleep(RETRY_SECONDS)
 
 
 def _serve_operators(
--- a/packages/fleet/src/marjoramyard/fleet/control/storage.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/storage.py
@@ -35,6 +35,10 @@
     """The data folder can't be used; the message names the remedy."""
 
 
+class StorageLockedError(StorageError):
+    """Another process has locked the data folder."""
+
+
 class BatchRefusedError(OSError):
     """A batch could not be stored, and nothing of it is in the log."""
 
@@ -412,14 +416,15 @@
     """Opens a data folder and locks it for this process.
 
     Raises:
-        StorageError: Another process has locked the folder.
+        StorageLockedError: Another process has locked the folder.
+        OSError: The folder can't be used.
     """
     folder.mkdir(parents=True, exist_ok=True)
     with (folder / "lock").open("w") as lock:
         try:
             fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-        except OSError:
-            raise StorageError(
+        except BlockingIOError:
+            raise StorageLockedError(
                 f"{folder}: locked by another process; stop that process first"
             ) from None
         storage = Storage(folder)
--- a/tests/platform/test_held_addresses.py
+++ b/tests/platform/test_held_addresses.py
@@ -1,7 +1,8 @@
-"""Processes whose addresses another process holds for a time."""
+"""Processes whose addresses or data another process holds for a time."""
 
 import asyncio
 import contextlib
+import fcntl
 import json
 import socket
 
@@ -97,3 +98,47 @@
         await wait_for_event(child, "started")
         async with asyncio.timeout(EXIT_SECONDS):
             assert await child.terminate() == 0
+
+
+async def test_a_control_host_waits_for_its_data(fleet):
+    """Guards against a control host that doesn't start while the process
+    before it still has its data folder.
+    """
+    host = fleet.hosts[0]
+    host.data_folder.mkdir()
+    with (host.data_folder / "lock").open("w") as lock:
+        fcntl.flock(lock, fcntl.LOCK_EX)
+        child = await fleet.start(host, CONTROL)
+        await wait_for_event(child, "data_folder_locked")
+    await wait_for_event(child, "started")
+    assert await child.terminate() == 0
+
+
+async def test_a_deployment_is_started_again_while_it_stops(fleet):
+    """Guards against processes that don't start again since those before them
+    have not ended.
+    """
+    host = fleet.hosts[0]
+    for role in ROLES:
+        await fleet.start(host, role)
+    former = [host.children[role] for role in ROLES]
+    for child in former:
+        await wait_for_event(child, "started")
+    for child in former:
+        child.suspend()
+    for role in ROLES:
+        await fleet.start(host, role)
+    await wait_for_event(host.children[CONTROL], "data_folder_locked")
+    for child in former:
+        child.resume()
+        assert await child.terminate() == 0
+    for role in ROLES:
+        await wait_until_alive(fleet, host, role)
+
+
+async def wait_until_alive(fleet, host, role):
+    async def is_alive():
+        assert host.children[role].is_running
+        return await fleet.is_alive(host, role)
+
+    await wait_until(is_alive)
