Log the failures of a process, and never wait to print them

What operators saw: the reason why a process ended was printed to standard error only, so that the log ended without one; a failure in a finalizer or a thread was a traceback there. A process whose standard error is a terminal that nobody reads waits in such a line for ever, in place of ending.

Change: failures of the start are logged (failed, settings_refused) as well as printed; exceptions of finalizers and threads are log lines; writes to standard error fail in place of waiting.

Evidence: test_logs.py: both tests failed before (standard error was not empty; no such function) and pass; test_daemon_command.py passes.

--- a/packages/fleet/src/marjoramyard/fleet/cmd/daemon.py
+++ b/packages/fleet/src/marjoramyard/fleet/cmd/daemon.py
@@ -1,6 +1,7 @@
 """The `marjoramyard` command, which runs a role or checks its settings."""
 
 import asyncio
+import contextlib
 import os
 import sys
 from pathlib import Path
@@ -10,9 +11,15 @@
 
 import marjoramyard.fleet.settings  # noqa: F401  (registers the roles)
 from marjoramyard.fleet.application import Application, modified_ns
-from marjoramyard.kernel.logs import configure_logs
+from marjoramyard.kernel.logs import (
+    configure_logs,
+    get_logger,
+    keep_errors_from_blocking,
+)
 from marjoramyard.kernel.settings import RoleSettings, load_settings
 
+logger = get_logger(__name__)
+
 EXIT_INVALID_SETTINGS = 2
 EXIT_FAILED = 1
 
@@ -48,6 +55,7 @@
     """Runs the role that a settings file describes, until SIGTERM."""
     settings_modified_ns = modified_ns(settings)
     loaded = _load_or_exit(settings)
+    keep_errors_from_blocking()
     configure_logs(loaded.log, role=loaded.role, name=loaded.name)
     asyncio.run(_run(loaded, settings, settings_modified_ns))
     # Everything is closed. Taking the interpreter down as well would cost a
@@ -62,10 +70,18 @@
         application = Application(settings, path)
         application.settings_modified_ns = settings_modified_ns
     except ValueError as error:
-        click.echo(str(error), err=True)
+        logger.critical("settings_refused", why=str(error))
+        _print_error(str(error))
         sys.exit(EXIT_INVALID_SETTINGS)
     try:
         await application.run()
     except (OSError, RuntimeError) as error:
-        click.echo(f"{settings.name}: {error}", err=True)
+        logger.critical("failed", error=str(error))
+        _print_error(f"{settings.name}: {error}")
         sys.exit(EXIT_FAILED)
+
+
+def _print_error(message: str) -> None:
+    """Prints to standard error, if somebody reads it."""
+    with contextlib.suppress(OSError):
+        click.echo(message, err=True)
--- a/packages/kernel/src/marjoramyard/kernel/logs.py
+++ b/packages/kernel/src/marjoramyard/kernel/logs.py
@@ -5,6 +5,7 @@
 import os
 import stat
 import sys
+import threading
 import time
 import traceback
 from collections.abc import Callable, MutableMapping
@@ -29,6 +30,8 @@
 STDOUT_FD = 1
 """Written directly, because `sys.stdout` buffers and may block."""
 
+STDERR_FD = 2
+
 Event = MutableMapping[str, Any]
 
 
@@ -58,6 +61,15 @@
         return descriptor
 
 
+def keep_errors_from_blocking() -> None:
+    """Makes writes to standard error fail instead of waiting for a reader."""
+    with contextlib.suppress(OSError):
+        descriptor = nonblocking(STDERR_FD)
+        if descriptor != STDERR_FD:
+            os.dup2(descriptor, STDERR_FD, inheritable=False)
+            os.close(descriptor)
+
+
 class LineSink:
     """Writes lines to a file descriptor without blocking.
 
@@ -184,12 +196,19 @@
     )
 
 
+def _log_unraisable(unraisable) -> None:
+    """Logs an exception of a finalizer or a thread."""
+    _log_uncaught(unraisable.exc_type, unraisable.exc_value, None)
+
+
 def _redirect_standard_logging(level: int) -> None:
     root = logging.getLogger()
     root.handlers[:] = [StandardLoggingHandler()]
     root.setLevel(max(level, logging.WARNING))
     logging.captureWarnings(True)
     sys.excepthook = _log_uncaught
+    sys.unraisablehook = _log_unraisable
+    threading.excepthook = _log_unraisable
 
 
 def configure_logs(settings: LogSettings, **context: str) -> LineSink:
--- a/packages/kernel/tests/test_logs.py
+++ b/packages/kernel/tests/test_logs.py
@@ -93,7 +93,7 @@
 
 
 LIBRARY_ERRORS = """
-import asyncio, logging, warnings
+import asyncio, logging, threading, warnings
 from marjoramyard.kernel.logs import configure_logs
 from marjoramyard.kernel.settings import LogSettings
 
@@ -113,6 +113,17 @@
     raise OSError("broken " * 200)
 except OSError:
     logging.getLogger("aiohttp.server").exception("Error handling request")
+class Finalized:
+    def __del__(self):
+        raise KeyError("finalizer")
+
+def run_thread():
+    raise KeyError("thread")
+
+Finalized()
+thread = threading.Thread(target=run_thread)
+thread.start()
+thread.join()
 warnings.warn("deprecated call")
 asyncio.run(main())
 raise ValueError("uncaught value")
@@ -132,6 +143,8 @@
         "OSError",
         "ZeroDivisionError",
         "not awaited",
+        "finalizer",
+        "thread",
         "uncaught value",
     ):
         assert error in errors
@@ -146,3 +159,24 @@
     sink = LineSink(writer)
     sink.write("line")
     assert sink.dropped == 1
+
+
+ENDLESS_ERRORS = """
+import sys
+from marjoramyard.kernel.logs import keep_errors_from_blocking
+
+keep_errors_from_blocking()
+while True:
+    print("error", file=sys.stderr)
+"""
+
+
+def test_errors_that_nobody_reads_do_not_block_the_writer():
+    """Guards against a process that never ends as it waits in its last line."""
+    reader, writer = pty.openpty()
+    result = subprocess.run(
+        [sys.executable, "-c", ENDLESS_ERRORS], stderr=writer, timeout=20
+    )
+    assert result.returncode == 1
+    os.close(reader)
+    os.close(writer)
