Reload once for a series of signals, and exit before they have defaults

What operators saw: a process that got SIGTERM and then one SIGHUP after the other didn't end, and had to be killed; one that got a second SIGTERM, or SIGHUP, in its last milliseconds ended by that signal in place of exit code 0.

Cause: each SIGHUP read and checked the settings file, which takes longer than the next signal; nothing else had its turn. asyncio gives signals their default actions when it closes its loop, before the process exits.

Change: a series of SIGHUP is one reload, 0.1 s after the first, by when a file that is written in parts is mostly complete. The process exits within the loop, once everything is closed.

The safeguard's test was not run.

--- a/packages/fleet/src/marjoramyard/fleet/application.py
+++ b/packages/fleet/src/marjoramyard/fleet/application.py
@@ -58,6 +58,8 @@
 _EXPORTER_DELAY_SECONDS = 10.0
 _METRICS_RETRY_SECONDS = 1.0
 """The interval at which a held address for metrics is bound again."""
+_RELOAD_SECONDS = 0.1
+"""A file that is written in parts is mostly complete by then."""
 _SETTINGS_CHECK_SECONDS = 2.0
 """The interval at which the settings file is checked for changes."""
 
@@ -99,6 +101,7 @@
             None before.
         signalled_before: Returns the earliest time at which a signal that is
             handled now may have come: the loop may have been late since then.
+        reloading: The reload that is due; None if there is none.
         role: The running role; None before it has started.
         tasks: Background tasks; they are cancelled at the end.
         client: The client for calls to other processes.
@@ -120,6 +123,7 @@
         self.stopping = asyncio.Event()
         self.stopped_at: float | None = None
         self.signalled_before: Callable[[], float] = time.monotonic
+        self.reloading: asyncio.TimerHandle | None = None
         self.role: Role | None = None
         self.tasks: TaskGroup
         self.client: rpc.InternalClient
@@ -297,11 +301,20 @@
 
         self.metrics.gauge("control_bytes", traffic_bytes)
 
+    def reload_soon(self) -> None:
+        """Reloads the settings shortly, once for a series of calls."""
+        if self.reloading is None:
+            loop = asyncio.get_running_loop()
+            self.reloading = loop.call_later(
+                _RELOAD_SECONDS, self.reload_settings
+            )
+
     def reload_settings(self) -> None:
         """Reloads the settings file and applies the changeable settings.
 
         An invalid file is logged and ignored.
         """
+        self.reloading = None
         if self.settings_path is None:
             return
         self.settings_modified_ns = modified_ns(self.settings_path)
@@ -338,7 +351,7 @@
         loop = asyncio.get_running_loop()
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self.stop)
-        loop.add_signal_handler(signal.SIGHUP, self.reload_settings)
+        loop.add_signal_handler(signal.SIGHUP, self.reload_soon)
         self.load_extension(ROLE_MODULES[self.settings.role])
         for module in self.settings.extensions:
             self.load_extension(module)
--- a/packages/fleet/src/marjoramyard/fleet/cmd/daemon.py
+++ b/packages/fleet/src/marjoramyard/fleet/cmd/daemon.py
@@ -58,9 +58,6 @@
     keep_errors_from_blocking()
     configure_logs(loaded.log, role=loaded.role, name=loaded.name)
     asyncio.run(_run(loaded, settings, settings_modified_ns))
-    # Everything is closed. Taking the interpreter down as well would cost a
-    # small host part of the time in which it must have stopped.
-    os._exit(0)
 
 
 async def _run(
@@ -79,6 +76,10 @@
         logger.critical("failed", error=str(error))
         _print_error(f"{settings.name}: {error}")
         sys.exit(EXIT_FAILED)
+    # Everything is closed. Taking the interpreter down as well would cost a
+    # small host part of the time in which it must have stopped. Closing the
+    # event loop would give signals their default actions before the end.
+    os._exit(0)
 
 
 def _print_error(message: str) -> None:
