Forget the address that an endpoint has left

An endpoint that came to have another address was still found under the earlier one. If another endpoint was started there, the first was marked as departed although it serves at its new address, and its heartbeats were ignored from then on. Heartbeats under one name with ever new addresses, as another writer may send them, filled the table of addresses, which nothing emptied.

A registration with another address releases the earlier one.

The test failed before: the earlier address was still there.

--- a/packages/coordination/src/marjoramyard/coordination/membership/registrations.py
+++ b/packages/coordination/src/marjoramyard/coordination/membership/registrations.py
@@ -160,6 +160,8 @@
         if known is not None and _has_left_version(known, registration):
             version = (known.service, known.software_version)
             self.former_versions[version] = now
+        if known is not None and known.address != registration.address:
+            self._release_address(known)
         self.by_endpoint[registration.endpoint] = registration
         return known is None or _differs(known, registration)
 
@@ -218,6 +220,11 @@
             self.by_address[registration.address] = registration.endpoint
         return True
 
+    def _release_address(self, registration: Registration) -> None:
+        """Forgets an address that an endpoint no longer has."""
+        if self.by_address.get(registration.address) == registration.endpoint:
+            del self.by_address[registration.address]
+
     def mark_departed(self, endpoint: str, now: float) -> Registration | None:
         """Marks an endpoint as departed.
 
@@ -313,8 +320,7 @@
                 self.change_count += 1
                 del self.by_endpoint[endpoint]
                 del self.received_at[endpoint]
-                if self.by_address.get(registration.address) == endpoint:
-                    del self.by_address[registration.address]
+                self._release_address(registration)
 
 
 def _has_left_version(known: Registration, registration: Registration) -> bool:
--- a/packages/coordination/tests/membership/test_registrations.py
+++ b/packages/coordination/tests/membership/test_registrations.py
@@ -28,6 +28,20 @@
     return Registration(**{**fields, **changes})
 
 
+def test_an_address_that_an_endpoint_has_left_is_free():
+    """Guards against an endpoint that departs because another one is started
+    where it once was, and against addresses that are never forgotten.
+    """
+    table = Registrations()
+    table.merge(make_registration(address="10.0.0.1:80"), now=0.0)
+    moved = make_registration(address="10.0.0.2:80", sequence=2)
+    table.merge(moved, now=1.0)
+    assert table.by_address == {"10.0.0.2:80": "i-1"}
+    other = make_registration("i-2", address="10.0.0.1:80", born=200)
+    table.merge(other, now=2.0)
+    assert usable(table) == {"i-1", "i-2"}
+
+
 def usable(table):
     return {registration.endpoint for registration in table.usable("llm")}
 
