Bound the wait of a test of background loops

Without the safeguard, the test waited for an event that never came, and the check of safeguards ended by its time limit ("NOT DETECTED, the test timed out"). It now waits for five seconds at the most, and the check reports that the test fails without it.

--- a/packages/fleet/tests/util/test_tasks.py
+++ b/packages/fleet/tests/util/test_tasks.py
@@ -33,7 +33,7 @@
     loop = Loop(["1", "x", "2", "[::1", "3"])
     async with task_group() as group:
         group.spawn_forever(loop.run)
-        await loop.is_done.wait()
+        await asyncio.wait_for(loop.is_done.wait(), 5.0)
         group.spawn_forever(partial(loop.run))
     assert loop.handled == [1, 2, 3]
 
