Bound the number of endpoints that a process knows

A name that registers once stays for good at control hosts, and gateways never forgot an endpoint, not even a departed one. Another writer with ever new names filled the memory of all of them, with names of up to 60,000 characters.

When a control host's table is full, it gives up those that have been silent for longest, a thousand at a time, and forgets them after the 120 s for which departures are remembered. Until then further names are refused with 503 and counted as refused heartbeats; endpoints that are registered are not concerned. A gateway whose table is full forgets what departed more than 120 s ago.

Tests: names beyond the bound, a table full of silent endpoints, and a gateway with departed ones. They use the bound, which did not exist before.

--- a/packages/coordination/src/marjoramyard/coordination/membership/registrations.py
+++ b/packages/coordination/src/marjoramyard/coordination/membership/registrations.py
@@ -27,6 +27,9 @@
 the most, and a record takes some 200 bytes."""
 MAX_DELAY_SECONDS = 1.0
 """How late a message about former versions may usually arrive."""
+MAX_ENDPOINTS = 20_000
+"""Endpoints known at the most. Departed ones are included, so there must be
+room for all endpoints of a large fleet to start again under new names."""
 
 
 class EndpointState(Enum):
@@ -148,9 +151,12 @@
             now: Current time.
 
         Returns:
-            Whether it changes more than the heartbeat's sequence number.
+            Whether it changes more than the heartbeat's sequence number. One of
+                an unknown endpoint changes nothing while the table is full.
         """
         known = self.by_endpoint.get(registration.endpoint)
+        if known is None and self.is_full:
+            return False
         if known is not None and registration.precedence <= known.precedence:
             return False
         if not self._claim_address(registration, now):
@@ -165,6 +171,11 @@
         self.by_endpoint[registration.endpoint] = registration
         return known is None or _differs(known, registration)
 
+    @property
+    def is_full(self) -> bool:
+        """Whether no further endpoint can be registered."""
+        return len(self.by_endpoint) >= MAX_ENDPOINTS
+
     def digest_of(self, endpoint: str) -> int:
         """Returns a digest of a known registration without its sequence."""
         held = msgspec.structs.replace(self.by_endpoint[endpoint], sequence=0)
--- a/packages/coordination/tests/membership/test_registrations.py
+++ b/packages/coordination/tests/membership/test_registrations.py
@@ -4,6 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from marjoramyard.coordination.membership import registrations
 from marjoramyard.coordination.membership.health import (
     INITIAL_BACKOFF_SECONDS,
     MAX_BACKOFF_SECONDS,
@@ -42,6 +43,20 @@
     assert usable(table) == {"i-1", "i-2"}
 
 
+def test_the_number_of_endpoints_is_bounded(monkeypatch):
+    """Guards against names without end that fill the memory."""
+    monkeypatch.setattr(registrations, "MAX_ENDPOINTS", 2)
+    table = Registrations()
+    for name in ("i-1", "i-22", "i-333"):
+        assert table.merge(make_registration(name), now=0.0) == (
+            name != "i-333"
+        )
+    assert table.merge(make_registration(slots=2, sequence=2), now=1.0)
+    table.mark_departed("i-22", now=1.0)
+    table.expire_departed(DEPARTED_RETENTION_SECONDS + 2.0)
+    assert table.merge(make_registration("i-333"), now=200.0)
+
+
 def usable(table):
     return {registration.endpoint for registration in table.usable("llm")}
 
--- a/packages/fleet/src/marjoramyard/fleet/control/endpoint_feed.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/endpoint_feed.py
@@ -30,6 +30,10 @@
 once, would not fit into the memory of a small host."""
 
 
+ROOM_MADE = 1000
+"""How many endpoints are given up at a time when there are too many."""
+
+
 class PendingUpdates(msgspec.Struct):
     """What a control host has yet to announce to another one.
 
@@ -176,12 +180,40 @@
             )
             > limit_seconds
         }
+        if self.registrations.is_full:
+            unresponsive = self._make_room(unresponsive)
         if unresponsive != self.unresponsive:
             logger.info("endpoints_silent", endpoints=sorted(unresponsive))
             self.unresponsive = unresponsive
             self.unresponsive_revision += 1
             self.on_change()
 
+    def _make_room(self, unresponsive: set[str]) -> set[str]:
+        """Gives up the endpoints that have been silent for longest.
+
+        Their registrations are removed when departures are no longer
+        remembered, which makes room for as many others.
+
+        Args:
+            unresponsive: The endpoints without a recent heartbeat.
+
+        Returns:
+            Those that are not given up.
+        """
+        departed_count = sum(
+            registration.state is EndpointState.DEPARTED
+            for registration in self.registrations.all()
+        )
+        missing = ROOM_MADE - departed_count
+        if missing <= 0 or not unresponsive:
+            return unresponsive
+        received_at = self.registrations.received_at
+        oldest = sorted(unresponsive, key=received_at.__getitem__)[:missing]
+        logger.warning("endpoints_given_up", count=len(oldest))
+        for endpoint in oldest:
+            self.mark_departed(endpoint)
+        return unresponsive.difference(oldest)
+
     # Gateways.
 
     def last_change(self, urgent_only: bool) -> int:
--- a/packages/fleet/src/marjoramyard/fleet/control/service.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/service.py
@@ -15,7 +15,10 @@
     PackedConfig,
 )
 from marjoramyard.coordination.governance.suspects import Suspects
-from marjoramyard.coordination.membership.registrations import Registration
+from marjoramyard.coordination.membership.registrations import (
+    MAX_ENDPOINTS,
+    Registration,
+)
 from marjoramyard.coordination.placement.broker_selection import (
     BrokerCandidate,
     BrokerSelector,
@@ -159,10 +162,15 @@
                 and must be sent again.
         """
         endpoint = registration.endpoint
-        problem = self.plausibility.problem_of(
-            registration,
-            self.endpoints.registrations.by_endpoint.get(endpoint),
-        )
+        known = self.endpoints.registrations.by_endpoint.get(endpoint)
+        problem = self.plausibility.problem_of(registration, known)
+        registrations = self.endpoints.registrations
+        if known is None and registrations.is_full:
+            self.on_refused_heartbeat(endpoint, "too many endpoints")
+            raise_failure(
+                FailureKind.BUSY,
+                f"there are {MAX_ENDPOINTS} endpoints already; retry later",
+            )
         if problem is not None:
             self.on_refused_heartbeat(endpoint, problem)
             raise_failure(FailureKind.BAD_REQUEST, problem)
--- a/packages/fleet/src/marjoramyard/fleet/gateway/view.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/view.py
@@ -211,6 +211,8 @@
         if reply.watched is not None:
             self.suspects.watch(reply.watched_revision, reply.watched)
         for registration in reply.words:
+            if self.registrations.is_full:
+                self._forget_departed(now)
             self._merge(registration, now)
         self.registrations.merge_former_versions(reply.former_versions, now)
         if reply.versions is not None:
@@ -296,6 +298,15 @@
             software_version=registration.software_version,
         )
 
+    def _forget_departed(self, now: float) -> None:
+        """Forgets endpoints that departed some time ago, to make room."""
+        self.registrations.expire_departed(now)
+        known = self.registrations.by_endpoint
+        for endpoint in self.health.keys() - known.keys():
+            del self.health[endpoint]
+            self.pauses.forget(endpoint)
+            self.leaving.pop(endpoint, None)
+
     def max_gateway_count(self, now: float) -> int:
         """Returns the highest recently reported number of gateways.
 
--- a/packages/fleet/tests/control/test_endpoint_feed.py
+++ b/packages/fleet/tests/control/test_endpoint_feed.py
@@ -6,10 +6,12 @@
 import msgspec
 import pytest
 
+from marjoramyard.coordination.membership import registrations
 from marjoramyard.coordination.membership.registrations import (
     EndpointState,
     Registration,
 )
+from marjoramyard.fleet.control import endpoint_feed
 from marjoramyard.fleet.control.endpoint_feed import (
     MAX_REGISTRATIONS,
     EndpointFeed,
@@ -259,3 +261,28 @@
                     announce(sender, receiver)
     tables = [feed.registrations.by_endpoint for feed in feeds]
     assert tables[0] == tables[1] == tables[2]
+
+
+def test_silent_endpoints_make_room(monkeypatch):
+    """Guards against names without end that keep new endpoints out for good."""
+    monkeypatch.setattr(registrations, "MAX_ENDPOINTS", 3)
+    monkeypatch.setattr(endpoint_feed, "ROOM_MADE", 2)
+    feed = make_feed()
+    for name in ("silent-1", "silent-2", "silent-3"):
+        feed.register(make_registration(name))
+    feed.register(make_registration("engine-1"))
+    table = feed.registrations.by_endpoint
+    assert "engine-1" not in table
+    feed.detect_unresponsive(-1.0)
+    feed.detect_unresponsive(-1.0)
+    departed = [
+        name
+        for name, held in table.items()
+        if held.state is EndpointState.DEPARTED
+    ]
+    assert departed == ["silent-1", "silent-2"]
+    for name in departed:
+        feed.registrations.received_at[name] -= 1000.0
+    feed.detect_unresponsive(1000.0)
+    feed.register(make_registration("engine-1"))
+    assert set(table) == {"silent-3", "engine-1"}
--- a/packages/fleet/tests/gateway/test_view.py
+++ b/packages/fleet/tests/gateway/test_view.py
@@ -7,6 +7,7 @@
 import pytest
 
 from marjoramyard.coordination.governance.service_versions import ServiceVersion
+from marjoramyard.coordination.membership import registrations
 from marjoramyard.coordination.membership.registrations import (
     EndpointState,
     Registration,
@@ -184,3 +185,13 @@
     view.table.resumable_services = set()
     view.versions.update(2, [])
     assert usable(view) == {"1", "2", "3"}
+
+
+def test_departed_endpoints_make_room(view, monkeypatch):
+    """Guards against gateways whose memory each new endpoint fills further."""
+    monkeypatch.setattr(registrations, "MAX_ENDPOINTS", 3)
+    view.health_of("1")
+    view.registrations.mark_departed("1", -1000.0)
+    view.apply("c", SyncReply("e", 1, words=[registration("4")]), 0.0)
+    assert usable(view) == {"2", "3", "4"}
+    assert "1" not in view.health
--- a/packages/kernel/src/marjoramyard/kernel/util/addresses.py
+++ b/packages/kernel/src/marjoramyard/kernel/util/addresses.py
@@ -10,7 +10,7 @@
 _CALLABLE_ADDRESS = re.compile(
     r"(?:\[(?P<v6>[0-9A-Fa-f:.]+)\]|(?P<v4>[0-9.]+)):(?P<port>[1-9][0-9]{0,4})"
 )
-_CACHED_ADDRESSES = 16384
+_CACHED_ADDRESSES = 32768
 """More than a large fleet has: all are looked up in turn, so a smaller cache
 would hold none of those that come next."""
 
