Run a whole deployment in the soak, with faults of many processes at once

What operators saw: requests that ended without an answer, in runs of all of a deployment's processes. The soak ran three gateways and three control hosts, each fault met one to three processes, all control hosts had a disk, no service had engines, streams lasted for half a second at most, and a response that had begun and was cut off counted for callers behind relays and SIGTERM only.

A new check finds responses that have begun and are not complete, whatever happened to the gateway; the test that such a response is not lost now says which check finds it. Processes that end by themselves are started again, and are violations unless SIGHUP met one that had not started. The exit code of a process that outlives its grace is the true one.

Plans of the other sizes are as they were (test_plan.py).

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from soak.checks import violations
-from soak.plan import FleetSize
+from soak.plan import DEPLOYMENT, FleetSize
 from soak.record import Record
 from soak.run import run_seed
 
@@ -34,6 +34,12 @@
 @click.option(
     "--stops-only", is_flag=True, help="Stop processes; no other faults."
 )
+@click.option(
+    "--deployment",
+    is_flag=True,
+    help="A deployment with 19 processes in three zones, and faults of many "
+    "processes at once; replaces the numbers above.",
+)
 @click.option(
     "--keep",
     type=click.Path(path_type=Path),
@@ -46,6 +52,7 @@
     jobs: int,
     stops_only: bool,
     keep: Path | None,
+    deployment: bool,
     **sizes: int,
 ) -> None:
     """Runs the fleet under random faults and checks its guarantees."""
@@ -53,7 +60,8 @@
         first = random.randrange(SEED_BOUND)
     keep = keep or Path(tempfile.gettempdir()) / "marjoramyard-soak"
     seed_range = range(first, first + seeds)
-    runner = Runner(seconds, FleetSize(**sizes), stops_only, keep)
+    size = DEPLOYMENT if deployment else FleetSize(**sizes)
+    runner = Runner(seconds, size, stops_only, keep)
     failed = asyncio.run(runner.run_all(seed_range, jobs))
     click.echo(f"{seeds - len(failed)} passed, {len(failed)} failed")
     if failed:
@@ -120,7 +128,8 @@
         f"{len(record.attempts)} attempts, "
         f"{len(record.config_changes)} config changes, "
         f"{len(record.fault_spans)} faults, "
-        f"{len(record.shutdowns)} stops"
+        f"{len(record.shutdowns)} stops, "
+        f"{len(record.own_ends)} ended by themselves"
     )
 
 
--- a/tests/soak/checks/connections.py
+++ b/tests/soak/checks/connections.py
@@ -1,18 +1,28 @@
 """Requests on connections without a relay."""
 
+from collections import defaultdict
 from collections.abc import Iterator
 
 from soak.checks.registry import (
     STOP_KINDS,
     UNDISTURBED_SECONDS,
     check,
+    disturbed,
+    endpoint_number,
 )
 from soak.plan import FaultKind
-from soak.record import ConnectionOutcome, Exchange, Record
+from soak.record import Attempt, ConnectionOutcome, Exchange, Record
 
 LOSS_SLACK_SECONDS = 0.2
 """A reset within this time after a request shows that the request crossed the
 end of its connection."""
+DEADLINE_MARGIN_SECONDS = 0.05
+"""Gateways end a request somewhat before its deadline, as the end takes its
+time to reach the caller."""
+LAST_PART_SECONDS = 8.0 * 5 / 6
+"""Requests that run at least so long after SIGTERM may be cut off, ..."""
+LAST_SENT_SECONDS = 3.0
+"""... if they were sent within this time after it."""
 HARMLESS_KINDS = (*STOP_KINDS, FaultKind.TURNS.value)
 """Faults through which whole requests are answered."""
 
@@ -38,6 +48,61 @@
             yield _message(record, exchange, ran)
 
 
+@check
+def begun_responses_are_complete(record: Record) -> Iterator[str]:
+    """A response that a gateway has begun ends as its endpoint ends it.
+
+    Requests during faults of their gateway or of the endpoints that ran them
+    are ignored, except stops and turns of the processor, and so are those that
+    reach their deadline, or the end of a stopping gateway's time.
+    """
+    attempts = defaultdict(list)
+    for attempt in record.attempts:
+        attempts[attempt.id].append(attempt)
+    for exchange in record.exchanges:
+        if exchange.target != "gateway" or not exchange.has_response:
+            continue
+        if exchange.status or any(
+            _may_be_cut(record, exchange, attempt)
+            for attempt in attempts[exchange.id]
+        ):
+            continue
+        if not (
+            _has_met_deadline(exchange)
+            or _outlasted_its_gateway(record, exchange)
+            or _is_excused(record, exchange)
+        ):
+            yield _message(record, exchange, True).replace(
+                "no response", "no complete response"
+            )
+
+
+def _may_be_cut(record: Record, exchange: Exchange, attempt: Attempt) -> bool:
+    """Whether the endpoint has, or may have, broken its response off."""
+    endpoint = ("endpoint", endpoint_number(attempt.endpoint))
+    since = exchange.sent_at - UNDISTURBED_SECONDS
+    return attempt.broke_off or disturbed(
+        record, since, exchange.ended_at, endpoint
+    )
+
+
+def _has_met_deadline(exchange: Exchange) -> bool:
+    seconds = exchange.ended_at - exchange.began_at
+    is_ended = exchange.outcome is not ConnectionOutcome.OPEN
+    due = exchange.deadline_seconds - DEADLINE_MARGIN_SECONDS
+    return is_ended and seconds >= due
+
+
+def _outlasted_its_gateway(record: Record, exchange: Exchange) -> bool:
+    """Whether the request ran into the last part of a stop's time."""
+    return any(
+        (shutdown.target, shutdown.number) == (exchange.target, exchange.number)
+        and exchange.sent_at <= shutdown.signalled_at + LAST_SENT_SECONDS
+        and shutdown.signalled_at + LAST_PART_SECONDS <= exchange.ended_at
+        for shutdown in record.shutdowns
+    )
+
+
 def _is_lost(record: Record, exchange: Exchange, ran: bool) -> bool:
     """Whether a request without a response was read, as far as can be told."""
     if exchange.outcome is ConnectionOutcome.OPEN:
--- a/tests/soak/checks/shutdowns.py
+++ b/tests/soak/checks/shutdowns.py
@@ -73,3 +73,15 @@
     since = call.sent_at - UNDISTURBED_SECONDS
     endpoint_faulted = disturbed(record, since, call.ended_at, *endpoints)
     return ran and not endpoint_faulted
+
+
+@check
+def no_process_ends_by_itself(record: Record) -> Iterator[str]:
+    """A process runs until it is stopped or killed.
+
+    SIGHUP may end one that has not started: Python can't handle a signal before
+    its interpreter is set up.
+    """
+    for end in record.own_ends:
+        if end.exit_code != -signal.SIGHUP or end.had_started:
+            yield f"{end.target} {end.number} ended with {end.exit_code}"
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -33,6 +33,11 @@
     expected_body,
 )
 
+SERVICE = "api"
+ENGINE_SERVICE = "engines"
+LONG_PATH = "long"
+"""The end of the path of requests whose streams take seconds."""
+LONG_FACTOR = 12.0
 HEARTBEAT_SECONDS = 0.4
 CONTROL_TIMEOUT_SECONDS = 1.0
 MEAN_WORK_SECONDS = 0.04
@@ -107,8 +112,16 @@
     Each incarnation has a name and a registration of its own.
     """
 
-    def __init__(self, number: int, record, operator_addresses: list[str], rng):
+    def __init__(
+        self,
+        number: int,
+        record,
+        operator_addresses: list[str],
+        rng,
+        service: str = SERVICE,
+    ):
         self.number = number
+        self.service = service
         self.record = record
         self.connections = RawConnections(record, "control", operator_addresses)
         self.rng: random.Random = rng
@@ -237,7 +250,8 @@
         ending = self._draw_ending(kind)
         attempt.broke_off = not ending.is_whole
         if kind in STREAM_KINDS:
-            pieces = self._events(attempt, ending)
+            is_long = request.match_info["rest"] == LONG_PATH
+            pieces = self._events(attempt, ending, is_long)
         else:
             await asyncio.sleep(self.rng.expovariate(1 / MEAN_WORK_SECONDS))
             pieces = self._body(attempt, kind, ending)
@@ -310,13 +324,14 @@
         yield body[half:]
         attempt.whole_at = time.monotonic()
 
-    async def _events(self, attempt, ending):
+    async def _events(self, attempt, ending, is_long):
+        work_seconds = MEAN_WORK_SECONDS * (LONG_FACTOR if is_long else 1.0)
         count = event_count(attempt.stream_id)
         last = self.rng.randint(1, count)
         version = self.version
         for number in range(attempt.after_event + 1, count + 1):
             text = event_text(attempt.stream_id, number, version).encode()
-            await asyncio.sleep(self.rng.expovariate(1 / MEAN_WORK_SECONDS))
+            await asyncio.sleep(self.rng.expovariate(1 / work_seconds))
             half = len(text) // 2
             if number == last and not ending.is_whole:
                 if ending.is_inside_event:
@@ -341,7 +356,7 @@
         """Returns the head and the body of the next heartbeat."""
         registration = {
             "endpoint": self.name,
-            "service": "api",
+            "service": self.service,
             "address": self.address,
             "state": self.state,
             "sequence": next(self.sequence),
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -177,6 +177,9 @@
                 loss = msgspec.structs.replace(loss, lost_disk=None)
                 break
             await asyncio.sleep(SYNC_CHECK_INTERVAL_SECONDS)
+        if self.fleet.size.has_mass_faults:
+            # What is acknowledged must not be lost even now.
+            await self.operator.change()
         await self.fleet.lose_power(loss)
 
     async def _replicas_are_in_sync(self) -> bool:
@@ -185,7 +188,7 @@
         Only then may a disk be lost: with a second loss before the first
         replica is restored, acknowledged changes may be gone.
         """
-        nodes = self.fleet.controls
+        nodes = self.fleet.replicas
         replies = await asyncio.gather(
             *(
                 self.client.call(
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -2,11 +2,15 @@
 
 import asyncio
 import shutil
-import signal
 import sys
 import time
-from collections.abc import AsyncIterator
-from contextlib import AsyncExitStack, asynccontextmanager
+from collections.abc import AsyncIterator, Iterator
+from contextlib import (
+    AsyncExitStack,
+    ExitStack,
+    asynccontextmanager,
+    contextmanager,
+)
 from pathlib import Path
 
 import yaml
@@ -15,11 +19,12 @@
 from marjoramyard.standin.relay import Relay, relay_to
 from soak import host_faults
 from soak.plan import FleetSize, PowerLoss
-from soak.record import FaultSpan, Record, Shutdown
+from soak.record import FaultSpan, OwnEnd, Record, Shutdown
 
 TESTS = Path(__file__).parents[1]
 GRACE_SECONDS = 8.0
 KILL_MARGIN_SECONDS = 0.5
+SUPERVISION_INTERVAL_SECONDS = 0.2
 
 
 class Node:
@@ -31,6 +36,7 @@
         has_waiting_stop: Whether a stop waits for the lock.
         is_stopping: Whether the process has got SIGTERM.
         is_suspended: Whether a fault suspends the process now.
+        is_down: Whether a fault ends the process now, or has ended it.
     """
 
     def __init__(
@@ -45,8 +51,18 @@
         self.has_waiting_stop = False
         self.is_stopping = False
         self.is_suspended = False
+        self.is_down = False
         self.data_folder: Path | None = None
 
+    @contextmanager
+    def being_ended(self) -> Iterator[None]:
+        """Marks that a fault ends the process until it is restarted."""
+        was_down, self.is_down = self.is_down, True
+        try:
+            yield
+        finally:
+            self.is_down = was_down
+
 
 class SoakFleet:
     """Control hosts and gateways, to be created with `soak_fleet`."""
@@ -59,10 +75,21 @@
         self.gateways: list[Node] = []
         self.peer_port = _port(free_address())
         operator_port = _port(free_address())
-        hosts = [f"127.0.0.{2 + n}" for n in range(size.controls)]
+        hosts = [f"127.0.0.{2 + n}" for n in range(size.control_hosts)]
         self.operator_addresses = [f"{host}:{operator_port}" for host in hosts]
         self.caller_relays: list[Relay] = []
         self.gateway_addresses: list[str] = []
+        self.ready_addresses: list[str] = []
+
+    @property
+    def replicas(self) -> list[Node]:
+        """The control hosts with a disk."""
+        return self.controls[: self.size.controls]
+
+    @property
+    def all_nodes(self) -> list[Node]:
+        """All control hosts and gateways."""
+        return [*self.controls, *self.gateways]
 
     def nodes(self, target: str) -> list[Node]:
         """Returns the nodes of a role, "control" or "gateway"."""
@@ -81,7 +108,8 @@
         link = relay_to(listen, f"{host}:{self.peer_port}")
         relay = await stack.enter_async_context(link)
         name = f"control-{number}"
-        folder = self.folder / f"data-{number}"
+        has_disk = number < self.size.controls
+        folder = self.folder / f"data-{number}" if has_disk else None
         node = Node("control", number, self._child(name), relay)
         node.data_folder = folder
         self.controls.append(node)
@@ -91,12 +119,13 @@
             internal=listen,
             advertised=relay.address,
             operator_listen=operator,
-            data_folder=str(folder),
+            zone=self._zone(number),
+            data_folder=str(folder or ""),
             self_forming=True,
             first_start=True,
             losses=(self.size.controls - 1) // 2,
             snapshot_every=20,
-            extensions=["soak.host_faults"],
+            extensions=["soak.host_faults"] if has_disk else [],
         )
 
     async def _add_gateway(self, stack, number: int) -> None:
@@ -105,20 +134,26 @@
         callers = await stack.enter_async_context(relay_to(listen))
         self.caller_relays.append(callers)
         self.gateway_addresses.append(listen)
+        ready = free_address()
+        self.ready_addresses.append(ready)
         name = f"gateway-{number}"
         node = Node("gateway", number, self._child(name), relay)
         self.gateways.append(node)
         self._write(
             name,
             role="gateway",
+            zone=self._zone(number),
             internal=internal,
             advertised=relay.address,
             listen=listen,
-            ready_listen=free_address(),
+            ready_listen=ready,
             grace_seconds=GRACE_SECONDS,
             startup_wait_seconds=1.0,
         )
 
+    def _zone(self, number: int) -> str:
+        return f"zone-{number % (self.size.zones or number + 1)}"
+
     def _child(self, name: str) -> ChildProcess:
         command = [sys.executable, "-m", "marjoramyard.fleet", "run"]
         command.append(str(self.folder / f"{name}.yaml"))
@@ -128,7 +163,6 @@
     def _write(self, name: str, **settings) -> None:
         settings |= {
             "name": name,
-            "zone": f"zone-{name[-1]}",
             "seeds": self.operator_addresses[:3],
             "peer_port": self.peer_port,
             "trust_network": True,
@@ -147,12 +181,30 @@
 
     async def start(self) -> None:
         """Starts all processes concurrently."""
-        nodes = [*self.controls, *self.gateways]
-        await asyncio.gather(*(node.child.start() for node in nodes))
+        await asyncio.gather(*(node.child.start() for node in self.all_nodes))
+
+    async def supervise(self) -> None:
+        """Records and restarts processes that end by themselves."""
+        while True:
+            await asyncio.sleep(SUPERVISION_INTERVAL_SECONDS)
+            for node in self.all_nodes:
+                if not node.is_down and not node.child.is_running:
+                    self.record.own_ends.append(
+                        OwnEnd(
+                            target=node.target,
+                            number=node.number,
+                            exit_code=node.child.process.returncode,
+                            at=time.monotonic(),
+                            had_started=has_logged_its_start(
+                                node, node.child.pid
+                            ),
+                        )
+                    )
+                    await node.child.start()
 
     async def close(self) -> None:
         """Kills all processes that are still running."""
-        for node in [*self.controls, *self.gateways]:
+        for node in self.all_nodes:
             if node.child.is_running:
                 node.child.resume()
                 await node.child.kill()
@@ -163,9 +215,10 @@
         """Kills a process and restarts it after `seconds`."""
         if not node.child.is_running:
             return
-        await node.child.kill()
-        await asyncio.sleep(seconds)
-        await node.child.start()
+        with node.being_ended():
+            await node.child.kill()
+            await asyncio.sleep(seconds)
+            await node.child.start()
 
     async def suspend(self, node: Node, seconds: float) -> None:
         """Suspends a process for `seconds`."""
@@ -182,6 +235,10 @@
         """
         if not node.child.is_running:
             return
+        with node.being_ended():
+            await self._terminate(node, seconds)
+
+    async def _terminate(self, node: Node, seconds: float) -> None:
         signalled_at = time.monotonic()
         pid = node.child.pid
         node.is_stopping = True
@@ -190,7 +247,7 @@
             code = await node.child.terminate(limit)
         except TimeoutError:
             await node.child.kill()
-            code = -signal.SIGKILL
+            code = node.child.process.returncode
         finally:
             node.is_stopping = False
         self.record.shutdowns.append(
@@ -208,14 +265,20 @@
 
     async def lose_disk(self, node: Node, seconds: float) -> None:
         """Kills a control host, deletes its data and restarts it."""
-        await node.child.kill()
-        shutil.rmtree(node.data_folder, ignore_errors=True)
-        await asyncio.sleep(seconds)
-        await node.child.start()
+        with node.being_ended():
+            await node.child.kill()
+            shutil.rmtree(node.data_folder, ignore_errors=True)
+            await asyncio.sleep(seconds)
+            await node.child.start()
 
     async def lose_power(self, loss: PowerLoss) -> None:
         """Ends all processes at once, and starts them again."""
-        nodes = [*self.controls, *self.gateways]
+        with ExitStack() as stack:
+            for node in self.all_nodes:
+                stack.enter_context(node.being_ended())
+            await self._lose_power(loss, self.all_nodes)
+
+    async def _lose_power(self, loss: PowerLoss, nodes: list[Node]) -> None:
         spans = [
             self.begin_fault(node.target, "power", node.number)
             for node in nodes
--- a/tests/soak/operator.py
+++ b/tests/soak/operator.py
@@ -8,8 +8,10 @@
 import msgspec
 
 from soak.callers import KEY_COUNT, api_key
+from soak.endpoints import ENGINE_SERVICE, SERVICE
 from soak.raw_connections import RawConnections, http_request
 from soak.record import (
+    STREAM_KINDS,
     ConfigChange,
     ConfigRead,
     Record,
@@ -24,6 +26,11 @@
 """How many versions the route that a version adds is kept."""
 RETRY_INTERVAL_SECONDS = 0.2
 
+TIMEOUT_MS = 2000
+LONG_TIMEOUT_MS = 15_000
+ENGINE = {"slots": 64, "memory_tokens": 1_000_000}
+TOKENS_PER_SECOND = 100_000
+
 REQUEST_KINDS = {
     RouteKind.PLAIN: "idempotent",
     RouteKind.NON_IDEMPOTENT: "non_idempotent",
@@ -48,9 +55,16 @@
         connections: Open connections for changes.
     """
 
-    def __init__(self, record: Record, hosts: list[str], seed: int):
+    def __init__(
+        self,
+        record: Record,
+        hosts: list[str],
+        seed: int,
+        has_engines: bool = False,
+    ):
         self.record = record
         self.hosts = hosts
+        self.has_engines = has_engines
         self.rng = random.Random(seed + 2)
         self.version = 0
         self.added: list[int] = []
@@ -69,9 +83,11 @@
                 "hostname": "shop.example",
                 "path_prefix": f"/{kind.value}/",
                 "request_kind": REQUEST_KINDS[kind],
-                "timeout_ms": 2000,
+                "timeout_ms": self.timeout_ms(kind),
                 "objective_ms": 500,
-                "service": "api",
+                "service": ENGINE_SERVICE
+                if self._needs_engine(kind)
+                else SERVICE,
                 "max_attempts": 2,
                 "open_access": kind is not RouteKind.KEYED,
                 "resumable": kind is RouteKind.RESUMABLE_STREAM,
@@ -87,12 +103,30 @@
             for n in range(KEY_COUNT)
             if api_key(n) not in self.revoked
         ]
-        return {
+        config = {
             "version": self.version,
             "routes": routes,
-            "services": [{"name": "api"}],
+            "services": [{"name": SERVICE}],
             "workspaces": [{"name": "shop", "api_keys": keys}],
         }
+        if self.has_engines:
+            engines = {"name": ENGINE_SERVICE, "engine": ENGINE}
+            config["services"].append(engines)
+            config["limits"] = {"tokens_per_s": TOKENS_PER_SECOND}
+        return config
+
+    def timeout_ms(self, kind: RouteKind) -> int:
+        """Returns the timeout of the routes of a kind."""
+        return LONG_TIMEOUT_MS if self._needs_engine(kind) else TIMEOUT_MS
+
+    def allowed_seconds(
+        self, kind: RouteKind, deadline_seconds: float
+    ) -> float:
+        """Returns the time that a request has by its deadline and its route."""
+        return min(deadline_seconds, self.timeout_ms(kind) / 1000)
+
+    def _needs_engine(self, kind: RouteKind) -> bool:
+        return self.has_engines and kind in STREAM_KINDS
 
     async def change(self, revoked_key: str = "") -> None:
         """Sends a new version until it is acknowledged or the run ends."""
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -16,6 +16,8 @@
 CRASHING_SECONDS = 5.0
 MEAN_STOP_INTERVAL_SECONDS = 6.0
 """Mean interval between series of stops."""
+MEAN_MASS_INTERVAL_SECONDS = 5.0
+"""Mean interval between faults of many processes at once."""
 MEAN_RELOAD_INTERVAL_SECONDS = 1.5
 """Mean interval between series of SIGHUP."""
 TURNS_SHARE = 0.4
@@ -77,8 +79,22 @@
     FaultKind.HOLD_REPLIES,
     FaultKind.STALL_CONNECTIONS,
 )
+DISK_FAULTS = (
+    FaultKind.LOSE_DISK,
+    FaultKind.SLOW_DISK,
+    FaultKind.FULL_DISK,
+    FaultKind.CLOCK_STEP,
+)
+"""Faults that affect control hosts with a disk only."""
 REPEATED_STOPS = (FaultKind.TERMINATE_TWICE, FaultKind.TERMINATE_AFTER_START)
 STOPS = (FaultKind.TERMINATE, *REPEATED_STOPS)
+MASS_SHARES = {
+    FaultKind.TERMINATE: (0.34, 0.5),
+    FaultKind.RELOAD: (0.5, 1.0),
+    FaultKind.KILL: (0.34, 1.0),
+    FaultKind.SUSPEND: (0.34,),
+}
+"""Share of the processes of a role that a fault affects at once."""
 GAP_SECONDS = {
     FaultKind.TERMINATE: (0.0,),
     FaultKind.TERMINATE_TWICE: (0.0, 0.02, 0.3, 1.0),
@@ -134,8 +150,18 @@
     """Number of processes and callers of each role.
 
     Attributes:
+        controls: Number of control hosts with a disk.
         pressing: Number of callers that use open connections to gateways
             without a relay until their process is gone.
+        diskless: Number of control hosts without a disk, which only forward
+            calls.
+        zones: Number of availability zones; 0 for one per process.
+        balanced: Number of callers on kept connections that a load balancer
+            assigns to gateways of their zone.
+        engines: Number of endpoints that are model engines, which all streams
+            go to.
+        has_mass_faults: Whether signals and kills also affect many processes
+            at once.
     """
 
     controls: int = 3
@@ -143,6 +169,30 @@
     endpoints: int = 4
     callers: int = 6
     pressing: int = 12
+    diskless: int = 0
+    zones: int = 0
+    balanced: int = 0
+    engines: int = 0
+    has_mass_faults: bool = False
+
+    @property
+    def control_hosts(self) -> int:
+        """Number of control hosts with and without a disk."""
+        return self.controls + self.diskless
+
+
+DEPLOYMENT = FleetSize(
+    gateways=13,
+    diskless=3,
+    zones=3,
+    endpoints=9,
+    engines=6,
+    pressing=26,
+    balanced=30,
+    has_mass_faults=True,
+)
+"""A whole deployment: three zones with two control hosts each, one of them with
+a disk."""
 
 
 class Fault(msgspec.Struct, frozen=True):
@@ -200,6 +250,8 @@
     """
     faults = draw_stops(seed, seconds, size)
     faults += draw_reloads(seed, seconds, size)
+    if size.has_mass_faults:
+        faults += draw_mass_faults(seed, seconds, size, stops_only)
     if not stops_only:
         faults += _draw_faults(seed, seconds, size)
         faults += _shedding(seed, seconds, size)
@@ -213,7 +265,7 @@
     Like `_shedding`, with a generator of its own.
     """
     rng = random.Random(f"stops-{seed}")
-    counts = {Target.GATEWAY: size.gateways, Target.CONTROL: size.controls}
+    counts = {Target.GATEWAY: size.gateways, Target.CONTROL: size.control_hosts}
     faults: list[Fault] = []
     at = WARMUP_SECONDS
     while at < seconds:
@@ -248,7 +300,7 @@
     Like `_shedding`, with a generator of its own.
     """
     rng = random.Random(f"reloads-{seed}")
-    counts = {Target.GATEWAY: size.gateways, Target.CONTROL: size.controls}
+    counts = {Target.GATEWAY: size.gateways, Target.CONTROL: size.control_hosts}
     faults = []
     at = WARMUP_SECONDS
     while at < seconds:
@@ -260,6 +312,37 @@
     return faults
 
 
+def draw_mass_faults(
+    seed: int, seconds: float, size: FleetSize, stops_only: bool = False
+) -> list[Fault]:
+    """Draws faults of many processes of a kind, or of all, at once.
+
+    A change of the configuration is sent with each. Like `_shedding`, with a
+    generator of its own.
+    """
+    rng = random.Random(f"mass-{seed}")
+    counts = {Target.GATEWAY: size.gateways, Target.CONTROL: size.control_hosts}
+    kinds = (FaultKind.TERMINATE, FaultKind.RELOAD, FaultKind.RELOAD)
+    if not stops_only:
+        kinds += (FaultKind.KILL, FaultKind.SUSPEND)
+    faults = []
+    at = WARMUP_SECONDS + rng.expovariate(1 / MEAN_MASS_INTERVAL_SECONDS)
+    while at < seconds:
+        kind = rng.choice(kinds)
+        share = rng.choice(MASS_SHARES[kind])
+        gap = rng.choice((0.0, 0.0, 0.05))
+        duration = rng.choice((0.1, 0.3, 0.8))
+        faults.append(Fault(at, Target.OPERATOR, FaultKind.CONFIG, 0, 0.0))
+        for target, count in counts.items():
+            numbers = rng.sample(range(count), round(share * count))
+            faults += [
+                Fault(at + gap * place, target, kind, number, duration)
+                for place, number in enumerate(numbers)
+            ]
+        at += rng.expovariate(1 / MEAN_MASS_INTERVAL_SECONDS)
+    return faults
+
+
 def _changes_beside(
     stop: Fault, rng: random.Random, size: FleetSize
 ) -> list[Fault]:
@@ -276,7 +359,7 @@
     """Draws faults of all targets, singly and in series of one kind."""
     rng = random.Random(seed)
     counts = {
-        Target.CONTROL: size.controls,
+        Target.CONTROL: size.control_hosts,
         Target.GATEWAY: size.gateways,
         Target.ENDPOINT: size.endpoints,
         Target.OPERATOR: 1,
@@ -296,7 +379,9 @@
                 if at < next_disk_loss_at:
                     break
                 next_disk_loss_at = at + duration + DISK_LOSS_INTERVAL_SECONDS
-            number = rng.randrange(counts[target])
+            is_disk_fault = kind in DISK_FAULTS
+            count = size.controls if is_disk_fault else counts[target]
+            number = rng.randrange(count)
             faults.append(Fault(at, target, kind, number, duration))
             at += rng.choice((0.05, 0.3))
         at += rng.expovariate(1 / MEAN_FAULT_INTERVAL_SECONDS)
--- a/tests/soak/pressing.py
+++ b/tests/soak/pressing.py
@@ -113,7 +113,8 @@
             "Request-Deadline-Ms": str(int(DEADLINE_SECONDS * 1000)),
             "Prompt-Parts": f"{SHARED_PART}:9,{request_id}:9",
         }
-        path = f"/{self.rng.choice(KINDS).value}/x"
+        kind = self.rng.choice(KINDS)
+        path = f"/{kind.value}/x"
         is_large = self.large.random() < LARGE_SHARE
         content = b"?" * (LARGE_BYTES if is_large else 1)
         head, body = http_request("POST", path, headers, content)
@@ -124,7 +125,11 @@
             starts = range(0, LARGE_BYTES, size)
             parts = (head, *(body[start : start + size] for start in starts))
         return await connections.send(
-            number, request_id, parts, CLIENT_TIMEOUT_SECONDS
+            number,
+            request_id,
+            parts,
+            CLIENT_TIMEOUT_SECONDS,
+            self.operator.allowed_seconds(kind, DEADLINE_SECONDS),
         )
 
     async def _call_control(
--- a/tests/soak/raw_connections.py
+++ b/tests/soak/raw_connections.py
@@ -112,6 +112,7 @@
         """
         reader = ResponseReader()
         self.carried += 1
+        exchange.began_at = time.monotonic()
         try:
             await self._send(parts)
             exchange.sent_at = time.monotonic()
@@ -179,6 +180,7 @@
         request_id: str,
         parts: Sequence[bytes],
         seconds: float,
+        deadline_seconds: float = 0.0,
     ) -> Response | None:
         """Sends a request on an open connection, or else on a new one.
 
@@ -187,6 +189,7 @@
             request_id: The id in the record.
             parts: The request, with a pause between the parts.
             seconds: The time for the connection and the response.
+            deadline_seconds: The time that the request allows; 0.0 for any.
 
         Returns:
             The response; None if none came whole.
@@ -202,6 +205,7 @@
             number=number,
             connection=connection.number,
             carried=connection.carried,
+            deadline_seconds=deadline_seconds,
         )
         keeps = False
         try:
@@ -220,6 +224,14 @@
         exchange.status = response.status if response else 0
         return response
 
+    def open_numbers(self) -> list[int]:
+        """Returns the numbers of the processes with an idle connection."""
+        return [
+            number
+            for number, connections in enumerate(self.idle)
+            if any(one.is_open() for one in connections)
+        ]
+
     async def _connection(self, number: int) -> RawConnection:
         while self.idle[number]:
             connection = self.idle[number].pop()
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -89,12 +89,15 @@
         number: The number of the process.
         connection: The number of the connection.
         carried: The requests that the connection carried before.
+        began_at: When the client began to send the request.
         sent_at: When all of the request was sent; 0.0 if it was not.
         has_response: Whether any byte of a response came.
         status: The status of the response; 0 if none came whole.
         outcome: The end of the connection, if it ended before the response.
         ended_at: When the connection ended, or the client had the response or
             gave up.
+        deadline_seconds: The time that the request allows for the response; 0.0
+            if it states none.
     """
 
     id: str
@@ -102,11 +105,13 @@
     number: int
     connection: int
     carried: int
+    began_at: float = 0.0
     sent_at: float = 0.0
     has_response: bool = False
     status: int = 0
     outcome: ConnectionOutcome = ConnectionOutcome.OPEN
     ended_at: float = 0.0
+    deadline_seconds: float = 0.0
 
 
 class Attempt(msgspec.Struct, kw_only=True):
@@ -212,6 +217,20 @@
     had_started: bool = True
 
 
+class OwnEnd(msgspec.Struct, kw_only=True):
+    """A process that has ended though nothing was done to end it.
+
+    Attributes:
+        had_started: Whether it had logged its start.
+    """
+
+    target: str
+    number: int
+    exit_code: int
+    at: float
+    had_started: bool = True
+
+
 class Record(msgspec.Struct):
     """Everything observed in a run.
 
@@ -234,6 +253,7 @@
     fault_spans: list[FaultSpan] = []
     stalls: list[Stall] = []
     shutdowns: list[Shutdown] = []
+    own_ends: list[OwnEnd] = []
     faults_ended_at: float = 0.0
     ended_at: float = 0.0
     final_version: int = 0
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -12,8 +12,9 @@
 from marjoramyard.kernel.metrics import Metrics
 from marjoramyard.standin.local_fleet import wait_until
 from marjoramyard.standin.relay import relay_to
+from soak.balanced import BalancedClients
 from soak.callers import Callers
-from soak.endpoints import Endpoint
+from soak.endpoints import ENGINE_SERVICE, SERVICE, Endpoint
 from soak.faults import FaultInjector
 from soak.fleet import SoakFleet, soak_fleet
 from soak.operator import Operator
@@ -55,14 +56,22 @@
         fleet = await stack.enter_async_context(
             soak_fleet(folder, size, record)
         )
-        operator = Operator(record, fleet.operator_addresses, seed)
+        operator = Operator(
+            record, fleet.operator_addresses, seed, bool(size.engines)
+        )
         stack.push_async_callback(operator.close)
         timeout = aiohttp.ClientTimeout(total=1.0)
         probe_session = aiohttp.ClientSession(timeout=timeout)
         stack.push_async_callback(probe_session.close)
         rng = random.Random(seed + 3)
         endpoints = [
-            Endpoint(number, record, fleet.operator_addresses, rng)
+            Endpoint(
+                number,
+                record,
+                fleet.operator_addresses,
+                rng,
+                ENGINE_SERVICE if number < size.engines else SERVICE,
+            )
             for number in range(size.endpoints)
         ]
         injector = FaultInjector(fleet, endpoints, operator)
@@ -83,6 +92,7 @@
                 for endpoint in endpoints
             ]
             background.append(tasks.create_task(_record_loop_lag(record)))
+            background.append(tasks.create_task(fleet.supervise()))
             await _bootstrap(fleet, operator, probe_session)
             background.append(tasks.create_task(operator.read_repeatedly()))
             callers = Callers(
@@ -91,7 +101,9 @@
             injector.callers = callers
             calling = tasks.create_task(callers.run(size.callers))
             pressing = PressingClients(record, fleet, operator, endpoints, seed)
-            tasks.create_task(pressing.run(size.pressing, size.controls))
+            tasks.create_task(pressing.run(size.pressing, size.control_hosts))
+            balanced = BalancedClients(record, fleet, operator, seed)
+            tasks.create_task(balanced.run(size.balanced))
             plan = make_plan(seed, seconds, size, stops_only)
             await _run_plan(plan, injector)
             loss = draw_power_loss(seed, size)
@@ -101,6 +113,7 @@
             await asyncio.sleep(RECOVERY_SECONDS + OBSERVATION_SECONDS)
             record.final_version = await _read_final_version(operator)
             callers.stopped = operator.stopped = pressing.stopped = True
+            balanced.stopped = True
             await calling
             for task in background:
                 task.cancel()
--- a/tests/soak/sample_records.py
+++ b/tests/soak/sample_records.py
@@ -74,6 +74,7 @@
         "number": 1,
         "connection": 7,
         "carried": 2,
+        "began_at": 107.0,
         "sent_at": 107.0,
         "outcome": outcome,
         "ended_at": 107.0 + seconds,
@@ -96,6 +97,13 @@
     record.exchanges.append(unanswered("p-1", ConnectionOutcome.RST, 0.3))
 
 
+def response_cut_off(record):
+    exchange = unanswered("p-1", ConnectionOutcome.FIN, 0.1)
+    exchange.has_response = True
+    exchange.deadline_seconds = 2.5
+    record.exchanges.append(exchange)
+
+
 def request_left_open(record):
     record.exchanges.append(unanswered("p-1", ConnectionOutcome.OPEN, 6.0))
 
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -10,6 +10,7 @@
     ConfigRead,
     EndpointCrash,
     FaultSpan,
+    OwnEnd,
     RouteKind,
     event_count,
     event_text,
@@ -23,10 +24,17 @@
     request_left_open,
     request_reset_after_it_ran,
     request_reset_late,
+    response_cut_off,
     valid_record,
 )
 
 
+def process_ended_by_itself(record):
+    record.own_ends.append(
+        OwnEnd(target="control", number=0, exit_code=-1, at=104.0)
+    )
+
+
 def test_a_sound_record_passes():
     assert violations(valid_record()) == []
 
@@ -246,6 +254,8 @@
     request_reset_late: "whole_requests_are_answered",
     request_left_open: "whole_requests_are_answered",
     change_read_and_not_answered: "whole_requests_are_answered",
+    response_cut_off: "begun_responses_are_complete",
+    process_ended_by_itself: "no_process_ends_by_itself",
 }
 
 
@@ -314,6 +324,18 @@
     assert bool(violations(record)) == had_started
 
 
+@pytest.mark.parametrize("exit_code", [-1, 1])
+@pytest.mark.parametrize("had_started", [False, True])
+def test_sighup_may_end_a_process_that_has_not_started(exit_code, had_started):
+    """Guards against a check that takes a failed start for an early signal."""
+    record = valid_record()
+    process_ended_by_itself(record)
+    record.own_ends[0].exit_code = exit_code
+    record.own_ends[0].had_started = had_started
+    is_early_signal = exit_code == -1 and not had_started
+    assert bool(violations(record)) != is_early_signal
+
+
 @pytest.mark.parametrize("is_stalled", [False, True])
 def test_the_time_to_exit_is_not_measured_by_a_stalled_soak(is_stalled):
     record = valid_record()
--- a/tests/soak/test_connection_checks.py
+++ b/tests/soak/test_connection_checks.py
@@ -3,10 +3,11 @@
 import pytest
 
 from soak.checks import violations
-from soak.record import ConnectionOutcome, FaultSpan, Stall
+from soak.record import Attempt, ConnectionOutcome, FaultSpan, Stall
 from soak.sample_records import (
     read_request_closed_by_fin,
     request_reset_late,
+    response_cut_off,
     unanswered,
     valid_record,
 )
@@ -25,11 +26,57 @@
     assert violations(record) == []
 
 
-def test_a_response_that_began_is_not_lost():
+def test_a_response_that_began_is_cut_off_and_not_lost():
     record = valid_record()
-    read_request_closed_by_fin(record)
-    record.exchanges[0].has_response = True
-    assert violations(record) == []
+    response_cut_off(record)
+    (found,) = violations(record)
+    assert found.startswith("begun_responses_are_complete: p-1")
+
+
+@pytest.mark.parametrize(
+    ("changes", "is_allowed"),
+    [
+        ({}, False),
+        ({"ended_at": 107.0 + 2.4}, False),
+        ({"ended_at": 107.0 + 2.6}, True),
+        ({"began_at": 106.8, "ended_at": 107.0 + 2.4}, True),
+        ({"ended_at": 105.0 + 6.6, "deadline_seconds": 15.0}, False),
+        ({"ended_at": 105.0 + 6.7, "deadline_seconds": 15.0}, True),
+        (
+            {
+                "began_at": 108.1,
+                "sent_at": 108.1,
+                "ended_at": 105.0 + 6.7,
+                "deadline_seconds": 15.0,
+            },
+            False,
+        ),
+    ],
+)
+def test_a_response_may_be_cut_off_by_its_deadline_or_the_end_of_a_stop(
+    changes, is_allowed
+):
+    """Guards against a check that lets stopping gateways cut streams early."""
+    record = valid_record()
+    response_cut_off(record)
+    for name, value in changes.items():
+        setattr(record.exchanges[0], name, value)
+    assert bool(violations(record)) != is_allowed
+
+
+@pytest.mark.parametrize("broke_off", [False, True])
+def test_a_response_that_its_endpoint_broke_off_is_no_harm(broke_off):
+    record = valid_record()
+    response_cut_off(record)
+    record.attempts.append(
+        Attempt(
+            id="p-1",
+            endpoint="i-0-1",
+            started_at=107.05,
+            broke_off=broke_off,
+        )
+    )
+    assert bool(violations(record)) != broke_off
 
 
 @pytest.mark.parametrize(
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -1,12 +1,15 @@
 """Fault plans are reproducible and keep to their rules."""
 
 import hashlib
+from collections import Counter
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from soak.plan import (
+    DEPLOYMENT,
+    DISK_FAULTS,
     DISK_LOSS_INTERVAL_SECONDS,
     FAULTS_BY_TARGET,
     STOPS,
@@ -114,3 +117,23 @@
         for plan in plans
         for first, second in zip(plan, plan[1:], strict=False)
     )
+
+
+@given(st.integers(0, 10_000))
+def test_disk_faults_spare_control_hosts_without_a_disk(seed):
+    for fault in make_plan(seed, 20.0, DEPLOYMENT):
+        if fault.kind in DISK_FAULTS:
+            assert fault.number < DEPLOYMENT.controls
+
+
+def test_faults_of_a_deployment_meet_many_processes_at_once():
+    """Guards against plans whose signals reach few processes at a time."""
+    plans = [make_plan(seed, 20.0, DEPLOYMENT) for seed in range(20)]
+    for kind in (FaultKind.TERMINATE, FaultKind.RELOAD, FaultKind.KILL):
+        counts = Counter(
+            (number, fault.at)
+            for number, plan in enumerate(plans)
+            for fault in plan
+            if fault.kind is kind and fault.target is Target.GATEWAY
+        )
+        assert max(counts.values()) >= DEPLOYMENT.gateways // 3
