--- a/packages/standin/src/marjoramyard/standin/relay.py
+++ b/packages/standin/src/marjoramyard/standin/relay.py
@@ -1,7 +1,7 @@
 """A TCP relay for injecting network faults."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
 from marjoramyard.standin.raw_responses import ConnectionEnd, end_connection
@@ -23,6 +23,10 @@
         resets_on: A connection that carries these bytes to the target is
             reset before they arrive; empty for none.
         resets_left: How many connections are still to be reset so.
+        marks: A connection that carries one of these to the target is marked.
+        marked: The writers of marked connections to their clients.
+        drops_marked: Whether to drop bytes of marked connections, by whether
+            they go to the target.
     """
 
     def __init__(self, target: str):
@@ -37,6 +41,9 @@
         self.connection_count = 0
         self.resets_on = b""
         self.resets_left = 0
+        self.marks: tuple[bytes, ...] = ()
+        self.marked: set[asyncio.StreamWriter] = set()
+        self.drops_marked: Callable[[bool], bool] = lambda _is_request: False
         self.tasks: set[asyncio.Task] = set()
 
     def partition(self) -> None:
@@ -72,8 +79,10 @@
             upstream = await asyncio.open_connection(host, int(port))
             self.writers.add(upstream[1])
             await asyncio.gather(
-                self._forward(reader, upstream[1]),
-                self._forward(upstream[0], writer, self.replies_allowed),
+                self._forward(reader, upstream[1], writer),
+                self._forward(
+                    upstream[0], writer, writer, self.replies_allowed
+                ),
             )
         except (OSError, asyncio.IncompleteReadError):
             writer.transport.abort()
@@ -82,6 +91,7 @@
             writer.transport.abort()
         finally:
             self.writers.discard(writer)
+            self.marked.discard(writer)
             self.tasks.discard(asyncio.current_task())
 
     async def close(self) -> None:
@@ -96,20 +106,24 @@
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        client: asyncio.StreamWriter,
         allowed: asyncio.Event | None = None,
     ) -> None:
+        is_request = writer is not client
         try:
             while data := await reader.read(_CHUNK_BYTES):
+                if is_request and any(mark in data for mark in self.marks):
+                    self.marked.add(client)
                 if allowed is not None:
                     await allowed.wait()
                 elif self._resets(data):
                     raise ConnectionResetError
                 if self.delay_seconds:
                     await asyncio.sleep(self.delay_seconds)
-                if self._is_forwarding(writer):
+                if self._is_forwarding(writer, client):
                     writer.write(data)
                     await writer.drain()
-            if self._is_forwarding(writer):
+            if self._is_forwarding(writer, client):
                 writer.close()
         except OSError:
             # A regular end would say that the target had sent everything.
@@ -124,8 +138,14 @@
         self.resets_left -= 1
         return True
 
-    def _is_forwarding(self, writer: asyncio.StreamWriter) -> bool:
-        return not self.is_partitioned and writer not in self.stalled_writers
+    def _is_forwarding(
+        self, writer: asyncio.StreamWriter, client: asyncio.StreamWriter
+    ) -> bool:
+        if self.is_partitioned or writer in self.stalled_writers:
+            return False
+        return client not in self.marked or not self.drops_marked(
+            writer is not client
+        )
 
 
 @asynccontextmanager
--- a/tests/versioned_endpoints.py
+++ b/tests/versioned_endpoints.py
@@ -37,6 +37,7 @@
         version: The version that its heartbeats tell.
         born: The start of its lifetime.
         state: The state that its heartbeats tell; "" while it sends none.
+        event_seconds: The time before each event.
     """
 
     def __init__(self, name, version, service="chat"):
@@ -44,6 +45,7 @@
         self.version = version
         self.born = 1
         self.state = "ready"
+        self.event_seconds = EVENT_SECONDS
         self.respond = self.stream
 
     def registration(self, state="ready"):
@@ -65,7 +67,7 @@
 
     async def events(self, after, breaks):
         for number in range(after + 1, STREAM_EVENTS + 1):
-            await asyncio.sleep(EVENT_SECONDS)
+            await asyncio.sleep(self.event_seconds)
             yield f"id: {number}\ndata: {self.version} {number}\n\n".encode()
             if breaks and number == BROKEN_AFTER:
                 raise BreakOffError
@@ -84,7 +86,8 @@
         while True:
             for host in range(3 if self.state else 0):
                 with contextlib.suppress(aiohttp.ClientError, OSError):
-                    await fleet.send_heartbeat(self, self.state, host)
+                    async with asyncio.timeout(HEARTBEAT_SECONDS):
+                        await fleet.send_heartbeat(self, self.state, host)
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
 
