Wait for settings that are being written

What operators saw: a process that starts while its settings file is missing, empty or written in part ended with exit code 2. A part of the file may be valid too, and the process would run with defaults for the rest until its next start.

Cause: the file was read once, at a moment that whoever writes it can't know. Nothing says that it is replaced at one stroke.

The first problem is printed at once, and once; an invalid file still ends the process with code 2.

--- a/packages/fleet/src/marjoramyard/fleet/cmd/daemon.py
+++ b/packages/fleet/src/marjoramyard/fleet/cmd/daemon.py
@@ -10,7 +10,8 @@
 from result import Err
 
 import marjoramyard.fleet.settings  # noqa: F401  (registers the roles)
-from marjoramyard.fleet.application import Application, modified_ns
+from marjoramyard.fleet.application import Application
+from marjoramyard.fleet.cmd.settings_file import load_when_written
 from marjoramyard.kernel.logs import (
     configure_logs,
     get_logger,
@@ -32,6 +33,22 @@
     return loaded.ok_value
 
 
+def _load_written_or_exit(path: Path) -> tuple[RoleSettings, int]:
+    """Returns settings and their modification time, once they are written."""
+    printed = []
+
+    def tell(problem: str) -> None:
+        printed.append(problem)
+        _print_error(problem)
+
+    loaded, settings_modified_ns = load_when_written(path, tell)
+    if isinstance(loaded, Err):
+        if loaded.err_value not in printed:
+            _print_error(loaded.err_value)
+        sys.exit(EXIT_INVALID_SETTINGS)
+    return loaded.ok_value, settings_modified_ns
+
+
 @click.group()
 def main() -> None:
     """Routers that share model capacity among workspaces."""
@@ -53,8 +70,7 @@
 )
 def run(settings: Path) -> None:
     """Runs the role that a settings file describes, until SIGTERM."""
-    settings_modified_ns = modified_ns(settings)
-    loaded = _load_or_exit(settings)
+    loaded, settings_modified_ns = _load_written_or_exit(settings)
     keep_errors_from_blocking()
     configure_logs(loaded.log, role=loaded.role, name=loaded.name)
     asyncio.run(_run(loaded, settings, settings_modified_ns))
--- a/tests/platform/deployed_fleet.py
+++ b/tests/platform/deployed_fleet.py
@@ -252,9 +252,18 @@
             "MARJORAMYARD_CONFIG": str(self.settings_path(host, role)),
         }
 
-    async def start(self, host: DeployedHost, role: str) -> ChildProcess:
-        """Writes a process's settings and starts it, its output in a file."""
-        self.write_settings(host, role)
+    async def start(
+        self, host: DeployedHost, role: str, has_settings: bool = True
+    ) -> ChildProcess:
+        """Starts a process with its output in a file.
+
+        Args:
+            host: Its host.
+            role: Its role.
+            has_settings: Whether its settings are written before.
+        """
+        if has_settings:
+            self.write_settings(host, role)
         log = self.folder / f"{host.name}-{role}.log"
         child = ChildProcess(f"{host.name}-{role}", self.command(role), log)
         child.env = self.environment(host, role)
