Test callers of entries while their entry and agent reload, stop and end

Entries and agents had been stopped once each under callers; SIGHUP, series of stops and a killed agent had not been tried with callers on kept connections. They held: eight callers, half with a connection for each request, through six SIGHUPs to the entry and the agent, six stops of the agent with a SIGHUP just before each, and six kills of it: none lost.

--- a/tests/test_stopping_entries.py
+++ b/tests/test_stopping_entries.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import signal
+import time
 
 import msgspec
 from callers import open_stream, read_to_end
@@ -10,6 +11,7 @@
     RawClient,
     describe,
     http_request,
+    pressing,
     stop_under,
     stop_when_late,
     wait_until_draining,
@@ -22,10 +24,15 @@
     GrantMessage,
     OfferMessage,
 )
-from marjoramyard.standin.local_fleet import api_key, start_small_fleet
+from marjoramyard.standin.local_fleet import (
+    api_key,
+    start_small_fleet,
+    wait_until,
+)
 
 DRAIN_SECONDS = 10.0
 STREAM_TOKENS = 100
+ACTS = 6
 
 
 async def start_fleet(fleet, bundle):
@@ -203,3 +210,66 @@
     code, lost = await stop_when_late(child, clients, DRAIN_SECONDS)
     assert code == 0
     assert lost == []
+
+
+async def press_through(fleet, clients, act):
+    """Has callers send requests while `act` is called repeatedly.
+
+    Returns:
+        A description of each lost request.
+    """
+    is_over = asyncio.Event()
+    began_at = time.monotonic()
+    async with pressing(clients, is_over.is_set):
+        for _ in range(ACTS):
+            wanted = [len(c.exchanges) + 1 for c in clients]
+
+            async def have_responses(wanted=wanted):
+                counts = [len(c.exchanges) for c in clients]
+                return all(map(int.__ge__, counts, wanted))
+
+            await act()
+            await wait_until(have_responses, "responses")
+        is_over.set()
+    return describe(clients, began_at)
+
+
+async def test_callers_are_answered_while_entry_and_agent_reload(fleet, bundle):
+    """Guards against SIGHUP that ends a request or a process."""
+    await start_fleet(fleet, bundle)
+    names = ("entry-1", "agent-chat-1")
+
+    async def reload():
+        for name in names:
+            fleet.children[name].signal(signal.SIGHUP)
+
+    lost = await press_through(fleet, callers(fleet), reload)
+    assert all(fleet.children[name].is_running for name in names)
+    assert lost == []
+
+
+async def test_callers_are_answered_while_an_agent_is_killed(fleet, bundle):
+    """Guards against callers that share the end of an agent's connection."""
+    await start_fleet(fleet, bundle)
+
+    async def kill():
+        await fleet.children["agent-chat-1"].kill()
+        await fleet.children["agent-chat-1"].start()
+
+    assert await press_through(fleet, callers(fleet), kill) == []
+
+
+async def test_callers_are_answered_while_an_agent_stops_in_series(
+    fleet, bundle
+):
+    """Guards against callers that share the end of an agent's connection."""
+    await start_fleet(fleet, bundle)
+
+    async def restart():
+        agent = fleet.children["agent-chat-1"]
+        agent.signal(signal.SIGHUP)
+        assert await agent.terminate(DRAIN_SECONDS) == 0
+        await agent.start()
+        await fleet.wait_until_serving("chat-1")
+
+    assert await press_through(fleet, callers(fleet), restart) == []
