Say what to correct in any settings file

A settings file in another encoding ended a process that was starting with a UnicodeDecodeError, and a running one no longer read its settings again, as the loop that does so ended with the error. A `role` that is a list or a mapping, a date that doesn't exist, half of a character, or a text nested too deeply did the same with other errors. `parse_settings` and `load_settings` promise an error for the operator and expected fewer kinds of them.

Found by drawing settings with one odd thing (`tests/odd_json.py`, Hypothesis, derandomised). All four tests failed before: TypeError (unhashable type), two UnicodeDecodeError, UnicodeEncodeError.

--- a/packages/kernel/src/marjoramyard/kernel/settings.py
+++ b/packages/kernel/src/marjoramyard/kernel/settings.py
@@ -171,12 +171,12 @@
     """
     try:
         raw: Any = yaml.safe_load(text)
-    except yaml.YAMLError as error:
+    except (yaml.YAMLError, RecursionError, ValueError) as error:
         return Err(f"{source}: not valid YAML; correct it: {error}")
     if not isinstance(raw, dict):
         return Err(f"{source}: must be a mapping of keys to values")
     role = raw.get("role")
-    if role not in ROLE_SETTINGS.items:
+    if not isinstance(role, str) or role not in ROLE_SETTINGS.items:
         known = ", ".join(ROLE_SETTINGS)
         problem = f"key 'role': {role!r} is unknown; use one of: {known}"
         return Err(_with_line(source, text, problem, "$.role"))
@@ -185,6 +185,8 @@
     except msgspec.ValidationError as error:
         problem, path = _explain(error)
         return Err(_with_line(source, text, problem, path))
+    except UnicodeEncodeError as error:
+        return Err(f"{source}: half of a character; correct it: {error}")
     problems = settings.problems()
     if problems:
         key = problems[0].split(":")[0]
@@ -201,6 +203,8 @@
         text = path.read_text(encoding="utf-8")
     except OSError as error:
         return Err(f"{path}: can't be read: {error.strerror}")
+    except UnicodeDecodeError as error:
+        return Err(f"{path}: not UTF-8; correct byte {error.start}")
     loaded = parse_settings(str(path), text)
     if isinstance(loaded, Ok):
         settings = loaded.ok_value
