Name the remedy for a log that can't be decoded

While a replica waits for its folder to become readable, it expects OSError and StorageError only, so that task ended for good. Both are a StorageError now that names the file and the remedy.

Found by drawing records with one odd thing: "Number out of range - at `$.hard`".

--- a/packages/fleet/src/marjoramyard/fleet/control/storage.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/storage.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
+from typing import TypeVar
 
 import msgspec
 
@@ -21,10 +22,11 @@
 )
 from marjoramyard.kernel.ids import ReplicaId
 from marjoramyard.kernel.logs import get_logger
-from marjoramyard.kernel.util.decoding import decode_json
+from marjoramyard.kernel.util.decoding import decode_json, shorten
 
 logger = get_logger(__name__)
 
+T = TypeVar("T")
 FORMAT_VERSION = 1
 _HEADER = struct.Struct("<II")
 _MAX_RECORD_BYTES = 1 << 30
@@ -99,6 +101,22 @@
     return payload, end
 
 
+def _decode(data: bytes, kind: type[T], name: str) -> T:
+    """Decodes what this host has stored.
+
+    Raises:
+        StorageError: It is not of this release.
+    """
+    try:
+        return decode_json(data, kind)
+    except msgspec.DecodeError as error:
+        raise StorageError(
+            f"{name}: can't be decoded ({shorten(str(error))}); run the "
+            "release that wrote it, or replace the host with `marjoramctl "
+            "cluster replace`"
+        ) from error
+
+
 def _has_record_after(data: bytes, offset: int) -> bool:
     return any(
         _read_record(data, position) is not None
@@ -137,7 +155,7 @@
             logger.warning("torn_write_discarded", file=name, offset=offset)
             break
         payload, offset = found
-        records.append(decode_json(payload, WalRecord))
+        records.append(_decode(payload, WalRecord, name))
     return records, offset
 
 
@@ -222,7 +240,7 @@
                     "host"
                 )
             return None
-        identity = decode_json(path.read_bytes(), Identity)
+        identity = _decode(path.read_bytes(), Identity, path.name)
         if identity.format != FORMAT_VERSION:
             raise StorageError(
                 f"{self.folder}: format {identity.format} is not supported "
@@ -293,7 +311,7 @@
                 f"{paths[-1].name}: damaged; replace the host with "
                 "`marjoramctl cluster replace`"
             )
-        return decode_json(found[0], Snapshot)
+        return _decode(found[0], Snapshot, paths[-1].name)
 
     @staticmethod
     def _base_of(records: list[WalRecord]) -> int:
--- a/packages/fleet/tests/control/test_storage.py
+++ b/packages/fleet/tests/control/test_storage.py
@@ -1,10 +1,13 @@
 """The data folder: torn writes, damage, locking and snapshots."""
 
 import errno
+import struct
+import zlib
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from odd_json import NESTED
 
 from marjoramyard.coordination.consensus.messages import (
     EntryKind,
@@ -205,3 +208,11 @@
         "snapshot-0000000000000004.json",
         "wal-0000000000000003.log",
     ]
+
+
+@pytest.mark.parametrize("payload", [b'{"hard":7}', b'{"x":' + NESTED + b"}"])
+def test_a_record_of_another_release_is_refused_with_the_remedy(payload):
+    """Guards against hosts that end at their log without saying why."""
+    record = struct.pack("<II", len(payload), zlib.crc32(payload)) + payload
+    with pytest.raises(StorageError, match="release that wrote it"):
+        read_records(record, "wal")
