Go past single odd messages of a broker's frames

A gateway or broker of another release may send a message of a kind that this one doesn't know. The whole frame was then lost and the connection with it; at a gateway, the loop that connects it to the broker of a service ended. Its requests were placed without a broker from then on. Text nested too deeply raised a RecursionError.

The messages of a frame are decoded one by one if they can't be all at once, as the entries of other messages are; what is refused is logged and counted.

Any bytes, and sound examples with one odd thing, give a value or the error that callers expect.

Of the tests of this change, the ones of broker frames failed before: RecursionError, and "Invalid value 'unknown' - at `$[0].type`".

--- /dev/null
+++ b/packages/coordination/tests/test_outside_bytes.py
@@ -0,0 +1,122 @@
+"""Decoders of what other programs and processes have written."""
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from odd_json import odd_bytes
+
+from marjoramyard.coordination.consensus.messages import Envelope, Snapshot
+from marjoramyard.coordination.governance.state import ControlSnapshot
+from marjoramyard.coordination.membership.registrations import (
+    FormerVersion,
+    Registration,
+)
+from marjoramyard.coordination.routing.config import FleetConfig
+from marjoramyard.coordination.routing.table import PromptPart
+from marjoramyard.coordination.serving.fingerprints import (
+    message_fingerprints,
+)
+from marjoramyard.coordination.serving.frames import (
+    BrokenResponseError,
+    FrameParser,
+)
+from marjoramyard.kernel.util.decoding import decode_json
+
+REGISTRATION = {
+    "endpoint": "i-1",
+    "service": "llm",
+    "address": "10.0.0.1:80",
+    "availability_zone": "a",
+    "slots": 2,
+    "state": "ready",
+    "sequence": 3,
+    "born": 4,
+    "cold_left_ms": 0.5,
+    "software_version": "v1",
+}
+CONFIG = {
+    "version": 1,
+    "routes": [
+        {
+            "name": "a",
+            "hostname": "shop.example",
+            "path_prefix": "/a/",
+            "request_kind": "idempotent",
+            "timeout_ms": 2000,
+            "objective_ms": 500,
+            "service": "api",
+            "max_attempts": 2,
+        }
+    ],
+    "services": [{"name": "api"}],
+    "workspaces": [{"name": "shop", "api_keys": ["k"]}],
+}
+CHAT = {
+    "model": "m",
+    "messages": [
+        {"role": "user", "content": "one"},
+        {"role": "user", "content": "two"},
+    ],
+}
+TYPES = (
+    Registration,
+    FormerVersion,
+    FleetConfig,
+    list[PromptPart],
+    list[Envelope],
+    Snapshot,
+    ControlSnapshot,
+)
+
+
+@pytest.mark.parametrize("kind", TYPES, ids=str)
+@settings(max_examples=60)
+@given(data=odd_bytes(REGISTRATION, CONFIG, [REGISTRATION], ["llm", "v1", 1.0]))
+def test_bytes_give_a_value_or_an_error_of_decoding(kind, data):
+    """Guards against errors of odd bytes that their readers don't expect."""
+    try:
+        value = decode_json(data, kind)
+    except msgspec.DecodeError:
+        return
+    assert msgspec.json.encode(value)
+
+
+@given(data=odd_bytes(REGISTRATION))
+def test_what_is_registered_can_be_passed_on(data):
+    """Guards against registrations that fail the messages they are part of."""
+    try:
+        registration = decode_json(data, Registration)
+    except msgspec.DecodeError:
+        return
+    encoded = msgspec.json.encode(registration)
+    assert decode_json(encoded, Registration) == registration
+    encoded.decode("ascii", "strict" if encoded.isascii() else "ignore")
+
+
+@given(data=odd_bytes(CONFIG))
+def test_a_configuration_is_valid_or_has_problems(data):
+    """Guards against configurations that fail the host that checks them."""
+    try:
+        config = decode_json(data, FleetConfig)
+    except msgspec.DecodeError:
+        return
+    assert all(isinstance(problem, str) for problem in config.problems())
+
+
+@given(data=odd_bytes(CHAT))
+def test_any_body_of_a_chat_has_fingerprints_or_none(data):
+    """Guards against callers whose odd requests get 500."""
+    for fingerprint in message_fingerprints("llm", data):
+        assert fingerprint
+
+
+@given(pieces=st.lists(odd_bytes({"kind": "data", "size": 3, "number": 1})))
+def test_any_bytes_are_frames_or_a_broken_response(pieces):
+    """Guards against responses that end without an error that callers know."""
+    parser = FrameParser()
+    try:
+        for piece in pieces:
+            parser.feed(piece + b"\n")
+    except BrokenResponseError:
+        return
--- a/packages/fleet/src/marjoramyard/fleet/gateway/broker_protocol.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/broker_protocol.py
@@ -7,6 +7,7 @@
 
 from marjoramyard.coordination.placement.snapshots import BrokerSnapshot
 from marjoramyard.coordination.routing.table import PromptPart
+from marjoramyard.fleet.util.separable import EntriesDecoder
 from marjoramyard.kernel.ids import StreamKey
 
 BROKER_PATH = "/fleet/v1/broker"
@@ -358,5 +359,5 @@
     | Heartbeat
 )
 
-gateway_message_decoder = msgspec.json.Decoder(list[GatewayMessage])
-broker_message_decoder = msgspec.json.Decoder(list[BrokerMessage])
+gateway_message_decoder = EntriesDecoder("GatewayMessage", GatewayMessage)
+broker_message_decoder = EntriesDecoder("BrokerMessage", BrokerMessage)
--- a/packages/fleet/src/marjoramyard/fleet/util/separable.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/separable.py
@@ -50,6 +50,29 @@
     return kind(**fields)
 
 
+class EntriesDecoder:
+    """Decodes lists of messages that don't depend on each other."""
+
+    def __init__(self, name: str, kind: Any):
+        self.name = name
+        self.kind = kind
+        self.decoder = msgspec.json.Decoder(list[kind])
+
+    def decode(self, data: str | bytes) -> list[Any]:
+        """Decodes a list without the entries that can't be decoded.
+
+        Raises:
+            msgspec.DecodeError: It is no list.
+        """
+        try:
+            return self.decoder.decode(data)
+        except msgspec.ValidationError:
+            entries = decode_json(data, list[msgspec.Raw])
+            return _decode_entries(self.name, entries, self.kind)
+        except (RecursionError, ValueError) as error:
+            raise msgspec.DecodeError(repr(error)) from error
+
+
 def _decode_entries(message: str, entries: Any, kind: Any) -> Any:
     """Returns a list or an object of those entries that can be decoded."""
     is_object = isinstance(entries, dict)
