Record the versions that gateways wait for

Cause: a gateway uses an endpoint whose version isn't recorded after 5 s. The leader records what it has heard of itself. If the endpoint's heartbeats reach a follower that the leader doesn't hear, a gateway that hears that follower uses the version, and all others, and the leader that they ask, know of the former one only.

Change: gateways tell control hosts with each poll which versions their endpoints wait for, and the leader records these as well, within a second. A gateway that serves callers with keys reaches the leader. The wait of 5 s remains for times without a quorum or with full disks.

Evidence: test_a_version_that_the_leader_has_not_heard_of_is_recorded (real processes; heartbeats of v2 to one follower, no announcements between control hosts, the second gateway doesn't reach that follower) failed before with streams joined from v2 and v1, shown by removing the safeguard, and passes now.

--- a/packages/fleet/src/marjoramyard/fleet/control/service.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/service.py
@@ -275,6 +275,7 @@
     async def sync(self, request: SyncRequest) -> SyncReply:
         """Returns changes to a gateway; waits for some if there are none."""
         self.gateways[request.gateway] = (time.monotonic(), request)
+        self.version_recorder.on_awaited(request.awaited_versions)
         loop = asyncio.get_running_loop()
         wait = min(request.wait_seconds, MAX_SYNC_WAIT_SECONDS)
         deadline = loop.time() + wait
--- a/packages/fleet/src/marjoramyard/fleet/control/version_recorder.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/version_recorder.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Iterable
 
 from result import Err
 
@@ -20,6 +21,9 @@
 
 CHECK_SECONDS = 0.1
 RETRY_SECONDS = 1.0
+AWAITED_SECONDS = 3.0
+"""How long a version counts that a gateway waits for. It says so with each
+poll."""
 
 
 class VersionRecorder:
@@ -30,6 +34,8 @@
             monotonic clock in seconds, as far as this host has seen as the
             leader.
         registered: The versions of the registered endpoints.
+        awaited_at: When a gateway last said that it waits for a version, on the
+            monotonic clock. It may know of endpoints that this host does not.
         cursor: The last change of the endpoints that is in `registered`.
     """
 
@@ -37,8 +43,14 @@
         self.role = role
         self.absent_since: dict[ServiceVersion, float] = {}
         self.registered: set[ServiceVersion] = set()
+        self.awaited_at: dict[ServiceVersion, float] = {}
         self.cursor = -1
 
+    def on_awaited(self, versions: Iterable[ServiceVersion]) -> None:
+        """Notes the versions that a gateway waits for."""
+        now = time.monotonic()
+        self.awaited_at.update({version: now for version in versions})
+
     async def run(self) -> None:
         """Records versions until cancelled."""
         while True:
@@ -54,12 +66,18 @@
         """Returns the change that the record needs; None for none."""
         record: ServiceVersions = self.role.running_node.state.versions
         self._read_endpoints()
-        absent = record.recorded - self.registered
+        self.awaited_at = {
+            version: at
+            for version, at in self.awaited_at.items()
+            if now - at < AWAITED_SECONDS
+        }
+        present = self.registered | self.awaited_at.keys()
+        absent = record.recorded - present
         self.absent_since = {
             version: self.absent_since.get(version, now) for version in absent
         }
         room = MAX_VERSIONS - len(record.recorded)
-        added = sorted(self.registered - record.recorded)[:room]
+        added = sorted(present - record.recorded)[:room]
         removed = {
             version
             for version, since in self.absent_since.items()
--- a/packages/fleet/src/marjoramyard/fleet/gateway/control_sync.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/control_sync.py
@@ -135,6 +135,7 @@
                 suspects_revision=self.view.suspects.revision,
                 watched_revision=self.view.suspects.watched_revision,
                 versions_revision=self.view.versions.revision,
+                awaited_versions=self.view.versions.list_awaited(),
             )
             result = await self._call(address, request)
             if isinstance(result, Err):
--- a/packages/fleet/src/marjoramyard/fleet/gateway/recorded_versions.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/recorded_versions.py
@@ -9,6 +9,7 @@
 )
 from marjoramyard.coordination.membership.registrations import (
     DEPARTED_RETENTION_SECONDS,
+    EndpointState,
     Registration,
     Registrations,
 )
@@ -58,6 +59,17 @@
         since = self.waiting_since.setdefault(waiting, now)
         return now - since > RECORD_WAIT_SECONDS
 
+    def list_awaited(self) -> list[ServiceVersion]:
+        """Returns the versions of endpoints that wait to be recorded."""
+        if not self.waiting_since:
+            return []
+        registered = {
+            ServiceVersion(each.service, each.software_version)
+            for each in self.registrations.all()
+            if each.state is not EndpointState.DEPARTED
+        }
+        return sorted(registered & self.waiting_since.keys())
+
     def sole(
         self,
         service: str,
--- a/packages/fleet/src/marjoramyard/fleet/sync_messages.py
+++ b/packages/fleet/src/marjoramyard/fleet/sync_messages.py
@@ -173,6 +173,8 @@
         watched_revision: The revision of its watched requests.
         versions_revision: The revision of its record of software versions; -1
             for none. None from a gateway that doesn't use it.
+        awaited_versions: The versions of endpoints that it does not use until
+            they are recorded.
     """
 
     gateway: str
@@ -190,6 +192,7 @@
     suspects_revision: int = 0
     watched_revision: int = 0
     versions_revision: int | None = None
+    awaited_versions: list[ServiceVersion] = []
 
 
 class SyncReply(msgspec.Struct, omit_defaults=True):
--- a/packages/fleet/tests/control/test_version_recorder.py
+++ b/packages/fleet/tests/control/test_version_recorder.py
@@ -14,7 +14,10 @@
     Registration,
     Registrations,
 )
-from marjoramyard.fleet.control.version_recorder import VersionRecorder
+from marjoramyard.fleet.control.version_recorder import (
+    AWAITED_SECONDS,
+    VersionRecorder,
+)
 
 NOW = 1000.0
 LATE = NOW + VERSION_RETENTION_SECONDS + 1.0
@@ -110,3 +113,14 @@
     peer = SimpleNamespace(records_versions=understands)
     role.cluster_manager.hosts = {"b:1": peer, "c:1": None}
     assert recorder._members_understand() is understands
+
+
+def test_a_version_that_a_gateway_waits_for_is_recorded(role):
+    """Guards against a version that is used unrecorded, as its endpoints reach
+    only a control host that does not reach the leader.
+    """
+    recorder = VersionRecorder(role)
+    recorder.on_awaited([V2])
+    now = recorder.awaited_at[V2]
+    assert recorder.next_change(now).added == [V1, V2]
+    assert recorder.next_change(now + AWAITED_SECONDS).added == [V1]
--- a/packages/fleet/tests/gateway/test_recorded_versions.py
+++ b/packages/fleet/tests/gateway/test_recorded_versions.py
@@ -123,3 +123,13 @@
     assert versions.may_begin_streams(endpoint, NOW + RECORD_WAIT_SECONDS + 0.1)
     versions.update(2, [V1, V2])
     assert versions.may_begin_streams(endpoint, NOW)
+
+
+def test_a_version_is_awaited_while_it_has_an_endpoint(versions):
+    """Guards against a leader that is told for ever of a version that left."""
+    endpoint = registration("e2", "v2")
+    versions.registrations.merge(endpoint, NOW)
+    assert not versions.may_begin_streams(endpoint, NOW)
+    assert versions.list_awaited() == [V2]
+    versions.registrations.mark_departed("e2", NOW)
+    assert versions.list_awaited() == []
--- a/tests/test_stale_gateways.py
+++ b/tests/test_stale_gateways.py
@@ -15,12 +15,18 @@
     document,
 )
 
-from marjoramyard.fleet.paths import CONFIRM_VERSIONS_PATH, STATUS_PATH
+from marjoramyard.fleet.paths import (
+    ANNOUNCE_PATH,
+    CONFIRM_VERSIONS_PATH,
+    STATUS_PATH,
+)
 
 PATH = "/api/x"
 STREAMS = 12
 MARKS = (SECOND_GATEWAY.encode(), CONFIRM_VERSIONS_PATH.encode())
 """What only the second gateway sends to control hosts."""
+ANNOUNCEMENTS = 1_000_000
+"""More than control hosts send in a test."""
 WAKES_AFTER_SECONDS = 0.2
 """From when the requests are sent until the gateway wakes up."""
 PAUSE_SECONDS = 1.0
@@ -74,10 +80,11 @@
         child.resume()
 
 
-async def join(versioned, stack, version):
+async def join(versioned, stack, version, hosts=range(3)):
     """Lets two endpoints of a software version join."""
     for number in (0, 1):
         endpoint = VersionedEndpoint(f"{version}-{number}", version, "api")
+        endpoint.hosts = hosts
         await stack.enter_async_context(endpoint.announced(versioned.fleet))
 
 
@@ -316,3 +323,36 @@
             await asyncio.sleep(WAKES_AFTER_SECONDS)
         for status, found in await reads:
             assert status >= 500 or found["version"] == 3
+
+
+async def test_a_version_that_the_leader_has_not_heard_of_is_recorded(tmp_path):
+    """Guards against streams of a version that one gateway uses, as it has
+    waited long enough for its record, and that only a follower has told it of.
+    """
+    async with (
+        versioned_fleet(tmp_path) as (versioned, stack),
+        relayed_control_hosts(versioned.fleet, *MARKS) as links,
+    ):
+        leader = await find_leader(versioned.fleet)
+        follower = next(n for n in range(3) if leader != f"control-{n}")
+        for relay in links.relays:
+            relay.resets_on = f"POST {ANNOUNCE_PATH}".encode()
+            relay.resets_left = ANNOUNCEMENTS
+        links.relays[follower].drops_marked = Cut.BOTH.drops
+        await join(versioned, stack, "v2", [follower])
+        streams = await begin_streams_of(versioned, "v2")
+        await resume_all(versioned, streams, Resumes="")
+        assert await find_leader(versioned.fleet) == leader
+        assert mixed(streams) == []
+        confirmed = await confirm_versions(versioned.fleet, leader)
+        assert ["api", "v2"] in confirmed["versions"]
+
+
+async def confirm_versions(fleet, leader):
+    """Returns the versions that the leader confirms."""
+    host = fleet.hosts[int(leader.removeprefix("control-"))]
+    url = f"http://{host}:{fleet.peer_port}{CONFIRM_VERSIONS_PATH}"
+    question = {"services": ["api"], "versions_revision": -1}
+    async with fleet.session.post(url, json=question) as response:
+        assert response.status == 200
+        return await response.json()
--- a/tests/versioned_endpoints.py
+++ b/tests/versioned_endpoints.py
@@ -38,6 +38,7 @@
         born: The start of its lifetime.
         state: The state that its heartbeats tell; "" while it sends none.
         event_seconds: The time before each event.
+        hosts: The control hosts that get its heartbeats.
     """
 
     def __init__(self, name, version, service="chat"):
@@ -46,6 +47,7 @@
         self.born = 1
         self.state = "ready"
         self.event_seconds = EVENT_SECONDS
+        self.hosts = range(3)
         self.respond = self.stream
 
     def registration(self, state="ready"):
@@ -84,7 +86,7 @@
 
     async def send_heartbeats(self, fleet):
         while True:
-            for host in range(3 if self.state else 0):
+            for host in self.hosts if self.state else ():
                 with contextlib.suppress(aiohttp.ClientError, OSError):
                     async with asyncio.timeout(HEARTBEAT_SECONDS):
                         await fleet.send_heartbeat(self, self.state, host)
