Hear endpoints again after hours of silence

What operators would see: an endpoint that no control host had heard of for some hours (a long cut, at 1.2 s a heartbeat from three hours and twenty minutes on) was refused for good: "sequence: 72000 heartbeats after the last one". Each refused heartbeat left the registration as old as it was.

Cause: the step between two heartbeats of a lifetime was bounded whatever the time between them.

Change: the bound grows with the time since the last heartbeat that this host has heard of, at the rate that already bounds a new lifetime's heartbeats.

--- a/packages/fleet/src/marjoramyard/fleet/control/plausibility.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/plausibility.py
@@ -23,8 +23,8 @@
 far longer than sound endpoints take to register."""
 MAX_HEARTBEATS_PER_SECOND = 1000.0
 MAX_SEQUENCE_STEP = 10_000
-"""The most heartbeats between two of which this host hears, for hours in which
-it heard of none."""
+"""The most heartbeats between two that this host hears of one right after the
+other. While it hears of none, there may be more."""
 
 
 class PlausibilityCheck:
@@ -39,6 +39,7 @@
         registrations: The known endpoints.
         wall_clock: Returns the time of day in Unix seconds.
         steady_clock: Returns the seconds since boot.
+        monotonic_clock: The clock of the times in `registrations`.
         started_at: The difference of both at the start.
         alone_since: When, by the steady clock, a lifetime ahead of the clock
             was first compared with no registrations; None before.
@@ -49,10 +50,12 @@
         registrations: Registrations,
         wall_clock: Callable[[], float] = time.time,
         steady_clock: Callable[[], float] = seconds_since_boot,
+        monotonic_clock: Callable[[], float] = time.monotonic,
     ):
         self.registrations = registrations
         self.wall_clock = wall_clock
         self.steady_clock = steady_clock
+        self.monotonic_clock = monotonic_clock
         self.started_at = wall_clock() - steady_clock()
         self.alone_since: float | None = None
 
@@ -74,10 +77,7 @@
             known: The registration of the endpoint that is in force.
         """
         if known is not None and known.born == registration.born:
-            step = registration.sequence - known.sequence
-            if step > MAX_SEQUENCE_STEP:
-                return f"sequence: {step} heartbeats after the last one"
-            return None
+            return self._problem_of_step(registration, known)
         age = self.age_of(registration)
         if age < -MAX_AHEAD_SECONDS:
             if self._is_clock_behind():
@@ -88,6 +88,17 @@
             return f"sequence: more than {most:.0f} heartbeats since the start"
         return None
 
+    def _problem_of_step(
+        self, registration: Registration, known: Registration
+    ) -> str | None:
+        step = registration.sequence - known.sequence
+        silent = self.registrations.seconds_since_received(
+            known.endpoint, self.monotonic_clock()
+        )
+        if step > MAX_SEQUENCE_STEP + silent * MAX_HEARTBEATS_PER_SECOND:
+            return f"sequence: {step} heartbeats after the last one"
+        return None
+
     def _is_clock_behind(self) -> bool:
         """Whether other lifetimes show that this host's clock is wrong."""
         ages = [
