Keep callers within the descriptors that the host allows

The gateway then accepts nothing, can open no connection to an endpoint or a control host, and uses half a core: asyncio goes on accepting up to the length of the queue, 512 failures at a time, each a log line.

Cause: the setting was taken for granted, and the soft limit left as it was.

Change: the soft limit is raised to the hard one at the start, and the gateway reckons with the smaller of its setting and that limit.

--- a/packages/fleet/src/marjoramyard/fleet/cmd/daemon.py
+++ b/packages/fleet/src/marjoramyard/fleet/cmd/daemon.py
@@ -18,6 +18,7 @@
     keep_errors_from_blocking,
 )
 from marjoramyard.kernel.settings import RoleSettings, load_settings
+from marjoramyard.kernel.util.descriptors import raise_descriptor_limit
 
 logger = get_logger(__name__)
 
@@ -71,6 +72,7 @@
 def run(settings: Path) -> None:
     """Runs the role that a settings file describes, until SIGTERM."""
     loaded, settings_modified_ns = _load_written_or_exit(settings)
+    raise_descriptor_limit()
     keep_errors_from_blocking()
     configure_logs(loaded.log, role=loaded.role, name=loaded.name)
     asyncio.run(_run(loaded, settings, settings_modified_ns))
--- a/packages/fleet/src/marjoramyard/fleet/gateway/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/role.py
@@ -41,6 +41,7 @@
 from marjoramyard.fleet.util.control_client import ControlClient
 from marjoramyard.fleet.util.endpoint_session import open_endpoint_session
 from marjoramyard.kernel.logs import get_logger
+from marjoramyard.kernel.util.descriptors import usable_descriptors
 
 logger = get_logger(__name__)
 
@@ -73,7 +74,9 @@
         self.settings = app.settings
         self.view = view
         self.handler = handler
-        self.connections = CallerConnections(self.settings.max_descriptors)
+        self.connections = CallerConnections(
+            usable_descriptors(self.settings.max_descriptors)
+        )
         handler.closes_connections = self.sheds_connections
         self.connections.forwarded_count = handler.guard.forwarded_count
         handler.is_full = lambda: self.connections.is_full
