Read what has arrived before a request's deadline ends it

What callers saw: 504, with an unknown outcome, for a request whose endpoint had sent its whole response in time. The gateway had no processor, or was suspended, as the deadline or the route's timeout passed; the response was thrown away.

Cause: the timer of the deadline was handled in the same turn of the event loop in which the response was read, before the request got to see it. Class: a late event loop acts on the time before it looks at what has arrived.

Change: when the time is over, the event loop first makes some turns in which what has arrived is read and passed on; then the request ends as before.

An agent's deadline has the same cause and is open.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
@@ -50,6 +50,7 @@
 from marjoramyard.fleet.gateway.stream_origins import StreamOrigins
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.fleet.util.connections import has_peer_closed
+from marjoramyard.fleet.util.deadlines import timeout_after_input
 from marjoramyard.fleet.util.jitter import jitter
 from marjoramyard.kernel.errors import (
     FailureKind,
@@ -282,7 +283,7 @@
         if origin is not None:
             run.progress.version = origin.version
         try:
-            async with asyncio.timeout_at(caller.deadline_at):
+            async with timeout_after_input(caller.deadline_at):
                 return await run.run_to_completion()
         except TimeoutError:
             raise FleetError(
