Read what has arrived at an agent before a request's deadline ends it

What callers saw: 504 from an entry for a request whose endpoint had sent its whole response to its agent in time. The agent was suspended as the deadline passed.

Cause: as for gateways, the timer of the deadline was handled in the same turn of the event loop in which the response was read. The agent's deadline now uses timeout_after_input too.

Evidence: tests/test_late_agents.py failed before (504 in place of 200) and passes; the 35 tests of the agent pass.

--- a/packages/fleet/src/marjoramyard/fleet/agent/attempts.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/attempts.py
@@ -14,6 +14,7 @@
 from marjoramyard.fleet.agent.endpoint import Endpoint
 from marjoramyard.fleet.agent.meters import METERS
 from marjoramyard.fleet.messages import RunRequest
+from marjoramyard.fleet.util.deadlines import timeout_after_input
 from marjoramyard.fleet.util.headers import end_to_end, is_stream
 from marjoramyard.fleet.util.response_body import (
     BrokenOffError,
@@ -152,8 +153,10 @@
         reserved = self.scheduler.record_start(self.workspace)
         self.meter.begin(self.body)
         self._charge()
+        now = asyncio.get_running_loop().time()
+        due_at = now + self.run_request.deadline_seconds
         try:
-            async with asyncio.timeout(self.run_request.deadline_seconds):
+            async with timeout_after_input(due_at):
                 return await self._exchange(session)
         except TimeoutError:
             return failure(
