Refuse a request whose peer can't be called as not run

A gateway passes its address for forwarded requests to brokers, which name it to other gateways. If it can't be parsed, the task that connects failed, and the caller of the forwarded request waited until its time limit.

Such a peer now is as unreachable as one that refuses the connection.

The four cases failed before: TimeoutError after 5 s.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/peer_forwarding.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/peer_forwarding.py
@@ -18,7 +18,7 @@
 from marjoramyard.fleet.gateway.peer_connections import PeerConnections
 from marjoramyard.fleet.gateway.peer_naming import usable_cores
 from marjoramyard.kernel.logs import get_logger
-from marjoramyard.kernel.util.addresses import parse_address
+from marjoramyard.kernel.util.addresses import parse_callable_address
 
 logger = get_logger(__name__)
 
@@ -268,7 +268,11 @@
         The timeout is counted in wake-ups, as the event loop of a gateway that
         forwards requests is often late.
         """
-        host, port = parse_address(self.plan.peer)
+        try:
+            host, port = parse_callable_address(self.plan.peer)
+        except ValueError as error:
+            self._end_unsent(repr(error))
+            return
         connecting = asyncio.ensure_future(
             asyncio.get_running_loop().create_connection(
                 lambda: self, host, port
--- a/packages/fleet/tests/gateway/test_peer_forwarding.py
+++ b/packages/fleet/tests/gateway/test_peer_forwarding.py
@@ -165,6 +165,16 @@
     assert gateway.outcomes == ["not-sent"]
 
 
+@pytest.mark.parametrize("peer", ["", "[::1", "127.0.0.1:70000", "host:80"])
+async def test_a_peer_that_can_t_be_called_did_not_run_the_request(peer):
+    """Guards against callers that wait for a peer with an odd address."""
+    async with gateway_of(peer) as (gateway, reader, writer):
+        writer.write(request_bytes())
+        async with asyncio.timeout(5.0):
+            assert await reader.read() == FAILURES.not_sent
+    assert gateway.outcomes == ["not-sent"]
+
+
 async def test_the_outcome_of_a_request_of_a_lost_peer_is_unknown():
     """Guards against "not run" of a request that may have run."""
 
