Refuse numbers of prompt tokens that no prompt has

A prompt part of a caller or an engine may name any number of tokens. One of more than 4,300 digits, or with a digit that is none to `int()`, was a ValueError at the caller's request. A number of 400 digits went on to the broker, which estimates times with it in floating point.

Parts have 0 to 10^9 tokens. A caller's header is used up to the first part that is invalid, as before, and an engine's list with an odd number is refused like any other faulty list.

Three tests failed before (one drawn header, and an engine's list with a negative number and with one of 400 digits). What a broker does with such a number was not tried.

--- a/packages/coordination/src/marjoramyard/coordination/routing/table.py
+++ b/packages/coordination/src/marjoramyard/coordination/routing/table.py
@@ -1,7 +1,10 @@
 """Looks up the route and the workspace of a request."""
 
+import re
+
 import msgspec
 
+from marjoramyard.coordination.membership.limits import check_number
 from marjoramyard.coordination.routing.config import (
     Destination,
     FleetConfig,
@@ -94,19 +97,31 @@
     return next(d for d in reversed(destinations) if d.weight)
 
 
+MAX_PART_TOKENS = 10**9
+_TOKENS = re.compile("[0-9]{1,9}")
+
+
 class PromptPart(msgspec.Struct, frozen=True):
     """A sequence of prompt tokens that requests may have in common."""
 
     digest: str
     tokens: int
 
+    def __post_init__(self):
+        """Checks the number of tokens, by which brokers estimate times.
+
+        Raises:
+            ValueError: No prompt has so many.
+        """
+        check_number("tokens", self.tokens, MAX_PART_TOKENS)
+
 
 def parse_prompt_parts(text: str) -> tuple[PromptPart, ...]:
     """Parses `ID:TOKENS,ID:TOKENS`, up to the first invalid item."""
     parts = []
     for item in text.split(","):
         digest, _, tokens = item.strip().partition(":")
-        if not digest or not tokens.isdigit():
+        if not digest or not _TOKENS.fullmatch(tokens):
             break
         parts.append(PromptPart(digest, int(tokens)))
     return tuple(parts)
--- a/packages/coordination/tests/test_outside_bytes.py
+++ b/packages/coordination/tests/test_outside_bytes.py
@@ -13,7 +13,11 @@
     Registration,
 )
 from marjoramyard.coordination.routing.config import FleetConfig
-from marjoramyard.coordination.routing.table import PromptPart
+from marjoramyard.coordination.routing.table import (
+    MAX_PART_TOKENS,
+    PromptPart,
+    parse_prompt_parts,
+)
 from marjoramyard.coordination.serving.fingerprints import (
     message_fingerprints,
 )
@@ -120,3 +124,15 @@
             parser.feed(piece + b"\n")
     except BrokenResponseError:
         return
+
+
+@given(
+    text=st.text()
+    | st.sampled_from(
+        ["p:" + "9" * 400, "p:" + "9" * 5000, "p:\u00b2", "p:-1", "p:\u0663"]
+    )
+)
+def test_parts_of_a_prompt_have_numbers_that_brokers_can_use(text):
+    """Guards against a caller's header that fails the requests of others."""
+    for part in parse_prompt_parts(f"a:3,{text}"):
+        assert 0 <= part.tokens <= MAX_PART_TOKENS
--- a/packages/fleet/src/marjoramyard/fleet/util/separable.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/separable.py
@@ -44,7 +44,7 @@
     entry_types = _entry_types(kind)
     for name, entries in fields.items():
         if name in entry_types and entries is not None:
-            fields[name] = _decode_entries(
+            fields[name] = decode_entries(
                 kind.__name__, entries, entry_types[name]
             )
     return kind(**fields)
@@ -68,12 +68,12 @@
             return self.decoder.decode(data)
         except msgspec.ValidationError:
             entries = decode_json(data, list[msgspec.Raw])
-            return _decode_entries(self.name, entries, self.kind)
+            return decode_entries(self.name, entries, self.kind)
         except (RecursionError, ValueError) as error:
             raise msgspec.DecodeError(repr(error)) from error
 
 
-def _decode_entries(message: str, entries: Any, kind: Any) -> Any:
+def decode_entries(message: str, entries: Any, kind: Any) -> Any:
     """Returns a list or an object of those entries that can be decoded."""
     is_object = isinstance(entries, dict)
     found = []
--- a/tests/platform/test_outside_bytes.py
+++ b/tests/platform/test_outside_bytes.py
@@ -1,6 +1,9 @@
 """Decoders of what endpoints and operators have written."""
 
+import json
+
 import msgspec
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from odd_json import odd_bytes
@@ -58,10 +61,18 @@
     assert checked.is_ok() or checked.err_value
 
 
-@given(data=odd_bytes({"held": [{"digest": "d", "tokens": 3}]}))
+@given(data=odd_bytes({"held": [["text", "p1", 3, "m"]]}))
 def test_a_list_of_an_engine_is_decoded_or_refused(data):
     """Guards against tasks that fail at what an engine has written."""
     try:
         read_cache_list(data)
     except msgspec.DecodeError:
         return
+
+
+@pytest.mark.parametrize("tokens", [-1, 10**400])
+def test_a_list_with_an_odd_number_of_tokens_is_refused(tokens):
+    """Guards against brokers that fail at the number of an engine."""
+    body = json.dumps({"held": [["text", "p1", tokens, "m"]]}).encode()
+    with pytest.raises(msgspec.DecodeError):
+        read_cache_list(body)
