Hold requests after a pause until a control host has told the news

Cause: requests and news that have arrived during a pause are read in the same turn of the event loop, and what control hosts have sent in the pause is as old as the poll that it replies to. The first requests are decided by the view from before the pause.

Polls after a pause ask for a reply at once.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/control_sync.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/control_sync.py
@@ -115,6 +115,7 @@
         is_source = False
         while failures < MAX_FAILURES or address in self.target_addresses():
             sent_at = seconds_since_boot()
+            is_outdated = self.view.age.is_outdated()
             was_source = is_source
             is_source = self.sources.is_source(address, time.monotonic())
             if is_source and not was_source:
@@ -124,7 +125,7 @@
                 self.view.version,
                 epoch,
                 cursor,
-                POLL_SECONDS if epoch else 0.0,
+                POLL_SECONDS if epoch and not is_outdated else 0.0,
                 self.settings.name,
                 self.settings.advertised_address,
                 self._spare_capacity(),
@@ -157,4 +158,6 @@
             revision = reply.unresponsive_revision
             self.sources.record_reply(address, reply, time.monotonic())
             self.view.apply(address, reply, sent_at)
+            if is_source:
+                self.view.age.on_heard(sent_at)
             self.fetcher.on_announced(address, reply.version, reply.zone)
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
@@ -135,6 +135,7 @@
         try:
             self._refuse_if_unable()
             await self.startup.hold(stated_seconds(request, self.names))
+            await self.view.age.hold()
             admitted = admit(request, self.view, self.names, started_at)
             with self._within_limit(admitted):
                 caller = read_caller_request(request, admitted, self.names)
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
@@ -191,6 +191,7 @@
     async def _send(self, plan: SendPlan) -> web.StreamResponse:
         context = self.context
         endpoint = plan.endpoint.endpoint
+        await self.view.age.hold()
         with self._track(plan) as tracked:
             self._recheck_caller()
             self._recheck_key()
--- a/packages/fleet/src/marjoramyard/fleet/gateway/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/role.py
@@ -216,6 +216,8 @@
             ),
         )
         brokers.is_leaving = app.stopping.is_set
+        view.age.late_seconds = brokers.lag.late_seconds
+        brokers.lag.on_wake_up.append(view.age.on_wake_up)
         cold_starts = ColdStarts(
             view, settings.cold_overrun, settings.cold_slack
         )
--- a/packages/fleet/src/marjoramyard/fleet/gateway/view.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/view.py
@@ -21,6 +21,7 @@
 from marjoramyard.fleet.gateway.dialect import GatewayDialect
 from marjoramyard.fleet.gateway.known_suspects import KnownSuspects
 from marjoramyard.fleet.gateway.recorded_versions import RecordedVersions
+from marjoramyard.fleet.gateway.view_age import ViewAge
 from marjoramyard.fleet.gateway.zones import EvacuatedZones
 from marjoramyard.fleet.sync_messages import SyncReply
 from marjoramyard.kernel.logs import get_logger
@@ -83,6 +84,7 @@
         table: The routes of the configuration in force; None before the first.
         versions: The recorded software versions of the services.
         streams: The software versions that began streams.
+        age: Whether this view is younger than the last pause.
         zones: The evacuated zones.
         suspects: The requests that may crash endpoints.
         pending_renewals: By version, when the last confirmation of it was
@@ -109,6 +111,7 @@
         self.registrations = Registrations()
         self.versions = RecordedVersions(self.registrations)
         self.streams = StreamVersions()
+        self.age = ViewAge()
         self.zones = EvacuatedZones()
         self.suspects = KnownSuspects()
         self.health: dict[str, EndpointHealth] = {}
--- a/packages/fleet/src/marjoramyard/fleet/util/lag.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/lag.py
@@ -41,6 +41,10 @@
         """Whether the loop was late recently, so that events may be too."""
         return time.monotonic() - self.late_at < LATE_HOLD_SECONDS
 
+    def late_seconds(self) -> float:
+        """Returns how late the loop is now."""
+        return max(0.0, time.monotonic() - self.woken_at - INTERVAL_SECONDS)
+
     def up_to_date_until(self) -> float:
         """Returns the time up to which the loop has surely handled events.
 
--- a/tests/test_stale_gateways.py
+++ b/tests/test_stale_gateways.py
@@ -356,3 +356,29 @@
     async with fleet.session.post(url, json=question) as response:
         assert response.status == 200
         return await response.json()
+
+
+async def test_a_gateway_that_wakes_up_sends_nothing_to_endpoints_that_left(
+    tmp_path,
+):
+    """Guards against requests to endpoints whose departure was acknowledged
+    while a gateway was suspended.
+    """
+    async with versioned_fleet(tmp_path) as (versioned, _):
+        fleet = versioned.fleet
+        leaving, staying = versioned.endpoints
+        async with suspended(fleet.children[SECOND_GATEWAY]):
+            leaving.state = ""
+            url = f"http://{fleet.operator_addresses[0]}/registrations/"
+            async with fleet.session.delete(url + leaving.name) as response:
+                assert response.status == 200
+            await asyncio.sleep(PAUSE_SECONDS)
+            leaving.requests.clear()
+            streams = [Stream(f"late-{number}") for number in range(STREAMS)]
+            sent = asyncio.gather(
+                *(versioned.send(stream, 1, PATH) for stream in streams)
+            )
+            await asyncio.sleep(WAKES_AFTER_SECONDS)
+        await sent
+        assert leaving.requests == []
+        assert all(stream.statuses == [200] for stream in streams)
