Exit with code 0 when stopped while waiting for an address or data

What operators saw: a process that got SIGTERM while it waited for an address or a data folder that another process held logged "failed" and ended with exit code 1, as if it had ended by itself.

Cause: the wait ends with the error of its last attempt, also when it ends because the process is to stop.

Change: such an error is a stop.

Evidence: tests/platform/test_held_addresses.py.

--- a/packages/fleet/src/marjoramyard/fleet/cmd/daemon.py
+++ b/packages/fleet/src/marjoramyard/fleet/cmd/daemon.py
@@ -91,6 +91,10 @@
     try:
         await application.run()
     except (OSError, RuntimeError) as error:
+        if application.stopping.is_set():
+            # It was waiting for what another process holds, and was stopped.
+            logger.info("stopped", before_start=str(error))
+            os._exit(0)
         logger.critical("failed", error=str(error))
         _print_error(f"{settings.name}: {error}")
         sys.exit(EXIT_FAILED)
--- a/tests/platform/test_held_addresses.py
+++ b/tests/platform/test_held_addresses.py
@@ -64,12 +64,14 @@
 
 @pytest.mark.parametrize("role", ROLES)
 async def test_a_process_that_waits_for_an_address_stops(fleet, role):
-    """Guards against a process that is killed as it waits for an address."""
+    """Guards against a process that is killed, or that fails, as it waits for
+    an address.
+    """
     host = fleet.hosts[0]
     with held(host.ip, internal_port(fleet, role)):
         child = await fleet.start(host, role)
         await wait_for_event(child, "address_held")
-        assert await child.terminate(EXIT_SECONDS) is not None
+        assert await child.terminate(EXIT_SECONDS) == 0
 
 
 @pytest.mark.parametrize("role", ROLES)
@@ -114,6 +116,17 @@
     assert await child.terminate() == 0
 
 
+async def test_a_control_host_that_waits_for_its_data_stops(fleet):
+    """Guards against a stop that fails as the process waits for its data."""
+    host = fleet.hosts[0]
+    host.data_folder.mkdir()
+    with (host.data_folder / "lock").open("w") as lock:
+        fcntl.flock(lock, fcntl.LOCK_EX)
+        child = await fleet.start(host, CONTROL)
+        await wait_for_event(child, "data_folder_locked")
+        assert await child.terminate(EXIT_SECONDS) == 0
+
+
 async def test_a_deployment_is_started_again_while_it_stops(fleet):
     """Guards against processes that don't start again since those before them
     have not ended.
