Poll control hosts once a gateway's addresses are bound

What operators would see: a gateway that waited up to 15 s for an address which the process before still held polled the control hosts in that time. They counted it as a gateway and could name it as a broker, at an address where the process before was ending.

Cause: the polls started before the addresses were bound. That was a matter of milliseconds while a held address ended the process at once.

Change: they start afterwards, as those of control hosts do.

Evidence: tests/platform/test_held_addresses.py, test_a_gateway_that_waits_for_an_address_is_unknown failed before (the waiting gateway had logged control_host_reconnected and config_in_force) and passes; all 12 tests of the file pass. That a broker was named there was not run.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/role.py
@@ -263,8 +263,6 @@
         demand.max_outgoing = role.connections.max_outgoing
         demand.free_callers = lambda: role.connections.free_count
         fetcher = ConfigFetcher(app.client, view, settings.zone)
-        app.tasks.spawn_forever(fetcher.run)
-        app.tasks.spawn_forever(ControlSync(app, view, fetcher).run)
         async with (
             app.serve(
                 settings.internal, [web.get(BROKER_PATH, broker_server.serve)]
@@ -286,6 +284,9 @@
             ) as listener,
         ):
             role.connections.listener = listener
+            # The other hosts hear of this gateway once it can be called.
+            app.tasks.spawn_forever(fetcher.run)
+            app.tasks.spawn_forever(ControlSync(app, view, fetcher).run)
             app.tasks.spawn_forever(role.connections.keep_within_limit)
             yield role
             handler.guard.connections.close()
--- a/tests/platform/test_held_addresses.py
+++ b/tests/platform/test_held_addresses.py
@@ -9,6 +9,7 @@
 import pytest
 from deployed_fleet import CONTROL, GATEWAY, deployed_fleet
 from gateway_fleet import wait_until
+from test_deployed_fleet import CONFIG
 
 ROLES = (CONTROL, GATEWAY)
 METRICS_PORTS = {CONTROL: 9465, GATEWAY: 9464}
@@ -127,6 +128,30 @@
         assert await child.terminate(EXIT_SECONDS) == 0
 
 
+async def test_a_gateway_that_waits_for_an_address_is_unknown(tmp_path):
+    """Guards against gateways that others call at an address which the process
+    before still holds.
+    """
+    async with deployed_fleet(tmp_path, [1, 1, 1], 1) as fleet:
+        first, *others = fleet.hosts
+        with held(first.ip, internal_port(fleet, GATEWAY)):
+            waiting = await fleet.start(first, GATEWAY)
+            await wait_for_event(waiting, "address_held")
+            for host in fleet.hosts:
+                await fleet.start(host, CONTROL)
+
+            async def config_is_accepted():
+                return await fleet.put_config(CONFIG) == 200
+
+            await wait_until(config_is_accepted)
+            for host in others:
+                await fleet.start(host, GATEWAY)
+            for host in others:
+                await wait_for_event(host.children[GATEWAY], "config_in_force")
+            assert "config_in_force" not in events(waiting)
+        await wait_for_event(waiting, "config_in_force")
+
+
 async def test_a_deployment_is_started_again_while_it_stops(fleet):
     """Guards against processes that don't start again since those before them
     have not ended.
