Wake held requests by the news, not by polling for it

Each request that was held after a pause looked for the news every 5 ms, for half a second at most. A gateway that is late as it has too little processor would have spent it on that. They now wait for one event. Found by reading; the cost was not measured.

test_view_age.py: 5 passed, one of them new; tests/test_stale_gateways.py and tests/test_late_deadlines.py: 20 passed (load 30).

--- a/packages/fleet/src/marjoramyard/fleet/gateway/view_age.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/view_age.py
@@ -1,8 +1,8 @@
 """Whether a gateway's view is younger than its last pause."""
 
 import asyncio
-import time
 from collections.abc import Callable
+from contextlib import suppress
 
 from marjoramyard.kernel.util.clocks import seconds_since_boot
 
@@ -11,7 +11,6 @@
 the polls of that time, so what they told is old."""
 HOLD_SECONDS = 0.5
 """How long requests are held after a pause. Control hosts reply at once."""
-POLL_SECONDS = 0.005
 
 
 class ViewAge:
@@ -25,12 +24,14 @@
         resumed_at: When the last pause ended.
         heard_at: When the last poll was sent to which a control host replied
             that sends all changes. Both on the boot clock in seconds.
+        up_to_date: Set when the view is up to date again.
     """
 
     def __init__(self):
         self.late_seconds: Callable[[], float] = lambda: 0.0
         self.resumed_at = float("-inf")
         self.heard_at = float("-inf")
+        self.up_to_date = asyncio.Event()
 
     def on_wake_up(self, late_seconds: float) -> None:
         """Notes a pause; called at each wake-up of the event loop."""
@@ -40,6 +41,8 @@
     def on_heard(self, sent_at: float) -> None:
         """Notes the reply to a poll."""
         self.heard_at = max(self.heard_at, sent_at)
+        if not self.is_outdated():
+            self.up_to_date.set()
 
     def is_outdated(self) -> bool:
         """Whether nothing has been heard since a pause that has just ended."""
@@ -51,6 +54,9 @@
 
     async def hold(self) -> None:
         """Returns once the view is up to date, or could not be updated."""
-        until = time.monotonic() + HOLD_SECONDS
-        while self.is_outdated() and time.monotonic() < until:
-            await asyncio.sleep(POLL_SECONDS)
+        if not self.is_outdated():
+            return
+        self.up_to_date.clear()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(HOLD_SECONDS):
+                await self.up_to_date.wait()
--- a/packages/fleet/tests/gateway/test_view_age.py
+++ b/packages/fleet/tests/gateway/test_view_age.py
@@ -46,3 +46,13 @@
     age.on_wake_up(LONG_SECONDS)
     async with asyncio.timeout(5.0):
         await age.hold()
+
+
+async def test_all_held_requests_go_on_with_the_news(age):
+    """Guards against requests that are held although the news has come."""
+    age.on_wake_up(LONG_SECONDS)
+    held = [asyncio.create_task(age.hold()) for _ in range(3)]
+    await asyncio.sleep(0)
+    age.on_heard(seconds_since_boot())
+    _, pending = await asyncio.wait(held, timeout=view_age.HOLD_SECONDS / 2)
+    assert not pending
