Search a gateway's full table once for each reply

What callers would see: while as many endpoints are registered as a process knows at the most (names without end from another writer, or large fleets that start anew twice within two minutes), gateways stood still for seconds with each reply of a control host.

Cause: with a full table, departed endpoints were looked for before each endpoint of a reply, also known ones; a reply has up to 500.

Change: they are looked for once for each reply.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/view.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/view.py
@@ -213,9 +213,9 @@
             self.suspects.update(reply.suspects_revision, reply.suspects, now)
         if reply.watched is not None:
             self.suspects.watch(reply.watched_revision, reply.watched)
+        if reply.words and self.registrations.is_full:
+            self._forget_departed(now)
         for registration in reply.words:
-            if self.registrations.is_full:
-                self._forget_departed(now)
             self._merge(registration, now)
         self.registrations.merge_former_versions(reply.former_versions, now)
         if reply.versions is not None:
--- a/packages/fleet/tests/gateway/test_view.py
+++ b/packages/fleet/tests/gateway/test_view.py
@@ -195,3 +195,20 @@
     view.apply("c", SyncReply("e", 1, words=[registration("4")]), 0.0)
     assert usable(view) == {"2", "3", "4"}
     assert "1" not in view.health
+
+
+def test_a_full_table_is_searched_once_for_each_reply(view, monkeypatch):
+    """Guards against an event loop that stands still for seconds as the table
+    is searched anew for each endpoint of a reply.
+    """
+    monkeypatch.setattr(registrations, "MAX_ENDPOINTS", 3)
+    searches = []
+    expire = view.registrations.expire_departed
+    monkeypatch.setattr(
+        view.registrations,
+        "expire_departed",
+        lambda now: (searches.append(now), expire(now)),
+    )
+    words = [registration(name, sequence=2) for name in ("1", "2", "3", "4")]
+    view.apply("host", SyncReply(epoch="e", cursor=1, words=words), 0.0)
+    assert len(searches) == 1
