List the endpoints that hosts with a clock behind refuse

What operators would see: where all control hosts share a clock that is more than a minute behind (one machine, or hosts that take their time from one source), endpoints that start are answered 400 until it is right: each restart and each release. Endpoints that already run are not touched.

Cause: a clock counts as behind only if at least half of the known lifetimes lie in its future, or if none is known. After hours of running most lifetimes are older than the error.

One way: compare with the clock only heartbeats that would displace a live registration of the same name or address.

--- a/packages/fleet/tests/control/test_plausibility.py
+++ b/packages/fleet/tests/control/test_plausibility.py
@@ -1,5 +1,6 @@
 """Heartbeats that would keep an endpoint's own ones out."""
 
+import msgspec
 import pytest
 
 from marjoramyard.coordination.membership.registrations import (
@@ -181,3 +182,24 @@
     for _ in range(10):
         clocks.pass_time(MAX_ALONE_SECONDS)
         assert "born" in check.problem_of(odd, None)
+
+
+def test_endpoints_that_start_while_the_clock_is_behind_are_registered(
+    clocks, registrations
+):
+    """Guards against a fleet whose control hosts share a clock that is behind:
+    releases and restarts are refused for as long as it is.
+    """
+    clocks.wall -= HOUR
+    check = PlausibilityCheck(
+        registrations, lambda: clocks.wall, lambda: clocks.steady
+    )
+    for number in range(1, 6):
+        running = heartbeat(born_in=-5 * HOUR)
+        running = msgspec.structs.replace(
+            running, endpoint=f"i-old-{number}", address=f"10.0.1.{number}:80"
+        )
+        registrations.merge(running, clocks.steady)
+    clocks.pass_time(10 * MAX_ALONE_SECONDS)
+    started = heartbeat(born_in=0.0, sequence=1)
+    assert check.problem_of(started, None) is None
