Register endpoints that start while hosts' clocks are behind

Where all control hosts share a clock that is more than a minute behind, endpoints that started were answered 400 until it was right: each restart and each release, as most lifetimes that are known are older than the error.

A start ahead of the clock is refused only if it would replace an endpoint that has been heard of within 5 s, under its name or at its address, or if it is more than 30 days ahead. An endpoint that starts again under its name while the clock is behind is so refused for some seconds at the most.

--- a/packages/fleet/src/marjoramyard/fleet/control/plausibility.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/plausibility.py
@@ -18,6 +18,10 @@
 MAX_AHEAD_SECONDS = 60.0
 """How far an endpoint's clock may be ahead of this host's. Clocks jump by
 seconds."""
+FAR_AHEAD_SECONDS = 30 * 24 * 3600.0
+"""A start so far ahead is refused whoever sends it."""
+MAX_SILENT_SECONDS = 5.0
+"""An endpoint that has been silent for longer may have started again."""
 MAX_ALONE_SECONDS = 5.0
 """How long a host without registrations trusts its clock against heartbeats:
 far longer than sound endpoints take to register."""
@@ -31,9 +35,10 @@
     """Compares heartbeats with this host's clock and with earlier ones.
 
     A host whose clock is wrong must not lock endpoints out. Lifetimes that are
-    registered, here or at another host, are not compared with the clock, and
-    the time that has passed since the start counts even if the clock is set
-    back. If most lifetimes are in its future, the clock is behind.
+    registered, here or at another host, are not compared with the clock, nor
+    are those that replace no endpoint, unless they are very far ahead. The time
+    that has passed since the start counts even if the clock is set back. If
+    most lifetimes are in its future, the clock is behind.
 
     Attributes:
         registrations: The known endpoints.
@@ -80,7 +85,10 @@
             return self._problem_of_step(registration, known)
         age = self.age_of(registration)
         if age < -MAX_AHEAD_SECONDS:
-            if self._is_clock_behind():
+            does_harm = age < -FAR_AHEAD_SECONDS or self._displaces(
+                registration, known
+            )
+            if not does_harm or self._is_clock_behind():
                 return None
             return f"born: in {-age:.0f} s; set the clock of the endpoint"
         most = MAX_SEQUENCE_STEP + max(0.0, age) * MAX_HEARTBEATS_PER_SECOND
@@ -99,6 +107,24 @@
             return f"sequence: {step} heartbeats after the last one"
         return None
 
+    def _displaces(
+        self, registration: Registration, known: Registration | None
+    ) -> bool:
+        """Whether a lifetime would end that of an endpoint that is alive."""
+        registrations = self.registrations
+        at_address = registrations.by_endpoint.get(
+            registrations.by_address.get(registration.address, "")
+        )
+        return any(
+            held is not None
+            and held.state is not EndpointState.DEPARTED
+            and registrations.seconds_since_received(
+                held.endpoint, self.monotonic_clock()
+            )
+            < MAX_SILENT_SECONDS
+            for held in (known, at_address)
+        )
+
     def _is_clock_behind(self) -> bool:
         """Whether other lifetimes show that this host's clock is wrong."""
         ages = [
