End all processes of a deployment that a failed test has started

A test that starts a host's processes again while the former ones are suspended left these behind when it failed: only the newest of each role were killed.

Evidence: with the wait for the data folder taken out, the test fails and no process is left; test_held_addresses.py and test_deployed_fleet.py pass.

--- a/tests/platform/deployed_fleet.py
+++ b/tests/platform/deployed_fleet.py
@@ -169,6 +169,7 @@
             last=first + PORT_COUNT - 1,
         )
         self.is_first_start = True
+        self.started: list[ChildProcess] = []
         self.session = aiohttp.ClientSession()
 
     def hosts_of(self, role: str) -> list[DeployedHost]:
@@ -268,6 +269,7 @@
         child = ChildProcess(f"{host.name}-{role}", self.command(role), log)
         child.env = self.environment(host, role)
         host.children[role] = child
+        self.started.append(child)
         await child.start()
         return child
 
@@ -325,7 +327,7 @@
     async def close(self) -> None:
         """Kills all processes that are left."""
         await self.session.close()
-        for child in self.children():
+        for child in self.started:
             if child.is_running:
                 await child.kill()
 
