--- a/packages/fleet/src/marjoramyard/fleet/__main__.py
+++ b/packages/fleet/src/marjoramyard/fleet/__main__.py
@@ -1,11 +1,12 @@
 """Runs the `marjoramyard` command; also a script, which starts earlier."""
 
-# The module `signal` takes longer to import than the interpreter to start.
+# The module `signal` imports others, and until they are there each signal has
+# its default action.
 import _signal
 
 # Signals that operators and their tools send to daemons, and that would end or
 # stop the process: a reload while it is starting, requests of log rotation, and
-# the use of a terminal in the background. The imports take most of the start.
+# the use of a terminal in the background.
 for ignored in (
     _signal.SIGHUP,
     _signal.SIGUSR1,
--- a/packages/fleet/src/marjoramyard/fleet/control/service.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/service.py
@@ -162,18 +162,18 @@
                 and must be sent again.
         """
         endpoint = registration.endpoint
-        known = self.endpoints.registrations.by_endpoint.get(endpoint)
-        problem = self.plausibility.problem_of(registration, known)
         registrations = self.endpoints.registrations
+        known = registrations.by_endpoint.get(endpoint)
+        problem = self.plausibility.problem_of(registration, known)
+        if problem is not None:
+            self.on_refused_heartbeat(endpoint, problem)
+            raise_failure(FailureKind.BAD_REQUEST, problem)
         if known is None and registrations.is_full:
             self.on_refused_heartbeat(endpoint, "too many endpoints")
             raise_failure(
                 FailureKind.BUSY,
                 f"there are {MAX_ENDPOINTS} endpoints already; retry later",
             )
-        if problem is not None:
-            self.on_refused_heartbeat(endpoint, problem)
-            raise_failure(FailureKind.BAD_REQUEST, problem)
         self.endpoints.register(registration)
         await self.departures.on_heartbeat(registration.endpoint)
 
--- a/packages/kernel/src/marjoramyard/kernel/logs.py
+++ b/packages/kernel/src/marjoramyard/kernel/logs.py
@@ -29,7 +29,6 @@
 """Longer messages and errors of libraries are truncated."""
 STDOUT_FD = 1
 """Written directly, because `sys.stdout` buffers and may block."""
-
 STDERR_FD = 2
 
 Event = MutableMapping[str, Any]
@@ -74,8 +73,7 @@
     """Writes lines to a file descriptor without blocking.
 
     A write to a full pipe, or to a terminal that nobody reads, would block the
-    event loop. Lines that don't fit
-    the buffer are dropped and counted.
+    event loop. Lines that don't fit the buffer are dropped and counted.
     """
 
     def __init__(self, descriptor: int, limit: int = MAX_PENDING_BYTES):
