Don't let a test of awaited versions depend on the host's uptime

Cause: the test added 3.0 s to a reading of the monotonic clock and expected a difference of 3.0.

Change: the time is set to one to which seconds add exactly, and the test also checks the last moment before the limit, so it is stricter.

--- a/packages/fleet/tests/control/test_version_recorder.py
+++ b/packages/fleet/tests/control/test_version_recorder.py
@@ -1,5 +1,6 @@
 """Which changes of the record of versions the leader proposes."""
 
+import math
 from types import SimpleNamespace
 
 import pytest
@@ -121,6 +122,10 @@
     """
     recorder = VersionRecorder(role)
     recorder.on_awaited([V2])
-    now = recorder.awaited_at[V2]
-    assert recorder.next_change(now).added == [V1, V2]
-    assert recorder.next_change(now + AWAITED_SECONDS).added == [V1]
+    assert recorder.awaited_at.keys() == {V2}
+    # A time to which seconds can be added without rounding.
+    recorder.awaited_at[V2] = NOW
+    assert recorder.next_change(NOW).added == [V1, V2]
+    almost = math.nextafter(NOW + AWAITED_SECONDS, NOW)
+    assert recorder.next_change(almost).added == [V1, V2]
+    assert recorder.next_change(NOW + AWAITED_SECONDS).added == [V1]
