Read numbers from outside with one reader

Callers that sent X-Marjoramyard-Deadline-Ms or Token-Counts with 400 or 5,000 digits, or "²", got 500 from a gateway (OverflowError, ValueError). The same deadline at an overloaded gateway that forwards, and a Content-Length of 5,000 digits, raised in data_received: the connection ended without a response. An agent failed at `?from=`, and a deadline of "nan" or "1_000" was taken for a time. A deadline with a fraction was read by one reader of two only.

Cause: each place had its own reader. isdigit() is true for text at which int() fails, int() refuses more than 4,300 digits, a long int can't be divided into a float, and float() accepts "nan", "inf", "1_000" and digits of other scripts.

kernel/util/numbers.py reads a decimal number (sign, fraction, exponent) or a whole number of any length, cut at a bound that floats, timers and JSON hold; other text is None. Callers' deadlines that are none get 400 with the header's name, as do frame numbers at agents; counts of tokens that are none are ignored, as before; a length that is far too large is left to the HTTP library rather than cut. What was accepted and is a decimal number still is, such as "1504.5", "1e3" and "-5" (a deadline that has passed). Ports in settings are read by it too: "+80" and "8_0" are no ports.

--- a/packages/coordination/src/marjoramyard/coordination/routing/table.py
+++ b/packages/coordination/src/marjoramyard/coordination/routing/table.py
@@ -1,7 +1,5 @@
 """Looks up the route and the workspace of a request."""
 
-import re
-
 import msgspec
 
 from marjoramyard.coordination.membership.limits import check_number
@@ -12,6 +10,7 @@
     Service,
     Workspace,
 )
+from marjoramyard.kernel.util.numbers import read_whole
 
 
 class RouteTable:
@@ -98,7 +97,6 @@
 
 
 MAX_PART_TOKENS = 10**9
-_TOKENS = re.compile("[0-9]{1,9}")
 
 
 class PromptPart(msgspec.Struct, frozen=True):
@@ -120,8 +118,9 @@
     """Parses `ID:TOKENS,ID:TOKENS`, up to the first invalid item."""
     parts = []
     for item in text.split(","):
-        digest, _, tokens = item.strip().partition(":")
-        if not digest or not _TOKENS.fullmatch(tokens):
+        digest, _, text = item.strip().partition(":")
+        tokens = read_whole(text)
+        if not digest or tokens is None or tokens > MAX_PART_TOKENS:
             break
-        parts.append(PromptPart(digest, int(tokens)))
+        parts.append(PromptPart(digest, tokens))
     return tuple(parts)
--- a/packages/fleet/src/marjoramyard/fleet/agent/attempt_service.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/attempt_service.py
@@ -39,6 +39,7 @@
 from marjoramyard.kernel.ids import AttemptId, Fingerprint, WorkspaceId
 from marjoramyard.kernel.logs import get_logger
 from marjoramyard.kernel.util.decoding import decode_json
+from marjoramyard.kernel.util.numbers import read_whole
 
 logger = get_logger(__name__)
 
@@ -292,7 +293,13 @@
             FleetError: The attempt or the frames are no longer available.
         """
         attempt = self.attempts.get(AttemptId(request.match_info["attempt"]))
-        first = int(request.query.get("from", "0"))
+        first = read_whole(request.query.get("from", "0"))
+        if first is None:
+            raise_failure(
+                FailureKind.BAD_REQUEST,
+                "`from` must be the number of a frame",
+                Outcome.UNKNOWN,
+            )
         if attempt is None:
             raise_failure(
                 FailureKind.NOT_FOUND,
--- a/packages/fleet/src/marjoramyard/fleet/entry/admission.py
+++ b/packages/fleet/src/marjoramyard/fleet/entry/admission.py
@@ -1,7 +1,6 @@
 """Admission of callers' requests: authentication, routing and limits."""
 
 import hashlib
-import math
 import time
 
 import aiohttp
@@ -26,6 +25,7 @@
 )
 from marjoramyard.kernel.ids import ServiceId, WorkspaceId
 from marjoramyard.kernel.util.decoding import decode_json
+from marjoramyard.kernel.util.numbers import read_number
 
 DEADLINE_HEADER = "X-Request-Deadline-Seconds"
 IDEMPOTENCY_HEADER = "Idempotency-Key"
@@ -235,11 +235,8 @@
     text = request.headers.get(DEADLINE_HEADER)
     if text is None:
         return service.deadline_seconds
-    try:
-        seconds = float(text)
-    except ValueError:
-        seconds = math.nan
-    if not 0 < seconds <= service.max_deadline_seconds:
+    seconds = read_number(text)
+    if seconds is None or not 0 < seconds <= service.max_deadline_seconds:
         raise_failure(
             FailureKind.BAD_REQUEST,
             f"{DEADLINE_HEADER}: give seconds above 0 and up to "
--- a/packages/fleet/src/marjoramyard/fleet/gateway/admission.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/admission.py
@@ -7,6 +7,7 @@
 
 from marjoramyard.coordination.routing.config import Route, Workspace
 from marjoramyard.coordination.routing.table import (
+    MAX_PART_TOKENS,
     PromptPart,
     RouteTable,
     parse_prompt_parts,
@@ -20,6 +21,7 @@
 from marjoramyard.fleet.util.headers import Headers, end_to_end
 from marjoramyard.kernel.errors import FailureKind, raise_failure
 from marjoramyard.kernel.ids import Fingerprint
+from marjoramyard.kernel.util.numbers import read_number, read_whole
 
 NO_CONFIG_RETRY_SECONDS = 0.5
 """`Retry-After` while the gateway has no configuration yet. It gets one within
@@ -233,25 +235,25 @@
     """Returns the seconds from arrival until the response is due."""
     allowed_ms = route.timeout_ms
     text = request.headers.get(names.deadline_ms, "")
-    try:
-        if text:
-            allowed_ms = min(allowed_ms, float(text) - NETWORK_ALLOWANCE_MS)
-    except ValueError:
-        raise_failure(
-            FailureKind.BAD_REQUEST, f"{names.deadline_ms} must be a number"
-        )
+    if text:
+        stated_ms = read_number(text)
+        if stated_ms is None:
+            raise_failure(
+                FailureKind.BAD_REQUEST, f"{names.deadline_ms} must be a number"
+            )
+        allowed_ms = min(allowed_ms, stated_ms - NETWORK_ALLOWANCE_MS)
     return max(0.0, allowed_ms / 1000)
 
 
 def stated_seconds(request: web.Request, names: HeaderNames) -> float:
     """Returns how long a caller says that it waits; 0.0 if it doesn't say."""
-    text = request.headers.get(names.deadline_ms, "")
-    return int(text) / 1000 if text.isdigit() else 0.0
+    stated_ms = read_number(request.headers.get(names.deadline_ms, ""))
+    return max(0.0, stated_ms / 1000) if stated_ms is not None else 0.0
 
 
 def _output_tokens(request: web.Request, names: HeaderNames) -> int:
     _, _, text = request.headers.get(names.token_counts, "").partition(",")
-    return int(text) if text.strip().isdigit() else 0
+    return min(read_whole(text.strip()) or 0, MAX_PART_TOKENS)
 
 
 def _forwarded_headers(request: web.Request, names: HeaderNames) -> Headers:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/early_refusal.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/early_refusal.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from marjoramyard.kernel.util.numbers import read_length
+
 HEAD_END = b"\r\n\r\n"
 _LENGTH = b"\r\ncontent-length:"
 _UNUSUAL = (b"transfer-encoding", b"\nexpect", b"\nupgrade", b"\n ", b"\n\t")
@@ -80,7 +82,7 @@
     if count > 1 or position < 0:
         return None
     text = lowered[position + len(_LENGTH) :].split(b"\r\n", 1)[0].strip(b" ")
-    return int(text) if text.isdigit() else None
+    return read_length(text)
 
 
 RefusalCheck = Callable[[RequestHead], bytes | None]
--- a/packages/fleet/src/marjoramyard/fleet/gateway/forwarded_response.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/forwarded_response.py
@@ -1,6 +1,7 @@
 """Follows a response whose bytes are passed on without parsing its body."""
 
 from marjoramyard.fleet.gateway.chunked_body import ChunkedBody
+from marjoramyard.kernel.util.numbers import read_length
 
 MAX_HEAD_BYTES = 1 << 16
 _HEAD_END = b"\r\n\r\n"
@@ -113,8 +114,8 @@
             self.chunks = ChunkedBody()
         _, found, value = lowered.partition(_LENGTH)
         if found:
-            digits = value.split(b"\r\n", 1)[0].strip()
-            self.length = int(digits) if digits.isdigit() else -1
+            length = read_length(value.split(b"\r\n", 1)[0].strip())
+            self.length = -1 if length is None else length
         if lowered.split(b" ", 2)[1:2] in _WITHOUT_BODY:
             self.length = 0
             return
--- a/packages/fleet/src/marjoramyard/fleet/gateway/gateway_connection.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/gateway_connection.py
@@ -1,7 +1,6 @@
 """The gateways that are connected to a broker server."""
 
 import heapq
-import math
 from collections import Counter, defaultdict
 from collections.abc import Collection
 
@@ -18,6 +17,7 @@
     usable_cores,
 )
 from marjoramyard.fleet.util.liveness import LivenessTimer
+from marjoramyard.kernel.util.numbers import read_number
 
 GATEWAY_TIMEOUT_SECONDS = 0.3
 """Gateways that send nothing for this long get no grants until their next
@@ -143,11 +143,8 @@
 
     Gateways of earlier releases send none; they count as one core.
     """
-    try:
-        cores = float(text or DEFAULT_CORES)
-    except ValueError:
-        return DEFAULT_CORES
-    return cores if math.isfinite(cores) and cores > 0 else DEFAULT_CORES
+    cores = read_number(text)
+    return cores if cores is not None and cores > 0 else DEFAULT_CORES
 
 
 def name_all_peers(
--- a/packages/fleet/src/marjoramyard/fleet/gateway/overload_guard.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/overload_guard.py
@@ -37,6 +37,7 @@
 )
 from marjoramyard.kernel.logs import get_logger
 from marjoramyard.kernel.metrics import Metrics
+from marjoramyard.kernel.util.numbers import read_number
 
 logger = get_logger(__name__)
 
@@ -211,8 +212,9 @@
     ) -> ForwardingPlan:
         text = head.header(self.names.deadline_ms.lower().encode())
         seconds = route.timeout_ms / 1000
-        if text.isdigit():
-            seconds = min(seconds, int(text) / 1000)
+        stated_ms = read_number(text)
+        if stated_ms is not None:
+            seconds = max(0.0, min(seconds, stated_ms / 1000))
         return ForwardingPlan(
             peer,
             head.header(self.names.attempt.lower().encode()),
--- a/packages/kernel/src/marjoramyard/kernel/util/addresses.py
+++ b/packages/kernel/src/marjoramyard/kernel/util/addresses.py
@@ -5,6 +5,8 @@
 import re
 from typing import NamedTuple
 
+from marjoramyard.kernel.util.numbers import read_whole
+
 _MAX_PORT = 65535
 _MAX_CHARS = 64
 _CALLABLE_ADDRESS = re.compile(
@@ -35,12 +37,14 @@
     host, _, port = text.rpartition(":")
     try:
         ipaddress.ip_address(host.strip("[]"))
-        number = int(port)
+        number = read_whole(port)
     except ValueError:
+        number = None
+    if number is None:
         raise ValueError(
             f"{text!r} is not an address; write IP:PORT, such as 127.0.0.1:8080"
-        ) from None
-    if not 0 <= number <= _MAX_PORT:
+        )
+    if number > _MAX_PORT:
         raise ValueError(f"port {number} is out of range; use 0 to {_MAX_PORT}")
     return Address(host.strip("[]"), number)
 
