--- a/packages/fleet/src/marjoramyard/fleet/util/pause_requests.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/pause_requests.py
@@ -1,9 +1,12 @@
 """Pauses that servers ask for with `Retry-After`."""
 
-import math
 from collections.abc import Mapping
 
+from marjoramyard.kernel.util.numbers import read_number
+
 HTTP_UNAVAILABLE = 503
+MAX_PAUSE_SECONDS = 86_400.0
+"""Longer pauses are taken for this one."""
 
 
 def requested_pause(status: int, headers: Mapping[str, str]) -> float:
@@ -19,8 +22,7 @@
 
 def parse_retry_after(text: str) -> float:
     """Decodes `Retry-After` in seconds; returns 0.0 if it is invalid."""
-    try:
-        seconds = float(text)
-    except ValueError:
+    seconds = read_number(text)
+    if seconds is None:
         return 0.0
-    return seconds if 0.0 < seconds < math.inf else 0.0
+    return max(0.0, min(seconds, MAX_PAUSE_SECONDS))
--- a/packages/fleet/tests/test_outside_numbers.py
+++ b/packages/fleet/tests/test_outside_numbers.py
@@ -3,6 +3,7 @@
 import math
 from types import SimpleNamespace
 
+import msgspec
 import pytest
 from hypothesis import example, given
 from hypothesis import strategies as st
@@ -19,6 +20,10 @@
     read_caller_request,
     stated_seconds,
 )
+from marjoramyard.fleet.gateway.broker_protocol import (
+    EndpointPause,
+    gateway_message_decoder,
+)
 from marjoramyard.fleet.gateway.chunked_body import ChunkedBody
 from marjoramyard.fleet.gateway.dialect import HeaderNames
 from marjoramyard.fleet.gateway.early_refusal import parse_head
@@ -28,6 +33,10 @@
     read_cores,
 )
 from marjoramyard.fleet.gateway.overload_guard import OverloadGuard
+from marjoramyard.fleet.util.pause_requests import (
+    MAX_PAUSE_SECONDS,
+    parse_retry_after,
+)
 from marjoramyard.kernel.errors import FailureKind, FleetError
 
 NAMES = HeaderNames()
@@ -179,6 +188,18 @@
     body.feed(data)
 
 
+@given(text=odd_texts)
+@example(text="1e306")
+@example(text="9" * 300)
+def test_any_pause_can_be_passed_on(text):
+    """Guards against brokers that don't learn of a pause."""
+    seconds = parse_retry_after(text)
+    assert 0.0 <= seconds <= MAX_PAUSE_SECONDS
+    message = EndpointPause("s", "e", seconds * 1000)
+    frame = msgspec.json.encode([message])
+    assert gateway_message_decoder.decode(frame) == [message]
+
+
 @given(text=odd_texts)
 @example(text="1e308")
 def test_any_number_of_cores_can_be_added_up(text):
--- a/packages/fleet/tests/util/test_pause_requests.py
+++ b/packages/fleet/tests/util/test_pause_requests.py
@@ -2,7 +2,10 @@
 
 import pytest
 
-from marjoramyard.fleet.util.pause_requests import requested_pause
+from marjoramyard.fleet.util.pause_requests import (
+    MAX_PAUSE_SECONDS,
+    requested_pause,
+)
 
 
 @pytest.mark.parametrize(
@@ -15,6 +18,8 @@
         (503, "inf", 0.0),
         (503, "nan", 0.0),
         (503, "soon", 0.0),
+        (503, "1_0", 0.0),
+        (503, "9" * 400, MAX_PAUSE_SECONDS),
         # The limit of one workspace says nothing on requests of others.
         (429, "3", 0.0),
         (200, "3", 0.0),
