Refuse configurations that mean nothing, by the field's name

Operators saw: a control host acknowledged limits of -1, 0 and 10^400, no attempts, objectives and priorities of -1, a prefix without a slash, an empty host, an empty API key and a workspace name with a line break, all with 200. The route of such a prefix or host then answered 404, though it was acknowledged. A first configuration of version 0 or -3 was acknowledged and read back, and no gateway ever obeyed it.

Cause: FleetConfig.problems() checked services, weights, the time limit and duplicates only; all other values were read by type and never meant.

Both interfaces use FleetConfig.refusal(). A first version below 1 is refused by the leader after a confirmed read; once a version is stored, lower ones (0 and negative ones too) are acknowledged as before and change nothing.

--- a/packages/coordination/src/marjoramyard/coordination/routing/config.py
+++ b/packages/coordination/src/marjoramyard/coordination/routing/config.py
@@ -4,10 +4,24 @@
 author chooses the version, and the highest version is in force.
 """
 
+import re
+from collections.abc import Iterator
 from enum import Enum
 
 import msgspec
 
+from marjoramyard.kernel.util.decoding import shorten
+from marjoramyard.kernel.util.field_checks import (
+    MAX_NAME_CHARS,
+    number_problems,
+    text_problems,
+)
+
+MAX_VERSION = 10**300
+"""Greater ones have no floating-point number for metrics."""
+MAX_PROBLEMS_SHOWN = 20
+_NOT_IN_HOSTNAMES = re.compile(r"[\s/]")
+
 
 class RequestKind(Enum):
     """Whether a request may be repeated."""
@@ -23,6 +37,10 @@
     service: str
     weight: int = 1
 
+    def problems(self, path: str) -> Iterator[str]:
+        """Yields the errors of this destination, found at a path."""
+        yield from number_problems(f"{path}.weight", self.weight)
+
 
 class Route(msgspec.Struct, frozen=True, kw_only=True):
     """Destination and limits of the requests to one hostname and path.
@@ -90,6 +108,40 @@
         """Whether responses are streams that may be resumed."""
         return self.request_kind is RequestKind.STREAM and self.resumable
 
+    def problems(self, path: str) -> Iterator[str]:
+        """Yields the errors of this route by itself, found at a path."""
+        yield from text_problems(f"{path}.name", self.name)
+        yield from self._hostname_problems(f"{path}.hostname")
+        yield from self._prefix_problems(f"{path}.path_prefix")
+        yield from self._number_problems(path)
+        yield from self._split_problems(f"{path}.destinations")
+
+    def _hostname_problems(self, path: str) -> Iterator[str]:
+        yield from text_problems(path, self.hostname, is_required=True)
+        if _NOT_IN_HOSTNAMES.search(self.hostname):
+            yield f"{path}: must be a host without scheme, path and spaces"
+
+    def _prefix_problems(self, path: str) -> Iterator[str]:
+        yield from text_problems(path, self.path_prefix)
+        if not (
+            self.path_prefix.startswith("/") and self.path_prefix.endswith("/")
+        ):
+            yield f"{path}: must begin and end with a slash"
+
+    def _number_problems(self, path: str) -> Iterator[str]:
+        for field in ("timeout_ms", "max_attempts"):
+            yield from number_problems(
+                f"{path}.{field}", getattr(self, field), is_zero_valid=False
+            )
+        for field in ("objective_ms", "gap_objective_ms", "priority"):
+            yield from number_problems(f"{path}.{field}", getattr(self, field))
+
+    def _split_problems(self, path: str) -> Iterator[str]:
+        for number, destination in enumerate(self.destinations):
+            yield from destination.problems(f"{path}[{number}]")
+        if not any(d.weight for d in self.weighted_destinations):
+            yield f"{path}: the weights must not be all 0"
+
 
 class EngineProfile(msgspec.Struct, frozen=True):
     """Properties of the model engines of a service.
@@ -108,11 +160,18 @@
     token_bytes: float = 0.0
     link_mbps: float = 0.0
 
+    def problems(self, path: str) -> Iterator[str]:
+        """Yields the errors of this profile, found at a path."""
+        for field in self.__struct_fields__:
+            yield from number_problems(f"{path}.{field}", getattr(self, field))
+
 
 class Service(msgspec.Struct, frozen=True):
     """A service that routes refer to.
 
     Attributes:
+        max_connections: Maximum number of connections to an endpoint; 0 if it
+            isn't stated.
         cold_start_s: How long an endpoint stays cold, in seconds.
         cold_per_s: Requests per second that a cold endpoint tolerates; 0 for
             no limit.
@@ -126,13 +185,25 @@
     cold_per_s: float = 0.0
     engine: EngineProfile | None = None
 
+    def problems(self, path: str) -> Iterator[str]:
+        """Yields the errors of this service by itself, found at a path."""
+        yield from text_problems(
+            f"{path}.name", self.name, is_required=True, limit=MAX_NAME_CHARS
+        )
+        yield from text_problems(f"{path}.health_path", self.health_path)
+        for field in ("max_connections", "cold_start_s", "cold_per_s"):
+            yield from number_problems(f"{path}.{field}", getattr(self, field))
+        if self.engine is not None:
+            yield from self.engine.problems(f"{path}.engine")
+
 
 class CallerLimits(msgspec.Struct, frozen=True):
     """Limits on what callers send.
 
     Attributes:
+        max_body_bytes: Maximum size of a body; 0 if there may be none.
         tokens_per_s: Total throughput of all engines, where a prompt token
-            counts as 1 and an output token as 2.
+            counts as 1 and an output token as 2; 0 if it isn't known.
     """
 
     max_header_bytes: int = 16384
@@ -141,6 +212,15 @@
     idle_timeout_ms: float = 15000.0
     tokens_per_s: float = 0.0
 
+    def problems(self, path: str) -> Iterator[str]:
+        """Yields the errors of these limits, found at a path."""
+        for field in self.__struct_fields__:
+            yield from number_problems(
+                f"{path}.{field}",
+                getattr(self, field),
+                is_zero_valid=field in ("max_body_bytes", "tokens_per_s"),
+            )
+
 
 class Workspace(msgspec.Struct, frozen=True):
     """A customer's workspace and its API keys."""
@@ -149,6 +229,15 @@
     api_keys: tuple[str, ...] = ()
     priority: int = 1
 
+    def problems(self, path: str) -> Iterator[str]:
+        """Yields the errors of this workspace by itself, found at a path."""
+        yield from text_problems(f"{path}.name", self.name)
+        yield from number_problems(f"{path}.priority", self.priority)
+        for number, key in enumerate(self.api_keys):
+            yield from text_problems(
+                f"{path}.api_keys[{number}]", key, is_required=True
+            )
+
 
 class FleetConfig(msgspec.Struct, frozen=True):
     """A complete configuration."""
@@ -160,57 +249,87 @@
     workspaces: tuple[Workspace, ...] | None = None
 
     def problems(self) -> list[str]:
-        """Returns the errors of the configuration, each with its remedy."""
+        """Returns the errors of the configuration, each with its remedy.
+
+        This is for a configuration that an operator sends. One that is stored
+        already stays in force, as an earlier release may have accepted more.
+        """
         return [
+            *self._version_problems(),
             *self._route_problems(),
             *self._duplicate_route_problems(),
+            *self._service_problems(),
+            *self.limits.problems("limits"),
+            *self._workspace_problems(),
             *self._key_problems(),
         ]
 
-    def _route_problems(self) -> list[str]:
+    def refusal(self) -> str:
+        """Returns why the configuration is invalid, or an empty text."""
+        problems = self.problems()
+        shown = problems[:MAX_PROBLEMS_SHOWN]
+        if len(problems) > len(shown):
+            shown.append(f"and {len(problems) - len(shown)} more")
+        return "; ".join(shown)
+
+    def _version_problems(self) -> Iterator[str]:
+        if not -MAX_VERSION <= self.version <= MAX_VERSION:
+            yield f"version: must be at most {MAX_VERSION:.0e}, or its negative"
+
+    def _route_problems(self) -> Iterator[str]:
         services = {service.name for service in self.services}
-        problems = []
-        for route in self.routes:
-            label = f"route {route.name!r}"
-            named = [d.service for d in route.weighted_destinations]
-            if route.service and route.service not in named:
-                named.append(route.service)
-            problems += [
-                f"{label} names the unknown service {service!r}; add it or "
-                "correct the name"
-                for service in named
-                if service not in services
-            ]
-            weights = [d.weight for d in route.weighted_destinations]
-            if sum(weights) <= 0 or min(weights) < 0:
-                problems.append(
-                    f"{label}: weights must not be negative or all 0"
-                )
-            if route.timeout_ms <= 0:
-                problems.append(f"{label}: the timeout must be greater than 0")
-        return problems
-
-    def _duplicate_route_problems(self) -> list[str]:
-        problems = []
-        first_routes: dict[tuple[str, str], Route] = {}
-        for route in self.routes:
-            first = first_routes.setdefault(route.match, route)
-            if first is not route:
-                problems.append(
-                    f"routes {first.name!r} and {route.name!r} share hostname "
-                    "and path prefix; change one"
+        for number, route in enumerate(self.routes):
+            path = f"routes[{number}]"
+            label = f"(route {shorten(route.name)!r})"
+            for problem in route.problems(path):
+                yield f"{problem} {label}"
+            for field, service in _services_of(route):
+                if service not in services:
+                    yield (
+                        f"{path}.{field}: unknown service "
+                        f"{shorten(service)!r}; add it or correct the name "
+                        f"{label}"
+                    )
+
+    def _duplicate_route_problems(self) -> Iterator[str]:
+        first_numbers: dict[tuple[str, str], int] = {}
+        for number, route in enumerate(self.routes):
+            first = first_numbers.setdefault(route.match, number)
+            if first != number:
+                yield (
+                    f"routes[{number}].path_prefix: routes[{first}] and "
+                    f"routes[{number}] share hostname and path prefix; change "
+                    "one"
                 )
-        return problems
-
-    def _key_problems(self) -> list[str]:
-        problems = []
-        owners: dict[str, Workspace] = {}
-        for workspace in self.workspaces or ():
-            for key in workspace.api_keys:
-                owner = owners.setdefault(key, workspace)
-                if owner is not workspace:
-                    problems.append(
-                        f"workspaces {owner.name!r} and {workspace.name!r} "
-                        "share a key; give one of them another"
+
+    def _service_problems(self) -> Iterator[str]:
+        first_services: dict[str, Service] = {}
+        for number, service in enumerate(self.services):
+            path = f"services[{number}]"
+            yield from service.problems(path)
+            if first_services.setdefault(service.name, service) != service:
+                yield f"{path}.name: another service has this name; change one"
+
+    def _workspace_problems(self) -> Iterator[str]:
+        for number, workspace in enumerate(self.workspaces or ()):
+            yield from workspace.problems(f"workspaces[{number}]")
+
+    def _key_problems(self) -> Iterator[str]:
+        owners: dict[str, int] = {}
+        for number, workspace in enumerate(self.workspaces or ()):
+            for position, key in enumerate(workspace.api_keys):
+                owner = owners.setdefault(key, number)
+                if owner != number:
+                    yield (
+                        f"workspaces[{number}].api_keys[{position}]: "
+                        f"workspaces[{owner}] and workspaces[{number}] share "
+                        "a key; give one of them another"
                     )
-        return problems
+
+
+def _services_of(route: Route) -> Iterator[tuple[str, str]]:
+    """Yields the services that a route names, each with its field."""
+    for number, destination in enumerate(route.destinations):
+        yield f"destinations[{number}].service", destination.service
+    if route.service or not route.destinations:
+        yield "service", route.service
--- a/packages/fleet/src/marjoramyard/fleet/control/dialects.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/dialects.py
@@ -34,9 +34,9 @@
     async def put_config(request: web.Request) -> web.Response:
         body = await request.read()
         config = decode_json(body, FleetConfig)
-        problems = config.problems()
-        if problems:
-            raise_failure(FailureKind.INVALID_BUNDLE, "; ".join(problems))
+        refusal = config.refusal()
+        if refusal:
+            raise_failure(FailureKind.INVALID_BUNDLE, refusal)
         result = await service.put_config(ConfigDocument(config.version, body))
         if isinstance(result, Err):
             raise FleetError(result.err_value)
--- a/packages/fleet/src/marjoramyard/fleet/control/service.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/service.py
@@ -51,7 +51,12 @@
     SyncRequest,
 )
 from marjoramyard.fleet.util.tasks import log_failure
-from marjoramyard.kernel.errors import Failure, FailureKind, raise_failure
+from marjoramyard.kernel.errors import (
+    Failure,
+    FailureKind,
+    failure,
+    raise_failure,
+)
 from marjoramyard.kernel.logs import get_logger
 from marjoramyard.kernel.util.decoding import shorten
 
@@ -70,6 +75,8 @@
 endpoints of a lost zone come back one by one."""
 MAX_SYNC_WAIT_SECONDS = 2.0
 _GATEWAY_TIMEOUT_SECONDS = 5.0
+MIN_FIRST_VERSION = 1
+"""Gateways take a lower version for no configuration."""
 _NO_SUSPECTS = Suspects({}, [])
 _BROKER_TIMEOUT_SECONDS = 2.5
 """Gateways without a sync request for this time are no broker candidates. They
@@ -236,6 +243,12 @@
         refusal = node.refusal_of(len(message.document.text))
         if refusal is not None:
             return Err(refusal)
+        if message.document.version < MIN_FIRST_VERSION:
+            stored = await self._read_config_locally(Empty())
+            if isinstance(stored, Err):
+                return stored
+            if stored.ok_value.document is None:
+                return Err(_first_version_refusal())
         config = PackedConfig.of(message.document)
         result = await node.execute(
             AcceptConfig(at=time.time(), config=config), COMMIT_TIMEOUT_SECONDS
@@ -420,3 +433,11 @@
             for at, request in self.gateways.values()
             if request.capacity > 0 and now - at < _BROKER_TIMEOUT_SECONDS
         )
+
+
+def _first_version_refusal() -> Failure:
+    return failure(
+        FailureKind.INVALID_BUNDLE,
+        "version: the first configuration needs a version of at least "
+        f"{MIN_FIRST_VERSION}",
+    )
--- /dev/null
+++ b/packages/kernel/src/marjoramyard/kernel/util/field_checks.py
@@ -0,0 +1,55 @@
+"""Checks of fields in what operators write: one rule for each kind of value.
+
+Each check yields the problems of a field, of which each names the field and
+the remedy. Texts aren't repeated: they may be long, or secret.
+"""
+
+import re
+from collections.abc import Iterator
+
+MAX_NUMBER = (1 << 53) - 1
+"""Larger integers are not exact in all implementations of JSON."""
+MAX_NAME_CHARS = 256
+MAX_TEXT_CHARS = 8192
+_CONTROL_CHARACTER = re.compile("[\x00-\x1f\x7f-\x9f]")
+
+
+def number_problems(
+    field: str, value: float, is_zero_valid: bool = True
+) -> Iterator[str]:
+    """Checks that a number is finite and not negative.
+
+    Args:
+        field: The path of the field.
+        value: The number.
+        is_zero_valid: Whether it may be 0.
+    """
+    if is_zero_valid and not 0 <= value <= MAX_NUMBER:
+        yield f"{field}: must be a number from 0 to {MAX_NUMBER}"
+    if not is_zero_valid and not 0 < value <= MAX_NUMBER:
+        yield (
+            f"{field}: must be a number greater than 0, and at most "
+            f"{MAX_NUMBER}"
+        )
+
+
+def text_problems(
+    field: str,
+    text: str,
+    is_required: bool = False,
+    limit: int = MAX_TEXT_CHARS,
+) -> Iterator[str]:
+    """Checks that a text has no control characters and isn't too long.
+
+    Args:
+        field: The path of the field.
+        text: The text.
+        is_required: Whether it must not be empty.
+        limit: The maximum number of characters.
+    """
+    if is_required and not text:
+        yield f"{field}: must not be empty"
+    if len(text) > limit:
+        yield f"{field}: must have at most {limit} characters"
+    elif _CONTROL_CHARACTER.search(text):
+        yield f"{field}: must not have control characters"
