Unblock the signals that a process was started with as blocked

Callers saw processes that never stopped on SIGTERM or SIGINT and never reloaded on SIGHUP. They were killed at the end of the grace period, with all requests that they had in hand.

Cause: the signal mask goes on over exec. A supervisor that waits for signals in a thread, or starts processes from such a thread, blocks them. The program set handlers and ignored signals, but never its mask.

The signals that the program handles or ignores are now unblocked in its first lines, after those that would end it are ignored. So a pending SIGHUP, SIGUSR1, SIGUSR2, SIGTTIN or SIGTTOU is discarded, and a pending SIGTERM ends the process as the same signal sent at that moment would. All three ways to start (by path, by module, console script) run these lines, and so do all four roles. Threads inherit the mask of the thread that starts them, which is then the changed one.

--- a/packages/fleet/src/marjoramyard/fleet/__main__.py
+++ b/packages/fleet/src/marjoramyard/fleet/__main__.py
@@ -7,14 +7,20 @@
 # Signals that operators and their tools send to daemons, and that would end or
 # stop the process: a reload while it is starting, requests of log rotation, and
 # the use of a terminal in the background.
-for ignored in (
+IGNORED = (
     _signal.SIGHUP,
     _signal.SIGUSR1,
     _signal.SIGUSR2,
     _signal.SIGTTIN,
     _signal.SIGTTOU,
-):
+)
+STOPPING = (_signal.SIGTERM, _signal.SIGINT)
+
+for ignored in IGNORED:
     _signal.signal(ignored, _signal.SIG_IGN)
+# Signals that were blocked when this process was started stay blocked over
+# `exec`, and would never be heard.
+_signal.pthread_sigmask(_signal.SIG_UNBLOCK, IGNORED + STOPPING)
 
 from marjoramyard.kernel.standard_streams import (  # noqa: E402
     open_closed_streams,
--- a/tests/platform/test_signals.py
+++ b/tests/platform/test_signals.py
@@ -1,17 +1,27 @@
-"""Signals in series to processes that run and that stop."""
+"""Signals to processes of a deployment, which may inherit a signal mask."""
 
 import asyncio
+import json
 import signal
 from subprocess import DEVNULL
 
 import pytest
 from deployed_fleet import CONTROL, GATEWAY, deployed_fleet
 from gateway_fleet import wait_until
+from inherited_signals import blocked, ignored
 
 ROLES = (CONTROL, GATEWAY)
 STOPS = 8
 STOP_SECONDS = 10.0
 SIGNAL_INTERVAL_SECONDS = 0.0005
+STOPPING_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+SENT_SIGNALS = (*STOPPING_SIGNALS, signal.SIGHUP)
+ALL_SIGNALS = signal.valid_signals() - {signal.SIGKILL, signal.SIGSTOP}
+INHERITED = {
+    "sent-blocked": (blocked, SENT_SIGNALS),
+    "all-blocked": (blocked, ALL_SIGNALS),
+    "ignored": (ignored, (*SENT_SIGNALS, signal.SIGCHLD, signal.SIGPIPE)),
+}
 
 
 @pytest.fixture
@@ -33,6 +43,25 @@
     return process
 
 
+async def start_in_fleet(fleet, role):
+    """Starts a process that logs to a file, and waits until it is alive."""
+    host = fleet.hosts[0]
+    child = await fleet.start(host, role)
+
+    async def is_alive():
+        assert child.is_running, child.log.read_text(encoding="utf-8")
+        return await fleet.is_alive(host, role)
+
+    await wait_until(is_alive)
+    return child
+
+
+def events(child):
+    """Returns the events that a process has logged."""
+    lines = child.log.read_text(encoding="utf-8").splitlines()
+    return [json.loads(line)["event"] for line in lines]
+
+
 async def send_until_exit(process, number):
     """Sends a signal again and again; returns the exit code.
 
@@ -63,3 +92,41 @@
         process.terminate()
         codes.append(await send_until_exit(process, number))
     assert codes == [0] * STOPS
+
+
+@pytest.mark.parametrize("role", ROLES)
+@pytest.mark.parametrize("number", STOPPING_SIGNALS)
+@pytest.mark.parametrize("inherited", INHERITED.values(), ids=INHERITED)
+async def test_a_process_stops_whatever_signals_it_inherits(
+    fleet, role, number, inherited
+):
+    """Guards against a process that never stops, and is killed, as whoever
+    started it had its signals blocked or ignored.
+    """
+    hold, numbers = inherited
+    with hold(numbers):
+        child = await start_in_fleet(fleet, role)
+    child.signal(number)
+    async with asyncio.timeout(STOP_SECONDS):
+        assert await child.process.wait() == 0
+    assert events(child)[-1] == "stopped"
+
+
+@pytest.mark.parametrize("role", ROLES)
+@pytest.mark.parametrize("inherited", INHERITED.values(), ids=INHERITED)
+async def test_a_process_reloads_whatever_signals_it_inherits(
+    fleet, role, inherited
+):
+    """Guards against a process that never reloads its settings on SIGHUP as
+    whoever started it had its signals blocked or ignored.
+    """
+    hold, numbers = inherited
+    with hold(numbers):
+        child = await start_in_fleet(fleet, role)
+    child.signal(signal.SIGHUP)
+
+    async def is_reloaded():
+        return "settings_reloaded" in events(child)
+
+    await wait_until(is_reloaded)
+    assert await child.terminate() == 0
--- a/tests/test_early_signals.py
+++ b/tests/test_early_signals.py
@@ -9,14 +9,20 @@
 from pathlib import Path
 
 import pytest
+from inherited_signals import blocked
 
-from marjoramyard import fleet
+from marjoramyard import fleet as fleet_package
 from marjoramyard.fleet.cmd.daemon import EXIT_INVALID_SETTINGS
 from marjoramyard.standin.local_fleet import wait_until
+from marjoramyard.standin.processes import BINARIES, free_address
 
 TIMEOUT_SECONDS = 20.0
-SCRIPT = str(Path(fleet.__file__).with_name("__main__.py"))
-COMMANDS = (["-m", "marjoramyard.fleet"], ["-P", SCRIPT])
+SCRIPT = str(Path(fleet_package.__file__).with_name("__main__.py"))
+COMMANDS = (
+    ["-m", "marjoramyard.fleet"],
+    ["-P", SCRIPT],
+    [str(BINARIES / "marjoramyard")],
+)
 SLOW_MODULES = {"enum", "runpy", "signal", "site"}
 
 
@@ -37,8 +43,33 @@
     """Guards against signals to daemons that end or stop a process which has
     no handler yet.
 
-    The process reads its settings from a pipe, so that it is known to be
-    starting when it gets the signal.
+    """
+    code, errors = await signal_while_starting(tmp_path, command, number)
+    assert code == EXIT_INVALID_SETTINGS, errors
+    assert b"'none' is unknown" in errors
+
+
+@pytest.mark.parametrize("command", COMMANDS)
+async def test_a_process_that_starts_ends_though_sigterm_was_blocked(
+    tmp_path, command
+):
+    """Guards against a process that can't be ended while it starts, as
+    whoever started it had its signals blocked.
+    """
+    with blocked([signal.SIGTERM]):
+        code, errors = await signal_while_starting(
+            tmp_path, command, signal.SIGTERM
+        )
+    assert (code, errors) == (-signal.SIGTERM, b"")
+
+
+async def signal_while_starting(tmp_path, command, number):
+    """Signals a process that reads its settings from a pipe.
+
+    So it is known to be starting when it gets the signal.
+
+    Returns:
+        Its exit code and what it wrote to standard error.
     """
     settings = tmp_path / "gateway.yaml"
     os.mkfifo(settings)
@@ -56,12 +87,37 @@
     with contextlib.suppress(BrokenPipeError):
         os.write(pipe, b"role: none\n")
     os.close(pipe)
-    async with asyncio.timeout(TIMEOUT_SECONDS):
-        _, errors = await child.communicate()
-    # The files of a failed test are read to be kept.
-    settings.unlink()
-    assert child.returncode == EXIT_INVALID_SETTINGS, errors
-    assert b"'none' is unknown" in errors
+    try:
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            _, errors = await child.communicate()
+    finally:
+        # The files of a failed test are read to be kept.
+        settings.unlink()
+    return child.returncode, errors
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+async def test_entries_and_agents_stop_though_signals_were_blocked(
+    fleet, number
+):
+    """Guards against an entry or agent that never stops, and is killed, as
+    whoever started it had its signals blocked.
+    """
+    fleet.secret_file.write_text("s" * 64, encoding="utf-8")
+    fleet.control_hosts["control-1"] = free_address()
+    with blocked([number]):
+        children = [
+            await fleet.start_entry("entry-1"),
+            await fleet.start_agent("chat-1"),
+        ]
+    for name in ("entry-1", "agent-chat-1"):
+        await fleet.wait_until_healthy(fleet.internal_addresses[name])
+    codes = []
+    for child in children:
+        child.signal(number)
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            codes.append(await child.process.wait())
+    assert codes == [0, 0]
 
 
 def test_signals_are_ignored_before_slow_modules_are_imported():
