Build anew for another interpreter, and after an interrupted build

Cause: deploy/build.sh kept target/deps as long as the requirements and sources were the same. A folder that came from another machine, or was built by another Python, was kept; its compiled modules can't be imported, and each process ended with exit code 1 before its first line. Two builds at once removed each other's files. With umask 077 only the user who had built could start the program. Python 3.10 built without a word, though it can't start the program.

Why it works: the stamp of the libraries has the interpreter's ABI name (SOABI: version, processor, C library). Libraries and packages are put together beside target/deps and moved into place with their stamps, so there is no stamp without what it stands for. A lock makes builds wait.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -2,27 +2,65 @@
 # Puts the libraries and our packages into target/deps, compiled. What has
 # not changed since the last build is left alone.
 set -eu
-stamp() { find "$@" -type f ! -name '*.pyc' -exec cksum {} + | sort | cksum; }
+cd "$(dirname "$0")/.."
+# Other users than the one who builds may run the program.
+umask 022
 packages="packages/kernel packages/coordination packages/fleet platform"
-sources=
-for package in $packages; do sources="$sources $package/src"; done
 
-if ! cmp -s deploy/requirements.txt target/.libraries; then
-  rm -rf target/deps target/.sources
+# Waits until another build of this checkout has ended.
+lock_target() {
+  mkdir -p target
+  exec 9>target/.lock
+  python3 -c 'import fcntl; fcntl.flock(9, fcntl.LOCK_EX)'
+}
+
+# Prints for which interpreters and processors compiled modules are built.
+python_abi() {
+  python3 -c '
+import sys, sysconfig
+if sys.version_info < (3, 11):
+    sys.exit("Python 3.11 is required; python3 is %d.%d" % sys.version_info[:2])
+print(sysconfig.get_config_var("SOABI"))'
+}
+
+cksum_sources() {
+  for package in $packages; do
+    find "$package/src" -type f ! -name '*.pyc' -exec cksum {} +
+  done | sort | cksum
+}
+
+# A stamp is moved into place together with what it stands for, so that an
+# interrupted build leaves none.
+build_libraries() {
+  rm -rf target/new
   python3 -m pip install --quiet --disable-pip-version-check \
-    --target target/deps -r deploy/requirements.txt
-  cp deploy/requirements.txt target/.libraries
-fi
-# shellcheck disable=SC2086 # the list of folders is split on purpose
-now=$(stamp $sources)
-if [ "$now" != "$(cat target/.sources 2>/dev/null)" ]; then
-  rm -rf target/fresh
-  mkdir -p target/fresh
+    --target target/new -r deploy/requirements.txt
+  echo "$1" > target/new/.libraries
+  rm -rf target/deps
+  mv target/new target/deps
+}
+
+build_packages() {
+  rm -rf target/new
+  mkdir target/new
   for package in $packages; do
-    cp -r "$package/src/marjoramyard/." target/fresh/
+    cp -r "$package/src/marjoramyard/." target/new/
   done
-  python3 -m compileall -q target/fresh
+  chmod -R a+rX target/new
+  python3 -m compileall -q target/new
+  echo "$1" > target/new/.sources
   rm -rf target/deps/marjoramyard
-  mv target/fresh target/deps/marjoramyard
-  echo "$now" > target/.sources
+  mv target/new target/deps/marjoramyard
+}
+
+lock_target
+abi=$(python_abi)
+libraries="$abi $(cksum < deploy/requirements.txt)"
+if [ "$libraries" != "$(cat target/deps/.libraries 2>/dev/null)" ]; then
+  build_libraries "$libraries"
+fi
+sources=$(cksum_sources)
+if [ "$sources" != "$(cat target/deps/marjoramyard/.sources 2>/dev/null)" ]
+then
+  build_packages "$sources"
 fi
