Refuse an unknown Expect in text that can be written

A caller whose `Expect` was not UTF-8 (one byte, 0xb2) got 500 in place of 417 from any process: the HTTP library writes the value into its refusal, and that text has a half character for such a byte. It does so before any middleware runs, so nothing was logged as a failed handler.

Routes get a handler of their own for `Expect`, which names what is accepted and doesn't repeat the value.

--- a/packages/fleet/src/marjoramyard/fleet/application.py
+++ b/packages/fleet/src/marjoramyard/fleet/application.py
@@ -21,6 +21,7 @@
 )
 from marjoramyard.fleet.util import rpc
 from marjoramyard.fleet.util.binding import BindRetries
+from marjoramyard.fleet.util.expectations import with_expectations
 from marjoramyard.fleet.util.separable import refused_entries
 from marjoramyard.fleet.util.tasks import TaskGroup, task_group
 from marjoramyard.kernel.ids import new_incarnation
@@ -198,8 +199,8 @@
             },
         )
         if health:
-            site_app.add_routes(self._health_routes())
-        site_app.add_routes(routes)
+            site_app.add_routes(map(with_expectations, self._health_routes()))
+        site_app.add_routes(map(with_expectations, routes))
         site_app.on_response_prepare.append(listener.prepare_response)
         runner = web.AppRunner(
             site_app,
