Refuse credentials that are not UTF-8

A process of the fleet with a secret answered 500 (`handler_failed`, UnicodeEncodeError) to an `Authorization` with a byte that is not UTF-8, which the HTTP library has read as half a character. Such a request gets 401 now, as others without the secret: the bytes are compared as they were received.

--- a/packages/fleet/src/marjoramyard/fleet/util/headers.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/headers.py
@@ -51,11 +51,16 @@
     return _CONTROL_CHARACTERS.sub(" ", _text_of(value))
 
 
+def header_bytes(value: str) -> bytes:
+    """Returns the bytes of a header value that the HTTP library has read."""
+    return value.encode("utf-8", "surrogateescape")
+
+
 def _text_of(value: str) -> str:
     try:
         value.encode()
     except UnicodeEncodeError:
-        return value.encode("utf-8", "surrogateescape").decode("latin-1")
+        return header_bytes(value).decode("latin-1")
     return value
 
 
--- a/packages/fleet/src/marjoramyard/fleet/util/rpc.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/rpc.py
@@ -14,6 +14,7 @@
 
 from marjoramyard.fleet.messages import FailureBody
 from marjoramyard.fleet.util.connections import has_peer_closed
+from marjoramyard.fleet.util.headers import header_bytes
 from marjoramyard.fleet.util.separable import decode_message
 from marjoramyard.kernel.errors import (
     Failure,
@@ -87,8 +88,8 @@
     @web.middleware
     async def check(request: web.Request, handler: Handler) -> Any:
         if request.path not in OPEN_PATHS:
-            given = request.headers.get(AUTH_HEADER, "").encode()
-            if not hmac.compare_digest(given, expected):
+            given = request.headers.get(AUTH_HEADER, "")
+            if not hmac.compare_digest(header_bytes(given), expected):
                 return failure_response(
                     failure(
                         FailureKind.UNAUTHENTICATED,
--- a/packages/fleet/tests/util/test_expectations.py
+++ b/packages/fleet/tests/util/test_expectations.py
@@ -63,3 +63,11 @@
     assert first == b"HTTP/1.1 100 Continue\r\n\r\n"
     assert rest.startswith(b"HTTP/1.1 200 ")
     assert rest.endswith(b"body")
+
+
+@pytest.mark.parametrize("value", [b"\xb2", b"Bearer \xff", b"9" * 5000])
+async def test_odd_credentials_are_refused(value):
+    """Guards against 500 for credentials that are not UTF-8."""
+    data = head(b"/x").replace(b"Bearer " + SECRET.encode(), value)
+    (response,) = await send(data)
+    assert response.startswith(b"HTTP/1.1 401 ")
