Refuse bundles that mean nothing, when they are proposed

Operators saw: a bundle with max_body_bytes or max_deadline_seconds of -1, numbers such as 10^400, control characters in names and key hashes that are no hex was accepted and could be rolled. A number of .nan or .inf ended marjoramctl with a traceback.

Cause: the same as with a fleet's configuration: validation looked at a few fields, and read the others by type.

They run in marjoramctl and at the control host that receives a proposal, before it is put into the log, and not when replicas apply the log: a proposal that an earlier release accepted must have the same outcome when it is replayed, and on hosts of both releases. A change that is known already, or that restores an earlier version, is not checked again.

--- a/packages/coordination/src/marjoramyard/coordination/governance/bundle.py
+++ b/packages/coordination/src/marjoramyard/coordination/governance/bundle.py
@@ -1,5 +1,6 @@
 """The configuration bundle: row types, lookup tables and validation."""
 
+import re
 import sys
 from collections.abc import Iterator
 from typing import Any
@@ -11,10 +12,16 @@
 from marjoramyard.coordination.governance.suspects import QUARANTINE_SECONDS
 from marjoramyard.coordination.serving.request_queues import RequestClass
 from marjoramyard.kernel.util.canonical import canonical_bytes, digest
+from marjoramyard.kernel.util.field_checks import (
+    MAX_NAME_CHARS,
+    number_problems,
+    text_problems,
+)
 
 KEY_HASH_HEX_DIGITS = 64
 MIN_APPROVERS = 2
 _DIGEST_BITS = 256
+_KEY_HASH = re.compile(f"[0-9a-fA-F]{{{KEY_HASH_HEX_DIGITS}}}")
 
 
 class Workspace(
@@ -36,6 +43,15 @@
     max_waiting: int = 1000
     max_waiting_bytes: int = 64 << 20
 
+    def problems(self, path: str) -> Iterator[str]:
+        """Yields the errors of the row's values."""
+        for field in ("share", "max_waiting", "max_waiting_bytes"):
+            yield from number_problems(
+                f"{path}.{field}", getattr(self, field), is_zero_valid=False
+            )
+        if not all(map(_KEY_HASH.fullmatch, self.key_hashes)):
+            yield f"{path}.key_hashes: must be SHA-256 hashes in hex"
+
 
 class Service(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """A service that requests are routed to.
@@ -46,7 +62,8 @@
         stall_seconds: The maximum time without data within a response.
         deadline_seconds: The deadline of requests that specify none.
         max_deadline_seconds: The maximum deadline a request may specify.
-        max_body_bytes: The maximum size of a request body.
+        max_body_bytes: The maximum size of a request body; 0 if there may be
+            none.
     """
 
     kind: str
@@ -56,6 +73,22 @@
     max_deadline_seconds: float = 900.0
     max_body_bytes: int = 4 << 20
 
+    def problems(self, path: str) -> Iterator[str]:
+        """Yields the errors of the row's values."""
+        for field in (
+            "stall_seconds",
+            "deadline_seconds",
+            "max_deadline_seconds",
+        ):
+            yield from number_problems(
+                f"{path}.{field}", getattr(self, field), is_zero_valid=False
+            )
+        yield from number_problems(
+            f"{path}.max_body_bytes", self.max_body_bytes
+        )
+        for model in self.models:
+            yield from text_problems(f"{path}.models", model)
+
 
 class Rule(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """Request handling for a service under a path prefix.
@@ -76,6 +109,12 @@
     repeatable: bool = False
     request_class: str = RequestClass.INTERACTIVE.value
 
+    def problems(self, path: str) -> Iterator[str]:
+        """Yields the errors of the row's values."""
+        yield from text_problems(f"{path}.path", self.path)
+        for method in self.methods:
+            yield from text_problems(f"{path}.methods", method)
+
 
 class Operator(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """An operator who may change the bundle; the key is Ed25519, in hex."""
@@ -83,6 +122,11 @@
     public_key: str
     roles: tuple[str, ...] = ("author", "approver")
 
+    def problems(self, path: str) -> Iterator[str]:
+        """Yields the errors of the row's values."""
+        for role in self.roles:
+            yield from text_problems(f"{path}.roles", role)
+
 
 class Policy(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """Fleet-wide tuning parameters."""
@@ -97,6 +141,15 @@
     quarantine_seconds: float = QUARANTINE_SECONDS
     ledger_capacity: int = 100_000
 
+    def problems(self, path: str) -> Iterator[str]:
+        """Yields the errors of the row's values."""
+        for field in self.__struct_fields__:
+            yield from number_problems(
+                f"{path}.{field}",
+                getattr(self, field),
+                is_zero_valid=field != "ledger_capacity",
+            )
+
     def fairness(self) -> FairnessPolicy:
         """Returns the scheduler's part of the policy."""
         return FairnessPolicy(
@@ -158,15 +211,37 @@
         raise ValueError(f"{path}: {error}; correct the value") from error
 
 
+def value_problems(rows: Rows) -> Iterator[str]:
+    """Yields the errors of the values in rows that an operator sends.
+
+    Replicas don't check this again when they apply the log: those of earlier
+    releases have accepted more, and all must come to the same bundle.
+    """
+    for path, raw in rows.items():
+        try:
+            value = row_value(path, raw)
+        except ValueError as error:
+            yield str(error)
+            continue
+        section, _, name = path.partition("/")
+        yield from text_problems(
+            f"{section}: the name", name, limit=MAX_NAME_CHARS
+        )
+        yield from value.problems(path)
+
+
 def parse_bundle(raw: Any) -> Result[Bundle, str]:
     """Decodes a bundle from built-in values and validates it."""
     try:
         bundle = msgspec.convert(raw, Bundle)
     except msgspec.ValidationError as error:
         return Err(f"{error}; correct the value or remove the key")
-    view = BundleView()
-    view.install(0, "", to_rows(bundle))
-    problem = next(view.problems(to_rows(bundle)), None)
+    rows = to_rows(bundle)
+    problem = next(value_problems(rows), None)
+    if problem is None:
+        view = BundleView()
+        view.install(0, "", rows)
+        problem = next(view.problems(rows), None)
     return Err(problem) if problem else Ok(bundle)
 
 
--- a/packages/fleet/src/marjoramyard/fleet/control/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/role.py
@@ -24,6 +24,7 @@
 )
 from marjoramyard.coordination.consensus.replica import Role as RaftRole
 from marjoramyard.coordination.governance import commands
+from marjoramyard.coordination.governance.bundle import value_problems
 from marjoramyard.fleet import paths
 from marjoramyard.fleet.application import Application
 from marjoramyard.fleet.control.cluster_manager import ClusterManager
@@ -273,6 +274,7 @@
         command = await read_message(request, commands.Command)
         command = msgspec.structs.replace(command, at=time.time())
         self._check_signature(command)
+        self._check_values(command)
         result = await self.node.execute(command, COMMAND_TIMEOUT_SECONDS)
         if isinstance(result, Err):
             raise FleetError(result.err_value)
@@ -315,6 +317,25 @@
         if refusal is not None:
             raise FleetError(refusal)
 
+    def _check_values(self, command: commands.Command) -> None:
+        """Checks the values of a change before it is proposed.
+
+        Not those of a change that is known already, or that restores an
+        earlier version: another release may have accepted them.
+
+        Raises:
+            FleetError: A value is invalid.
+        """
+        if not isinstance(command, commands.Propose):
+            return
+        change = command.change
+        known = self.node.state.bundles.state.changes
+        if change.change_id in known or change.restores is not None:
+            return
+        problem = next(value_problems(change.put), None)
+        if problem is not None:
+            raise_failure(FailureKind.INVALID_BUNDLE, problem)
+
     async def _confirmed_node(self) -> ControlNode:
         node = self.node
         confirmed = await node.confirm_leadership(CONFIRM_TIMEOUT_SECONDS)
--- a/packages/kernel/src/marjoramyard/kernel/util/field_checks.py
+++ b/packages/kernel/src/marjoramyard/kernel/util/field_checks.py
@@ -24,13 +24,10 @@
         value: The number.
         is_zero_valid: Whether it may be 0.
     """
-    if is_zero_valid and not 0 <= value <= MAX_NUMBER:
-        yield f"{field}: must be a number from 0 to {MAX_NUMBER}"
-    if not is_zero_valid and not 0 < value <= MAX_NUMBER:
-        yield (
-            f"{field}: must be a number greater than 0, and at most "
-            f"{MAX_NUMBER}"
-        )
+    lowest = "not negative" if is_zero_valid else "greater than 0"
+    is_valid = 0 <= value <= MAX_NUMBER and (is_zero_valid or value != 0)
+    if not is_valid:
+        yield f"{field}: must be a number {lowest}, and at most {MAX_NUMBER}"
 
 
 def text_problems(
--- a/tests/test_operator_commands.py
+++ b/tests/test_operator_commands.py
@@ -3,6 +3,9 @@
 import copy
 import datetime
 
+import msgspec
+
+from marjoramyard.coordination.governance.lifecycle import Change
 from marjoramyard.standin.local_fleet import (
     APPROVER,
     AUTHOR,
@@ -106,3 +109,33 @@
     await wait_until(is_ready, "the agent to accept work again")
     history = await fleet.ctl_json("zone", "history")
     assert [record["evacuated"] for record in history] == [True, False]
+
+
+async def test_a_senseless_change_is_refused_by_name(fleet, bundle):
+    """Guards against a bundle in force that means nothing."""
+    await start_small_fleet(fleet, bundle, control=1, entries=1)
+    name, service = next(iter(bundle["services"].items()))
+    author = fleet.signing_options(AUTHOR)
+    for field, value in (
+        ("max_body_bytes", -1),
+        ("max_deadline_seconds", 0),
+        ("stall_seconds", 2**60),
+        ("deadline_seconds", float("nan")),
+    ):
+        odd = {**service, field: value}
+        path = fleet.write_bundle(
+            {**bundle, "services": {**bundle["services"], name: odd}}, "odd"
+        )
+        assert field in await fleet.ctl("propose", str(path), *author, code=2)
+        row = {f"services/{name}": odd}
+        change = Change(f"odd-{field}", 1, AUTHOR, row)
+        path.write_bytes(msgspec.json.encode(change))
+        refused = await fleet.ctl(
+            "propose", str(path), "--resend", *author, code=1
+        )
+        assert field in refused
+    changes = await fleet.ctl_json("changes")
+    assert [c["state"] for c in changes] == ["rolled"]
+    service = {**service, "max_body_bytes": 0}
+    bundle["services"] = {**bundle["services"], name: service}
+    assert await fleet.roll_out(bundle) == 2
