Log what a process was started with before it waits for anything

Operators could not tell from a log which signals a process had inherited as blocked or ignored, nor by which interpreter and HTTP library it ran: the first line, `started`, comes after all addresses and data are had, and names the process id only.

A line `starting` now comes as soon as logs are configured: `pid`, `python`, `executable`, `aiohttp`, and `signals_blocked` and `signals_ignored` if there were any. A process that never reaches `started` has it too. Blocked signals are all those of the mask; ignored ones only those that the program uses, as the interpreter ignores others by itself.

--- a/packages/fleet/src/marjoramyard/fleet/__main__.py
+++ b/packages/fleet/src/marjoramyard/fleet/__main__.py
@@ -16,11 +16,16 @@
 )
 STOPPING = (_signal.SIGTERM, _signal.SIGINT)
 
+were_ignored = [
+    number
+    for number in IGNORED + STOPPING
+    if _signal.getsignal(number) == _signal.SIG_IGN
+]
 for ignored in IGNORED:
     _signal.signal(ignored, _signal.SIG_IGN)
 # Signals that were blocked when this process was started stay blocked over
 # `exec`, and would never be heard.
-_signal.pthread_sigmask(_signal.SIG_UNBLOCK, IGNORED + STOPPING)
+were_blocked = _signal.pthread_sigmask(_signal.SIG_UNBLOCK, IGNORED + STOPPING)
 
 from marjoramyard.kernel.standard_streams import (  # noqa: E402
     open_closed_streams,
@@ -28,7 +33,16 @@
 
 open_closed_streams()
 
-from marjoramyard.fleet.cmd.daemon import main  # noqa: E402
+from marjoramyard.fleet.cmd import daemon  # noqa: E402
+from marjoramyard.fleet.cmd.inherited_signals import (  # noqa: E402
+    InheritedSignals,
+)
+
+
+def main() -> None:
+    """Runs the command with the signals that it was started with."""
+    daemon.main(obj=InheritedSignals(were_blocked, were_ignored))
+
 
 if __name__ == "__main__":
     main()
--- a/packages/fleet/src/marjoramyard/fleet/cmd/daemon.py
+++ b/packages/fleet/src/marjoramyard/fleet/cmd/daemon.py
@@ -6,11 +6,13 @@
 import sys
 from pathlib import Path
 
+import aiohttp
 import click
 from result import Err
 
 import marjoramyard.fleet.settings  # noqa: F401  (registers the roles)
 from marjoramyard.fleet.application import Application
+from marjoramyard.fleet.cmd.inherited_signals import InheritedSignals
 from marjoramyard.fleet.cmd.settings_file import load_when_written
 from marjoramyard.kernel.logs import (
     configure_logs,
@@ -69,15 +71,28 @@
     type=click.Path(path_type=Path),
     envvar="MARJORAMYARD_CONFIG",
 )
-def run(settings: Path) -> None:
+@click.pass_obj
+def run(inherited: InheritedSignals | None, settings: Path) -> None:
     """Runs the role that a settings file describes, until SIGTERM."""
     loaded, settings_modified_ns = _load_written_or_exit(settings)
     raise_descriptor_limit()
     keep_errors_from_blocking()
     configure_logs(loaded.log, role=loaded.role, name=loaded.name)
+    _log_start(inherited or InheritedSignals())
     asyncio.run(_run(loaded, settings, settings_modified_ns))
 
 
+def _log_start(inherited: InheritedSignals) -> None:
+    logger.info(
+        "starting",
+        pid=os.getpid(),
+        python=sys.version.split()[0],
+        executable=sys.executable,
+        aiohttp=aiohttp.__version__,
+        **inherited.log_fields(),
+    )
+
+
 async def _run(
     settings: RoleSettings, path: Path, settings_modified_ns: int
 ) -> None:
--- a/tests/platform/test_signals.py
+++ b/tests/platform/test_signals.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import json
+import platform
 import signal
+import sys
 from subprocess import DEVNULL
 
 import pytest
@@ -56,10 +58,14 @@
     return child
 
 
+def log_lines(child):
+    lines = child.log.read_text(encoding="utf-8").splitlines()
+    return [json.loads(line) for line in lines]
+
+
 def events(child):
     """Returns the events that a process has logged."""
-    lines = child.log.read_text(encoding="utf-8").splitlines()
-    return [json.loads(line)["event"] for line in lines]
+    return [line["event"] for line in log_lines(child)]
 
 
 async def send_until_exit(process, number):
@@ -130,3 +136,33 @@
 
     await wait_until(is_reloaded)
     assert await child.terminate() == 0
+
+
+@pytest.mark.parametrize("role", ROLES)
+@pytest.mark.parametrize(
+    "inherited, field",
+    [(blocked, "signals_blocked"), (ignored, "signals_ignored")],
+)
+async def test_a_process_logs_what_it_was_started_with(
+    fleet, role, inherited, field
+):
+    """Guards against a process whose log doesn't tell which signals it was
+    started with as blocked or ignored, nor by which interpreter.
+    """
+    with inherited([signal.SIGINT, signal.SIGTERM]):
+        child = await start_in_fleet(fleet, role)
+    first = log_lines(child)[0]
+    assert first["event"] == "starting"
+    assert first["pid"] == child.pid
+    assert first["python"] == platform.python_version()
+    assert first["executable"] == sys.executable
+    assert first[field] == ["SIGINT", "SIGTERM"]
+
+
+@pytest.mark.parametrize("role", ROLES)
+async def test_a_usual_start_logs_no_signals(fleet, role):
+    """Guards against a log that names signals of a usual start as odd."""
+    child = await start_in_fleet(fleet, role)
+    first = log_lines(child)[0]
+    assert first["event"] == "starting"
+    assert {"signals_blocked", "signals_ignored"}.isdisjoint(first)
