End a process that is told to while it starts, without a traceback

Operators saw a traceback of KeyboardInterrupt when SIGINT came before the event loop handled it, which is the first 0.1 to 0.4 s of a process or the time in which it waits for its settings. A process whose starter ignored SIGTERM or SIGINT didn't hear these at all in that time, ran on, and had to be told again or killed.

Cause: for SIGINT the interpreter installs a handler that raises, or keeps the inherited action if it is ignored; for SIGTERM the inherited action was kept.

Both now have their default action from the first lines on, until the event loop handles them. So they end the process by that signal, with nothing on standard error. Nothing has been accepted by then.

--- a/packages/fleet/src/marjoramyard/fleet/__main__.py
+++ b/packages/fleet/src/marjoramyard/fleet/__main__.py
@@ -23,6 +23,10 @@
 ]
 for ignored in IGNORED:
     _signal.signal(ignored, _signal.SIG_IGN)
+# Until the event loop handles them these end the process: neither lost, if
+# whoever started it ignored them, nor with a traceback.
+for stopping in STOPPING:
+    _signal.signal(stopping, _signal.SIG_DFL)
 # Signals that were blocked when this process was started stay blocked over
 # `exec`, and would never be heard.
 were_blocked = _signal.pthread_sigmask(_signal.SIG_UNBLOCK, IGNORED + STOPPING)
--- a/tests/test_early_signals.py
+++ b/tests/test_early_signals.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 import pytest
-from inherited_signals import blocked
+from inherited_signals import blocked, ignored
 
 from marjoramyard import fleet as fleet_package
 from marjoramyard.fleet.cmd.daemon import EXIT_INVALID_SETTINGS
@@ -23,6 +23,11 @@
     ["-P", SCRIPT],
     [str(BINARIES / "marjoramyard")],
 )
+INHERITED = {
+    "blocked": blocked,
+    "ignored": ignored,
+    "usual": contextlib.nullcontext,
+}
 SLOW_MODULES = {"enum", "runpy", "signal", "site"}
 
 
@@ -50,17 +55,18 @@
 
 
 @pytest.mark.parametrize("command", COMMANDS)
-async def test_a_process_that_starts_ends_though_sigterm_was_blocked(
-    tmp_path, command
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+@pytest.mark.parametrize("inherited", INHERITED.values(), ids=INHERITED)
+async def test_a_process_that_starts_ends_when_it_is_told_to(
+    tmp_path, command, number, inherited
 ):
     """Guards against a process that can't be ended while it starts, as
-    whoever started it had its signals blocked.
+    whoever started it had its signals blocked or ignored, and against a
+    traceback in place of its end.
     """
-    with blocked([signal.SIGTERM]):
-        code, errors = await signal_while_starting(
-            tmp_path, command, signal.SIGTERM
-        )
-    assert (code, errors) == (-signal.SIGTERM, b"")
+    with inherited([number]):
+        code, errors = await signal_while_starting(tmp_path, command, number)
+    assert (code, errors) == (-number, b"")
 
 
 async def signal_while_starting(tmp_path, command, number):
