Find the libraries beside the program, not only by PYTHONPATH

Cause: the deploy file's command has -S and -P, so nothing but PYTHONPATH puts target/deps on Python's path: no site folder, no .pth file, not the script's folder. A runner that makes target/deps known in another way, or starts the command elsewhere, got exit code 1 before the first line (ModuleNotFoundError: marjoramyard). With other versions of a library ahead in PYTHONPATH those were imported.

Why it works: run as a script, the program puts the folder that has its own package first on the path, before the first import from it.

--- a/packages/fleet/src/marjoramyard/fleet/__main__.py
+++ b/packages/fleet/src/marjoramyard/fleet/__main__.py
@@ -31,6 +31,13 @@
 # `exec`, and would never be heard.
 were_blocked = _signal.pthread_sigmask(_signal.SIG_UNBLOCK, IGNORED + STOPPING)
 
+import sys  # noqa: E402
+
+if __spec__ is None:
+    # The script's libraries are beside its package, whatever the host's
+    # variables name.
+    sys.path.insert(0, __file__.rpartition("/marjoramyard/")[0])
+
 from marjoramyard.kernel.standard_streams import (  # noqa: E402
     open_closed_streams,
 )
--- a/tests/platform/test_build.py
+++ b/tests/platform/test_build.py
@@ -84,10 +84,10 @@
     def pip_runs(self) -> list[str]:
         return (self.root / "pip-runs").read_text().split()
 
-    def program(self, *arguments: str, **options):
+    def program(self, *arguments: str, program: str = PROGRAM, **options):
         """Runs the built program."""
         return subprocess.run(
-            [sys.executable, "-S", "-P", PROGRAM, *arguments],
+            [sys.executable, "-S", "-P", program, *arguments],
             **{"cwd": self.root, "timeout": TIMEOUT_SECONDS, **options},
             capture_output=True,
             text=True,
@@ -185,3 +185,29 @@
     assert built.returncode != 0
     assert "pip" in built.stderr
     assert not (checkout.root / "target/deps").exists()
+
+
+@pytest.mark.parametrize("is_absolute", [True, False])
+def test_the_program_finds_its_libraries(checkout, is_absolute):
+    """Guards against a program that starts only if a variable names the folder
+    of its libraries, which `-S` makes the only way to set it.
+    """
+    assert checkout.build().returncode == 0
+    program = str(checkout.root / PROGRAM) if is_absolute else PROGRAM
+    folder = checkout.root.parent if is_absolute else checkout.root
+    started = checkout.program("--help", program=program, cwd=folder, env={})
+    assert started.returncode == 0, started.stderr
+
+
+def test_the_program_prefers_its_own_libraries(checkout, tmp_path):
+    """Guards against other versions of the libraries that the host's variable
+    names first.
+    """
+    assert checkout.build().returncode == 0
+    for library in ["aiohttp", "msgspec", "marjoramyard/kernel"]:
+        other = tmp_path / f"others/{library}/__init__.py"
+        other.parent.mkdir(parents=True)
+        other.write_text("raise ImportError('another version')\n")
+    environment = {"PYTHONPATH": f"{tmp_path}/others:target/deps"}
+    started = checkout.program("--help", env=environment)
+    assert started.returncode == 0, started.stderr
