Say at the start what data folders hold against the settings

Runs in series with the same folders would fail from the second one on.

Cause, by trials with real processes, three hosts with both roles, all killed by SIGKILL and started with `first_start` true again, version 7 in force before: same addresses: all serve after 1.3 s, version 1 of the new run is accepted with 200 and 7 stays in force, a caller by the new run's host name gets 404; with processes of the last run that are killed 3 s late: the same; with one disk emptied: the same after 3.6 s; other addresses and ports: no quorum, no gateway ready within 24 s, PUT and GET 503 no_quorum. No line said why in any of them.

A setting that may be wrong must not remove data, so the data stays.

--- a/packages/fleet/src/marjoramyard/fleet/control/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/role.py
@@ -74,6 +74,14 @@
 COMMAND_TIMEOUT_SECONDS = 4.0
 _EXPIRY_INTERVAL_SECONDS = 1.0
 _STORAGE_RETRY_SECONDS = 0.5
+_FIRST_START_REMEDY = (
+    "set first_start to false; to start a new fleet, stop all control hosts "
+    "and empty their data folders"
+)
+_ADDRESS_REMEDY = (
+    "start this host at the stored address, where the other replicas call it; "
+    "if only this host has moved, empty its data folder"
+)
 
 
 class ControlRole:
@@ -456,6 +464,29 @@
         except OSError as error:
             self._retry_start(error)
 
+    def log_unexpected_data(self) -> None:
+        """Logs what the settings say otherwise than the stored replica.
+
+        The replica is kept: the settings may be those of an earlier start.
+        """
+        if self.settings.first_start:
+            logger.warning(
+                "first_start_ignored",
+                cluster=self.storage.identity.cluster,
+                remedy=_FIRST_START_REMEDY,
+            )
+        if self.running_node is None:
+            return
+        core = self.running_node.core
+        stored = core.membership.addresses.get(core.replica_id)
+        if stored not in (None, self.settings.advertised_address):
+            logger.warning(
+                "address_differs",
+                stored=stored,
+                address=self.settings.advertised_address,
+                remedy=_ADDRESS_REMEDY,
+            )
+
     def _retry_start(self, error: OSError) -> None:
         logger.error("storage_failed", error=str(error))
         self.app.tasks.spawn(self._restart_when_readable())
@@ -515,6 +546,7 @@
         role = ControlRole(app, storage)
         if identity is not None:
             role.start_stored_node()
+            role.log_unexpected_data()
         async with AsyncExitStack() as stack:
             listening = app.serve(app.settings.internal, role.routes())
             await stack.enter_async_context(listening)
--- a/tests/platform/deployed_fleet.py
+++ b/tests/platform/deployed_fleet.py
@@ -160,11 +160,11 @@
         self.hosts = hosts
         self.deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         self.wire = tomllib.loads((ROOT / "deploy/wire.toml").read_text())
-        first = _free_port(PORT_COUNT)
+        first = free_port(PORT_COUNT)
         self.ports = Ports(
-            frontend=_free_port(),
-            ready=_free_port(),
-            control=_free_port(),
+            frontend=free_port(),
+            ready=free_port(),
+            control=free_port(),
             first=first,
             last=first + PORT_COUNT - 1,
         )
@@ -340,7 +340,8 @@
     return str(next(path for path in paths if path.exists()))
 
 
-def _free_port(consecutive: int = 1) -> int:
+def free_port(consecutive: int = 1) -> int:
+    """Returns the first of consecutive ports that nobody else gets."""
     return int(free_address(consecutive).split(":")[1])
 
 
