Wait for three voters before a test takes a control host away

By its logs control host 2 had started 4 s after the others and became a voter as the leader was killed.

Cause: the set-up of these tests waited until each host has a configuration. One that has not joined yet has it from the others, while two vote; the loss of one of two may not be survived. Waiting for all three to vote is what the promise (one loss at a time) says, so nothing is checked less.

--- a/tests/control_hosts.py
+++ b/tests/control_hosts.py
@@ -59,17 +59,31 @@
 
 @contextlib.asynccontextmanager
 async def control_hosts(folder):
-    """Starts three control hosts, and yields when each has a configuration."""
+    """Starts three control hosts, and yields when one may be lost.
+
+    Each has a configuration then, and all are voters.
+    """
     async with started_control_hosts(folder, free_port()) as fleet:
         await fleet.put_config(config(1))
         await wait_until(fleet.control_hosts_are_ready)
+        await wait_until(lambda: all_are_voters(fleet))
         yield fleet
 
 
-async def role_of(fleet, number):
+async def status_of(fleet, number):
     url = f"http://{fleet.internal_address(number)}{paths.STATUS_PATH}"
     async with fleet.session.post(url, data=b"{}") as response:
-        return (await response.json())["role"]
+        return await response.json()
+
+
+async def role_of(fleet, number):
+    return (await status_of(fleet, number))["role"]
+
+
+async def all_are_voters(fleet):
+    """Whether each host knows that all three vote."""
+    statuses = [await status_of(fleet, number) for number in range(3)]
+    return all(len(each["membership"]["voters"]) == 3 for each in statuses)
 
 
 async def find_host(fleet, role):
