Stop on SIGQUIT, and don't be suspended by a terminal

A terminal sends SIGQUIT and SIGTSTP, as SIGINT and SIGHUP, to the whole process group. Callers of a process in such a group lost what it had in hand on SIGQUIT (exit by signal 3), also while it was stopping on SIGINT or SIGTERM; after SIGTSTP it stood still, and SIGTERM had no effect until it was continued or killed.

Cause: both had their default action.

SIGQUIT now stops a process as SIGTERM does, and SIGTSTP is ignored from the first lines on, as the two signals for the use of a terminal in the background are. SIGSTOP still suspends a process.

--- a/packages/fleet/src/marjoramyard/fleet/__main__.py
+++ b/packages/fleet/src/marjoramyard/fleet/__main__.py
@@ -5,16 +5,17 @@
 import _signal
 
 # Signals that operators and their tools send to daemons, and that would end or
-# stop the process: a reload while it is starting, requests of log rotation, and
-# the use of a terminal in the background.
+# stop the process: a reload while it is starting, requests of log rotation, the
+# use of a terminal in the background, and a terminal that suspends its group.
 IGNORED = (
     _signal.SIGHUP,
     _signal.SIGUSR1,
     _signal.SIGUSR2,
     _signal.SIGTTIN,
     _signal.SIGTTOU,
+    _signal.SIGTSTP,
 )
-STOPPING = (_signal.SIGTERM, _signal.SIGINT)
+STOPPING = (_signal.SIGTERM, _signal.SIGINT, _signal.SIGQUIT)
 
 were_ignored = [
     number
--- a/packages/fleet/src/marjoramyard/fleet/application.py
+++ b/packages/fleet/src/marjoramyard/fleet/application.py
@@ -42,6 +42,7 @@
 """The module of each role. Only the one in use is imported, to save memory."""
 
 
+_STOPPING_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGQUIT)
 _SHUTDOWN_SECONDS = 0.1
 """aiohttp's limit for handlers. None is left when it applies."""
 _DRAIN_SLACK_SECONDS = 0.1
@@ -348,9 +349,9 @@
         ]
 
     async def run(self) -> None:
-        """Runs the role until SIGTERM or SIGINT, then drains it."""
+        """Runs the role until SIGTERM, SIGINT or SIGQUIT, then drains it."""
         loop = asyncio.get_running_loop()
-        for signal_number in (signal.SIGTERM, signal.SIGINT):
+        for signal_number in _STOPPING_SIGNALS:
             loop.add_signal_handler(signal_number, self.stop)
         loop.add_signal_handler(signal.SIGHUP, self.reload_soon)
         self.load_extension(ROLE_MODULES[self.settings.role])
--- a/tests/platform/test_signals.py
+++ b/tests/platform/test_signals.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import platform
 import signal
 import sys
@@ -16,7 +17,7 @@
 STOPS = 8
 STOP_SECONDS = 10.0
 SIGNAL_INTERVAL_SECONDS = 0.0005
-STOPPING_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+STOPPING_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGQUIT)
 SENT_SIGNALS = (*STOPPING_SIGNALS, signal.SIGHUP)
 ALL_SIGNALS = signal.valid_signals() - {signal.SIGKILL, signal.SIGSTOP}
 INHERITED = {
@@ -37,12 +38,16 @@
         fleet.hosts[0], role, stdin=DEVNULL, stdout=DEVNULL, stderr=DEVNULL
     )
 
+    await wait_until_alive(fleet, role, process)
+    return process
+
+
+async def wait_until_alive(fleet, role, process):
     async def is_alive():
         assert process.poll() is None
         return await fleet.is_alive(fleet.hosts[0], role)
 
     await wait_until(is_alive)
-    return process
 
 
 async def start_in_fleet(fleet, role):
@@ -166,3 +171,47 @@
     first = log_lines(child)[0]
     assert first["event"] == "starting"
     assert {"signals_blocked", "signals_ignored"}.isdisjoint(first)
+
+
+@pytest.mark.parametrize("role", ROLES)
+async def test_a_process_runs_on_when_its_terminal_suspends_its_group(
+    fleet, role
+):
+    """Guards against a process that stands still, and is killed as it doesn't
+    stop, as a terminal has sent SIGTSTP to its process group.
+
+    It is in the session of the tests: a group that has no parent in its
+    session is not suspended.
+    """
+    child = fleet.popen(
+        *(fleet.hosts[0], role),
+        stdin=DEVNULL,
+        stdout=DEVNULL,
+        stderr=DEVNULL,
+        process_group=0,
+    )
+    try:
+        await wait_until_alive(fleet, role, child)
+        os.killpg(child.pid, signal.SIGTSTP)
+        os.killpg(child.pid, signal.SIGTERM)
+        assert await asyncio.to_thread(child.wait, STOP_SECONDS) == 0
+    finally:
+        child.kill()
+        child.wait()
+
+
+@pytest.mark.parametrize("role", ROLES)
+@pytest.mark.parametrize("first", STOPPING_SIGNALS)
+@pytest.mark.parametrize("second", STOPPING_SIGNALS)
+async def test_a_process_that_is_told_to_stop_twice_ends_what_it_does(
+    fleet, role, first, second
+):
+    """Guards against a stopping process that is ended by another signal of its
+    terminal or supervisor.
+    """
+    child = await start_in_fleet(fleet, role)
+    child.signal(first)
+    child.signal(second)
+    async with asyncio.timeout(STOP_SECONDS):
+        assert await child.process.wait() == 0
+    assert events(child)[-1] == "stopped"
--- a/tests/test_early_signals.py
+++ b/tests/test_early_signals.py
@@ -40,6 +40,7 @@
         signal.SIGUSR2,
         signal.SIGTTIN,
         signal.SIGTTOU,
+        signal.SIGTSTP,
     ],
 )
 async def test_a_signal_while_a_process_starts_does_not_end_it(
@@ -55,7 +56,9 @@
 
 
 @pytest.mark.parametrize("command", COMMANDS)
-@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+@pytest.mark.parametrize(
+    "number", [signal.SIGTERM, signal.SIGINT, signal.SIGQUIT]
+)
 @pytest.mark.parametrize("inherited", INHERITED.values(), ids=INHERITED)
 async def test_a_process_that_starts_ends_when_it_is_told_to(
     tmp_path, command, number, inherited
@@ -97,6 +100,8 @@
         async with asyncio.timeout(TIMEOUT_SECONDS):
             _, errors = await child.communicate()
     finally:
+        if child.returncode is None:
+            child.kill()
         # The files of a failed test are read to be kept.
         settings.unlink()
     return child.returncode, errors
