Load the exporter of metrics without a thread if none can be started

A process whose limits allow it no further thread answered each request for its metrics with 500, and its unread values of histograms collected in memory for as long as it ran, up to the limit at which it is killed.

Cause: the exporter is imported in a thread, the only one that the daemon starts. The failure to start it (RuntimeError) ended the load each time.

The load now goes on in the event loop, which it holds up once for the time of the import, and writes `thread_not_started`.

--- a/packages/kernel/src/marjoramyard/kernel/metrics.py
+++ b/packages/kernel/src/marjoramyard/kernel/metrics.py
@@ -93,7 +93,12 @@
         if self.exporter is not None:
             return
         started_at = time.monotonic()
-        await asyncio.to_thread(importlib.import_module, _EXPORTER_MODULE)
+        try:
+            await asyncio.to_thread(importlib.import_module, _EXPORTER_MODULE)
+        except RuntimeError as error:
+            # The process may start no further thread. `load_exporter` blocks
+            # the event loop, but values would collect in memory without it.
+            logger.warning("thread_not_started", error=str(error))
         values = len(self.pending)
         self.load_exporter()
         logger.info(
