Exit with 0 when told to stop before the event loop runs

A process that got SIGTERM while it was still starting ended by that signal, which a supervisor takes for a process that failed: in a trial (load 20) one of six processes that were stopped 1.5 s after their start exited by signal 15, as it had not reached its event loop, and five with 0.

Cause: until the event loop handles them, SIGTERM, SIGINT and SIGQUIT had their default action.

`marjoramyard run` now handles them in its first lines by an exit with 0; nothing has been accepted by then. Other commands keep the default action: a check of settings that is interrupted must not look like a success. asyncio sets its wake-up descriptor before it replaces these handlers, so that a signal at that moment is handled by one or the other.

--- a/packages/fleet/src/marjoramyard/fleet/__main__.py
+++ b/packages/fleet/src/marjoramyard/fleet/__main__.py
@@ -3,6 +3,8 @@
 # The module `signal` imports others, and until they are there each signal has
 # its default action.
 import _signal
+import posix
+import sys
 
 # Signals that operators and their tools send to daemons, and that would end or
 # stop the process: a reload while it is starting, requests of log rotation, the
@@ -17,6 +19,12 @@
 )
 STOPPING = (_signal.SIGTERM, _signal.SIGINT, _signal.SIGQUIT)
 
+
+def end(*_) -> None:
+    """Ends a process that has accepted nothing yet."""
+    posix._exit(0)
+
+
 were_ignored = [
     number
     for number in IGNORED + STOPPING
@@ -26,8 +34,9 @@
     _signal.signal(ignored, _signal.SIG_IGN)
 # Until the event loop handles them these end the process: neither lost, if
 # whoever started it ignored them, nor with a traceback.
+on_stop = end if sys.argv[1:2] == ["run"] else _signal.SIG_DFL
 for stopping in STOPPING:
-    _signal.signal(stopping, _signal.SIG_DFL)
+    _signal.signal(stopping, on_stop)
 # Signals that were blocked when this process was started stay blocked over
 # `exec`, and would never be heard.
 were_blocked = _signal.pthread_sigmask(_signal.SIG_UNBLOCK, IGNORED + STOPPING)
