End the search for consecutive free ports where none are left

Seen: a run of packages and tests on Python 3.12 (trial, two workers) stood for more than 10 minutes at 90 %. One worker used a whole processor in `free_address`: of its 500 claimed ports fewer than 80 % had been returned, and no four consecutive ones were left, so that it drew for ever.

Change: after as many draws as it has ports it claims another block.

Also removes a second import that a merge had left in the program's file.

--- a/packages/fleet/src/marjoramyard/fleet/__main__.py
+++ b/packages/fleet/src/marjoramyard/fleet/__main__.py
@@ -41,8 +41,6 @@
 # `exec`, and would never be heard.
 were_blocked = _signal.pthread_sigmask(_signal.SIG_UNBLOCK, IGNORED + STOPPING)
 
-import sys  # noqa: E402
-
 if __spec__ is None:
     # The script's libraries are beside its package, whatever the host's
     # variables name.
--- a/packages/standin/src/marjoramyard/standin/processes.py
+++ b/packages/standin/src/marjoramyard/standin/processes.py
@@ -38,12 +38,14 @@
     while True:
         if len(_PORTS_RETURNED) >= _MAX_USE * len(_BLOCKS.claimed):
             _BLOCKS.claim()
-        first = _RANDOM.choice(_BLOCKS.claimed)
-        ports = range(first, first + consecutive)
-        is_claimed = all(port in _BLOCKS.claimed for port in ports)
-        if is_claimed and all(_is_free(port) for port in ports):
-            _PORTS_RETURNED.update(ports)
-            return f"127.0.0.1:{first}"
+        for _ in range(len(_BLOCKS.claimed)):
+            first = _RANDOM.choice(_BLOCKS.claimed)
+            ports = range(first, first + consecutive)
+            is_claimed = all(port in _BLOCKS.claimed for port in ports)
+            if is_claimed and all(_is_free(port) for port in ports):
+                _PORTS_RETURNED.update(ports)
+                return f"127.0.0.1:{first}"
+        _BLOCKS.claim()
 
 
 def _is_free(port: int) -> bool:
--- a/packages/standin/tests/test_processes.py
+++ b/packages/standin/tests/test_processes.py
@@ -6,6 +6,7 @@
 import sys
 from pathlib import Path
 
+from marjoramyard.standin import processes
 from marjoramyard.standin.processes import PORTS, free_address
 
 EPHEMERAL_RANGE = Path("/proc/sys/net/ipv4/ip_local_port_range")
@@ -57,6 +58,17 @@
     assert len(set(used)) == len(used)
 
 
+def test_ports_are_found_where_no_consecutive_ones_are_left(monkeypatch):
+    """Guards against a run of tests that never ends, as the few ports that are
+    left of the claimed ones are apart.
+    """
+    free_address()
+    returned = set(processes._BLOCKS.claimed[::2])
+    monkeypatch.setattr(processes, "_PORTS_RETURNED", returned)
+    first = int(free_address(consecutive=2).rpartition(":")[2])
+    assert {first, first + 1} <= returned
+
+
 async def test_a_free_address_can_be_bound():
     host, _, port = free_address().rpartition(":")
     server = await asyncio.start_server(lambda *_: None, host, int(port))
