Test compressed and oversized configurations at control hosts

Control hosts don't unpack bodies, so a compressed configuration gets 422 whether it has Content-Encoding or not, and one that unpacks to 64 MiB fills no memory. A body of more than 64 MiB, which gateways could not fetch, gets 413 by the limit of the log.

--- a/tests/platform/test_config_validation.py
+++ b/tests/platform/test_config_validation.py
@@ -12,6 +12,7 @@
 from odd_json import NESTED
 from result import Err
 
+from marjoramyard.fleet.config_transfer import MAX_DOCUMENT_BYTES
 from marjoramyard.platform.configurations import (
     check_configuration,
     read_configuration,
@@ -304,3 +305,26 @@
     # The decoder has never read these two, so that no release has stored them.
     is_unreadable = path.endswith(("_ms", "_per_s")) and value == 10**400
     assert isinstance(read_configuration(text), Err) is is_unreadable
+
+
+async def test_compressed_bodies_are_refused(fleet):
+    """Guards against a body that fails or fills the host that unpacks it."""
+    assert (await put_until_clear(fleet, CONFIG))[0] == 200
+    packed = gzip.compress(json.dumps({**CONFIG, "version": 9}).encode())
+    bomb = gzip.compress(b" " * (MAX_DOCUMENT_BYTES + 1))
+    encoded = {"Content-Encoding": "gzip"}
+    bodies = (packed, packed[:60], bomb)
+    statuses = [(await put(fleet, body, **encoded))[0] for body in bodies]
+    assert statuses == [422] * len(bodies)
+    await wait_until_read(fleet, CONFIG)
+    assert failed_lines(fleet) == []
+
+
+async def test_a_body_that_gateways_cannot_fetch_is_refused(fleet):
+    """Guards against an acknowledged configuration that no gateway obeys."""
+    assert (await put_until_clear(fleet, CONFIG))[0] == 200
+    text = json.dumps({**CONFIG, "version": 9}).encode()
+    status, _ = await put(fleet, text.ljust(MAX_DOCUMENT_BYTES + 1))
+    assert status == 413
+    await wait_until_read(fleet, CONFIG)
+    assert failed_lines(fleet) == []
