Take callers' ids that are not UTF-8 as text that can be sent on

One caller of an engine whose prompt parts had a byte that is not UTF-8 made its gateway lose a whole message to the broker: the HTTP library reads such a byte as half a character, which JSON can't hold, so the frame with everything that the gateway had to tell in that turn of its loop failed to encode, also what other callers wait for. That caller was refused (503) at its deadline. A caller whose attempt ID had such a byte got 502 after its request had run: the ID is forwarded as ISO 8859-1, and the echo was taken for that of another request.

IDs that callers choose are read in the form in which their headers are forwarded (header_text), so that keys, fingerprints, messages and the echo hold the same text.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/admission.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/admission.py
@@ -18,7 +18,7 @@
 )
 from marjoramyard.fleet.gateway.dialect import HeaderNames
 from marjoramyard.fleet.gateway.view import FleetView
-from marjoramyard.fleet.util.headers import Headers, end_to_end
+from marjoramyard.fleet.util.headers import Headers, end_to_end, header_text
 from marjoramyard.kernel.errors import FailureKind, raise_failure
 from marjoramyard.kernel.ids import Fingerprint
 from marjoramyard.kernel.util.numbers import read_number, read_whole
@@ -199,9 +199,9 @@
     route = admitted.route
     deadline_at = admitted.arrived_at + _seconds_allowed(request, route, names)
     return CallerRequest(
-        attempt=request.headers.get(names.attempt, ""),
+        attempt=_text(request, names.attempt),
         method=request.method,
-        target=request.raw_path,
+        target=header_text(request.raw_path),
         headers=_forwarded_headers(request, names),
         body=b"",
         route=route,
@@ -209,13 +209,18 @@
         arrived_at=admitted.arrived_at,
         deadline_at=deadline_at,
         api_key=admitted.api_key,
-        parts=parse_prompt_parts(request.headers.get(names.prompt_parts, "")),
+        parts=parse_prompt_parts(_text(request, names.prompt_parts)),
         output_tokens=_output_tokens(request, names),
-        last_event=request.headers.get(names.last_event, ""),
-        resumes=request.headers.get(names.resumes, ""),
+        last_event=_text(request, names.last_event),
+        resumes=_text(request, names.resumes),
     )
 
 
+def _text(request: web.Request, name: str) -> str:
+    """Returns a header value that can be part of a message; "" if missing."""
+    return header_text(request.headers.get(name, ""))
+
+
 def _workspace(
     request: web.Request, table: RouteTable, names: HeaderNames
 ) -> tuple[str, Workspace]:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/attempts.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/attempts.py
@@ -13,7 +13,7 @@
 from marjoramyard.fleet.gateway.admission import CallerRequest
 from marjoramyard.fleet.gateway.dialect import HeaderNames
 from marjoramyard.fleet.util.endpoint_session import check_before_send
-from marjoramyard.fleet.util.headers import Headers
+from marjoramyard.fleet.util.headers import Headers, header_text
 from marjoramyard.fleet.util.pause_requests import parse_retry_after
 from marjoramyard.fleet.util.response_body import is_final
 from marjoramyard.kernel.util.decoding import shorten
@@ -195,7 +195,7 @@
     Raises:
         SendFailedError: The response must not be relayed.
     """
-    echoed = response.headers.get(names.attempt, "")
+    echoed = header_text(response.headers.get(names.attempt, ""))
     if echoed and echoed != request.attempt:
         raise SendFailedError(SendOutcome.BROKEN, "response to another request")
     if not is_final(response):
--- a/packages/fleet/src/marjoramyard/fleet/util/headers.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/headers.py
@@ -48,7 +48,7 @@
     """
     if value.isascii() and value.isprintable():
         return value
-    return _CONTROL_CHARACTERS.sub(" ", _text_of(value))
+    return _CONTROL_CHARACTERS.sub(" ", header_text(value))
 
 
 def header_bytes(value: str) -> bytes:
@@ -56,7 +56,15 @@
     return value.encode("utf-8", "surrogateescape")
 
 
-def _text_of(value: str) -> str:
+def header_text(value: str) -> str:
+    """Returns a header value as text that can be encoded.
+
+    Args:
+        value: A value as the library has read it. Bytes that are not UTF-8 are
+            surrogate characters; they are taken for ISO 8859-1.
+    """
+    if value.isascii():
+        return value
     try:
         value.encode()
     except UnicodeEncodeError:
