Test gateways with odd headers of callers and endpoints

Real processes: 33 odd values in 27 headers of callers on three routes, in targets and queries, and in 19 headers and 16 status lines of an endpoint's responses, while sound callers call. No response is an internal error, no connection ends without one, sound callers get 200, no task or handler fails.

--- /dev/null
+++ b/tests/test_odd_headers.py
@@ -0,0 +1,253 @@
+"""Odd values in the headers of callers and endpoints, and in URLs."""
+
+import asyncio
+import contextlib
+import itertools
+from collections import Counter
+
+import pytest
+from gateway_fleet import FakeEndpoint, config, gateway_fleet, route, wait_until
+from odd_headers import (
+    ODD_VALUES,
+    RawEndpoint,
+    exchange,
+    internal_error,
+    odd_requests,
+    odd_targets,
+    request_bytes,
+    response_bytes,
+    signed,
+)
+from test_odd_registrations import failures
+
+ODD_ENDPOINTS = 40
+"""One for each pause that is asked for, and some more."""
+CALLER_HEADERS = (
+    b"Request-Id",
+    b"Request-Deadline-Ms",
+    b"Api-Key",
+    b"Workspace",
+    b"Target-Endpoint",
+    b"Not-Run",
+    b"Prompt-Parts",
+    b"Token-Counts",
+    b"Last-Event-Id",
+    b"Resumes",
+    b"Fetch-From",
+    b"Host",
+    b"Content-Type",
+    b"Content-Encoding",
+    b"Accept-Encoding",
+    b"Range",
+    b"If-Modified-Since",
+    b"Cookie",
+    b"Keep-Alive",
+    b"Authorization",
+    b"Traceparent",
+    b"Te",
+    b"Date",
+    b"Content-Length",
+    b"Transfer-Encoding",
+    b"Expect",
+    b"Upgrade",
+)
+SERVED_HEADERS = (b"Prompt-Parts", b"Token-Counts", b"Request-Id", b"Cookie")
+ENDPOINT_HEADERS = (
+    b"Request-Id",
+    b"Answer-Signature",
+    b"Not-Run",
+    b"Endpoint-Leaving",
+    b"Content-Length",
+    b"Transfer-Encoding",
+    b"Content-Encoding",
+    b"Content-Type",
+    b"Content-Location",
+    b"Set-Cookie",
+    b"Location",
+    b"Keep-Alive",
+    b"Connection",
+    b"Upgrade",
+    b"Date",
+    b"Age",
+    b"Trailer",
+    b"X-Marjoramyard-Outcome",
+    b"Retry-After",
+)
+ODD_STATUSES = (
+    b"000 x",
+    b"099 x",
+    b"999 x",
+    b"1000 x",
+    b"\xb200 x",
+    b"2_0 x",
+    b"-20 x",
+    b"101 x",
+    b"204 x",
+    b"301 x",
+    b"307 x",
+    b"413 x",
+    b"421 x",
+    b"429 x",
+    b"9" * 5000 + b" x",
+    b"",
+)
+
+
+def odd_responses(names):
+    """Returns responders; those that ask for a pause are the last."""
+    found = [
+        lambda head, status=status: response_bytes(signed(head), status)
+        for status in ODD_STATUSES
+    ]
+    for status, name in itertools.product((b"200 OK", b"503 x"), names):
+        for value in ODD_VALUES:
+            found.append(
+                lambda head, status=status, name=name, value=value: (
+                    response_bytes(signed(head) | {name: value}, status)
+                )
+            )
+    return found
+
+
+@contextlib.asynccontextmanager
+async def calling(call):
+    """Calls repeatedly; yields how often each status was the response."""
+    statuses = Counter()
+
+    async def call_repeatedly():
+        while True:
+            statuses[await call()] += 1
+
+    task = asyncio.create_task(call_repeatedly())
+    try:
+        yield statuses
+    finally:
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+
+
+@pytest.fixture
+async def fleet(tmp_path):
+    async with gateway_fleet(tmp_path) as running:
+        document = config(
+            2,
+            route("odd", "/odd/", service="odd"),
+            route("chat", "/chat/", "stream", service="chat"),
+            route("keyed", "/keyed/", open_access=False),
+        )
+        engine = {"slots": 200, "memory_tokens": 10_000_000}
+        document["services"] += [
+            {"name": "odd"},
+            {"name": "chat", "engine": engine},
+        ]
+        await running.put_config(document)
+        yield running
+
+
+@contextlib.asynccontextmanager
+async def sound_endpoints(fleet):
+    """Runs an endpoint of a plain service, and an engine."""
+    plain, engine = FakeEndpoint("i-1"), FakeEndpoint("i-2", "chat")
+    async with plain.running(), engine.running():
+        for endpoint, host in itertools.product((plain, engine), range(3)):
+            await fleet.send_heartbeat(endpoint, host=host)
+
+        async def are_used():
+            return await fleet.is_serving() and await fleet.is_serving(
+                "/chat/x"
+            )
+
+        await wait_until(are_used)
+        yield
+
+
+async def call_soundly(fleet):
+    """Calls both services; returns the first status that is not 200."""
+    for path in ("/a/x", "/chat/x"):
+        async with fleet.request(path) as response:
+            await response.read()
+            if response.status != 200:
+                return response.status
+    return 200
+
+
+def check_harmless(fleet, statuses):
+    assert not failures(fleet)
+    assert all(child.is_running for child in fleet.children.values())
+    assert set(statuses) == {200}, statuses
+
+
+SOUND = {
+    b"Host": b"shop.example",
+    b"Request-Id": b"odd-1",
+    b"Request-Deadline-Ms": b"3000",
+}
+KEY = {b"Api-Key": b"key-of-shop-1234"}
+
+
+@pytest.mark.parametrize("path", [b"/a/x", b"/chat/x", b"/keyed/x"])
+async def test_odd_headers_of_callers_fail_no_gateway(fleet, path):
+    """Guards against 500 and lost connections for callers' odd headers."""
+    async with (
+        sound_endpoints(fleet),
+        calling(lambda: call_soundly(fleet)) as statuses,
+    ):
+        wrong = await odd_requests(
+            fleet.listen_address,
+            path,
+            CALLER_HEADERS,
+            SOUND | KEY,
+            b"POST",
+            SERVED_HEADERS,
+        )
+    assert not wrong
+    check_harmless(fleet, statuses)
+
+
+@pytest.mark.parametrize("path", [b"/a/", b"/chat/", b"/keyed/", b"/"])
+async def test_odd_targets_fail_no_gateway(fleet, path):
+    """Guards against 500 and lost connections for callers' odd targets."""
+    async with (
+        sound_endpoints(fleet),
+        calling(lambda: call_soundly(fleet)) as statuses,
+    ):
+        wrong = await odd_targets(
+            fleet.listen_address, b"POST", path, SOUND | KEY
+        )
+    assert not wrong
+    check_harmless(fleet, statuses)
+
+
+async def test_odd_responses_of_endpoints_fail_no_gateway(fleet):
+    """Guards against 500 for callers, and failed tasks, at odd responses."""
+    raw = RawEndpoint(ODD_ENDPOINTS)
+
+    async def odd_service_is_served():
+        return await fleet.is_serving("/odd/x")
+
+    async with (
+        sound_endpoints(fleet),
+        raw.running(),
+        calling(lambda: call_soundly(fleet)) as statuses,
+    ):
+        for number, address in enumerate(raw.addresses):
+            endpoint = FakeEndpoint(f"odd-{number}", "odd")
+            endpoint.address = address
+            for host in range(3):
+                await fleet.send_heartbeat(endpoint, host=host)
+        await wait_until(odd_service_is_served)
+        wrong = []
+        responders = odd_responses(ENDPOINT_HEADERS)
+        for number, respond in enumerate(responders):
+            raw.respond = respond
+            headers = SOUND | {b"Request-Id": b"odd-%d" % number}
+            headers[b"Connection"] = b"close"
+            request = request_bytes(b"/odd/x", headers)
+            response = await exchange(fleet.listen_address, request)
+            if not response or internal_error(response):
+                line = response.partition(b"\r\n")[0]
+                wrong.append((respond(b"")[:200], line))
+    assert raw.used.issuperset(responders)
+    assert not wrong
+    check_harmless(fleet, statuses)
