Take headers that are not UTF-8 through entries

A caller of an entry got 500 (`handler_failed`, UnicodeEncodeError) if any of its headers had a byte that is not UTF-8, such as a Cookie in ISO 8859-1: the entry sends the headers to the agent in JSON, which can't hold half characters. The same for such an Idempotency-Key, in the message to the control hosts. Gateways already forward such values as ISO 8859-1; entries do it the same way now, and so is the key read.

Evidence: test_any_headers_can_be_passed_on failed before and passes after, with the tests of entries.

--- a/packages/fleet/src/marjoramyard/fleet/entry/admission.py
+++ b/packages/fleet/src/marjoramyard/fleet/entry/admission.py
@@ -16,6 +16,7 @@
 from marjoramyard.fleet.entry.requests import CallerRequest
 from marjoramyard.fleet.membership import RouterMembership
 from marjoramyard.fleet.messages import CallTicket
+from marjoramyard.fleet.util.headers import header_text
 from marjoramyard.kernel.errors import (
     Failure,
     FailureKind,
@@ -246,7 +247,7 @@
 
 
 def _ticket(request: web.Request, admitted: CallerRequest) -> CallTicket:
-    key = request.headers.get(IDEMPOTENCY_HEADER, "").strip()
+    key = header_text(request.headers.get(IDEMPOTENCY_HEADER, "")).strip()
     if not key:
         raise_failure(
             FailureKind.IDEMPOTENCY_KEY_REQUIRED,
--- a/packages/fleet/src/marjoramyard/fleet/entry/requests.py
+++ b/packages/fleet/src/marjoramyard/fleet/entry/requests.py
@@ -18,6 +18,7 @@
 from marjoramyard.coordination.serving.prefixes import prefix_digest
 from marjoramyard.coordination.serving.request_queues import RequestClass
 from marjoramyard.fleet.messages import CallTicket
+from marjoramyard.fleet.util.headers import writable_value
 from marjoramyard.kernel.ids import Fingerprint, ServiceId, WorkspaceId
 
 _PRIVATE_HEADERS = frozenset(
@@ -93,9 +94,12 @@
         return self.deadline_at - time.monotonic()
 
     def forwarded_headers(self) -> list[tuple[str, str]]:
-        """Returns the headers that are forwarded to the endpoint."""
+        """Returns the headers that are forwarded to the endpoint.
+
+        Their values can be written, whatever was received.
+        """
         return [
-            (str(name), value)
+            (str(name), writable_value(value))
             for name, value in self.http.headers.items()
             if name.lower() not in _PRIVATE_HEADERS
         ]
--- a/packages/fleet/tests/entry/test_admission.py
+++ b/packages/fleet/tests/entry/test_admission.py
@@ -1,9 +1,13 @@
 """Tests of the checks of callers' requests."""
 
+import asyncio
 import hashlib
 from types import SimpleNamespace
 
+import msgspec
 import pytest
+from hypothesis import example, given
+from hypothesis import strategies as st
 from multidict import CIMultiDict
 
 from marjoramyard.coordination.governance.bundle import BundleView
@@ -152,3 +156,18 @@
     with pytest.raises(FleetError) as error:
         await admission.admit(request(Body([CHAT]), **headers))
     assert error.value.failure.outcome == outcome
+
+
+@given(value=st.binary(max_size=40))
+@example(value=b"\xb2")
+def test_any_headers_can_be_passed_on(value):
+    """Guards against 500 for callers whose headers are not UTF-8."""
+    text = value.decode("utf-8", "surrogateescape")
+    admission, _ = make()
+    incoming = request(
+        Body([]), "/services/shop/x", Idempotency_Key=f"k{text}", Cookie=text
+    )
+    admitted = asyncio.run(admission.admit(incoming))
+    headers = admitted.forwarded_headers()
+    dict(headers)["Cookie"].encode()
+    assert msgspec.json.encode([headers, admitted.call])
