Answer callers that close their sending side after a request

Cause: the end of the sending side ended the handler, as a caller that has closed its connection sends the same FIN.

Callers' listeners of gateways and entries now keep such a connection while a request that was read whole is in progress, and find out whether the caller reads: up to three interim responses `100 Continue` before the response, or leading zeros in the size of the next chunk of a stream, at once and after 0.05 and 0.2 s. Neither changes the response, so streams that are silent are covered too. The host of a caller that has left replies with a reset; as the event loop no longer watches the connection, the reset is looked for, and the request then ends as before. Requests that a gateway forwards to a peer are probed at the gateway that the caller is connected to. Queued requests that were read whole are answered, one read in part is dropped, and the connection is closed after the last response. A caller that reads nothing for 60 s is dropped. HTTP/1.0 callers, internal listeners and polls are as before.

While a gateway lags, a send waits up to 0.1 s for a caller in doubt, and is withdrawn if the end of the sending side shows up while it connects.

The counter half_closed_callers and the field `half_closed` of the lines `request` and `request_forwarded` tell these ends apart.

--- a/packages/fleet/src/marjoramyard/fleet/application.py
+++ b/packages/fleet/src/marjoramyard/fleet/application.py
@@ -168,6 +168,7 @@
         keepalive: float = _KEEPALIVE_SECONDS,
         wrapper: ProtocolWrapper | None = None,
         retries: BindRetries | None = None,
+        answers_half_closed: bool = False,
     ) -> AsyncIterator["Listener"]:
         """Serves routes on an address.
 
@@ -181,11 +182,15 @@
             keepalive: Seconds after which an idle connection is closed.
             wrapper: Wraps the protocol of each connection.
             retries: How an address that is held is retried.
+            answers_half_closed: Answers clients that close their sending side
+                after a request; else they count as having left.
 
         Raises:
             OSError: The address can't be bound.
         """
-        listener = Listener(address, self.metrics, self.stopping_seconds)
+        listener = Listener(
+            address, self.metrics, self.stopping_seconds, answers_half_closed
+        )
         middlewares = [listener.track_request, rpc.render_failures]
         if internal and self.secret:
             middlewares.append(rpc.authentication(self.secret))
--- a/packages/fleet/src/marjoramyard/fleet/entry/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/entry/role.py
@@ -166,6 +166,7 @@
             role.caller_routes(),
             internal=False,
             max_header=_PARSER_LIMIT_FACTOR * settings.max_header_bytes,
+            answers_half_closed=True,
         ):
             role.start()
             yield role
--- a/packages/fleet/src/marjoramyard/fleet/gateway/chunked_body.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/chunked_body.py
@@ -22,6 +22,14 @@
         self._line = b""
         self._is_in_trailer = False
 
+    @property
+    def is_between_chunks(self) -> bool:
+        """Whether the size of a chunk comes next."""
+        is_ending = self.is_complete or self._is_in_trailer
+        return not (
+            self.missing or self._line or is_ending or self.is_malformed
+        )
+
     def feed(self, data: bytes) -> None:
         """Notes received bytes."""
         position = 0
--- a/packages/fleet/src/marjoramyard/fleet/gateway/delivery.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/delivery.py
@@ -16,11 +16,15 @@
 from marjoramyard.fleet.gateway.stream_relay import DirectStreamRelay
 from marjoramyard.fleet.util.connections import (
     break_off_response,
-    has_peer_closed,
+    has_caller_left,
+    is_caller_in_doubt,
 )
 from marjoramyard.fleet.util.headers import copy_headers, end_to_end, is_stream
 from marjoramyard.fleet.util.response_body import BrokenOffError, ResponseBody
 
+DOUBT_TICK_SECONDS = 0.01
+DOUBT_TICKS = 10
+
 
 class CallerGoneError(Exception):
     """The caller has closed its connection."""
@@ -65,13 +69,25 @@
         """Whether part of the response has been sent."""
         return self.response is not None
 
+    @property
+    def is_caller_in_doubt(self) -> bool:
+        """Whether the caller has closed its sending side or has left."""
+        return is_caller_in_doubt(self.request)
+
+    async def wait_while_in_doubt(self) -> None:
+        """Waits until a caller that has left is known to have."""
+        for _ in range(DOUBT_TICKS):
+            if not self.is_caller_in_doubt:
+                return
+            await asyncio.sleep(DOUBT_TICK_SECONDS)
+
     def raise_if_caller_left(self) -> None:
         """Checks the caller's connection without waiting for the event loop.
 
         Raises:
             CallerGoneError: The caller has closed its connection.
         """
-        if has_peer_closed(self.request.transport):
+        if has_caller_left(self.request):
             raise CallerGoneError("the connection is closed")
 
     async def relay(
--- a/packages/fleet/src/marjoramyard/fleet/gateway/early_refusal.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/early_refusal.py
@@ -93,8 +93,19 @@
     """A request that is being forwarded to another gateway.
 
     It responds to the caller by itself and closes the connection.
+
+    Attributes:
+        is_answered: Whether the caller has got a whole response.
     """
 
+    is_answered: bool
+
+    def next_probe(self) -> bytes:
+        """Returns bytes that don't change the response, if there are any.
+
+        They show whether a caller that has closed its sending side still reads.
+        """
+
     def send(self, data: bytes) -> None:
         """Sends bytes of the request."""
 
@@ -188,10 +199,19 @@
 
     def eof_received(self) -> bool | None:
         """Called when the caller has closed its sending side."""
-        if self.forwarding is not None:
+        if self.forwarding is not None and self.missing_bytes:
             return None
         return self.inner.eof_received()
 
+    @property
+    def is_answered(self) -> bool:
+        """Whether a forwarded request has got its whole response."""
+        return self.forwarding is not None and self.forwarding.is_answered
+
+    def next_probe(self) -> bytes:
+        """Returns a probe for the caller of a forwarded request."""
+        return self.forwarding.next_probe()
+
     def data_received(self, data: bytes) -> None:
         """Called when data is received."""
         if self.forwarding is not None:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/overload_guard.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/overload_guard.py
@@ -243,6 +243,7 @@
             peer=request.plan.peer,
             outcome=outcome,
             response_bytes=request.response.size,
+            half_closed=request.is_half_closed,
             total_ms=round((now - request.started_at) * 1000),
         )
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/peer_forwarding.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/peer_forwarding.py
@@ -17,6 +17,7 @@
 from marjoramyard.fleet.gateway.forwarded_response import ForwardedResponse
 from marjoramyard.fleet.gateway.peer_connections import PeerConnections
 from marjoramyard.fleet.gateway.peer_naming import usable_cores
+from marjoramyard.fleet.half_closed import CONTINUE, LEADING_ZERO
 from marjoramyard.kernel.logs import get_logger
 from marjoramyard.kernel.util.addresses import parse_callable_address
 
@@ -192,6 +193,8 @@
         response: What has been received of the response.
         has_responded: Whether part of it was sent to the caller.
         has_ended: Whether the request has ended.
+        is_answered: Whether the caller has got a whole response.
+        is_half_closed: Whether the caller has closed its sending side.
     """
 
     def __init__(
@@ -213,6 +216,8 @@
         self.has_responded = False
         self.response = ForwardedResponse(connections is not None)
         self.has_ended = False
+        self.is_answered = False
+        self.is_half_closed = False
         loop = asyncio.get_running_loop()
         self.started_at = loop.time()
         self.connecting: asyncio.Task | None = None
@@ -251,6 +256,21 @@
         if self.peer is not None and not self.peer.is_closing():
             self.peer.resume_reading()
 
+    def next_probe(self) -> bytes:
+        """Returns bytes for the caller that don't change the response.
+
+        Only a response whose end is known has a place for them once it has
+        begun.
+        """
+        self.is_half_closed = True
+        if not self.has_responded:
+            return CONTINUE
+        chunks = self.response.chunks
+        if self.connections is None or chunks is None:
+            return b""
+        has_chunks = self.response.length < 0 and chunks.is_between_chunks
+        return LEADING_ZERO if has_chunks else b""
+
     def cancel(self) -> None:
         """Ends the request because its caller has left."""
         is_complete = self.response.is_complete
@@ -352,6 +372,7 @@
             # Not closed gracefully: the peer stops running the request.
             self.peer.abort()
         if not self.caller.is_closing():
+            self.is_answered = bool(response) or self.response.is_complete
             if response:
                 self.caller.write(response)
             self.caller.close()
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
@@ -49,7 +49,7 @@
 from marjoramyard.fleet.gateway.startup_wait import StartupWait
 from marjoramyard.fleet.gateway.stream_origins import StreamOrigins
 from marjoramyard.fleet.gateway.view import FleetView
-from marjoramyard.fleet.util.connections import has_peer_closed
+from marjoramyard.fleet.util.connections import has_caller_left, is_half_closed
 from marjoramyard.fleet.util.deadlines import timeout_after_input
 from marjoramyard.fleet.util.jitter import jitter
 from marjoramyard.kernel.errors import (
@@ -158,7 +158,7 @@
             delivery.abort()
             return delivery.response
         except asyncio.CancelledError:
-            if has_peer_closed(request.transport):
+            if has_caller_left(request):
                 raise
             outcome = FailureKind.STOPPED.code
             if delivery.has_started:
@@ -246,6 +246,7 @@
             unplaceable=trace.unplaceable.value if trace.unplaceable else None,
             status=status,
             outcome=outcome,
+            half_closed=is_half_closed(request),
             first_ms=(
                 round((delivery.first_at - started_at) * 1000)
                 if delivery.first_at
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
@@ -167,7 +167,8 @@
         """Checks everything again once there is a connection.
 
         Raises:
-            SendFailedError: The endpoint must not get requests any more.
+            SendFailedError: The endpoint must not get requests any more, or
+                the caller may have left.
             FleetError: The deadline has passed, or the key or the lease is no
                 longer valid.
             CallerGoneError: The caller has closed its connection.
@@ -176,6 +177,11 @@
         with self._permit_refusals():
             self.permit.check()
         self._recheck_caller()
+        is_late = self.context.brokers.lag.is_lagging
+        if is_late and self.delivery.is_caller_in_doubt:
+            raise SendFailedError(
+                SendOutcome.WITHDRAWN, "the caller may have left"
+            )
         self._recheck_key()
         self._check_version(endpoint, SendOutcome.WITHDRAWN)
         if not self.view.may_send_to(endpoint):
@@ -193,6 +199,8 @@
         endpoint = plan.endpoint.endpoint
         await self.view.age.hold()
         with self._track(plan) as tracked:
+            if self.context.brokers.lag.is_lagging:
+                await self.delivery.wait_while_in_doubt()
             self._recheck_caller()
             self._recheck_key()
             self.progress.tried.add(endpoint)
--- a/packages/fleet/src/marjoramyard/fleet/gateway/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/role.py
@@ -281,6 +281,7 @@
                 health=False,
                 keepalive=IDLE_SECONDS,
                 wrapper=role.wrap_connection,
+                answers_half_closed=True,
             ) as listener,
         ):
             role.connections.listener = listener
--- a/packages/fleet/src/marjoramyard/fleet/listener.py
+++ b/packages/fleet/src/marjoramyard/fleet/listener.py
@@ -62,6 +62,8 @@
         detached_count: How many of them the HTTP protocol no longer serves.
         stopping_seconds: Returns the seconds since the process was told to
             stop; None before.
+        answers_half_closed: Whether a client that closes its sending side
+            after a request gets its response. If not, it has left.
         is_closing: Whether each response closes its connection.
         is_closed: Whether new connections are no longer served.
     """
@@ -71,8 +73,10 @@
         address: str,
         metrics: Metrics,
         stopping_seconds: Callable[[], float | None] = lambda: None,
+        answers_half_closed: bool = False,
     ):
         self.address = address
+        self.answers_half_closed = answers_half_closed
         self.metrics = metrics
         self.stopping_seconds = stopping_seconds
         self.connections: dict[web.RequestHandler, ServedConnection] = {}
@@ -188,6 +192,7 @@
             return await handler(request)
         connection.handler_task = asyncio.current_task()
         connection.has_responded = False
+        connection.response = None
         try:
             response = await handler(request)
             return await self._prepared(request, response, connection)
@@ -234,9 +239,12 @@
     ) -> None:
         """Called before the head of each response is sent."""
         connection = self.connections.get(request.protocol)
+        is_last = self.is_closing
         if connection is not None:
             connection.has_responded = True
-        if self.is_closing:
+            connection.response = response
+            is_last = is_last or connection.is_last_request
+        if is_last:
             mark_closing(response)
 
     def on_connection_made(self, connection: ServedConnection) -> bool:
@@ -254,6 +262,9 @@
         """Forgets a connection; logs it if it was closed with bytes read."""
         self.connections.pop(connection.http, None)
         self.detached_count -= connection.is_detached
+        if connection.half_closed_end is not None:
+            outcome = connection.half_closed_end.value
+            self.metrics.count("half_closed_callers", outcome=outcome)
         if connection.is_closed_by_peer:
             return
         if connection.is_upgraded or connection.is_detached:
--- a/packages/fleet/src/marjoramyard/fleet/served_connection.py
+++ b/packages/fleet/src/marjoramyard/fleet/served_connection.py
@@ -5,9 +5,19 @@
 from enum import Enum
 from typing import Protocol
 
-from aiohttp import hdrs, web
+from aiohttp import HttpVersion, HttpVersion11, hdrs, web
 
-from marjoramyard.fleet.util.connections import has_input
+from marjoramyard.fleet.half_closed import (
+    CONTINUE,
+    LEADING_ZERO,
+    CallerEnd,
+    HalfClosedCaller,
+)
+from marjoramyard.fleet.util.connections import (
+    has_input,
+    has_peer_closed,
+    is_reset,
+)
 from marjoramyard.fleet.util.raw_responses import mark_closing, response_bytes
 from marjoramyard.fleet.util.rpc import failure_response
 from marjoramyard.kernel.errors import FailureKind, failure
@@ -51,11 +61,17 @@
         answered_at: When it last answered, on the monotonic clock in seconds.
         read_at: When it last read a part of a request that it answers, on that
             clock.
+        is_answered: Whether a request of a detached connection has got its
+            whole response.
     """
 
     response: bytes | None
     answered_at: float
     read_at: float
+    is_answered: bool
+
+    def next_probe(self) -> bytes:
+        """Returns a probe for the caller of a detached connection."""
 
 
 def _rest_after(data: bytes, messages: list) -> bytes:
@@ -77,7 +93,14 @@
 
 
 class ConnectionOwner(Protocol):
-    """Is told of the connections of a listener."""
+    """Is told of the connections of a listener.
+
+    Attributes:
+        answers_half_closed: Whether a client that closes its sending side after
+            a request gets its response. If not, it has left.
+    """
+
+    answers_half_closed: bool
 
     def on_connection_made(self, connection: "ServedConnection") -> bool:
         """Returns whether the connection is to be served."""
@@ -146,6 +169,12 @@
         has_responded: Whether the head of the response to the current request
             was sent.
         is_ended: Whether the current request was ended before its response.
+        response: The response to the current request; None before its head.
+        version: The HTTP version of the last request that was read and is not
+            malformed; None before.
+        half_closed: Set once the client has closed its sending side after a
+            whole request that is to be answered.
+        half_closed_end: How such a connection ended, as far as is known.
     """
 
     def __init__(self, http: HttpProtocol, owner: ConnectionOwner):
@@ -166,6 +195,43 @@
         self.handler_task: asyncio.Task | None = None
         self.has_responded = False
         self.is_ended = False
+        self.response: web.StreamResponse | None = None
+        self.version: HttpVersion | None = None
+        self.half_closed: HalfClosedCaller | None = None
+        self.half_closed_end: CallerEnd | None = None
+
+    @property
+    def has_left(self) -> bool:
+        """Whether the client has left, as far as is known."""
+        if self.transport is None or self.transport.is_closing():
+            return True
+        if self.may_be_half_closed:
+            return is_reset(self.transport)
+        return has_peer_closed(self.transport)
+
+    @property
+    def is_in_doubt(self) -> bool:
+        """Whether the client has closed its sending side or has left."""
+        # While reading is paused the end is not read either.
+        if self.has_left or not self.transport.is_reading():
+            return False
+        if not has_peer_closed(self.transport):
+            return False
+        return self.half_closed is None or not self.half_closed.is_settled
+
+    @property
+    def may_be_half_closed(self) -> bool:
+        """Whether a client that closes its sending side gets its response."""
+        return (
+            self.owner.answers_half_closed
+            and self.version == HttpVersion11
+            and not self.is_upgraded
+        )
+
+    @property
+    def is_last_request(self) -> bool:
+        """Whether no request follows the current one."""
+        return self.half_closed is not None and not self.has_queued_requests
 
     @property
     def is_waiting(self) -> bool:
@@ -210,7 +276,9 @@
                 self.filter.read_at if is_rejected else self.partial_since
             )
             return began_at + PART_SECONDS - now
-        if self.state is ConnectionState.IDLE and has_input(self.transport):
+        is_read = self.half_closed is not None
+        is_idle = self.state is ConnectionState.IDLE
+        if is_idle and not is_read and has_input(self.transport):
             return _UNREAD_SECONDS
         if self.filter is not None:
             return self.filter.answered_at + self.http.keepalive_timeout - now
@@ -266,6 +334,9 @@
         """Called when the connection is closed."""
         if exc is not None:
             self.is_closed_by_peer = True
+        if self.half_closed is not None:
+            self.half_closed.stop()
+            self.half_closed_end = self._end_of_half_closed()
         self.owner.on_connection_lost(self)
         if not self.is_detached:
             self.http.connection_lost(exc)
@@ -281,6 +352,7 @@
             self.request_count = http._request_count
             self.payload = http._messages[-1][1] if http._messages else None
             rest = _rest_after(data, list(http._messages)[-new_requests:])
+            self._note_version()
             self._set_partial_head(bool(rest.strip(_LINE_END)))
         else:
             # Empty lines before a request are no part of it.
@@ -292,10 +364,90 @@
             self.partial_since = self.read_at
         self.has_partial_head = has_partial_head
 
+    def _note_version(self) -> None:
+        # A malformed request, which the parser replaces by an error, has none.
+        for message, _ in reversed(self.http._messages):
+            if hasattr(message, "version"):
+                self.version = message.version
+                return
+
     def eof_received(self) -> bool | None:
-        """Called when the client has closed its sending side."""
+        """Called when the client has closed its sending side.
+
+        Returns:
+            True to keep the connection until the requests that were read whole
+            have been answered.
+        """
+        if self.half_closed is not None:
+            return True
+        if not self._keep_half_closed():
+            self.is_closed_by_peer = True
+            return self.http.eof_received()
+        self.has_partial_head = False
+        if not self.is_detached and not self.has_queued_requests:
+            # Closes the connection after the current response.
+            self.http.close()
+        self.half_closed = HalfClosedCaller(
+            self.transport, self._next_probe, self._end_half_closed
+        )
+        return True
+
+    def _keep_half_closed(self) -> bool:
+        """Returns whether a request is left that was read whole.
+
+        Drops a request behind it that was read in part only.
+        """
+        if self.is_detached:
+            return self.owner.answers_half_closed
+        is_in_progress = self.state is ConnectionState.IN_PROGRESS
+        if not is_in_progress or not self.may_be_half_closed:
+            return False
+        if self.payload is None or self.payload.is_eof():
+            return True
+        messages = self.http._messages
+        if not messages:
+            return False
+        # A waiter that is done is about to take the first request.
+        is_first = self.http._waiter is not None and len(messages) == 1
+        if is_first:
+            return False
+        messages.pop()
+        return True
+
+    def _next_probe(self) -> bytes:
+        if self.is_detached:
+            return self.filter.next_probe()
+        if not self.has_responded:
+            return CONTINUE
+        return LEADING_ZERO if self._is_between_chunks else b""
+
+    @property
+    def _is_between_chunks(self) -> bool:
+        """Whether a response in chunks has begun and is not complete.
+
+        Chunks are written whole.
+        """
+        response = self.response
+        if response is None or response._eof_sent:
+            return False
+        writer = response._payload_writer
+        return writer is not None and writer.chunked
+
+    def _end_half_closed(self, end: CallerEnd) -> None:
         self.is_closed_by_peer = True
-        return self.http.eof_received()
+        self.half_closed_end = end
+        self.transport.abort()
+
+    def _end_of_half_closed(self) -> CallerEnd:
+        if self.half_closed_end is not None:
+            return self.half_closed_end
+        if self.is_closed_by_peer:
+            return CallerEnd.LEFT
+        if self.is_detached:
+            is_answered = self.filter.is_answered
+        else:
+            is_answered = self.response is not None and self.response._eof_sent
+        return CallerEnd.ANSWERED if is_answered else CallerEnd.BROKEN_OFF
 
     def pause_writing(self) -> None:
         """Called when the transport's buffer is full."""
--- a/packages/fleet/src/marjoramyard/fleet/util/connections.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/connections.py
@@ -28,6 +28,41 @@
     return any(events & _CLOSED for _, events in poll.poll(0))
 
 
+def is_reset(transport: asyncio.BaseTransport) -> bool:
+    """Returns whether a connection was reset.
+
+    Asks the kernel. That the peer has only closed its sending side is no reset.
+    """
+    connection = transport.get_extra_info("socket")
+    if connection is None or connection.fileno() < 0:
+        return False
+    poll = select.poll()
+    poll.register(connection.fileno(), 0)
+    return bool(poll.poll(0))
+
+
+def has_caller_left(request: web.BaseRequest) -> bool:
+    """Returns whether the client of a request has left, as far as is known."""
+    connection = getattr(request.protocol, "connection", None)
+    if connection is None or request.transport is None:
+        return has_peer_closed(request.transport)
+    return connection.has_left
+
+
+def is_caller_in_doubt(request: web.BaseRequest) -> bool:
+    """Returns whether a client has closed its sending side or has left."""
+    connection = getattr(request.protocol, "connection", None)
+    if connection is None or request.transport is None:
+        return False
+    return connection.is_in_doubt
+
+
+def is_half_closed(request: web.BaseRequest) -> bool:
+    """Returns whether the client of a request closed its sending side."""
+    connection = getattr(request.protocol, "connection", None)
+    return connection is not None and connection.half_closed is not None
+
+
 def has_input(transport: asyncio.BaseTransport) -> bool:
     """Returns whether something, or the end, can be read from a connection.
 
--- a/packages/fleet/src/marjoramyard/fleet/util/rpc.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/rpc.py
@@ -13,7 +13,7 @@
 from result import Err, Ok, Result
 
 from marjoramyard.fleet.messages import FailureBody
-from marjoramyard.fleet.util.connections import has_peer_closed
+from marjoramyard.fleet.util.connections import has_caller_left
 from marjoramyard.fleet.util.headers import header_bytes
 from marjoramyard.fleet.util.separable import decode_message
 from marjoramyard.kernel.errors import (
@@ -124,9 +124,7 @@
         )
     except Exception as error:
         # Errors of connections to other processes are of the same types.
-        if isinstance(error, ConnectionError) and has_peer_closed(
-            request.transport
-        ):
+        if isinstance(error, ConnectionError) and has_caller_left(request):
             raise
         logger.exception("handler_failed", path=request.path)
         return failure_response(
--- a/packages/fleet/tests/gateway/request_runs.py
+++ b/packages/fleet/tests/gateway/request_runs.py
@@ -45,6 +45,10 @@
     def __init__(self, caller_left):
         self.events = SimpleNamespace(last_id="")
         self.caller_left = caller_left
+        self.is_caller_in_doubt = False
+
+    async def wait_while_in_doubt(self):
+        """Returns at once: there is no doubt."""
 
     def raise_if_caller_left(self):
         if self.caller_left:
--- a/packages/fleet/tests/gateway/test_peer_forwarding.py
+++ b/packages/fleet/tests/gateway/test_peer_forwarding.py
@@ -5,7 +5,9 @@
 
 import pytest
 
+from marjoramyard.fleet.gateway.chunked_body import ChunkedBody
 from marjoramyard.fleet.gateway.early_refusal import EarlyRefusal, parse_head
+from marjoramyard.fleet.gateway.peer_connections import PeerConnections
 from marjoramyard.fleet.gateway.peer_forwarding import (
     DEADLINE_MARGIN_SECONDS,
     ForwardedRequest,
@@ -15,6 +17,7 @@
     can_forward,
     closing_request,
 )
+from marjoramyard.fleet.half_closed import CONTINUE
 from marjoramyard.fleet.listener import Listener, ListenerSite
 from marjoramyard.kernel.metrics import Metrics
 from marjoramyard.standin.local_fleet import wait_until
@@ -315,3 +318,54 @@
     for _ in range(50):
         selector.on_started(selector.choose(cores, 0.0, cores))
     assert selector.active == {"one": 25, "large": 25}
+
+
+CHUNKED = (
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"5\r\nwhole\r\n1;x=y\r\n!\r\n0\r\n\r\n"
+)
+
+
+class CallerStub:
+    """A caller's connection that keeps what is written."""
+
+    def __init__(self):
+        self.written = b""
+
+    def write(self, data):
+        self.written += data
+
+    def is_closing(self):
+        return False
+
+    def close(self):
+        """Does nothing."""
+
+
+@pytest.mark.parametrize("received", range(len(CHUNKED)))
+async def test_probes_do_not_change_a_forwarded_response(received):
+    """Guards against probes of a half-closed caller that get into the body
+    of a response in chunks, whose bytes are passed on as they arrive.
+    """
+    caller = CallerStub()
+    forwarded = ForwardedRequest(
+        ForwardingPlan("127.0.0.1:9", "id", 5.0, FAILURES),
+        caller,
+        lambda *_: None,
+        PeerConnections(),
+    )
+    forwarded.connecting.cancel()
+    for data in (CHUNKED[:received], CHUNKED[received:]):
+        if data:
+            forwarded.data_received(data)
+        probes = [forwarded.next_probe() for _ in range(3)]
+        if not forwarded.has_ended:
+            caller.written += b"".join(probes)
+    head, _, body = caller.written.replace(CONTINUE, b"").partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 200 OK")
+    assert body.replace(b"000", b"") == CHUNKED.partition(b"\r\n\r\n")[2]
+    sizes = ChunkedBody()
+    sizes.feed(body)
+    assert sizes.is_complete
+    assert not sizes.is_malformed
+    assert forwarded.is_answered
