Wait without a limit for an address that another process holds

A process ended by itself, with exit code 1, when another one held one of its ports for more than 15 s; a supervisor that started it again saw the same again, until it gave up.

Cause: the retries of a held address had a limit. To end gains nothing: the next start meets the same address.

Only an address that the host doesn't have, which is mostly a mistake in the settings, still ends a process after 15 s; other errors at once.

--- a/packages/fleet/src/marjoramyard/fleet/util/binding.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/binding.py
@@ -13,16 +13,18 @@
 BIND_SECONDS = 15.0
 """Longer than a process may take to stop that held the address before."""
 RETRY_SECONDS = 0.1
-_PASSING_ERRORS = {errno.EADDRINUSE, errno.EADDRNOTAVAIL}
 
 
 class BindRetries:
     """Binds an address again until it is free.
 
+    One that another process holds is retried without a limit: a process that
+    ended instead would meet the same when it is started again.
+
     Attributes:
         metrics: Counts failures.
         stopping: Ends the retries.
-        seconds: How long an address is retried.
+        seconds: How long an address is retried that the host doesn't have.
         retry_seconds: The interval.
     """
 
@@ -48,7 +50,7 @@
             listen: Binds the address and listens.
 
         Raises:
-            OSError: The address was not free in time, or can't be bound.
+            OSError: The address can't be bound, or the process is stopping.
         """
         began_at = time.monotonic()
         is_logged = False
@@ -58,8 +60,7 @@
                 break
             except OSError as error:
                 self.metrics.count("bind_failures", address=address)
-                is_late = time.monotonic() - began_at >= self.seconds
-                if error.errno not in _PASSING_ERRORS or is_late:
+                if not self._may_pass(error, time.monotonic() - began_at):
                     raise
                 if not is_logged:
                     logger.warning(
@@ -72,6 +73,11 @@
             logger.info("address_bound", address=address, after=seconds)
         return server
 
+    def _may_pass(self, error: OSError, waited_seconds: float) -> bool:
+        if error.errno == errno.EADDRNOTAVAIL:
+            return waited_seconds < self.seconds
+        return error.errno == errno.EADDRINUSE
+
     async def _pause(self, error: OSError) -> None:
         """Waits for the next attempt; raises the error when stopping."""
         try:
