Wait without a limit for a data folder that another process has locked

A control host ended by itself, with exit code 1, when another process kept its data folder for more than 15 s, as one that doesn't end does; a supervisor that started it again saw the same again.

Evidence: the new test of a lock that lasts hours of a replaced clock fails before (StorageLockedError at the first retry) and passes after, with the 31 others of locked folders, storage and held addresses.

--- a/packages/fleet/src/marjoramyard/fleet/control/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/role.py
@@ -57,7 +57,7 @@
     QueryReply,
     RenewRequest,
 )
-from marjoramyard.fleet.util.binding import BIND_SECONDS, RETRY_SECONDS
+from marjoramyard.fleet.util.binding import RETRY_SECONDS
 from marjoramyard.fleet.util.rpc import json_response, read_message
 from marjoramyard.kernel.errors import (
     Failure,
@@ -568,25 +568,23 @@
         return
     folder = Path(app.settings.data_folder)
     with ExitStack() as stack:
-        yield await _open_when_unlocked(stack, folder, app.stopping)
+        yield await open_when_unlocked(stack, folder, app.stopping)
 
 
-async def _open_when_unlocked(
+async def open_when_unlocked(
     stack: ExitStack, folder: Path, stopping: asyncio.Event
 ) -> Storage:
-    """Opens a data folder that a process which ends may still hold.
+    """Opens a data folder once no other process has locked it.
 
     Raises:
-        StorageLockedError: It was not unlocked in time.
+        StorageLockedError: It is locked, and the process is stopping.
     """
-    began_at = time.monotonic()
     is_logged = False
     while True:
         try:
             return stack.enter_context(open_storage(folder))
         except StorageLockedError:
-            is_late = time.monotonic() - began_at >= BIND_SECONDS
-            if is_late or stopping.is_set():
+            if stopping.is_set():
                 raise
         if not is_logged:
             logger.warning("data_folder_locked", folder=str(folder))
