--- a/tests/odd_headers.py
+++ b/tests/odd_headers.py
@@ -67,6 +67,20 @@
         writer.close()
 
 
+async def exchange_heads(address, data):
+    """Sends a request, and returns the head of the response."""
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        writer.write(data)
+        async with asyncio.timeout(RESPONSE_SECONDS):
+            return await reader.readuntil(HEAD_END)
+    except asyncio.IncompleteReadError as error:
+        return error.partial
+    finally:
+        writer.close()
+
+
 async def send_only(address, data):
     """Sends a request, and returns what has arrived after a first response.
 
@@ -131,20 +145,27 @@
     return wrong
 
 
-async def odd_targets(address, method, prefix, sound):
+async def odd_targets(address, method, prefix, sound, send=exchange):
     """Sends requests for odd targets that begin with a prefix, also a query.
 
+    Args:
+        address: IP:PORT of the server.
+        method: The method.
+        prefix: The begin of the targets.
+        sound: The headers of a sound request.
+        send: Sends each request, and returns the response.
+
     Returns:
         The begin of the target and the first line of the response, of each
         request that failed.
     """
     wrong = []
-    headers = sound | {b"Connection": b"close"}
+    headers = {b"Connection": b"close"} | sound
     values = [*ODD_VALUES, *(quote(value).encode() for value in ODD_VALUES)]
     for value in values:
         for target in (prefix + value, prefix + b"x?from=" + value):
             data = request_bytes(target, headers, method)
-            response = await exchange(address, data)
+            response = await send(address, data)
             if not response or internal_error(response):
                 line = response.partition(b"\r\n")[0]
                 wrong.append((target[:40], line))
--- a/tests/test_odd_headers.py
+++ b/tests/test_odd_headers.py
@@ -6,20 +6,31 @@
 from collections import Counter
 
 import pytest
+import yaml
 from gateway_fleet import FakeEndpoint, config, gateway_fleet, route, wait_until
 from odd_headers import (
     ODD_VALUES,
     RawEndpoint,
     exchange,
+    exchange_heads,
     internal_error,
     odd_requests,
     odd_targets,
     request_bytes,
     response_bytes,
     signed,
+    status_of,
 )
 from test_odd_registrations import failures
 
+from marjoramyard.fleet.gateway.broker_protocol import (
+    BROKER_PATH,
+    CORES_PARAMETER,
+    FORWARDING_PARAMETER,
+    SERVICE_PARAMETER,
+    ZONE_PARAMETER,
+)
+
 ODD_ENDPOINTS = 40
 """One for each pause that is asked for, and some more."""
 CALLER_HEADERS = (
@@ -251,3 +262,78 @@
     assert raw.used.issuperset(responders)
     assert not wrong
     check_harmless(fleet, statuses)
+
+
+OPERATOR_CALLS = (
+    (b"PUT", b"/registrations/"),
+    (b"DELETE", b"/registrations/"),
+    (b"PUT", b"/evacuations/z?operator="),
+    (b"PUT", b"/evacuations/"),
+    (b"DELETE", b"/evacuations/"),
+    (b"GET", b"/evacuations?"),
+    (b"GET", b"/fleet-config?"),
+    (b"PUT", b"/fleet-config?"),
+    (b"POST", b"/fleet/v1/sync?"),
+    (b"GET", b"/"),
+)
+
+
+@pytest.mark.parametrize(
+    "is_internal, method, path",
+    [(False, b"GET", b"/fleet-config"), (True, b"POST", b"/fleet/v1/sync")],
+)
+async def test_odd_calls_fail_no_control_host(fleet, is_internal, method, path):
+    """Guards against 500 and lost connections for ids, query parameters and
+    headers of operators, endpoints and other processes.
+    """
+    addresses = fleet.operator_addresses
+    if is_internal:
+        addresses = [f"{host}:{fleet.peer_port}" for host in fleet.hosts]
+    sound = {b"Host": b"control.example"}
+    wrong = []
+    async with (
+        sound_endpoints(fleet),
+        calling(lambda: call_soundly(fleet)) as statuses,
+    ):
+        for call_method, prefix in OPERATOR_CALLS:
+            wrong += await odd_targets(addresses[0], call_method, prefix, sound)
+        wrong += await odd_requests(
+            addresses[1], path, CALLER_HEADERS, sound, method
+        )
+        # The library answers an odd `Expect` to an unknown path with 500.
+        names = [name for name in CALLER_HEADERS if name != b"Expect"]
+        wrong += await odd_requests(addresses[2], b"/unknown", names, sound)
+    assert not wrong
+    check_harmless(fleet, statuses)
+
+
+async def test_odd_parameters_of_gateways_fail_no_broker(fleet):
+    """Guards against brokers that are lost to one gateway's parameters."""
+    settings = yaml.safe_load((fleet.folder / "gateway.yaml").read_text())
+    upgrade = {
+        b"Host": b"gateway.example",
+        b"Connection": b"Upgrade",
+        b"Upgrade": b"websocket",
+        b"Sec-WebSocket-Version": b"13",
+        b"Sec-WebSocket-Key": b"dGhlIHNhbXBsZSBub25jZQ==",
+    }
+    wrong = []
+    async with (
+        sound_endpoints(fleet),
+        calling(lambda: call_soundly(fleet)) as statuses,
+    ):
+        request = request_bytes(f"{BROKER_PATH}?service=chat".encode(), upgrade)
+        response = await exchange_heads(settings["internal"], request)
+        assert status_of(response) == 101
+        for name in (
+            ZONE_PARAMETER,
+            FORWARDING_PARAMETER,
+            SERVICE_PARAMETER,
+            CORES_PARAMETER,
+        ):
+            prefix = f"{BROKER_PATH}?service=chat&{name}=".encode()
+            wrong += await odd_targets(
+                settings["internal"], b"GET", prefix, upgrade, exchange_heads
+            )
+    assert not wrong
+    check_harmless(fleet, statuses)
