Refuse a count of tokens that no response has

An engine that reported a usage of 1e308 tokens, or 300 digits, made its agent charge that to the caller's workspace: the workspace is so far ahead of all others that it isn't served beside them any more, and two such counts add up to an infinite charge. A negative count made the response free.

The engine's own count is read from 0 to a billion tokens, as prompt parts are. Any other report is ignored, as one that can't be decoded: what was estimated stays.

--- a/packages/fleet/src/marjoramyard/fleet/agent/meters.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/meters.py
@@ -2,9 +2,11 @@
 
 import re
 import time
+from typing import Annotated
 
 import msgspec
 
+from marjoramyard.coordination.routing.table import MAX_PART_TOKENS
 from marjoramyard.kernel.registry import Registry
 from marjoramyard.kernel.util.decoding import decode_json
 
@@ -16,11 +18,14 @@
 _USAGE = re.compile(rb'"usage"\s*:\s*(\{[^{}]*\})')
 
 
+Tokens = Annotated[float, msgspec.Meta(ge=0, le=MAX_PART_TOKENS)]
+
+
 class Usage(msgspec.Struct):
     """The engine's own count at the end of a response."""
 
-    prompt_tokens: float = 0.0
-    completion_tokens: float = 0.0
+    prompt_tokens: Tokens = 0.0
+    completion_tokens: Tokens = 0.0
 
 
 class Meter:
