Don't resume a stream after an event ID that can't be sent

A task of an agent failed (`task_failed`, ValueError) if an engine's stream broke off after an event whose ID has a control character, such as a zero byte: the agent asks for the rest with the ID in Last-Event-ID, and the HTTP library refuses to write it, with an error that no one expected there. The attempt's state was never set to ended.

Such a stream isn't resumed: it ends as one that can't be. IDs that the agent does send on are still sent as they are.

--- a/packages/fleet/src/marjoramyard/fleet/agent/attempts.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/attempts.py
@@ -15,7 +15,11 @@
 from marjoramyard.fleet.agent.meters import METERS
 from marjoramyard.fleet.messages import RunRequest
 from marjoramyard.fleet.util.deadlines import timeout_after_input
-from marjoramyard.fleet.util.headers import end_to_end, is_stream
+from marjoramyard.fleet.util.headers import (
+    end_to_end,
+    is_stream,
+    is_writable,
+)
 from marjoramyard.fleet.util.response_body import (
     BrokenOffError,
     ResponseBody,
@@ -329,7 +333,8 @@
                 why="the endpoint was started again, maybe at another version",
             )
             return False
-        return bool(self.events and self.events.last_id and self.resume_path)
+        last_id = self.events.last_id if self.events else ""
+        return bool(last_id and is_writable(last_id) and self.resume_path)
 
     async def _resume(
         self, session: aiohttp.ClientSession
--- a/packages/fleet/src/marjoramyard/fleet/util/headers.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/headers.py
@@ -51,6 +51,11 @@
     return _CONTROL_CHARACTERS.sub(" ", header_text(value))
 
 
+def is_writable(text: str) -> bool:
+    """Returns whether a header can have a text as its value."""
+    return not _CONTROL_CHARACTERS.search(text)
+
+
 def header_bytes(value: str) -> bytes:
     """Returns the bytes of a header value that the HTTP library has read."""
     return value.encode("utf-8", "surrogateescape")
--- a/packages/fleet/tests/agent/test_attempts.py
+++ b/packages/fleet/tests/agent/test_attempts.py
@@ -4,11 +4,16 @@
 from types import SimpleNamespace
 
 import pytest
+from aiohttp.http_writer import _serialize_headers
+from hypothesis import example, given
+from hypothesis import strategies as st
+from multidict import CIMultiDict
 
 from marjoramyard.coordination.serving.events import EventSplitter
 from marjoramyard.fleet.agent.attempts import Attempt
 from marjoramyard.fleet.agent.endpoint import Endpoint
 from marjoramyard.fleet.messages import EndpointAnnouncement, RunRequest
+from marjoramyard.fleet.util.headers import is_writable
 
 
 @pytest.fixture
@@ -34,6 +39,26 @@
     assert not attempt._can_resume()
 
 
+@pytest.mark.parametrize("event_id", [b"a\x00b", b"a\x0bb", b"\x7f"])
+def test_a_stream_is_not_resumed_after_an_id_that_can_t_be_sent(
+    attempt, event_id
+):
+    """Guards against attempts that end without an answer to the entry."""
+    attempt.events.feed(b"id: " + event_id + b"\ndata: x\n\n")
+    assert not attempt._can_resume()
+
+
+@given(event_id=st.binary(max_size=20), name=st.just("Last-Event-ID"))
+@example(event_id=b"\xb2", name="Last-Event-ID")
+def test_an_id_after_which_a_stream_is_resumed_can_be_sent(event_id, name):
+    """Guards against attempts that end without an answer to the entry."""
+    events = EventSplitter()
+    events.feed(b"id: " + event_id + b"\ndata: x\n\n")
+    if is_writable(events.last_id):
+        headers = CIMultiDict({name: events.last_id})
+        assert _serialize_headers("GET / HTTP/1.1", headers)
+
+
 async def test_what_an_endpoint_says_when_a_stream_is_resumed_counts(attempt):
     """Guards against a pause that is asked for in that response only."""
 
--- a/tests/test_odd_headers_at_entries.py
+++ b/tests/test_odd_headers_at_entries.py
@@ -34,6 +34,7 @@
 RESPONSE_HEADERS = tuple(
     name for name in ENDPOINT_HEADERS if name != b"Retry-After"
 )
+ODD_EVENT_IDS = (*ODD_VALUES, b"a\x00b", b"a\x0bb", b"\x7f", b"a\tb")
 PAUSE = response_bytes({b"Retry-After": b"9" * 400}, b"503 x")
 
 
@@ -125,17 +126,17 @@
     check_harmless(fleet, statuses)
 
 
-def broken_stream(location):
+def broken_stream(location, event_id=b"1"):
     """Returns a stream that breaks off after an event, with a location."""
     headers = {
         b"Content-Type": b"text/event-stream",
         b"Content-Length": b"1000",
         b"Content-Location": location,
     }
-    return response_bytes(headers, body=b"id: 1\ndata: x\n\n")
+    return response_bytes(headers, body=b"id: %s\ndata: x\n\n" % event_id)
 
 
-async def test_streams_at_odd_locations_fail_no_agent(small_fleet):
+async def test_streams_with_odd_locations_and_ids_fail_no_agent(small_fleet):
     """Guards against failed tasks of agents that resume a stream."""
     fleet, raw = small_fleet, RawEndpoint()
     sound = sound_headers(fleet) | {b"Connection": b"close"}
@@ -154,8 +155,10 @@
         announcing(fleet, "odd-1", raw.addresses[0], "odd"),
     ):
         await wait_until(odd_service_is_served, "the odd endpoint to serve")
-        for number, location in enumerate(ODD_VALUES, 1):
-            raw.respond = lambda head, at=location: broken_stream(at)
+        streams = [broken_stream(location) for location in ODD_VALUES]
+        streams += [broken_stream(b"/odd/x", i) for i in ODD_EVENT_IDS]
+        for number, stream in enumerate(streams, 1):
+            raw.respond = lambda head, stream=stream: stream
             response = await call_odd(number)
             assert response and not internal_error(response)
     check_harmless(fleet, statuses)
