Skip log lines that are nested too deeply

marjoramctl ended with a traceback (RecursionError) at a line of a log file that is nested very deeply; lines that are no JSON are skipped.

Evidence: test_any_line_is_read_or_skipped failed before, passes after, with packages/ctl/tests.

--- a/packages/ctl/src/marjoramyard/ctl/request_traces.py
+++ b/packages/ctl/src/marjoramyard/ctl/request_traces.py
@@ -27,7 +27,7 @@
             continue
         try:
             line = json.loads(raw[start:])
-        except ValueError:
+        except (ValueError, RecursionError):
             continue
         if isinstance(line, dict) and "event" in line:
             yield line
