--- a/packages/coordination/tests/test_outside_bytes.py
+++ b/packages/coordination/tests/test_outside_bytes.py
@@ -18,6 +18,7 @@
     PromptPart,
     parse_prompt_parts,
 )
+from marjoramyard.coordination.serving.events import EventSplitter
 from marjoramyard.coordination.serving.fingerprints import (
     message_fingerprints,
 )
@@ -63,6 +64,20 @@
         {"role": "user", "content": "two"},
     ],
 }
+
+
+def odd_events():
+    """Draws events with any IDs and line ends."""
+    ends = st.sampled_from([b"\n", b"\r", b"\r\n", b"\n\n"])
+    ids = st.sampled_from([b"id:", b"id: ", b"data: ", b":"])
+    return st.builds(
+        lambda name, value, end: name + value + end + end,
+        ids,
+        st.binary(max_size=9),
+        ends,
+    )
+
+
 TYPES = (
     Registration,
     FormerVersion,
@@ -115,6 +130,15 @@
         assert fingerprint
 
 
+@given(pieces=st.lists(st.binary(max_size=20) | odd_events()))
+def test_any_bytes_are_events(pieces):
+    """Guards against streams that fail at what an endpoint has written."""
+    splitter = EventSplitter()
+    complete = b"".join(splitter.feed(piece) for piece in pieces)
+    assert complete + splitter.buffer == b"".join(pieces)
+    assert splitter.content and isinstance(splitter.last_id, str)
+
+
 @given(pieces=st.lists(odd_bytes({"kind": "data", "size": 3, "number": 1})))
 def test_any_bytes_are_frames_or_a_broken_response(pieces):
     """Guards against responses that end without an error that callers know."""
--- a/packages/fleet/tests/test_outside_bytes.py
+++ b/packages/fleet/tests/test_outside_bytes.py
@@ -111,6 +111,19 @@
         "suspects": ["f"],
         "convicted": {"f": 1.0},
     },
+    messages.RunRequest: {
+        "attempt": "a",
+        "workspace": "w",
+        "service": "llm",
+        "method": "POST",
+        "path": "/x",
+        "headers": [["Cookie", "c"]],
+        "deadline_seconds": 5.0,
+        "stall_seconds": 5.0,
+        "fingerprint": "f",
+        "request_class": "interactive",
+        "call": {"key": "k", "body_digest": "d", "generation": 0},
+    },
     messages.FailureBody: {
         "error": {"code": "busy", "message": "m", "outcome": "not_run"}
     },
@@ -120,6 +133,9 @@
     {"type": "beat", "peers": ["10.0.0.1:80"], "peer_cores": [1.0]},
     {"type": "leaving", "service": "s", "endpoint": "e", "born": 1},
 ]
+GATEWAY_FRAME = [
+    {"type": "pause", "service": "s", "endpoint": "e", "pause_ms": 5.0},
+]
 
 
 @pytest.mark.parametrize("kind", EXAMPLES, ids=lambda kind: kind.__name__)
@@ -144,7 +160,7 @@
     assert decode_reply(503, data, messages.Empty).is_err()
 
 
-@given(data=odd_bytes(BROKER_FRAME))
+@given(data=odd_bytes(BROKER_FRAME, GATEWAY_FRAME))
 def test_a_frame_of_a_broker_is_decoded_or_refused(data):
     """Guards against loops that end with one frame."""
     for decoder in (gateway_message_decoder, broker_message_decoder):
--- a/packages/kernel/tests/test_outside_bytes.py
+++ b/packages/kernel/tests/test_outside_bytes.py
@@ -10,6 +10,7 @@
 
 import marjoramyard.fleet.settings  # noqa: F401
 from marjoramyard.kernel.settings import load_settings, parse_settings
+from marjoramyard.kernel.util.addresses import parse_address
 
 SETTINGS = {
     "role": "control",
@@ -49,6 +50,26 @@
     assert parse_settings("file", text) is not None
 
 
+@given(text=st.text() | st.text().map("127.0.0.1:{}".format))
+@example(text="127.0.0.1:" + "9" * 5000)
+@example(text="127.0.0.1:\u00b2")
+def test_any_address_has_a_port_or_a_remedy(text):
+    """Guards against processes that end at an address of another kind."""
+    try:
+        address = parse_address(text)
+    except ValueError as error:
+        assert str(error)
+        return
+    assert 0 <= address.port <= 65535
+
+
+@pytest.mark.parametrize("port", ["+80", "8_0", " 80", "\u0668\u0660", ""])
+def test_a_port_has_digits_only(port):
+    """Guards against ports that only some readers take for a number."""
+    with pytest.raises(ValueError, match="not an address"):
+        parse_address(f"127.0.0.1:{port}")
+
+
 @pytest.mark.parametrize(
     "content", [b"\xff", json.dumps(SETTINGS).encode("utf-16")]
 )
