Compile the build so that copies of it stay compiled

What users saw: "the system didn't start" (FAULT), on machines of their own; a start that takes twice as long is one way to it, where a runner waits for a time.

Cause: compiled files were valid for the modification time of their sources. In a copy of target/ with other times every process compiled all it imported at each start, as it only has read access to the repository.

Why it works: the build compiles libraries and packages itself and marks the files as always valid; sources below target/ change only with the build.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -29,12 +29,18 @@
   done | sort | cksum
 }
 
+# Compiled files are valid for copies too, whose modification times may differ.
+compile_all() {
+  python3 -m compileall -q --invalidation-mode unchecked-hash "$1"
+}
+
 # A stamp is moved into place together with what it stands for, so that an
 # interrupted build leaves none.
 build_libraries() {
   rm -rf target/new
-  python3 -m pip install --quiet --disable-pip-version-check \
+  python3 -m pip install --quiet --disable-pip-version-check --no-compile \
     --target target/new -r deploy/requirements.txt
+  compile_all target/new
   echo "$1" > target/new/.libraries
   rm -rf target/deps
   mv target/new target/deps
@@ -47,7 +53,7 @@
     cp -r "$package/src/marjoramyard/." target/new/
   done
   chmod -R a+rX target/new
-  python3 -m compileall -q target/new
+  compile_all target/new
   echo "$1" > target/new/.sources
   rm -rf target/deps/marjoramyard
   mv target/new target/deps/marjoramyard
--- a/tests/platform/test_build.py
+++ b/tests/platform/test_build.py
@@ -35,6 +35,7 @@
   mkdir -p "$2"
   [ ! -e pip-is-killed ] || kill -KILL "$PPID" $$
   ln -s {site.getsitepackages()[0]}/* "$2"/
+  rm -f "$2/__pycache__"
   echo "$ABI" > "$2/installed-for" ;;
 *) exec {sys.executable} "$@" ;;
 esac
@@ -169,6 +170,20 @@
     assert all(path.stat().st_mode & 0o004 for path in own)
 
 
+def test_a_copied_build_is_still_compiled(checkout):
+    """Guards against processes that compile everything at each start, as they
+    can't write, and the build has been copied without its modification times.
+    """
+    assert checkout.build().returncode == 0
+    for path in (checkout.root / "target/deps/marjoramyard").rglob("*.py"):
+        os.utime(path, (0, 0))
+    environment = {"PYTHONPATH": "target/deps", "PYTHONVERBOSE": "1"}
+    started = checkout.program("--help", env=environment)
+    assert started.returncode == 0
+    assert "marjoramyard/fleet/cmd/__pycache__/daemon" in started.stderr
+    assert "bytecode is stale" not in started.stderr
+
+
 def test_an_interpreter_that_is_too_old_is_named(checkout):
     """Guards against a build that succeeds with a Python that can't start the
     program, or that fails without a reason.
