Wait shortly for a late reader of the last log lines

Operators could miss the lines `draining` and `stopped` of a process whose log is read through a pipe: it looked as if it had ended by itself.

Cause: lines that a full pipe doesn't take wait in the buffer for the next line. At the end of the process there is none, and the buffer was dropped; a pipe holds some hundred lines of requests.

The process now writes the buffer at its end as far as the reader takes it, for at most 0.2 s, and not at all if nothing waits. A reader that stays slower than the lines come still misses the last ones.

--- a/packages/fleet/src/marjoramyard/fleet/cmd/daemon.py
+++ b/packages/fleet/src/marjoramyard/fleet/cmd/daemon.py
@@ -15,6 +15,7 @@
 from marjoramyard.fleet.cmd.inherited_signals import InheritedSignals
 from marjoramyard.fleet.cmd.settings_file import load_when_written
 from marjoramyard.kernel.logs import (
+    LineSink,
     configure_logs,
     get_logger,
     keep_errors_from_blocking,
@@ -26,6 +27,8 @@
 
 EXIT_INVALID_SETTINGS = 2
 EXIT_FAILED = 1
+LAST_LINES_SECONDS = 0.2
+"""How long a late reader of the log is waited for at the end."""
 
 
 def _load_or_exit(path: Path) -> RoleSettings:
@@ -77,9 +80,9 @@
     loaded, settings_modified_ns = _load_written_or_exit(settings)
     raise_descriptor_limit()
     keep_errors_from_blocking()
-    configure_logs(loaded.log, role=loaded.role, name=loaded.name)
+    sink = configure_logs(loaded.log, role=loaded.role, name=loaded.name)
     _log_start(inherited or InheritedSignals())
-    asyncio.run(_run(loaded, settings, settings_modified_ns))
+    asyncio.run(_run(loaded, settings, settings_modified_ns, sink))
 
 
 def _log_start(inherited: InheritedSignals) -> None:
@@ -94,7 +97,10 @@
 
 
 async def _run(
-    settings: RoleSettings, path: Path, settings_modified_ns: int
+    settings: RoleSettings,
+    path: Path,
+    settings_modified_ns: int,
+    sink: LineSink,
 ) -> None:
     try:
         application = Application(settings, path)
@@ -109,13 +115,21 @@
         if application.stopping.is_set():
             # It was waiting for what another process holds, and was stopped.
             logger.info("stopped", before_start=str(error))
-            os._exit(0)
+            _end(sink)
         logger.critical("failed", error=str(error))
         _print_error(f"{settings.name}: {error}")
         sys.exit(EXIT_FAILED)
-    # Everything is closed. Taking the interpreter down as well would cost a
-    # small host part of the time in which it must have stopped. Closing the
-    # event loop would give signals their default actions before the end.
+    _end(sink)
+
+
+def _end(sink: LineSink) -> None:
+    """Ends the process once everything is closed.
+
+    Taking the interpreter down as well would cost a small host part of the
+    time in which it must have stopped. Closing the event loop would give
+    signals their default actions before the end.
+    """
+    sink.flush_within(LAST_LINES_SECONDS)
     os._exit(0)
 
 
--- a/packages/kernel/src/marjoramyard/kernel/logs.py
+++ b/packages/kernel/src/marjoramyard/kernel/logs.py
@@ -3,6 +3,7 @@
 import contextlib
 import logging
 import os
+import select
 import stat
 import sys
 import threading
@@ -23,6 +24,7 @@
 """Rate limit for the failures of each event name, separate from successes."""
 MAX_PENDING_BYTES = 256 << 10
 """Size of the buffer for a slow reader, for some seconds' worth of lines."""
+MILLISECONDS = 1000
 MIN_FAILED_STATUS = 400
 """The lowest HTTP status that counts as a failure."""
 MAX_MESSAGE_CHARS = 300
@@ -113,6 +115,21 @@
             self.dropped += self.pending.count(b"\n")
             self.pending.clear()
 
+    def flush_within(self, seconds: float) -> None:
+        """Writes the buffer at the end, as far as its reader takes it.
+
+        Args:
+            seconds: How long the reader is waited for.
+        """
+        ends_at = time.monotonic() + seconds
+        writable = select.poll()
+        writable.register(self.descriptor, select.POLLOUT)
+        while self.pending:
+            left = max(0.0, ends_at - time.monotonic())
+            if not writable.poll(left * MILLISECONDS):
+                return
+            self.flush()
+
 
 class LogRateLimiter:
     """A structlog processor that limits the lines per second of each event.
--- a/packages/kernel/tests/test_logs.py
+++ b/packages/kernel/tests/test_logs.py
@@ -5,12 +5,15 @@
 import pty
 import subprocess
 import sys
+import threading
 
 import pytest
 import structlog
 
 from marjoramyard.kernel.logs import LINES_PER_SECOND, LineSink, LogRateLimiter
 
+TIMEOUT_SECONDS = 20.0
+
 
 def test_a_paused_reader_does_not_block_the_writer():
     """Guards against a stalled event loop when the log pipe is full."""
@@ -184,3 +187,44 @@
     assert result.stdout == b"done\n"
     os.close(reader)
     os.close(writer)
+
+
+def full_pipe_sink():
+    """Returns a reader, and a sink whose last lines its pipe doesn't take."""
+    reader, writer = os.pipe()
+    sink = LineSink(writer)
+    while not sink.pending:
+        sink.write("a line")
+    sink.write("stopped")
+    return reader, sink
+
+
+def test_the_last_lines_reach_a_reader_that_is_late():
+    """Guards against a log that ends before the line `stopped`, as if the
+    process had ended by itself, since its reader was behind.
+    """
+    reader, sink = full_pipe_sink()
+    read = []
+
+    def read_to_end():
+        while part := os.read(reader, 1 << 12):
+            read.append(part)
+
+    late = threading.Thread(target=read_to_end, daemon=True)
+    late.start()
+    sink.flush_within(TIMEOUT_SECONDS)
+    os.close(sink.descriptor)
+    late.join()
+    os.close(reader)
+    assert b"".join(read).endswith(b"\na line\nstopped\n")
+
+
+def test_an_end_does_not_wait_for_a_reader_that_takes_nothing():
+    """Guards against a process that never ends as nobody reads its log."""
+    reader, sink = full_pipe_sink()
+    sink.flush_within(0.0)
+    assert sink.pending.endswith(b"stopped\n")
+    os.close(reader)
+    sink.flush_within(TIMEOUT_SECONDS)
+    assert not sink.pending
+    os.close(sink.descriptor)
