Acknowledge a stored configuration that is sent again

Operators saw: an order that a host of an earlier release had accepted got 422 when it was sent again to a host of this release, such as the other hosts in a rolling upgrade, though nothing else had changed. An operator ends a call at 422, so that a change that is in force looks refused.

Cause: orders are checked by more rules than before, and the check did not look at what is stored.

The text that is the newest configuration here already is acknowledged now, whatever the checks say of it; other content is refused as before. The native interface also has it committed again, which changes nothing. A host that has not applied a newer configuration yet may still acknowledge the one before it; that changes nothing either.

--- a/packages/fleet/src/marjoramyard/fleet/control/dialects.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/dialects.py
@@ -35,7 +35,7 @@
         body = await request.read()
         config = decode_json(body, FleetConfig)
         refusal = config.refusal()
-        if refusal:
+        if refusal and not service.has_accepted(body):
             raise_failure(FailureKind.INVALID_BUNDLE, refusal)
         result = await service.put_config(ConfigDocument(config.version, body))
         if isinstance(result, Err):
--- a/packages/fleet/src/marjoramyard/fleet/control/service.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/service.py
@@ -210,6 +210,15 @@
         node = self.role.running_node
         return node.state.config if node is not None else None
 
+    def has_accepted(self, text: bytes) -> bool:
+        """Returns whether the newest configuration has exactly this text.
+
+        One that is sent again must not be refused, though an earlier release
+        may have accepted more.
+        """
+        stored = self.newest_config()
+        return stored is not None and stored.text == text
+
     def encoded_config_update(self, request: FetchConfig) -> bytes:
         """Returns the newest configuration for a gateway, in JSON."""
         self.config_history.add(self.newest_config())
--- a/tests/control_hosts.py
+++ b/tests/control_hosts.py
@@ -3,10 +3,13 @@
 import contextlib
 import json
 
+import msgspec
 from gateway_fleet import GatewayFleet, config, wait_until
 from raw_clients import http_request
 
+from marjoramyard.coordination.governance.commands import ConfigDocument
 from marjoramyard.fleet import paths
+from marjoramyard.fleet.sync_messages import PutConfig
 from marjoramyard.standin.processes import free_address
 
 DRAIN_SECONDS = 4.0
@@ -96,5 +99,24 @@
     return int((await wait_until(found))[0])
 
 
+async def store_unchecked(fleet, document):
+    """Stores a configuration as a host of an earlier release may have."""
+    text = json.dumps(document).encode()
+    message = PutConfig(ConfigDocument(document["version"], text))
+
+    async def is_stored():
+        for number in range(len(fleet.hosts)):
+            address = fleet.internal_address(number)
+            async with fleet.session.post(
+                f"http://{address}{paths.PUT_CONFIG_PATH}",
+                data=msgspec.json.encode(message),
+            ) as response:
+                if response.status == 200:
+                    return True
+        return False
+
+    await wait_until(is_stored)
+
+
 def put(path, value, method="PUT", **headers):
     return http_request(method, path, json.dumps(value).encode(), **headers)
--- a/tests/platform/test_config_validation.py
+++ b/tests/platform/test_config_validation.py
@@ -7,7 +7,11 @@
 import random
 
 import pytest
-from control_hosts import free_port, started_control_hosts
+from control_hosts import (
+    free_port,
+    started_control_hosts,
+    store_unchecked,
+)
 from gateway_fleet import wait_until
 from odd_json import NESTED
 from result import Err
@@ -186,6 +190,26 @@
     assert failed_lines(fleet) == []
 
 
+async def test_an_accepted_configuration_is_acknowledged_again(fleet):
+    """Guards against an order that is refused when it is sent again, as an
+    earlier release has accepted more.
+    """
+    odd = changed("routes.0.max_attempts", 0)
+    await store_unchecked(fleet, odd)
+    await wait_until_read(fleet, odd)
+    hosts = range(len(fleet.hosts))
+    statuses = [(await put(fleet, odd, host))[0] for host in hosts]
+    assert statuses == [200] * len(hosts)
+    other = changed("routes.0.max_attempts", -1)
+    statuses = [(await put(fleet, other, host))[0] for host in hosts]
+    assert statuses == [422] * len(hosts)
+    newer = {**CONFIG, "version": 10}
+    assert (await put_until_clear(fleet, newer))[0] == 200
+    # A host that has not applied the newer one yet acknowledges this.
+    assert (await put(fleet, odd))[0] in (200, 422)
+    await wait_until_read(fleet, newer)
+
+
 @pytest.mark.parametrize("version", [0, -3])
 async def test_a_first_version_that_could_not_be_in_force_is_refused(
     fleet, version
--- a/tests/platform/test_control_api.py
+++ b/tests/platform/test_control_api.py
@@ -95,6 +95,9 @@
             raise_failure(FailureKind.NO_QUORUM, "not yet")
         self.departed.append(endpoint)
 
+    def has_accepted(self, text):
+        return self.document is not None and self.document.text == text
+
     async def put_config(self, document):
         if not self.quorum:
             return Err(failure(FailureKind.NO_QUORUM, "none"))
--- a/tests/test_refused_configs.py
+++ b/tests/test_refused_configs.py
@@ -3,6 +3,7 @@
 import copy
 
 import pytest
+from control_hosts import control_hosts, store_unchecked
 from gateway_fleet import (
     API_KEY,
     FakeEndpoint,
@@ -83,3 +84,24 @@
         return await statuses_of(fleet, "/a/x", "/new/x") == [200, 200]
 
     return new_route_is_served
+
+
+async def test_an_accepted_configuration_is_acknowledged_again(tmp_path):
+    """Guards against an order that is refused when it is sent again, as an
+    earlier release has accepted more.
+    """
+    odd = changed("routes.0.max_attempts", 0)
+    other = changed("routes.0.max_attempts", -1)
+    async with control_hosts(tmp_path) as fleet:
+        await store_unchecked(fleet, odd)
+
+        async def is_stored_everywhere():
+            hosts = range(len(fleet.hosts))
+            found = [await fleet.read_config(host) for host in hosts]
+            return all(reply == (200, odd) for reply in found)
+
+        await wait_until(is_stored_everywhere)
+        for host in range(len(fleet.hosts)):
+            assert (await put(fleet, odd, host))[0] == 200
+            assert (await put(fleet, other, host))[0] // 100 == 4
+        assert await fleet.read_config(0) == (200, odd)
