Write nothing in a build that has nothing to do

Users would see a build that fails where everything is there already: "cannot create target/.lock", exit code 2.

Cause: since builds of one checkout wait for each other, each of them opens the lock file for writing first.

The stamps are compared before the lock is taken, and again after it. A stamp is moved into place with what it stands for, so that one that is there and right needs no wait for other builds.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -59,14 +59,26 @@
   mv target/new target/deps/marjoramyard
 }
 
-lock_target
+has_libraries() {
+  [ "$libraries" = "$(cat target/deps/.libraries 2>/dev/null)" ]
+}
+
+has_packages() {
+  [ "$sources" = "$(cat target/deps/marjoramyard/.sources 2>/dev/null)" ]
+}
+
 abi=$(python_abi)
 libraries="$abi $(cksum < deploy/requirements.txt)"
-if [ "$libraries" != "$(cat target/deps/.libraries 2>/dev/null)" ]; then
+sources=$(cksum_sources)
+# Nothing is written then: the checkout may be read-only here.
+if has_libraries && has_packages; then
+  exit 0
+fi
+lock_target
+if ! has_libraries; then
   build_libraries "$libraries"
 fi
 sources=$(cksum_sources)
-if [ "$sources" != "$(cat target/deps/marjoramyard/.sources 2>/dev/null)" ]
-then
+if ! has_packages; then
   build_packages "$sources"
 fi
--- a/tests/platform/test_build.py
+++ b/tests/platform/test_build.py
@@ -112,6 +112,20 @@
     assert checkout.pip_runs() == [ABI]
 
 
+def test_a_build_that_is_complete_writes_nothing(checkout):
+    """Guards against a build that fails where everything is there already, as
+    the checkout is read-only or another user has built it.
+    """
+    assert checkout.build().returncode == 0
+    lock = checkout.root / "target/.lock"
+    lock.unlink()
+    # Nobody can open it for writing.
+    lock.mkdir()
+    built = checkout.build()
+    assert built.returncode == 0, built.stderr
+    assert checkout.starts()
+
+
 def test_libraries_of_another_interpreter_are_replaced(checkout):
     """Guards against a target folder of another machine or Python version,
     whose compiled modules can't be imported, so that no process starts.
