Keep no values for an exporter that can't be imported

Users would see a process that is killed for its memory after a while.

Cause: the exporter of metrics is imported 10 s after the start. If its libraries are gone by then, such as after a build or a move of the folder while processes run, or if the limits leave no memory for them, the import fails once and unread values of histograms collect without end.

Seen: six processes with the built layout, whose folder of libraries was renamed when all were ready: six of six go on, take a configuration and stop with 0, but log `task_failed` and answer 500 for their metrics; their values are never dropped. How fast memory grows was not measured.

Values are dropped now from a failed import on; a later read of the metrics tries again, and values are recorded once it succeeds.

Evidence: 2 of 2 new cases failed before, 7 of 7 of test_metrics.py pass.

--- a/packages/kernel/src/marjoramyard/kernel/metrics.py
+++ b/packages/kernel/src/marjoramyard/kernel/metrics.py
@@ -53,6 +53,8 @@
             request.
         gauges: The names of gauges, with what reads their values.
         pending: Values of histograms until the exporter is loaded.
+        keeps_values: Whether such values are kept. They are not once the
+            exporter could not be imported, as it may never be.
         exporter: The `MetricsExporter`, once it is loaded.
     """
 
@@ -63,6 +65,7 @@
         self.counts: dict[str, dict[tuple, float]] = {}
         self.gauges: list[tuple[str, GaugeReader]] = []
         self.pending: list[tuple[str, float, Labels]] = []
+        self.keeps_values = True
         self.exporter = None
 
     def count(self, name: str, amount: float = 1, **labels: str) -> None:
@@ -77,10 +80,10 @@
 
     def observe(self, name: str, value: float, **labels: str) -> None:
         """Records a value in the histogram `name`."""
-        if self.exporter is None:
-            self.pending.append((name, value, labels))
-        else:
+        if self.exporter is not None:
             self.exporter.observe(name, value, labels)
+        elif self.keeps_values:
+            self.pending.append((name, value, labels))
 
     def gauge(self, name: str, read: GaugeReader) -> None:
         """Registers a gauge whose values are read by `read` at each scrape."""
@@ -89,7 +92,12 @@
             self.exporter.add_gauge(name, read)
 
     async def load_exporter_in_background(self) -> None:
-        """Loads the exporter without blocking the event loop for long."""
+        """Loads the exporter without blocking the event loop for long.
+
+        Raises:
+            ImportError: A library is missing; the next call tries again.
+            MemoryError: The process's limits leave too little memory for it.
+        """
         if self.exporter is not None:
             return
         started_at = time.monotonic()
@@ -99,6 +107,10 @@
             # The process may start no further thread. `load_exporter` blocks
             # the event loop, but values would collect in memory without it.
             logger.warning("thread_not_started", error=str(error))
+        except (ImportError, MemoryError):
+            self.keeps_values = False
+            self.pending.clear()
+            raise
         values = len(self.pending)
         self.load_exporter()
         logger.info(
--- a/packages/kernel/tests/test_metrics.py
+++ b/packages/kernel/tests/test_metrics.py
@@ -1,8 +1,10 @@
 """Counters, gauges, histograms and the limit on workspace labels."""
 
+import importlib
 import subprocess
 import sys
 
+import pytest
 from structlog.testing import capture_logs
 
 from marjoramyard.kernel.metrics import OTHER_WORKSPACES, LabelCap, Metrics
@@ -71,3 +73,29 @@
     metrics.close()
     assert [line["event"] for line in lines] == ["metrics_exporter_loaded"]
     assert lines[0]["kept_values"] == 1
+
+
+@pytest.mark.parametrize("error", [ImportError, MemoryError])
+async def test_values_do_not_collect_without_an_exporter(monkeypatch, error):
+    """Guards against a process that is killed for its memory, as the libraries
+    of the exporter are gone or too large for its limits.
+    """
+
+    def fail(module):
+        raise error(module)
+
+    metrics = Metrics("gateway", "g-1")
+    metrics.observe("request_seconds", 0.1)
+    with monkeypatch.context() as patch:
+        patch.setattr(importlib, "import_module", fail)
+        with pytest.raises(error):
+            await metrics.load_exporter_in_background()
+    metrics.observe("request_seconds", 0.2)
+    assert metrics.pending == []
+    await metrics.load_exporter_in_background()
+    metrics.observe("request_seconds", 0.3)
+    lines = metrics.prometheus_text().decode().splitlines()
+    metrics.close()
+    name = "marjoramyard_request_seconds_count{"
+    counts = [line.split()[-1] for line in lines if line.startswith(name)]
+    assert counts == ["1.0"]
