Fail calls of a stopping process without a traceback

Operators saw `task_failed` with a traceback (RuntimeError, "Session is closed") from control hosts that stopped, five at once in a trial, after which tests that look for failed tasks would fail. Exit codes were 0.

Cause: the client for internal calls is closed before the background tasks are cancelled; an announcement to other hosts that starts in between used the closed session, whose error is none of those that a call returns.

Such a call now returns the failure that an unreachable process gives, which is true: nothing was sent.

--- a/packages/fleet/src/marjoramyard/fleet/util/rpc.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/rpc.py
@@ -190,6 +190,15 @@
             The reply or a failure. The outcome of a missing reply is unknown,
                 unless the connection could not be established.
         """
+        if self.session.closed:
+            # A caller that tries again at once can still be cancelled.
+            await asyncio.sleep(0)
+            return Err(
+                failure(
+                    FailureKind.NO_ENDPOINT,
+                    f"{shorten(address)} was not called; this process stops",
+                )
+            )
         body = msgspec.json.encode(message)
         try:
             async with asyncio.timeout(timeout):
