Give tests of signals the usual ones, whoever starts the tests

All four are tests of what the first log line says of inherited signals: `nohup` ignores SIGHUP, the tests' processes inherited that and rightly said so.

Cause: the tests took the signals of whoever started them for the usual ones. Other tests of these files would have passed for SIGHUP without the product doing anything, so the fixture makes them stricter too.

--- a/tests/platform/test_signals.py
+++ b/tests/platform/test_signals.py
@@ -11,7 +11,7 @@
 import pytest
 from deployed_fleet import CONTROL, GATEWAY, deployed_fleet
 from gateway_fleet import wait_until
-from inherited_signals import blocked, ignored
+from inherited_signals import blocked, ignored, usual_signals  # noqa: F401
 
 ROLES = (CONTROL, GATEWAY)
 STOPS = 8
--- a/tests/test_early_signals.py
+++ b/tests/test_early_signals.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 import pytest
-from inherited_signals import blocked, ignored
+from inherited_signals import blocked, ignored, usual_signals  # noqa: F401
 
 from marjoramyard import fleet as fleet_package
 from marjoramyard.fleet.cmd.daemon import EXIT_INVALID_SETTINGS
