Probe a caller that closes its sending side in the same turn

Callers that leave a gateway whose event loop is late were noticed two turns later than before half-closed callers were answered: the end was read in one turn, the probe written two turns later, and the reset seen in the next. Of turns of 0.3 s these add up to what an endpoint may still be at work for a caller that has left.

The first probe is now written as the end is read, if no response has begun, and the reset is looked for in the next turn.

Evidence: test_a_caller_that_has_left_is_noticed_in_the_next_turn failed before and passes after, 146 of 146 with the other tests of half-closed callers and of forwarding.

--- a/packages/fleet/src/marjoramyard/fleet/half_closed.py
+++ b/packages/fleet/src/marjoramyard/fleet/half_closed.py
@@ -72,6 +72,7 @@
         self.unsent_size = 0
         self.unsent_since = self.began_at
         self.is_flushed = False
+        self._probe_before_response()
         self.timer = self.loop.call_soon(self._check)
 
     @property
@@ -83,6 +84,16 @@
         """Ends the checks."""
         self.timer.cancel()
 
+    def _probe_before_response(self) -> None:
+        """Writes the first probe now if no response has begun.
+
+        In a late event loop each further turn takes long, and a caller that
+        has left keeps an endpoint at work until it is noticed.
+        """
+        if self.next_probe() == CONTINUE:
+            self.probe_count += 1
+            self.transport.write(CONTINUE)
+
     def _check(self) -> None:
         if is_reset(self.transport):
             self.on_end(CallerEnd.LEFT)
--- a/packages/fleet/tests/test_half_closed_callers.py
+++ b/packages/fleet/tests/test_half_closed_callers.py
@@ -528,3 +528,34 @@
     await server.wait_until_ended()
     assert len(server.ended_at) == CALLERS
     assert max(server.ended_at) - reset_at < NOTICED_SECONDS
+
+
+class CheckedTransport(asyncio.Transport):
+    """A connection of a caller that has left."""
+
+    def __init__(self, connection):
+        super().__init__({"socket": connection})
+        self.connection = connection
+
+    def write(self, data):
+        self.connection.send(data)
+
+    def get_write_buffer_size(self):
+        return 0
+
+
+async def test_a_caller_that_has_left_is_noticed_in_the_next_turn():
+    """Guards against endpoints that a late event loop keeps at work for callers
+    that have left, as it needs several turns to notice them.
+    """
+    with socket.create_server(("127.0.0.1", 0)) as listening:
+        caller = socket.create_connection(listening.getsockname())
+        connection, _ = listening.accept()
+    caller.close()
+    ends = []
+    half_closed.HalfClosedCaller(
+        CheckedTransport(connection), lambda: CONTINUE, ends.append
+    )
+    await asyncio.sleep(0)
+    connection.close()
+    assert ends == [half_closed.CallerEnd.LEFT]
