--- a/tests/platform/test_hunt_ledger.py
+++ b/tests/platform/test_hunt_ledger.py
@@ -56,11 +56,15 @@
     results.
     """
     ended_by_hand = entry(1, "a", 4, site=None, days=0)
+    killed = entry(4, "a", 5, error="the run ended early (signal: 15): x")
     found = rows(
-        ledger, tmp_path, [entry(2, "a", 1), entry(3, "b", 2), ended_by_hand]
+        ledger,
+        tmp_path,
+        [entry(2, "a", 1), entry(3, "b", 2), ended_by_hand, killed],
     )
-    assert [row[0] for row in found] == ["a", "a", "b"]
-    assert found[0][4] == "did not end"
+    assert [row[0] for row in found] == ["a", "a", "a", "b"]
+    assert found[0][4:] == ["did not end", "", "", "id-4"]
+    assert found[1][4] == "did not end"
 
 
 def test_entries_that_cannot_be_read_are_named(ledger, tmp_path, capsys):
