Name a count of tokens, and say what the ticks of a doubt are

Read as a newcomer: a loop replaced the name of what it loops over, and a constant had no line. The tests of routing and of outside bytes pass.

--- a/packages/coordination/src/marjoramyard/coordination/routing/table.py
+++ b/packages/coordination/src/marjoramyard/coordination/routing/table.py
@@ -118,8 +118,8 @@
     """Parses `ID:TOKENS,ID:TOKENS`, up to the first invalid item."""
     parts = []
     for item in text.split(","):
-        digest, _, text = item.strip().partition(":")
-        tokens = read_whole(text)
+        digest, _, count = item.strip().partition(":")
+        tokens = read_whole(count)
         if not digest or tokens is None or tokens > MAX_PART_TOKENS:
             break
         parts.append(PromptPart(digest, tokens))
--- a/packages/fleet/src/marjoramyard/fleet/gateway/delivery.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/delivery.py
@@ -24,6 +24,7 @@
 
 DOUBT_TICK_SECONDS = 0.01
 DOUBT_TICKS = 10
+"""How often a send waits for a tick while its caller may have left."""
 
 
 class CallerGoneError(Exception):
