Keep one account of the bytes that a process holds for others

What callers saw: requests cut and connections refused, as gateways and control hosts were killed for their memory. Cause: nothing bounds the sum of what a process keeps from outside. Gateways accepted bodies of 256 MiB whatever max_body_bytes said, kept a plain response whole before passing it on, and never learned memory_mb, which only control hosts read.

HeldBytes bounds the sum by memory_mb. Requests without room are refused at once with 503 and Retry-After, 413 if they can never fit; workspaces share the room by dynamic thresholds. A response without room is passed on as it comes, and ends visibly if it breaks off; it is never sent again. A part of an event and cache lists are in it too. The body of a request must arrive by its deadline.

--- a/packages/fleet/src/marjoramyard/fleet/agent/attempt_service.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/attempt_service.py
@@ -27,6 +27,7 @@
 from marjoramyard.fleet.refusals import quarantined
 from marjoramyard.fleet.util.control_client import ControlClient
 from marjoramyard.fleet.util.endpoint_session import create_endpoint_session
+from marjoramyard.fleet.util.request_body import read_body
 from marjoramyard.fleet.util.rpc import json_response, read_message
 from marjoramyard.kernel.errors import (
     Failure,
@@ -110,7 +111,7 @@
                 endpoint.
         """
         run = decode_json(request.headers.get(RUN_HEADER, ""), RunRequest)
-        body = await request.read()
+        body = await read_body(request)
         # The entry may have cancelled while the body was read. There must
         # be no await between this check and the allocation of the slot.
         if run.attempt in self.tombstones or run.attempt in self.attempts:
--- a/packages/fleet/src/marjoramyard/fleet/application.py
+++ b/packages/fleet/src/marjoramyard/fleet/application.py
@@ -22,6 +22,7 @@
 from marjoramyard.fleet.util import rpc
 from marjoramyard.fleet.util.binding import BindRetries
 from marjoramyard.fleet.util.expectations import with_expectations
+from marjoramyard.fleet.util.held_bytes import OWN_BYTES, HeldBytes, limit_for
 from marjoramyard.fleet.util.separable import refused_entries
 from marjoramyard.fleet.util.tasks import TaskGroup, task_group
 from marjoramyard.kernel.ids import new_incarnation
@@ -57,6 +58,8 @@
 _KEEPALIVE_SECONDS = 75.0
 """Longer than most load balancers keep idle connections."""
 _BACKLOG = 512
+READ_BUFFER_BYTES = 1 << 15
+"""What may arrive of a body before its handler reads; twice as much at most."""
 _EXPORTER_DELAY_SECONDS = 10.0
 _METRICS_RETRY_SECONDS = 1.0
 """The interval at which a held address for metrics is bound again."""
@@ -103,6 +106,7 @@
             None before.
         signalled_before: Returns the earliest time at which a signal that is
             handled now may have come: the loop may have been late since then.
+        held_bytes: The account of what the process holds for others.
         reloading: The reload that is due; None if there is none.
         role: The running role; None before it has started.
         tasks: Background tasks; they are cancelled at the end.
@@ -118,6 +122,10 @@
         self.incarnation = new_incarnation(settings.name)
         self.metrics = Metrics(settings.role, settings.name)
         self.metrics.gauge("entries_refused", self._count_refused_entries)
+        self.held_bytes = HeldBytes(
+            limit_for(settings.memory_mb, OWN_BYTES + settings.stored_bytes),
+            self.metrics,
+        )
         self.roles: Registry[RoleFactory] = Registry("role")
         self.secret = ""
         if settings.secret_file:
@@ -189,7 +197,11 @@
             OSError: The address can't be bound.
         """
         listener = Listener(
-            address, self.metrics, self.stopping_seconds, answers_half_closed
+            address,
+            self.metrics,
+            self.stopping_seconds,
+            answers_half_closed,
+            self.held_bytes,
         )
         middlewares = [listener.track_request, rpc.render_failures]
         if internal and self.secret:
@@ -202,6 +214,7 @@
                 "max_field_size": max_header,
                 "auto_decompress": False,
                 "keepalive_timeout": keepalive,
+                "read_bufsize": READ_BUFFER_BYTES,
             },
         )
         if health:
--- a/packages/fleet/src/marjoramyard/fleet/control/dialects.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/dialects.py
@@ -11,6 +11,7 @@
 from marjoramyard.coordination.routing.config import FleetConfig
 from marjoramyard.fleet.control.service import FleetService
 from marjoramyard.fleet.messages import Empty
+from marjoramyard.fleet.util.request_body import read_body
 from marjoramyard.fleet.util.rpc import json_response, read_message
 from marjoramyard.kernel.errors import FailureKind, FleetError, raise_failure
 from marjoramyard.kernel.registry import Registry
@@ -32,7 +33,7 @@
     """
 
     async def put_config(request: web.Request) -> web.Response:
-        body = await request.read()
+        body = await read_body(request)
         config = decode_json(body, FleetConfig)
         refusal = config.refusal()
         if refusal and not service.has_accepted(body):
--- a/packages/fleet/src/marjoramyard/fleet/control/log_limits.py
+++ b/packages/fleet/src/marjoramyard/fleet/control/log_limits.py
@@ -3,13 +3,11 @@
 import msgspec
 
 from marjoramyard.coordination.consensus.core import RaftCore
-from marjoramyard.fleet.settings import ControlSettings
+from marjoramyard.fleet.settings import LOG_SHARE_OF_MEMORY, ControlSettings
 from marjoramyard.kernel.errors import Failure, FailureKind, failure
 
 SHARE_OF_DISK = 0.5
 """The part of the disk for the log, the snapshot and their copies."""
-SHARE_OF_MEMORY = 0.25
-"""The part of the memory for the log and what is sent of it."""
 MAX_LOG_BYTES = 64 << 20
 """The limit on a host whose disk and memory are not limited."""
 _PARTS = 12
@@ -36,7 +34,7 @@
         """Derives the limits from the disk and the memory."""
         shares = (
             (settings.disk_mb, SHARE_OF_DISK),
-            (settings.memory_mb, SHARE_OF_MEMORY),
+            (settings.memory_mb, LOG_SHARE_OF_MEMORY),
         )
         limits = [
             int(size * 1e6 * share / _PARTS) for size, share in shares if size
--- a/packages/fleet/src/marjoramyard/fleet/gateway/cache_lists.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/cache_lists.py
@@ -17,6 +17,7 @@
 from marjoramyard.fleet.gateway.dialect import CacheListCall
 from marjoramyard.fleet.gateway.endpoint_notices import EndpointNotices
 from marjoramyard.fleet.gateway.view import FleetView
+from marjoramyard.fleet.util.held_bytes import HeldBytes, HeldKind
 from marjoramyard.fleet.util.response_body import BrokenOffError, ResponseBody
 from marjoramyard.fleet.util.tasks import TaskGroup
 from marjoramyard.kernel.logs import get_logger
@@ -62,7 +63,9 @@
         call: CacheListCall | None,
         view: FleetView,
         notices: EndpointNotices,
+        held_bytes: HeldBytes,
     ):
+        self.held_bytes = held_bytes
         self.session = session
         self.tasks = tasks
         self.call = call
@@ -137,6 +140,8 @@
                 self.not_offered.add(engine.service)
             response.raise_for_status()
             body = ResponseBody(response)
-            data = await body.read_all()
-            body.check_end()
-            return self.call.decode(data)
+            with self.held_bytes.holding() as holding:
+                if not await body.read_within(holding, HeldKind.REPLY):
+                    raise BrokenOffError("no room for it", False)
+                body.check_end()
+                return self.call.decode(body.take())
--- a/packages/fleet/src/marjoramyard/fleet/gateway/delivery.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/delivery.py
@@ -20,8 +20,14 @@
     is_caller_in_doubt,
 )
 from marjoramyard.fleet.util.headers import copy_headers, end_to_end, is_stream
+from marjoramyard.fleet.util.held_bytes import HeldKind
+from marjoramyard.fleet.util.request_body import HOLDING
 from marjoramyard.fleet.util.response_body import BrokenOffError, ResponseBody
 
+MAX_EVENT_BYTES = 4 << 20
+"""The largest event of a stream."""
+PASSED_ON_BYTES = 1 << 17
+"""What is buffered of a response that is passed on as it comes."""
 DOUBT_TICK_SECONDS = 0.01
 DOUBT_TICKS = 10
 """How often a send waits for a tick while its caller may have left."""
@@ -47,6 +53,9 @@
         ends: What ended each response of an endpoint and where, for logs.
         is_chunked: Whether a stream is sent in chunks; HTTP/1.0 has none.
         last_end: How the last response that was read to its end ended.
+        is_passed_on: Whether a plain response is sent as it comes, so that no
+            other endpoint can answer any more.
+        is_event_too_large: Whether there is no room for a part of an event.
     """
 
     def __init__(
@@ -63,6 +72,9 @@
         self.write_count = 0
         self.ends: list[tuple[Termination, BodyContent]] = []
         self.last_end = ResponseEnd.COMPLETE
+        self.is_passed_on = False
+        self.is_event_too_large = False
+        self.holding = request[HOLDING]
         self.is_chunked = request.version >= aiohttp.HttpVersion11
 
     @property
@@ -115,7 +127,7 @@
         try:
             if is_event_stream:
                 return await self._relay_stream(body, on_first)
-            return await self._relay_complete(body, on_first)
+            return await self._relay_plain(body, on_first)
         except BrokenOffError as error:
             raise SendFailedError(
                 SendOutcome.BROKEN,
@@ -125,24 +137,43 @@
         finally:
             if body.has_ended:
                 self.ends.append((body.termination, body.content))
+            if not body.is_whole:
+                self.holding.resize(HeldKind.RESPONSE, 0)
 
-    async def _relay_complete(
+    async def _relay_plain(
         self, body: ResponseBody, on_first
-    ) -> web.Response:
-        """Buffers a plain response until it is complete.
+    ) -> web.StreamResponse:
+        """Buffers a plain response until it is complete, if there is room.
 
         One that breaks off can then still be retried or reported as a failure.
+        Without room for it, it is passed on as it comes.
         """
+        if not await body.read_within(self.holding):
+            on_first()
+            return await self._pass_on(body)
         upstream = body.response
-        data = await body.read_all()
         self.last_end = body.check_end()
+        body.is_whole = True
         on_first()
         self.first_at = asyncio.get_running_loop().time()
+        data = body.take()
         response = web.Response(status=upstream.status, body=data)
         copy_headers(end_to_end(list(upstream.headers.items())), response)
         self.bytes_sent = len(data)
         return response
 
+    async def _pass_on(self, body: ResponseBody) -> web.StreamResponse:
+        """Sends a response as it comes, no faster than the caller reads."""
+        self.is_passed_on = True
+        self.holding.resize(HeldKind.RESPONSE, 0)
+        self.holding.force(HeldKind.RESPONSE, PASSED_ON_BYTES)
+        await self._start(body.response)
+        await self._write(body.take())
+        while data := await body.read_any():
+            await self._write(data)
+        self.last_end = body.check_end()
+        return self.response
+
     async def _relay_stream(
         self, body: ResponseBody, on_first
     ) -> web.StreamResponse:
@@ -153,20 +184,40 @@
             )
         self.events.discard_partial()
         while data := await body.read_any():
-            events = self.events.feed(data)
+            events = self._feed_events(data)
             if events:
                 on_first()
                 await self._forward(upstream, events)
             if self.has_started and self.is_chunked:
                 relay = DirectStreamRelay(
-                    upstream, self.request, self._process_directly
+                    upstream,
+                    self.request,
+                    self._process_directly,
+                    lambda: self.is_event_too_large,
                 )
                 await relay.run()
+            if self.is_event_too_large:
+                raise SendFailedError(
+                    SendOutcome.BROKEN, "no room for an event without its end"
+                )
         self.last_end = body.check_end()
         return await self._finish(upstream)
 
-    def _process_directly(self, data: bytes) -> bytes:
+    def _feed_events(self, data: bytes) -> bytes:
+        """Returns the events that are complete now; holds what is left."""
         events = self.events.feed(data)
+        size = len(self.events.buffer)
+        if size == self.holding.sizes[HeldKind.EVENT]:
+            return events
+        is_large = size > MAX_EVENT_BYTES
+        if is_large or not self.holding.resize(HeldKind.EVENT, size):
+            self.is_event_too_large = True
+            self.events.discard_partial()
+            self.holding.resize(HeldKind.EVENT, 0)
+        return events
+
+    def _process_directly(self, data: bytes) -> bytes:
+        events = self._feed_events(data)
         if events:
             self._record_write(len(events))
         return events
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
@@ -52,9 +52,11 @@
 from marjoramyard.fleet.util.connections import has_caller_left, is_half_closed
 from marjoramyard.fleet.util.deadlines import timeout_after_input
 from marjoramyard.fleet.util.jitter import jitter
+from marjoramyard.fleet.util.request_body import HOLDING, read_body
 from marjoramyard.kernel.errors import (
     FailureKind,
     FleetError,
+    failure,
     raise_failure,
 )
 from marjoramyard.kernel.logs import get_logger
@@ -137,6 +139,8 @@
             await self.startup.hold(stated_seconds(request, self.names))
             await self.view.age.hold()
             admitted = admit(request, self.view, self.names, started_at)
+            if admitted.workspace is not None:
+                request[HOLDING].assign(admitted.workspace.name)
             with self._within_limit(admitted):
                 caller = read_caller_request(request, admitted, self.names)
                 caller.waited_ms = self.patience.waited_ms(
@@ -144,7 +148,7 @@
                     caller.seconds_left(caller.arrived_at) * 1000,
                 )
                 self._refuse_if_outlasting_shutdown(caller)
-                caller.body = await request.read()
+                caller.body = await self._read_body(request, caller)
                 response = await self._serve(caller, delivery, trace)
             status, outcome = response.status, "complete"
             return response
@@ -262,6 +266,28 @@
             versions=trace.versions,
         )
 
+    async def _read_body(
+        self, request: web.Request, caller: CallerRequest
+    ) -> bytes:
+        """Reads a request's body.
+
+        Raises:
+            FleetError: It is too large, there is no room for it, or it has not
+                arrived by the deadline.
+        """
+        max_bytes = int(self.view.table.config.limits.max_body_bytes)
+        try:
+            async with timeout_after_input(caller.deadline_at):
+                return await read_body(request, max_bytes)
+        except TimeoutError:
+            raise FleetError(
+                failure(
+                    FailureKind.REQUEST_TIMEOUT,
+                    "the body did not arrive before the deadline; send it "
+                    "again",
+                )
+            ) from None
+
     async def _serve(
         self,
         caller: CallerRequest,
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
@@ -357,6 +357,8 @@
             self._on_connection_lost(plan.endpoint, now)
             if self.permit.is_held:
                 raise self._attempts_error()
+        if self.delivery.is_passed_on:
+            raise self._attempts_error()
         health = self.view.health_of(plan.endpoint.endpoint)
         if error.outcome is not SendOutcome.BROKEN:
             self.progress.may_have_run = self.progress.may_have_run_before
--- a/packages/fleet/src/marjoramyard/fleet/gateway/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/role.py
@@ -244,7 +244,14 @@
         broker_server = BrokerServer(
             view,
             cold_starts,
-            CacheLists(session, app.tasks, dialect.cache_list, view, notices),
+            CacheLists(
+                session,
+                app.tasks,
+                dialect.cache_list,
+                view,
+                notices,
+                app.held_bytes,
+            ),
         )
         app.metrics.gauge(
             "broker_wait_seconds", broker_server.mean_wait_seconds
--- a/packages/fleet/src/marjoramyard/fleet/gateway/stream_relay.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/stream_relay.py
@@ -23,6 +23,7 @@
         upstream: The response of the endpoint.
         request: The caller's request, whose chunked response has been started.
         process: Returns the bytes to forward of received body data.
+        has_failed: Whether the data can't be forwarded any more.
     """
 
     def __init__(
@@ -30,10 +31,12 @@
         upstream: aiohttp.ClientResponse,
         request: web.BaseRequest,
         process: Callable[[bytes], bytes],
+        has_failed: Callable[[], bool] = lambda: False,
     ):
         self.upstream = upstream
         self.request = request
         self.process = process
+        self.has_failed = has_failed
         self.handler = _handler_of(upstream)
         self.stopped: asyncio.Future[None] | None = None
         self.is_reading = False
@@ -69,7 +72,7 @@
 
     def _forward_available(self) -> None:
         content = self.upstream.content
-        while content.exception() is None:
+        while content.exception() is None and not self.has_failed():
             data = content.read_nowait()
             if not data:
                 return
@@ -87,6 +90,8 @@
         content = self.upstream.content
         if content.is_eof() or content.exception() is not None:
             return True
+        if self.has_failed():
+            return True
         transport = self.request.transport
         return (
             transport is None
--- a/packages/fleet/src/marjoramyard/fleet/listener.py
+++ b/packages/fleet/src/marjoramyard/fleet/listener.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import itertools
 import time
 from collections.abc import Callable
@@ -23,7 +24,14 @@
     break_off_response,
     has_input,
 )
+from marjoramyard.fleet.util.held_bytes import (
+    HeldBytes,
+    HeldKind,
+    Holding,
+    limit_for,
+)
 from marjoramyard.fleet.util.raw_responses import mark_closing, response_bytes
+from marjoramyard.fleet.util.request_body import HOLDING, no_room_failure
 from marjoramyard.fleet.util.rpc import failure_response
 from marjoramyard.kernel.errors import FailureKind, Outcome, failure
 from marjoramyard.kernel.logs import get_logger
@@ -64,6 +72,7 @@
             stop; None before.
         answers_half_closed: Whether a client that closes its sending side
             after a request gets its response. If not, it has left.
+        held_bytes: The account of what the process holds for others.
         is_closing: Whether each response closes its connection.
         is_closed: Whether new connections are no longer served.
     """
@@ -74,9 +83,11 @@
         metrics: Metrics,
         stopping_seconds: Callable[[], float | None] = lambda: None,
         answers_half_closed: bool = False,
+        held_bytes: HeldBytes | None = None,
     ):
         self.address = address
         self.answers_half_closed = answers_half_closed
+        self.held_bytes = held_bytes or HeldBytes(limit_for(None), metrics)
         self.metrics = metrics
         self.stopping_seconds = stopping_seconds
         self.connections: dict[web.RequestHandler, ServedConnection] = {}
@@ -186,7 +197,21 @@
     async def track_request(
         self, request: web.Request, handler
     ) -> web.StreamResponse:
-        """Responds to requests that this process ends."""
+        """Responds to requests that this process ends.
+
+        What is held for a request is released once its response is written.
+        """
+        with self.held_bytes.holding() as holding:
+            request[HOLDING] = holding
+            if not holding.add(HeldKind.HEAD, _head_size(request)):
+                return failure_response(no_room_failure())
+            response = await self._handle(request, handler)
+            await _write_held(response, holding)
+            return response
+
+    async def _handle(
+        self, request: web.Request, handler
+    ) -> web.StreamResponse:
         connection = self.connections.get(request.protocol)
         if connection is None:
             return await handler(request)
@@ -310,6 +335,19 @@
 )
 
 
+def _head_size(request: web.Request) -> int:
+    """Returns the bytes of a request's headers."""
+    return sum(len(name) + len(value) for name, value in request.raw_headers)
+
+
+async def _write_held(response: web.StreamResponse, holding: Holding) -> None:
+    """Writes a response to its end, if its body is held."""
+    is_held = holding.sizes[HeldKind.RESPONSE] > 0
+    if is_held and response.prepared and response.keep_alive is not None:
+        with contextlib.suppress(ConnectionError):
+            await response.write_eof()
+
+
 async def _pause(round_number: int) -> None:
     """Waits between two rounds; at first for a turn of the event loop only."""
     await asyncio.sleep(0 if round_number < _TURNS else _TICK_SECONDS)
--- a/packages/fleet/src/marjoramyard/fleet/settings.py
+++ b/packages/fleet/src/marjoramyard/fleet/settings.py
@@ -4,6 +4,9 @@
 
 from marjoramyard.kernel.settings import ROLE_SETTINGS, RoleSettings
 
+LOG_SHARE_OF_MEMORY = 0.25
+"""The part of a control host's memory for the log and what is sent of it."""
+
 
 class SeededSettings(RoleSettings, kw_only=True):
     """Settings of roles that discover the control hosts.
@@ -53,7 +56,6 @@
         availability_zones: The zones that operators may evacuate; empty for
             any.
         disk_mb: The size of the data folder's disk; 0 or None if not limited.
-        memory_mb: The memory of the process; 0 or None if not limited.
     """
 
     data_folder: str = ""
@@ -67,7 +69,11 @@
     metrics_listen: str = ""
     availability_zones: list[str] = []
     disk_mb: float | None = None
-    memory_mb: float | None = None
+
+    @property
+    def stored_bytes(self) -> int:
+        """The bytes of memory for the log and what is sent of it."""
+        return int((self.memory_mb or 0) * 1e6 * LOG_SHARE_OF_MEMORY)
 
     @property
     def voter_count(self) -> int:
@@ -83,10 +89,8 @@
             found.append("operator_listen: required with self_forming")
         if self.losses < 0:
             found.append("losses: must not be negative")
-        for name in ("disk_mb", "memory_mb"):
-            limit = getattr(self, name)
-            if limit is not None and limit < 0:
-                found.append(f"{name}: must not be negative")
+        if self.disk_mb is not None and self.disk_mb < 0:
+            found.append("disk_mb: must not be negative")
         return found
 
 
--- /dev/null
+++ b/packages/fleet/src/marjoramyard/fleet/util/held_bytes.py
@@ -0,0 +1,176 @@
+"""The account of the bytes that a process holds for others.
+
+Whatever a process reads from outside and keeps, such as requests, responses and
+incomplete heads, is entered in one account. Without a bound on the sum, limits
+on each of them would not keep a process within its memory.
+"""
+
+from collections import Counter
+from collections.abc import Iterator
+from contextlib import contextmanager
+from enum import Enum
+
+from marjoramyard.kernel.logs import get_logger
+from marjoramyard.kernel.metrics import Metrics
+
+logger = get_logger(__name__)
+
+DEFAULT_MEMORY_BYTES = 1 << 30
+"""What a process without a limit assumes to have."""
+OWN_BYTES = 64_000_000
+"""What a process needs for itself: interpreter, libraries, tables and
+connections."""
+COPIES = 2
+"""A body exists twice while it is joined, and while it is written."""
+MIN_LIMIT_BYTES = 4_000_000
+OWNER_FACTOR = 4
+"""An owner may hold this many times what is free, so that a single one can use
+four fifths of the account and newcomers always find room."""
+
+
+class HeldKind(Enum):
+    """What is held."""
+
+    HEAD = "head"
+    """A part of a request's head."""
+    UNREAD = "unread"
+    """What has arrived of a body and has not been read by its handler."""
+    REQUEST = "request"
+    """The body of a request."""
+    RESPONSE = "response"
+    """The body of a response, until it has been written."""
+    EVENT = "event"
+    """A part of an event of a stream."""
+    REPLY = "reply"
+    """A reply of another process of the fleet, or of an endpoint."""
+
+
+def limit_for(memory_mb: float | None, own_bytes: int = OWN_BYTES) -> int:
+    """Returns the most bytes that a process may hold for others.
+
+    Args:
+        memory_mb: The memory of the process; 0 or None if not limited.
+        own_bytes: What the process needs for itself.
+    """
+    memory = memory_mb * 1e6 if memory_mb else DEFAULT_MEMORY_BYTES
+    return max(MIN_LIMIT_BYTES, int((memory - own_bytes) / COPIES))
+
+
+class HeldBytes:
+    """The account of one process.
+
+    Attributes:
+        limit: The most bytes that are held.
+        total: The bytes that are held now.
+        highest: The most bytes that were held at once.
+        by_kind: Those bytes by kind.
+        by_owner: Those bytes by owner: a workspace, or "" for no workspace.
+    """
+
+    def __init__(self, limit: int, metrics: Metrics):
+        self.limit = limit
+        self.metrics = metrics
+        self.total = 0
+        self.highest = 0
+        self.by_kind: Counter[HeldKind] = Counter()
+        self.by_owner: Counter[str] = Counter()
+        metrics.gauge("held_bytes", self._read_kinds)
+        metrics.gauge("held_bytes_limit", lambda: [(self.limit, {})])
+        metrics.gauge("held_bytes_highest", lambda: [(self.highest, {})])
+
+    def _read_kinds(self) -> list[tuple[float, dict[str, str]]]:
+        return [(self.by_kind[kind], {"kind": kind.value}) for kind in HeldKind]
+
+    def has_room(self, size: int, owner: str = "") -> bool:
+        """Returns whether an owner may hold more bytes.
+
+        The bound of an owner shrinks as the account fills, so that owners who
+        want more than there is get equal parts.
+        """
+        free = self.limit - self.total - size
+        return free >= 0 and self.by_owner[owner] + size <= OWNER_FACTOR * free
+
+    def can_ever_hold(self, size: int) -> bool:
+        """Returns whether an empty account has room for some bytes."""
+        return size <= OWNER_FACTOR * (self.limit - size)
+
+    def change(self, kind: HeldKind, owner: str, size: int) -> None:
+        """Adds bytes, or removes them if the size is negative."""
+        self.total += size
+        self.by_kind[kind] += size
+        self.by_owner[owner] += size
+        if not self.by_owner[owner]:
+            del self.by_owner[owner]
+        self.highest = max(self.highest, self.total)
+
+    def on_refused(self, kind: HeldKind, owner: str, size: int) -> None:
+        """Counts what there was no room for."""
+        self.metrics.count("held_bytes_refused", kind=kind.value)
+        logger.warning(
+            "no_room_for_bytes",
+            kind=kind.value,
+            owner=owner,
+            bytes=size,
+            held_by_owner=self.by_owner[owner],
+            held=self.total,
+            limit=self.limit,
+        )
+
+    @contextmanager
+    def holding(self, owner: str = "") -> Iterator["Holding"]:
+        """Yields an empty holding, whose bytes are released at the end."""
+        holding = Holding(self, owner)
+        try:
+            yield holding
+        finally:
+            holding.release()
+
+
+class Holding:
+    """The bytes that are held for one request, call or connection.
+
+    Attributes:
+        account: The account of the process.
+        owner: For whom the bytes are held.
+        sizes: The bytes by kind.
+    """
+
+    def __init__(self, account: HeldBytes, owner: str = ""):
+        self.account = account
+        self.owner = owner
+        self.sizes: Counter[HeldKind] = Counter()
+
+    @property
+    def total(self) -> int:
+        """The bytes of all kinds."""
+        return self.sizes.total()
+
+    def assign(self, owner: str) -> None:
+        """Changes for whom the bytes are held."""
+        for kind, size in self.sizes.items():
+            self.account.change(kind, self.owner, -size)
+            self.account.change(kind, owner, size)
+        self.owner = owner
+
+    def add(self, kind: HeldKind, size: int) -> bool:
+        """Adds bytes if there is room; returns whether there was."""
+        if size > 0 and not self.account.has_room(size, self.owner):
+            self.account.on_refused(kind, self.owner, size)
+            return False
+        self.force(kind, size)
+        return True
+
+    def force(self, kind: HeldKind, size: int) -> None:
+        """Adds bytes that can't be refused any more, or removes some."""
+        self.sizes[kind] += size
+        self.account.change(kind, self.owner, size)
+
+    def resize(self, kind: HeldKind, size: int) -> bool:
+        """Changes the bytes of a kind; returns whether there was room."""
+        return self.add(kind, size - self.sizes[kind])
+
+    def release(self) -> None:
+        """Removes all bytes."""
+        for kind, size in self.sizes.items():
+            self.account.change(kind, self.owner, -size)
+        self.sizes.clear()
--- /dev/null
+++ b/packages/fleet/src/marjoramyard/fleet/util/request_body.py
@@ -0,0 +1,77 @@
+"""Reads the bodies of requests within the account of held bytes."""
+
+from aiohttp import web
+
+from marjoramyard.fleet.util.held_bytes import HeldBytes, HeldKind, Holding
+from marjoramyard.fleet.util.jitter import jitter
+from marjoramyard.kernel.errors import (
+    Failure,
+    FailureKind,
+    FleetError,
+    failure,
+)
+
+HOLDING = web.RequestKey("holding", Holding)
+"""What is held for a request; set by its listener."""
+RETRY_SECONDS = 0.5
+"""`Retry-After` when there is no room. Most bodies are held for less."""
+
+
+def no_room_failure() -> Failure:
+    """Returns the failure for a request for which there is no room."""
+    return failure(
+        FailureKind.BUSY,
+        "this process holds too many bytes of requests; use another one or "
+        "send the request again",
+        retry_after=jitter(RETRY_SECONDS),
+    )
+
+
+async def read_body(
+    request: web.Request, max_bytes: int | None = None
+) -> bytes:
+    """Returns the body of a request, which is held until its response is sent.
+
+    The room for a body of known length is taken at once: requests that are
+    read in parts could otherwise fill the account with none of them complete.
+
+    Args:
+        request: The request.
+        max_bytes: The largest body; None for that of the listener.
+
+    Raises:
+        FleetError: The body is too large, or there is no room for it now.
+        web.RequestPayloadError: The body is malformed.
+    """
+    holding = request.get(HOLDING)
+    if holding is None:
+        # No listener of an application received it.
+        return await request.read()
+    if max_bytes is None:
+        max_bytes = request.client_max_size
+    length = request.content_length or 0
+    _check_size(holding.account, length, max_bytes)
+    _hold(holding, length)
+    body = bytearray()
+    while chunk := await request.content.readany():
+        body += chunk
+        if len(body) > length:
+            _check_size(holding.account, len(body), max_bytes)
+            _hold(holding, len(body))
+    return bytes(body)
+
+
+def _hold(holding: Holding, size: int) -> None:
+    if not holding.resize(HeldKind.REQUEST, size):
+        raise FleetError(no_room_failure())
+
+
+def _check_size(account: HeldBytes, size: int, max_bytes: int) -> None:
+    if size > max_bytes or not account.can_ever_hold(size):
+        raise FleetError(
+            failure(
+                FailureKind.TOO_LARGE,
+                f"the body is over {max_bytes} bytes or the memory of this "
+                "process; send less",
+            )
+        )
--- a/packages/fleet/src/marjoramyard/fleet/util/response_body.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/response_body.py
@@ -13,6 +13,8 @@
     Termination,
     response_end,
 )
+from marjoramyard.fleet.util.held_bytes import HeldKind, Holding
+from marjoramyard.kernel.util.numbers import read_whole
 
 _BODILESS = (204, 304)
 """Statuses of responses that never have a body."""
@@ -41,6 +43,8 @@
             that says so.
         error: Why reading failed, if it did.
         has_ended: Whether it has been read to its end.
+        is_whole: Whether it was read to its end and is complete.
+        data: What has been read and not taken yet.
     """
 
     def __init__(
@@ -54,6 +58,8 @@
         self.ends_with_mark = ends_with_mark
         self.error: Exception | None = None
         self.has_ended = False
+        self.is_whole = False
+        self.data = bytearray()
 
     async def read_any(self) -> bytes:
         """Returns data that has arrived, or b"" if none will follow.
@@ -71,12 +77,41 @@
         self.has_ended = not data
         return data
 
-    async def read_all(self) -> bytes:
-        """Returns the data up to the end, complete or not."""
-        data = bytearray()
+    async def read_within(
+        self, holding: Holding, kind: HeldKind = HeldKind.RESPONSE
+    ) -> bool:
+        """Reads up to the end, complete or not, while there is room.
+
+        The room for a body of known length is taken at once.
+
+        Args:
+            holding: Holds what is read.
+            kind: What it is held as.
+
+        Returns:
+            Whether the end was reached. What was read before is in `data`.
+        """
+        length = self._stated_length()
+        if not holding.resize(kind, length):
+            return False
         while chunk := await self.read_any():
-            data += chunk
-        return bytes(data)
+            self.data += chunk
+            size = max(length, len(self.data))
+            if not holding.resize(kind, size):
+                return False
+        return True
+
+    def _stated_length(self) -> int:
+        """Returns the length of the body, 0 if it isn't known."""
+        if self.response.method == "HEAD" or self.response.status in _BODILESS:
+            return 0
+        text = self.response.headers.get("Content-Length", "")
+        return read_whole(text) or 0
+
+    def take(self) -> bytes:
+        """Returns what has been read and forgets it."""
+        data, self.data = bytes(self.data), bytearray()
+        return data
 
     @property
     def termination(self) -> Termination:
--- a/packages/fleet/src/marjoramyard/fleet/util/rpc.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/rpc.py
@@ -15,6 +15,7 @@
 from marjoramyard.fleet.messages import FailureBody
 from marjoramyard.fleet.util.connections import has_caller_left
 from marjoramyard.fleet.util.headers import header_bytes
+from marjoramyard.fleet.util.request_body import read_body
 from marjoramyard.fleet.util.separable import decode_message
 from marjoramyard.kernel.errors import (
     Failure,
@@ -140,9 +141,10 @@
     """Decodes a request's body.
 
     Raises:
+        FleetError: It is too large, or there is no room for it.
         msgspec.DecodeError: It is no message of this kind.
     """
-    return decode_message(await request.read(), kind)
+    return decode_message(await read_body(request), kind)
 
 
 class InternalClient:
--- a/packages/fleet/tests/agent/test_attempt_service.py
+++ b/packages/fleet/tests/agent/test_attempt_service.py
@@ -80,6 +80,7 @@
     late = SimpleNamespace(
         headers={"X-Marjoramyard-Run": msgspec.json.encode(run_request())},
         read=_read_nothing,
+        get=lambda _: None,
     )
     with pytest.raises(FleetError) as refused:
         await service.on_run(late)
--- a/packages/fleet/tests/control/test_replacement.py
+++ b/packages/fleet/tests/control/test_replacement.py
@@ -139,7 +139,7 @@
         async def read():
             return data
 
-        request = SimpleNamespace(read=read)
+        request = SimpleNamespace(read=read, get=lambda _: None)
         if path == paths.ANNOUNCE_PATH:
             message = msgspec.json.decode(
                 data, type=cluster_manager.HostAnnouncement
--- a/packages/fleet/tests/control/test_storage_failure.py
+++ b/packages/fleet/tests/control/test_storage_failure.py
@@ -143,7 +143,7 @@
         assert (stopped.replica, stopped.cluster) == (held.replica, "cluster")
         assert stopped.is_stopped and not held.is_stopped
         with pytest.raises(FleetError):
-            await host.on_init(SimpleNamespace(read=read))
+            await host.on_init(SimpleNamespace(read=read, get=lambda _: None))
     await wait_until(host_leads(host), "the replica to restart")
     assert host.cluster_manager.describe().replica == held.replica
 
--- a/packages/fleet/tests/gateway/request_runs.py
+++ b/packages/fleet/tests/gateway/request_runs.py
@@ -46,6 +46,7 @@
         self.events = SimpleNamespace(last_id="")
         self.caller_left = caller_left
         self.is_caller_in_doubt = False
+        self.is_passed_on = False
 
     async def wait_while_in_doubt(self):
         """Returns at once: there is no doubt."""
--- a/packages/fleet/tests/gateway/test_cache_lists.py
+++ b/packages/fleet/tests/gateway/test_cache_lists.py
@@ -10,6 +10,7 @@
 import msgspec
 import pytest
 from aiohttp import web
+from held import new_account
 
 from marjoramyard.coordination.membership.registrations import Registration
 from marjoramyard.coordination.placement.broker import Broker
@@ -79,7 +80,14 @@
         view = FleetView(dialect, 5.0)
         brokers = SimpleNamespace(on_pause=lambda *_: None)
         notices = EndpointNotices(view, brokers, "Endpoint-Leaving")
-        yield CacheLists(session, Tasks(), dialect.cache_list, view, notices)
+        yield CacheLists(
+            session,
+            Tasks(),
+            dialect.cache_list,
+            view,
+            notices,
+            new_account(),
+        )
 
 
 async def ask(lists, *engines):
--- a/packages/fleet/tests/gateway/test_delivery.py
+++ b/packages/fleet/tests/gateway/test_delivery.py
@@ -6,6 +6,7 @@
 import pytest
 from aiohttp import web
 from aiohttp.test_utils import TestServer
+from held import new_holding
 
 from marjoramyard.fleet.gateway.attempts import SendFailedError
 from marjoramyard.fleet.gateway.delivery import (
@@ -14,6 +15,7 @@
 )
 from marjoramyard.fleet.gateway.stream_relay import MAX_BUFFERED_BYTES
 from marjoramyard.fleet.util.endpoint_session import open_endpoint_session
+from marjoramyard.fleet.util.request_body import HOLDING
 
 HEAD = (
     b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
@@ -66,14 +68,18 @@
 
     Attributes:
         failures: The errors of its deliveries.
+        limit: The most bytes held for a request; None for that of a roomy
+            process.
     """
 
-    def __init__(self, session, address):
+    def __init__(self, session, address, limit=None):
+        self.limit = limit
         self.session = session
         self.address = address
         self.failures = []
 
     async def handle(self, request):
+        request[HOLDING] = new_holding(self.limit)
         delivery = ResponseDelivery(request, lambda: False)
         upstream = await self.session.get(f"http://{self.address}/")
         try:
--- a/packages/fleet/tests/gateway/test_request_handler.py
+++ b/packages/fleet/tests/gateway/test_request_handler.py
@@ -5,6 +5,7 @@
 
 import pytest
 from aiohttp.test_utils import make_mocked_request
+from held import new_holding
 
 from marjoramyard.coordination.routing.config import (
     EngineProfile,
@@ -24,6 +25,7 @@
 from marjoramyard.fleet.gateway.request_handler import RequestHandler
 from marjoramyard.fleet.gateway.stream_origins import StreamOrigins
 from marjoramyard.fleet.gateway.view import FleetView
+from marjoramyard.fleet.util.request_body import HOLDING
 from marjoramyard.kernel.errors import FailureKind, FleetError
 from marjoramyard.kernel.metrics import Metrics
 from marjoramyard.kernel.util.clocks import seconds_since_boot
@@ -144,7 +146,9 @@
     ending before its time is over.
     """
     handler.is_refusing = is_refusing
-    response = await handler.handle(make_mocked_request("GET", "/unknown"))
+    request = make_mocked_request("GET", "/unknown")
+    request[HOLDING] = new_holding()
+    response = await handler.handle(request)
     assert response.status == (503 if is_refusing else 404)
     assert handler.started_count == (0 if is_refusing else 1)
     assert handler.active_count == 0
--- a/packages/fleet/tests/util/test_drawn_responses.py
+++ b/packages/fleet/tests/util/test_drawn_responses.py
@@ -4,6 +4,7 @@
 from types import SimpleNamespace
 from unittest.mock import Mock
 
+from held import new_holding
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -113,7 +114,8 @@
     while found := content.read_nowait():
         data += found
     handler.connection_lost(ConnectionResetError(104) if is_reset else None)
-    data += await body.read_all()
+    assert await body.read_within(new_holding())
+    data += body.take()
     complete = events.feed(data) if events else b""
     try:
         return data, complete, body.check_end()
--- a/packages/fleet/tests/util/test_response_body.py
+++ b/packages/fleet/tests/util/test_response_body.py
@@ -4,6 +4,7 @@
 import contextlib
 
 import pytest
+from held import new_holding
 
 from marjoramyard.coordination.serving.events import EventSplitter
 from marjoramyard.coordination.serving.response_ends import (
@@ -63,7 +64,8 @@
     """
     async with response_of(data, is_reset) as response:
         body = ResponseBody(response)
-        received = await body.read_all()
+        assert await body.read_within(new_holding())
+        received = body.take()
         assert body.termination is termination
         if termination is Termination.FAILURE:
             with pytest.raises(BrokenOffError) as caught:
@@ -81,7 +83,8 @@
     """
     async with response_of(CHUNKS + b"4\r\ndata\r\n0\r\n\r\n") as response:
         body = ResponseBody(response, EventSplitter())
-        body.events.feed(await body.read_all())
+        assert await body.read_within(new_holding())
+        body.events.feed(body.take())
         with pytest.raises(BrokenOffError) as caught:
             body.check_end()
         assert not caught.value.is_connection_lost
--- a/packages/kernel/src/marjoramyard/kernel/settings.py
+++ b/packages/kernel/src/marjoramyard/kernel/settings.py
@@ -44,6 +44,7 @@
         trust_network: Whether processes of the fleet accept each other's
             calls without the shared secret; only for isolated networks.
         extensions: Dotted names of modules with further plug-ins.
+        memory_mb: The memory of the process; 0 or None if not limited.
     """
 
     role: str
@@ -58,6 +59,7 @@
     drain_seconds: float = 600.0
     trust_network: bool = False
     extensions: list[str] = []
+    memory_mb: float | None = None
 
     changeable: ClassVar[tuple[str, ...]] = ()
     """The keys that can change without a restart."""
@@ -67,6 +69,11 @@
         """The seconds from the signal to stop to the end of the process."""
         return self.drain_seconds
 
+    @property
+    def stored_bytes(self) -> int:
+        """The bytes of memory that the role's own state may take."""
+        return 0
+
     @property
     def advertised_address(self) -> str:
         """The address at which other processes reach this one."""
@@ -118,6 +125,8 @@
             problems.append("control_hosts: name at least one control host")
         if self.drain_seconds <= 0:
             problems.append("drain_seconds: must be above 0")
+        if self.memory_mb is not None and self.memory_mb < 0:
+            problems.append("memory_mb: must not be negative")
         return problems
 
 
