Join held bodies once instead of growing a buffer

What callers saw: a gateway within its account of held bytes still went over 136 MB, and its callers were cut. Cause: twenty buffers that grow side by side leave the heap in pieces, as each growth moves a buffer to a larger place. The chunks are kept and joined once. Callers of open routes, who have no workspace, share what their route holds, apart from what belongs to nobody.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
@@ -139,8 +139,7 @@
             await self.startup.hold(stated_seconds(request, self.names))
             await self.view.age.hold()
             admitted = admit(request, self.view, self.names, started_at)
-            if admitted.workspace is not None:
-                request[HOLDING].assign(admitted.workspace.name)
+            request[HOLDING].assign(_owner(admitted))
             with self._within_limit(admitted):
                 caller = read_caller_request(request, admitted, self.names)
                 caller.waited_ms = self.patience.waited_ms(
@@ -344,6 +343,16 @@
         return budget
 
 
+def _owner(admitted: AdmittedRequest) -> str:
+    """Returns for whom the bytes of a request are held.
+
+    Callers of an open route can't be told apart; they share what is theirs.
+    """
+    if admitted.workspace is not None:
+        return admitted.workspace.name
+    return f"route {admitted.route.name}"
+
+
 def _missed_objective(
     caller: CallerRequest | None, delivery: ResponseDelivery, started_at: float
 ) -> str | None:
--- a/packages/fleet/src/marjoramyard/fleet/util/request_body.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/request_body.py
@@ -52,13 +52,16 @@
     length = request.content_length or 0
     _check_size(holding.account, length, max_bytes)
     _hold(holding, length)
-    body = bytearray()
+    # Joined once: a growing buffer would leave memory in pieces.
+    chunks: list[bytes] = []
+    size = 0
     while chunk := await request.content.readany():
-        body += chunk
-        if len(body) > length:
-            _check_size(holding.account, len(body), max_bytes)
-            _hold(holding, len(body))
-    return bytes(body)
+        chunks.append(chunk)
+        size += len(chunk)
+        if size > length:
+            _check_size(holding.account, size, max_bytes)
+            _hold(holding, size)
+    return b"".join(chunks)
 
 
 def _hold(holding: Holding, size: int) -> None:
--- a/packages/fleet/src/marjoramyard/fleet/util/response_body.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/response_body.py
@@ -44,7 +44,8 @@
         error: Why reading failed, if it did.
         has_ended: Whether it has been read to its end.
         is_whole: Whether it was read to its end and is complete.
-        data: What has been read and not taken yet.
+        chunks: What has been read and not taken yet. It is joined once: a
+            growing buffer would leave memory in pieces.
     """
 
     def __init__(
@@ -59,7 +60,7 @@
         self.error: Exception | None = None
         self.has_ended = False
         self.is_whole = False
-        self.data = bytearray()
+        self.chunks: list[bytes] = []
 
     async def read_any(self) -> bytes:
         """Returns data that has arrived, or b"" if none will follow.
@@ -89,15 +90,16 @@
             kind: What it is held as.
 
         Returns:
-            Whether the end was reached. What was read before is in `data`.
+            Whether the end was reached. What was read is in `chunks`.
         """
         length = self._stated_length()
         if not holding.resize(kind, length):
             return False
+        size = 0
         while chunk := await self.read_any():
-            self.data += chunk
-            size = max(length, len(self.data))
-            if not holding.resize(kind, size):
+            self.chunks.append(chunk)
+            size += len(chunk)
+            if not holding.resize(kind, max(length, size)):
                 return False
         return True
 
@@ -110,8 +112,8 @@
 
     def take(self) -> bytes:
         """Returns what has been read and forgets it."""
-        data, self.data = bytes(self.data), bytearray()
-        return data
+        chunks, self.chunks = self.chunks, []
+        return b"".join(chunks)
 
     @property
     def termination(self) -> Termination:
