Bound what a connection sends that no handler reads

What callers saw: gateways and control hosts over their memory, and answers that came up to 2.1 s late, while others sent heads, chunk sizes, extensions, trailers or refused bodies without end. Cause: only each header line was limited, and asyncio reads up to 256 KiB of a connection in each turn of the event loop. After a refusal all was read that came in 10 s. Requests behind the current one, errors behind a malformed one, and the kernel's buffers were limited by number or not.

A head is limited to 256 KiB as a whole (431), and its parts are in the account of held bytes. A body may have 64 KiB more framing than content (400). 16 MiB are discarded after a refusal, which is enough to read it for clients that send their whole body first. A turn reads 32 KiB of a connection. Bytes behind a malformed request are dropped, and a body that it breaks off is answered at once. What has arrived and isn't read is in the account, and further requests are left to the kernel, whose buffer is limited to 128 KiB. Metric `refused_input`, log event `input_refused`.

--- a/packages/fleet/src/marjoramyard/fleet/listener.py
+++ b/packages/fleet/src/marjoramyard/fleet/listener.py
@@ -8,11 +8,13 @@
 import asyncio
 import contextlib
 import itertools
+import socket
 import time
 from collections.abc import Callable
 
 from aiohttp import web
 
+from marjoramyard.fleet.input_limits import RECEIVE_BUFFER_BYTES, InputExcess
 from marjoramyard.fleet.served_connection import (
     TIMED_OUT,
     ConnectionState,
@@ -216,6 +218,7 @@
         if connection is None:
             return await handler(request)
         connection.handler_task = asyncio.current_task()
+        connection.count_unread()
         connection.has_responded = False
         connection.response = None
         try:
@@ -232,6 +235,7 @@
             raise
         finally:
             connection.handler_task = None
+            connection.count_unread(is_awaited=True)
 
     async def _prepared(
         self,
@@ -283,6 +287,20 @@
         """Counts a connection that the HTTP protocol no longer serves."""
         self.detached_count += 1
 
+    def on_input_refused(
+        self, connection: ServedConnection, excess: InputExcess
+    ) -> None:
+        """Counts and logs a connection whose input is no longer read."""
+        self.metrics.count("refused_input", reason=excess.value)
+        logger.warning(
+            "input_refused",
+            listener=self.address,
+            reason=excess.value,
+            peer=connection.transport.get_extra_info("peername"),
+            head_bytes=connection.head_size,
+            framing_bytes=connection.framing_size,
+        )
+
     def on_connection_lost(self, connection: ServedConnection) -> None:
         """Forgets a connection; logs it if it was closed with bytes read."""
         self.connections.pop(connection.http, None)
@@ -386,13 +404,19 @@
         )
 
     async def _listen(self) -> asyncio.Server:
-        return await asyncio.get_running_loop().create_server(
+        server = await asyncio.get_running_loop().create_server(
             self._connect,
             self._host,
             self._port,
             backlog=self._backlog,
             reuse_address=self._reuse_address,
         )
+        for listening in server.sockets:
+            # Accepted connections inherit it.
+            listening.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+            )
+        return server
 
     @property
     def http_connections(self) -> list[web.RequestHandler]:
--- a/packages/fleet/src/marjoramyard/fleet/served_connection.py
+++ b/packages/fleet/src/marjoramyard/fleet/served_connection.py
@@ -13,14 +13,25 @@
     CallerEnd,
     HalfClosedCaller,
 )
+from marjoramyard.fleet.input_limits import (
+    DISCARD_SECONDS,
+    MAX_DISCARDED_BYTES,
+    MAX_FRAMING_BYTES,
+    MAX_QUEUED_BYTES,
+    READ_BYTES,
+    InputExcess,
+    excess_failure,
+    excess_response,
+)
 from marjoramyard.fleet.util.connections import (
     has_input,
     has_peer_closed,
     is_reset,
 )
+from marjoramyard.fleet.util.held_bytes import HeldBytes, HeldKind, Holding
 from marjoramyard.fleet.util.raw_responses import mark_closing, response_bytes
-from marjoramyard.fleet.util.rpc import failure_response
-from marjoramyard.kernel.errors import FailureKind, failure
+from marjoramyard.fleet.util.rpc import MAX_HEAD_BYTES, failure_response
+from marjoramyard.kernel.errors import FailureKind, FleetError, failure
 
 HEAD_END = b"\r\n\r\n"
 _LINE_END = b"\r\n"
@@ -92,15 +103,36 @@
     return data[position:]
 
 
+def _break_off(payload, excess: InputExcess) -> None:
+    """Makes the handler that reads a body fail."""
+    payload.set_exception(FleetError(excess_failure(excess)))
+    payload.feed_eof()
+
+
+def _unread_size(payload) -> int:
+    """Returns what of a body has arrived and is not read."""
+    return getattr(payload, "_size", 0)
+
+
+def _queued_size(message: tuple) -> int:
+    """Returns the bytes of a request whose handler has not started."""
+    head, payload = message
+    fields = getattr(head, "raw_headers", ())
+    head_size = sum(len(name) + len(value) for name, value in fields)
+    return head_size + _unread_size(payload)
+
+
 class ConnectionOwner(Protocol):
     """Is told of the connections of a listener.
 
     Attributes:
         answers_half_closed: Whether a client that closes its sending side after
             a request gets its response. If not, it has left.
+        held_bytes: The account of what the process holds for others.
     """
 
     answers_half_closed: bool
+    held_bytes: HeldBytes
 
     def on_connection_made(self, connection: "ServedConnection") -> bool:
         """Returns whether the connection is to be served."""
@@ -108,6 +140,11 @@
     def on_connection_detached(self) -> None:
         """Called when the HTTP protocol no longer serves a connection."""
 
+    def on_input_refused(
+        self, connection: "ServedConnection", excess: InputExcess
+    ) -> None:
+        """Called when the input of a connection is no longer read."""
+
     def on_connection_lost(self, connection: "ServedConnection") -> None:
         """Called when the connection is closed."""
 
@@ -175,6 +212,15 @@
         half_closed: Set once the client has closed its sending side after a
             whole request that is to be answered.
         half_closed_end: How such a connection ended, as far as is known.
+        holding: What has arrived and is not read by a handler.
+        head_size: Bytes since the last request whose head was read, with empty
+            lines.
+        body_size: Bytes of the last body after those that came with its head,
+            with framing.
+        content_base: Bytes of its content that came with its head.
+        discarded_size: Bytes that were read after a refusal.
+        is_discarding: Whether whatever arrives is discarded.
+        closing_timer: Closes the connection after a refusal without a handler.
     """
 
     def __init__(self, http: HttpProtocol, owner: ConnectionOwner):
@@ -199,6 +245,13 @@
         self.version: HttpVersion | None = None
         self.half_closed: HalfClosedCaller | None = None
         self.half_closed_end: CallerEnd | None = None
+        self.holding = Holding(owner.held_bytes)
+        self.head_size = 0
+        self.body_size = 0
+        self.content_base = 0
+        self.discarded_size = 0
+        self.is_discarding = False
+        self.closing_timer: asyncio.TimerHandle | None = None
 
     @property
     def has_left(self) -> bool:
@@ -231,7 +284,8 @@
     @property
     def is_last_request(self) -> bool:
         """Whether no request follows the current one."""
-        return self.half_closed is not None and not self.has_queued_requests
+        is_last = self.half_closed is not None or self.is_discarding
+        return is_last and not self.has_queued_requests
 
     @property
     def is_waiting(self) -> bool:
@@ -325,6 +379,8 @@
         """Called when the connection is established."""
         self.transport = transport
         self.made_at = time.monotonic()
+        # asyncio's own size lets one connection hold up the others.
+        transport.max_size = READ_BYTES
         if not self.owner.on_connection_made(self):
             transport.abort()
             return
@@ -334,6 +390,9 @@
         """Called when the connection is closed."""
         if exc is not None:
             self.is_closed_by_peer = True
+        self.holding.release()
+        if self.closing_timer is not None:
+            self.closing_timer.cancel()
         if self.half_closed is not None:
             self.half_closed.stop()
             self.half_closed_end = self._end_of_half_closed()
@@ -343,8 +402,14 @@
 
     def data_received(self, data: bytes) -> None:
         """Called when data is received."""
+        if self.is_discarding:
+            self._discard(len(data))
+            return
         http = self.http
-        starts_head = self.payload is None or self.payload.is_eof()
+        payload = self.payload
+        starts_head = payload is None or payload.is_eof()
+        was_waiting = self.is_waiting
+        is_awaited = self._is_body_awaited
         http.data_received(data)
         self.read_at = time.monotonic()
         new_requests = http._request_count - self.request_count
@@ -354,10 +419,133 @@
             rest = _rest_after(data, list(http._messages)[-new_requests:])
             self._note_version()
             self._set_partial_head(bool(rest.strip(_LINE_END)))
+            self.head_size = len(rest)
+            self.body_size = 0
+            self.content_base = getattr(self.payload, "total_bytes", 0)
+            self.discarded_size = 0
         else:
             # Empty lines before a request are no part of it.
             is_empty = not self.has_partial_head and not data.strip(_LINE_END)
             self._set_partial_head(starts_head and not is_empty)
+            if starts_head:
+                self.head_size += len(data)
+            else:
+                self.body_size += len(data)
+        if new_requests and self._is_malformed:
+            # Nothing that follows a malformed request can be told apart.
+            self.is_discarding = True
+            self.owner.on_input_refused(self, InputExcess.MALFORMED)
+            if not starts_head:
+                _break_off(payload, InputExcess.MALFORMED)
+        elif http._payload_parser is None:
+            self._limit_input(len(data), was_waiting, is_awaited)
+
+    @property
+    def _is_malformed(self) -> bool:
+        """Whether the last request was replaced by an error by the parser."""
+        messages = self.http._messages
+        return bool(messages) and not hasattr(messages[-1][0], "version")
+
+    @property
+    def _is_body_awaited(self) -> bool:
+        """Whether a handler waits for the next part of the body."""
+        return getattr(self.payload, "_waiter", None) is not None
+
+    def _limit_input(
+        self, size: int, was_waiting: bool, is_awaited: bool
+    ) -> None:
+        """Stops reading a connection that sends too much.
+
+        Args:
+            size: The bytes that were received last.
+            was_waiting: Whether no request was in progress before.
+            is_awaited: Whether a handler is about to read the bytes.
+        """
+        if self.head_size > MAX_HEAD_BYTES:
+            self._refuse_input(InputExcess.HEAD)
+        elif not self._hold_head():
+            self._refuse_input(InputExcess.NO_ROOM)
+        elif self.payload is not None and not self.payload.is_eof():
+            self._limit_body(size)
+        if not was_waiting:
+            self.count_unread(is_awaited)
+
+    def _hold_head(self) -> bool:
+        if self.head_size == self.holding.sizes[HeldKind.HEAD]:
+            return True
+        return self.holding.resize(HeldKind.HEAD, self.head_size)
+
+    @property
+    def framing_size(self) -> int:
+        """Bytes of the last body that are not its content."""
+        if self.payload is None or self.payload.is_eof():
+            return 0
+        content_size = self.payload.total_bytes - self.content_base
+        return self.body_size - content_size
+
+    def _limit_body(self, size: int) -> None:
+        most = MAX_FRAMING_BYTES + self.payload.total_bytes
+        if self.framing_size > most:
+            self._refuse_input(InputExcess.FRAMING)
+        elif self._is_answered:
+            self.discarded_size += size
+            if self.discarded_size > MAX_DISCARDED_BYTES:
+                self._refuse_input(InputExcess.DISCARDED)
+
+    @property
+    def _is_answered(self) -> bool:
+        """Whether the last request that was read has its whole response."""
+        if self.has_queued_requests or self.response is None:
+            return False
+        return self.handler_task is None and self.response._eof_sent
+
+    def count_unread(self, is_awaited: bool = False) -> None:
+        """Enters what has arrived and is not read by a handler.
+
+        Leaves more requests behind the current one to the kernel.
+
+        Args:
+            is_awaited: Whether the current request's handler reads its body.
+        """
+        queued_size = sum(map(_queued_size, self.http._messages))
+        if queued_size > MAX_QUEUED_BYTES and not self.http._buffer_paused:
+            self.http._pause_reading_for_buffer()
+        request = self.http._current_request
+        size = 0
+        if request is not None and not is_awaited:
+            size = _unread_size(request.content)
+        self.holding.force(
+            HeldKind.UNREAD,
+            queued_size + size - self.holding.sizes[HeldKind.UNREAD],
+        )
+
+    def _refuse_input(self, excess: InputExcess) -> None:
+        """Reads no more of a connection, which ends after its responses."""
+        self.owner.on_input_refused(self, excess)
+        self.is_discarding = True
+        self.discarded_size = 0
+        self.holding.release()
+        if self.is_waiting:
+            self.transport.write(excess_response(excess))
+            self.has_partial_head = False
+            self.closing_timer = asyncio.get_running_loop().call_later(
+                DISCARD_SECONDS, self.close
+            )
+        elif self._is_answered:
+            self.close()
+        else:
+            if not self.payload.is_eof():
+                _break_off(self.payload, excess)
+            self.http.close()
+
+    def _discard(self, size: int) -> None:
+        self.discarded_size += size
+        if self.discarded_size <= MAX_DISCARDED_BYTES:
+            return
+        if self.state is ConnectionState.IN_PROGRESS:
+            self.transport.pause_reading()
+        else:
+            self.close()
 
     def _set_partial_head(self, has_partial_head: bool) -> None:
         if has_partial_head and not self.has_partial_head:
--- a/packages/fleet/src/marjoramyard/fleet/util/request_body.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/request_body.py
@@ -52,6 +52,7 @@
     length = request.content_length or 0
     _check_size(holding.account, length, max_bytes)
     _hold(holding, length)
+    _note_reading(request)
     body = bytearray()
     while chunk := await request.content.readany():
         body += chunk
@@ -61,6 +62,13 @@
     return bytes(body)
 
 
+def _note_reading(request: web.Request) -> None:
+    """Releases what has arrived: it is in the size of the whole body."""
+    connection = getattr(request.protocol, "connection", None)
+    if connection is not None:
+        connection.count_unread(is_awaited=True)
+
+
 def _hold(holding: Holding, size: int) -> None:
     if not holding.resize(HeldKind.REQUEST, size):
         raise FleetError(no_room_failure())
--- a/packages/kernel/src/marjoramyard/kernel/errors.py
+++ b/packages/kernel/src/marjoramyard/kernel/errors.py
@@ -28,6 +28,7 @@
     BAD_REQUEST = ("bad_request", 400)
     REQUEST_TIMEOUT = ("request_timeout", 408)
     TOO_LARGE = ("request_too_large", 413)
+    HEAD_TOO_LARGE = ("request_head_too_large", 431)
     IDEMPOTENCY_KEY_REQUIRED = ("idempotency_key_required", 400)
     IDEMPOTENCY_KEY_REUSED = ("idempotency_key_reused", 422)
     CALL_IN_PROGRESS = ("call_in_progress", 409)
