Read a forwarded request no faster than its peer takes it

What callers saw: gateways over their memory while other gateways were slow. Cause: a request that is forwarded was read as fast as its caller sent it, and kept until the peer took it. Requests of any stated length were taken, also by early refusals, which read the whole request before they answer.

Reading a caller pauses while its peer is slow or not yet connected. Requests over 16 MiB are left to the HTTP protocol, which refuses them by their length.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/early_refusal.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/early_refusal.py
@@ -14,6 +14,8 @@
 from marjoramyard.kernel.util.numbers import read_length
 
 HEAD_END = b"\r\n\r\n"
+MAX_EARLY_BYTES = 1 << 24
+"""Larger requests are left to the HTTP protocol, which needn't read them."""
 _LENGTH = b"\r\ncontent-length:"
 _UNUSUAL = (b"transfer-encoding", b"\nexpect", b"\nupgrade", b"\n ", b"\n\t")
 
@@ -96,9 +98,13 @@
 
     Attributes:
         is_answered: Whether the caller has got a whole response.
+        has_ended: Whether what else the caller sends is discarded.
+        missing_size: Bytes of the request that the caller has not sent yet.
     """
 
     is_answered: bool
+    has_ended: bool
+    missing_size: int
 
     def next_probe(self) -> bytes:
         """Returns bytes that don't change the response, if there are any.
@@ -234,7 +240,8 @@
 
     def _start_request(self, data: bytes) -> None:
         head = parse_head(data)
-        if head is None or head.size < len(data):
+        is_unusual = head is None or head.size > MAX_EARLY_BYTES
+        if is_unusual or head.size < len(data):
             self.missing_bytes = None
             return
         self.missing_bytes = head.size - len(data)
@@ -247,6 +254,7 @@
             self.response = self.check(head)
             self.read_at = time.monotonic()
             return
+        self.forwarding.missing_size = self.missing_bytes
         # The HTTP library must not close the connection as an idle one.
         self.inner.detach()
 
@@ -254,7 +262,11 @@
         """Forwards the rest of the request; discards what follows it."""
         rest = data[: self.missing_bytes]
         self.missing_bytes -= len(rest)
-        if rest:
+        self.forwarding.missing_size = self.missing_bytes
+        if self.forwarding.has_ended:
+            if not self.missing_bytes:
+                self.transport.close()
+        elif rest:
             self.forwarding.send(rest)
 
     def _discard(self, data: bytes) -> None:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/peer_forwarding.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/peer_forwarding.py
@@ -18,6 +18,7 @@
 from marjoramyard.fleet.gateway.peer_connections import PeerConnections
 from marjoramyard.fleet.gateway.peer_naming import usable_cores
 from marjoramyard.fleet.half_closed import CONTINUE, LEADING_ZERO
+from marjoramyard.fleet.input_limits import DISCARD_SECONDS
 from marjoramyard.kernel.logs import get_logger
 from marjoramyard.kernel.util.addresses import parse_callable_address
 
@@ -35,6 +36,9 @@
 
 NO_CORES: Mapping[str, float] = MappingProxyType({})
 
+MAX_UNSENT_BYTES = 1 << 16
+"""What is read of a request until the connection to its peer is established."""
+
 _CONNECTION = b"\r\nconnection:"
 _PLAIN_OPTIONS = (b"", b"keep-alive", b"close")
 
@@ -195,6 +199,9 @@
         has_ended: Whether the request has ended.
         is_answered: Whether the caller has got a whole response.
         is_half_closed: Whether the caller has closed its sending side.
+        missing_size: Bytes of the request that the caller has not sent yet.
+        closing_timer: Closes the caller's connection after a response that
+            came before the whole request.
     """
 
     def __init__(
@@ -218,6 +225,8 @@
         self.has_ended = False
         self.is_answered = False
         self.is_half_closed = False
+        self.missing_size = 0
+        self.closing_timer: asyncio.TimerHandle | None = None
         loop = asyncio.get_running_loop()
         self.started_at = loop.time()
         self.connecting: asyncio.Task | None = None
@@ -241,6 +250,8 @@
         self.sent_size += len(data)
         if self.peer is None:
             self.unsent += data
+            if len(self.unsent) > MAX_UNSENT_BYTES:
+                self.pause_writing()
         elif not self.peer.is_closing():
             self.peer.write(data)
 
@@ -256,6 +267,16 @@
         if self.peer is not None and not self.peer.is_closing():
             self.peer.resume_reading()
 
+    def pause_writing(self) -> None:
+        """Stops reading the request while the peer is slow."""
+        if not self.has_ended and not self.caller.is_closing():
+            self.caller.pause_reading()
+
+    def resume_writing(self) -> None:
+        """Continues to read the request."""
+        if not self.has_ended and not self.caller.is_closing():
+            self.caller.resume_reading()
+
     def next_probe(self) -> bytes:
         """Returns bytes for the caller that don't change the response.
 
@@ -320,6 +341,7 @@
             transport.abort()
             return
         self.peer = transport
+        self.resume_writing()
         transport.write(bytes(self.unsent))
         self.unsent.clear()
 
@@ -375,5 +397,19 @@
             self.is_answered = bool(response) or self.response.is_complete
             if response:
                 self.caller.write(response)
-            self.caller.close()
+            self._close_caller()
         self.on_end(self, outcome)
+
+    def _close_caller(self) -> None:
+        """Closes the caller's connection once its request has arrived.
+
+        The rest of the request is discarded before: unread, it would reset the
+        connection, and the caller might lose its response.
+        """
+        if not self.missing_size:
+            self.caller.close()
+            return
+        self.caller.resume_reading()
+        self.closing_timer = asyncio.get_running_loop().call_later(
+            DISCARD_SECONDS, self.caller.close
+        )
--- a/packages/fleet/tests/gateway/test_peer_forwarding.py
+++ b/packages/fleet/tests/gateway/test_peer_forwarding.py
@@ -126,6 +126,9 @@
 
 
 RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
+LARGE_BODY_BYTES = 12 << 20
+"""More than the kernel buffers for a connection."""
+MAX_BUFFERED_BYTES = 1 << 18
 
 
 async def respond_whole(reader, writer):
@@ -369,3 +372,33 @@
     assert sizes.is_complete
     assert not sizes.is_malformed
     assert forwarded.is_answered
+
+
+async def test_a_request_is_read_no_faster_than_its_peer_takes_it():
+    """Guards against gateways that keep whole requests for a slow peer."""
+    may_read = asyncio.Event()
+    received = bytearray()
+
+    async def serve(reader, writer):
+        await may_read.wait()
+        await reader.readuntil(b"\r\n\r\n")
+        received.extend(await reader.readexactly(LARGE_BODY_BYTES))
+        writer.write(RESPONSE)
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    body = b"x" * LARGE_BODY_BYTES
+    async with gateway_of(f"127.0.0.1:{port}") as (gateway, reader, writer):
+        writer.write(request_bytes(body))
+        while not gateway.has_started or not gateway.forwarded.is_sent:
+            await asyncio.sleep(0.01)
+        while gateway.forwarded.caller.is_reading():
+            await asyncio.sleep(0.01)
+        peer = gateway.forwarded.peer
+        assert gateway.forwarded.sent_size < LARGE_BODY_BYTES
+        assert peer.get_write_buffer_size() < MAX_BUFFERED_BYTES
+        may_read.set()
+        assert await reader.read() == RESPONSE
+    server.close()
+    assert received == body
