--- a/tests/platform/test_memory_limits.py
+++ b/tests/platform/test_memory_limits.py
@@ -45,6 +45,9 @@
 SLOW_SECONDS = 1.0
 WAITING_CALLERS = int(600 * CROWD_FACTOR)
 WAITING_BODY_BYTES = 110_000
+LARGE_RESPONSE_BYTES = 8_000_000
+SLOW_READERS = int(60 * CROWD_FACTOR)
+READ_DELAY_SECONDS = 1.0
 LATE_SECONDS = 1.0
 """A whole request beside clients without end is answered within it."""
 LARGEST = ["fields"]
@@ -241,3 +244,24 @@
     assert crowd.statuses[200] >= ENDPOINT_SLOTS
     assert crowd.statuses[REFUSED]
     assert not crowd.without_retry
+
+
+async def test_responses_that_nobody_reads_are_held_within_the_memory(tmp_path):
+    """Guards against gateways killed for whole responses whose callers read
+    them slowly.
+    """
+
+    async def respond_much(request):
+        return web.Response(
+            body=b"x" * LARGE_RESPONSE_BYTES,
+            headers=endpoint.response_headers(request),
+        )
+
+    async with serving_gateway(tmp_path) as (fleet, endpoint, child):
+        endpoint.respond = respond_much
+        crowd, highest = await call_all(
+            fleet, child, SLOW_READERS, b"x", 0.0, READ_DELAY_SECONDS
+        )
+    assert highest < MEMORY_MB * MEGABYTE
+    assert not crowd.statuses[0]
+    assert crowd.statuses[200]
