Log at most one refusal of bytes a second for each kind

What operators saw: a line of the log for each request without room, thousands a second in a crowd. Cause: HeldBytes logged every refusal. Change: one line a second for each kind, with the number of those left out and the process that the bytes come from; the counter still counts each.

--- a/packages/fleet/src/marjoramyard/fleet/util/held_bytes.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/held_bytes.py
@@ -5,6 +5,8 @@
 on each of them would not keep a process within its memory.
 """
 
+import math
+import time
 from collections import Counter
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -23,6 +25,8 @@
 COPIES = 2
 """A body exists twice while it is joined, and while it is written."""
 MIN_LIMIT_BYTES = 4_000_000
+LOG_INTERVAL_SECONDS = 1.0
+"""The interval of log lines about refusals of one kind."""
 OWNER_FACTOR = 4
 """An owner may hold this many times what is free, so that a single one can use
 four fifths of the account and newcomers always find room."""
@@ -65,6 +69,9 @@
         highest: The most bytes that were held at once.
         by_kind: Those bytes by kind.
         by_owner: Those bytes by owner: a workspace, or "" for no workspace.
+        logged_at: When a refusal was last logged, by kind; monotonic time, in
+            seconds.
+        not_logged: The refusals by kind that were not logged since then.
     """
 
     def __init__(self, limit: int, metrics: Metrics):
@@ -74,6 +81,8 @@
         self.highest = 0
         self.by_kind: Counter[HeldKind] = Counter()
         self.by_owner: Counter[str] = Counter()
+        self.logged_at: dict[HeldKind, float] = {}
+        self.not_logged: Counter[HeldKind] = Counter()
         metrics.gauge("held_bytes", self._read_kinds)
         metrics.gauge("held_bytes_limit", lambda: [(self.limit, {})])
         metrics.gauge("held_bytes_highest", lambda: [(self.highest, {})])
@@ -103,23 +112,30 @@
             del self.by_owner[owner]
         self.highest = max(self.highest, self.total)
 
-    def on_refused(self, kind: HeldKind, owner: str, size: int) -> None:
-        """Counts what there was no room for."""
+    def on_refused(self, kind: HeldKind, holding: "Holding", size: int) -> None:
+        """Counts what there was no room for, and logs some of it."""
         self.metrics.count("held_bytes_refused", kind=kind.value)
+        now = time.monotonic()
+        if now < self.logged_at.get(kind, -math.inf) + LOG_INTERVAL_SECONDS:
+            self.not_logged[kind] += 1
+            return
+        self.logged_at[kind] = now
         logger.warning(
             "no_room_for_bytes",
             kind=kind.value,
-            owner=owner,
+            owner=holding.owner,
+            source=holding.source,
             bytes=size,
-            held_by_owner=self.by_owner[owner],
+            held_by_owner=self.by_owner[holding.owner],
             held=self.total,
             limit=self.limit,
+            not_logged=self.not_logged.pop(kind, 0),
         )
 
     @contextmanager
-    def holding(self, owner: str = "") -> Iterator["Holding"]:
+    def holding(self, owner: str = "", source: str = "") -> Iterator["Holding"]:
         """Yields an empty holding, whose bytes are released at the end."""
-        holding = Holding(self, owner)
+        holding = Holding(self, owner, source)
         try:
             yield holding
         finally:
@@ -132,12 +148,14 @@
     Attributes:
         account: The account of the process.
         owner: For whom the bytes are held.
+        source: Which process they come from, for logs.
         sizes: The bytes by kind.
     """
 
-    def __init__(self, account: HeldBytes, owner: str = ""):
+    def __init__(self, account: HeldBytes, owner: str = "", source: str = ""):
         self.account = account
         self.owner = owner
+        self.source = source
         self.sizes: Counter[HeldKind] = Counter()
 
     @property
@@ -155,7 +173,7 @@
     def add(self, kind: HeldKind, size: int) -> bool:
         """Adds bytes if there is room; returns whether there was."""
         if size > 0 and not self.account.has_room(size, self.owner):
-            self.account.on_refused(kind, self.owner, size)
+            self.account.on_refused(kind, self, size)
             return False
         self.force(kind, size)
         return True
--- a/packages/fleet/tests/util/test_held_bytes.py
+++ b/packages/fleet/tests/util/test_held_bytes.py
@@ -6,9 +6,11 @@
 from held import new_account
 from hypothesis import given
 from hypothesis import strategies as st
+from structlog.testing import capture_logs
 
 from marjoramyard.fleet.util.held_bytes import (
     COPIES,
+    LOG_INTERVAL_SECONDS,
     OWN_BYTES,
     HeldKind,
     Holding,
@@ -93,3 +95,18 @@
     assert COPIES * limit_for(136) + OWN_BYTES <= memory
     assert limit_for(None) == limit_for(0) > limit_for(136)
     assert limit_for(1) > 0
+
+
+def test_refusals_are_counted_and_only_some_are_logged():
+    """Guards against a log that is filled by callers without room."""
+    account = new_account(LIMIT)
+    holding = Holding(account, "a", source="127.0.0.1:1")
+    with capture_logs() as lines:
+        for _ in range(100):
+            holding.add(HeldKind.REPLY, 2 * LIMIT)
+        Holding(account, "b").add(HeldKind.REQUEST, 2 * LIMIT)
+        account.logged_at[HeldKind.REPLY] -= 2 * LOG_INTERVAL_SECONDS
+        holding.add(HeldKind.REPLY, 2 * LIMIT)
+    found = [(line["kind"], line["not_logged"]) for line in lines]
+    assert found == [("reply", 0), ("request", 0), ("reply", 99)]
+    assert lines[0]["source"] == "127.0.0.1:1"
