Read replies of other processes within the account

What operators saw: a process that calls a peer whose reply has no end grows until it is killed. Cause: InternalClient read each reply whole, whatever its length. Change: a reply is held in the account until it is decoded. One without room fails at once with the outcome unknown, its connection is closed, and the refusal is counted and logged with the peer's address. Small replies are read even when callers' requests fill the account, so that a lease can be renewed. marjoramctl has an account of its own of 64 MiB.

--- a/packages/ctl/src/marjoramyard/ctl/session.py
+++ b/packages/ctl/src/marjoramyard/ctl/session.py
@@ -11,10 +11,13 @@
 from result import Err, Ok, Result
 
 from marjoramyard.fleet.util.control_client import ControlClient
+from marjoramyard.fleet.util.held_bytes import HeldBytes
 from marjoramyard.fleet.util.rpc import InternalClient, read_secret
 from marjoramyard.kernel.errors import Failure, FailureKind
 from marjoramyard.kernel.metrics import Metrics
 
+MAX_REPLY_BYTES = 64 << 20
+"""The most bytes of replies that one invocation holds."""
 EXIT_FAILED = 1
 EXIT_USAGE = 2
 EXIT_UNREACHABLE = 3
@@ -44,7 +47,10 @@
             secret = read_secret(self.secret_file)
         except ValueError as error:
             fail(str(error), EXIT_USAGE)
-        client = InternalClient(secret, Metrics("ctl", "ctl"))
+        metrics = Metrics("ctl", "ctl")
+        client = InternalClient(
+            secret, metrics, HeldBytes(MAX_REPLY_BYTES, metrics)
+        )
         try:
             yield Connection(client, ControlClient(client, self.hosts))
         finally:
--- a/packages/fleet/src/marjoramyard/fleet/application.py
+++ b/packages/fleet/src/marjoramyard/fleet/application.py
@@ -377,7 +377,9 @@
             self.load_extension(module)
         factory = self.roles.get(self.settings.role)
         async with task_group() as self.tasks:
-            self.client = rpc.InternalClient(self.secret, self.metrics)
+            self.client = rpc.InternalClient(
+                self.secret, self.metrics, self.held_bytes
+            )
             self._register_traffic_metrics()
             self.tasks.spawn(self._load_metrics_exporter())
             if self.settings_path is not None:
--- a/packages/fleet/src/marjoramyard/fleet/util/rpc.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/rpc.py
@@ -15,6 +15,12 @@
 from marjoramyard.fleet.messages import FailureBody
 from marjoramyard.fleet.util.connections import has_caller_left
 from marjoramyard.fleet.util.headers import header_bytes
+from marjoramyard.fleet.util.held_bytes import (
+    HeldBytes,
+    HeldKind,
+    Holding,
+    limit_for,
+)
 from marjoramyard.fleet.util.request_body import read_body
 from marjoramyard.fleet.util.separable import decode_message
 from marjoramyard.kernel.errors import (
@@ -37,6 +43,9 @@
 MIN_SECRET_BYTES = 16
 MAX_INTERNAL_BODY = 256 << 20
 MAX_HEAD_BYTES = 256 << 10
+SMALL_REPLY_BYTES = 64 << 10
+"""Replies up to this size are read even if requests fill the account: without
+those of control hosts a process loses its lease."""
 _HEADER_ESTIMATE = 160
 """Estimated bytes of HTTP headers per message."""
 _UNUSED_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
@@ -147,15 +156,26 @@
     return decode_message(await read_body(request), kind)
 
 
+class ReplyTooLargeError(aiohttp.ClientPayloadError):
+    """There is no room for a reply."""
+
+
 class InternalClient:
     """Calls other processes of the fleet and counts the traffic.
 
     Attributes:
+        held_bytes: The account of replies, until they are decoded.
         bytes_sent: Bytes sent, with an estimate for HTTP headers.
         bytes_received: Bytes received, with an estimate for HTTP headers.
     """
 
-    def __init__(self, secret: str, metrics: Metrics):
+    def __init__(
+        self,
+        secret: str,
+        metrics: Metrics,
+        held_bytes: HeldBytes | None = None,
+    ):
+        self.held_bytes = held_bytes or HeldBytes(limit_for(None), metrics)
         self.headers = {AUTH_HEADER: f"Bearer {secret}"} if secret else {}
         self.metrics = metrics
         self.bytes_sent = 0
@@ -202,12 +222,31 @@
                 )
             )
         body = msgspec.json.encode(message)
+        with self.held_bytes.holding(source=address) as holding:
+            posted = await self._post(address, path, body, timeout, holding)
+            if isinstance(posted, Err):
+                return posted
+            status, data = posted.ok_value
+            self.bytes_sent += len(body) + _HEADER_ESTIMATE
+            self.bytes_received += len(data) + _HEADER_ESTIMATE
+            return decode_reply(status, data, reply)
+
+    async def _post(
+        self,
+        address: str,
+        path: str,
+        body: bytes,
+        timeout: float,
+        holding: Holding,
+    ) -> Result[tuple[int, bytes], Failure]:
+        """Returns the status and the body of a reply."""
         try:
             async with asyncio.timeout(timeout):
                 async with self.session.post(
                     f"http://{address}{path}", data=body
                 ) as response:
-                    data = await response.read()
+                    data = await read_reply(response, holding)
+                    return Ok((response.status, data))
         except (aiohttp.InvalidURL, OverflowError) as error:
             return Err(
                 failure(
@@ -231,15 +270,42 @@
                     Outcome.UNKNOWN,
                 )
             )
-        self.bytes_sent += len(body) + _HEADER_ESTIMATE
-        self.bytes_received += len(data) + _HEADER_ESTIMATE
-        return decode_reply(response.status, data, reply)
 
     async def close(self) -> None:
         """Closes all connections."""
         await self.session.close()
 
 
+async def read_reply(
+    response: aiohttp.ClientResponse, holding: Holding
+) -> bytes:
+    """Returns the body of a reply, which is held.
+
+    Raises:
+        ReplyTooLargeError: There is no room for it; its connection is closed.
+        aiohttp.ClientError: It is not complete.
+    """
+    length = response.content_length or 0
+    body = bytearray()
+    try:
+        _hold_reply(holding, length)
+        while chunk := await response.content.readany():
+            body += chunk
+            _hold_reply(holding, max(length, len(body)))
+    except ReplyTooLargeError:
+        response.close()
+        raise
+    return bytes(body)
+
+
+def _hold_reply(holding: Holding, size: int) -> None:
+    kind = HeldKind.REPLY
+    if size <= SMALL_REPLY_BYTES:
+        holding.force(kind, size - holding.sizes[kind])
+    elif not holding.resize(kind, size):
+        raise ReplyTooLargeError("there is no room for the reply")
+
+
 def decode_reply(
     status: int, data: bytes, reply: type[T]
 ) -> Result[T, Failure]:
