Don't keep what an agent's endpoint sends to checks and orders

What operators saw: an agent grows until it is killed while its endpoint answers a health check or an order without end. Cause: the body, which nobody uses, was read whole, until the deadline of 1 or 30 s. Change: up to 64 KiB are read and discarded, then the connection is closed.

--- a/packages/fleet/src/marjoramyard/fleet/agent/endpoint.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/endpoint.py
@@ -11,6 +11,7 @@
 from marjoramyard.coordination.serving.slots import SlotLimit
 from marjoramyard.fleet.messages import EndpointAnnouncement
 from marjoramyard.fleet.util.pause_requests import requested_pause
+from marjoramyard.fleet.util.response_body import discard_body
 from marjoramyard.kernel.errors import Failure, FailureKind, failure
 from marjoramyard.kernel.logs import get_logger
 
@@ -180,4 +181,4 @@
             async with session.get(
                 f"http://{self.announced.address}/health"
             ) as response:
-                await response.read()
+                await discard_body(response)
--- a/packages/fleet/src/marjoramyard/fleet/agent/orders.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/orders.py
@@ -8,6 +8,7 @@
 from marjoramyard.coordination.governance.orders import FencingGuard, Order
 from marjoramyard.fleet.agent.endpoint import Endpoint
 from marjoramyard.fleet.application import Application
+from marjoramyard.fleet.util.response_body import discard_body
 from marjoramyard.kernel.logs import get_logger
 
 logger = get_logger(__name__)
@@ -77,7 +78,7 @@
                     f"http://{announced.address}/admin/orders",
                     data=msgspec.json.encode(order),
                 ) as response:
-                    await response.read()
+                    await discard_body(response)
         except (aiohttp.ClientError, TimeoutError, OSError):
             return False
         self.forwarded = (announced.incarnation, order.number)
--- a/packages/fleet/src/marjoramyard/fleet/util/response_body.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/response_body.py
@@ -18,6 +18,7 @@
 
 _BODILESS = (204, 304)
 """Statuses of responses that never have a body."""
+MAX_DISCARDED_BYTES = 64 << 10
 _FINAL_STATUSES = range(200, 600)
 
 
@@ -145,6 +146,19 @@
         return end
 
 
+async def discard_body(response: aiohttp.ClientResponse) -> None:
+    """Reads a body that isn't used, so that its connection ends in order.
+
+    A long one is not read to its end: its connection is closed.
+    """
+    size = 0
+    while chunk := await response.content.readany():
+        size += len(chunk)
+        if size > MAX_DISCARDED_BYTES:
+            response.close()
+            return
+
+
 def is_final(response: aiohttp.ClientResponse) -> bool:
     """Whether a status is that of a response to a request.
 
--- a/packages/fleet/tests/agent/test_endpoint.py
+++ b/packages/fleet/tests/agent/test_endpoint.py
@@ -2,15 +2,22 @@
 
 import asyncio
 import contextlib
+from types import SimpleNamespace
 
 import msgspec
 import pytest
+from endless_replies import RESPONSES, EndlessServer, resident_bytes
 
+from marjoramyard.coordination.governance.orders import Order
 from marjoramyard.fleet.agent.endpoint import Endpoint
+from marjoramyard.fleet.agent.orders import OrderForwarder
 from marjoramyard.fleet.messages import EndpointAnnouncement
 from marjoramyard.fleet.util.endpoint_session import open_endpoint_session
+from marjoramyard.kernel.metrics import Metrics
 from marjoramyard.standin.processes import free_address
 
+MAX_GROWTH_BYTES = 30_000_000
+PROMPT_SECONDS = 0.5
 PAUSE = {"Retry-After": "60"}
 LEAVING = {"Endpoint-Leaving": "1"}
 
@@ -101,3 +108,36 @@
     )
     async with open_endpoint_session() as session:
         assert not await endpoint.is_alive(session)
+
+
+@pytest.mark.parametrize("form", RESPONSES)
+async def test_a_health_response_without_an_end_is_not_kept(form):
+    """Guards against agents that an endpoint's response without an end fills."""
+    before = resident_bytes()
+    async with EndlessServer(*RESPONSES[form]).running() as server:
+        endpoint = Endpoint(0)
+        endpoint.on_announcement(
+            EndpointAnnouncement("e", "e~1", server.address, "chat", 4, "ready")
+        )
+        async with open_endpoint_session() as session:
+            async with asyncio.timeout(PROMPT_SECONDS):
+                assert await endpoint.is_alive(session)
+    assert resident_bytes() - before < MAX_GROWTH_BYTES
+
+
+@pytest.mark.parametrize("form", ["length", "close", "chunks"])
+async def test_a_response_to_an_order_without_an_end_is_not_kept(form):
+    """Guards against agents that an endpoint's response without an end fills."""
+    before = resident_bytes()
+    async with EndlessServer(*RESPONSES[form]).running() as server:
+        endpoint = Endpoint(0)
+        endpoint.on_announcement(
+            EndpointAnnouncement("e", "e~1", server.address, "chat", 4, "ready")
+        )
+        app = SimpleNamespace(metrics=Metrics("agent", "a"))
+        forwarder = OrderForwarder(app, endpoint)
+        forwarder.on_order(Order(1, "e", "load", "m", "awa"), 1)
+        async with open_endpoint_session() as session:
+            async with asyncio.timeout(PROMPT_SECONDS):
+                assert await forwarder._forward(session)
+    assert resident_bytes() - before < MAX_GROWTH_BYTES
