Hold what agents keep of attempts within the account

What operators saw: agents that grow until they are killed, by an event without its end or by a long response to a call that runs at most once. Cause: the part of an event was kept whatever its size, the response to a call was kept whole though only 64 KiB of it are stored, and the bodies and frames of up to 200 delivered attempts stayed for a resume whatever the memory.

An event without room, or over 4 MiB, ends the attempt as truncated, outcome unknown. Of a call's response the digest is computed as it comes. An attempt holds its body until the endpoint has answered and its frames until it is removed, for its workspace; without room only frames that were not sent are kept. Delivered attempts get an eighth of the account.

--- a/packages/coordination/src/marjoramyard/coordination/serving/frames.py
+++ b/packages/coordination/src/marjoramyard/coordination/serving/frames.py
@@ -118,11 +118,19 @@
         self.frames.append(frame)
         self.next_number += 1
         self.kept_bytes += len(frame.data)
+        self._discard_sent()
+
+    def _discard_sent(self) -> None:
         # Unsent frames must be kept; `is_full` limits how many there are.
         while self.kept_bytes > self.limit and self.first_kept < self.sent:
             self.kept_bytes -= len(self.frames.popleft().data)
             self.first_kept += 1
 
+    def keep_unsent(self) -> None:
+        """Discards frames that were sent, from now on as soon as they are."""
+        self.limit = 0
+        self._discard_sent()
+
     @property
     def is_full(self) -> bool:
         """Whether the producer should wait until frames have been sent."""
--- a/packages/fleet/src/marjoramyard/fleet/agent/attempt_service.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/attempt_service.py
@@ -27,7 +27,8 @@
 from marjoramyard.fleet.refusals import quarantined
 from marjoramyard.fleet.util.control_client import ControlClient
 from marjoramyard.fleet.util.endpoint_session import create_endpoint_session
-from marjoramyard.fleet.util.request_body import read_body
+from marjoramyard.fleet.util.held_bytes import HeldKind, Holding
+from marjoramyard.fleet.util.request_body import HOLDING, read_body
 from marjoramyard.fleet.util.rpc import json_response, read_message
 from marjoramyard.kernel.errors import (
     Failure,
@@ -50,6 +51,8 @@
 _MAX_DELIVERED_ATTEMPTS = 200
 """Attempts kept after their last frame was sent. Keeping all of the retention
 time took an agent with 800 short calls a second past 100 MB."""
+_DELIVERED_SHARE = 0.125
+"""The part of the account for them."""
 _SWEEP_INTERVAL_SECONDS = 1.0
 _MAX_TOMBSTONES = 20_000
 
@@ -60,7 +63,9 @@
     Attributes:
         attempts: The running and retained attempts, by id.
         ended: When each attempt ended; monotonic time, in seconds.
-        delivered: Attempts whose last frame was sent, oldest first.
+        delivered: The bytes of attempts whose last frame was sent, oldest
+            first.
+        delivered_bytes: The sum of them.
         tombstones: Cancelled attempt ids, oldest first.
         answered: The requests that the endpoint has answered lately.
         http_session: The HTTP client session for the endpoint.
@@ -82,7 +87,8 @@
         self.suspect_guard = SuspectGuard(app, membership, control)
         self.attempts: dict[AttemptId, Attempt] = {}
         self.ended: dict[AttemptId, float] = {}
-        self.delivered: OrderedDict[AttemptId, None] = OrderedDict()
+        self.delivered: OrderedDict[AttemptId, int] = OrderedDict()
+        self.delivered_bytes = 0
         self.tombstones: OrderedDict[AttemptId, None] = OrderedDict()
         self.answered = RecentAnswers()
         self.http_session = create_endpoint_session(reuses_connections=False)
@@ -111,6 +117,9 @@
                 endpoint.
         """
         run = decode_json(request.headers.get(RUN_HEADER, ""), RunRequest)
+        holding = request.get(HOLDING)
+        if holding is not None:
+            holding.assign(run.workspace)
         body = await read_body(request)
         # The entry may have cancelled while the body was read. There must
         # be no await between this check and the allocation of the slot.
@@ -127,6 +136,9 @@
         except BaseException:
             self.slot_allocator.release()
             raise
+        del body
+        if holding is not None:
+            holding.release()
         attempt.task = self.app.tasks.spawn(self._execute(attempt))
         return await self._stream(request, attempt, 0)
 
@@ -167,12 +179,22 @@
             self.endpoint,
             self.slot_allocator.scheduler,
             service.kind,
+            self._hold_request(run, body),
         )
         attempt.parts = parts
         attempt.held_identity = held
         self.attempts[AttemptId(run.attempt)] = attempt
         return attempt
 
+    def _hold_request(self, run: RunRequest, body: bytes) -> Holding:
+        """Returns a holding that lasts as long as the attempt.
+
+        The connection on which it arrived may end before.
+        """
+        holding = Holding(self.app.held_bytes, run.workspace)
+        holding.force(HeldKind.REQUEST, len(body))
+        return holding
+
     def _recheck_endpoint(self) -> None:
         """Checks after the wait for a hold that the endpoint takes requests.
 
@@ -278,14 +300,23 @@
     def _retain_delivered(self, attempt: Attempt) -> None:
         if not attempt.is_delivered:
             return
-        self.delivered[AttemptId(attempt.run_request.attempt)] = None
-        while len(self.delivered) > _MAX_DELIVERED_ATTEMPTS:
-            self._remove(self.delivered.popitem(last=False)[0])
+        attempt_id = AttemptId(attempt.run_request.attempt)
+        size = attempt.holding.total
+        self.delivered_bytes += size - self.delivered.get(attempt_id, 0)
+        self.delivered[attempt_id] = size
+        max_bytes = self.app.held_bytes.limit * _DELIVERED_SHARE
+        while (
+            len(self.delivered) > _MAX_DELIVERED_ATTEMPTS
+            or self.delivered_bytes > max_bytes
+        ):
+            self._remove(next(iter(self.delivered)))
 
     def _remove(self, attempt_id: AttemptId) -> None:
-        self.attempts.pop(attempt_id, None)
+        attempt = self.attempts.pop(attempt_id, None)
+        if attempt is not None:
+            attempt.holding.release()
         self.ended.pop(attempt_id, None)
-        self.delivered.pop(attempt_id, None)
+        self.delivered_bytes -= self.delivered.pop(attempt_id, 0)
 
     async def on_resume(self, request: web.Request) -> web.StreamResponse:
         """Resumes the frames of an attempt whose connection was lost.
--- a/packages/fleet/src/marjoramyard/fleet/agent/attempts.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/attempts.py
@@ -1,6 +1,7 @@
 """One attempt at the endpoint: sent, metered, buffered for a resume."""
 
 import asyncio
+import hashlib
 import time
 from collections.abc import Callable
 from enum import Enum
@@ -20,6 +21,7 @@
     is_stream,
     is_writable,
 )
+from marjoramyard.fleet.util.held_bytes import HeldKind, Holding
 from marjoramyard.fleet.util.response_body import (
     BrokenOffError,
     ResponseBody,
@@ -39,6 +41,12 @@
 _CONNECT_TIMEOUT_SECONDS = 2.0
 
 
+MAX_STORED_BYTES = 64 << 10
+"""Longer responses of calls are not stored."""
+MAX_EVENT_BYTES = 4 << 20
+"""The largest event of a stream."""
+
+
 class AttemptState(Enum):
     """The progress of an attempt."""
 
@@ -47,6 +55,31 @@
     ENDED = "ended"
 
 
+class EventTooLargeError(Exception):
+    """There is no room for an event of a stream."""
+
+
+class CallResponse:
+    """The body of a call's response as it will be stored.
+
+    Attributes:
+        body: The body; None if it is too long to be stored.
+        digest: The digest of the whole body.
+    """
+
+    def __init__(self):
+        self.body: bytes | None = b""
+        self.digest = hashlib.sha256()
+
+    def add(self, chunk: bytes) -> None:
+        """Adds the next part of the body."""
+        self.digest.update(chunk)
+        if self.body is None or len(self.body) + len(chunk) > MAX_STORED_BYTES:
+            self.body = None
+        else:
+            self.body += chunk
+
+
 def endpoint_headers(headers: list[tuple[str, str]]) -> list[tuple[str, str]]:
     """Returns the headers for the endpoint.
 
@@ -85,13 +118,14 @@
     """Runs one request on the endpoint and buffers the response's frames.
 
     Attributes:
+        holding: What is held of its request and its response.
         progress: Set when frames were added.
         space_available: Set when frames were sent to the entry.
         reader: Identifies the connection that reads the frames, if any.
         orphaned_at: When the last connection ended; monotonic time, in
             seconds.
         deadline_at: Monotonic time, in seconds.
-        response_body: The body of a call's response, to be stored.
+        stored_response: The body of a call's response, to be stored.
         resume_path: Where the engine's stream can be resumed, or "".
         resumes: How often the engine's stream was resumed.
         parts: The fingerprints of the shared parts of its prompt.
@@ -111,7 +145,9 @@
         endpoint: Endpoint,
         scheduler: FairScheduler,
         kind: str,
+        holding: Holding,
     ):
+        self.holding = holding
         self.run_request = run
         self.body = body
         self.endpoint = endpoint
@@ -126,7 +162,7 @@
         self.orphaned_at = time.monotonic()
         self.deadline_at = time.monotonic() + run.deadline_seconds
         self.cancelled = False
-        self.response_body = bytearray()
+        self.stored_response = CallResponse()
         self.status = 0
         self.headers: list[tuple[str, str]] = []
         self.last_token_at: float | None = None
@@ -182,6 +218,14 @@
             self._charge()
             self.scheduler.release(self.workspace, reserved)
             self.scheduler.record_finish(self.workspace, self.meter.total)
+            self._release_request()
+
+    def _release_request(self) -> None:
+        """Forgets what is not needed to deliver the response."""
+        self.body = b""
+        self.events = None
+        self.holding.resize(HeldKind.REQUEST, 0)
+        self.holding.resize(HeldKind.EVENT, 0)
 
     async def _exchange(self, session: aiohttp.ClientSession) -> Failure | None:
         run = self.run_request
@@ -223,6 +267,12 @@
             )
         except BrokenOffError as error:
             return broken_off(error)
+        except EventTooLargeError:
+            return failure(
+                FailureKind.RESPONSE_TRUNCATED,
+                "the endpoint sent an event for which there is no room",
+                Outcome.UNKNOWN,
+            )
         except (aiohttp.ClientError, OSError) as error:
             return _endpoint_lost(error)
         finally:
@@ -284,7 +334,7 @@
         try:
             while chunk := await body.read_any():
                 if self.events is not None:
-                    chunk = self.events.feed(chunk)
+                    chunk = self._feed_events(chunk)
                 if chunk:
                     await self._add_chunk(chunk)
             if body.check_end() is ResponseEnd.UNKNOWN:
@@ -299,6 +349,21 @@
                     end_position=body.content.value,
                 )
 
+    def _feed_events(self, data: bytes) -> bytes:
+        """Returns the events that are complete now; holds what is left.
+
+        Raises:
+            EventTooLargeError: There is no room for it.
+        """
+        events = self.events.feed(data)
+        size = len(self.events.buffer)
+        is_large = size > MAX_EVENT_BYTES
+        if is_large or not self.holding.resize(HeldKind.EVENT, size):
+            self.events.discard_partial()
+            self.holding.resize(HeldKind.EVENT, 0)
+            raise EventTooLargeError
+        return events
+
     async def _check_survival(self, session: aiohttp.ClientSession) -> None:
         """Checks that the endpoint has not ended together with its response.
 
@@ -318,11 +383,23 @@
             self.answer_at = time.monotonic()
         self._observe(chunk)
         self.replay_buffer.add_data(chunk)
+        self._hold_frames()
         self.progress.set()
         while self.replay_buffer.is_full:
             self.space_available.clear()
             await self.space_available.wait()
 
+    def _hold_frames(self) -> None:
+        """Holds the frames; without room only those that were not sent yet."""
+        size = self.replay_buffer.kept_bytes
+        if self.holding.resize(HeldKind.RESPONSE, size):
+            return
+        self.replay_buffer.keep_unsent()
+        rest = self.replay_buffer.kept_bytes
+        self.holding.force(
+            HeldKind.RESPONSE, rest - self.holding.sizes[HeldKind.RESPONSE]
+        )
+
     def _can_resume(self) -> bool:
         if self.endpoint.pause_seconds:
             return False
@@ -376,7 +453,7 @@
                 self.endpoint.slot_limit.record_gap(gap)
             self.last_token_at = now
         if self.run_request.call is not None:
-            self.response_body += chunk
+            self.stored_response.add(chunk)
 
     def _charge(self) -> None:
         amount = self.meter.collect()
@@ -429,6 +506,7 @@
                     await write(b"".join(frame.encode() for frame in frames))
                     number = frames[-1].header.n + 1
                     self.replay_buffer.mark_sent(number)
+                    self._hold_frames()
                     self.space_available.set()
                     if frames[-1].header.is_last:
                         self.is_delivered = True
--- a/packages/fleet/src/marjoramyard/fleet/agent/calls.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/calls.py
@@ -1,7 +1,6 @@
 """Ledger commands of the agent for calls that must not repeat."""
 
 import base64
-import hashlib
 
 from result import Err
 
@@ -18,7 +17,6 @@
 from marjoramyard.fleet.util.control_client import ControlClient
 from marjoramyard.kernel.errors import Failure, FailureKind, failure
 
-MAX_STORED_BYTES = 64 << 10
 _START_TIMEOUT_SECONDS = 4.0
 _FINISH_TIMEOUT_SECONDS = 2.0
 
@@ -53,17 +51,17 @@
 async def finish_call(control: ControlClient, attempt: Attempt) -> bool:
     """Stores the response for resends; returns whether it was committed.
 
-    A body over `MAX_STORED_BYTES` is left out.
+    A long body is left out.
     """
-    body = bytes(attempt.response_body)
+    response = attempt.stored_response
     encoded_body = None
-    if len(body) <= MAX_STORED_BYTES:
-        encoded_body = base64.b64encode(body).decode()
+    if response.body is not None:
+        encoded_body = base64.b64encode(response.body).decode()
     stored_response = StoredResponse(
         attempt.status,
         attempt.headers,
         encoded_body,
-        hashlib.sha256(body).hexdigest(),
+        response.digest.hexdigest(),
     )
     run = attempt.run_request
     command = FinishCall(run.call.key, run.attempt, stored_response)
--- a/packages/fleet/tests/agent/test_attempt_service.py
+++ b/packages/fleet/tests/agent/test_attempt_service.py
@@ -6,6 +6,7 @@
 
 import msgspec
 import pytest
+from held import new_account
 from result import Err, Ok
 
 from marjoramyard.coordination.governance.commands import Reply
@@ -24,6 +25,7 @@
     EndpointAnnouncement,
     RunRequest,
 )
+from marjoramyard.fleet.util.held_bytes import HeldKind, Holding
 from marjoramyard.kernel.errors import FailureKind, FleetError, failure
 
 LEAVING = {"Endpoint-Leaving": "1"}
@@ -309,3 +311,25 @@
     guard = SuspectGuard(None, membership, None)
     parts = ["part:chat:a", "part:chat:b"]
     assert guard.suspected_identity("f", parts, marked) == expected
+
+
+def test_delivered_responses_leave_room_for_requests():
+    """Guards against requests that are refused as the responses before them
+    are kept for a resume.
+    """
+    service = make_service()
+    service.app.held_bytes = account = new_account(1000)
+    service.ended, service.delivered = {}, OrderedDict()
+    service.delivered_bytes = 0
+    for number in range(20):
+        holding = Holding(account, "w")
+        holding.force(HeldKind.RESPONSE, 50)
+        attempt = SimpleNamespace(
+            holding=holding,
+            is_delivered=True,
+            run_request=run_request(f"a{number}"),
+        )
+        service.attempts[f"a{number}"] = attempt
+        service._retain_delivered(attempt)
+    assert account.total == service.delivered_bytes == 100
+    assert list(service.attempts) == list(service.delivered) == ["a18", "a19"]
--- a/packages/fleet/tests/agent/test_attempts.py
+++ b/packages/fleet/tests/agent/test_attempts.py
@@ -1,19 +1,39 @@
 """Tests of one attempt at an agent's endpoint."""
 
+import asyncio
 import time
 from types import SimpleNamespace
+from unittest.mock import Mock
 
 import pytest
 from aiohttp.http_writer import _serialize_headers
+from endless_replies import (
+    EVENT_WITHOUT_END,
+    RESPONSES,
+    EndlessServer,
+    resident_bytes,
+)
+from held import new_account, new_holding
 from hypothesis import example, given
 from hypothesis import strategies as st
 from multidict import CIMultiDict
 
 from marjoramyard.coordination.serving.events import EventSplitter
+from marjoramyard.coordination.serving.frames import REPLAY_BUFFER_BYTES
 from marjoramyard.fleet.agent.attempts import Attempt
 from marjoramyard.fleet.agent.endpoint import Endpoint
-from marjoramyard.fleet.messages import EndpointAnnouncement, RunRequest
+from marjoramyard.fleet.messages import (
+    CallTicket,
+    EndpointAnnouncement,
+    RunRequest,
+)
+from marjoramyard.fleet.util.endpoint_session import create_endpoint_session
 from marjoramyard.fleet.util.headers import is_writable
+from marjoramyard.fleet.util.held_bytes import HeldBytes, HeldKind, Holding
+from marjoramyard.kernel.errors import Failure, FailureKind
+
+LIMIT = 20_000_000
+MAX_GROWTH_BYTES = 45_000_000
 
 
 @pytest.fixture
@@ -25,7 +45,9 @@
     run = RunRequest(
         "a", "w", "chat", "POST", "/v1/x", [], 5.0, 5.0, "f", "interactive"
     )
-    found = Attempt(run, b"", endpoint, SimpleNamespace(), "engine")
+    found = Attempt(
+        run, b"", endpoint, SimpleNamespace(), "engine", new_holding()
+    )
     found.events = EventSplitter()
     found.events.feed(b"id: 1\ndata: x\n\n")
     found.resume_path = "/streams/1"
@@ -72,3 +94,69 @@
     with pytest.raises(Exception, match="not resumed"):
         await attempt._resume(Session())
     assert attempt.endpoint.pause_seconds > 50.0
+
+
+async def run_attempt(
+    server: EndlessServer,
+    account: HeldBytes,
+    seconds: float,
+    call: CallTicket | None = None,
+) -> Failure | None:
+    """Runs an attempt whose frames are read as they come."""
+    endpoint = Endpoint(0)
+    endpoint.on_announcement(
+        EndpointAnnouncement("e", "e~1", server.address, "chat", 4, "ready")
+    )
+    fields = ("POST", "/v1/x", [], seconds, 5.0, "f", "interactive")
+    run = RunRequest("a", "w", "chat", *fields, call=call)
+    scheduler = Mock(record_start=lambda _: 0.0)
+    with account.holding("w") as holding:
+        attempt = Attempt(run, b"{}", endpoint, scheduler, "plain", holding)
+
+        async def write(_):
+            await asyncio.sleep(0)
+
+        reader = asyncio.create_task(attempt.stream(0, write, 1.0, b""))
+        session = create_endpoint_session(reuses_connections=False)
+        try:
+            reason = await attempt.execute(session)
+            attempt.finish(reason)
+            await reader
+        finally:
+            await session.close()
+    return reason
+
+
+async def test_an_event_without_an_end_ends_the_attempt():
+    """Guards against agents that an endpoint's event without an end fills."""
+    account = new_account(LIMIT)
+    before = resident_bytes()
+    async with EndlessServer(*EVENT_WITHOUT_END).running() as server:
+        reason = await run_attempt(server, account, 3.0)
+    assert reason.kind is FailureKind.RESPONSE_TRUNCATED
+    assert resident_bytes() - before < MAX_GROWTH_BYTES
+    assert account.highest <= LIMIT
+    assert account.total == 0
+
+
+async def test_a_call_s_response_without_an_end_is_not_kept():
+    """Guards against agents that a long response to a call fills."""
+    account = new_account(LIMIT)
+    before = resident_bytes()
+    async with EndlessServer(*RESPONSES["chunks"]).running() as server:
+        call = CallTicket("k", "d", 0)
+        reason = await run_attempt(server, account, 1.0, call)
+        assert server.bytes_sent > 2 * MAX_GROWTH_BYTES
+    assert reason.kind is FailureKind.DEADLINE
+    assert resident_bytes() - before < MAX_GROWTH_BYTES
+
+
+async def test_a_response_without_room_is_passed_on():
+    """Guards against frames that are kept for a resume in a full account."""
+    account = new_account(LIMIT)
+    Holding(account, "other").force(HeldKind.REQUEST, LIMIT)
+    async with EndlessServer(*RESPONSES["chunks"]).running() as server:
+        reason = await run_attempt(server, account, 0.5)
+        assert server.bytes_sent > LIMIT
+    assert reason.kind is FailureKind.DEADLINE
+    assert account.highest < LIMIT + REPLAY_BUFFER_BYTES
--- a/packages/fleet/tests/agent/test_endpoint.py
+++ b/packages/fleet/tests/agent/test_endpoint.py
@@ -112,7 +112,7 @@
 
 @pytest.mark.parametrize("form", RESPONSES)
 async def test_a_health_response_without_an_end_is_not_kept(form):
-    """Guards against agents that an endpoint's response without an end fills."""
+    """Guards against agents that a response without an end fills."""
     before = resident_bytes()
     async with EndlessServer(*RESPONSES[form]).running() as server:
         endpoint = Endpoint(0)
@@ -127,7 +127,7 @@
 
 @pytest.mark.parametrize("form", ["length", "close", "chunks"])
 async def test_a_response_to_an_order_without_an_end_is_not_kept(form):
-    """Guards against agents that an endpoint's response without an end fills."""
+    """Guards against agents that a response without an end fills."""
     before = resident_bytes()
     async with EndlessServer(*RESPONSES[form]).running() as server:
         endpoint = Endpoint(0)
