Return freed buffers to the system at once

What operators saw: processes that stay as large after a crowd as during it, so that the next crowd is over their limit. Cause: glibc raises its threshold for buffers of their own mapping once large ones are freed, and then keeps them between small objects. Other C libraries have no such parameter.

--- a/packages/fleet/src/marjoramyard/fleet/application.py
+++ b/packages/fleet/src/marjoramyard/fleet/application.py
@@ -20,6 +20,7 @@
     ProtocolWrapper,
 )
 from marjoramyard.fleet.util import rpc
+from marjoramyard.fleet.util.allocator import return_freed_memory
 from marjoramyard.fleet.util.binding import BindRetries
 from marjoramyard.fleet.util.expectations import with_expectations
 from marjoramyard.fleet.util.held_bytes import OWN_BYTES, HeldBytes, limit_for
@@ -368,6 +369,7 @@
 
     async def run(self) -> None:
         """Runs the role until SIGTERM, SIGINT or SIGQUIT, then drains it."""
+        return_freed_memory()
         loop = asyncio.get_running_loop()
         for signal_number in _STOPPING_SIGNALS:
             loop.add_signal_handler(signal_number, self.stop)
