Hold callers' requests and responses at entries within the account

What callers saw: requests cut and connections refused, as entries were killed for their memory. Cause: an entry read the bodies of all callers, kept plain responses of up to 1 MiB for each, read refusals of agents and frames of any announced size, and up to 256 KiB at once of each connection.

Bodies are held for their workspace until the request has ended, refused at once with 503 and Retry-After without room, 413 over the limit, and 408 if they don't arrive by the deadline. A plain response without room is passed on as it comes; one of known length takes its room at once. Frames have 8 MiB at most, those of plain responses 64 KiB. Connections to other processes are read by 32 KiB.

The stand-in for a request in test_admission has a holding and readany() in place of iter_any(); its checks are the same.

--- a/packages/coordination/src/marjoramyard/coordination/serving/frames.py
+++ b/packages/coordination/src/marjoramyard/coordination/serving/frames.py
@@ -12,6 +12,8 @@
 from marjoramyard.kernel.util.decoding import decode_json
 
 MAX_HEADER_BYTES = 1 << 20
+MAX_DATA_BYTES = 8 << 20
+"""Twice the largest event of a stream."""
 REPLAY_BUFFER_BYTES = 1 << 18
 
 
@@ -209,7 +211,8 @@
         """Adds data and returns the frames that are complete now.
 
         Raises:
-            BrokenResponseError: A header is too long or invalid.
+            BrokenResponseError: A header is too long or invalid, or announces
+                too much data.
         """
         self.buffer += data
         frames = []
@@ -231,6 +234,8 @@
                     f"invalid frame header: {error}"
                 ) from error
             del self.buffer[: end + 1]
+            if not 0 <= self.header.size <= MAX_DATA_BYTES:
+                raise BrokenResponseError("invalid size of a frame")
         if len(self.buffer) < self.header.size:
             return None
         data = bytes(self.buffer[: self.header.size])
--- a/packages/fleet/src/marjoramyard/fleet/agent/attempts.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/attempts.py
@@ -43,6 +43,8 @@
 
 MAX_STORED_BYTES = 64 << 10
 """Longer responses of calls are not stored."""
+MAX_FRAME_BYTES = 64 << 10
+"""The largest frame of a response other than a stream."""
 MAX_EVENT_BYTES = 4 << 20
 """The largest event of a stream."""
 
@@ -333,10 +335,12 @@
         body = ResponseBody(response, self.events, ends_with_mark=True)
         try:
             while chunk := await body.read_any():
-                if self.events is not None:
-                    chunk = self._feed_events(chunk)
-                if chunk:
-                    await self._add_chunk(chunk)
+                if self.events is None:
+                    for start in range(0, len(chunk), MAX_FRAME_BYTES):
+                        part = chunk[start : start + MAX_FRAME_BYTES]
+                        await self._add_chunk(part)
+                elif events := self._feed_events(chunk):
+                    await self._add_chunk(events)
             if body.check_end() is ResponseEnd.UNKNOWN:
                 await self._check_survival(session)
         finally:
--- a/packages/fleet/src/marjoramyard/fleet/entry/admission.py
+++ b/packages/fleet/src/marjoramyard/fleet/entry/admission.py
@@ -1,5 +1,6 @@
 """Admission of callers' requests: authentication, routing and limits."""
 
+import asyncio
 import hashlib
 import time
 
@@ -16,7 +17,9 @@
 from marjoramyard.fleet.entry.requests import CallerRequest
 from marjoramyard.fleet.membership import RouterMembership
 from marjoramyard.fleet.messages import CallTicket
+from marjoramyard.fleet.util.deadlines import timeout_after_input
 from marjoramyard.fleet.util.headers import header_text
+from marjoramyard.fleet.util.request_body import HOLDING, read_body
 from marjoramyard.kernel.errors import (
     Failure,
     FailureKind,
@@ -72,6 +75,7 @@
             raise FleetError(_refusal_for_call(request, refusal))
         _check_headers(request, self.max_header_bytes)
         workspace_id = self._authenticate(request)
+        request[HOLDING].assign(workspace_id)
         body = await self._read_body(request)
         service_id, path = self._route(request, body)
         workspace = self._authorize(workspace_id, service_id)
@@ -143,24 +147,31 @@
         """
         services = self.bundle.services.values()
         limit = max((s.max_body_bytes for s in services), default=0)
-        body = bytearray()
         try:
-            if (request.content_length or 0) <= limit:
-                async for chunk in request.content.iter_any():
-                    body += chunk
-                    if len(body) > limit:
-                        break
-        except (aiohttp.ClientPayloadError, ValueError) as error:
+            async with timeout_after_input(self._body_due_at(request)):
+                return await read_body(request, limit)
+        except (
+            aiohttp.ClientPayloadError,
+            web.RequestPayloadError,
+            ValueError,
+        ) as error:
             raise_failure(
                 FailureKind.BAD_REQUEST, f"the body is truncated: {error}"
             )
-        if max(len(body), request.content_length or 0) > limit:
+        except TimeoutError:
             raise_failure(
-                FailureKind.TOO_LARGE,
-                f"the body is over {limit} bytes, more than any service "
-                "accepts; send less",
+                FailureKind.REQUEST_TIMEOUT,
+                "the body did not arrive before the deadline; send it again",
             )
-        return bytes(body)
+
+    def _body_due_at(self, request: web.Request) -> float:
+        """Returns when a body must have arrived, whatever its service is."""
+        services = self.bundle.services.values()
+        seconds = read_number(request.headers.get(DEADLINE_HEADER, ""))
+        if seconds is None or seconds <= 0:
+            seconds = max((s.deadline_seconds for s in services), default=0.0)
+        longest = max((s.max_deadline_seconds for s in services), default=0.0)
+        return asyncio.get_running_loop().time() + min(seconds, longest)
 
     def _route(
         self, request: web.Request, body: bytes
--- a/packages/fleet/src/marjoramyard/fleet/entry/attempt_client.py
+++ b/packages/fleet/src/marjoramyard/fleet/entry/attempt_client.py
@@ -15,7 +15,8 @@
 )
 from marjoramyard.fleet.messages import CancelReply, FailureBody, RunRequest
 from marjoramyard.fleet.paths import RUN_HEADER, RUN_PATH
-from marjoramyard.fleet.util.rpc import InternalClient
+from marjoramyard.fleet.util.held_bytes import HeldKind, Holding
+from marjoramyard.fleet.util.rpc import InternalClient, read_reply
 from marjoramyard.kernel.errors import (
     Failure,
     FailureKind,
@@ -38,6 +39,10 @@
 _RESUME_DELAY_SECONDS = 0.3
 _CANCEL_TIMEOUT_SECONDS = 0.5
 
+SMALL_FRAME_BYTES = 512 << 10
+"""Frames up to this size are read even if the account is full: a response that
+is passed on must go on."""
+
 _CONNECTION_ERRORS = (
     aiohttp.ClientError,
     TimeoutError,
@@ -69,6 +74,7 @@
     attempt can't be delivered to the request.
 
     Attributes:
+        holding: What is held for the request.
         reader: Checks the order of the frames.
         admitted: The agent accepted the attempt.
         may_have_arrived: The agent may have received the attempt.
@@ -81,7 +87,9 @@
         address: str,
         run: RunRequest,
         body: bytes,
+        holding: Holding,
     ):
+        self.holding = holding
         self.client = client
         self.metrics = metrics
         self.address = address
@@ -135,7 +143,7 @@
                     data=self.body,
                 )
                 if response.status != 200:
-                    data = await response.read()
+                    reason = await self._read_refusal(response)
         except aiohttp.ClientConnectorError:
             self.may_have_arrived = False
             raise AttemptRefusedError(
@@ -147,7 +155,7 @@
             raise AttemptLostError(_lost(repr(error))) from error
         if response.status != 200:
             self.may_have_arrived = False
-            raise AttemptRefusedError(_refusal(data))
+            raise AttemptRefusedError(reason)
         self.admitted = True
         return response
 
@@ -166,11 +174,18 @@
                 )
                 if response.status == 200:
                     return response
-                data = await response.read()
+                reason = await self._read_refusal(response)
         except _CONNECTION_ERRORS:
             await asyncio.sleep(_RESUME_DELAY_SECONDS)
             return None
-        raise AttemptLostError(_refusal(data))
+        raise AttemptLostError(reason)
+
+    async def _read_refusal(self, response: aiohttp.ClientResponse) -> Failure:
+        with self.client.held_bytes.holding(source=self.address) as holding:
+            try:
+                return _refusal(await read_reply(response, holding))
+            finally:
+                response.release()
 
     async def _read(
         self, response: aiohttp.ClientResponse
@@ -183,12 +198,26 @@
                 raise aiohttp.ClientPayloadError(
                     "the agent closed the connection before the last frame"
                 )
-            for frame in parser.feed(data):
+            frames = parser.feed(data)
+            self._hold_partial(len(parser.buffer))
+            for frame in frames:
                 if frame.header.is_keepalive:
                     continue
                 if self.reader.accept(frame):
                     yield frame
 
+    def _hold_partial(self, size: int) -> None:
+        """Holds a part of a frame.
+
+        Raises:
+            AttemptLostError: There is no room for it.
+        """
+        change = size - self.holding.sizes[HeldKind.EVENT]
+        if size <= SMALL_FRAME_BYTES:
+            self.holding.force(HeldKind.EVENT, change)
+        elif not self.holding.add(HeldKind.EVENT, change):
+            raise AttemptLostError(_lost("no room for a frame"))
+
     async def cancel(self) -> bool:
         """Cancels the attempt; returns whether it is certain not to run."""
         if not self.may_have_arrived:
--- a/packages/fleet/src/marjoramyard/fleet/entry/request_handler.py
+++ b/packages/fleet/src/marjoramyard/fleet/entry/request_handler.py
@@ -30,6 +30,7 @@
 from marjoramyard.fleet.refusals import quarantined
 from marjoramyard.fleet.util.control_client import ControlClient
 from marjoramyard.fleet.util.pause_requests import requested_pause
+from marjoramyard.fleet.util.request_body import HOLDING
 from marjoramyard.kernel.errors import (
     Failure,
     FailureKind,
@@ -165,6 +166,7 @@
             placement.address,
             self._run_request(request, placement),
             request.body,
+            request.http[HOLDING],
         )
         delivery = ResponseDelivery(
             request, self.app.settings.caller_stall_seconds
--- a/packages/fleet/src/marjoramyard/fleet/util/rpc.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/rpc.py
@@ -1,6 +1,7 @@
 """Internal calls: JSON over HTTP, authenticated by a shared secret."""
 
 import asyncio
+import functools
 import hmac
 import ipaddress
 from collections.abc import Awaitable, Callable
@@ -10,6 +11,7 @@
 import aiohttp
 import msgspec
 from aiohttp import web
+from aiohttp.client_proto import ResponseHandler
 from result import Err, Ok, Result
 
 from marjoramyard.fleet.messages import FailureBody
@@ -43,6 +45,8 @@
 MIN_SECRET_BYTES = 16
 MAX_INTERNAL_BODY = 256 << 20
 MAX_HEAD_BYTES = 256 << 10
+READ_BUFFER_BYTES = 1 << 15
+"""What is read of a connection at once."""
 SMALL_REPLY_BYTES = 64 << 10
 """Replies up to this size are read even if requests fill the account: without
 those of control hosts a process loses its lease."""
@@ -160,6 +164,26 @@
     """There is no room for a reply."""
 
 
+class SmallReadHandler(ResponseHandler):
+    """Reads a connection in small parts.
+
+    What has arrived of many replies at once is not in the account yet.
+    """
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Limits what is read at once."""
+        super().connection_made(transport)
+        transport.max_size = READ_BUFFER_BYTES
+
+
+class SmallReadConnector(aiohttp.TCPConnector):
+    """Opens connections that are read in small parts."""
+
+    def __init__(self, **options: Any):
+        super().__init__(**options)
+        self._factory = functools.partial(SmallReadHandler, loop=self._loop)
+
+
 class InternalClient:
     """Calls other processes of the fleet and counts the traffic.
 
@@ -180,12 +204,13 @@
         self.metrics = metrics
         self.bytes_sent = 0
         self.bytes_received = 0
-        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=30)
+        connector = SmallReadConnector(limit=0, keepalive_timeout=30)
         self.session = aiohttp.ClientSession(
             connector=connector,
             headers=self.headers,
             auto_decompress=False,
             timeout=aiohttp.ClientTimeout(total=None, connect=2.0),
+            read_bufsize=READ_BUFFER_BYTES,
             max_line_size=MAX_HEAD_BYTES,
             max_field_size=MAX_HEAD_BYTES,
             skip_auto_headers=_UNUSED_HEADERS,
--- a/packages/fleet/tests/entry/test_admission.py
+++ b/packages/fleet/tests/entry/test_admission.py
@@ -6,12 +6,14 @@
 
 import msgspec
 import pytest
+from held import new_holding
 from hypothesis import example, given
 from hypothesis import strategies as st
 from multidict import CIMultiDict
 
 from marjoramyard.coordination.governance.bundle import BundleView
 from marjoramyard.fleet.entry.admission import Admission
+from marjoramyard.fleet.util.held_bytes import HeldKind, Holding
 from marjoramyard.kernel.errors import FailureKind, FleetError, failure
 
 KEY_HASH = hashlib.sha256(b"secret-key").hexdigest()
@@ -39,19 +41,31 @@
         self.on_read = on_read
         self.chunks_read = 0
 
-    async def iter_any(self):
-        for chunk in self.chunks:
-            if self.on_read:
-                self.on_read()
-            self.chunks_read += 1
-            yield chunk
+    async def readany(self):
+        if self.chunks_read == len(self.chunks):
+            return b""
+        if self.on_read:
+            self.on_read()
+        self.chunks_read += 1
+        return self.chunks[self.chunks_read - 1]
+
+
+class Request(SimpleNamespace):
+    """A request with the holding that its listener sets."""
+
+    def __getitem__(self, _):
+        return self.holding
+
+    def get(self, _):
+        return self.holding
 
 
 def request(body, path="/v1/chat/completions", method="POST", **headers):
     named = CIMultiDict({"Authorization": "Bearer secret-key"})
     for name, value in headers.items():
         named.add(name.replace("_", "-"), value)
-    return SimpleNamespace(
+    return Request(
+        holding=new_holding(),
         headers=named,
         path=path,
         query_string="",
@@ -171,3 +185,25 @@
     headers = admitted.forwarded_headers()
     dict(headers)["Cookie"].encode()
     assert msgspec.json.encode([headers, admitted.call])
+
+
+async def test_a_body_that_does_not_arrive_in_time_is_refused():
+    """Guards against callers that keep room for bodies they never send."""
+    admission, _ = make()
+
+    class LateBody:
+        async def readany(self):
+            await asyncio.sleep(60.0)
+
+    incoming = request(LateBody(), X_Request_Deadline_Seconds="0.05")
+    incoming.content_length = 90
+    assert await refused(admission, incoming) is FailureKind.REQUEST_TIMEOUT
+
+
+async def test_a_body_without_room_is_refused_and_can_be_sent_again():
+    """Guards against entries that callers' bodies fill."""
+    admission, _ = make()
+    incoming = request(Body([CHAT]))
+    account = incoming.holding.account
+    Holding(account, "counter").force(HeldKind.REQUEST, account.limit)
+    assert await refused(admission, incoming) is FailureKind.BUSY
--- a/tests/agent_endpoints.py
+++ b/tests/agent_endpoints.py
@@ -71,7 +71,7 @@
         return [p for t, p in self.arrivals if t > at and p.startswith(prefix)]
 
     @contextlib.asynccontextmanager
-    async def running(self, **agent_settings):
+    async def running(self, slots=SLOTS, **agent_settings):
         """Starts the agent, and serves and announces the endpoint."""
         await self.fleet.start_agent(self.name, **agent_settings)
         app = web.Application()
@@ -82,7 +82,7 @@
         await web.TCPSite(runner, host, int(port)).start()
         try:
             async with announcing(
-                self.fleet, self.name, self.address, self.service
+                self.fleet, self.name, self.address, self.service, slots
             ):
                 yield self
         finally:
