Bound the former versions that control hosts and gateways know

What operators saw: nothing yet; found while measuring what heartbeats leave behind. Cause: each heartbeat with another software version added an entry that stays for 120 s and is sent to all control hosts and starting gateways; only the number of endpoints was bounded. Change: 10,000 at the most, the first one is forgotten.

The new test fails without the bound.

--- a/packages/coordination/src/marjoramyard/coordination/membership/registrations.py
+++ b/packages/coordination/src/marjoramyard/coordination/membership/registrations.py
@@ -31,6 +31,10 @@
 """Endpoints known at the most. Departed ones are included, so there must be
 room for all endpoints of a large fleet to start again under new names."""
 
+MAX_FORMER_VERSIONS = 10_000
+"""Former versions known at the most; an endpoint may report another one with
+each heartbeat."""
+
 
 class EndpointState(Enum):
     """State of an endpoint, as last reported."""
@@ -165,7 +169,7 @@
         self.received_at[registration.endpoint] = now
         if known is not None and _has_left_version(known, registration):
             version = (known.service, known.software_version)
-            self.former_versions[version] = now
+            self._add_former_version(version, now)
         if known is not None and known.address != registration.address:
             self._release_address(known)
         self.by_endpoint[registration.endpoint] = registration
@@ -312,7 +316,16 @@
             # Nodes that tell each other would otherwise add up the delays of
             # their messages.
             if known_at is None or left_at > known_at + MAX_DELAY_SECONDS:
-                self.former_versions[version] = left_at
+                self._add_former_version(version, left_at)
+
+    def _add_former_version(
+        self, version: tuple[str, str], left_at: float
+    ) -> None:
+        """Adds a former version; forgets the first one if there are many."""
+        self.former_versions.pop(version, None)
+        self.former_versions[version] = left_at
+        if len(self.former_versions) > MAX_FORMER_VERSIONS:
+            del self.former_versions[next(iter(self.former_versions))]
 
     def expire_departed(self, now: float) -> None:
         """Removes endpoints that departed before the retention period."""
--- a/packages/coordination/tests/membership/test_registrations.py
+++ b/packages/coordination/tests/membership/test_registrations.py
@@ -57,6 +57,29 @@
     assert table.merge(make_registration("i-333"), now=200.0)
 
 
+def test_the_number_of_former_versions_is_bounded(monkeypatch):
+    """Guards against control hosts that an endpoint fills which reports
+    another version with each heartbeat.
+    """
+    monkeypatch.setattr(registrations, "MAX_FORMER_VERSIONS", 3)
+    table, other = Registrations(), Registrations()
+    for number in range(10):
+        table.merge(
+            make_registration(
+                sequence=number + 1, software_version=f"v{number}"
+            ),
+            float(number),
+        )
+        other.merge_former_versions(
+            table.list_former_versions(float(number)), float(number)
+        )
+    service = make_registration().service
+    for known in (table, other):
+        assert list(known.former_versions) == [
+            (service, f"v{number}") for number in (6, 7, 8)
+        ]
+
+
 def usable(table):
     return {registration.endpoint for registration in table.usable("llm")}
 
