Refuse a long heartbeat before it is read

What endpoints could see: heartbeats refused with 503 while one endpoint sends long ones. Cause: the limit of 64 KiB was checked once the whole body was held.

--- a/tests/platform/test_control_api.py
+++ b/tests/platform/test_control_api.py
@@ -1,11 +1,13 @@
 """The platform's heartbeats, configurations and headers."""
 
+import asyncio
 import json
 from types import SimpleNamespace
 
 import pytest
 from aiohttp import web
 from aiohttp.test_utils import TestClient, TestServer
+from held import new_account
 from odd_registrations import encode_object, odd_values
 from result import Err, Ok
 
@@ -14,12 +16,17 @@
 from marjoramyard.coordination.routing.config import RequestKind
 from marjoramyard.fleet.sync_messages import StoredConfig
 from marjoramyard.fleet.util import rpc
+from marjoramyard.fleet.util.request_body import HOLDING
 from marjoramyard.kernel.errors import FailureKind, failure, raise_failure
 from marjoramyard.platform.configurations import (
     check_configuration,
     read_configuration,
 )
-from marjoramyard.platform.control_api import platform_routes, read_heartbeat
+from marjoramyard.platform.control_api import (
+    MAX_HEARTBEAT_BYTES,
+    platform_routes,
+    read_heartbeat,
+)
 from marjoramyard.platform.gateway_dialect import HEADERS
 
 HEARTBEAT = {
@@ -124,10 +131,17 @@
 @pytest.fixture
 async def platform():
     service = FakeService()
-    app = web.Application(middlewares=[rpc.render_failures])
+    account = new_account()
+
+    @web.middleware
+    async def hold(request, handler):
+        with account.holding() as request[HOLDING]:
+            return await handler(request)
+
+    app = web.Application(middlewares=[hold, rpc.render_failures])
     app.add_routes(platform_routes(service))
     async with TestClient(TestServer(app)) as client:
-        yield SimpleNamespace(service=service, client=client)
+        yield SimpleNamespace(service=service, client=client, account=account)
 
 
 def test_a_heartbeat_becomes_a_registration():
@@ -155,6 +169,30 @@
     assert isinstance(read_heartbeat("i-1", text), Err)
 
 
+@pytest.mark.parametrize("length", [MAX_HEARTBEAT_BYTES + 1, 9 * 10**12, None])
+async def test_a_long_heartbeat_is_refused_before_it_is_read(platform, length):
+    """Guards against heartbeats that leave no room for those of others."""
+    sent_bytes = 0
+
+    async def send_slowly():
+        nonlocal sent_bytes
+        while sent_bytes < 4 * MAX_HEARTBEAT_BYTES:
+            sent_bytes += 4096
+            yield bytes(4096)
+            await asyncio.sleep(0.01)
+
+    headers = {} if length is None else {"Content-Length": str(length)}
+    response = await platform.client.put(
+        "/v1/endpoints/i-1", data=send_slowly(), headers=headers
+    )
+    assert response.status == 400
+    assert "send fewer fields" in await response.text()
+    assert sent_bytes <= 2 * MAX_HEARTBEAT_BYTES
+    assert platform.account.total == 0
+    assert platform.account.highest <= 2 * MAX_HEARTBEAT_BYTES
+    assert platform.service.refused == ["i-1"]
+
+
 def test_a_heartbeat_that_is_not_valid_json_is_refused():
     truncated = json.dumps(HEARTBEAT).encode()[:-9]
     for text in (truncated, b"\xff\xfe", b"[]", b""):
