Wait for the entry to settle in the test of its memory

The test slept for fixed times, and the removal of its safeguard wasn't noticed on a busy host. It now waits until all responses were sent and the entry no longer grows. Measured: passes in 5 s; fails with 225 MB without the safeguard.

--- a/tests/test_memory_of_entries.py
+++ b/tests/test_memory_of_entries.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 from callers import call
 
-from marjoramyard.standin.local_fleet import start_small_fleet
+from marjoramyard.standin.local_fleet import start_small_fleet, wait_until
 
 MEMORY_MB = 136.0
 ENTRY = "entry-2"
@@ -17,6 +17,9 @@
 RESPONSE_BYTES = (1 << 20) - 1024
 RESPONSES = 150
 PROMPT_SECONDS = 3.0
+POLL_SECONDS = 0.05
+SETTLED_POLLS = 20
+GROWTH_BYTES = 500_000
 
 
 class LateEndpoint(AgentEndpoint):
@@ -24,11 +27,16 @@
 
     Attributes:
         may_end: Set once the responses may end.
+        sent_count: The responses that were sent but for their end.
     """
 
     def __init__(self, *arguments):
         super().__init__(*arguments)
         self.may_end = asyncio.Event()
+        self.sent_count = 0
+
+    async def has_sent_all(self):
+        return self.sent_count == RESPONSES
 
     async def handle(self, request):
         if not request.path.endswith("/large"):
@@ -37,11 +45,24 @@
         response.content_length = RESPONSE_BYTES
         await response.prepare(request)
         await response.write(b"x" * (RESPONSE_BYTES - 1))
+        self.sent_count += 1
         await self.may_end.wait()
         await response.write(b"x")
         return response
 
 
+async def settled_bytes(process):
+    """Returns a process's resident memory once it no longer grows."""
+    highest, steady_count = process.rss_bytes(), 0
+    while steady_count < SETTLED_POLLS:
+        await asyncio.sleep(POLL_SECONDS)
+        resident = process.rss_bytes()
+        has_grown = resident > highest + GROWTH_BYTES
+        steady_count = 0 if has_grown else steady_count + 1
+        highest = max(highest, resident)
+    return highest
+
+
 @pytest.fixture
 async def endpoint(fleet, bundle):
     bundle["workspaces"]["warehouse"] = {"share": 1, "services": ["shop"]}
@@ -88,7 +109,7 @@
         asyncio.create_task(send_late(fleet, number, may_end))
         for number in range(CALLERS)
     ]
-    await asyncio.sleep(1.5)
+    await settled_bytes(entry)
     async with asyncio.timeout(PROMPT_SECONDS):
         other = await call(fleet, "GET", "/services/shop/x", ENTRY, "warehouse")
     assert other.status == 200
@@ -104,8 +125,8 @@
         asyncio.create_task(call(fleet, "GET", "/services/shop/large", ENTRY))
         for _ in range(RESPONSES)
     ]
-    await asyncio.sleep(2.0)
-    resident = entry.rss_bytes()
+    await wait_until(endpoint.has_sent_all, "the responses to be sent")
+    resident = await settled_bytes(entry)
     endpoint.may_end.set()
     responses = await asyncio.gather(*crowd)
     assert resident < MEMORY_MB * 1e6
