Don't let the tests of agents' memory depend on the host's speed

packages/fleet/tests/agent/test_attempts.py::test_a_response_without_room_is_passed_on failed once at a load average of 25: 7 MB were sent in 0.5 s in place of 20. The tests now run until enough bytes were sent, and health checks may take two seconds.

--- a/packages/fleet/tests/agent/test_attempts.py
+++ b/packages/fleet/tests/agent/test_attempts.py
@@ -1,6 +1,7 @@
 """Tests of one attempt at an agent's endpoint."""
 
 import asyncio
+import math
 import time
 from types import SimpleNamespace
 from unittest.mock import Mock
@@ -34,6 +35,7 @@
 
 LIMIT = 20_000_000
 MAX_GROWTH_BYTES = 45_000_000
+MAX_SECONDS = 15.0
 
 
 @pytest.fixture
@@ -99,15 +101,18 @@
 async def run_attempt(
     server: EndlessServer,
     account: HeldBytes,
-    seconds: float,
+    enough_bytes: float,
     call: CallTicket | None = None,
 ) -> Failure | None:
-    """Runs an attempt whose frames are read as they come."""
+    """Runs an attempt whose frames are read as they come.
+
+    It is cancelled once the endpoint has sent enough bytes.
+    """
     endpoint = Endpoint(0)
     endpoint.on_announcement(
         EndpointAnnouncement("e", "e~1", server.address, "chat", 4, "ready")
     )
-    fields = ("POST", "/v1/x", [], seconds, 5.0, "f", "interactive")
+    fields = ("POST", "/v1/x", [], MAX_SECONDS, 5.0, "f", "batch")
     run = RunRequest("a", "w", "chat", *fields, call=call)
     scheduler = Mock(record_start=lambda _: 0.0)
     with account.holding("w") as holding:
@@ -119,7 +124,11 @@
         reader = asyncio.create_task(attempt.stream(0, write, 1.0, b""))
         session = create_endpoint_session(reuses_connections=False)
         try:
-            reason = await attempt.execute(session)
+            attempt.task = asyncio.create_task(attempt.execute(session))
+            while not attempt.task.done() and server.bytes_sent < enough_bytes:
+                await asyncio.sleep(0.01)
+            attempt.cancel()
+            reason = await attempt.task
             attempt.finish(reason)
             await reader
         finally:
@@ -132,7 +141,7 @@
     account = new_account(LIMIT)
     before = resident_bytes()
     async with EndlessServer(*EVENT_WITHOUT_END).running() as server:
-        reason = await run_attempt(server, account, 3.0)
+        reason = await run_attempt(server, account, math.inf)
     assert reason.kind is FailureKind.RESPONSE_TRUNCATED
     assert resident_bytes() - before < MAX_GROWTH_BYTES
     assert account.highest <= LIMIT
@@ -145,9 +154,9 @@
     before = resident_bytes()
     async with EndlessServer(*RESPONSES["chunks"]).running() as server:
         call = CallTicket("k", "d", 0)
-        reason = await run_attempt(server, account, 1.0, call)
-        assert server.bytes_sent > 2 * MAX_GROWTH_BYTES
-    assert reason.kind is FailureKind.DEADLINE
+        enough = 3 * MAX_GROWTH_BYTES
+        reason = await run_attempt(server, account, enough, call)
+    assert reason.kind is FailureKind.CANCELLED
     assert resident_bytes() - before < MAX_GROWTH_BYTES
 
 
@@ -156,7 +165,6 @@
     account = new_account(LIMIT)
     Holding(account, "other").force(HeldKind.REQUEST, LIMIT)
     async with EndlessServer(*RESPONSES["chunks"]).running() as server:
-        reason = await run_attempt(server, account, 0.5)
-        assert server.bytes_sent > LIMIT
-    assert reason.kind is FailureKind.DEADLINE
+        reason = await run_attempt(server, account, LIMIT)
+    assert reason.kind is FailureKind.CANCELLED
     assert account.highest < LIMIT + REPLAY_BUFFER_BYTES
--- a/packages/fleet/tests/agent/test_endpoint.py
+++ b/packages/fleet/tests/agent/test_endpoint.py
@@ -9,6 +9,7 @@
 from endless_replies import RESPONSES, EndlessServer, resident_bytes
 
 from marjoramyard.coordination.governance.orders import Order
+from marjoramyard.fleet.agent import endpoint as endpoint_module
 from marjoramyard.fleet.agent.endpoint import Endpoint
 from marjoramyard.fleet.agent.orders import OrderForwarder
 from marjoramyard.fleet.messages import EndpointAnnouncement
@@ -17,7 +18,7 @@
 from marjoramyard.standin.processes import free_address
 
 MAX_GROWTH_BYTES = 30_000_000
-PROMPT_SECONDS = 0.5
+PROMPT_SECONDS = 2.0
 PAUSE = {"Retry-After": "60"}
 LEAVING = {"Endpoint-Leaving": "1"}
 
@@ -111,8 +112,11 @@
 
 
 @pytest.mark.parametrize("form", RESPONSES)
-async def test_a_health_response_without_an_end_is_not_kept(form):
+async def test_a_health_response_without_an_end_is_not_kept(form, monkeypatch):
     """Guards against agents that a response without an end fills."""
+    monkeypatch.setattr(
+        endpoint_module, "_PROBE_TIMEOUT_SECONDS", 2 * PROMPT_SECONDS
+    )
     before = resident_bytes()
     async with EndlessServer(*RESPONSES[form]).running() as server:
         endpoint = Endpoint(0)
