--- a/packages/coordination/src/marjoramyard/coordination/serving/frames.py
+++ b/packages/coordination/src/marjoramyard/coordination/serving/frames.py
@@ -12,6 +12,8 @@
 from marjoramyard.kernel.util.decoding import decode_json
 
 MAX_HEADER_BYTES = 1 << 20
+MAX_DATA_BYTES = 8 << 20
+"""Twice the largest event of a stream."""
 REPLAY_BUFFER_BYTES = 1 << 18
 
 
@@ -118,11 +120,19 @@
         self.frames.append(frame)
         self.next_number += 1
         self.kept_bytes += len(frame.data)
+        self._discard_sent()
+
+    def _discard_sent(self) -> None:
         # Unsent frames must be kept; `is_full` limits how many there are.
         while self.kept_bytes > self.limit and self.first_kept < self.sent:
             self.kept_bytes -= len(self.frames.popleft().data)
             self.first_kept += 1
 
+    def keep_unsent(self) -> None:
+        """Discards frames that were sent, from now on as soon as they are."""
+        self.limit = 0
+        self._discard_sent()
+
     @property
     def is_full(self) -> bool:
         """Whether the producer should wait until frames have been sent."""
@@ -201,7 +211,8 @@
         """Adds data and returns the frames that are complete now.
 
         Raises:
-            BrokenResponseError: A header is too long or invalid.
+            BrokenResponseError: A header is too long or invalid, or announces
+                too much data.
         """
         self.buffer += data
         frames = []
@@ -223,6 +234,8 @@
                     f"invalid frame header: {error}"
                 ) from error
             del self.buffer[: end + 1]
+            if not 0 <= self.header.size <= MAX_DATA_BYTES:
+                raise BrokenResponseError("invalid size of a frame")
         if len(self.buffer) < self.header.size:
             return None
         data = bytes(self.buffer[: self.header.size])
