Refuse requests that may outlast a stopping gateway before they are passed on

What callers saw: in a planned stop, requests that became whole late in the grace were passed on to an endpoint and ended at the end of the grace with 502 "stopped", outcome unknown, non-repeatable ones among them.

Cause: whether a request may outlast the process was checked only once, when its head was read. Requests whose head came before SIGTERM were never checked again, neither when their body ended nor when they left a broker's queue.

Change: the requests that wait for their body or for a place are refused with 503 and Retry-After as the stop begins, if their deadline is after its end, and each first send checks it once more right before the request is passed on. Repeats of requests that may have run are not affected: they get their answer or 502 as before.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
@@ -31,6 +31,7 @@
 )
 from marjoramyard.fleet.gateway.endpoint_notices import EndpointNotices
 from marjoramyard.fleet.gateway.engine_load import EngineLoads
+from marjoramyard.fleet.gateway.outlasting_requests import OutlastingRequests
 from marjoramyard.fleet.gateway.overload_guard import (
     OverloadGuard,
     needs_engine,
@@ -74,8 +75,7 @@
     Attributes:
         closes_connections: Whether to close connections after the response.
         is_full: Whether too many connections are in use.
-        stops_at: When a draining gateway exits, on the event loop clock in
-            seconds.
+        outlasting: Refuses requests that may outlast a stopping gateway.
         is_refusing: Whether all requests are refused because of draining.
         guard: Refuses or forwards prompts beyond the limit.
         budgets: The retry budgets by service.
@@ -101,7 +101,7 @@
         self.settings = app.settings
         self.closes_connections: Callable[[], bool] = app.stopping.is_set
         self.is_full: Callable[[], bool] = lambda: False
-        self.stops_at = float("inf")
+        self.outlasting = OutlastingRequests()
         self.is_refusing = False
         self.names = view.dialect.headers
         self.context = RequestRunContext(
@@ -116,6 +116,7 @@
             self.names,
             app.metrics,
             origins,
+            outlasting=self.outlasting,
         )
         self.guard = OverloadGuard(view, brokers, app.metrics)
         self.guard.on_started = self._on_started
@@ -147,8 +148,8 @@
                     caller.route.name,
                     caller.seconds_left(caller.arrived_at) * 1000,
                 )
-                self._refuse_if_outlasting_shutdown(caller)
-                caller.body = await self._read_body(request, caller)
+                async with self.outlasting.refusing(caller.deadline_at):
+                    caller.body = await self._read_body(request, caller)
                 response = await self._serve(caller, delivery, trace)
             status, outcome = response.status, "complete"
             return response
@@ -208,19 +209,6 @@
                 retry_after=jitter(BUSY_RETRY_SECONDS),
             )
 
-    def _refuse_if_outlasting_shutdown(self, caller: CallerRequest) -> None:
-        """Refuses, while draining, requests that may outlast the process.
-
-        A long stream would be cut off at the end of the grace period; refused
-        at once, it starts on another gateway.
-        """
-        if caller.deadline_at > self.stops_at:
-            raise_failure(
-                FailureKind.LEAVING,
-                "this gateway shuts down before the deadline; use another one",
-                retry_after=LEAVING_RETRY_SECONDS,
-            )
-
     def _log_request(
         self, request, caller, delivery, trace, started_at, status, outcome
     ) -> None:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
@@ -91,7 +91,7 @@
             while True:
                 with self._permit_refusals():
                     await self.permit.acquire()
-                plan = await self.planner.plan()
+                plan = await self._plan()
                 try:
                     response = await self._send(plan)
                 except SendFailedError as error:
@@ -102,6 +102,17 @@
         finally:
             self.permit.release()
 
+    async def _plan(self) -> SendPlan:
+        """Plans the next send.
+
+        Raises:
+            FleetError: The request can't be placed, or not in time.
+        """
+        if self.progress.may_have_run:
+            return await self.planner.plan()
+        async with self.context.outlasting.refusing(self.caller.deadline_at):
+            return await self.planner.plan()
+
     @contextmanager
     def _permit_refusals(self) -> Iterator[None]:
         """Says truly of refused requests whether they may have run.
@@ -169,14 +180,16 @@
         Raises:
             SendFailedError: The endpoint must not get requests any more, or
                 the caller may have left.
-            FleetError: The deadline has passed, or the key or the lease is no
-                longer valid.
+            FleetError: The deadline has passed, the gateway stops before it,
+                or the key or the lease is no longer valid.
             CallerGoneError: The caller has closed its connection.
         """
         self.progress.may_have_run = self.progress.may_have_run_before
         with self._permit_refusals():
             self.permit.check()
         self._recheck_caller()
+        if not self.progress.may_have_run:
+            self.context.outlasting.check(self.caller.deadline_at)
         is_late = self.context.brokers.lag.is_lagging
         if is_late and self.delivery.is_caller_in_doubt:
             raise SendFailedError(
--- a/packages/fleet/src/marjoramyard/fleet/gateway/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/role.py
@@ -158,7 +158,7 @@
         """
         loop = asyncio.get_running_loop()
         end = self.app.ends_at
-        self.handler.stops_at = end
+        self.handler.outlasting.stop(end)
         notice_end = self.app.stopped_at + BALANCER_NOTICE_SECONDS
         try:
             await asyncio.sleep(min(notice_end, end) - loop.time())
--- a/packages/fleet/src/marjoramyard/fleet/gateway/send_planning.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/send_planning.py
@@ -25,6 +25,7 @@
     estimate_prefill_rate,
 )
 from marjoramyard.fleet.gateway.grant_pace import GrantPaces
+from marjoramyard.fleet.gateway.outlasting_requests import OutlastingRequests
 from marjoramyard.fleet.gateway.request_trace import (
     PlacedBy,
     RequestTrace,
@@ -62,6 +63,7 @@
         metrics: The metrics of the process.
         paces: What brokers have recently granted this gateway.
         origins: What began the streams that callers resume.
+        outlasting: Refuses requests that may outlast a stopping gateway.
     """
 
     view: FleetView
@@ -76,6 +78,9 @@
     metrics: Metrics
     origins: StreamOrigins
     paces: GrantPaces = msgspec.field(default_factory=GrantPaces)
+    outlasting: OutlastingRequests = msgspec.field(
+        default_factory=OutlastingRequests
+    )
 
 
 class SendProgress(msgspec.Struct):
--- a/packages/fleet/tests/gateway/test_role.py
+++ b/packages/fleet/tests/gateway/test_role.py
@@ -5,6 +5,7 @@
 from types import SimpleNamespace
 
 from marjoramyard.fleet.gateway import role as role_module
+from marjoramyard.fleet.gateway.outlasting_requests import OutlastingRequests
 from marjoramyard.fleet.gateway.role import GatewayRole
 
 LATE_POLLS = 5
@@ -38,7 +39,11 @@
     lag = SimpleNamespace(up_to_date_until=time.monotonic)
     context = SimpleNamespace(brokers=SimpleNamespace(lag=lag))
     handler = SimpleNamespace(
-        active_count=0, started_count=0, guard=guard, context=context
+        active_count=0,
+        started_count=0,
+        guard=guard,
+        context=context,
+        outlasting=OutlastingRequests(),
     )
     settings = SimpleNamespace(max_descriptors=1000)
     stopped_at = time.monotonic()
