Refuse requests that may outlast a stopping entry before they are passed on

What callers saw: requests that were queued, or whose body was still coming, when an entry got SIGTERM stayed until the end of its grace. Some were granted a slot on the way and cut at the end; all got 502 "stopped", outcome unknown, also those that had never been sent.

Cause: a stopping entry refused new requests only; what it had begun to read or had queued was treated like running work.

Change: the refusal of requests that may outlast the process moves to fleet/util and is used by entries too: as the stop begins, requests that are being read, and queued ones with a deadline after its end, get 503 with Retry-After and the outcome "not-run"; each attempt checks it once more. Requests that may have run already (repeatable ones after a lost attempt) wait on as before.

--- a/packages/fleet/src/marjoramyard/fleet/entry/request_handler.py
+++ b/packages/fleet/src/marjoramyard/fleet/entry/request_handler.py
@@ -29,6 +29,7 @@
 from marjoramyard.fleet.messages import RunRequest
 from marjoramyard.fleet.refusals import quarantined
 from marjoramyard.fleet.util.control_client import ControlClient
+from marjoramyard.fleet.util.outlasting_requests import OutlastingRequests
 from marjoramyard.fleet.util.pause_requests import requested_pause
 from marjoramyard.kernel.errors import (
     Failure,
@@ -106,11 +107,13 @@
         membership: RouterMembership,
         control: ControlClient,
         dispatchers: Dispatchers,
+        outlasting: OutlastingRequests,
     ):
         self.app = app
         self.membership = membership
         self.control = control
         self.dispatchers = dispatchers
+        self.outlasting = outlasting
         self.call_ledger = CallLedgerClient(control)
         self.retry_budgets = RetryBudgets(membership)
 
@@ -137,11 +140,22 @@
         while response is None:
             if not dispatcher.agents:
                 raise FleetError(_no_endpoint(request))
-            placement = await dispatcher.wait(request, first)
+            placement = await self._wait(request, dispatcher, first)
             response = await self._attempt(request, dispatcher, placement)
             first = True
         return response
 
+    async def _wait(
+        self,
+        request: CallerRequest,
+        dispatcher: ServiceDispatcher,
+        first: bool,
+    ) -> Placement:
+        if request.may_have_run:
+            return await dispatcher.wait(request, first)
+        async with self.outlasting.refusing(request.deadline_at):
+            return await dispatcher.wait(request, first)
+
     async def _try_directly(
         self, request: CallerRequest, dispatcher: ServiceDispatcher
     ) -> web.StreamResponse | None:
@@ -207,13 +221,16 @@
         """Checks the lease and the deadline again, after the wait.
 
         Raises:
-            FleetError: The lease was lost or the deadline passed.
+            FleetError: The lease was lost, the deadline passed or the entry
+                stops before it.
         """
         refusal = self.membership.refusal()
         if refusal is not None:
             raise FleetError(refusal)
         if request.seconds_left() <= 0:
             raise FleetError(_deadline_passed(dispatcher.retry_after()))
+        if not request.may_have_run:
+            self.outlasting.check(request.deadline_at)
 
     @staticmethod
     def _record_loss(
@@ -313,6 +330,7 @@
         can_repeat = reason.kind in _RETRYABLE and (
             request.repeatable or never_ran
         )
+        request.may_have_run = request.may_have_run or not never_ran
         if can_repeat and request.seconds_left() > 0:
             if self.retry_budgets.spend(request):
                 self.app.metrics.count("retries", kind=reason.code)
--- a/packages/fleet/src/marjoramyard/fleet/entry/requests.py
+++ b/packages/fleet/src/marjoramyard/fleet/entry/requests.py
@@ -39,6 +39,7 @@
         deadline_at: Monotonic time, in seconds.
         call: The ticket of a call that must not repeat, else None.
         suspect: Whether an endpoint was lost while the request ran.
+        may_have_run: Whether an endpoint may have run the request.
         delivered: Whether a part of the response was sent to the caller.
         arrived_at: Monotonic time, in seconds.
     """
@@ -54,6 +55,7 @@
     deadline_at: float
     call: CallTicket | None = None
     suspect: bool = False
+    may_have_run: bool = False
     delivered: bool = False
     arrived_at: float = field(default_factory=time.monotonic)
 
--- a/packages/fleet/src/marjoramyard/fleet/entry/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/entry/role.py
@@ -23,6 +23,7 @@
 )
 from marjoramyard.fleet.paths import FREE_PATH, GRANT_PATH
 from marjoramyard.fleet.util.control_client import ControlClient
+from marjoramyard.fleet.util.outlasting_requests import OutlastingRequests
 from marjoramyard.fleet.util.rpc import json_response, read_message
 from marjoramyard.kernel.errors import (
     FailureKind,
@@ -33,6 +34,8 @@
 from marjoramyard.kernel.ids import ServiceId
 
 _DRAIN_POLL_SECONDS = 0.05
+_LEAVING_RETRY_SECONDS = 1.0
+"""`Retry-After` while draining."""
 _PARSER_LIMIT_FACTOR = 4
 """The HTTP parser accepts headers of up to this multiple of the limit, so
 that they are refused with a typed error instead of the library's."""
@@ -44,12 +47,14 @@
     Attributes:
         active: Number of requests being handled.
         leaving: The entry is draining and accepts no new request.
+        outlasting: Refuses requests that may outlast a draining entry.
     """
 
     def __init__(self, app: Application):
         self.app = app
         self.active = 0
         self.leaving = False
+        self.outlasting = OutlastingRequests(_LEAVING_RETRY_SECONDS)
         self.control = ControlClient(app.client, app.settings.control_hosts)
         self.membership = RouterMembership(self.control, app.metrics, self.row)
         self.dispatchers = Dispatchers(app)
@@ -57,7 +62,11 @@
             self.membership, app.settings.max_header_bytes
         )
         self.handler = RequestHandler(
-            app, self.membership, self.control, self.dispatchers
+            app,
+            self.membership,
+            self.control,
+            self.dispatchers,
+            self.outlasting,
         )
         self.metrics = RequestMetrics(app)
         self.membership.agents_listeners.append(self._on_agents)
@@ -118,7 +127,7 @@
             raise_failure(
                 FailureKind.LEAVING,
                 "this entry is being stopped; resend the request to another",
-                retry_after=1.0,
+                retry_after=_LEAVING_RETRY_SECONDS,
             )
         self.active += 1
         try:
@@ -128,7 +137,9 @@
 
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         try:
-            admitted = await self.admission.admit(request)
+            # Their deadline is known once they have been read.
+            async with self.outlasting.refusing(float("inf")):
+                admitted = await self.admission.admit(request)
         except FleetError as error:
             self.app.metrics.count("refusals", kind=error.failure.code)
             raise
@@ -150,6 +161,7 @@
     async def drain(self) -> None:
         """Refuses new requests and waits until the active ones have ended."""
         self.leaving = True
+        self.outlasting.stop(self.app.ends_at)
         self.membership.announce_now()
         while self.active:
             await asyncio.sleep(_DRAIN_POLL_SECONDS)
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_handler.py
@@ -31,7 +31,6 @@
 )
 from marjoramyard.fleet.gateway.endpoint_notices import EndpointNotices
 from marjoramyard.fleet.gateway.engine_load import EngineLoads
-from marjoramyard.fleet.gateway.outlasting_requests import OutlastingRequests
 from marjoramyard.fleet.gateway.overload_guard import (
     OverloadGuard,
     needs_engine,
@@ -53,6 +52,7 @@
 from marjoramyard.fleet.util.connections import has_caller_left, is_half_closed
 from marjoramyard.fleet.util.deadlines import timeout_after_input
 from marjoramyard.fleet.util.jitter import jitter
+from marjoramyard.fleet.util.outlasting_requests import OutlastingRequests
 from marjoramyard.fleet.util.request_body import HOLDING, read_body
 from marjoramyard.kernel.errors import (
     FailureKind,
@@ -101,7 +101,7 @@
         self.settings = app.settings
         self.closes_connections: Callable[[], bool] = app.stopping.is_set
         self.is_full: Callable[[], bool] = lambda: False
-        self.outlasting = OutlastingRequests()
+        self.outlasting = OutlastingRequests(LEAVING_RETRY_SECONDS)
         self.is_refusing = False
         self.names = view.dialect.headers
         self.context = RequestRunContext(
--- a/packages/fleet/src/marjoramyard/fleet/gateway/run_failures.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/run_failures.py
@@ -153,15 +153,6 @@
     )
 
 
-def outlasting_failure() -> Failure:
-    """Returns the failure of a request that may outlast a stopping gateway."""
-    return failure(
-        FailureKind.LEAVING,
-        "this gateway shuts down before the deadline; use another one",
-        retry_after=LEAVING_RETRY_SECONDS,
-    )
-
-
 def stopped_failure(may_have_run: bool) -> Failure:
     """Returns the failure of a request that the gateway's shutdown ends."""
     if may_have_run:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/send_planning.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/send_planning.py
@@ -25,13 +25,13 @@
     estimate_prefill_rate,
 )
 from marjoramyard.fleet.gateway.grant_pace import GrantPaces
-from marjoramyard.fleet.gateway.outlasting_requests import OutlastingRequests
 from marjoramyard.fleet.gateway.request_trace import (
     PlacedBy,
     RequestTrace,
     Unplaceable,
 )
 from marjoramyard.fleet.gateway.run_failures import (
+    LEAVING_RETRY_SECONDS,
     late_failure,
     no_endpoint_failure,
     pace_failure,
@@ -39,6 +39,7 @@
 from marjoramyard.fleet.gateway.stream_origins import StreamOrigins
 from marjoramyard.fleet.gateway.suspects import GatewaySuspects
 from marjoramyard.fleet.gateway.view import FleetView
+from marjoramyard.fleet.util.outlasting_requests import OutlastingRequests
 from marjoramyard.kernel.errors import FleetError
 from marjoramyard.kernel.metrics import Metrics
 
@@ -79,7 +80,7 @@
     origins: StreamOrigins
     paces: GrantPaces = msgspec.field(default_factory=GrantPaces)
     outlasting: OutlastingRequests = msgspec.field(
-        default_factory=OutlastingRequests
+        default_factory=lambda: OutlastingRequests(LEAVING_RETRY_SECONDS)
     )
 
 
--- a/packages/fleet/src/marjoramyard/fleet/gateway/outlasting_requests.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/outlasting_requests.py
@@ -1,27 +1,28 @@
-"""Refuses requests that may outlast the gateway, before they are passed on."""
+"""Refuses requests that may outlast the process, before they are passed on."""
 
 import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
-from marjoramyard.fleet.gateway.run_failures import outlasting_failure
-from marjoramyard.kernel.errors import FleetError
+from marjoramyard.kernel.errors import FailureKind, FleetError, failure
 
 
 class OutlastingRequests:
-    """The requests that may outlast a gateway that is told to stop.
+    """The requests that may outlast a process that is told to stop.
 
     Passed on, they could be cut off at the end of the grace period; refused at
-    once, they run on another gateway.
+    once, they run elsewhere.
 
     Attributes:
+        retry_seconds: `Retry-After` of a refused request.
         stops_at: When requests in progress are ended, on the event loop clock
             in seconds.
         waiting: The time limits of requests that wait for their body or for an
             endpoint, with their deadlines.
     """
 
-    def __init__(self):
+    def __init__(self, retry_seconds: float):
+        self.retry_seconds = retry_seconds
         self.stops_at = float("inf")
         self.waiting: dict[asyncio.Timeout, float] = {}
 
@@ -35,13 +36,13 @@
         self.waiting.clear()
 
     def check(self, deadline_at: float) -> None:
-        """Checks that a request ends before the gateway does.
+        """Checks that a request ends before the process does.
 
         Raises:
             FleetError: It may not; it must not be passed on.
         """
         if deadline_at > self.stops_at:
-            raise FleetError(outlasting_failure())
+            raise self._refusal()
 
     @asynccontextmanager
     async def refusing(self, deadline_at: float) -> AsyncIterator[None]:
@@ -51,7 +52,7 @@
             deadline_at: The deadline of the request.
 
         Raises:
-            FleetError: The gateway stops before the deadline.
+            FleetError: The process stops before the deadline.
         """
         self.check(deadline_at)
         try:
@@ -64,4 +65,13 @@
         except TimeoutError:
             if not limit.expired():
                 raise
-            raise FleetError(outlasting_failure()) from None
+            raise self._refusal() from None
+
+    def _refusal(self) -> FleetError:
+        return FleetError(
+            failure(
+                FailureKind.LEAVING,
+                "this process shuts down before the deadline; use another one",
+                retry_after=self.retry_seconds,
+            )
+        )
--- a/packages/fleet/tests/gateway/test_role.py
+++ b/packages/fleet/tests/gateway/test_role.py
@@ -5,8 +5,8 @@
 from types import SimpleNamespace
 
 from marjoramyard.fleet.gateway import role as role_module
-from marjoramyard.fleet.gateway.outlasting_requests import OutlastingRequests
 from marjoramyard.fleet.gateway.role import GatewayRole
+from marjoramyard.fleet.util.outlasting_requests import OutlastingRequests
 
 LATE_POLLS = 5
 POLL_SECONDS = 0.35
@@ -43,7 +43,7 @@
         started_count=0,
         guard=guard,
         context=context,
-        outlasting=OutlastingRequests(),
+        outlasting=OutlastingRequests(0.05),
     )
     settings = SimpleNamespace(max_descriptors=1000)
     stopped_at = time.monotonic()
--- a/tests/test_stopping_entries.py
+++ b/tests/test_stopping_entries.py
@@ -32,21 +32,24 @@
 
 DRAIN_SECONDS = 10.0
 STREAM_TOKENS = 100
+OUTLASTING_TOKENS = 1000
+PARTIAL_SHARE = 0.95
+"""Of a request: its head and a part of its body."""
 ACTS = 6
 
 
-async def start_fleet(fleet, bundle):
+async def start_fleet(fleet, bundle, *engine_options):
     """Starts an entry and an agent with its endpoint, which may stop."""
     await start_small_fleet(fleet, bundle, control=1, entries=0)
     await fleet.start_entry("entry-1", drain_seconds=DRAIN_SECONDS)
     await fleet.start_agent("chat-1", drain_seconds=DRAIN_SECONDS)
-    await fleet.start_endpoint("chat-1", "engine", "chat")
+    await fleet.start_endpoint("chat-1", "engine", "chat", *engine_options)
     await fleet.wait_until_serving("chat-1")
 
 
-def chat_request(**headers):
-    message = {"role": "user", "content": "Which boots?"}
-    body = {"model": "chat", "messages": [message], "max_tokens": 1}
+def chat_request(content="Which boots?", max_tokens=1, **headers):
+    message = {"role": "user", "content": content}
+    body = {"model": "chat", "messages": [message], "max_tokens": max_tokens}
     return http_request(
         "POST",
         "/v1/chat/completions",
@@ -188,6 +191,51 @@
     assert describe([caller], caller.sent_at) == []
 
 
+async def test_requests_that_may_outlast_a_stopping_entry_are_refused(
+    fleet, bundle
+):
+    """Guards against requests that leave the queue, or whose body ends, late
+    in a grace and are cut at its end."""
+    await start_fleet(fleet, bundle, "--slots", "1")
+    address = fleet.entries["entry-1"]
+    running = repeating(
+        "running", address, chat_request("first", STREAM_TOKENS)
+    )
+    held = [
+        repeating(
+            f"held-{number}",
+            address,
+            chat_request(f"held {number}", OUTLASTING_TOKENS),
+        )
+        for number in range(6)
+    ]
+    queued, partial = held[:3], held[3:]
+
+    async def calls():
+        return len((await fleet.counters("chat-1"))["calls"])
+
+    calls_before = await calls()
+    await running.send()
+
+    async def is_running():
+        return await calls() > calls_before
+
+    await wait_until(is_running, "the first request to run")
+    for client in queued:
+        await client.send()
+    for client in partial:
+        await client.send_part(PARTIAL_SHARE)
+    await fleet.wait_until_healthy(fleet.internal_addresses["entry-1"])
+    child = fleet.children["entry-1"]
+    stopping = asyncio.create_task(child.terminate(DRAIN_SECONDS))
+    refused = await asyncio.gather(*(client.receive() for client in held))
+    assert (await running.receive()).status == 200
+    assert await stopping == 0
+    assert [each.status for each in refused] == [503] * len(held)
+    assert all(b'"outcome":"not-run"' in each.body for each in refused)
+    assert await calls() == calls_before + 1
+
+
 async def test_an_agents_callers_are_answered_while_it_stops(fleet, bundle):
     """An endpoint and entries send on while an agent stops after a stream."""
     await start_fleet(fleet, bundle)
