--- a/packages/fleet/src/marjoramyard/fleet/gateway/send_planning.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/send_planning.py
@@ -31,6 +31,7 @@
     Unplaceable,
 )
 from marjoramyard.fleet.gateway.run_failures import (
+    LEAVING_RETRY_SECONDS,
     late_failure,
     no_endpoint_failure,
     pace_failure,
@@ -38,6 +39,7 @@
 from marjoramyard.fleet.gateway.stream_origins import StreamOrigins
 from marjoramyard.fleet.gateway.suspects import GatewaySuspects
 from marjoramyard.fleet.gateway.view import FleetView
+from marjoramyard.fleet.util.outlasting_requests import OutlastingRequests
 from marjoramyard.kernel.errors import FleetError
 from marjoramyard.kernel.metrics import Metrics
 
@@ -62,6 +64,7 @@
         metrics: The metrics of the process.
         paces: What brokers have recently granted this gateway.
         origins: What began the streams that callers resume.
+        outlasting: Refuses requests that may outlast a stopping gateway.
     """
 
     view: FleetView
@@ -76,6 +79,9 @@
     metrics: Metrics
     origins: StreamOrigins
     paces: GrantPaces = msgspec.field(default_factory=GrantPaces)
+    outlasting: OutlastingRequests = msgspec.field(
+        default_factory=lambda: OutlastingRequests(LEAVING_RETRY_SECONDS)
+    )
 
 
 class SendProgress(msgspec.Struct):
--- a/packages/fleet/tests/gateway/test_role.py
+++ b/packages/fleet/tests/gateway/test_role.py
@@ -6,6 +6,7 @@
 
 from marjoramyard.fleet.gateway import role as role_module
 from marjoramyard.fleet.gateway.role import GatewayRole
+from marjoramyard.fleet.util.outlasting_requests import OutlastingRequests
 
 LATE_POLLS = 5
 POLL_SECONDS = 0.35
@@ -38,7 +39,11 @@
     lag = SimpleNamespace(up_to_date_until=time.monotonic)
     context = SimpleNamespace(brokers=SimpleNamespace(lag=lag))
     handler = SimpleNamespace(
-        active_count=0, started_count=0, guard=guard, context=context
+        active_count=0,
+        started_count=0,
+        guard=guard,
+        context=context,
+        outlasting=OutlastingRequests(0.05),
     )
     settings = SimpleNamespace(max_descriptors=1000)
     stopped_at = time.monotonic()
