Flood the fleet in the soak, and keep the memory of its processes

No test or soak ever ended a process for its memory, so that none saw gateways grow without a bound. The soak now kills processes over 136 MB, as platforms do, and checks that none is; callers and an endpoint with a route and a service of their own send without end, drawn apart so that other faults of a seed stay.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -129,7 +129,8 @@
         f"{len(record.config_changes)} config changes, "
         f"{len(record.fault_spans)} faults, "
         f"{len(record.shutdowns)} stops, "
-        f"{len(record.own_ends)} ended by themselves"
+        f"{len(record.own_ends)} ended by themselves, "
+        f"{record.peak_memory / 1e6:.0f} MB of memory at most"
     )
 
 
--- a/tests/soak/checks/__init__.py
+++ b/tests/soak/checks/__init__.py
@@ -8,6 +8,7 @@
     connections,
     crashing_requests,
     endpoints,
+    memory,
     responses,
     shutdowns,
 )
@@ -21,6 +22,7 @@
     connections,
     crashing_requests,
     endpoints,
+    memory,
     responses,
     shutdowns,
 )
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -13,6 +13,7 @@
 from soak.callers import Callers
 from soak.endpoints import Endpoint
 from soak.fleet import Node, SoakFleet
+from soak.floods import Flood
 from soak.host_faults import HostFaults
 from soak.operator import Operator
 from soak.plan import Fault, FaultKind, PowerLoss, Target
@@ -48,6 +49,7 @@
         self.operator = operator
         self.client: InternalClient | None = None
         self.callers: Callers | None = None
+        self.flood: Flood | None = None
         self.skipped: list[Fault] = []
         self.endpoint_locks = [asyncio.Lock() for _ in endpoints]
 
@@ -68,6 +70,10 @@
             body = f"{CRASHING_PREFIX} {fault.at:.3f}"
             await self.callers.send_crashing_requests(body, fault.seconds)
             return
+        if fault.kind is FaultKind.FLOOD:
+            # No fault of the fleet: the promises to others hold meanwhile.
+            await self.flood.run(fault.seconds)
+            return
         if fault.kind is FaultKind.ISOLATE_CONTROL_HOSTS:
             await self._isolate_control_hosts(fault)
             return
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -23,6 +23,8 @@
 
 TESTS = Path(__file__).parents[1]
 GRACE_SECONDS = 8.0
+MEMORY_MB = 136
+"""The memory of each process, the least of a host in use."""
 KILL_MARGIN_SECONDS = 0.5
 SUPERVISION_INTERVAL_SECONDS = 0.2
 
@@ -166,6 +168,7 @@
             "seeds": self.operator_addresses[:3],
             "peer_port": self.peer_port,
             "trust_network": True,
+            "memory_mb": MEMORY_MB,
             "log": {"format": "json"},
         }
         path = self.folder / f"{name}.yaml"
--- a/tests/soak/operator.py
+++ b/tests/soak/operator.py
@@ -9,6 +9,7 @@
 
 from soak.callers import KEY_COUNT, api_key
 from soak.endpoints import ENGINE_SERVICE, SERVICE
+from soak.floods import FLOOD_HOST, FLOOD_SERVICE
 from soak.raw_connections import RawConnections, http_request
 from soak.record import (
     STREAM_KINDS,
@@ -98,6 +99,15 @@
             routes[0] | {"name": f"v{added}", "hostname": added_hostname(added)}
             for added in self.added[-KEPT_VERSIONS:]
         ]
+        routes.append(
+            routes[0]
+            | {
+                "name": "flood",
+                "hostname": FLOOD_HOST,
+                "path_prefix": "/flood/",
+                "service": FLOOD_SERVICE,
+            }
+        )
         keys = [
             api_key(n)
             for n in range(KEY_COUNT)
@@ -106,7 +116,7 @@
         config = {
             "version": self.version,
             "routes": routes,
-            "services": [{"name": SERVICE}],
+            "services": [{"name": SERVICE}, {"name": FLOOD_SERVICE}],
             "workspaces": [{"name": "shop", "api_keys": keys}],
         }
         if self.has_engines:
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -14,6 +14,9 @@
 MEAN_CRASHING_INTERVAL_SECONDS = 6.0
 """Mean interval between requests that crash endpoints, each sent repeatedly."""
 CRASHING_SECONDS = 5.0
+MEAN_FLOOD_INTERVAL_SECONDS = 5.0
+"""Mean interval between floods by callers and an endpoint."""
+FLOOD_SECONDS = 2.0
 MEAN_STOP_INTERVAL_SECONDS = 6.0
 """Mean interval between series of stops."""
 MEAN_MASS_INTERVAL_SECONDS = 5.0
@@ -70,6 +73,7 @@
     ISOLATE_CONTROL_HOSTS = "split"
     SEND_CRASHING_REQUESTS = "crashing-requests"
     SEND_CRASHING_PARTS = "crashing-parts"
+    FLOOD = "flood"
 
 
 LINK_FAULTS = (
@@ -131,6 +135,7 @@
     Target.CALLER: (
         FaultKind.SEND_CRASHING_REQUESTS,
         FaultKind.SEND_CRASHING_PARTS,
+        FaultKind.FLOOD,
     ),
     Target.OPERATOR: (
         FaultKind.CONFIG,
@@ -138,6 +143,10 @@
         FaultKind.REVOKE_KEY,
     ),
 }
+CRASHING_KINDS = (
+    FaultKind.SEND_CRASHING_REQUESTS,
+    FaultKind.SEND_CRASHING_PARTS,
+)
 TARGET_WEIGHTS = {
     Target.CONTROL: 4,
     Target.GATEWAY: 3,
@@ -256,6 +265,7 @@
         faults += _draw_faults(seed, seconds, size)
         faults += _shedding(seed, seconds, size)
         faults += _crashing(seed, seconds)
+        faults += draw_floods(seed, seconds)
     return sorted(faults, key=lambda fault: fault.at)
 
 
@@ -417,7 +427,23 @@
     faults = []
     at = WARMUP_SECONDS + rng.expovariate(1 / MEAN_CRASHING_INTERVAL_SECONDS)
     while at < seconds:
-        kind = kinds.choice(FAULTS_BY_TARGET[Target.CALLER])
+        kind = kinds.choice(CRASHING_KINDS)
         faults.append(Fault(at, Target.CALLER, kind, 0, CRASHING_SECONDS))
         at += rng.expovariate(1 / MEAN_CRASHING_INTERVAL_SECONDS)
     return faults
+
+
+def draw_floods(seed: int, seconds: float) -> list[Fault]:
+    """Draws when a gateway gets bytes without end from both sides.
+
+    Like `_shedding`, with a generator of its own.
+    """
+    rng = random.Random(f"flooding-{seed}")
+    faults = []
+    at = WARMUP_SECONDS + rng.expovariate(1 / MEAN_FLOOD_INTERVAL_SECONDS)
+    while at < seconds:
+        faults.append(
+            Fault(at, Target.CALLER, FaultKind.FLOOD, 0, FLOOD_SECONDS)
+        )
+        at += rng.expovariate(1 / MEAN_FLOOD_INTERVAL_SECONDS)
+    return faults
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -231,6 +231,19 @@
     had_started: bool = True
 
 
+class MemoryExcess(msgspec.Struct, kw_only=True):
+    """A process that was killed because it used more memory than it has.
+
+    Attributes:
+        used: Its resident memory in bytes.
+    """
+
+    target: str
+    number: int
+    used: int
+    at: float
+
+
 class Record(msgspec.Struct):
     """Everything observed in a run.
 
@@ -240,6 +253,7 @@
         ended_at: The end of the run.
         final_version: The version in force at the end; 0 if not readable.
         is_unreplaced: Whether a lost disk was not replaced in time.
+        peak_memory: The most resident memory of any process, in bytes.
     """
 
     calls: list[Call] = []
@@ -254,10 +268,12 @@
     stalls: list[Stall] = []
     shutdowns: list[Shutdown] = []
     own_ends: list[OwnEnd] = []
+    memory_excesses: list[MemoryExcess] = []
     faults_ended_at: float = 0.0
     ended_at: float = 0.0
     final_version: int = 0
     is_unreplaced: bool = False
+    peak_memory: int = 0
 
 
 CRASHING_PREFIX = "crash"
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -17,6 +17,8 @@
 from soak.endpoints import ENGINE_SERVICE, SERVICE, Endpoint
 from soak.faults import FaultInjector
 from soak.fleet import SoakFleet, soak_fleet
+from soak.floods import Flood
+from soak.memory import keep_memory
 from soak.operator import Operator
 from soak.plan import Fault, FleetSize, draw_power_loss, make_plan
 from soak.pressing import PressingClients
@@ -75,6 +77,11 @@
             for number in range(size.endpoints)
         ]
         injector = FaultInjector(fleet, endpoints, operator)
+        injector.flood = Flood(
+            fleet.operator_addresses, fleet.gateway_addresses, seed
+        )
+        stack.push_async_callback(injector.flood.close)
+        await injector.flood.start()
         metrics = Metrics("soak", "soak")
         stack.callback(metrics.close)
         injector.client = InternalClient("", metrics)
@@ -93,6 +100,10 @@
             ]
             background.append(tasks.create_task(_record_loop_lag(record)))
             background.append(tasks.create_task(fleet.supervise()))
+            background.append(
+                tasks.create_task(injector.flood.send_heartbeats())
+            )
+            background.append(tasks.create_task(keep_memory(fleet, record)))
             await _bootstrap(fleet, operator, probe_session)
             background.append(tasks.create_task(operator.read_repeatedly()))
             callers = Callers(
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -10,6 +10,7 @@
     ConfigRead,
     EndpointCrash,
     FaultSpan,
+    MemoryExcess,
     OwnEnd,
     RouteKind,
     event_count,
@@ -35,6 +36,12 @@
     )
 
 
+def process_over_its_memory(record):
+    record.memory_excesses.append(
+        MemoryExcess(target="gateway", number=0, used=137_000_000, at=104.0)
+    )
+
+
 def test_a_sound_record_passes():
     assert violations(valid_record()) == []
 
@@ -256,6 +263,7 @@
     change_read_and_not_answered: "whole_requests_are_answered",
     response_cut_off: "begun_responses_are_complete",
     process_ended_by_itself: "no_process_ends_by_itself",
+    process_over_its_memory: "memory_stays_within_its_limit",
 }
 
 
--- a/tests/soak/test_plan.py
+++ b/tests/soak/test_plan.py
@@ -16,6 +16,7 @@
     FaultKind,
     FleetSize,
     Target,
+    draw_floods,
     draw_power_loss,
     draw_reloads,
     draw_stops,
@@ -86,7 +87,8 @@
 def test_stops_leave_the_other_faults_as_they_were(seed, seconds):
     """Guards against seeds that no longer give the faults they are kept for."""
     plan = make_plan(seed, seconds, FleetSize())
-    for fault in stops_and_reloads(seed, seconds):
+    separate = stops_and_reloads(seed, seconds) + draw_floods(seed, seconds)
+    for fault in separate:
         plan.remove(fault)
     fields = [
         (f.at, f.target.value, f.kind.value, f.number, f.seconds) for f in plan
