Close endpoints that send what is no part of a response

What callers saw: beside an endpoint of another service that sends interim responses without end, sound callers were answered up to 1.05 s late and a tenth as often; empty lines, chunk sizes and extensions were read until the deadline, up to 1.5 GB on one channel. Cause: aiohttp bounds a head, but neither the number of messages nor the bytes around the content, and a connection in the pool is read whatever arrives. One read took up to 256 KiB, which the parser handles in one turn of the event loop.

The send counts as broken, but not as a lost connection, which would start a search for a crash.

--- a/packages/fleet/src/marjoramyard/fleet/agent/attempt_service.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/attempt_service.py
@@ -85,7 +85,9 @@
         self.delivered: OrderedDict[AttemptId, None] = OrderedDict()
         self.tombstones: OrderedDict[AttemptId, None] = OrderedDict()
         self.answered = RecentAnswers()
-        self.http_session = create_endpoint_session(reuses_connections=False)
+        self.http_session = create_endpoint_session(
+            app.metrics, reuses_connections=False
+        )
 
     def routes(self) -> list[web.RouteDef]:
         """Returns the routes for entries."""
--- a/packages/fleet/src/marjoramyard/fleet/gateway/attempts.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/attempts.py
@@ -12,7 +12,10 @@
 from marjoramyard.coordination.membership.registrations import Registration
 from marjoramyard.fleet.gateway.admission import CallerRequest
 from marjoramyard.fleet.gateway.dialect import HeaderNames
-from marjoramyard.fleet.util.endpoint_session import check_before_send
+from marjoramyard.fleet.util.endpoint_session import (
+    ExcessError,
+    check_before_send,
+)
 from marjoramyard.fleet.util.headers import Headers, header_text
 from marjoramyard.fleet.util.pause_requests import parse_retry_after
 from marjoramyard.fleet.util.response_body import is_final
@@ -173,7 +176,9 @@
                 SendOutcome.NOT_SENT, shorten(repr(error))
             ) from error
         raise SendFailedError(
-            SendOutcome.BROKEN, repr(error), is_connection_lost=True
+            SendOutcome.BROKEN,
+            repr(error),
+            is_connection_lost=not isinstance(error, ExcessError),
         ) from error
     try:
         on_head(response)
--- a/packages/fleet/src/marjoramyard/fleet/gateway/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/role.py
@@ -202,7 +202,7 @@
     lease_seconds = settings.revoke_ms / 1000 - LEASE_MARGIN_SECONDS
     view = FleetView(dialect, lease_seconds)
     async with (
-        open_endpoint_session() as session,
+        open_endpoint_session(app.metrics) as session,
         open_broker_session() as to_brokers,
     ):
         brokers = BrokerClients(
--- a/packages/fleet/src/marjoramyard/fleet/util/response_body.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/response_body.py
@@ -13,6 +13,7 @@
     Termination,
     response_end,
 )
+from marjoramyard.fleet.util.endpoint_session import ExcessError
 from marjoramyard.fleet.util.held_bytes import HeldKind, Holding
 from marjoramyard.kernel.util.numbers import read_whole
 
@@ -141,6 +142,7 @@
             if self.error is not None:
                 reason += f": {self.error!r}"
             is_lost = self.termination is not Termination.FRAMING
+            is_lost &= not isinstance(self.error, ExcessError)
             raise BrokenOffError(reason, is_lost)
         return end
 
