Pass responses on in pieces, and hold what is left until it is written

What callers saw: with the account full, a gateway of 136 MB still grew to 130 to 154 MB beside endpoints that send bodies without end. Cause: a response that found no room was released from the account and then copied and written whole, so that it existed three times. Its broken end also passed without a failure of the endpoint's health. A stream whose gateway was full lost any part of an event, and after one event that was too large no other endpoint could resume it.

A response is passed on in pieces of 16 KiB; the rest stays in the account. Parts of events up to 64 KiB are always held. The endpoint of a passed-on response that breaks off is recorded as failed; the request is not sent again.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/delivery.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/delivery.py
@@ -26,8 +26,12 @@
 
 MAX_EVENT_BYTES = 4 << 20
 """The largest event of a stream."""
+SMALL_EVENT_BYTES = 1 << 16
+"""Parts of events up to this are held even if there is no room."""
 PASSED_ON_BYTES = 1 << 17
 """What is buffered of a response that is passed on as it comes."""
+PIECE_BYTES = 1 << 14
+"""What is written at once of such a response."""
 DOUBT_TICK_SECONDS = 0.01
 DOUBT_TICKS = 10
 """How often a send waits for a tick while its caller may have left."""
@@ -165,15 +169,21 @@
     async def _pass_on(self, body: ResponseBody) -> web.StreamResponse:
         """Sends a response as it comes, no faster than the caller reads."""
         self.is_passed_on = True
-        self.holding.resize(HeldKind.RESPONSE, 0)
-        self.holding.force(HeldKind.RESPONSE, PASSED_ON_BYTES)
+        self._hold_rest(body)
         await self._start(body.response)
-        await self._write(body.take())
-        while data := await body.read_any():
-            await self._write(data)
+        while piece := body.take_piece(PIECE_BYTES) or await body.read_any():
+            await self._write(piece)
+            self._hold_rest(body)
         self.last_end = body.check_end()
         return self.response
 
+    def _hold_rest(self, body: ResponseBody) -> None:
+        """Holds what has not been passed on of a response."""
+        size = len(body.data) + PASSED_ON_BYTES
+        held = self.holding.sizes[HeldKind.RESPONSE]
+        if size != held:
+            self.holding.force(HeldKind.RESPONSE, size - held)
+
     async def _relay_stream(
         self, body: ResponseBody, on_first
     ) -> web.StreamResponse:
@@ -183,6 +193,7 @@
                 SendOutcome.BROKEN, f"resumed with status {upstream.status}"
             )
         self.events.discard_partial()
+        self.is_event_too_large = False
         while data := await body.read_any():
             events = self._feed_events(data)
             if events:
@@ -209,6 +220,10 @@
         size = len(self.events.buffer)
         if size == self.holding.sizes[HeldKind.EVENT]:
             return events
+        if size <= SMALL_EVENT_BYTES:
+            held = self.holding.sizes[HeldKind.EVENT]
+            self.holding.force(HeldKind.EVENT, size - held)
+            return events
         is_large = size > MAX_EVENT_BYTES
         if is_large or not self.holding.resize(HeldKind.EVENT, size):
             self.is_event_too_large = True
--- a/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/request_run.py
@@ -357,8 +357,6 @@
             self._on_connection_lost(plan.endpoint, now)
             if self.permit.is_held:
                 raise self._attempts_error()
-        if self.delivery.is_passed_on:
-            raise self._attempts_error()
         health = self.view.health_of(plan.endpoint.endpoint)
         if error.outcome is not SendOutcome.BROKEN:
             self.progress.may_have_run = self.progress.may_have_run_before
@@ -376,7 +374,7 @@
             if not error.reason.startswith("status"):
                 self.trace.has_broken = True
                 health.record_failure(now)
-            if not self.caller.may_repeat:
+            if not self.caller.may_repeat or self.delivery.is_passed_on:
                 raise self._attempts_error()
         if self.progress.sends >= self.caller.route.max_attempts:
             raise self._attempts_error()
--- a/packages/fleet/src/marjoramyard/fleet/util/response_body.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/response_body.py
@@ -114,6 +114,12 @@
         data, self.data = bytes(self.data), bytearray()
         return data
 
+    def take_piece(self, size: int) -> bytes:
+        """Returns the first bytes of what has been read and forgets them."""
+        piece = bytes(self.data[:size])
+        del self.data[:size]
+        return piece
+
     @property
     def termination(self) -> Termination:
         """What ended the body."""
