Release large responses while they are written

What callers saw: 200 callers who ask a sound endpoint for 8 MB each made a gateway grow by 1,836 MB; with the account, one of 136 MB still reached 137 MB, or 188 MB beside slow readers. Cause: a whole response was copied before its write, and what its caller had not read was copied again into the transport's buffer.

A response over 128 KiB is written in pieces of 16 KiB and released as it is written. Its length is still announced, and its end still checked before.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/delivery.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/delivery.py
@@ -20,7 +20,7 @@
     is_caller_in_doubt,
 )
 from marjoramyard.fleet.util.headers import copy_headers, end_to_end, is_stream
-from marjoramyard.fleet.util.held_bytes import HeldKind
+from marjoramyard.fleet.util.held_bytes import HeldKind, Holding
 from marjoramyard.fleet.util.request_body import HOLDING
 from marjoramyard.fleet.util.response_body import BrokenOffError, ResponseBody
 
@@ -41,6 +41,30 @@
     """The caller has closed its connection."""
 
 
+class LargeResponse(web.StreamResponse):
+    """A complete response, released while it is written.
+
+    Written at once, it would be in memory twice until its caller has read it.
+
+    Attributes:
+        body: What is left to write.
+        holding: Holds what is left.
+    """
+
+    def __init__(self, body: ResponseBody, holding: Holding):
+        super().__init__(status=body.response.status)
+        self.content_length = len(body.data)
+        self.body = body
+        self.holding = holding
+
+    async def write_eof(self, data: bytes = b"") -> None:
+        """Writes the body, no faster than the caller reads."""
+        while piece := self.body.take_piece(PIECE_BYTES):
+            await self.write(piece)
+            self.holding.resize(HeldKind.RESPONSE, len(self.body.data))
+        await super().write_eof(data)
+
+
 class ResponseDelivery:
     """The response to one caller, from one endpoint or several.
 
@@ -160,10 +184,12 @@
         body.is_whole = True
         on_first()
         self.first_at = asyncio.get_running_loop().time()
-        data = body.take()
-        response = web.Response(status=upstream.status, body=data)
+        self.bytes_sent = len(body.data)
+        if self.bytes_sent > PASSED_ON_BYTES:
+            response = LargeResponse(body, self.holding)
+        else:
+            response = web.Response(status=upstream.status, body=body.take())
         copy_headers(end_to_end(list(upstream.headers.items())), response)
-        self.bytes_sent = len(data)
         return response
 
     async def _pass_on(self, body: ResponseBody) -> web.StreamResponse:
--- a/packages/fleet/tests/gateway/test_delivery.py
+++ b/packages/fleet/tests/gateway/test_delivery.py
@@ -399,3 +399,35 @@
     async with relayed(endpoint, NO_ROOM) as (gateway, reader, _):
         assert await read_body(reader) == (b"".join(events), True)
     assert gateway.failures == []
+
+
+@pytest.mark.parametrize("framing", [LENGTH, CHUNKS, CLOSE])
+@pytest.mark.parametrize("request_bytes", [REQUEST, OLD_REQUEST])
+async def test_a_large_response_with_room_arrives_whole(framing, request_bytes):
+    """Guards against large responses that lose a piece or their length."""
+    async with relayed(plain(framing), None, request_bytes) as found:
+        gateway, reader, _ = found
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert b"content-length: %d\r\n" % len(BODY) in head.lower()
+        assert await reader.readexactly(len(BODY)) == BODY
+    delivery = gateway.deliveries[0]
+    assert gateway.failures == []
+    assert not delivery.is_passed_on
+    assert delivery.bytes_sent == len(BODY)
+    assert delivery.holding.sizes[HeldKind.RESPONSE] == 0
+
+
+async def test_a_large_response_is_released_as_its_caller_reads():
+    """Guards against responses that are in memory twice until a slow caller
+    has read them.
+    """
+    size = 32 << 20
+    pieces = [b"x" * (1 << 20)] * (size >> 20)
+    endpoint = Endpoint(pieces, 0.0, LENGTH % size, ends=False)
+    async with relayed(endpoint) as (gateway, reader, _):
+        await reader.readuntil(b"\r\n\r\n")
+        sizes = gateway.deliveries[0].holding.sizes
+        in_kernel = 24 << 20
+        assert size - in_kernel < sizes[HeldKind.RESPONSE] < size
+        await reader.readexactly(size)
+        assert sizes[HeldKind.RESPONSE] == 0
--- a/packages/fleet/tests/gateway/test_request_run.py
+++ b/packages/fleet/tests/gateway/test_request_run.py
@@ -226,3 +226,24 @@
         run._on_send_failed(plan, lost)
     assert caught.value.failure.outcome == Outcome.UNKNOWN.value
     assert [endpoint.endpoint for endpoint, _ in broken] == ["e0"]
+
+
+def test_a_request_whose_response_was_passed_on_is_not_sent_again(
+    view, metrics
+):
+    """Guards against two responses to one request, and against an endpoint
+    that breaks its responses off and still counts as healthy.
+    """
+    add_endpoint(view, "e1")
+    run = make_run(view, metrics, False)
+    assert run.caller.may_repeat
+    run.trace.sends.append("e0")
+    run.progress.may_have_run = True
+    run.delivery.is_passed_on = True
+    broken = SendFailedError(SendOutcome.BROKEN, "ended by failure")
+    with pytest.raises(FleetError) as caught:
+        run._on_send_failed(
+            SendPlan(view.registrations.by_endpoint["e0"]), broken
+        )
+    assert caught.value.failure.outcome == Outcome.UNKNOWN.value
+    assert view.health_of("e0").failures == 1
--- a/tests/platform/test_endless_responses.py
+++ b/tests/platform/test_endless_responses.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import itertools
+import os
 import time
 from pathlib import Path
 
@@ -28,6 +29,11 @@
 SOCKET_BYTES = 2 << 20
 """What the sockets and buffers between an endpoint and a gateway take."""
 MAX_EVENT_BYTES = 4 << 20
+LARGE_BODY = b"x" * (8 << 20)
+LARGE_CALLERS = int(os.environ.get("LARGE_CALLERS", "60"))
+LARGE_DEADLINE_MS = 30_000
+SLOWLY_READ_BYTES = 1 << 20
+PAUSE_SECONDS = 0.1
 ID = "X-Marjoramyard-Attempt-Id"
 SIGNATURE = "X-Marjoramyard-Engine-Signature"
 DEADLINE = "X-Marjoramyard-Deadline-Ms"
@@ -40,7 +46,7 @@
         "hostname": HOSTNAME,
         "path_prefix": f"/{name}/",
         "request_kind": kind,
-        "timeout_ms": 5000,
+        "timeout_ms": 30000,
         "objective_ms": 800,
         "service": service,
         "max_attempts": 2,
@@ -68,6 +74,7 @@
         self.numbers = itertools.count(1)
         self.highest = 0
         self.late = []
+        self.refused = 0
 
     @property
     def child(self):
@@ -79,7 +86,8 @@
 
     async def answer(self, request):
         fields = {ID: request.headers[ID], SIGNATURE: "s"}
-        return web.Response(body=b"ok", headers=fields)
+        body = LARGE_BODY if request.path.endswith("/large") else b"ok"
+        return web.Response(body=body, headers=fields)
 
     @contextlib.asynccontextmanager
     async def serving(self):
@@ -122,14 +130,14 @@
         async with self.fleet.session.put(url, json=heartbeat):
             pass
 
-    def request(self, name, deadline_ms):
+    def request(self, name, deadline_ms, path="x"):
         headers = {
             "Host": HOSTNAME,
             ID: f"a-{next(self.numbers)}",
             DEADLINE: str(deadline_ms),
         }
         address = f"{self.host.ip}:{self.fleet.ports.frontend}"
-        url = f"http://{address}/{name}/x"
+        url = f"http://{address}/{name}/{path}"
         return self.fleet.session.get(url, headers=headers)
 
     async def sound_is_served(self):
@@ -163,9 +171,32 @@
             self.late.append(time.monotonic() - started)
             await asyncio.sleep(SAMPLE_SECONDS)
 
+    async def read_large(self, pause_seconds):
+        """Returns the size of a large response, once it is not refused."""
+        while (size := await self.try_large(pause_seconds)) is None:
+            self.refused += 1
+        return size
+
+    async def try_large(self, pause_seconds):
+        """Returns the size of a large response; None if it was refused."""
+        size = 0
+        async with self.request("sound", LARGE_DEADLINE_MS, "large") as found:
+            if found.status == 503:
+                refusal = (await found.json())["error"]
+                assert refusal["outcome"] == "not-run"
+                await asyncio.sleep(refusal["retry_after"])
+                return None
+            assert found.status == 200, await found.text()
+            async for data in found.content.iter_any():
+                size += len(data)
+                if size < SLOWLY_READ_BYTES:
+                    await asyncio.sleep(pause_seconds)
+        return size
+
     async def sample(self, until):
         while time.monotonic() < until:
-            self.highest = max(self.highest, self.resident_bytes())
+            with contextlib.suppress(OSError):
+                self.highest = max(self.highest, self.resident_bytes())
             await asyncio.sleep(SAMPLE_SECONDS)
 
     async def play(self, form):
@@ -200,6 +231,34 @@
                 yield found
 
 
+@pytest.mark.parametrize("pause_seconds", [0.0, PAUSE_SECONDS])
+async def test_callers_get_large_responses_within_the_memory(
+    deployment, pause_seconds
+):
+    """Guards against a crowd that asks a sound endpoint for large responses
+    and makes a gateway use more memory than it may, or gets parts of them.
+    """
+    deployment.highest = 0
+    deployment.refused = 0
+    sampling = asyncio.create_task(deployment.sample(float("inf")))
+    try:
+        sizes = await asyncio.gather(
+            *(
+                deployment.read_large(pause_seconds)
+                for _ in range(LARGE_CALLERS)
+            )
+        )
+    finally:
+        sampling.cancel()
+        print(
+            f"{LARGE_CALLERS} callers: {deployment.highest / 1e6:.0f} MB, "
+            f"refused {deployment.refused} times"
+        )
+    assert sizes == [len(LARGE_BODY)] * LARGE_CALLERS
+    assert deployment.child.is_running
+    assert deployment.highest < deployment.host.memory_mb * 1e6
+
+
 @pytest.mark.parametrize("name", FORMS)
 async def test_an_endless_response_costs_neither_memory_nor_time(
     deployment, name
