--- a/packages/fleet/src/marjoramyard/fleet/gateway/delivery.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/delivery.py
@@ -20,12 +20,14 @@
     is_caller_in_doubt,
 )
 from marjoramyard.fleet.util.headers import copy_headers, end_to_end, is_stream
-from marjoramyard.fleet.util.held_bytes import HeldKind
+from marjoramyard.fleet.util.held_bytes import HeldKind, Holding
 from marjoramyard.fleet.util.request_body import HOLDING
 from marjoramyard.fleet.util.response_body import BrokenOffError, ResponseBody
 
 MAX_EVENT_BYTES = 4 << 20
 """The largest event of a stream."""
+SMALL_EVENT_BYTES = 1 << 16
+"""Parts of events up to this are held even if there is no room."""
 PASSED_ON_BYTES = 1 << 17
 """What is buffered of a response that is passed on as it comes."""
 DOUBT_TICK_SECONDS = 0.01
@@ -37,6 +39,30 @@
     """The caller has closed its connection."""
 
 
+class LargeResponse(web.StreamResponse):
+    """A complete response, released while it is written.
+
+    Written at once, it would be in memory twice until its caller has read it.
+
+    Attributes:
+        body: What is left to write.
+        holding: Holds what is left.
+    """
+
+    def __init__(self, body: ResponseBody, holding: Holding):
+        super().__init__(status=body.response.status)
+        self.content_length = body.size
+        self.body = body
+        self.holding = holding
+
+    async def write_eof(self, data: bytes = b"") -> None:
+        """Writes the body, no faster than the caller reads."""
+        while chunk := self.body.take_chunk():
+            await self.write(chunk)
+            self.holding.resize(HeldKind.RESPONSE, self.body.size)
+        await super().write_eof(data)
+
+
 class ResponseDelivery:
     """The response to one caller, from one endpoint or several.
 
@@ -156,24 +182,32 @@
         body.is_whole = True
         on_first()
         self.first_at = asyncio.get_running_loop().time()
-        data = body.take()
-        response = web.Response(status=upstream.status, body=data)
+        self.bytes_sent = body.size
+        if self.bytes_sent > PASSED_ON_BYTES:
+            response = LargeResponse(body, self.holding)
+        else:
+            response = web.Response(status=upstream.status, body=body.take())
         copy_headers(end_to_end(list(upstream.headers.items())), response)
-        self.bytes_sent = len(data)
         return response
 
     async def _pass_on(self, body: ResponseBody) -> web.StreamResponse:
         """Sends a response as it comes, no faster than the caller reads."""
         self.is_passed_on = True
-        self.holding.resize(HeldKind.RESPONSE, 0)
-        self.holding.force(HeldKind.RESPONSE, PASSED_ON_BYTES)
+        self._hold_rest(body)
         await self._start(body.response)
-        await self._write(body.take())
-        while data := await body.read_any():
-            await self._write(data)
+        while chunk := body.take_chunk() or await body.read_any():
+            await self._write(chunk)
+            self._hold_rest(body)
         self.last_end = body.check_end()
         return self.response
 
+    def _hold_rest(self, body: ResponseBody) -> None:
+        """Holds what has not been passed on of a response."""
+        size = body.size + PASSED_ON_BYTES
+        held = self.holding.sizes[HeldKind.RESPONSE]
+        if size != held:
+            self.holding.force(HeldKind.RESPONSE, size - held)
+
     async def _relay_stream(
         self, body: ResponseBody, on_first
     ) -> web.StreamResponse:
@@ -183,6 +217,7 @@
                 SendOutcome.BROKEN, f"resumed with status {upstream.status}"
             )
         self.events.discard_partial()
+        self.is_event_too_large = False
         while data := await body.read_any():
             events = self._feed_events(data)
             if events:
@@ -209,6 +244,10 @@
         size = len(self.events.buffer)
         if size == self.holding.sizes[HeldKind.EVENT]:
             return events
+        if size <= SMALL_EVENT_BYTES:
+            held = self.holding.sizes[HeldKind.EVENT]
+            self.holding.force(HeldKind.EVENT, size - held)
+            return events
         is_large = size > MAX_EVENT_BYTES
         if is_large or not self.holding.resize(HeldKind.EVENT, size):
             self.is_event_too_large = True
--- a/packages/fleet/src/marjoramyard/fleet/util/response_body.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/response_body.py
@@ -4,6 +4,8 @@
 the end of a connection alone does not say so.
 """
 
+from collections import deque
+
 import aiohttp
 
 from marjoramyard.coordination.serving.events import EventSplitter
@@ -13,6 +15,7 @@
     Termination,
     response_end,
 )
+from marjoramyard.fleet.util.endpoint_session import ExcessError
 from marjoramyard.fleet.util.held_bytes import HeldKind, Holding
 from marjoramyard.kernel.util.numbers import read_whole
 
@@ -47,6 +50,7 @@
         is_whole: Whether it was read to its end and is complete.
         chunks: What has been read and not taken yet. It is joined once: a
             growing buffer would leave memory in pieces.
+        size: The bytes in `chunks`.
     """
 
     def __init__(
@@ -61,7 +65,8 @@
         self.error: Exception | None = None
         self.has_ended = False
         self.is_whole = False
-        self.chunks: list[bytes] = []
+        self.chunks: deque[bytes] = deque()
+        self.size = 0
 
     async def read_any(self) -> bytes:
         """Returns data that has arrived, or b"" if none will follow.
@@ -96,11 +101,10 @@
         length = self._stated_length()
         if not holding.resize(kind, length):
             return False
-        size = 0
         while chunk := await self.read_any():
             self.chunks.append(chunk)
-            size += len(chunk)
-            if not holding.resize(kind, max(length, size)):
+            self.size += len(chunk)
+            if not holding.resize(kind, max(length, self.size)):
                 return False
         return True
 
@@ -113,8 +117,19 @@
 
     def take(self) -> bytes:
         """Returns what has been read and forgets it."""
-        chunks, self.chunks = self.chunks, []
-        return b"".join(chunks)
+        data = b"".join(self.chunks)
+        self.chunks.clear()
+        self.size = 0
+        return data
+
+    def take_chunk(self) -> bytes:
+        """Returns the first part of what has been read and forgets it.
+
+        Returns b"" if nothing is left.
+        """
+        chunk = self.chunks.popleft() if self.chunks else b""
+        self.size -= len(chunk)
+        return chunk
 
     @property
     def termination(self) -> Termination:
@@ -144,6 +159,7 @@
             if self.error is not None:
                 reason += f": {self.error!r}"
             is_lost = self.termination is not Termination.FRAMING
+            is_lost &= not isinstance(self.error, ExcessError)
             raise BrokenOffError(reason, is_lost)
         return end
 
