Test that an attempt removed while it is sent is released

An entry that takes the last frames after the agent has removed the attempt, 15 s after its end: 10,000 bytes stay in the account for ever. `Attempt.stream` holds the frames again after `_remove` has released them, and `_retain_delivered` finds no attempt to release.

--- a/packages/fleet/tests/agent/test_attempt_service.py
+++ b/packages/fleet/tests/agent/test_attempt_service.py
@@ -1,5 +1,6 @@
 """Tests of attempts at an agent: cancellation, calls, suspects, meters."""
 
+import asyncio
 import time
 from collections import OrderedDict
 from types import SimpleNamespace
@@ -14,7 +15,11 @@
 from marjoramyard.coordination.governance.recent_answers import RecentAnswers
 from marjoramyard.fleet.agent import attempt_service as module
 from marjoramyard.fleet.agent.attempt_service import AttemptService
-from marjoramyard.fleet.agent.attempts import AttemptState, endpoint_headers
+from marjoramyard.fleet.agent.attempts import (
+    Attempt,
+    AttemptState,
+    endpoint_headers,
+)
 from marjoramyard.fleet.agent.calls import start_call
 from marjoramyard.fleet.agent.endpoint import Endpoint
 from marjoramyard.fleet.agent.meters import METERS
@@ -333,3 +338,42 @@
         service._retain_delivered(attempt)
     assert account.total == service.delivered_bytes == 100
     assert list(service.attempts) == list(service.delivered) == ["a18", "a19"]
+
+
+async def test_an_attempt_that_is_removed_while_it_is_sent_is_released():
+    """Guards against bytes that stay in the account for ever once an entry
+    reads the rest of a response that is no longer retained.
+    """
+    account = new_account(1_000_000)
+    service = make_service()
+    service.app.held_bytes = account
+    service.ended, service.delivered = {}, OrderedDict()
+    service.delivered_bytes = 0
+    endpoint = ready_endpoint()
+    attempt = Attempt(
+        run_request(),
+        b"",
+        endpoint,
+        SimpleNamespace(),
+        "engine",
+        Holding(account, "w"),
+    )
+    service.attempts["a1"] = attempt
+    attempt.replay_buffer.begin(200, [])
+    attempt.replay_buffer.add_data(b"x" * 10_000)
+    attempt._hold_frames()
+    attempt.finish(None)
+    may_write = asyncio.Event()
+
+    async def write(_):
+        await may_write.wait()
+
+    sending = asyncio.create_task(attempt.stream(0, write, 1.0, b""))
+    await asyncio.sleep(0)
+    service._remove("a1")
+    assert account.total == 0
+    may_write.set()
+    await sending
+    service._retain_delivered(attempt)
+    service._remove("a1")
+    assert account.total == 0
