Test that requests before a refused head are answered

Three requests that were read whole, then a head over 256 KiB: one of them gets an answer, the others none. `_refuse_input` calls aiohttp's `close`, which ends the loop of requests after the current one.

--- a/packages/fleet/tests/test_input_limits.py
+++ b/packages/fleet/tests/test_input_limits.py
@@ -340,3 +340,25 @@
         return bool(server.listener.connections)
 
     return is_connected
+
+
+async def test_whole_requests_before_a_refused_head_are_answered(server):
+    """Guards against requests that were read whole and get no answer because
+    of what follows them.
+    """
+    server.may_read.clear()
+    reader, writer = await asyncio.open_connection(server.host, server.port)
+    writer.write(GET * 3)
+    await wait_until(_in_progress(server), "the request")
+    writer.write(b"GET / HTTP/1.1\r\n" + HEAD)
+    for _ in range(4):
+        writer.write(b"X-A: " + b"x" * 100_000 + b"\r\n")
+    while not server.refused_count:
+        await asyncio.sleep(0.01)
+    server.may_read.set()
+    response = b""
+    with contextlib.suppress(ConnectionError):
+        while data := await reader.read(BLOCK_BYTES):
+            response += data
+    writer.close()
+    assert response.count(b"HTTP/1.1 200") == 3
