Test that bodies that never come leave room

Four connections state 4 MB each and send nothing: every request with a body gets 503 while they stay. `read_body` takes the stated length at once and has no time limit of its own; at control hosts all share the owner "".

--- a/packages/fleet/tests/test_input_limits.py
+++ b/packages/fleet/tests/test_input_limits.py
@@ -362,3 +362,27 @@
             response += data
     writer.close()
     assert response.count(b"HTTP/1.1 200") == 3
+
+
+async def test_bodies_that_never_come_leave_room_for_sound_requests(server):
+    """Guards against a few silent clients, which state a length and send
+    nothing, that have all requests of everybody else refused.
+    """
+    writers = []
+    for _ in range(4):
+        _, writer = await asyncio.open_connection(server.host, server.port)
+        writer.write(POST + b"Content-Length: %d\r\n\r\n" % 3_999_900)
+        writers.append(writer)
+    await asyncio.sleep(1.0)
+    lines = []
+    for _ in range(5):
+        reader, writer = await asyncio.open_connection(
+            server.host, server.port
+        )
+        writer.write(POST + b"Content-Length: 1000\r\n\r\n" + b"x" * 1000)
+        lines.append(await reader.readline())
+        writer.close()
+        await asyncio.sleep(0.2)
+    for each in writers:
+        each.close()
+    assert [line[9:12] for line in lines] == [b"200"] * 5
