Test that requests behind a lost one are released

A client that leaves with a request behind the current one: 30,035 bytes stay in the account for ever. The end of the handler counts aiohttp's queue again after `connection_lost` has released the holding.

--- a/packages/fleet/tests/test_input_limits.py
+++ b/packages/fleet/tests/test_input_limits.py
@@ -386,3 +386,28 @@
     for each in writers:
         each.close()
     assert [line[9:12] for line in lines] == [b"200"] * 5
+
+
+async def test_requests_behind_a_lost_one_are_released(server):
+    """Guards against bytes that stay in the account for ever once a client
+    leaves with requests behind the current one.
+    """
+    server.may_read.clear()
+    _, writer = await asyncio.open_connection(server.host, server.port)
+    body = b"x" * 30_000
+    writer.write(GET + POST + b"Content-Length: %d\r\n\r\n" % len(body) + body)
+
+    async def is_held():
+        return server.held(HeldKind.UNREAD) >= len(body)
+
+    await wait_until(is_held, "the request in the account")
+    writer.transport.abort()
+
+    async def is_gone():
+        return not server.listener.connections
+
+    await wait_until(is_gone, "the end of the connection")
+    server.may_read.set()
+    await asyncio.sleep(0.5)
+    assert server.account.by_kind[HeldKind.UNREAD] == 0
+    assert server.account.total == 0
