--- a/packages/fleet/tests/gateway/test_unwritten_bytes.py
+++ b/packages/fleet/tests/gateway/test_unwritten_bytes.py
@@ -70,7 +70,6 @@
                 writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
                 await asyncio.sleep(1.5)
             buffered = sum(t.get_write_buffer_size() for t in transports)
-            print("buffered", buffered, "total", account.total)
             for writer in writers:
                 writer.transport.abort()
             with contextlib.suppress(TimeoutError):
