--- a/packages/fleet/src/marjoramyard/fleet/agent/attempt_service.py
+++ b/packages/fleet/src/marjoramyard/fleet/agent/attempt_service.py
@@ -316,7 +316,7 @@
     def _remove(self, attempt_id: AttemptId) -> None:
         attempt = self.attempts.pop(attempt_id, None)
         if attempt is not None:
-            attempt.holding.release()
+            attempt.holding.close()
         self.ended.pop(attempt_id, None)
         self.delivered_bytes -= self.delivered.pop(attempt_id, 0)
 
--- a/packages/fleet/src/marjoramyard/fleet/application.py
+++ b/packages/fleet/src/marjoramyard/fleet/application.py
@@ -59,6 +59,8 @@
 _KEEPALIVE_SECONDS = 75.0
 """Longer than most load balancers keep idle connections."""
 _BACKLOG = 512
+_FLEET_OWNER = "(fleet)"
+"""For whom calls of other processes are held, apart from those from outside."""
 READ_BUFFER_BYTES = 1 << 15
 """What may arrive of a body before its handler reads; twice as much at most."""
 _EXPORTER_DELAY_SECONDS = 10.0
@@ -203,6 +205,7 @@
             self.stopping_seconds,
             answers_half_closed,
             self.held_bytes,
+            _FLEET_OWNER if internal else "",
         )
         middlewares = [listener.track_request, rpc.render_failures]
         if internal and self.secret:
--- a/packages/fleet/src/marjoramyard/fleet/gateway/delivery.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/delivery.py
@@ -223,6 +223,7 @@
             if events:
                 on_first()
                 await self._forward(upstream, events)
+                self._hold_events(0)
             if self.has_started and self.is_chunked:
                 relay = DirectStreamRelay(
                     upstream,
@@ -231,6 +232,7 @@
                     lambda: self.is_event_too_large,
                 )
                 await relay.run()
+                await self._drain()
             if self.is_event_too_large:
                 raise SendFailedError(
                     SendOutcome.BROKEN, "no room for an event without its end"
@@ -238,25 +240,49 @@
         self.last_end = body.check_end()
         return await self._finish(upstream)
 
-    def _feed_events(self, data: bytes) -> bytes:
-        """Returns the events that are complete now; holds what is left."""
+    def _feed_events(self, data: bytes, unsent: int = 0) -> bytes:
+        """Returns the events that are complete now, and holds them.
+
+        Args:
+            data: What was received.
+            unsent: The bytes that have been written and not sent yet.
+        """
         events = self.events.feed(data)
-        size = len(self.events.buffer)
-        if size == self.holding.sizes[HeldKind.EVENT]:
-            return events
-        if size <= SMALL_EVENT_BYTES:
-            held = self.holding.sizes[HeldKind.EVENT]
+        self._hold_events(unsent + len(events))
+        return events
+
+    def _hold_events(self, unsent: int) -> None:
+        """Holds a part of an event, and events that are not sent yet.
+
+        Only a part of an event can be without room: what follows it may be
+        without end.
+        """
+        partial = len(self.events.buffer)
+        size = partial + unsent
+        held = self.holding.sizes[HeldKind.EVENT]
+        if size == held:
+            return
+        if partial <= SMALL_EVENT_BYTES:
             self.holding.force(HeldKind.EVENT, size - held)
-            return events
-        is_large = size > MAX_EVENT_BYTES
+            return
+        is_large = partial > MAX_EVENT_BYTES
         if is_large or not self.holding.resize(HeldKind.EVENT, size):
             self.is_event_too_large = True
             self.events.discard_partial()
-            self.holding.resize(HeldKind.EVENT, 0)
-        return events
+            self.holding.resize(HeldKind.EVENT, unsent)
+
+    async def _drain(self) -> None:
+        """Waits while the caller is slow."""
+        try:
+            await self.response._payload_writer.drain()
+        except ConnectionError as error:
+            raise CallerGoneError(str(error)) from error
+        self._hold_events(0)
 
     def _process_directly(self, data: bytes) -> bytes:
-        events = self._feed_events(data)
+        transport = self.request.transport
+        unsent = transport.get_write_buffer_size() if transport else 0
+        events = self._feed_events(data, unsent)
         if events:
             self._record_write(len(events))
         return events
--- a/packages/fleet/src/marjoramyard/fleet/input_limits.py
+++ b/packages/fleet/src/marjoramyard/fleet/input_limits.py
@@ -10,7 +10,7 @@
 READ_BYTES = 1 << 15
 """What is read of a connection in a turn of the event loop. What it takes to
 parse, such as many small chunks, delays all other connections."""
-RECEIVE_BUFFER_BYTES = 1 << 16
+RECEIVE_BUFFER_BYTES = 1 << 17
 """What the kernel keeps of a connection that isn't read; twice as much at most.
 Without a limit it grows to several megabytes."""
 MAX_QUEUED_BYTES = 1 << 15
--- a/packages/fleet/src/marjoramyard/fleet/listener.py
+++ b/packages/fleet/src/marjoramyard/fleet/listener.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import itertools
+import math
 import socket
 import time
 from collections.abc import Callable
@@ -27,14 +28,14 @@
     has_input,
 )
 from marjoramyard.fleet.util.held_bytes import (
+    LOG_INTERVAL_SECONDS,
     HeldBytes,
     HeldKind,
-    Holding,
     limit_for,
 )
 from marjoramyard.fleet.util.raw_responses import mark_closing, response_bytes
 from marjoramyard.fleet.util.request_body import HOLDING, no_room_failure
-from marjoramyard.fleet.util.rpc import failure_response
+from marjoramyard.fleet.util.rpc import OPEN_PATHS, failure_response
 from marjoramyard.kernel.errors import FailureKind, Outcome, failure
 from marjoramyard.kernel.logs import get_logger
 from marjoramyard.kernel.metrics import Metrics
@@ -44,6 +45,8 @@
 FIRST_REQUEST_SECONDS = 0.25
 """How long a new connection without a request does not count as idle: its
 client is about to send one."""
+WRITE_SECONDS = 60.0
+"""How long a client may take to read a response that is held for it."""
 _TURNS = 12
 """Turns of the event loop in which requests that have arrived are read and most
 of them answered, even when there is no time left."""
@@ -75,6 +78,10 @@
         answers_half_closed: Whether a client that closes its sending side
             after a request gets its response. If not, it has left.
         held_bytes: The account of what the process holds for others.
+        owner: For whom requests are held until they are known to be a
+            workspace's.
+        input_logged_at: When refused input was last logged, by reason;
+            monotonic time, in seconds.
         is_closing: Whether each response closes its connection.
         is_closed: Whether new connections are no longer served.
     """
@@ -86,10 +93,13 @@
         stopping_seconds: Callable[[], float | None] = lambda: None,
         answers_half_closed: bool = False,
         held_bytes: HeldBytes | None = None,
+        owner: str = "",
     ):
         self.address = address
         self.answers_half_closed = answers_half_closed
         self.held_bytes = held_bytes or HeldBytes(limit_for(None), metrics)
+        self.owner = owner
+        self.input_logged_at: dict[InputExcess, float] = {}
         self.metrics = metrics
         self.stopping_seconds = stopping_seconds
         self.connections: dict[web.RequestHandler, ServedConnection] = {}
@@ -203,12 +213,15 @@
 
         What is held for a request is released once its response is written.
         """
-        with self.held_bytes.holding() as holding:
+        with self.held_bytes.holding(self.owner) as holding:
             request[HOLDING] = holding
+            if request.path in OPEN_PATHS:
+                return await self._handle(request, handler)
             if not holding.add(HeldKind.HEAD, _head_size(request)):
                 return failure_response(no_room_failure())
             response = await self._handle(request, handler)
-            await _write_held(response, holding)
+            if holding.sizes[HeldKind.RESPONSE] and response.prepared:
+                await _write_response(request, response)
             return response
 
     async def _handle(
@@ -292,6 +305,11 @@
     ) -> None:
         """Counts and logs a connection whose input is no longer read."""
         self.metrics.count("refused_input", reason=excess.value)
+        now = time.monotonic()
+        last = self.input_logged_at.get(excess, -math.inf)
+        if now < last + LOG_INTERVAL_SECONDS:
+            return
+        self.input_logged_at[excess] = now
         logger.warning(
             "input_refused",
             listener=self.address,
@@ -358,12 +376,17 @@
     return sum(len(name) + len(value) for name, value in request.raw_headers)
 
 
-async def _write_held(response: web.StreamResponse, holding: Holding) -> None:
-    """Writes a response to its end, if its body is held."""
-    is_held = holding.sizes[HeldKind.RESPONSE] > 0
-    if is_held and response.prepared and response.keep_alive is not None:
-        with contextlib.suppress(ConnectionError):
-            await response.write_eof()
+async def _write_response(
+    request: web.Request, response: web.StreamResponse
+) -> None:
+    """Writes a response to its end, unless its client does not read it."""
+    try:
+        async with asyncio.timeout(WRITE_SECONDS):
+            with contextlib.suppress(ConnectionError):
+                await response.write_eof()
+    except TimeoutError:
+        logger.warning("response_not_read", path=request.path)
+        break_off_response(request)
 
 
 async def _pause(round_number: int) -> None:
--- a/packages/fleet/src/marjoramyard/fleet/served_connection.py
+++ b/packages/fleet/src/marjoramyard/fleet/served_connection.py
@@ -390,7 +390,7 @@
         """Called when the connection is closed."""
         if exc is not None:
             self.is_closed_by_peer = True
-        self.holding.release()
+        self.holding.close()
         if self.closing_timer is not None:
             self.closing_timer.cancel()
         if self.half_closed is not None:
@@ -536,7 +536,8 @@
         else:
             if not self.payload.is_eof():
                 _break_off(self.payload, excess)
-            self.http.close()
+            if not self.has_queued_requests:
+                self.http.close()
 
     def _discard(self, size: int) -> None:
         self.discarded_size += size
--- a/packages/fleet/src/marjoramyard/fleet/util/held_bytes.py
+++ b/packages/fleet/src/marjoramyard/fleet/util/held_bytes.py
@@ -8,7 +8,7 @@
 import math
 import time
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from enum import Enum
 
@@ -27,6 +27,8 @@
 MIN_LIMIT_BYTES = 4_000_000
 LOG_INTERVAL_SECONDS = 1.0
 """The interval of log lines about refusals of one kind."""
+ANNOUNCED_SHARE = 0.5
+"""Share of the account for bodies that have not arrived."""
 OWNER_FACTOR = 4
 """An owner may hold this many times what is free, so that a single one can use
 four fifths of the account and newcomers always find room."""
@@ -69,6 +71,7 @@
         highest: The most bytes that were held at once.
         by_kind: Those bytes by kind.
         by_owner: Those bytes by owner: a workspace, or "" for no workspace.
+        announced: Bytes by owner of bodies that have room and have not arrived.
         logged_at: When a refusal was last logged, by kind; monotonic time, in
             seconds.
         not_logged: The refusals by kind that were not logged since then.
@@ -81,6 +84,7 @@
         self.highest = 0
         self.by_kind: Counter[HeldKind] = Counter()
         self.by_owner: Counter[str] = Counter()
+        self.announced: Counter[str] = Counter()
         self.logged_at: dict[HeldKind, float] = {}
         self.not_logged: Counter[HeldKind] = Counter()
         metrics.gauge("held_bytes", self._read_kinds)
@@ -103,6 +107,43 @@
         """Returns whether an empty account has room for some bytes."""
         return size <= OWNER_FACTOR * (self.limit - size)
 
+    def _may_announce(self, size: int, announced: int, by_owner: int) -> bool:
+        free = self.limit * ANNOUNCED_SHARE - announced - size
+        return by_owner + size <= OWNER_FACTOR * free
+
+    def can_ever_announce(self, size: int) -> bool:
+        """Returns whether room may be taken for a body before it arrives."""
+        return self._may_announce(size, 0, 0)
+
+    def may_announce(self, size: int, owner: str) -> bool:
+        """Returns whether an owner may take room for a body that is to come.
+
+        Clients that state a length and send nothing can't take all the room.
+        """
+        announced = self.announced
+        return self._may_announce(size, announced.total(), announced[owner])
+
+    @contextmanager
+    def announcing(
+        self, size: int, owner: str
+    ) -> Iterator[Callable[[int], None]]:
+        """Counts a body that is to come; yields what to tell of its parts."""
+        missing = size
+
+        def on_arrived(part: int) -> None:
+            nonlocal missing
+            arrived = min(part, missing)
+            missing -= arrived
+            self.announced[owner] -= arrived
+
+        self.announced[owner] += size
+        try:
+            yield on_arrived
+        finally:
+            self.announced[owner] -= missing
+            if not self.announced[owner]:
+                del self.announced[owner]
+
     def change(self, kind: HeldKind, owner: str, size: int) -> None:
         """Adds bytes, or removes them if the size is negative."""
         self.total += size
@@ -139,7 +180,7 @@
         try:
             yield holding
         finally:
-            holding.release()
+            holding.close()
 
 
 class Holding:
@@ -150,6 +191,7 @@
         owner: For whom the bytes are held.
         source: Which process they come from, for logs.
         sizes: The bytes by kind.
+        is_closed: Whether nothing is held any more, whatever is still added.
     """
 
     def __init__(self, account: HeldBytes, owner: str = "", source: str = ""):
@@ -157,6 +199,7 @@
         self.owner = owner
         self.source = source
         self.sizes: Counter[HeldKind] = Counter()
+        self.is_closed = False
 
     @property
     def total(self) -> int:
@@ -172,6 +215,8 @@
 
     def add(self, kind: HeldKind, size: int) -> bool:
         """Adds bytes if there is room; returns whether there was."""
+        if self.is_closed:
+            return True
         if size > 0 and not self.account.has_room(size, self.owner):
             self.account.on_refused(kind, self, size)
             return False
@@ -180,6 +225,8 @@
 
     def force(self, kind: HeldKind, size: int) -> None:
         """Adds bytes that can't be refused any more, or removes some."""
+        if self.is_closed:
+            return
         self.sizes[kind] += size
         self.account.change(kind, self.owner, size)
 
@@ -192,3 +239,8 @@
         for kind, size in self.sizes.items():
             self.account.change(kind, self.owner, -size)
         self.sizes.clear()
+
+    def close(self) -> None:
+        """Removes all bytes for good, also those that are added later."""
+        self.release()
+        self.is_closed = True
--- a/packages/fleet/tests/test_closing_listeners_review.py
+++ b/packages/fleet/tests/test_closing_listeners_review.py
@@ -25,6 +25,7 @@
 )
 from marjoramyard.fleet.gateway.role import GatewayRole
 from marjoramyard.fleet.served_connection import ConnectionState
+from marjoramyard.fleet.util.outlasting_requests import OutlastingRequests
 from marjoramyard.fleet.util.raw_responses import response_bytes
 from marjoramyard.kernel.settings import ROLE_SETTINGS
 from marjoramyard.standin.local_fleet import wait_until
@@ -185,6 +186,7 @@
         started_count=1,
         guard=guard,
         context=SimpleNamespace(brokers=SimpleNamespace(lag=lag)),
+        outlasting=OutlastingRequests(),
     )
     role = GatewayRole(app, None, handler)
     role.connections = SimpleNamespace(close_idle=lambda: None)
--- a/packages/fleet/tests/test_input_limits.py
+++ b/packages/fleet/tests/test_input_limits.py
@@ -376,9 +376,7 @@
     await asyncio.sleep(1.0)
     lines = []
     for _ in range(5):
-        reader, writer = await asyncio.open_connection(
-            server.host, server.port
-        )
+        reader, writer = await asyncio.open_connection(server.host, server.port)
         writer.write(POST + b"Content-Length: 1000\r\n\r\n" + b"x" * 1000)
         lines.append(await reader.readline())
         writer.close()
