--- a/bench/limited_callers.py
+++ b/bench/limited_callers.py
@@ -53,16 +53,86 @@
 
 
 KINDS = (
-    Kind("trip-guide", "assistant-llm", "POST", 21.6, 5.006, 5.0, 0.8, True, True, True,
-         (2890, 39600), ((2520, 4), (3780, 68)), (13, 52), 18000),
-    Kind("fit-advice", "assistant-llm", "POST", 23.2, 3.003, 3.0, 0.6, True, False, False,
-         (1800, 6870), ((341, 8), (227, 72)), (6, 22), 4700),
-    Kind("counter-chat", "assistant-llm", "POST", 12.0, 15.015, 15.0, 0.4, True, True, True,
-         (543, 2310), ((103, 40), (69, 84)), (70, 221), 1400),
-    Kind("deposit-hold", "rental-api", "POST", 5.9, 1.002, 1.0, 0.2, False, False, False,
-         (0, 0), (), (0, 0), 600),
-    Kind("stock-check", "rental-api", "GET", 4.0, 1.002, 1.0, 0.2, False, False, True,
-         (0, 0), (), (0, 0), 0),
+    Kind(
+        "trip-guide",
+        "assistant-llm",
+        "POST",
+        21.6,
+        5.006,
+        5.0,
+        0.8,
+        True,
+        True,
+        True,
+        (2890, 39600),
+        ((2520, 4), (3780, 68)),
+        (13, 52),
+        18000,
+    ),
+    Kind(
+        "fit-advice",
+        "assistant-llm",
+        "POST",
+        23.2,
+        3.003,
+        3.0,
+        0.6,
+        True,
+        False,
+        False,
+        (1800, 6870),
+        ((341, 8), (227, 72)),
+        (6, 22),
+        4700,
+    ),
+    Kind(
+        "counter-chat",
+        "assistant-llm",
+        "POST",
+        12.0,
+        15.015,
+        15.0,
+        0.4,
+        True,
+        True,
+        True,
+        (543, 2310),
+        ((103, 40), (69, 84)),
+        (70, 221),
+        1400,
+    ),
+    Kind(
+        "deposit-hold",
+        "rental-api",
+        "POST",
+        5.9,
+        1.002,
+        1.0,
+        0.2,
+        False,
+        False,
+        False,
+        (0, 0),
+        (),
+        (0, 0),
+        600,
+    ),
+    Kind(
+        "stock-check",
+        "rental-api",
+        "GET",
+        4.0,
+        1.002,
+        1.0,
+        0.2,
+        False,
+        False,
+        True,
+        (0, 0),
+        (),
+        (0, 0),
+        0,
+    ),
 )
 
 
@@ -108,13 +178,15 @@
 
     async def watch(self):
         while True:
-            await asyncio.gather(*(self._ask(machine) for machine in self._machines))
+            await asyncio.gather(
+                *(self._ask(machine) for machine in self._machines)
+            )
             await asyncio.sleep(1.0)
 
     async def _ask(self, machine):
         try:
             good = await asyncio.wait_for(self._is_ready(machine), 0.9)
-        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError):
+        except (TimeoutError, OSError, asyncio.IncompleteReadError, ValueError):
             good = False
         if good:
             self._misses[machine.name] = 0
@@ -126,9 +198,13 @@
                 self.in_rotation.discard(machine.name)
 
     async def _is_ready(self, machine):
-        reader, writer = await asyncio.open_connection(machine.address, self._ready_port)
+        reader, writer = await asyncio.open_connection(
+            machine.address, self._ready_port
+        )
         try:
-            writer.write(b"GET /v1/readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+            writer.write(
+                b"GET /v1/readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+            )
             return b" 200 " in await reader.readline()
         finally:
             writer.close()
@@ -137,7 +213,9 @@
         own = [m for m in self._machines if m.zone == zone]
         ready = [m for m in own if m.name in self.in_rotation]
         if not ready:
-            ready = [m for m in self._machines if m.name in self.in_rotation] or own
+            ready = [
+                m for m in self._machines if m.name in self.in_rotation
+            ] or own
         elif len(ready) * 2 < len(own):
             ready = own
         return ready[zlib.crc32(f"{client}/{turn}".encode()) % len(ready)]
@@ -170,8 +248,12 @@
     async def run(self):
         """Starts requests at the rate of the sheet."""
         while True:
-            rates = [k.per_second * self.behaviour.rate
-                     * self.behaviour.rate_of_kind.get(k.name, 1.0) for k in KINDS]
+            rates = [
+                k.per_second
+                * self.behaviour.rate
+                * self.behaviour.rate_of_kind.get(k.name, 1.0)
+                for k in KINDS
+            ]
             extra = 1 + (self.behaviour.hot_factor - 1) * 0.12
             await asyncio.sleep(self._random.expovariate(sum(rates) * extra))
             kind = self._random.choices(KINDS, rates)[0]
@@ -198,9 +280,11 @@
         self.offered[kind.name] += 1
         tenant = self._pick_tenant()
         prompt = self._prompt(kind)
-        leaves = (self._random.random() < self.behaviour.leave_share)
+        leaves = self._random.random() < self.behaviour.leave_share
         for turn in range(1 + self.behaviour.retries):
-            channel, attempt = await self._open(kind, zone, client, turn, deadline_at)
+            channel, attempt = await self._open(
+                kind, zone, client, turn, deadline_at
+            )
             self.attempts.append(attempt)
             if channel is None:
                 if time.monotonic() + 0.1 > deadline_at:
@@ -212,12 +296,18 @@
             retry_after = None
             try:
                 retry_after = await asyncio.wait_for(
-                    self._exchange(channel, attempt, tenant, prompt), max(0.01, limit))
-            except asyncio.TimeoutError:
+                    self._exchange(channel, attempt, tenant, prompt),
+                    max(0.01, limit),
+                )
+            except TimeoutError:
                 attempt.outcome = Outcome.LEFT if leaves else Outcome.TIMED_OUT
                 channel.writer.transport.abort()
-            except (OSError, asyncio.IncompleteReadError, ValueError,
-                    asyncio.LimitOverrunError) as error:
+            except (
+                OSError,
+                asyncio.IncompleteReadError,
+                ValueError,
+                asyncio.LimitOverrunError,
+            ) as error:
                 if attempt.outcome is not Outcome.CUT:
                     attempt.outcome = Outcome.CLOSED
                 attempt.note = repr(error)[:80]
@@ -231,12 +321,19 @@
 
     async def _may_retry(self, attempt, retry_after, deadline_at):
         left = deadline_at - time.monotonic()
-        if left < 0.1 or attempt.outcome in (Outcome.LEFT, Outcome.MIXED, Outcome.TIMED_OUT):
+        if left < 0.1 or attempt.outcome in (
+            Outcome.LEFT,
+            Outcome.MIXED,
+            Outcome.TIMED_OUT,
+        ):
             return False
         if attempt.outcome is Outcome.STATUS:
             if attempt.status in (400, 401, 404, 413, 431):
                 return False
-            if attempt.status not in (408, 421, 429, 503) and not attempt.kind.repeatable:
+            if (
+                attempt.status not in (408, 421, 429, 503)
+                and not attempt.kind.repeatable
+            ):
                 return False
         elif not attempt.kind.repeatable:
             return False
@@ -247,25 +344,41 @@
     def _pick_tenant(self):
         tenants = self._plan.tenants()
         hot = self.behaviour.hot_tenant
-        if hot in tenants and self._random.random() < 0.1 * self.behaviour.hot_factor / (
-                1 + 0.1 * self.behaviour.hot_factor):
+        if (
+            hot in tenants
+            and self._random.random()
+            < 0.1
+            * self.behaviour.hot_factor
+            / (1 + 0.1 * self.behaviour.hot_factor)
+        ):
             return hot
         names = list(tenants)
-        return self._random.choices(names, [1 / (i + 1) ** 1.2 for i in range(len(names))])[0]
+        return self._random.choices(
+            names, [1 / (i + 1) ** 1.2 for i in range(len(names))]
+        )[0]
 
     def _prompt(self, kind):
         if not kind.streams:
             return None
-        own = min(kind.prompt[1], self._random.lognormvariate(0, 1.0) * kind.prompt[0] * 0.61)
+        own = min(
+            kind.prompt[1],
+            self._random.lognormvariate(0, 1.0) * kind.prompt[0] * 0.61,
+        )
         parts = []
         for number, (tokens, things) in enumerate(kind.parts):
-            thing = 0 if self._random.random() < self.behaviour.hot_key_share else (
-                self._random.randrange(things))
+            thing = (
+                0
+                if self._random.random() < self.behaviour.hot_key_share
+                else (self._random.randrange(things))
+            )
             name = zlib.crc32(f"{kind.name}/{number}/{thing}".encode())
             parts.append((f"{name:08x}", tokens))
         parts.append((f"{self._random.getrandbits(32):08x}", int(own) + 1))
-        events = min(kind.events[1],
-                     int(self._random.lognormvariate(0, 0.8) * kind.events[0] * 0.73) + 1)
+        events = min(
+            kind.events[1],
+            int(self._random.lognormvariate(0, 0.8) * kind.events[0] * 0.73)
+            + 1,
+        )
         return parts, events
 
     async def _open(self, kind, zone, client, turn, deadline_at):
@@ -274,18 +387,38 @@
         idle = self._idle[zone]
         while idle and turn == 0 and self._random.random() < KEPT_SHARE:
             channel = idle.pop(self._random.randrange(len(idle)))
-            if now - channel.idle_since < KEEP_SECONDS and not channel.reader.at_eof() and (
-                    not channel.writer.is_closing()):
-                return channel, Attempt(attempt_id, kind, channel.machine.name, True, now,
-                                        deadline_at)
+            if (
+                now - channel.idle_since < KEEP_SECONDS
+                and not channel.reader.at_eof()
+                and (not channel.writer.is_closing())
+            ):
+                return channel, Attempt(
+                    attempt_id,
+                    kind,
+                    channel.machine.name,
+                    True,
+                    now,
+                    deadline_at,
+                )
             channel.writer.close()
-        machine = self._entry.pick(zone, f"{zone}/{client}/{self._random.randrange(3)}", turn)
-        attempt = Attempt(attempt_id, kind, machine.name, False, now, deadline_at)
+        machine = self._entry.pick(
+            zone, f"{zone}/{client}/{self._random.randrange(3)}", turn
+        )
+        attempt = Attempt(
+            attempt_id, kind, machine.name, False, now, deadline_at
+        )
         try:
-            reader, writer = await asyncio.wait_for(asyncio.open_connection(
-                machine.address, self._entry.frontend_port, limit=1 << 20), 1.0)
-        except (OSError, asyncio.TimeoutError) as error:
-            attempt.outcome, attempt.note = Outcome.NO_CONNECTION, repr(error)[:60]
+            reader, writer = await asyncio.wait_for(
+                asyncio.open_connection(
+                    machine.address, self._entry.frontend_port, limit=1 << 20
+                ),
+                1.0,
+            )
+        except (TimeoutError, OSError) as error:
+            attempt.outcome, attempt.note = (
+                Outcome.NO_CONNECTION,
+                repr(error)[:60],
+            )
             attempt.ended_at = time.monotonic()
             return None, attempt
         return Channel(reader, writer, machine), attempt
@@ -293,17 +426,22 @@
     def _head(self, attempt, tenant, prompt, size):
         host, path, key = self._plan.place(attempt.kind, tenant, self._random)
         left = int((attempt.deadline_at - time.monotonic()) * 1000)
-        lines = [f"{attempt.kind.method} {path} HTTP/1.1", f"Host: {host}",
-                 f"X-Marjoramyard-Attempt-Id: {attempt.id}",
-                 f"X-Marjoramyard-Deadline-Ms: {max(1, left)}"]
+        lines = [
+            f"{attempt.kind.method} {path} HTTP/1.1",
+            f"Host: {host}",
+            f"X-Marjoramyard-Attempt-Id: {attempt.id}",
+            f"X-Marjoramyard-Deadline-Ms: {max(1, left)}",
+        ]
         if prompt:
             parts, events = prompt
             total = sum(tokens for _, tokens in parts)
-            lines += ["X-Marjoramyard-Model: m",
-                      f"X-Marjoramyard-Token-Counts: {total},{events * 4}",
-                      "X-Marjoramyard-Prefix-Hash: "
-                      + ",".join(f"{name}:{tokens}" for name, tokens in parts),
-                      f"X-Marjoramyard-Length-Hint: {events * 4}"]
+            lines += [
+                "X-Marjoramyard-Model: m",
+                f"X-Marjoramyard-Token-Counts: {total},{events * 4}",
+                "X-Marjoramyard-Prefix-Hash: "
+                + ",".join(f"{name}:{tokens}" for name, tokens in parts),
+                f"X-Marjoramyard-Length-Hint: {events * 4}",
+            ]
             lines.append(f"X-Api-Key: {key}")
         if attempt.kind.method == "POST":
             lines.append(f"Content-Length: {size}")
@@ -313,8 +451,14 @@
         kind = attempt.kind
         size = 0
         if kind.method == "POST":
-            size = int(min(4_000_000, kind.body_bytes * self.behaviour.body_factor
-                           * self._random.uniform(0.5, 1.5)))
+            size = int(
+                min(
+                    4_000_000,
+                    kind.body_bytes
+                    * self.behaviour.body_factor
+                    * self._random.uniform(0.5, 1.5),
+                )
+            )
         body = b"b" * size
         channel.writer.write(self._head(attempt, tenant, prompt, size) + body)
         await channel.writer.drain()
@@ -322,8 +466,10 @@
         reader = channel.reader
         head = await reader.readuntil(b"\r\n\r\n")
         first, *lines = head[:-4].decode("latin-1").split("\r\n")
-        headers = {k.strip().lower(): v.strip() for k, _, v in
-                   (line.partition(":") for line in lines)}
+        headers = {
+            k.strip().lower(): v.strip()
+            for k, _, v in (line.partition(":") for line in lines)
+        }
         attempt.status = int(first.split(" ")[1])
         attempt.outcome = Outcome.CUT
         slow = self._random.random() < self.behaviour.slow_share
@@ -344,7 +490,11 @@
             channel.idle_since = time.monotonic()
             self._idle[self._zone_of(channel)].append(channel)
         with contextlib.suppress(ValueError):
-            return float(headers["retry-after"]) if "retry-after" in headers else None
+            return (
+                float(headers["retry-after"])
+                if "retry-after" in headers
+                else None
+            )
         return None
 
     @staticmethod
@@ -372,11 +522,16 @@
         if "x-marjoramyard-engine-signature" not in headers:
             attempt.outcome, attempt.note = Outcome.MIXED, "no signature"
         elif prompt:
-            wanted = b"".join(event(attempt.id, n) for n in range(1, prompt[1] + 1))
+            wanted = b"".join(
+                event(attempt.id, n) for n in range(1, prompt[1] + 1)
+            )
             if data != wanted:
-                attempt.outcome, attempt.note = Outcome.MIXED, (
-                    f"{len(data)} of {len(wanted)} bytes")
+                attempt.outcome, attempt.note = (
+                    Outcome.MIXED,
+                    (f"{len(data)} of {len(wanted)} bytes"),
+                )
         elif not data.startswith(attempt.id.encode()):
-            attempt.outcome, attempt.note = Outcome.MIXED, "another request's body"
-
-
+            attempt.outcome, attempt.note = (
+                Outcome.MIXED,
+                "another request's body",
+            )
--- a/bench/limited_deploy.py
+++ b/bench/limited_deploy.py
@@ -20,7 +20,10 @@
 
     def body(self, value):
         if isinstance(value, dict):
-            return {self._fields.get(k, k): self._value(k, v) for k, v in value.items()}
+            return {
+                self._fields.get(k, k): self._value(k, v)
+                for k, v in value.items()
+            }
         if isinstance(value, list):
             return [self.body(entry) for entry in value]
         return value
@@ -44,7 +47,11 @@
         for part in name.split("."):
             if isinstance(value, dict) and part in value:
                 value = value[part]
-            elif isinstance(value, list) and part.isdigit() and int(part) < len(value):
+            elif (
+                isinstance(value, list)
+                and part.isdigit()
+                and int(part) < len(value)
+            ):
                 value = value[int(part)]
             else:
                 value = _MISSING
@@ -88,12 +95,12 @@
     """Fills in a template; `stack` holds pairs of key and scope."""
     out, position = [], 0
     while match := _TAG.search(text, position):
-        out.append(text[position:match.start()])
+        out.append(text[position : match.start()])
         position = match.end()
         sort, name, as_json = match.groups()
         if sort in ("#", "^"):
             end = _section_end(text, position, name)
-            inner = text[position:end.start()]
+            inner = text[position : end.start()]
             position = end.end()
             entries = _entries(_look_up(name, stack))
             if sort == "^":
@@ -101,12 +108,18 @@
                 continue
             for number, entry in enumerate(entries):
                 comma = "," if number < len(entries) - 1 else ""
-                out.append(render(inner.replace("{{,}}", comma), [*stack, entry]))
+                out.append(
+                    render(inner.replace("{{,}}", comma), [*stack, entry])
+                )
         elif name == "@":
             out.append(str(stack[-1][0]))
         else:
             value = _look_up(name, stack)
-            out.append(json.dumps(value, separators=(",", ":")) if as_json else _plain(value))
+            out.append(
+                json.dumps(value, separators=(",", ":"))
+                if as_json
+                else _plain(value)
+            )
     return "".join([*out, text[position:]])
 
 
--- a/bench/limited_engines.py
+++ b/bench/limited_engines.py
@@ -35,8 +35,14 @@
 
 
 BROKEN = {
-    Fault.ERRORS, Fault.HANG, Fault.MUTE, Fault.RESET, Fault.CUT, Fault.GARBAGE,
-    Fault.ENDLESS, Fault.ANSWER_LOST,
+    Fault.ERRORS,
+    Fault.HANG,
+    Fault.MUTE,
+    Fault.RESET,
+    Fault.CUT,
+    Fault.GARBAGE,
+    Fault.ENDLESS,
+    Fault.ANSWER_LOST,
 }
 
 
@@ -61,7 +67,12 @@
 
 
 def event(attempt: str, number: int) -> bytes:
-    return b"id: %d\ndata: %s-%d %s\n\n" % (number, attempt.encode(), number, b"x" * 24)
+    return b"id: %d\ndata: %s-%d %s\n\n" % (
+        number,
+        attempt.encode(),
+        number,
+        b"x" * 24,
+    )
 
 
 def plain_body(attempt: str, size: int) -> bytes:
@@ -93,7 +104,18 @@
 class Engine:
     """One engine: a server, a heartbeat, and its faults."""
 
-    def __init__(self, service, is_model, address, port, zone, controls, ledger, wire, seed):
+    def __init__(
+        self,
+        service,
+        is_model,
+        address,
+        port,
+        zone,
+        controls,
+        ledger,
+        wire,
+        seed,
+    ):
         self.service, self.is_model, self.zone = service, is_model, zone
         self.address, self.port = address, port
         self._controls, self._ledger, self._wire = controls, ledger, wire
@@ -119,7 +141,8 @@
         self._prefill = asyncio.Lock()
         self.state = "ready"
         self._server = await asyncio.start_server(
-            self._serve, self.address, self.port, limit=HEAD_LIMIT, backlog=512)
+            self._serve, self.address, self.port, limit=HEAD_LIMIT, backlog=512
+        )
         self._beats = asyncio.create_task(self._beat())
 
     async def crash(self):
@@ -150,13 +173,21 @@
     def _entry(self):
         self._seq += 1
         entry = {
-            "service": self.service, "address": f"{self.address}:{self.port}",
-            "zone": self.zone, "version": "v1", "slots": 64 if self.is_model else 6,
-            "state": self.state, "cold_left_ms": 0, "seq": self._seq, "born": self._born,
+            "service": self.service,
+            "address": f"{self.address}:{self.port}",
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 64 if self.is_model else 6,
+            "state": self.state,
+            "cold_left_ms": 0,
+            "seq": self._seq,
+            "born": self._born,
         }
         if self.is_model:
-            entry |= {"phase": "mixed",
-                      "models": [{"name": "m", "version": 1, "adapters": []}]}
+            entry |= {
+                "phase": "mixed",
+                "models": [{"name": "m", "version": 1, "adapters": []}],
+            }
         return entry
 
     async def _beat(self):
@@ -174,13 +205,31 @@
             self.beats_sent += 1
             try:
                 status, reply = await asyncio.wait_for(
-                    call(self._wire, address, method, "/v1/instances/{}", body, self.id), 1.0)
-            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError):
+                    call(
+                        self._wire,
+                        address,
+                        method,
+                        "/v1/instances/{}",
+                        body,
+                        self.id,
+                    ),
+                    1.0,
+                )
+            except (
+                TimeoutError,
+                OSError,
+                asyncio.IncompleteReadError,
+                ValueError,
+            ):
                 self._preferred = None
                 continue
             if 200 <= status < 300:
                 self.beats_acknowledged += 1
-                given = reply.get("heartbeat_addr") if isinstance(reply, dict) else None
+                given = (
+                    reply.get("heartbeat_addr")
+                    if isinstance(reply, dict)
+                    else None
+                )
                 self._preferred = given or address
                 return True
             self._preferred = None
@@ -196,12 +245,21 @@
         try:
             while True:
                 first, headers, body = await asyncio.wait_for(
-                    read_message(reader), IDLE_SECONDS)
+                    read_message(reader), IDLE_SECONDS
+                )
                 method, path, _ = first.split(" ", 2)
-                if not await self._answer(method, path, headers, body, reader, writer):
+                if not await self._answer(
+                    method, path, headers, body, reader, writer
+                ):
                     return
-        except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError,
-                asyncio.TimeoutError, ValueError, asyncio.CancelledError):
+        except (
+            TimeoutError,
+            OSError,
+            asyncio.IncompleteReadError,
+            asyncio.LimitOverrunError,
+            ValueError,
+            asyncio.CancelledError,
+        ):
             pass
         finally:
             self._tasks.discard(task)
@@ -215,11 +273,14 @@
             return own
         attempt = headers.get("x-marjoramyard-attempt-id", "")
         self._ledger.arrivals[attempt].append(
-            Arrival(time.monotonic(), self.service, self.id, False))
+            Arrival(time.monotonic(), self.service, self.id, False)
+        )
         arrival = self._ledger.arrivals[attempt][-1]
         target = headers.get("x-marjoramyard-target-instance")
         if target and target != self.id:
-            return self._write(writer, 421, {"X-Marjoramyard-Instance-Id": self.id})
+            return self._write(
+                writer, 421, {"X-Marjoramyard-Instance-Id": self.id}
+            )
         refused = {"X-Marjoramyard-Not-Executed": "1"}
         if not attempt:
             return self._write(writer, 400, refused)
@@ -232,11 +293,16 @@
             return self._write(writer, 503, refused)
         if fault in BROKEN:
             self._ledger.broken.add(attempt)
-        deadline = time.monotonic() + int(headers.get("x-marjoramyard-deadline-ms", 5000)) / 1e3
+        deadline = (
+            time.monotonic()
+            + int(headers.get("x-marjoramyard-deadline-ms", 5000)) / 1e3
+        )
         self._waiting += 1
         try:
-            await asyncio.wait_for(self._slots.acquire(), max(0.01, deadline - time.monotonic()))
-        except asyncio.TimeoutError:
+            await asyncio.wait_for(
+                self._slots.acquire(), max(0.01, deadline - time.monotonic())
+            )
+        except TimeoutError:
             return self._write(writer, 503, refused)
         finally:
             self._waiting -= 1
@@ -244,7 +310,9 @@
         try:
             if reader.at_eof():
                 return False
-            return await self._run(attempt, headers, fault, arrival, deadline, reader, writer)
+            return await self._run(
+                attempt, headers, fault, arrival, deadline, reader, writer
+            )
         except asyncio.CancelledError:
             self._ledger.broken.add(attempt)
             raise
@@ -252,11 +320,15 @@
             self._active -= 1
             self._slots.release()
 
-    async def _run(self, attempt, headers, fault, arrival, deadline, reader, writer):
+    async def _run(
+        self, attempt, headers, fault, arrival, deadline, reader, writer
+    ):
         signature = f"3e1b.{self.id}.{attempt}"
-        shared = {"X-Marjoramyard-Attempt-Id": attempt,
-                  "X-Marjoramyard-Engine-Signature": signature,
-                  "Keep-Alive": f"timeout={int(IDLE_SECONDS)}"}
+        shared = {
+            "X-Marjoramyard-Attempt-Id": attempt,
+            "X-Marjoramyard-Engine-Signature": signature,
+            "Keep-Alive": f"timeout={int(IDLE_SECONDS)}",
+        }
         closes = self._random.random() < 0.005
         if closes:
             shared["Connection"] = "close"
@@ -264,7 +336,9 @@
             work = min(0.22, self._random.lognormvariate(-3.6, 0.5))
             arrival.ran = True
             await asyncio.sleep(work * (5 if fault is Fault.SLOW else 1))
-            if not await self._misbehave(fault, shared, reader, writer, deadline):
+            if not await self._misbehave(
+                fault, shared, reader, writer, deadline
+            ):
                 return False
             self._ledger.statuses[attempt] = 200
             body = plain_body(attempt, self._random.randint(300, 1600))
@@ -279,13 +353,23 @@
         arrival.ran = True
         if not await self._misbehave(fault, shared, reader, writer, deadline):
             return False
-        tokens = int(headers.get("x-marjoramyard-token-counts", "10,40").split(",")[1])
+        tokens = int(
+            headers.get("x-marjoramyard-token-counts", "10,40").split(",")[1]
+        )
         total = max(1, tokens // TOKENS_PER_EVENT)
         first = int(headers.get("last-event-id", 0) or 0) + 1
         self._ledger.statuses[attempt] = 200
-        writer.write(self._head(200, {**shared, "Content-Type": "text/event-stream",
-                                      "X-Marjoramyard-Weight-Versions": "1",
-                                      "Transfer-Encoding": "chunked"}))
+        writer.write(
+            self._head(
+                200,
+                {
+                    **shared,
+                    "Content-Type": "text/event-stream",
+                    "X-Marjoramyard-Weight-Versions": "1",
+                    "Transfer-Encoding": "chunked",
+                },
+            )
+        )
         for number in range(first, total + 1):
             data = event(attempt, number)
             if fault is Fault.CUT and number > total // 2:
@@ -294,10 +378,19 @@
                 return False
             writer.write(b"%x\r\n%s\r\n" % (len(data), data))
             await writer.drain()
-            if reader.at_eof() or writer.is_closing() or time.monotonic() > deadline:
+            if (
+                reader.at_eof()
+                or writer.is_closing()
+                or time.monotonic() > deadline
+            ):
                 return False
             step = STEP_MS + STEP_MS_PER_SLOT * self._active
-            await asyncio.sleep(step * TOKENS_PER_EVENT / 1e3 * (5 if fault is Fault.SLOW else 1))
+            await asyncio.sleep(
+                step
+                * TOKENS_PER_EVENT
+                / 1e3
+                * (5 if fault is Fault.SLOW else 1)
+            )
         writer.write(b"0\r\n\r\n")
         if fault is Fault.EXTRA:
             writer.write(self._head(200, {**shared, "Content-Length": "0"}))
@@ -324,7 +417,11 @@
         if fault is Fault.ENDLESS:
             writer.write(self._head(200, {**shared, "Connection": "close"}))
             sent = 0
-            while sent < ENDLESS_BYTES and time.monotonic() < deadline and not reader.at_eof():
+            while (
+                sent < ENDLESS_BYTES
+                and time.monotonic() < deadline
+                and not reader.at_eof()
+            ):
                 writer.write(b"y" * 65536)
                 sent += 65536
                 await writer.drain()
@@ -333,9 +430,15 @@
 
     async def _prefill_prompt(self, headers, slowness):
         async with self._prefill:
-            prompt = int(headers.get("x-marjoramyard-token-counts", "10,40").split(",")[0])
+            prompt = int(
+                headers.get("x-marjoramyard-token-counts", "10,40").split(",")[
+                    0
+                ]
+            )
             cached, kept = 0, True
-            for part in headers.get("x-marjoramyard-prefix-hash", "").split(","):
+            for part in headers.get("x-marjoramyard-prefix-hash", "").split(
+                ","
+            ):
                 name, _, tokens = part.partition(":")
                 tokens = int(tokens or 0)
                 if kept and name in self._cache:
@@ -345,14 +448,21 @@
                     kept = False
                     self._remember(name, tokens)
             await asyncio.sleep(
-                (5 + max(0, prompt - cached) / PREFILL_TOKENS_PER_MS) / 1e3 * slowness)
+                (5 + max(0, prompt - cached) / PREFILL_TOKENS_PER_MS)
+                / 1e3
+                * slowness
+            )
 
     def _remember(self, name, tokens):
         self._cache[name] = tokens
-        self._kv_events.append([len(self._kv_events) + 1, "+", "", name, tokens, "m"])
+        self._kv_events.append(
+            [len(self._kv_events) + 1, "+", "", name, tokens, "m"]
+        )
         while sum(self._cache.values()) > 180_000:
             gone, _ = self._cache.popitem(last=False)
-            self._kv_events.append([len(self._kv_events) + 1, "-", "", gone, 0, "m"])
+            self._kv_events.append(
+                [len(self._kv_events) + 1, "-", "", gone, 0, "m"]
+            )
         self._kv_changed.set()
         self._kv_changed = asyncio.Event()
 
@@ -360,26 +470,55 @@
         """Answers the calls of an engine's own interface; None for others."""
         bare, _, query = path.partition("?")
         if bare == "/healthz":
-            return self._write(writer, 200, {"X-Marjoramyard-Instance-Id": self.id})
+            return self._write(
+                writer, 200, {"X-Marjoramyard-Instance-Id": self.id}
+            )
         if not bare.startswith("/v1/"):
             return None
         if bare == "/v1/report":
-            return self._write_json(writer, {
-                "phase": "mixed", "models": [{"name": "m", "version": 1, "adapters": []}],
-                "busy": False, "seq": 0, "queued": self._waiting, "active": self._active,
-                "kv_used": self._active * 2000, "kv_total": 235664, "kv_handles": 0,
-                "pinned": 0, "held": 0, "state": self.state, "next": 0, "runs": [],
-                "born": self._born})
+            return self._write_json(
+                writer,
+                {
+                    "phase": "mixed",
+                    "models": [{"name": "m", "version": 1, "adapters": []}],
+                    "busy": False,
+                    "seq": 0,
+                    "queued": self._waiting,
+                    "active": self._active,
+                    "kv_used": self._active * 2000,
+                    "kv_total": 235664,
+                    "kv_handles": 0,
+                    "pinned": 0,
+                    "held": 0,
+                    "state": self.state,
+                    "next": 0,
+                    "runs": [],
+                    "born": self._born,
+                },
+            )
         if bare == "/v1/kv-list":
-            held = [["", name, tokens, "m"] for name, tokens in self._cache.items()]
-            return self._write_json(writer, {
-                "epoch": self._born, "next": len(self._kv_events) + 1, "held": held,
-                "born": self._born})
+            held = [
+                ["", name, tokens, "m"] for name, tokens in self._cache.items()
+            ]
+            return self._write_json(
+                writer,
+                {
+                    "epoch": self._born,
+                    "next": len(self._kv_events) + 1,
+                    "held": held,
+                    "born": self._born,
+                },
+            )
         if bare == "/v1/kv-events":
             return await self._answer_kv_events(query, writer)
         if bare == "/v1/hold-take":
             return self._write_json(
-                writer, {"retention": f"r{self._random.getrandbits(40):x}", "born": self._born})
+                writer,
+                {
+                    "retention": f"r{self._random.getrandbits(40):x}",
+                    "born": self._born,
+                },
+            )
         if bare.startswith(("/v1/hold-drop/", "/v1/kv-pin/", "/v1/kv-handle/")):
             return self._write(writer, 200, {})
         return self._write(writer, 404, {})
@@ -392,35 +531,64 @@
         if since >= len(self._kv_events) + 1:
             with contextlib.suppress(asyncio.TimeoutError):
                 await asyncio.wait_for(self._kv_changed.wait(), 1.0)
-        return self._write_json(writer, {
-            "epoch": self._born, "next": len(self._kv_events) + 1, "lost": False,
-            "events": self._kv_events[max(0, since - 1):], "born": self._born})
+        return self._write_json(
+            writer,
+            {
+                "epoch": self._born,
+                "next": len(self._kv_events) + 1,
+                "lost": False,
+                "events": self._kv_events[max(0, since - 1) :],
+                "born": self._born,
+            },
+        )
 
     def _write_json(self, writer, value):
-        return self._write(writer, 200, {"Content-Type": "application/json"},
-                           json.dumps(value).encode())
+        return self._write(
+            writer,
+            200,
+            {"Content-Type": "application/json"},
+            json.dumps(value).encode(),
+        )
 
     def _write(self, writer, status, headers, body=b""):
-        writer.write(self._head(status, {**headers, "Content-Length": str(len(body))}) + body)
+        writer.write(
+            self._head(status, {**headers, "Content-Length": str(len(body))})
+            + body
+        )
         return headers.get("Connection") != "close"
 
     @staticmethod
     def _head(status, headers):
-        lines = [f"HTTP/1.1 {status} Text"] + [f"{k}: {v}" for k, v in headers.items()]
+        lines = [f"HTTP/1.1 {status} Text"] + [
+            f"{k}: {v}" for k, v in headers.items()
+        ]
         return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
 
 
 async def call(wire, address, method, path, body, argument="", hops=2):
     """Calls a host of the control plane; returns status and decoded body."""
     host, _, port = address.rpartition(":")
-    own_method, own_path = wire.call(method, path, argument) if wire else (method, path)
-    reader, writer = await asyncio.open_connection(host, int(port), limit=4 << 20)
+    own_method, own_path = (
+        wire.call(method, path, argument) if wire else (method, path)
+    )
+    reader, writer = await asyncio.open_connection(
+        host, int(port), limit=4 << 20
+    )
     try:
-        data = b"" if body is None else (
-            body if isinstance(body, bytes) else json.dumps(wire.body(body)).encode())
-        head = (f"{own_method} {own_path} HTTP/1.1\r\nHost: {address}\r\n"
-                f"Content-Type: application/json\r\nContent-Length: {len(data)}\r\n"
-                "Connection: close\r\n\r\n")
+        data = (
+            b""
+            if body is None
+            else (
+                body
+                if isinstance(body, bytes)
+                else json.dumps(wire.body(body)).encode()
+            )
+        )
+        head = (
+            f"{own_method} {own_path} HTTP/1.1\r\nHost: {address}\r\n"
+            f"Content-Type: application/json\r\nContent-Length: {len(data)}\r\n"
+            "Connection: close\r\n\r\n"
+        )
         writer.write(head.encode() + data)
         first, headers, reply = await read_message(reader)
     finally:
--- a/bench/limited_fleet.py
+++ b/bench/limited_fleet.py
@@ -23,11 +23,25 @@
 MEBIBYTE = 1024 * 1024
 PR_SET_PDEATHSIG = 1
 BOUNDS = {
-    "seed_lag_s": 3, "reuse_after_s": 2, "contact_ms": 3000, "ack_ms": 4000,
-    "catch_up_s": 4, "drain_ms": 2000, "grace_s": 8, "loss_slack_ms": 200,
-    "config_apply_ms": 2000, "downgrade_ms": 250, "skew_max_ms": 5000,
-    "fail_closed": True, "revoke_ms": 5000, "retry_ratio": 0.2, "retry_window_s": 10,
-    "retry_slack": 128, "recovery_s": 12, "delivery_ms": 120, "reuse_window_s": 6.9,
+    "seed_lag_s": 3,
+    "reuse_after_s": 2,
+    "contact_ms": 3000,
+    "ack_ms": 4000,
+    "catch_up_s": 4,
+    "drain_ms": 2000,
+    "grace_s": 8,
+    "loss_slack_ms": 200,
+    "config_apply_ms": 2000,
+    "downgrade_ms": 250,
+    "skew_max_ms": 5000,
+    "fail_closed": True,
+    "revoke_ms": 5000,
+    "retry_ratio": 0.2,
+    "retry_window_s": 10,
+    "retry_slack": 128,
+    "recovery_s": 12,
+    "delivery_ms": 120,
+    "reuse_window_s": 6.9,
     "quota_window_s": 4,
 }
 _LIBC = ctypes.CDLL(None)
@@ -79,8 +93,11 @@
         return event
 
     def unplanned_during(self, since, until):
-        return [d for d in self.disturbances
-                if not d.planned and d.since <= until and d.until >= since]
+        return [
+            d
+            for d in self.disturbances
+            if not d.planned and d.since <= until and d.until >= since
+        ]
 
 
 class Process:
@@ -112,16 +129,25 @@
     def _make_machines(self, slot, controls):
         machines = []
         for zone_number, (zone, small) in enumerate(
-                (("dkr-plateau", 4), ("dkr-almadies", 4), ("dkr-diamniadio", 2))):
+            (("dkr-plateau", 4), ("dkr-almadies", 4), ("dkr-diamniadio", 2))
+        ):
             for number in range(small + 1):
                 disk = number == 0
                 has_control = number < (2 if controls == 6 else 1)
                 name = f"edge-{zone}-{number + 1}"
-                machines.append(Machine(
-                    name, zone, f"127.{slot}.{zone_number + 1}.{number + 10}",
-                    ["gateway", "control"] if has_control else ["gateway"],
-                    1.936 if disk else 0.559, 150 if disk else 136,
-                    4100 if disk else 1535, disk, self._folder / name))
+                machines.append(
+                    Machine(
+                        name,
+                        zone,
+                        f"127.{slot}.{zone_number + 1}.{number + 10}",
+                        ["gateway", "control"] if has_control else ["gateway"],
+                        1.936 if disk else 0.559,
+                        150 if disk else 136,
+                        4100 if disk else 1535,
+                        disk,
+                        self._folder / name,
+                    )
+                )
         return machines
 
     @property
@@ -136,29 +162,56 @@
         return [f"{m.address}:{CONTROL_PORT}" for m in self.control_machines]
 
     def _settings(self, machine, role):
-        listen = {"frontend": f"{machine.address}:{FRONTEND_PORT}",
-                  "ready": f"{machine.address}:{READY_PORT}"}
+        listen = {
+            "frontend": f"{machine.address}:{FRONTEND_PORT}",
+            "ready": f"{machine.address}:{READY_PORT}",
+        }
         if role == "control":
             listen = {"control": f"{machine.address}:{CONTROL_PORT}"}
         data = machine.folder / "data" / role
         return {
-            "node_name": machine.name, "role": role, "machine_class": "edge",
-            "serves": self._roles[role]["serves"], "ip": machine.address,
-            "zone": machine.zone, "region": "dkr",
-            "zones": {z: "dkr" for z in ("dkr-plateau", "dkr-almadies", "dkr-diamniadio")},
-            "listen": listen, "port_range": PORT_RANGE,
+            "node_name": machine.name,
+            "role": role,
+            "machine_class": "edge",
+            "serves": self._roles[role]["serves"],
+            "ip": machine.address,
+            "zone": machine.zone,
+            "region": "dkr",
+            "zones": {
+                z: "dkr"
+                for z in ("dkr-plateau", "dkr-almadies", "dkr-diamniadio")
+            },
+            "listen": listen,
+            "port_range": PORT_RANGE,
             "seeds": [f"{m.address}:{CONTROL_PORT}" for m in self.core],
-            "bootstrap": self.bootstrap, "in_tolerance": machine.disk,
-            "limits": {"cpu_share": 0.968 if machine.disk else 0.559,
-                       "cores": 2 if machine.disk else 1, "memory_mb": machine.memory_mb,
-                       "max_fds": machine.descriptors, "link_mbps": 1000.0,
-                       "disk_mb": 64 if machine.disk else 0},
+            "bootstrap": self.bootstrap,
+            "in_tolerance": machine.disk,
+            "limits": {
+                "cpu_share": 0.968 if machine.disk else 0.559,
+                "cores": 2 if machine.disk else 1,
+                "memory_mb": machine.memory_mb,
+                "max_fds": machine.descriptors,
+                "link_mbps": 1000.0,
+                "disk_mb": 64 if machine.disk else 0,
+            },
             "data_dir": str(data) if machine.disk else None,
-            "discovery": "self_register", "entry": "vip", "heartbeat_ms": 1200,
-            "contracts": ["base", "drain", "config", "cost", "retry", "recover", "engine",
-                          "stream", "tenants"],
+            "discovery": "self_register",
+            "entry": "vip",
+            "heartbeat_ms": 1200,
+            "contracts": [
+                "base",
+                "drain",
+                "config",
+                "cost",
+                "retry",
+                "recover",
+                "engine",
+                "stream",
+                "tenants",
+            ],
             "fault_tolerance": {"machines": 1, "zones": 0, "regions": 0},
-            "bounds": BOUNDS, "config_mode": "highest",
+            "bounds": BOUNDS,
+            "config_mode": "highest",
         }
 
     def write_settings(self, machine, role):
@@ -173,8 +226,12 @@
 
     async def start_all(self):
         for machine in self.machines:
-            self._keeper.order(op="machine", machine=machine.name, quota=machine.share)
-        await asyncio.gather(*(self.start(machine) for machine in self.machines))
+            self._keeper.order(
+                op="machine", machine=machine.name, quota=machine.share
+            )
+        await asyncio.gather(
+            *(self.start(machine) for machine in self.machines)
+        )
 
     async def start(self, machine):
         machine.down = False
@@ -192,8 +249,10 @@
         shutil.rmtree(temporary, ignore_errors=True)
         temporary.mkdir()
         environment = {
-            "PATH": f"{self._python_folder}:/usr/bin:/bin", "HOME": str(temporary),
-            "LANG": "C.UTF-8", "PYTHONPATH": str(self._root / "target/deps"),
+            "PATH": f"{self._python_folder}:/usr/bin:/bin",
+            "HOME": str(temporary),
+            "LANG": "C.UTF-8",
+            "PYTHONPATH": str(self._root / "target/deps"),
             "MARJORAMYARD_CONFIG": str(path),
         }
 
@@ -201,23 +260,43 @@
 
         def limit():
             _LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
-            resource.setrlimit(resource.RLIMIT_NOFILE,
-                               (machine.descriptors, machine.descriptors))
-            resource.setrlimit(resource.RLIMIT_FSIZE, (file_limit, 64 * MEBIBYTE))
+            resource.setrlimit(
+                resource.RLIMIT_NOFILE,
+                (machine.descriptors, machine.descriptors),
+            )
+            resource.setrlimit(
+                resource.RLIMIT_FSIZE, (file_limit, 64 * MEBIBYTE)
+            )
             resource.setrlimit(resource.RLIMIT_CORE, (0, 0))
 
         child = await asyncio.create_subprocess_exec(
-            program, *arguments, cwd=self._root, env=environment, preexec_fn=limit,
-            stdin=asyncio.subprocess.DEVNULL, stdout=asyncio.subprocess.PIPE,
-            stderr=asyncio.subprocess.STDOUT, limit=1 << 20)
+            program,
+            *arguments,
+            cwd=self._root,
+            env=environment,
+            preexec_fn=limit,
+            stdin=asyncio.subprocess.DEVNULL,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+            limit=1 << 20,
+        )
         name = f"{machine.name}/{role}"
         process = Process(name, child)
         machine.processes[role] = process
-        ports = ([FRONTEND_PORT, READY_PORT, PORT_RANGE[1], PORT_RANGE[1] - 1]
-                 if role == "gateway" else [CONTROL_PORT, PORT_RANGE[0]])
+        ports = (
+            [FRONTEND_PORT, READY_PORT, PORT_RANGE[1], PORT_RANGE[1] - 1]
+            if role == "gateway"
+            else [CONTROL_PORT, PORT_RANGE[0]]
+        )
         self._keeper.order(
-            op="watch", name=name, pid=process.pid, machine=machine.name,
-            memory_bytes=machine.memory_mb * MEBIBYTE, address=machine.address, ports=ports)
+            op="watch",
+            name=name,
+            pid=process.pid,
+            machine=machine.name,
+            memory_bytes=machine.memory_mb * MEBIBYTE,
+            address=machine.address,
+            ports=ports,
+        )
         task = asyncio.create_task(self._follow(machine, role, process))
         self._waits.add(task)
         task.add_done_callback(self._waits.discard)
@@ -240,11 +319,17 @@
         asked = bool(process.asked) and not over
         why = "memory" if over else process.asked or "by itself"
         if not self.closing:
-            self.ends.append(End(process.name, now, code, asked, why, list(process.log)))
+            self.ends.append(
+                End(process.name, now, code, asked, why, list(process.log))
+            )
         if not asked and not self.closing:
             await asyncio.sleep(RESTART_SECONDS)
-        if not asked and not machine.down and not self.closing and (
-                role not in machine.processes):
+        if (
+            not asked
+            and not machine.down
+            and not self.closing
+            and (role not in machine.processes)
+        ):
             await self._start_process(machine, role)
 
     def kill(self, machine, why, roles=None):
@@ -307,11 +392,16 @@
         event = machine.disturb("disk_full")
         process = machine.processes.get("control")
         if process:
-            resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (4096, 64 * MEBIBYTE))
+            resource.prlimit(
+                process.pid, resource.RLIMIT_FSIZE, (4096, 64 * MEBIBYTE)
+            )
         await asyncio.sleep(seconds)
         if process and process.child.returncode is None:
-            resource.prlimit(process.pid, resource.RLIMIT_FSIZE,
-                             (64 * MEBIBYTE, 64 * MEBIBYTE))
+            resource.prlimit(
+                process.pid,
+                resource.RLIMIT_FSIZE,
+                (64 * MEBIBYTE, 64 * MEBIBYTE),
+            )
         event.until = time.monotonic()
 
     def disk_bytes(self, machine):
@@ -346,8 +436,11 @@
     async def start(self):
         path = pathlib.Path(__file__).with_name("limited_keeper.py")
         self._child = await asyncio.create_subprocess_exec(
-            sys.executable, str(path), stdin=asyncio.subprocess.PIPE,
-            stdout=asyncio.subprocess.PIPE)
+            sys.executable,
+            str(path),
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+        )
         self._task = asyncio.create_task(self._read())
 
     def order(self, **fields):
--- a/bench/limited_judge.py
+++ b/bench/limited_judge.py
@@ -15,10 +15,14 @@
     """Returns which planned work the attempt falls into, if any."""
     for event in machine.disturbances:
         if event.kind == "sigterm" and (
-                event.since <= attempt.ended_at <= event.since + GRACE_SECONDS + 1):
+            event.since <= attempt.ended_at <= event.since + GRACE_SECONDS + 1
+        ):
             return "sigterm"
-        if event.kind == "sighup" and attempt.sent_at <= event.since + 2 and (
-                event.since <= attempt.ended_at):
+        if (
+            event.kind == "sighup"
+            and attempt.sent_at <= event.since + 2
+            and (event.since <= attempt.ended_at)
+        ):
             return "sighup"
     for version, at in plan.sent_at.items():
         until = plan.acknowledged.get(version, at) + 3.0
@@ -30,10 +34,13 @@
 def _ends_with_grace(machine, attempt):
     """Whether a request that came before its SIGTERM was cut in its last sixth."""
     return any(
-        event.kind == "sigterm" and attempt.sent_at <= event.since + 3
-        and event.since + GRACE_SECONDS * 5 / 6 <= attempt.ended_at
+        event.kind == "sigterm"
+        and attempt.sent_at <= event.since + 3
+        and event.since + GRACE_SECONDS * 5 / 6
+        <= attempt.ended_at
         <= event.since + GRACE_SECONDS + 1
-        for event in machine.disturbances)
+        for event in machine.disturbances
+    )
 
 
 def find_lost(fleet, callers, ledger, plan):
@@ -46,28 +53,48 @@
         machine = machines[attempt.machine]
         passed = bool(ledger.arrivals.get(attempt.id))
         whole = attempt.sent_whole_at > 0
-        late = attempt.ended_at - attempt.sent_whole_at > SLACK_SECONDS if whole else False
+        late = (
+            attempt.ended_at - attempt.sent_whole_at > SLACK_SECONDS
+            if whole
+            else False
+        )
         entry = {
-            "id": attempt.id, "kind": attempt.kind.name, "machine": attempt.machine,
-            "at": attempt.ended_at, "sent": attempt.sent_at, "outcome": attempt.outcome.value,
-            "passed": passed, "ran": bool(ledger.runs(attempt.id)), "kept": attempt.kept,
+            "id": attempt.id,
+            "kind": attempt.kind.name,
+            "machine": attempt.machine,
+            "at": attempt.ended_at,
+            "sent": attempt.sent_at,
+            "after_whole": round(attempt.ended_at - attempt.sent_whole_at, 3)
+            if whole
+            else None,
+            "outcome": attempt.outcome.value,
+            "passed": passed,
+            "ran": bool(ledger.runs(attempt.id)),
+            "kept": attempt.kept,
             "note": attempt.note,
-            "machine_events": [(d.kind, round(d.since - attempt.ended_at, 2))
-                               for d in machine.disturbances[-4:]],
+            "machine_events": [
+                (d.kind, round(d.since - attempt.ended_at, 2))
+                for d in machine.disturbances[-4:]
+            ],
         }
         unplanned = machine.unplanned_during(
-            attempt.sent_at - CONTACT_SECONDS, attempt.ended_at)
+            attempt.sent_at - CONTACT_SECONDS, attempt.ended_at
+        )
         if attempt.id in ledger.broken:
             forms["engine broke off"].append(entry)
         elif unplanned:
             forms["unplanned disturbance"].append(entry)
         elif attempt.ended_at >= -DEADLINE_SLACK_SECONDS + min(
-                attempt.sent_at + attempt.kind.timeout, attempt.deadline_at):
+            attempt.sent_at + attempt.kind.timeout, attempt.deadline_at
+        ):
             forms["at its timeout"].append(entry)
         elif _ends_with_grace(machine, attempt):
             forms["at the end of the grace period"].append(entry)
-        elif (planned := _planned_for(machine, attempt, plan)) and planned != "config" and (
-                whole and (passed or late)):
+        elif (
+            (planned := _planned_for(machine, attempt, plan))
+            and planned != "config"
+            and (whole and (passed or late))
+        ):
             entry["planned"] = planned
             forms["LOST planned"].append(entry)
         elif attempt.kept and passed:
@@ -87,8 +114,11 @@
             continue
         machine = machines[end.name.split("/")[0]]
         near = machine.unplanned_during(end.at - 1.0, end.at)
-        near += [d for d in machine.disturbances
-                 if d.planned and d.since <= end.at <= min(d.until, d.since + 9) + 1]
+        near += [
+            d
+            for d in machine.disturbances
+            if d.planned and d.since <= end.at <= min(d.until, d.since + 9) + 1
+        ]
         (excused if near else free).append((end, [d.kind for d in near]))
     return free, excused
 
@@ -100,13 +130,32 @@
             continue
         runs = ledger.runs(attempt.id)
         if len(runs) > 1:
-            twice.append((attempt.id, attempt.kind.name, attempt.machine,
-                          [run.engine for run in runs]))
-        if runs and attempt.outcome is Outcome.STATUS and (
-                attempt.status in (408, 421, 429, 503)):
-            if attempt.id not in ledger.broken or ledger.statuses.get(attempt.id) is None:
-                refused.append((attempt.id, attempt.kind.name, attempt.machine,
-                                attempt.status, attempt.note))
+            twice.append(
+                (
+                    attempt.id,
+                    attempt.kind.name,
+                    attempt.machine,
+                    [run.engine for run in runs],
+                )
+            )
+        if (
+            runs
+            and attempt.outcome is Outcome.STATUS
+            and (attempt.status in (408, 421, 429, 503))
+        ):
+            if (
+                attempt.id not in ledger.broken
+                or ledger.statuses.get(attempt.id) is None
+            ):
+                refused.append(
+                    (
+                        attempt.id,
+                        attempt.kind.name,
+                        attempt.machine,
+                        attempt.status,
+                        attempt.note,
+                    )
+                )
     return twice, refused
 
 
@@ -119,8 +168,21 @@
     return sorted(peaks.values(), key=lambda report: -report["peak"])
 
 
-def make_report(fleet, callers, ledger, operator, plan, day, read_back, disk, entry,
-                keeper, lag, start, arguments):
+def make_report(
+    fleet,
+    callers,
+    ledger,
+    operator,
+    plan,
+    day,
+    read_back,
+    disk,
+    entry,
+    keeper,
+    lag,
+    start,
+    arguments,
+):
     forms = find_lost(fleet, callers, ledger, plan)
     free, excused = find_own_ends(fleet)
     twice, refused = find_twice(callers, ledger)
@@ -143,49 +205,86 @@
         broken.append(f"REFUSED {len(refused)}")
     outcomes = collections.Counter(
         f"{a.outcome.value} {a.status if a.outcome is Outcome.STATUS else ''}".strip()
-        for a in callers.attempts)
-    mixed = [(a.id, a.kind.name, a.machine, a.note, a.id in ledger.broken)
-             for a in callers.attempts if a.outcome is Outcome.MIXED]
+        for a in callers.attempts
+    )
+    mixed = [
+        (a.id, a.kind.name, a.machine, a.note, a.id in ledger.broken)
+        for a in callers.attempts
+        if a.outcome is Outcome.MIXED
+    ]
     if mixed:
         broken.append(f"MIXED {len(mixed)}")
 
     def ends(pairs):
-        return [{"name": end.name, "at": round(end.at - start, 2), "code": end.code,
-                 "why": end.why, "near": near, "log": end.log[-12:]} for end, near in pairs]
+        return [
+            {
+                "name": end.name,
+                "at": round(end.at - start, 2),
+                "code": end.code,
+                "why": end.why,
+                "near": near,
+                "log": end.log[-12:],
+            }
+            for end, near in pairs
+        ]
 
     for entries in forms.values():
         for lost in entries:
             lost["at"] = round(lost["at"] - start, 2)
             lost["sent"] = round(lost["sent"] - start, 2)
     return {
-        "root": str(arguments.root), "seed": arguments.seed, "profile": arguments.profile,
-        "broken": broken, "offered": callers.offered, "served": callers.served,
-        "attempts": len(callers.attempts), "outcomes": outcomes, "skipped": callers.skipped,
-        "lost": forms, "ends": ends(free), "ends_excused": ends(excused),
+        "root": str(arguments.root),
+        "seed": arguments.seed,
+        "profile": arguments.profile,
+        "broken": broken,
+        "offered": callers.offered,
+        "served": callers.served,
+        "attempts": len(callers.attempts),
+        "outcomes": outcomes,
+        "skipped": callers.skipped,
+        "lost": forms,
+        "ends": ends(free),
+        "ends_excused": ends(excused),
         "ends_asked": collections.Counter(
-            (f"{e.why} code {e.code}") for e in fleet.ends if e.asked),
+            (f"{e.why} code {e.code}") for e in fleet.ends if e.asked
+        ),
         "over": [{**o, "at": round(o["at"] - start, 2)} for o in fleet.over],
-        "twice": twice, "refused": refused, "mixed": mixed,
-        "config": {"acknowledged": len(plan.acknowledged), "newest": newest,
-                   "read_back": read_back, "slow": operator.slow,
-                   "unclear": operator.unclear},
-        "peaks": [{**p, "at": round(p["at"] - start, 2)} for p in summarise_peaks(fleet)],
-        "disk": disk, "not_ready": entry.not_ready_seconds,
+        "twice": twice,
+        "refused": refused,
+        "mixed": mixed,
+        "config": {
+            "acknowledged": len(plan.acknowledged),
+            "newest": newest,
+            "read_back": read_back,
+            "slow": operator.slow,
+            "unclear": operator.unclear,
+        },
+        "peaks": [
+            {**p, "at": round(p["at"] - start, 2)}
+            for p in summarise_peaks(fleet)
+        ],
+        "disk": disk,
+        "not_ready": entry.not_ready_seconds,
         "late_samples": keeper.late_samples,
-        "runner_lag": {"late": len(lag), "most": round(max((s for _, s in lag), default=0), 2),
-                       "when": [(round(at - start, 1), round(s, 2)) for at, s in lag[:40]]},
+        "runner_lag": {
+            "late": len(lag),
+            "most": round(max((s for _, s in lag), default=0), 2),
+            "when": [(round(at - start, 1), round(s, 2)) for at, s in lag[:40]],
+        },
         "troubles": [(round(at - start, 1), text) for at, text in day.log],
         "errors": day.errors,
     }
 
 
 def as_text(report):
-    lines = [f"root {report['root']} seed {report['seed']} profile {report['profile']} "
-             f"seconds {report.get('seconds')}",
-             f"broken: {report['broken'] or 'nothing'}",
-             f"troubles: {report['troubles']} errors {report['errors']}",
-             f"attempts {report['attempts']} outcomes {dict(report['outcomes'])} "
-             f"skipped {report['skipped']}"]
+    lines = [
+        f"root {report['root']} seed {report['seed']} profile {report['profile']} "
+        f"seconds {report.get('seconds')}",
+        f"broken: {report['broken'] or 'nothing'}",
+        f"troubles: {report['troubles']} errors {report['errors']}",
+        f"attempts {report['attempts']} outcomes {dict(report['outcomes'])} "
+        f"skipped {report['skipped']}",
+    ]
     for name, offered in report["offered"].items():
         lines.append(f"  {name}: {report['served'][name]} of {offered} served")
     for form, entries in report["lost"].items():
@@ -194,19 +293,24 @@
     for title in ("ends", "ends_excused"):
         lines.append(f"{title}: {len(report[title])}")
         for end in report[title][:12]:
-            lines.append(f"    {end['name']} at {end['at']} code {end['code']} "
-                         f"{end['why']} near {end['near']}")
+            lines.append(
+                f"    {end['name']} at {end['at']} code {end['code']} "
+                f"{end['why']} near {end['near']}"
+            )
             lines += [f"        {line[:300]}" for line in end["log"][-4:]]
     lines.append(f"ends asked: {dict(report['ends_asked'])}")
     for key in ("over", "twice", "refused", "mixed"):
         lines.append(f"{key}: {len(report[key])} {report[key][:6]}")
     lines.append(f"config: {report['config']} disk {report['disk']}")
-    lines.append(f"not ready, polls: {dict(report['not_ready'])} "
-                 f"late samples {report['late_samples']} runner lag {report['runner_lag']}")
+    lines.append(
+        f"not ready, polls: {dict(report['not_ready'])} "
+        f"late samples {report['late_samples']} runner lag {report['runner_lag']}"
+    )
     for peak in report["peaks"][:20]:
         lines.append(
             f"    peak {peak['name']} {peak['peak'] / 1048576:.1f} MiB "
             f"(rss {peak['rss'] / 1048576:.1f} unread {peak['unread'] / 1048576:.1f}) "
             f"at {peak['at']} descriptors {peak['descriptors']} cpu {peak['cpu']} s "
-            f"throttled {peak['throttled']}")
+            f"throttled {peak['throttled']}"
+        )
     return "\n".join(lines)
--- a/bench/limited_keeper.py
+++ b/bench/limited_keeper.py
@@ -174,7 +174,9 @@
     def _obey(self, order):
         kind = order["op"]
         if kind == "machine":
-            self._machines[order["machine"]] = Machine(order["quota"] * WINDOW_SECONDS)
+            self._machines[order["machine"]] = Machine(
+                order["quota"] * WINDOW_SECONDS
+            )
         elif kind == "watch":
             self._watch(order)
         elif kind == "unwatch":
@@ -195,7 +197,11 @@
         except ProcessLookupError:
             return
         entry = Watched(
-            order["name"], order["pid"], order["machine"], order["memory_bytes"], pidfd,
+            order["name"],
+            order["pid"],
+            order["machine"],
+            order["memory_bytes"],
+            pidfd,
             [(hex_address(order["address"]), port) for port in order["ports"]],
         )
         self._watched[entry.name] = entry
@@ -211,7 +217,11 @@
             machine.stopped = False
 
     def _of(self, machine):
-        return [entry for entry in self._watched.values() if entry.machine == machine]
+        return [
+            entry
+            for entry in self._watched.values()
+            if entry.machine == machine
+        ]
 
     def _keep_processor(self):
         used = dict.fromkeys(self._machines, 0.0)
@@ -229,32 +239,49 @@
                     machine.stopped = False
                     for entry in self._of(name):
                         entry.send(signal.SIGCONT)
-            elif (not machine.stopped and not machine.frozen
-                  and used[name] - machine.used_before >= machine.quota_seconds):
+            elif (
+                not machine.stopped
+                and not machine.frozen
+                and used[name] - machine.used_before >= machine.quota_seconds
+            ):
                 machine.stopped = True
                 machine.windows_throttled += 1
                 for entry in self._of(name):
                     entry.send(signal.SIGSTOP)
 
     def _keep_memory(self, now):
-        if self._last_memory and now - self._last_memory > 2 * MEMORY_EVERY_SECONDS:
+        if (
+            self._last_memory
+            and now - self._last_memory > 2 * MEMORY_EVERY_SECONDS
+        ):
             self._late_samples += 1
         self._last_memory = now
         by_inode, by_address = read_unread()
         for entry in self._watched.values():
             resident = read_resident(entry.pid)
-            unread = sum(by_inode.get(inode, 0) for inode in entry.inodes & by_inode.keys())
+            unread = sum(
+                by_inode.get(inode, 0)
+                for inode in entry.inodes & by_inode.keys()
+            )
             unread += sum(by_address.get(key, 0) for key in entry.ports)
             total = resident + unread
             if total > entry.peak:
-                entry.peak, entry.peak_rss, entry.peak_unread = total, resident, unread
+                entry.peak, entry.peak_rss, entry.peak_unread = (
+                    total,
+                    resident,
+                    unread,
+                )
                 entry.peak_at = now
             self._kill_over(entry, now, resident, unread)
 
     def _keep_highest(self, entry, now):
         resident = read_highest_resident(entry.pid)
         if resident > entry.peak:
-            entry.peak, entry.peak_rss, entry.peak_unread = resident, resident, 0
+            entry.peak, entry.peak_rss, entry.peak_unread = (
+                resident,
+                resident,
+                0,
+            )
             entry.peak_at = now
         self._kill_over(entry, now, resident, 0)
 
@@ -263,15 +290,27 @@
             return
         entry.over = True
         entry.send(signal.SIGKILL)
-        self._report(op="over", name=entry.name, pid=entry.pid, at=now,
-                     rss=resident, unread=unread)
+        self._report(
+            op="over",
+            name=entry.name,
+            pid=entry.pid,
+            at=now,
+            rss=resident,
+            unread=unread,
+        )
 
     def _report_peak(self, entry):
         machine = self._machines[entry.machine]
         self._report(
-            op="peak", name=entry.name, pid=entry.pid, peak=entry.peak,
-            rss=entry.peak_rss, unread=entry.peak_unread, at=entry.peak_at,
-            descriptors=entry.descriptors, cpu=round(entry.cpu_seconds, 2),
+            op="peak",
+            name=entry.name,
+            pid=entry.pid,
+            peak=entry.peak,
+            rss=entry.peak_rss,
+            unread=entry.peak_unread,
+            at=entry.peak_at,
+            descriptors=entry.descriptors,
+            cpu=round(entry.cpu_seconds, 2),
             throttled=machine.windows_throttled,
         )
 
--- a/bench/limited_machines.py
+++ b/bench/limited_machines.py
@@ -32,15 +32,24 @@
 
 def parse_arguments():
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--root", type=pathlib.Path,
-                        default=pathlib.Path(__file__).resolve().parents[1])
+    parser.add_argument(
+        "--root",
+        type=pathlib.Path,
+        default=pathlib.Path(__file__).resolve().parents[1],
+    )
     parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--profile", choices=limited_troubles.PROFILES, default="calm")
+    parser.add_argument(
+        "--profile", choices=limited_troubles.PROFILES, default="calm"
+    )
     parser.add_argument("--seconds", type=float, default=34.0)
     parser.add_argument("--rate", type=float, default=1.0)
     parser.add_argument("--controls", type=int, choices=(3, 6), default=6)
-    parser.add_argument("--slot", type=int, default=30, help="second part of 127.x.y.z")
-    parser.add_argument("--keep", type=pathlib.Path, help="folder for logs and the report")
+    parser.add_argument(
+        "--slot", type=int, default=30, help="second part of 127.x.y.z"
+    )
+    parser.add_argument(
+        "--keep", type=pathlib.Path, help="folder for logs and the report"
+    )
     return parser.parse_args()
 
 
@@ -50,13 +59,33 @@
     controls = fleet.control_addresses()
     for zone, count in places:
         for number in range(count):
-            engines.append(limited_engines.Engine(
-                "assistant-llm", True, f"127.{slot}.{zone + 1}.{100 + number}", ENGINE_PORT,
-                ZONES[zone], controls, ledger, wire, seed * 100 + len(engines)))
+            engines.append(
+                limited_engines.Engine(
+                    "assistant-llm",
+                    True,
+                    f"127.{slot}.{zone + 1}.{100 + number}",
+                    ENGINE_PORT,
+                    ZONES[zone],
+                    controls,
+                    ledger,
+                    wire,
+                    seed * 100 + len(engines),
+                )
+            )
     for zone in range(3):
-        engines.append(limited_engines.Engine(
-            "rental-api", False, f"127.{slot}.{zone + 1}.120", ENGINE_PORT,
-            ZONES[zone], controls, ledger, wire, seed * 100 + len(engines)))
+        engines.append(
+            limited_engines.Engine(
+                "rental-api",
+                False,
+                f"127.{slot}.{zone + 1}.120",
+                ENGINE_PORT,
+                ZONES[zone],
+                controls,
+                ledger,
+                wire,
+                seed * 100 + len(engines),
+            )
+        )
     return engines
 
 
@@ -75,8 +104,13 @@
     keeper = limited_fleet.KeeperLink()
     await keeper.start()
     fleet = limited_fleet.Fleet(
-        arguments.root.resolve(), folder, arguments.slot, arguments.controls,
-        pathlib.Path(sys.executable).parent, keeper)
+        arguments.root.resolve(),
+        folder,
+        arguments.slot,
+        arguments.controls,
+        pathlib.Path(sys.executable).parent,
+        keeper,
+    )
     keeper.fleet = fleet
     try:
         await fleet.start_all()
@@ -95,24 +129,36 @@
         fleet.bootstrap = False
         plan = limited_operator.Plan(arguments.seed)
         operator = limited_operator.Operator(plan, fleet, wire, arguments.seed)
-        engines = make_engines(fleet, arguments.slot, ledger, wire, arguments.seed)
+        engines = make_engines(
+            fleet, arguments.slot, ledger, wire, arguments.seed
+        )
         for engine in engines:
             await engine.start()
         await asyncio.sleep(1.0)
         first = asyncio.create_task(operator.put(plan.config, 30.0))
         entry = limited_callers.Entry(
-            fleet.machines, limited_fleet.READY_PORT, limited_fleet.FRONTEND_PORT)
+            fleet.machines,
+            limited_fleet.READY_PORT,
+            limited_fleet.FRONTEND_PORT,
+        )
         lag = []
-        background = [asyncio.create_task(watch_lag(lag)), asyncio.create_task(entry.watch()),
-                      asyncio.create_task(operator.read_during())]
+        background = [
+            asyncio.create_task(watch_lag(lag)),
+            asyncio.create_task(entry.watch()),
+            asyncio.create_task(operator.read_during()),
+        ]
         await asyncio.sleep(max(0.0, started + LEAD_SECONDS - time.monotonic()))
         await first
-        callers = limited_callers.Callers(entry, plan, ledger, arguments.seed, ZONES)
+        callers = limited_callers.Callers(
+            entry, plan, ledger, arguments.seed, ZONES
+        )
         callers.behaviour.rate = arguments.rate
         traffic_from = time.monotonic()
         closing = arguments.profile != "calm"
         traffic = asyncio.create_task(callers.run())
-        day = limited_troubles.Day(fleet, engines, callers, operator, plan, arguments.seed)
+        day = limited_troubles.Day(
+            fleet, engines, callers, operator, plan, arguments.seed
+        )
         await day.play(arguments.profile, traffic_from, arguments.seconds)
         if closing:
             await asyncio.sleep(RECOVERY_SECONDS)
@@ -126,8 +172,20 @@
         for engine in engines:
             await engine.crash()
     return limited_judge.make_report(
-        fleet, callers, ledger, operator, plan, day, read_back, disk, entry,
-        keeper, lag, traffic_from, arguments)
+        fleet,
+        callers,
+        ledger,
+        operator,
+        plan,
+        day,
+        read_back,
+        disk,
+        entry,
+        keeper,
+        lag,
+        traffic_from,
+        arguments,
+    )
 
 
 def main():
@@ -145,9 +203,13 @@
         if arguments.keep:
             arguments.keep.mkdir(parents=True, exist_ok=True)
             (arguments.keep / "report.txt").write_text(text)
-            (arguments.keep / "report.json").write_text(json.dumps(report, indent=1))
+            (arguments.keep / "report.json").write_text(
+                json.dumps(report, indent=1)
+            )
             for path in folder.glob("*/*.log"):
-                shutil.copy(path, arguments.keep / f"{path.parent.name}-{path.name}")
+                shutil.copy(
+                    path, arguments.keep / f"{path.parent.name}-{path.name}"
+                )
     finally:
         shutil.rmtree(folder, ignore_errors=True)
     return 1 if report["broken"] else 0
--- a/bench/limited_troubles.py
+++ b/bench/limited_troubles.py
@@ -36,7 +36,9 @@
         for trouble in chosen:
             at = self._random.uniform(0.5, seconds - 8)
             tasks.append(asyncio.create_task(self._at(since, at, trouble)))
-        await asyncio.wait(tasks, timeout=since + seconds + 3 - time.monotonic())
+        await asyncio.wait(
+            tasks, timeout=since + seconds + 3 - time.monotonic()
+        )
         for task in tasks:
             task.cancel()
             if task.done() and not task.cancelled() and task.exception():
@@ -50,21 +52,53 @@
 
     def _kinds(self, profile):
         users = [
-            self._roll_term, self._roll_term, self._hang_up_all, self._kill_some,
-            self._kill_core_one, self._kill_core_all, self._freeze_some, self._freeze_core,
-            self._engine_crash, self._engine_hang, self._engine_mute, self._engine_errors,
-            self._engine_garble, self._engine_cut, self._engine_extra, self._engine_reset,
-            self._engine_slow, self._engine_shed, self._release, self._burst,
-            self._burst_long, self._hot_tenant, self._hot_key, self._give_up,
-            self._retry_abuse, self._config_storm, self._config_race, self._bad_config,
-            self._ack_lost, self._revoke, self._seed_turnover, self._wipe_one,
+            self._roll_term,
+            self._roll_term,
+            self._hang_up_all,
+            self._kill_some,
+            self._kill_core_one,
+            self._kill_core_all,
+            self._freeze_some,
+            self._freeze_core,
+            self._engine_crash,
+            self._engine_hang,
+            self._engine_mute,
+            self._engine_errors,
+            self._engine_garble,
+            self._engine_cut,
+            self._engine_extra,
+            self._engine_reset,
+            self._engine_slow,
+            self._engine_shed,
+            self._release,
+            self._burst,
+            self._burst_long,
+            self._hot_tenant,
+            self._hot_key,
+            self._give_up,
+            self._retry_abuse,
+            self._config_storm,
+            self._config_race,
+            self._bad_config,
+            self._ack_lost,
+            self._revoke,
+            self._seed_turnover,
+            self._wipe_one,
         ]
         if profile == "users":
             return users
         return users[:9] + [
-            self._engine_endless, self._engine_endless, self._large_bodies,
-            self._large_bodies, self._slow_callers, self._full_disk, self._burst_hard,
-            self._engine_hang, self._engine_garble, self._wipe_one, self._config_storm,
+            self._engine_endless,
+            self._engine_endless,
+            self._large_bodies,
+            self._large_bodies,
+            self._slow_callers,
+            self._full_disk,
+            self._burst_hard,
+            self._engine_hang,
+            self._engine_garble,
+            self._wipe_one,
+            self._config_storm,
         ]
 
     # Machines.
@@ -100,7 +134,9 @@
 
     async def _kill_core_one(self):
         async with self._core_free:
-            await self._off_and_on([self._random.choice(self._fleet.core)], "core_kill", 3.0)
+            await self._off_and_on(
+                [self._random.choice(self._fleet.core)], "core_kill", 3.0
+            )
             await asyncio.sleep(4.0)
 
     async def _kill_core_all(self):
@@ -109,7 +145,9 @@
             await asyncio.sleep(4.0)
 
     async def _freeze_some(self):
-        machines = self._random.sample([m for m in self._fleet.machines if not m.disk], 2)
+        machines = self._random.sample(
+            [m for m in self._fleet.machines if not m.disk], 2
+        )
         await asyncio.gather(*(self._fleet.freeze(m, 3.5) for m in machines))
 
     async def _freeze_core(self):
@@ -119,12 +157,16 @@
 
     async def _wipe_one(self):
         async with self._core_free:
-            await self._off_and_on([self._random.choice(self._fleet.core)], "wipe", 3.0, True)
+            await self._off_and_on(
+                [self._random.choice(self._fleet.core)], "wipe", 3.0, True
+            )
             await asyncio.sleep(6.0)
 
     async def _full_disk(self):
         async with self._core_free:
-            await self._fleet.fill_disk(self._random.choice(self._fleet.core), 4.0)
+            await self._fleet.fill_disk(
+                self._random.choice(self._fleet.core), 4.0
+            )
             await asyncio.sleep(4.0)
 
     # Engines.
@@ -226,8 +268,12 @@
         await self._operator.put(self._plan.change(how))
 
     async def _config_storm(self):
-        await asyncio.gather(*[
-            asyncio.create_task(self._later(0.15 * n, "idle")) for n in range(16)])
+        await asyncio.gather(
+            *[
+                asyncio.create_task(self._later(0.15 * n, "idle"))
+                for n in range(16)
+            ]
+        )
 
     async def _later(self, seconds, how, ack_lost=0.0):
         await asyncio.sleep(seconds)
@@ -235,7 +281,9 @@
 
     async def _config_race(self):
         for _ in range(3):
-            await asyncio.gather(self._later(0, "idle"), self._later(0, "quota"))
+            await asyncio.gather(
+                self._later(0, "idle"), self._later(0, "quota")
+            )
             await asyncio.sleep(1.0)
 
     async def _bad_config(self):
