Adapt the stubs of two tests to the merged parts

A stub of an entry's request has no protocol to tell of reading, and one of a handler says when refused requests may come back. The tests of entries, of the gateway role and of closing listeners pass.

--- a/packages/fleet/tests/entry/test_admission.py
+++ b/packages/fleet/tests/entry/test_admission.py
@@ -66,6 +66,7 @@
         named.add(name.replace("_", "-"), value)
     return Request(
         holding=new_holding(),
+        protocol=None,
         headers=named,
         path=path,
         query_string="",
--- a/packages/fleet/tests/test_closing_listeners_review.py
+++ b/packages/fleet/tests/test_closing_listeners_review.py
@@ -186,7 +186,7 @@
         started_count=1,
         guard=guard,
         context=SimpleNamespace(brokers=SimpleNamespace(lag=lag)),
-        outlasting=OutlastingRequests(),
+        outlasting=OutlastingRequests(1.0),
     )
     role = GatewayRole(app, None, handler)
     role.connections = SimpleNamespace(close_idle=lambda: None)
