Refuse forwarded prompts of which a part is missing as a gateway stops

What callers saw: a prompt that an overloaded gateway had begun to forward, and whose last byte came after SIGTERM, was forwarded to its end, run through the other gateway, and cut with 502 "lost" at the end of the grace.

Cause: forwarded requests pass the overload guard only; a stopping gateway didn't look at those in progress until it ended them all.

Change: as the stop begins, forwarded prompts of which a part is missing and whose deadline is after its end get 503 with Retry-After; they have not run. Whole ones are awaited as before.

--- a/packages/fleet/src/marjoramyard/fleet/gateway/overload_guard.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/overload_guard.py
@@ -26,6 +26,7 @@
     closing_request,
     keeping_request,
 )
+from marjoramyard.fleet.gateway.run_failures import LEAVING_RETRY_SECONDS
 from marjoramyard.fleet.gateway.view import FleetView
 from marjoramyard.fleet.util.raw_responses import response_bytes
 from marjoramyard.fleet.util.rpc import failure_response
@@ -223,6 +224,18 @@
             workspace,
         )
 
+    def refuse_outlasting(self, stops_at: float) -> None:
+        """Refuses forwarded prompts that may outlast this gateway.
+
+        Only those of which a part is missing: they have not run.
+
+        Args:
+            stops_at: When the others are ended, on the event loop clock.
+        """
+        for request in list(self.forwarded):
+            if request.is_partial and request.deadline_at > stops_at:
+                request.refuse()
+
     def end_forwarded(self) -> None:
         """Ends all forwarded prompts with a response, as the gateway stops."""
         for request in list(self.forwarded):
@@ -327,4 +340,10 @@
             "no response before the deadline; the request may have run",
             Outcome.UNKNOWN,
         ),
+        response(
+            FailureKind.LEAVING,
+            "this gateway shuts down before the deadline; use another one",
+            Outcome.NOT_RUN,
+            LEAVING_RETRY_SECONDS,
+        ),
     )
--- a/packages/fleet/src/marjoramyard/fleet/gateway/peer_forwarding.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/peer_forwarding.py
@@ -46,11 +46,13 @@
         not_sent: The connection could not be established; it has not run.
         lost: The connection was lost; the request may have run.
         timed_out: The deadline has passed; the request may have run.
+        leaving: This gateway stops; the request has not been sent whole.
     """
 
     not_sent: bytes
     lost: bytes
     timed_out: bytes
+    leaving: bytes
 
 
 class ForwardingPlan(msgspec.Struct, frozen=True):
@@ -276,6 +278,21 @@
         is_complete = self.response.is_complete
         self._end("forwarded" if is_complete else "caller-left", b"")
 
+    @property
+    def deadline_at(self) -> float:
+        """The deadline of the request, on the event loop clock in seconds."""
+        return self.started_at + self.plan.seconds_left
+
+    @property
+    def is_partial(self) -> bool:
+        """Whether a part of the request has not been received yet."""
+        return self.sent_size < self.plan.request_size
+
+    def refuse(self) -> None:
+        """Ends a request that was sent in part, as this gateway stops."""
+        response = b"" if self.has_responded else self.plan.failures.leaving
+        self._end("refused", response)
+
     def stop(self) -> None:
         """Ends the request because this gateway stops."""
         not_sent = self.plan.failures.not_sent
--- a/packages/fleet/src/marjoramyard/fleet/gateway/role.py
+++ b/packages/fleet/src/marjoramyard/fleet/gateway/role.py
@@ -159,6 +159,7 @@
         loop = asyncio.get_running_loop()
         end = self.app.ends_at
         self.handler.outlasting.stop(end)
+        self.handler.guard.refuse_outlasting(end)
         notice_end = self.app.stopped_at + BALANCER_NOTICE_SECONDS
         try:
             await asyncio.sleep(min(notice_end, end) - loop.time())
--- a/packages/fleet/tests/gateway/test_kept_connections.py
+++ b/packages/fleet/tests/gateway/test_kept_connections.py
@@ -31,6 +31,7 @@
     b"HTTP/1.1 503 not-sent\r\nContent-Length: 0\r\n\r\n",
     b"HTTP/1.1 502 lost\r\nContent-Length: 0\r\n\r\n",
     b"HTTP/1.1 504 timed-out\r\nContent-Length: 0\r\n\r\n",
+    b"leaving",
 )
 CHUNKED = (
     b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/packages/fleet/tests/gateway/test_peer_forwarding.py
+++ b/packages/fleet/tests/gateway/test_peer_forwarding.py
@@ -29,6 +29,7 @@
     b"HTTP/1.1 503 not-sent\r\nContent-Length: 0\r\n\r\n",
     b"HTTP/1.1 502 lost\r\nContent-Length: 0\r\n\r\n",
     b"HTTP/1.1 504 timed-out\r\nContent-Length: 0\r\n\r\n",
+    b"leaving",
 )
 
 
--- a/packages/fleet/tests/gateway/test_role.py
+++ b/packages/fleet/tests/gateway/test_role.py
@@ -34,7 +34,9 @@
     """Guards against exiting while unread requests are left."""
     monkeypatch.setattr(role_module, "BALANCER_NOTICE_SECONDS", 0.0)
     guard = SimpleNamespace(
-        forwarded_count=lambda: 0, end_forwarded=lambda: None
+        forwarded_count=lambda: 0,
+        end_forwarded=lambda: None,
+        refuse_outlasting=lambda _: None,
     )
     lag = SimpleNamespace(up_to_date_until=time.monotonic)
     context = SimpleNamespace(brokers=SimpleNamespace(lag=lag))
--- a/packages/fleet/tests/test_closing_listeners_review.py
+++ b/packages/fleet/tests/test_closing_listeners_review.py
@@ -25,6 +25,7 @@
 )
 from marjoramyard.fleet.gateway.role import GatewayRole
 from marjoramyard.fleet.served_connection import ConnectionState
+from marjoramyard.fleet.util.outlasting_requests import OutlastingRequests
 from marjoramyard.fleet.util.raw_responses import response_bytes
 from marjoramyard.kernel.settings import ROLE_SETTINGS
 from marjoramyard.standin.local_fleet import wait_until
@@ -156,6 +157,9 @@
     def forwarded_count(self):
         return 0 if self.are_ended else 1
 
+    def refuse_outlasting(self, stops_at):
+        pass
+
     def end_forwarded(self):
         self.are_ended = True
 
@@ -185,6 +189,7 @@
         started_count=1,
         guard=guard,
         context=SimpleNamespace(brokers=SimpleNamespace(lag=lag)),
+        outlasting=OutlastingRequests(0.05),
     )
     role = GatewayRole(app, None, handler)
     role.connections = SimpleNamespace(close_idle=lambda: None)
@@ -390,7 +395,7 @@
     def start(head, data, caller):
         small_buffer(caller.get_extra_info("socket"), socket.SO_SNDBUF)
         callers.append(caller)
-        failures = ForwardingFailures(b"", b"", b"")
+        failures = ForwardingFailures(b"", b"", b"", b"")
         plan = ForwardingPlan(
             address, "id", TIMEOUT_SECONDS, failures, "", len(REQUEST)
         )
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -9,11 +9,15 @@
 import pytest
 from aiohttp import web
 from gateway_fleet import FakeEndpoint, config, gateway_fleet, route, wait_until
+from raw_connections import CallerConnection, PollClock, request_bytes
 
 from marjoramyard.standin.processes import free_address
 
 HELD_PROMPTS = 60
 SUSPENDED_SECONDS = 0.6
+PROMPT_HEADERS = (
+    b"\r\nPrompt-Parts: aa:100,bb:50\r\nToken-Counts: 150,10\r\n\r\n"
+)
 
 
 @pytest.fixture
@@ -202,6 +206,40 @@
     assert {line["outcome"] for line in forwarded} == {"forwarded"}
 
 
+REST_SECONDS = 3.0
+OUTLASTING_MS = 15_000
+
+
+async def test_prompts_whose_rest_comes_after_the_signal_are_refused(fleet):
+    """Guards against prompts that a stopping gateway forwards to their end
+    late in its grace, and cuts off while they run."""
+    async with engine_that_holds_prompts(fleet) as endpoint:
+        held = await overload(fleet, endpoint)
+        gateway = fleet.children["gateway"]
+        clock = PollClock()
+        connection = await CallerConnection.open(fleet.listen_address, clock)
+        request = request_bytes("partial", "/chat/hold", b"{}", OUTLASTING_MS)
+        head = request.replace(b"\r\n\r\n", PROMPT_HEADERS, 1)
+        sending = asyncio.create_task(
+            connection.exchange(
+                "partial", [head[:-1], head[-1:]], [REST_SECONDS]
+            )
+        )
+        await send_prompt(fleet, "/chat/x")
+        stopping = asyncio.create_task(gateway.terminate())
+        exchange = await sending
+        endpoint.release.set()
+        await asyncio.gather(*held)
+        assert await stopping == 0
+        connection.close()
+    assert exchange.status == 503
+    assert b"Retry-After" in exchange.received
+    assert "partial" not in {each for each, _, _ in endpoint.requests}
+    forwarded = events(fleet, "gateway", "request_forwarded")
+    outcomes = [x["outcome"] for x in forwarded if x["id"] == "partial"]
+    assert outcomes == ["refused"]
+
+
 DEADLINE_SECONDS = 6.0
 UNREAD_SECONDS = 1.0
 MAX_EXCESS_SECONDS = 0.5
