Test a late gateway that is disturbed while it stops

What callers could see: requests that are lost, cut or run twice when SIGHUP, a second SIGTERM, a new configuration and the stop of a control host fall into the grace of a gateway that gets its processor in turns. Not tried before.

Change: a short seeded test with non-repeatable requests, whole and in pieces. It found no fault, so it has not been seen to fail.

--- a/tests/test_requests_late_in_a_grace.py
+++ b/tests/test_requests_late_in_a_grace.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+import signal
 
 import pytest
 from aiohttp import web
@@ -15,6 +16,7 @@
 )
 from pressing_callers import PressingCallers
 from raw_connections import CallerConnection
+from test_stopping_gateways import processor_in_turns
 
 SEED = 79
 GRACE_SECONDS = 8.0
@@ -157,3 +159,40 @@
     assert len(endpoint.requests) == passed_on
     queued = QUEUED_REQUESTS - passed_on
     assert sorted(statuses) == [200] * passed_on + [503] * queued
+
+
+async def test_a_late_gateway_that_is_disturbed_in_its_grace_cuts_nothing(
+    fleet,
+):
+    """Guards against requests that are lost, or run twice, as signals and a
+    configuration reach a late gateway while it and a control host stop."""
+    rng = random.Random(SEED)
+    gateway, control = fleet.children["gateway"], fleet.children["control-0"]
+    callers = PressingCallers(fleet.listen_address, SEED, deadline_ms=4000)
+    async with FakeEndpoint("i-1").running() as endpoint:
+        for host in range(len(fleet.hosts)):
+            await fleet.send_heartbeat(endpoint, host=host)
+        await wait_until(fleet.is_serving)
+        callers.path = "/once/x"
+        async with (
+            processor_in_turns(fleet, rng),
+            callers.running((callers.press, 24), (callers.press_large, 6)),
+        ):
+            await asyncio.sleep(0.5)
+            control_stop = asyncio.create_task(control.terminate())
+            gateway.signal(signal.SIGTERM)
+            for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGHUP):
+                await asyncio.sleep(rng.uniform(0.2, 0.6))
+                gateway.signal(number)
+            await fleet.put_config(config(3), host=1)
+            code = await gateway.terminate(GRACE_SECONDS)
+            await control_stop
+    ids = [each for each, _, _ in endpoint.requests]
+    assert code == 0
+    assert len(ids) == len(set(ids))
+    run = set(ids)
+    found = callers.exchanges
+    assert {each.status for each in found} >= {200, 503}
+    assert [each for each in found if each.is_lost(each.id in run)] == []
+    assert [each for each in found if each.is_broken_off] == []
+    assert not any(each.status == 502 for each in found)
