--- a/packages/fleet/tests/test_closing_listeners_review.py
+++ b/packages/fleet/tests/test_closing_listeners_review.py
@@ -157,6 +157,9 @@
     def forwarded_count(self):
         return 0 if self.are_ended else 1
 
+    def refuse_outlasting(self, stops_at):
+        pass
+
     def end_forwarded(self):
         self.are_ended = True
 
@@ -186,7 +189,11 @@
         started_count=1,
         guard=guard,
         context=SimpleNamespace(brokers=SimpleNamespace(lag=lag)),
+<<<<<<< HEAD
         outlasting=OutlastingRequests(1.0),
+=======
+        outlasting=OutlastingRequests(0.05),
+>>>>>>> grace
     )
     role = GatewayRole(app, None, handler)
     role.connections = SimpleNamespace(close_idle=lambda: None)
@@ -392,7 +399,7 @@
     def start(head, data, caller):
         small_buffer(caller.get_extra_info("socket"), socket.SO_SNDBUF)
         callers.append(caller)
-        failures = ForwardingFailures(b"", b"", b"")
+        failures = ForwardingFailures(b"", b"", b"", b"")
         plan = ForwardingPlan(
             address, "id", TIMEOUT_SECONDS, failures, "", len(REQUEST)
         )
