--- a/bench/limited_callers.py
+++ b/bench/limited_callers.py
@@ -30,6 +30,19 @@
 
 @dataclasses.dataclass(frozen=True)
 class Kind:
+    """A kind of request of the sheet.
+
+    Attributes:
+        per_second: Requests a second at the rate 1.
+        deadline: Seconds until the caller gives up; goes into the request.
+        timeout: Timeout of the route, in seconds.
+        objective: Objective of the route, in seconds.
+        prompt: Mean and most tokens of the part that is a request's own.
+        parts: Tokens and number of choices of each shared part of a prompt.
+        events: Mean and most events of a stream.
+        body_bytes: Mean size of a body.
+    """
+
     name: str
     service: str
     method: str
@@ -47,6 +60,7 @@
 
     @property
     def request_kind(self):
+        """The word for this kind in the config's routes."""
         if self.streams:
             return "streaming"
         return "idempotent" if self.repeatable else "non_idempotent"
@@ -138,6 +152,15 @@
 
 @dataclasses.dataclass
 class Attempt:
+    """One attempt of a request, and what came of it.
+
+    Attributes:
+        machine: Name of the gateway's machine.
+        kept: Whether it was sent on a kept channel.
+        sent_whole_at: Time after the last byte was written; 0 if it was not.
+        note: Details of the outcome.
+    """
+
     id: str
     kind: Kind
     machine: str
@@ -177,6 +200,7 @@
         self.not_ready_seconds = collections.Counter()
 
     async def watch(self):
+        """Asks all gateways once a second whether they are ready."""
         while True:
             await asyncio.gather(
                 *(self._ask(machine) for machine in self._machines)
@@ -203,13 +227,19 @@
         )
         try:
             writer.write(
-                b"GET /v1/readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+                b"GET /v1/readyz HTTP/1.1\r\nHost: x\r\n"
+                b"Connection: close\r\n\r\n"
             )
             return b" 200 " in await reader.readline()
         finally:
             writer.close()
 
     def pick(self, zone, client, turn):
+        """Returns the machine for a client's turn, of its zone if possible.
+
+        If none of the zone is in rotation, it is one of another zone that is;
+        if less than half of the zone are, it is any of the zone.
+        """
         own = [m for m in self._machines if m.zone == zone]
         ready = [m for m in own if m.name in self.in_rotation]
         if not ready:
@@ -223,6 +253,8 @@
 
 @dataclasses.dataclass
 class Channel:
+    """A connection to a gateway, which may be kept for later requests."""
+
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
     machine: object
@@ -265,6 +297,7 @@
             task.add_done_callback(self._tasks.discard)
 
     async def finish(self, seconds):
+        """Waits for open requests, then cancels them and closes channels."""
         if self._tasks:
             await asyncio.wait(list(self._tasks), timeout=seconds)
         for task in list(self._tasks):
--- a/bench/limited_deploy.py
+++ b/bench/limited_deploy.py
@@ -19,6 +19,7 @@
         self._calls = data.get("calls", {})
 
     def body(self, value):
+        """Returns a body with its fields and words translated."""
         if isinstance(value, dict):
             return {
                 self._fields.get(k, k): self._value(k, v)
@@ -34,6 +35,7 @@
         return self.body(value)
 
     def call(self, method: str, path: str, argument: str) -> tuple[str, str]:
+        """Returns the method and path of a call, with its argument."""
         own = self._calls.get(f"{method} {path}", f"{method} {path}")
         method, path = own.split(" ", 1)
         return method, path.replace("{}", argument)
@@ -124,4 +126,5 @@
 
 
 def read_roles(root: pathlib.Path) -> dict:
+    """Returns the roles of the deploy file by name."""
     return tomllib.loads((root / "deploy/system.toml").read_text())["roles"]
--- a/bench/limited_engines.py
+++ b/bench/limited_engines.py
@@ -48,6 +48,12 @@
 
 @dataclasses.dataclass
 class Arrival:
+    """The arrival of a request at an engine.
+
+    Attributes:
+        ran: Whether the engine began to execute it.
+    """
+
     at: float
     service: str
     engine: str
@@ -63,10 +69,12 @@
         self.statuses = {}
 
     def runs(self, attempt):
+        """Returns the arrivals of an attempt that were executed."""
         return [arrival for arrival in self.arrivals[attempt] if arrival.ran]
 
 
 def event(attempt: str, number: int) -> bytes:
+    """Returns an event of an attempt's stream."""
     return b"id: %d\ndata: %s-%d %s\n\n" % (
         number,
         attempt.encode(),
@@ -76,6 +84,7 @@
 
 
 def plain_body(attempt: str, size: int) -> bytes:
+    """Returns a body that repeats the attempt's id."""
     unit = f"{attempt} ".encode()
     return (unit * (size // len(unit) + 1))[:size]
 
@@ -132,6 +141,7 @@
         self.beats_sent = self.beats_acknowledged = 0
 
     async def start(self):
+        """Starts the server and the heartbeat under a new id."""
         self.id = f"i-{self._random.getrandbits(32):08x}"
         self._born = int(time.time() * 1000)
         self._seq = self._active = self._waiting = 0
@@ -146,6 +156,7 @@
         self._beats = asyncio.create_task(self._beat())
 
     async def crash(self):
+        """Ends at once: closes the server and breaks off all connections."""
         self._beats.cancel()
         self._server.close()
         for writer in list(self._writers):
@@ -164,6 +175,7 @@
 
     @contextlib.contextmanager
     def faulty(self, fault: Fault, share: float):
+        """Applies a fault to a share of the requests within the block."""
         self._fault, self._fault_share = fault, share
         try:
             yield
--- a/bench/limited_fleet.py
+++ b/bench/limited_fleet.py
@@ -88,11 +88,13 @@
     down: bool = False
 
     def disturb(self, kind, planned=False):
+        """Records a disturbance that begins now, and returns it."""
         event = Disturbance(kind, planned, time.monotonic())
         self.disturbances.append(event)
         return event
 
     def unplanned_during(self, since, until):
+        """Returns the unplanned disturbances that overlap a time."""
         return [
             d
             for d in self.disturbances
@@ -152,13 +154,16 @@
 
     @property
     def control_machines(self):
+        """The machines that run a control process."""
         return [m for m in self.machines if "control" in m.roles]
 
     @property
     def core(self):
+        """The machines with a disk."""
         return [m for m in self.machines if m.disk]
 
     def control_addresses(self):
+        """Returns the addresses of all control processes."""
         return [f"{m.address}:{CONTROL_PORT}" for m in self.control_machines]
 
     def _settings(self, machine, role):
@@ -215,6 +220,7 @@
         }
 
     def write_settings(self, machine, role):
+        """Writes the settings of a role on a machine; returns the path."""
         machine.folder.mkdir(parents=True, exist_ok=True)
         if machine.disk:
             (machine.folder / "data" / role).mkdir(parents=True, exist_ok=True)
@@ -225,6 +231,7 @@
         return path
 
     async def start_all(self):
+        """Tells the keeper the machines' shares and starts all processes."""
         for machine in self.machines:
             self._keeper.order(
                 op="machine", machine=machine.name, quota=machine.share
@@ -234,6 +241,7 @@
         )
 
     async def start(self, machine):
+        """Starts the processes of a machine that do not run."""
         machine.down = False
         for role in machine.roles:
             if role not in machine.processes:
@@ -333,6 +341,13 @@
             await self._start_process(machine, role)
 
     def kill(self, machine, why, roles=None):
+        """Sends SIGKILL to processes of a machine.
+
+        Args:
+            machine: The machine.
+            why: The reason that their ends record.
+            roles: The roles to kill; all if None.
+        """
         for role, process in list(machine.processes.items()):
             if roles is None or role in roles:
                 process.asked = why
@@ -340,6 +355,11 @@
                     process.child.kill()
 
     async def power_off(self, machines, why):
+        """Kills all processes of machines and waits for their ends.
+
+        Returns:
+            The disturbances, which last until `power_on`.
+        """
         events = [machine.disturb(why) for machine in machines]
         for machine in machines:
             machine.down = True
@@ -349,6 +369,13 @@
         return events
 
     async def power_on(self, machines, events, wipe=False):
+        """Starts machines and ends their disturbances.
+
+        Args:
+            machines: The machines to start.
+            events: The disturbances that `power_off` returned.
+            wipe: Whether the machines lose their data before.
+        """
         for machine in machines:
             if wipe:
                 shutil.rmtree(machine.folder / "data", ignore_errors=True)
@@ -373,6 +400,7 @@
         event.until = time.monotonic()
 
     def hang_up(self, machine):
+        """Writes the settings of a machine anew and sends SIGHUP."""
         event = machine.disturb("sighup", planned=True)
         event.until = event.since + 2.0
         for role, process in machine.processes.items():
@@ -380,6 +408,7 @@
             process.child.send_signal(signal.SIGHUP)
 
     async def freeze(self, machine, seconds):
+        """Suspends all processes of a machine for some seconds."""
         event = machine.disturb("freeze")
         self._keeper.order(op="freeze", machine=machine.name, on=True)
         try:
@@ -389,6 +418,7 @@
         event.until = time.monotonic()
 
     async def fill_disk(self, machine, seconds):
+        """Limits the files of a control process as a full disk would."""
         event = machine.disturb("disk_full")
         process = machine.processes.get("control")
         if process:
@@ -405,6 +435,7 @@
         event.until = time.monotonic()
 
     def disk_bytes(self, machine):
+        """Returns the size of all files in a machine's data folder."""
         data = machine.folder / "data"
         total = 0
         for path, _, names in os.walk(data):
@@ -416,6 +447,7 @@
         return total
 
     async def stop(self):
+        """Kills all processes and waits for their ends."""
         self.closing = True
         for machine in self.machines:
             machine.down = True
@@ -434,6 +466,7 @@
         self.late_samples = 0
 
     async def start(self):
+        """Starts the keeper and reads its reports."""
         path = pathlib.Path(__file__).with_name("limited_keeper.py")
         self._child = await asyncio.create_subprocess_exec(
             sys.executable,
@@ -444,6 +477,7 @@
         self._task = asyncio.create_task(self._read())
 
     def order(self, **fields):
+        """Sends an order, unless the keeper has ended."""
         if self._child.returncode is None:
             self._child.stdin.write(json.dumps(fields).encode() + b"\n")
 
@@ -459,11 +493,13 @@
                 self._done.set()
 
     async def collect(self):
+        """Asks for the peaks of all processes and waits for them."""
         self._done.clear()
         self.order(op="peaks")
         await asyncio.wait_for(self._done.wait(), 5)
 
     async def stop(self):
+        """Ends the keeper and waits until all reports are read."""
         self._child.stdin.close()
         await asyncio.wait_for(self._child.wait(), 5)
         await self._task
--- a/bench/limited_judge.py
+++ b/bench/limited_judge.py
@@ -32,7 +32,7 @@
 
 
 def _ends_with_grace(machine, attempt):
-    """Whether a request that came before its SIGTERM was cut in its last sixth."""
+    """Whether a request was cut in the last sixth of a grace period."""
     return any(
         event.kind == "sigterm"
         and attempt.sent_at <= event.since + 3
@@ -124,6 +124,11 @@
 
 
 def find_twice(callers, ledger):
+    """Returns requests executed in spite of the rules, in two lists.
+
+    The first holds those that may not be repeated and were executed more than
+    once, the second those that were executed but answered as refused.
+    """
     twice, refused = [], []
     for attempt in callers.attempts:
         if attempt.kind.repeatable:
@@ -160,6 +165,7 @@
 
 
 def summarise_peaks(fleet):
+    """Returns the highest peak report of each name, highest first."""
     peaks = {}
     for report in fleet.peaks:
         before = peaks.get(report["name"])
@@ -183,6 +189,7 @@
     start,
     arguments,
 ):
+    """Returns the report of a day, with the broken rules in `broken`."""
     forms = find_lost(fleet, callers, ledger, plan)
     free, excused = find_own_ends(fleet)
     twice, refused = find_twice(callers, ledger)
@@ -204,7 +211,10 @@
     if refused:
         broken.append(f"REFUSED {len(refused)}")
     outcomes = collections.Counter(
-        f"{a.outcome.value} {a.status if a.outcome is Outcome.STATUS else ''}".strip()
+        (
+            f"{a.outcome.value} "
+            f"{a.status if a.outcome is Outcome.STATUS else ''}"
+        ).strip()
         for a in callers.attempts
     )
     mixed = [
@@ -277,9 +287,10 @@
 
 
 def as_text(report):
+    """Returns a report as text."""
     lines = [
-        f"root {report['root']} seed {report['seed']} profile {report['profile']} "
-        f"seconds {report.get('seconds')}",
+        f"root {report['root']} seed {report['seed']} "
+        f"profile {report['profile']} seconds {report.get('seconds')}",
         f"broken: {report['broken'] or 'nothing'}",
         f"troubles: {report['troubles']} errors {report['errors']}",
         f"attempts {report['attempts']} outcomes {dict(report['outcomes'])} "
@@ -304,13 +315,16 @@
     lines.append(f"config: {report['config']} disk {report['disk']}")
     lines.append(
         f"not ready, polls: {dict(report['not_ready'])} "
-        f"late samples {report['late_samples']} runner lag {report['runner_lag']}"
+        f"late samples {report['late_samples']} "
+        f"runner lag {report['runner_lag']}"
     )
     for peak in report["peaks"][:20]:
         lines.append(
             f"    peak {peak['name']} {peak['peak'] / 1048576:.1f} MiB "
-            f"(rss {peak['rss'] / 1048576:.1f} unread {peak['unread'] / 1048576:.1f}) "
-            f"at {peak['at']} descriptors {peak['descriptors']} cpu {peak['cpu']} s "
+            f"(rss {peak['rss'] / 1048576:.1f} "
+            f"unread {peak['unread'] / 1048576:.1f}) "
+            f"at {peak['at']} descriptors {peak['descriptors']} "
+            f"cpu {peak['cpu']} s "
             f"throttled {peak['throttled']}"
         )
     return "\n".join(lines)
--- a/bench/limited_keeper.py
+++ b/bench/limited_keeper.py
@@ -48,6 +48,7 @@
     over: bool = False
 
     def send(self, number):
+        """Sends a signal, if the process still exists."""
         try:
             signal.pidfd_send_signal(self.pidfd, number)
         except ProcessLookupError:
@@ -73,6 +74,7 @@
 
 
 def read_running_seconds(pid):
+    """Returns the processor time of a process, or None if it ended."""
     total = 0
     try:
         for task in os.listdir(f"/proc/{pid}/task"):
@@ -84,6 +86,7 @@
 
 
 def read_resident(pid):
+    """Returns the resident bytes of a process, or 0 if it ended."""
     try:
         with open(f"/proc/{pid}/statm", "rb") as file:
             return int(file.read().split()[1]) * PAGE
@@ -104,6 +107,7 @@
 
 
 def read_inodes(pid):
+    """Returns the inodes of a process's sockets, and its descriptors' count."""
     inodes, count = set(), 0
     try:
         for name in os.listdir(f"/proc/{pid}/fd"):
@@ -146,6 +150,7 @@
         self._last_memory = None
 
     def run(self):
+        """Obeys orders and keeps the limits until standard input ends."""
         buffer = b""
         while True:
             ready, _, _ = select.select([0], [], [], POLL_SECONDS)
--- a/bench/limited_machines.py
+++ b/bench/limited_machines.py
@@ -31,6 +31,7 @@
 
 
 def parse_arguments():
+    """Returns the arguments of the command line."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument(
         "--root",
@@ -54,6 +55,7 @@
 
 
 def make_engines(fleet, slot, ledger, wire, seed):
+    """Returns the engines of both services, not started yet."""
     engines = []
     places = [(0, 2), (1, 2), (2, 1)]
     controls = fleet.control_addresses()
@@ -101,6 +103,7 @@
 
 @contextlib.asynccontextmanager
 async def running_fleet(arguments, folder):
+    """Runs the fleet and its keeper within the block; yields both."""
     keeper = limited_fleet.KeeperLink()
     await keeper.start()
     fleet = limited_fleet.Fleet(
@@ -189,6 +192,7 @@
 
 
 def main():
+    """Plays a day and prints the report; returns 1 if a rule was broken."""
     arguments = parse_arguments()
     hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
     resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
--- a/bench/limited_operator.py
+++ b/bench/limited_operator.py
@@ -103,12 +103,14 @@
         }
 
     def tenants(self):
+        """Returns the keys of each tenant in the newest config."""
         return {
             tenant["name"]: tenant["api_keys"]
             for tenant in self.config["tenants"]
         }
 
     def place(self, kind, tenant, generator):
+        """Returns the host, path and key for a request of a tenant."""
         keys = self.tenants().get(tenant) or [""]
         return HOSTNAME, f"/{kind.name}/{generator.randrange(90)}f", keys[0]
 
@@ -144,6 +146,16 @@
         self.acks = 0
 
     async def put(self, config, seconds=20.0, ack_lost=0.0):
+        """Sends a config until it is acknowledged or refused.
+
+        Args:
+            config: The config to send.
+            seconds: Time after which it gives up.
+            ack_lost: Share of the acknowledgements to ignore.
+
+        Returns:
+            Whether it was acknowledged.
+        """
         started = time.monotonic()
         version = config["version"]
         self._plan.sent_at[version] = started
@@ -175,6 +187,7 @@
         return False
 
     async def send_bad(self):
+        """Sends an invalid config and notes if it is acknowledged."""
         config = copy.deepcopy(self._plan.config)
         config["version"] = self._plan.version + 1000
         config["routes"][0]["service"] = "nowhere"
@@ -192,6 +205,7 @@
             self.older.append(("invalid acknowledged", config["version"]))
 
     async def read(self, address):
+        """Returns the status and the config that an address gives."""
         return await asyncio.wait_for(
             limited_engines.call(
                 self._wire, address, "GET", "/v1/config", None
--- a/bench/limited_probes.py
+++ b/bench/limited_probes.py
@@ -87,7 +87,8 @@
                     self._small.address, 8780
                 )
                 writer.write(
-                    b"GET /v1/readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+                    b"GET /v1/readyz HTTP/1.1\r\nHost: x\r\n"
+                    b"Connection: close\r\n\r\n"
                 )
                 line = await asyncio.wait_for(reader.readline(), 1)
                 writer.transport.abort()
@@ -95,16 +96,19 @@
                     return
 
     async def idle_channels(self):
+        """Opens 3,000 connections to a gateway and sends nothing."""
         async with self._channels(self._small.address, 8783, 3000) as channels:
             await asyncio.sleep(4)
             return f"{len(channels)} connected"
 
     async def idle_channels_to_control(self):
+        """Opens 5,000 connections to a control host and sends nothing."""
         async with self._channels(self._core.address, 8785, 5000) as channels:
             await asyncio.sleep(4)
             return f"{len(channels)} connected"
 
     async def partial_heads(self):
+        """Sends 1,400 heads without an end."""
         async with self._channels(self._small.address, 8783, 1400) as channels:
             for writer, _ in channels:
                 writer.write(
@@ -113,6 +117,7 @@
             await asyncio.sleep(4)
 
     async def large_bodies(self):
+        """Sends 120 bodies of 4 MB without their end."""
         async with self._channels(self._small.address, 8783, 120) as channels:
             for writer, _ in channels:
                 writer.write(
@@ -122,6 +127,7 @@
             await asyncio.sleep(5)
 
     async def large_bodies_without_key(self):
+        """Sends 120 bodies of 4 MB without their end, with a wrong key."""
         async with self._channels(self._small.address, 8783, 120) as channels:
             for writer, _ in channels:
                 writer.write(
@@ -141,6 +147,7 @@
             await asyncio.sleep(6)
 
     async def bodies_of_the_sheet_while_suspended(self):
+        """Sends 400 bodies of 110 kB to a suspended gateway."""
         async with self._channels(self._small.address, 8783, 400) as channels:
             freeze = asyncio.create_task(self._fleet.freeze(self._small, 3.5))
             await asyncio.sleep(0.2)
@@ -153,6 +160,7 @@
             await asyncio.sleep(3)
 
     async def large_responses_to_slow_callers(self):
+        """Asks for endless responses and does not read them."""
         with contextlib.ExitStack() as stack:
             for engine in self._engines:
                 stack.enter_context(
@@ -223,6 +231,7 @@
         return dict(counts)
 
     async def large_responses(self):
+        """Asks for endless responses and reads them."""
         with contextlib.ExitStack() as stack:
             for engine in self._engines:
                 stack.enter_context(
@@ -262,11 +271,13 @@
         await asyncio.gather(*(send(body) for body in bodies))
 
     async def large_configs(self):
+        """Sends six configs of 30 MB at once."""
         text = json.dumps(self._wire.body(self._plan.config))
         large = text[:-1] + ', "more": "' + "m" * 30_000_000 + '"}'
         await self._send_control("PUT", "/v1/config", [large.encode()] * 6)
 
     async def many_configs(self):
+        """Sends 300 versions of a config with 100 more routes."""
         configs = []
         for _ in range(300):
             config = self._plan.change("idle")
@@ -284,12 +295,14 @@
             )
 
     async def large_heartbeats(self):
+        """Sends 60 registrations of 4 MB at once."""
         body = json.dumps(
             {"service": "assistant-llm", "x": "y" * 4_000_000}
         ).encode()
         await self._send_control("PUT", "/v1/instances/{}", [body] * 60)
 
     async def strange_heartbeats(self):
+        """Sends registrations that are not valid."""
         bodies = [
             b"\xff\xfe",
             b"[]",
@@ -306,6 +319,7 @@
         await self._send_control("PUT", "/v1/instances/{}", bodies * 5)
 
     async def many_endpoints(self):
+        """Registers 3,000 engines."""
         bodies = []
         for number in range(3000):
             bodies.append(
@@ -345,6 +359,7 @@
             )
 
     async def garbage_on_internal_ports(self):
+        """Sends garbage to ports that are not for callers."""
         for machine, port in (
             (self._core, 7400),
             (self._core, 7415),
@@ -360,13 +375,15 @@
                         (
                             b"\x00\xff\x7f\xff\xff\xff"
                             if number % 2
-                            else b"POST / HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n"
+                            else b"POST / HTTP/1.1\r\n"
+                            b"Content-Length: 99999999\r\n\r\n"
                         )
                         + b"g" * 2_000_000
                     )
                 await asyncio.sleep(1.5)
 
     async def full_disk_and_restart(self):
+        """Starts a control host whose files cannot grow."""
         machine = self._core
         folder = machine.folder / "data" / "control"
         await self._fleet.power_off([machine], "probe")
@@ -378,6 +395,7 @@
         return f"{sorted(os.listdir(folder))}"
 
     async def kill_while_starting(self):
+        """Kills the hosts with a disk at several times of their start."""
         for milliseconds in (150, 400, 800, 1200):
             for machine in self._fleet.core:
                 await self._fleet.power_off([machine], "probe")
@@ -394,6 +412,7 @@
 
 
 async def play(arguments, folder):
+    """Plays the probes; returns how many had processes end by themselves."""
     wire = limited_deploy.Wire(arguments.root)
     ledger = limited_engines.Ledger()
     keeper = limited_fleet.KeeperLink()
@@ -470,6 +489,7 @@
 
 
 def main():
+    """Plays the chosen probes; returns how many of them failed."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument(
         "--root",
--- a/bench/limited_troubles.py
+++ b/bench/limited_troubles.py
@@ -26,6 +26,13 @@
         self.log.append((time.monotonic(), text))
 
     async def play(self, profile, since, seconds):
+        """Plays the troubles of a profile.
+
+        Args:
+            profile: One of `PROFILES`.
+            since: Time at which the day began.
+            seconds: Length of the day.
+        """
         if profile == "calm":
             await self._at(since, seconds / 2, self._config_change, "idle")
             await self._at(since, seconds - 1, self._config_change, "quota")
