--- a/packages/fleet/tests/test_closing_listeners_review.py
+++ b/packages/fleet/tests/test_closing_listeners_review.py
@@ -189,11 +189,7 @@
         started_count=1,
         guard=guard,
         context=SimpleNamespace(brokers=SimpleNamespace(lag=lag)),
-<<<<<<< HEAD
         outlasting=OutlastingRequests(1.0),
-=======
-        outlasting=OutlastingRequests(0.05),
->>>>>>> grace
     )
     role = GatewayRole(app, None, handler)
     role.connections = SimpleNamespace(close_idle=lambda: None)
