--- a/bench/limited_machines.py
+++ b/tests/platform/limited_machines/limited_machines.py
@@ -1,6 +1,6 @@
 """Plays a day of tpl-dakar on real processes and keeps all limits from outside.
 
-Run: python bench/limited_machines.py --seed 1 --profile users
+Run: limited_machines.py --seed 1 --profile users
 It needs `sh deploy/build.sh` before, and only starts processes on loopback.
 """
 
@@ -36,7 +36,7 @@
     parser.add_argument(
         "--root",
         type=pathlib.Path,
-        default=pathlib.Path(__file__).resolve().parents[1],
+        default=pathlib.Path(__file__).resolve().parents[3],
     )
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument(
--- a/bench/limited_probes.py
+++ b/tests/platform/limited_machines/limited_probes.py
@@ -1,6 +1,6 @@
 """Presses single limits of a gateway and a control host, one after the other.
 
-Run: python bench/limited_probes.py [--root PATH] [--only NAME]
+Run: limited_probes.py [--root PATH] [--only NAME]
 Each probe says whether the processes lived, and their peak memory.
 """
 
@@ -494,7 +494,7 @@
     parser.add_argument(
         "--root",
         type=pathlib.Path,
-        default=pathlib.Path(__file__).resolve().parents[1],
+        default=pathlib.Path(__file__).resolve().parents[3],
     )
     parser.add_argument("--slot", type=int, default=50)
     parser.add_argument("--only", action="append", choices=NAMES)
