--- a/review/parts_2.py
+++ b/review/parts_2.py
@@ -231,10 +231,11 @@
 class Fleet:
     """The processes of a small deployment, a loopback address a host.
 
-    The first host of each of three zones has a disk and serves control.
+    The hosts are in three zones, and the first of each zone has a disk. The
+    first ones serve control.
     """
 
-    def __init__(self, folder: Path, gateways: int = 3):
+    def __init__(self, folder: Path, gateways: int = 3, controls: int = 3):
         self.folder = folder
         draw = random.SystemRandom()
         self.network = f"127.{draw.randrange(16, 250)}.{draw.randrange(250)}"
@@ -248,7 +249,7 @@
                 f"edge-{number}",
                 f"zone-{number % 3}",
                 f"{self.network}.{number + 1}",
-                ("control", "gateway") if number < 3 else ("gateway",),
+                ("control", "gateway") if number < controls else ("gateway",),
                 number < 3,
             )
             for number in range(gateways)
@@ -258,7 +259,11 @@
     @property
     def control_addresses(self) -> list[str]:
         """Where engines and the operator call."""
-        return [f"{h.ip}:{self.ports[2]}" for h in self.hosts if h.has_disk]
+        return [
+            f"{host.ip}:{self.ports[2]}"
+            for host in self.hosts
+            if "control" in host.roles
+        ]
 
     def frontend(self, host: Host) -> str:
         """Where clients call."""
@@ -278,7 +283,7 @@
                 "control": f"{host.ip}:{self.ports[2]}",
             },
             "port_range": [self.ports[3], self.ports[4]],
-            "seeds": self.control_addresses,
+            "seeds": self.control_addresses[:3],
             "bootstrap": self.is_first_start,
             "limits": {
                 "cpu_share": 0.968,
@@ -380,6 +385,7 @@
     Attributes:
         name: The id of its lifetime.
         is_up: Whether it listens.
+        is_leaving: Whether it says in its answers that it is leaving.
         run: Called with each request that it begins to run; returns the
             status and the body of the answer, or None to send nothing.
     """
@@ -396,6 +402,7 @@
         self.born = 0
         self.seq = 0
         self.is_up = False
+        self.is_leaving = False
         self.server: asyncio.Server | None = None
         self.channels: set[asyncio.StreamWriter] = set()
         self.beating: asyncio.Task | None = None
@@ -456,11 +463,13 @@
                     return
                 writer.write(await self._answer(request))
                 await writer.drain()
+                if self.is_leaving:
+                    return
         except (ConnectionError, asyncio.CancelledError):
             return
         finally:
             self.channels.discard(writer)
-            writer.transport.abort()
+            writer.close()
 
     async def _answer(self, request: Message) -> bytes:
         attempt = request.headers.get("x-marjoramyard-attempt-id", "")
@@ -468,7 +477,10 @@
         if target not in ("", self.name):
             return _response(421, attempt, b"", self.name)
         status, body = await self.run(self, request)
-        return _response(status, attempt, body, self.name)
+        answer = _response(status, attempt, body, self.name)
+        if self.is_leaving:
+            return answer.replace(b"\r\n", b"\r\nConnection: close\r\n", 1)
+        return answer
 
 
 def _response(status: int, attempt: str, body: bytes, name: str) -> bytes:
@@ -509,18 +521,19 @@
         self.path.write_text("\n".join(self.lines) + "\n")
 
 
-def run_case(folder: Path, case, gateways: int = 3) -> None:
+def run_case(folder: Path, case, gateways: int = 3, controls: int = 3) -> None:
     """Runs a case, ends its processes, and exits with its result.
 
     Args:
         folder: Where the record is written.
         case: Called with the fleet and the record; returns the exit code.
         gateways: How many gateways there are.
+        controls: How many of their hosts serve control, too.
     """
     record = Record(folder)
     record.note(f"trouble: {HAS_TROUBLE}")
     with tempfile.TemporaryDirectory() as name:
-        fleet = Fleet(Path(name), gateways)
+        fleet = Fleet(Path(name), gateways, controls)
         try:
             result = asyncio.run(_run(fleet, record, case))
         except UnableError as error:
