--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,7 +1,8 @@
-"""Requests on a route whose prefix has a percent-encoded letter."""
+"""Copies of a request that crashes engines, sent by clients that don't wait."""
 
 import asyncio
 import itertools
+import json
 import sys
 from pathlib import Path
 
@@ -14,7 +15,6 @@
     Engine,
     Fleet,
     Host,
-    Message,
     Record,
     UnableError,
     call,
@@ -23,39 +23,44 @@
 
 HOSTNAME = "site.example"
 KEY = "key-of-the-tenant"
-SERVICE = "files"
-PLAIN_PREFIX, ENCODED_PREFIX = "/plain/", "/ol%C3%A1/"
-"""The second is how a path with an accent is sent: letters beyond ASCII can't
-stand in a request line."""
-REQUESTS = 30
-APPLY_SECONDS = 2.0
+CRASH_BODY = b'{"request": "crashes"}'
+SOUND_BODY = b'{"request": "sound"}'
+CRASH_SECONDS = 0.2
+"""How long the request runs before its engine ends."""
+DOWN_SECONDS = 2.0
+CLIENTS = 6
+RETRY_SECONDS = 0.1
+"""These clients do not wait as instructed."""
+TEST_SECONDS = 40.0
 CONTACT_SECONDS = 3.0
-ALLOWED_DENIALS = 5
-ALLOWED_SHARE = 1 / 500
+ALLOWED_RETRIES = 3
 _numbers = itertools.count(1)
 
 
-def document(version: int, *prefixes: str) -> dict:
-    """A config with a route for each prefix."""
+def document() -> dict:
+    """The config."""
     return {
-        "version": version,
+        "version": 1,
         "routes": [
             {
-                "name": f"r-{number}",
+                "name": "hold",
                 "hostname": HOSTNAME,
-                "path_prefix": prefix,
-                "request_kind": "idempotent",
+                "path_prefix": "/hold/",
+                "request_kind": "non_idempotent",
                 "timeout_ms": 1000,
                 "objective_ms": 200,
                 "priority": 2,
-                "service": SERVICE,
-                "max_attempts": 2,
+                "service": "rental-api",
+                "max_attempts": 1,
                 "open_access": False,
             }
-            for number, prefix in enumerate(prefixes)
         ],
         "services": [
-            {"name": SERVICE, "health_path": "/healthz", "max_connections": 260}
+            {
+                "name": "rental-api",
+                "health_path": "/healthz",
+                "max_connections": 260,
+            }
         ],
         "limits": {
             "max_header_bytes": 16384,
@@ -68,22 +73,47 @@
 
 
 class Case:
-    """The runs at the engines, and the answers."""
+    """The engines, the clients and what they saw."""
 
     def __init__(self, fleet: Fleet, record: Record):
         self.fleet = fleet
         self.record = record
-        self.statuses: list[int | None] = []
-
-    async def run(self, engine: Engine, request: Message) -> tuple[int, bytes]:
-        """Runs a request."""
+        self.runs: list[float] = []
+        self.crashes: list[float] = []
+        self.tasks: set[asyncio.Task] = set()
+        self.sound = {200: 0, "else": 0}
+
+    async def run(self, engine: Engine, request) -> tuple[int, bytes]:
+        """Runs a request at an engine, which it may crash."""
+        if request.body != CRASH_BODY:
+            await asyncio.sleep(0.045)
+            return 200, b"done"
         attempt = request.headers["x-marjoramyard-attempt-id"]
-        self.record.note(f"run {attempt} {request.start[1]} at {engine.name}")
-        await asyncio.sleep(0.03)
-        return 200, b"done"
-
-    async def send(self, host: Host, path: str) -> int | None:
-        """Sends a request; returns the status of its answer."""
+        self.record.note(f"run {attempt} at {engine.name}")
+        self.runs.append(self.record.now())
+        if not HAS_TROUBLE:
+            await asyncio.sleep(0.045)
+            return 200, b"done"
+        await asyncio.sleep(CRASH_SECONDS)
+        self.crash(engine)
+        raise ConnectionError("the engine has ended")
+
+    def crash(self, engine: Engine) -> None:
+        """Ends an engine, which is back after some seconds."""
+        if not engine.is_up:
+            return
+        self.record.note(f"crash of {engine.name}")
+        self.crashes.append(self.record.now())
+        engine.crash()
+        task = asyncio.create_task(self._restart(engine))
+        self.tasks.add(task)
+
+    async def _restart(self, engine: Engine) -> None:
+        await asyncio.sleep(DOWN_SECONDS)
+        await engine.start()
+
+    async def send(self, host: Host, body: bytes) -> int | None:
+        """Sends an attempt; returns its status, None for a closed channel."""
         attempt = f"a-{next(_numbers)}"
         headers = {
             "Host": HOSTNAME,
@@ -91,49 +121,68 @@
             "X-Marjoramyard-Attempt-Id": attempt,
             "X-Marjoramyard-Deadline-Ms": "1000",
         }
-        self.record.note(f"send {attempt} {path} to {host.name}")
+        if body == CRASH_BODY:
+            self.record.note(f"send {attempt} to {host.name}")
         answer = await call(
-            self.fleet.frontend(host), "GET", path, headers, b"", 1.5
+            self.fleet.frontend(host), "POST", "/hold/x", headers, body, 1.0
         )
         status = answer.status if answer is not None else None
-        self.record.note(f"answer {attempt} {status}")
+        if body == CRASH_BODY:
+            self.record.note(f"answer {attempt} {status}")
         return status
 
-    async def send_all(self, prefix: str) -> None:
-        """Sends requests on a route to all gateways in turn."""
-        for number in range(REQUESTS):
-            host = self.fleet.hosts[number % len(self.fleet.hosts)]
-            status = await self.send(host, f"{prefix}{number}")
-            self.statuses.append(status)
+    async def client(self, number: int) -> None:
+        """Sends the request again and again, each time elsewhere."""
+        hosts = self.fleet.hosts
+        for turn in itertools.count(number):
+            await self.send(hosts[turn % len(hosts)], CRASH_BODY)
+            await asyncio.sleep(RETRY_SECONDS)
+
+    async def other_client(self, number: int) -> None:
+        """Sends sound requests."""
+        hosts = self.fleet.hosts
+        for turn in itertools.count(number):
+            status = await self.send(hosts[turn % len(hosts)], SOUND_BODY)
+            self.sound[200 if status == 200 else "else"] += 1
+            await asyncio.sleep(0.2)
 
 
 async def case(fleet: Fleet, record: Record) -> int:
     """Runs the case."""
     await fleet.start_all()
-    await fleet.put_config(document(1, PLAIN_PREFIX))
+    await fleet.put_config(document())
     state = Case(fleet, record)
-    for number in range(3):
-        await Engine(fleet, number, SERVICE, state.run).start()
+    engines = [Engine(fleet, n, "rental-api", state.run) for n in range(3)]
+    for engine in engines:
+        await engine.start()
 
     async def is_served(host: Host) -> bool:
-        return await state.send(host, f"{PLAIN_PREFIX}first") == 200
+        return await state.send(host, SOUND_BODY) == 200
 
     await fleet.wait_until_served(is_served)
     await asyncio.sleep(CONTACT_SECONDS + 1)
-    added = ENCODED_PREFIX if HAS_TROUBLE else "/ola/"
-    record.note(f"config 2 adds a route for {added}")
-    await fleet.put_config(document(2, PLAIN_PREFIX, added))
-    record.note("config 2 is acknowledged")
-    await asyncio.sleep(APPLY_SECONDS + 1)
-    await state.send_all(PLAIN_PREFIX)
-    await state.send_all(added)
-    total = len(state.statuses)
-    denied = [status for status in state.statuses if status in (401, 403, 404)]
-    allowed = ALLOWED_DENIALS + ALLOWED_SHARE * total
-    record.note(f"{len(denied)} of {total} denied, {allowed:.2f} allowed")
-    if 200 not in state.statuses:
-        raise UnableError("no request was served")
-    return BROKEN if len(denied) > allowed else HELD
+    record.note(f"config {json.dumps(document())}")
+    record.note("traffic begins")
+    clients = [
+        asyncio.create_task(run(number))
+        for run in (state.client, state.other_client)
+        for number in range(CLIENTS)
+    ]
+    await asyncio.sleep(TEST_SECONDS)
+    for client in clients:
+        client.cancel()
+    record.note(f"sound requests {state.sound}")
+    record.note(f"runs {len(state.runs)}, crashes {len(state.crashes)}")
+    if not HAS_TROUBLE:
+        if not state.runs:
+            raise UnableError("no copy of the request was run")
+        return HELD
+    if len(state.crashes) < 3:
+        raise UnableError("the request has not crashed three engines")
+    since = state.crashes[2] + CONTACT_SECONDS
+    late = [at for at in state.runs if at > since]
+    record.note(f"retries later than {since:.1f} s: {len(late)}, 3 allowed")
+    return BROKEN if len(late) > ALLOWED_RETRIES else HELD
 
 
 if __name__ == "__main__":
--- a/review/parts_2.py
+++ b/review/parts_2.py
@@ -430,23 +430,26 @@
         for writer in list(self.channels):
             writer.transport.abort()
 
+    def heartbeat(self) -> dict[str, Any]:
+        """Returns the fields of a heartbeat."""
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": f"zone-{self.number % 3}",
+            "version": "v1",
+            "slots": 6,
+            "state": "ready",
+            "cold_left_ms": 0,
+            "seq": self.seq,
+            "born": self.born,
+        }
+
     async def _beat(self) -> None:
         addresses = list(self.fleet.control_addresses)
         while True:
             self.seq += 1
-            heartbeat = {
-                "service": self.service,
-                "address": self.address,
-                "zone": f"zone-{self.number % 3}",
-                "version": "v1",
-                "slots": 6,
-                "state": "ready",
-                "cold_left_ms": 0,
-                "seq": self.seq,
-                "born": self.born,
-            }
             path = f"/v1/endpoints/{self.name}"
-            body = json.dumps(heartbeat).encode()
+            body = json.dumps(self.heartbeat()).encode()
             for _ in addresses:
                 answer = await call(addresses[0], "PUT", path, {}, body, 1.0)
                 if answer is not None and answer.status == 200:
