--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,8 +1,8 @@
-"""Copies of a request that crashes engines, sent by clients that don't wait."""
+"""Engines that leave, and control processes that are killed after the ack."""
 
 import asyncio
 import itertools
-import json
+import signal
 import sys
 from pathlib import Path
 
@@ -15,6 +15,7 @@
     Engine,
     Fleet,
     Host,
+    Message,
     Record,
     UnableError,
     call,
@@ -23,17 +24,18 @@
 
 HOSTNAME = "site.example"
 KEY = "key-of-the-tenant"
-CRASH_BODY = b'{"request": "crashes"}'
-SOUND_BODY = b'{"request": "sound"}'
-CRASH_SECONDS = 0.2
-"""How long the request runs before its engine ends."""
-DOWN_SECONDS = 2.0
-CLIENTS = 6
-RETRY_SECONDS = 0.1
-"""These clients do not wait as instructed."""
-TEST_SECONDS = 40.0
+SERVICE = "rental-api"
+HOSTS = 6
+ENGINES = 5
+LEAVING = 2
+"""So many engines leave shortly after each other."""
+LEAVE_GAP_SECONDS = 0.012
+LINGER_SECONDS = 12.0
+"""How long they go on serving after the ack."""
+DOWN_SECONDS = 0.5
+DRAIN_SECONDS = 2.0
 CONTACT_SECONDS = 3.0
-ALLOWED_RETRIES = 3
+CLIENTS = 6
 _numbers = itertools.count(1)
 
 
@@ -43,24 +45,20 @@
         "version": 1,
         "routes": [
             {
-                "name": "hold",
+                "name": "check",
                 "hostname": HOSTNAME,
-                "path_prefix": "/hold/",
-                "request_kind": "non_idempotent",
+                "path_prefix": "/check/",
+                "request_kind": "idempotent",
                 "timeout_ms": 1000,
                 "objective_ms": 200,
                 "priority": 2,
-                "service": "rental-api",
-                "max_attempts": 1,
+                "service": SERVICE,
+                "max_attempts": 2,
                 "open_access": False,
             }
         ],
         "services": [
-            {
-                "name": "rental-api",
-                "health_path": "/healthz",
-                "max_connections": 260,
-            }
+            {"name": SERVICE, "health_path": "/healthz", "max_connections": 260}
         ],
         "limits": {
             "max_header_bytes": 16384,
@@ -73,47 +71,30 @@
 
 
 class Case:
-    """The engines, the clients and what they saw."""
+    """The engines, the clients and what the engines got.
+
+    Attributes:
+        arrivals: When requests reached each engine.
+        acked_at: When the departure of an engine was acknowledged.
+    """
 
     def __init__(self, fleet: Fleet, record: Record):
         self.fleet = fleet
         self.record = record
-        self.runs: list[float] = []
-        self.crashes: list[float] = []
-        self.tasks: set[asyncio.Task] = set()
-        self.sound = {200: 0, "else": 0}
-
-    async def run(self, engine: Engine, request) -> tuple[int, bytes]:
-        """Runs a request at an engine, which it may crash."""
-        if request.body != CRASH_BODY:
-            await asyncio.sleep(0.045)
-            return 200, b"done"
+        self.arrivals: dict[str, list[float]] = {}
+        self.acked_at: dict[str, float] = {}
+
+    async def run(self, engine: Engine, request: Message) -> tuple[int, bytes]:
+        """Runs a request."""
         attempt = request.headers["x-marjoramyard-attempt-id"]
         self.record.note(f"run {attempt} at {engine.name}")
-        self.runs.append(self.record.now())
-        if not HAS_TROUBLE:
-            await asyncio.sleep(0.045)
-            return 200, b"done"
-        await asyncio.sleep(CRASH_SECONDS)
-        self.crash(engine)
-        raise ConnectionError("the engine has ended")
-
-    def crash(self, engine: Engine) -> None:
-        """Ends an engine, which is back after some seconds."""
-        if not engine.is_up:
-            return
-        self.record.note(f"crash of {engine.name}")
-        self.crashes.append(self.record.now())
-        engine.crash()
-        task = asyncio.create_task(self._restart(engine))
-        self.tasks.add(task)
-
-    async def _restart(self, engine: Engine) -> None:
-        await asyncio.sleep(DOWN_SECONDS)
-        await engine.start()
+        now = self.record.now()
+        self.arrivals.setdefault(engine.name, []).append(now)
+        await asyncio.sleep(0.045)
+        return 200, b"done"
 
-    async def send(self, host: Host, body: bytes) -> int | None:
-        """Sends an attempt; returns its status, None for a closed channel."""
+    async def send(self, host: Host) -> int | None:
+        """Sends a request; returns the status of its answer."""
         attempt = f"a-{next(_numbers)}"
         headers = {
             "Host": HOSTNAME,
@@ -121,30 +102,43 @@
             "X-Marjoramyard-Attempt-Id": attempt,
             "X-Marjoramyard-Deadline-Ms": "1000",
         }
-        if body == CRASH_BODY:
-            self.record.note(f"send {attempt} to {host.name}")
+        self.record.note(f"send {attempt} to {host.name}")
         answer = await call(
-            self.fleet.frontend(host), "POST", "/hold/x", headers, body, 1.0
+            self.fleet.frontend(host), "GET", "/check/x", headers, b"", 1.5
         )
         status = answer.status if answer is not None else None
-        if body == CRASH_BODY:
-            self.record.note(f"answer {attempt} {status}")
+        self.record.note(f"answer {attempt} {status}")
         return status
 
     async def client(self, number: int) -> None:
-        """Sends the request again and again, each time elsewhere."""
-        hosts = self.fleet.hosts
-        for turn in itertools.count(number):
-            await self.send(hosts[turn % len(hosts)], CRASH_BODY)
-            await asyncio.sleep(RETRY_SECONDS)
-
-    async def other_client(self, number: int) -> None:
-        """Sends sound requests."""
-        hosts = self.fleet.hosts
-        for turn in itertools.count(number):
-            status = await self.send(hosts[turn % len(hosts)], SOUND_BODY)
-            self.sound[200 if status == 200 else "else"] += 1
-            await asyncio.sleep(0.2)
+        """Sends requests at one gateway."""
+        while True:
+            await self.send(self.fleet.hosts[number % HOSTS])
+            await asyncio.sleep(0.1)
+
+    async def leave(self, engine: Engine, address: str) -> None:
+        """Tells a control host that an engine leaves; it serves on."""
+        engine.is_leaving = True
+        engine.beating.cancel()
+        path = f"/v1/endpoints/{engine.name}"
+        answer = await call(address, "DELETE", path)
+        if answer is None or answer.status != 200:
+            raise UnableError("a departure was not acknowledged")
+        self.acked_at[engine.name] = self.record.now()
+
+    async def kill_control(self) -> None:
+        """Kills all processes that serve control; they are soon back."""
+        killed = [h for h in self.fleet.hosts if "control" in h.roles]
+        for host in killed:
+            host.processes["control"].send_signal(signal.SIGKILL)
+        self.record.note("all processes that serve control are killed")
+        for host in killed:
+            await host.processes["control"].wait()
+        await asyncio.sleep(DOWN_SECONDS)
+        self.fleet.is_first_start = False
+        for host in killed:
+            await self.fleet.start(host, "control")
+        self.record.note("they are started")
 
 
 async def case(fleet: Fleet, record: Record) -> int:
@@ -152,38 +146,46 @@
     await fleet.start_all()
     await fleet.put_config(document())
     state = Case(fleet, record)
-    engines = [Engine(fleet, n, "rental-api", state.run) for n in range(3)]
+    engines = [Engine(fleet, n, SERVICE, state.run) for n in range(ENGINES)]
     for engine in engines:
         await engine.start()
 
     async def is_served(host: Host) -> bool:
-        return await state.send(host, SOUND_BODY) == 200
+        return await state.send(host) == 200
 
     await fleet.wait_until_served(is_served)
-    await asyncio.sleep(CONTACT_SECONDS + 1)
-    record.note(f"config {json.dumps(document())}")
-    record.note("traffic begins")
-    clients = [
-        asyncio.create_task(run(number))
-        for run in (state.client, state.other_client)
-        for number in range(CLIENTS)
-    ]
-    await asyncio.sleep(TEST_SECONDS)
+    await asyncio.sleep(CONTACT_SECONDS + 2)
+    clients = [asyncio.create_task(state.client(n)) for n in range(CLIENTS)]
+    await asyncio.sleep(2)
+    leaving = engines[:LEAVING]
+    address = fleet.control_addresses[0]
+    departures = []
+    for engine in leaving:
+        departures.append(asyncio.create_task(state.leave(engine, address)))
+        await asyncio.sleep(LEAVE_GAP_SECONDS)
+    await asyncio.gather(*departures)
+    in_touch_at = max(state.acked_at.values())
+    for engine in leaving:
+        at = state.acked_at[engine.name]
+        record.note(f"the departure of {engine.name} was acked at {at:.3f}")
+    if HAS_TROUBLE:
+        await state.kill_control()
+        in_touch_at = record.now() + CONTACT_SECONDS
+    record.note(f"all machines are in touch from {in_touch_at:.1f} on")
+    await asyncio.sleep(LINGER_SECONDS)
     for client in clients:
         client.cancel()
-    record.note(f"sound requests {state.sound}")
-    record.note(f"runs {len(state.runs)}, crashes {len(state.crashes)}")
-    if not HAS_TROUBLE:
-        if not state.runs:
-            raise UnableError("no copy of the request was run")
-        return HELD
-    if len(state.crashes) < 3:
-        raise UnableError("the request has not crashed three engines")
-    since = state.crashes[2] + CONTACT_SECONDS
-    late = [at for at in state.runs if at > since]
-    record.note(f"retries later than {since:.1f} s: {len(late)}, 3 allowed")
-    return BROKEN if len(late) > ALLOWED_RETRIES else HELD
+    late = []
+    for engine in leaving:
+        since = max(in_touch_at, state.acked_at[engine.name] + DRAIN_SECONDS)
+        times = state.arrivals.get(engine.name, [])
+        found = [at for at in times if at > since]
+        record.note(f"{engine.name}: {len(found)} requests after {since:.1f}")
+        late += found
+    if not state.arrivals:
+        raise UnableError("no request was run")
+    return BROKEN if late else HELD
 
 
 if __name__ == "__main__":
-    run_case(Path(__file__).resolve().parent, case)
+    run_case(Path(__file__).resolve().parent, case, HOSTS, HOSTS)
--- a/review/parts_2.py
+++ b/review/parts_2.py
@@ -464,7 +464,7 @@
                 await read_body(reader, request)
                 if not request.is_whole:
                     return
-                writer.write(await self._answer(request))
+                await self.write_answer(request, writer)
                 await writer.drain()
                 if self.is_leaving:
                     return
@@ -474,6 +474,10 @@
             self.channels.discard(writer)
             writer.close()
 
+    async def write_answer(self, request: Message, writer) -> None:
+        """Runs a request and writes its answer."""
+        writer.write(await self._answer(request))
+
     async def _answer(self, request: Message) -> bytes:
         attempt = request.headers.get("x-marjoramyard-attempt-id", "")
         target = request.headers.get("x-marjoramyard-target-instance", "")
