--- a/review/parts_2.py
+++ b/review/parts_2.py
@@ -537,6 +537,7 @@
         gateways: How many gateways there are.
         controls: How many of their hosts serve control, too.
     """
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(UNABLE))
     record = Record(folder)
     record.note(f"trouble: {HAS_TROUBLE}")
     with tempfile.TemporaryDirectory() as name:
